Add the roster fold and the fields that claims and pulls need

Cause: a claim that never lapses would leave a key in progress for its whole lifetime when its entry dies; a pull without a least tier could be answered with low work while high work waits at another entry. Change: Claim carries its lifetime, Grant says whether it rests on a claim, Pull carries the least tier; the roster fold lists the incarnations that may hold a key.

--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -64,24 +64,28 @@
     """An agent with room asks an entry for work.
 
     The nonce is good for `slots` grants until the agent's own clock passes its
-    expiry; `ttl_s` tells the entry about how long that is. `only_warm` asks
-    just for requests whose prefix this upstream is believed to hold.
+    expiry; `ttl_s` tells the entry about how long that is. Nothing below
+    `rank_min` may be granted on it, since a higher tier may wait elsewhere.
     """
 
     service: str
     nonce: str
     slots: int
     ttl_s: float
-    only_warm: bool = False
+    rank_min: int
 
 
 @attrs.frozen(kw_only=True)
 class PullEmpty:
-    """An entry has granted all it will on this nonce; the rest is free again."""
+    """An entry has granted all it will on this nonce; the rest is free again.
+
+    `waiting` maps tier to what waits in the entry now.
+    """
 
     service: str
     nonce: str
     granted: int
+    waiting: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -90,13 +94,16 @@
 
     From here on the entry doesn't own the right to dispatch it elsewhere.
     `stamp` is the roster offset that the entry had folded when the request
-    arrived; `deadline_in_s` is what is left of the caller's time.
+    arrived; `deadline_in_s` is what is left of the caller's time. `claimed`
+    says that the attempt holds a claim on its key at this agent, without which
+    the grant must be refused.
     """
 
     nonce: str
     call: Call
     stamp: int
     deadline_in_s: float
+    claimed: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -190,10 +197,15 @@
 
 @attrs.frozen(kw_only=True)
 class Claim:
-    """An entry reserves a key at an agent for one attempt."""
+    """An entry reserves a key at an agent for one attempt.
+
+    The claim lapses at the agent after `lifetime_s`, counted from its arrival,
+    which is after the attempt's own deadline at the entry.
+    """
 
     key: str
     request_id: str
+    lifetime_s: float
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/lavenderspoke/roster.py
@@ -0,0 +1,171 @@
+"""The roster: which agent incarnations could ever have run a keyed request.
+
+An agent appends a join record to the log's `roster` stream before it accepts
+keyed work, renews it while it lives, and appends a leave record when it has
+handed its keys over. Entries fold the stream. A request is stamped with the
+offset folded when it arrived, and an agent refuses a stamp below its own join
+offset, so the incarnations that could run an attempt are fixed on arrival.
+"""
+
+import attrs
+import cattrs.preconf.msgpack
+from cattrs.strategies import configure_tagged_union
+from result import Err, Ok, Result
+
+from lavenderspoke.model import InstanceId
+
+STREAM = "roster"
+
+
+@attrs.frozen(kw_only=True)
+class Join:
+    """An incarnation joins, or renews its join.
+
+    `join_offset` is None in the first record, whose own offset it becomes.
+    """
+
+    agent: InstanceId
+    service: str
+    upstream: str
+    address: str
+    data_centre: str
+    join_offset: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Leave:
+    """An incarnation has left cleanly and accepts nothing any more.
+
+    `heir` holds its keys and answers for it; None says that it held no key.
+    """
+
+    agent: InstanceId
+    heir: InstanceId | None = None
+
+
+@attrs.frozen(kw_only=True)
+class RosterError:
+    """A roster record can't be read."""
+
+    detail: str
+
+
+RosterRecord = Join | Leave
+
+_converter = cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
+configure_tagged_union(RosterRecord, _converter)
+
+
+def encode(record: RosterRecord) -> bytes:
+    """Return the bytes of a record for the log."""
+    return _converter.dumps(record, RosterRecord)
+
+
+def decode(payload: bytes) -> Result[RosterRecord, RosterError]:
+    """Read a record back; bytes from outside never raise."""
+    try:
+        return Ok(_converter.loads(payload, RosterRecord))
+    # cattrs and msgpack raise many types on bad bytes, all of them Exceptions.
+    except Exception as error:
+        return Err(RosterError(detail=f"{type(error).__name__}: {error}"))
+
+
+@attrs.define(kw_only=True)
+class Life:
+    """What the roster says of one incarnation of an agent.
+
+    `heard_s` is when this reader folded the last record about it, on the
+    reader's own clock.
+    """
+
+    agent: InstanceId
+    service: str
+    upstream: str
+    address: str
+    join_offset: int
+    heard_s: float
+    left: bool = False
+    heir: InstanceId | None = None
+    succeeded: bool = False
+
+
+@attrs.define(kw_only=True)
+class Roster:
+    """The roster folds join and leave records in offset order.
+
+    `lease_s` is how long an agent accepts keyed work after its last renewal.
+    """
+
+    lease_s: float
+    offset: int = -1
+    skipped: int = 0
+    _lives: dict[InstanceId, Life] = attrs.field(factory=dict)
+
+    def apply(self, *, offset: int, payload: bytes, now_s: float) -> None:
+        """Fold one record; an unreadable one is skipped and counted."""
+        if offset <= self.offset:
+            return
+        self.offset = offset
+        decoded = decode(payload)
+        if isinstance(decoded, Err):
+            self.skipped += 1
+        elif isinstance(decoded.ok_value, Join):
+            self._join(decoded.ok_value, offset, now_s)
+        else:
+            self._leave(decoded.ok_value, now_s)
+
+    def reached(self, offset: int) -> None:
+        """Note that everything up to `offset` has been read."""
+        self.offset = max(self.offset, offset)
+
+    def _join(self, join: Join, offset: int, now_s: float) -> None:
+        life = self._lives.get(join.agent)
+        if life is not None:
+            life.heard_s = now_s
+            return
+        for other in self._lives.values():
+            if other.agent.name == join.agent.name:
+                other.succeeded = True
+        self._lives[join.agent] = Life(
+            agent=join.agent,
+            service=join.service,
+            upstream=join.upstream,
+            address=join.address,
+            join_offset=offset if join.join_offset is None else join.join_offset,
+            heard_s=now_s,
+        )
+
+    def _leave(self, leave: Leave, now_s: float) -> None:
+        life = self._lives.get(leave.agent)
+        if life is not None:
+            life.left = True
+            life.heir = leave.heir
+            life.heard_s = now_s
+
+    def get(self, agent: InstanceId) -> Life | None:
+        """Return what is known of an incarnation."""
+        return self._lives.get(agent)
+
+    def accountable(
+        self, service: str, *, now_s: float, key_lifetime_s: float
+    ) -> list[Life]:
+        """Return the incarnations that may hold a live key of the service.
+
+        One that has not been heard of for its lease and a key's lifetime holds
+        none: it refused keyed work from the end of its lease on, and what it
+        ran before has passed the lifetime. Both are counted from when this
+        reader heard of it, which is later, so the error is on the safe side.
+        """
+        horizon_s = now_s - self.lease_s - key_lifetime_s
+        expired = [key for key, life in self._lives.items() if life.heard_s < horizon_s]
+        for key in expired:
+            del self._lives[key]
+        return [life for life in self._lives.values() if life.service == service]
+
+    def alive(self, service: str) -> list[Life]:
+        """Return the incarnations that have neither left nor been succeeded."""
+        return [
+            life
+            for life in self._lives.values()
+            if life.service == service and not life.left and not life.succeeded
+        ]
