--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -111,13 +111,19 @@
     """An agent has accepted a grant and dispatched the request."""
 
     request_id: str
+    nonce: str
 
 
 @attrs.frozen(kw_only=True)
 class Refused:
-    """An agent refused a grant: the request did not run here and never will."""
+    """An agent refused a grant: it did not run on that nonce and never will.
+
+    The nonce matters: a late copy of this message must not be taken for the
+    refusal of a newer grant of the same request to the same agent.
+    """
 
     request_id: str
+    nonce: str
     reason: str
     holder: str | None = None
 
@@ -127,13 +133,19 @@
     """An entry takes a grant back because it heard nothing."""
 
     request_id: str
+    nonce: str
 
 
 @attrs.frozen(kw_only=True)
 class Revoked:
-    """An agent answers a revoke with where the request stands."""
+    """An agent answers a revoke or an attach with where the request stands.
+
+    Only the answer to a revoke names its nonce; only then may `standing` be
+    NEVER, and it speaks of that grant alone.
+    """
 
     request_id: str
+    nonce: str
     standing: Standing
 
 
--- a/lavenderspoke/roster.py
+++ b/lavenderspoke/roster.py
@@ -123,10 +123,7 @@
         if life is not None:
             life.heard_s = now_s
             return
-        for other in self._lives.values():
-            if other.agent.name == join.agent.name:
-                other.succeeded = True
-        self._lives[join.agent] = Life(
+        life = Life(
             agent=join.agent,
             service=join.service,
             upstream=join.upstream,
@@ -134,6 +131,15 @@
             join_offset=offset if join.join_offset is None else join.join_offset,
             heard_s=now_s,
         )
+        self._lives[join.agent] = life
+        self._mark_succeeded(join.agent.name)
+
+    def _mark_succeeded(self, name: str) -> None:
+        # Renewals may come in any order: the last to join is the one that lives.
+        lives = [life for life in self._lives.values() if life.agent.name == name]
+        newest = max(life.join_offset for life in lives)
+        for life in lives:
+            life.succeeded = life.join_offset < newest
 
     def _leave(self, leave: Leave, now_s: float) -> None:
         life = self._lives.get(leave.agent)
