Check settings and service documents against their classes

One checker reads YAML nodes by an attrs class's types and metadata, so that every mistake comes at once with file, line, field, what was found and what is allowed.

--- /dev/null
+++ b/lavenderspoke/schema.py
@@ -0,0 +1,353 @@
+"""Checks YAML text against attrs classes and builds them.
+
+The classes are the schema: a field's type says what it holds, a field without
+a default is required, and the metadata made by the helpers below narrows the
+values. Settings and service documents share this one checker. It goes on after
+a mistake, so that the writer sees all of them at once, each with its line.
+
+    @attrs.frozen(kw_only=True)
+    class Tier:
+        name: str = attrs.field(metadata=matching(NAME, "a name") | UNIQUE)
+        rank: int = attrs.field(metadata=between(0, 1000) | UNIQUE)
+"""
+
+import enum
+import io
+import ipaddress
+import math
+import re
+import types
+import typing
+from collections.abc import Callable
+
+import attrs
+import yaml
+from result import Err, Ok, Result
+
+from lavenderspoke.util import Mistake
+
+TEXT_CHARS_MAX = 1024 * 1024
+FOUND_CHARS_MAX = 60
+NAME = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+_TAG = "tag:yaml.org,2002:"
+
+UNIQUE = {"unique": True}
+NOT_EMPTY = {"not_empty": True}
+
+
+def rule(test: Callable[[typing.Any], bool], allowed: str) -> dict:
+    """Return metadata: a value must pass `test`, described by `allowed`."""
+    return {"test": test, "allowed": allowed}
+
+
+def between(low: float, high: float) -> dict:
+    """Return metadata: a number must lie in the range, both ends included."""
+    return rule(lambda value: low <= value <= high, f"from {low:,} to {high:,}")
+
+
+def above(low: float, high: float) -> dict:
+    """Return metadata: a number must be more than `low` and at most `high`."""
+    return rule(lambda value: low < value <= high, f"above {low:,}, up to {high:,}")
+
+
+def matching(pattern: str, allowed: str) -> dict:
+    """Return metadata: text must match the whole regular expression."""
+    return rule(lambda value: re.fullmatch(pattern, value) is not None, allowed)
+
+
+def name() -> dict:
+    """Return metadata: text must be a name."""
+    return matching(NAME, "a name of a-z, 0-9 and '-', up to 63 characters")
+
+
+def ip_address() -> dict:
+    """Return metadata: text must be an IP number, since nothing resolves names."""
+    return rule(_is_ip_address, "an IP number such as 127.0.0.1")
+
+
+def refers_to(pattern: str) -> dict:
+    """Return metadata: a value must stand elsewhere, as at `tiers[].name`."""
+    return {"refers_to": pattern}
+
+
+def not_above(field: str) -> dict:
+    """Return metadata: a number may not exceed the top-level field's."""
+    return {"not_above": field}
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def compose(text: str, file_name: str) -> Result[yaml.Node, list[Mistake]]:
+    """Return the text's root node, whose marks carry the file's name."""
+    if len(text) > TEXT_CHARS_MAX:
+        found = f"{len(text):,} characters"
+        return Err([_whole_file(file_name, 1, found, f"up to {TEXT_CHARS_MAX:,}")])
+    stream = io.StringIO(text)
+    stream.name = file_name
+    try:
+        node = yaml.compose(stream, Loader=yaml.SafeLoader)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = getattr(error, "problem", None) or "a character that YAML bars"
+        found = f"a YAML error ({problem})"
+        return Err([_whole_file(file_name, line, found, "well-formed YAML")])
+    except RecursionError:
+        # Deep nesting exhausts the parser's stack; no file that a person writes
+        # comes near, and the process must live on whatever the log holds.
+        return Err([_whole_file(file_name, 1, "deep nesting", "a few levels")])
+    if node is None:
+        return Err([_whole_file(file_name, 1, "nothing", "a mapping of fields")])
+    return Ok(node)
+
+
+def _whole_file(file_name: str, line: int, found: str, allowed: str) -> Mistake:
+    return Mistake(
+        file=file_name, line=line, field="(file)", found=found, allowed=allowed
+    )
+
+
+def overlay(node: yaml.Node, defaults: yaml.Node) -> yaml.Node:
+    """Return `node` with what it leaves out taken from `defaults`.
+
+    Mappings are merged, anything else is replaced whole. Marks are kept, so a
+    mistake still names the file and line where the value was written.
+    """
+    if not (
+        isinstance(node, yaml.MappingNode) and isinstance(defaults, yaml.MappingNode)
+    ):
+        return node
+    default_values = {key.value: value for key, value in defaults.value}
+    pairs = [
+        (key, overlay(value, default_values.get(_key(key), value)))
+        for key, value in node.value
+    ]
+    given = {_key(key) for key, _ in node.value}
+    for key, value in defaults.value:
+        if key.value not in given:
+            # What is missing further in is missing from the writer's own file.
+            empty = yaml.MappingNode(value.tag, [], node.start_mark, node.end_mark)
+            inherited = isinstance(value, yaml.MappingNode)
+            pairs.append((key, overlay(empty, value) if inherited else value))
+    return yaml.MappingNode(node.tag, pairs, node.start_mark, node.end_mark)
+
+
+def _key(node: yaml.Node) -> str:
+    return node.value if isinstance(node, yaml.ScalarNode) else describe(node)
+
+
+def describe(node: yaml.Node) -> str:
+    """Return what was found, short enough for one line."""
+    if isinstance(node, yaml.MappingNode):
+        return "a mapping"
+    if isinstance(node, yaml.SequenceNode):
+        return "a list"
+    if node.tag == _TAG + "null":
+        return "nothing"
+    value = node.value
+    if len(value) > FOUND_CHARS_MAX:
+        value = value[:FOUND_CHARS_MAX] + "..."
+    return repr(value)
+
+
+def read(node: yaml.Node, cls: type, path: str = "") -> Result[typing.Any, list]:
+    """Build `cls` from the node, or return every mistake in it, by line.
+
+    `path` is put before the fields' names in the mistakes.
+    """
+    reader = _Reader(root=cls, prefix=path)
+    value = reader.read_value(node, cls, {}, path)
+    reader.check_across()
+    if reader.mistakes:
+        return Err(sorted(reader.mistakes, key=lambda each: (each.file, each.line)))
+    return Ok(value)
+
+
+@attrs.frozen(kw_only=True)
+class _Leaf:
+    """A value that was read, kept for the checks across fields."""
+
+    value: typing.Any
+    node: yaml.Node
+    metadata: typing.Mapping
+
+
+_MISSING = object()
+
+
+@attrs.define(kw_only=True)
+class _Reader:
+    """Reads one tree of nodes and gathers its mistakes."""
+
+    root: type
+    prefix: str
+    mistakes: list[Mistake] = attrs.field(factory=list)
+    leaves: dict[str, _Leaf] = attrs.field(factory=dict)
+
+    def add(self, node: yaml.Node, path: str, found: str, allowed: str) -> None:
+        mark = node.start_mark
+        self.mistakes.append(
+            Mistake(
+                file=str(mark.name),
+                line=mark.line + 1,
+                field=path or "(file)",
+                found=found,
+                allowed=allowed,
+            )
+        )
+
+    def read_value(self, node, kind, metadata, path):
+        if typing.get_origin(kind) in (types.UnionType, typing.Union):
+            if node.tag == _TAG + "null":
+                return None
+            kind = next(
+                each for each in typing.get_args(kind) if each is not types.NoneType
+            )
+        if attrs.has(kind):
+            return self.read_mapping(node, kind, path)
+        if typing.get_origin(kind) is tuple:
+            return self.read_list(node, typing.get_args(kind)[0], metadata, path)
+        return self.read_scalar(node, kind, metadata, path)
+
+    def read_mapping(self, node, cls, path):
+        if not isinstance(node, yaml.MappingNode):
+            self.add(node, path, describe(node), "a mapping of fields")
+            return _MISSING
+        fields = {field.name: field for field in attrs.fields(cls)}
+        values = {}
+        for key, value in node.value:
+            label = _key(key)
+            inner = f"{path}.{label}" if path else label
+            if label not in fields:
+                allowed = ", ".join(fields)
+                self.add(key, inner, "an unknown field", f"one of {allowed}")
+            elif label in values:
+                self.add(key, inner, "the field twice", "once")
+            else:
+                field = fields[label]
+                values[label] = self.read_value(
+                    value, field.type, field.metadata, inner
+                )
+        return self.build(node, cls, fields, values, path)
+
+    def build(self, node, cls, fields, values, path):
+        for label, field in fields.items():
+            if label not in values and field.default is attrs.NOTHING:
+                inner = f"{path}.{label}" if path else label
+                self.add(node, inner, "nothing", _allowed(field.type, field.metadata))
+                values[label] = _MISSING
+        if any(value is _MISSING for value in values.values()):
+            return _MISSING
+        return cls(**values)
+
+    def read_list(self, node, kind, metadata, path):
+        if not isinstance(node, yaml.SequenceNode):
+            self.add(node, path, describe(node), "a list")
+            return _MISSING
+        if metadata.get("not_empty") and not node.value:
+            self.add(node, path, "an empty list", "at least one")
+        values = [
+            self.read_value(each, kind, metadata, f"{path}[{index}]")
+            for index, each in enumerate(node.value)
+        ]
+        return _MISSING if _MISSING in values else tuple(values)
+
+    def read_scalar(self, node, kind, metadata, path):
+        value = _scalar(node, kind)
+        test = metadata.get("test")
+        if value is _MISSING or (test is not None and not test(value)):
+            self.add(node, path, describe(node), _allowed(kind, metadata))
+            return _MISSING
+        self.leaves[path] = _Leaf(value=value, node=node, metadata=metadata)
+        return value
+
+    def check_across(self) -> None:
+        """Check the fields whose values depend on other fields."""
+        groups = {}
+        for path, leaf in self.leaves.items():
+            groups.setdefault(re.sub(r"\[\d+\]", "[]", path), []).append(leaf.value)
+        seen = {}
+        for path, leaf in self.leaves.items():
+            self.check_unique(path, leaf, seen)
+            self.check_reference(path, leaf, groups)
+            self.check_not_above(path, leaf)
+
+    def check_unique(self, path, leaf, seen) -> None:
+        if not leaf.metadata.get("unique"):
+            return
+        # Only the last index is left out: names are unique within one list.
+        group = re.sub(r"\[\d+\](?!.*\[)", "[]", path)
+        line = leaf.node.start_mark.line + 1
+        first_path, first_line = seen.setdefault((group, leaf.value), (path, line))
+        if first_path != path:
+            found = f"{describe(leaf.node)}, which line {first_line} has already"
+            self.add(leaf.node, path, found, "each value once")
+
+    def check_reference(self, path, leaf, groups) -> None:
+        pattern = leaf.metadata.get("refers_to")
+        if pattern is None:
+            return
+        known = groups.get(pattern, [])
+        if known and leaf.value not in known:
+            allowed = "one of " + ", ".join(dict.fromkeys(map(str, known)))
+            self.add(leaf.node, path, describe(leaf.node), allowed)
+
+    def check_not_above(self, path, leaf) -> None:
+        field = leaf.metadata.get("not_above")
+        if field is None:
+            return
+        other = self.leaves.get(f"{self.prefix}.{field}" if self.prefix else field)
+        limit = other.value if other else attrs.fields_dict(self.root)[field].default
+        if leaf.value > limit:
+            allowed = f"at most {field}, which is {limit:,}"
+            self.add(leaf.node, path, describe(leaf.node), allowed)
+
+
+def _scalar(node: yaml.Node, kind: type):
+    """Return the node's value, or _MISSING where it isn't of that kind."""
+    if not isinstance(node, yaml.ScalarNode):
+        return _MISSING
+    tag = node.tag.removeprefix(_TAG)
+    if kind is str:
+        return node.value if tag == "str" else _MISSING
+    if issubclass(kind, enum.Enum):
+        found = [each for each in kind if each.value == node.value]
+        return found[0] if found else _MISSING
+    if tag != kind.__name__ and (tag, kind) != ("int", float):
+        return _MISSING
+    try:
+        value = kind(yaml.SafeLoader("").construct_object(node))
+        return value if math.isfinite(value) else _MISSING
+    except (ValueError, OverflowError):
+        return _MISSING
+
+
+def _allowed(kind: type, metadata: typing.Mapping) -> str:
+    """Return in words what a field may hold."""
+    if typing.get_origin(kind) in (types.UnionType, typing.Union):
+        inner = next(
+            each for each in typing.get_args(kind) if each is not types.NoneType
+        )
+        return f"{_allowed(inner, metadata)}, or nothing"
+    if attrs.has(kind):
+        return "a mapping of fields"
+    if typing.get_origin(kind) is tuple:
+        return "a list"
+    if issubclass(kind, enum.Enum):
+        return "one of " + ", ".join(str(each.value) for each in kind)
+    noun = {
+        str: "text (in quotes if it looks like a number)",
+        int: "a whole number",
+        float: "a number",
+        bool: "true or false",
+    }[kind]
+    allowed = metadata.get("allowed")
+    if allowed is None:
+        return noun
+    return allowed if kind is str else f"{noun} {allowed}"
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -3,6 +3,13 @@
 import enum
 
 import attrs
+from result import Result
+
+from lavenderspoke import schema
+from lavenderspoke.util import Mistake
+
+DAY_S = 24 * 60 * 60.0
+GIB = 1024**3
 
 
 class Kind(enum.Enum):
@@ -19,10 +26,13 @@
     `worth` is what one answer within its deadline is worth against others.
     """
 
-    name: str
-    rank: int
-    worth: float = 1.0
-    deadline_s: float = 30.0
+    name: str = attrs.field(metadata=schema.name() | schema.UNIQUE)
+    rank: int = attrs.field(metadata=schema.between(0, 1000) | schema.UNIQUE)
+    worth: float = attrs.field(default=1.0, metadata=schema.between(0, 1_000_000))
+    deadline_s: float = attrs.field(
+        default=30.0,
+        metadata=schema.above(0, DAY_S) | schema.not_above("deadline_max_s"),
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -33,13 +43,20 @@
     document holds no secret. `tiers` names the tiers it may use.
     """
 
-    name: str
-    credential_sha256: str
-    tiers: tuple[str, ...]
-    weight: float = 1.0
-    requests_per_s: float | None = None
-    burst: int = 100
-    waiting_max: int = 1000
+    name: str = attrs.field(metadata=schema.name() | schema.UNIQUE)
+    credential_sha256: str = attrs.field(
+        metadata=schema.matching("[0-9a-f]{64}", "64 hex digits, lower case, in quotes")
+        | schema.UNIQUE
+    )
+    tiers: tuple[str, ...] = attrs.field(
+        metadata=schema.refers_to("tiers[].name") | schema.UNIQUE | schema.NOT_EMPTY
+    )
+    weight: float = attrs.field(default=1.0, metadata=schema.above(0, 1_000_000))
+    requests_per_s: float | None = attrs.field(
+        default=None, metadata=schema.above(0, 1_000_000)
+    )
+    burst: int = attrs.field(default=100, metadata=schema.between(1, 1_000_000))
+    waiting_max: int = attrs.field(default=1000, metadata=schema.between(1, 1_000_000))
 
 
 @attrs.frozen(kw_only=True)
@@ -51,41 +68,51 @@
     """
 
     kind: Kind
-    labels: tuple[str, ...]
-    checks_fencing: tuple[str, ...] = ()
+    labels: tuple[str, ...] = attrs.field(
+        metadata=schema.name() | schema.UNIQUE | schema.NOT_EMPTY
+    )
+    checks_fencing: tuple[str, ...] = attrs.field(
+        default=(), metadata=schema.refers_to("upstreams.labels[]") | schema.UNIQUE
+    )
 
 
 @attrs.frozen(kw_only=True)
 class Keys:
     """How long, and in how many bytes, an agent holds keys and answers."""
 
-    lifetime_s: float = 600.0
-    bytes_max: int = 16 * 1024 * 1024
+    lifetime_s: float = attrs.field(default=600.0, metadata=schema.above(0, DAY_S))
+    bytes_max: int = attrs.field(
+        default=16 * 1024 * 1024, metadata=schema.between(0, GIB)
+    )
 
 
 @attrs.frozen(kw_only=True)
 class RetryBudget:
     """Retries allowed as a ratio of first tries, and a floor a second."""
 
-    ratio: float = 0.1
-    per_s_min: float = 1.0
+    ratio: float = attrs.field(default=0.1, metadata=schema.between(0, 10))
+    per_s_min: float = attrs.field(default=1.0, metadata=schema.between(0, 10_000))
 
 
 @attrs.frozen(kw_only=True)
 class Poison:
     """After how many distinct crashed upstreams a request is refused."""
 
-    upstreams_threshold: int = 2
-    quarantine_s: float = 600.0
+    upstreams_threshold: int = attrs.field(default=2, metadata=schema.between(1, 100))
+    quarantine_s: float = attrs.field(default=600.0, metadata=schema.above(0, DAY_S))
 
 
 @attrs.frozen(kw_only=True)
 class Waiting:
     """How much may wait in one entry for the service."""
 
-    requests_max: int = 1000
-    bytes_max: int = 32 * 1024 * 1024
-    body_bytes_max: int = 1024 * 1024
+    requests_max: int = attrs.field(default=1000, metadata=schema.between(1, 1_000_000))
+    bytes_max: int = attrs.field(
+        default=32 * 1024 * 1024, metadata=schema.between(1, GIB)
+    )
+    body_bytes_max: int = attrs.field(
+        default=1024 * 1024, metadata=schema.between(1, GIB)
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -96,20 +123,22 @@
     a warm upstream by the time that the saved prefill would take.
     """
 
-    block_tokens: int = 16
-    prefill_tokens_per_s: float = 4000.0
-    wait_max_s: float = 0.5
+    block_tokens: int = attrs.field(default=16, metadata=schema.between(1, 4096))
+    prefill_tokens_per_s: float = attrs.field(
+        default=4000.0, metadata=schema.above(0, 10_000_000)
+    )
+    wait_max_s: float = attrs.field(default=0.5, metadata=schema.between(0, 60))
 
 
 @attrs.frozen(kw_only=True)
 class Service:
     """One service, as its document says."""
 
-    name: str
+    name: str = attrs.field(metadata=schema.name())
     upstreams: Upstreams
-    tiers: tuple[Tier, ...]
-    customers: tuple[Customer, ...]
-    deadline_max_s: float = 300.0
+    tiers: tuple[Tier, ...] = attrs.field(metadata=schema.NOT_EMPTY)
+    customers: tuple[Customer, ...] = attrs.field(metadata=schema.NOT_EMPTY)
+    deadline_max_s: float = attrs.field(default=300.0, metadata=schema.above(0, DAY_S))
     keys: Keys = attrs.field(factory=Keys)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     poison: Poison = attrs.field(factory=Poison)
@@ -123,3 +152,14 @@
     def customer(self, name: str) -> Customer | None:
         """Return the customer of that name."""
         return next((each for each in self.customers if each.name == name), None)
+
+
+def parse_service(text: str, file_name: str) -> Result[Service, list[Mistake]]:
+    """Read a service document; `file_name` is for the mistakes only.
+
+    >>> parse_service("name: alerts", "alerts.yaml").unwrap_err()[0].field
+    'upstreams'
+    """
+    return schema.compose(text, file_name).and_then(
+        lambda node: schema.read(node, Service)
+    )
