Add the policy core: queue, admission, floors, prefix sketch

An entry needs to decide which waiting request goes next, which arrival to refuse at once, and when work may be dropped for want of room.

The queue serves tiers strictly, customers by start-time fair queueing, and sizes by a place fixed on arrival, so each operation is a search in a sorted list. Floors are leases that end at their holder first. The drain rate counts backlogged time only; an idle tier has no estimate and refuses nothing.

--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,96 @@
+from random import Random
+
+from behave import given, then, when
+
+from features.calls import TIERS, make_call, make_service, make_waiting
+from lavenderspoke.admission import Admission
+from lavenderspoke.drain import DrainRate
+from lavenderspoke.model import Ran
+from lavenderspoke.waiting import WaitingQueue, cost_tokens
+
+
+def start(context, **limits):
+    service = make_service(**limits)
+    context.queue = WaitingQueue(service=service)
+    context.admission = Admission(service=service, random=Random(1))
+    context.drain = DrainRate()
+
+
+@given("an admission and {count:d} waiting {tier}s of {tokens:d} tokens")
+def step_admission(context, count, tier, tokens):
+    start(context)
+    wait(context, count, tier=tier, tokens=tokens)
+
+
+@given(
+    "an admission where customers may send {rate:g} a second with a burst of {burst:d}"
+)
+def step_admission_rate(context, rate, burst):
+    start(context, requests_per_s=rate, burst=burst)
+
+
+@given("an admission where customers may have {count:d} waiting")
+def step_admission_waiting(context, count):
+    start(context, waiting_max=count)
+
+
+def wait(context, count, **call):
+    number = len(context.queue)
+    for each in range(number, number + count):
+        context.queue.add(make_waiting(f"w{each}", **call), 0.0)
+
+
+@when("{count:d} positions of {tokens:d} tokens wait")
+def step_wait(context, count, tokens):
+    wait(context, count, tokens=tokens)
+
+
+@when("{count:d} positions of {tokens:d} tokens leave at {rate:g} each second")
+def step_leave(context, count, tokens, rate):
+    for number in range(count):
+        now_s = (number + 1) / rate
+        taken = context.queue.take(now_s, upstream="x")
+        context.drain.granted(
+            taken.call.tier, cost_tokens(taken.call), now_s, context.queue.counts()
+        )
+
+
+@when("{seconds:g} s pass without a request")
+def step_pass(context, seconds):
+    context.drain.granted(TIERS["position"], 100, seconds, context.queue.counts())
+
+
+def admit(context, left_s, now_s):
+    context.problem = context.admission.admit(
+        make_call("new"), left_s, now_s, context.queue, context.drain
+    )
+    return context.problem
+
+
+@then("a position with {left:g} s left is admitted at {now:g} s")
+def step_admitted(context, left, now):
+    assert admit(context, left, now) is None, context.problem
+
+
+@then('a position with {left:g} s left is refused as "{reason}" at {now:g} s')
+def step_refused(context, left, reason, now):
+    problem = admit(context, left, now)
+    assert problem is not None and problem.reason.value == reason, problem
+    assert problem.ran is Ran.NO
+
+
+@then('{count:d} positions are admitted at {now:g} s, the next refused as "{reason}"')
+def step_burst(context, count, now, reason):
+    for _ in range(count):
+        assert admit(context, 9.0, now) is None
+    step_refused(context, 9.0, reason, now)
+
+
+@then("it may come back after {low:g} s to {high:g} s")
+def step_come_back(context, low, high):
+    assert low <= context.problem.retry_after_s <= high, context.problem
+
+
+@then("the drain rate of positions isn't known")
+def step_unknown_rate(context):
+    assert context.drain.tokens_per_s(TIERS["position"]) is None
--- /dev/null
+++ b/features/steps/affinity_steps.py
@@ -0,0 +1,82 @@
+import hashlib
+
+from behave import given, then, when
+
+from lavenderspoke.affinity import PrefixSketch
+from lavenderspoke.messages import PrefixHeld
+from lavenderspoke.model import InstanceId
+from lavenderspoke.prefix import prefix_hashes
+
+
+def names(blocks):
+    return tuple(blocks.split(", "))
+
+
+@then(
+    "prompts alike in {shared:d} of {words:d} words share {count:d} names of {size:d}"
+)
+def step_shared(context, shared, words, count, size):
+    common = [f"w{number}" for number in range(shared)]
+    one = prefix_hashes(" ".join(common + ["x"] * (words - shared)), size)
+    two = prefix_hashes(" ".join(common + ["y"] * (words - shared)), size)
+    assert len(set(one) & set(two)) == count
+
+
+@then("a prompt of {words:d} words has {count:d} names in blocks of {size:d}")
+def step_count_names(context, words, count, size):
+    assert len(prefix_hashes("word " * words, size)) == count
+
+
+@then("a prompt of 3 words has no names in blocks of 4")
+def step_no_names(context):
+    assert prefix_hashes("one two three", 4) == ()
+
+
+@then("the second block's name is the hash of the first name and its words")
+def step_name_scheme(context):
+    first, second = prefix_hashes("a b c d", 2)
+    assert first == hashlib.sha256(b" a b").hexdigest()[:16]
+    assert second == hashlib.sha256(f"{first} c d".encode()).hexdigest()[:16]
+
+
+@given("a sketch of {entries:d} entries")
+def step_sketch(context, entries):
+    context.sketch = PrefixSketch(entries_max=entries)
+
+
+@when('"{upstream}" holds blocks {blocks}')
+def step_holds(context, upstream, blocks):
+    context.sketch.held(upstream, names(blocks))
+
+
+@when('"{upstream}" drops blocks {blocks}')
+def step_drops(context, upstream, blocks):
+    context.sketch.dropped(upstream, names(blocks))
+
+
+@when('life {life} of "{upstream}" tells {sequence:d} that it holds blocks {blocks}')
+def step_tells(context, life, upstream, sequence, blocks):
+    message = PrefixHeld(service="s", sequence=sequence, added=names(blocks))
+    sender = InstanceId(name=f"agent-{upstream}", incarnation=life)
+    context.sketch.apply(sender, message, upstream=upstream)
+
+
+def lookup(context, blocks):
+    return context.sketch.lookup(names(blocks), 4)
+
+
+@then("blocks {blocks} are warm at {expected}")
+def step_warm(context, blocks, expected):
+    pairs = dict(pair.split("=") for pair in expected.split(", "))
+    found = lookup(context, blocks)
+    assert found == {name: int(tokens) for name, tokens in pairs.items()}, found
+
+
+@then("blocks {blocks} are warm nowhere")
+def step_cold(context, blocks):
+    assert lookup(context, blocks) == {}
+
+
+@then("the sketch has {entries:d} entries")
+def step_entries(context, entries):
+    assert len(context.sketch) == entries
