--- /dev/null
+++ b/lavenderspoke/eventstream.py
@@ -0,0 +1,70 @@
+"""Splitting a server-sent event stream into whole events."""
+
+import attrs
+
+EVENT_BYTES_MAX = 1024 * 1024
+LAST_DATA = b"[DONE]"
+
+
+class EventTooLong(Exception):
+    """An event grew past `EVENT_BYTES_MAX`; reading on would fill the memory."""
+
+
+@attrs.frozen(kw_only=True)
+class Events:
+    """Whole events as they came; `last` when the stream's last one is in there.
+
+    `event_id` is that of the last event that has one, or None.
+    """
+
+    body: bytes
+    event_id: int | None = None
+    last: bool = False
+
+
+class EventSplitter:
+    r"""Gathers bytes and gives back only whole events.
+
+    An event cut in two by a lost connection is thus never passed on: resuming
+    after the last event id gives it whole.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 0\ndata: a\n\nid: 1\nda")
+    Events(body=b'id: 0\ndata: a\n\n', event_id=0, last=False)
+    """
+
+    def __init__(self):
+        self._held = b""
+
+    def feed(self, data: bytes) -> Events | None:
+        """Return the events that these bytes complete, if any."""
+        held = self._held + data
+        end = max(_end_after(held, b"\n\n"), _end_after(held, b"\r\n\r\n"))
+        self._held = held[end:]
+        if len(self._held) > EVENT_BYTES_MAX:
+            raise EventTooLong
+        if not end:
+            return None
+        lines = held[:end].splitlines()
+        return Events(
+            body=held[:end],
+            event_id=_last_id(lines),
+            last=any(_value(line, b"data:") == LAST_DATA for line in lines),
+        )
+
+
+def _end_after(data: bytes, mark: bytes) -> int:
+    found = data.rfind(mark)
+    return found + len(mark) if found >= 0 else 0
+
+
+def _value(line: bytes, field: bytes) -> bytes | None:
+    return line[len(field) :].strip() if line.startswith(field) else None
+
+
+def _last_id(lines: list[bytes]) -> int | None:
+    for line in reversed(lines):
+        value = _value(line, b"id:")
+        if value and value.isdigit() and len(value) < 19:
+            return int(value)
+    return None
--- /dev/null
+++ b/lavenderspoke/memberlist.py
@@ -0,0 +1,94 @@
+"""The platform's lagging list of live and leaving instances."""
+
+import enum
+from typing import Protocol
+
+import attrs
+from result import Err, Ok, Result
+
+from lavenderspoke.httpclient import fetch, new_pool
+from lavenderspoke.jsoncodec import decode
+
+
+class Role(enum.StrEnum):
+    """Which daemon an instance runs."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """An instance that the platform believes to be there.
+
+    The address is `host:port` of its daemon's listening socket. The service and
+    the upstream are those of an agent, and empty for an entry.
+    """
+
+    name: str
+    role: Role
+    address: str
+    data_centre: str
+    service: str = ""
+    upstream: str = ""
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class MemberListUnavailable:
+    """The list couldn't be read."""
+
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class MemberListCorrupt:
+    """What was read isn't a member list."""
+
+    detail: str
+
+
+MemberListError = MemberListUnavailable | MemberListCorrupt
+
+
+class MemberList(Protocol):
+    """The list is a hint: it lags, and may be wrong in both directions."""
+
+    def read(self) -> Result[tuple[Member, ...], MemberListError]:
+        """Return the members as the platform last knew them."""
+
+
+@attrs.frozen(kw_only=True)
+class _WireList:
+    members: tuple[Member, ...]
+
+
+class HttpMemberList:
+    """The member list over HTTP: `GET /members` answers `{"members": [...]}`."""
+
+    def __init__(self, *, base_url: str, timeout_s: float = 2.0):
+        self._url = f"{base_url.rstrip('/')}/members"
+        self._timeout_s = timeout_s
+        self._pool = new_pool(connections=1)
+
+    def read(self) -> Result[tuple[Member, ...], MemberListError]:
+        """Read the list once."""
+        fetched = fetch(
+            self._pool, method="GET", url=self._url, timeout_s=self._timeout_s
+        )
+        match fetched:
+            case Err(error):
+                return Err(MemberListUnavailable(detail=error.detail))
+            case Ok(reply) if reply.status != 200:
+                return Err(MemberListUnavailable(detail=f"status {reply.status}"))
+            case Ok(reply):
+                return decode_members(reply.body)
+
+
+def decode_members(body: bytes) -> Result[tuple[Member, ...], MemberListCorrupt]:
+    """Decode the platform's answer."""
+    return (
+        decode(body, _WireList)
+        .map(lambda wire: wire.members)
+        .map_err(lambda error: MemberListCorrupt(detail=error.detail))
+    )
