Add the entry's and the agent's state machines

Cause: nothing decided yet. Change: the agent (pulls, ledger, claims, leaving) and the entry (admission, queue, grants, silence, re-sends, floors) as classes that take a typed event and the time and return typed actions. Claims carry the number of their round: a late Claimed or Unclaim of an earlier round of the same attempt would otherwise make an entry believe that it holds a claim it has lost, and a first send's late grant could run beside it. Claims last as long as the longest deadline, since an earlier attempt may wait that long in a paused entry.

--- a/lavenderspoke/core.py
+++ b/lavenderspoke/core.py
@@ -44,3 +44,13 @@
     name: str
     reason: str
     amount: int = 1
+
+
+@attrs.frozen(kw_only=True)
+class Observe:
+    """Record a duration, in seconds, of a service's tier."""
+
+    name: str
+    service: str
+    tier: int
+    value_s: float
--- /dev/null
+++ b/lavenderspoke/entrycore.py
@@ -0,0 +1,527 @@
+"""The entry's state machine: admit, hold, grant, follow, answer."""
+
+import functools
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from lavenderspoke import entryevents as events, messages
+from lavenderspoke.agentevents import DocumentInForce, Exit
+from lavenderspoke.core import Count, Observe, Received, Send, Tick
+from lavenderspoke.following import Following, FollowingTimes
+from lavenderspoke.gateway import AnswerBroken, Arrival, Sending
+from lavenderspoke.keyclaims import KeyClaims
+from lavenderspoke.model import InstanceId, Ran
+from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.roster import Roster
+from lavenderspoke.service import Kind, Service
+from lavenderspoke.servicestate import ServiceState
+from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
+from lavenderspoke.views import AgentViews, PeerViews
+from lavenderspoke.waiting import STRICT, QueuePolicy
+
+# Refusals that say that the key, not the agent, is the trouble.
+KEY_REFUSALS = frozenset({"stale_stamp", "key_held", "claim_lost"})
+# How often timers are looked at while requests are here.
+CHECK_S = 0.02
+# Sending again is pointless for these.
+FINAL_REASONS = frozenset(
+    {
+        Reason.QUARANTINED,
+        Reason.UPSTREAM_FAILED,
+        Reason.CALLER_GONE,
+        Reason.KEY_EXPIRED,
+        Reason.SUPERSEDED,
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class EntryTimes:
+    """The entry's times, in seconds."""
+
+    heartbeat_s: float = 0.5
+    agent_lost_s: float = 3.0
+    peer_lost_s: float = 3.0
+    claim_s: float = 1.0
+    roster_lease_s: float = 900.0
+    following: FollowingTimes = attrs.field(factory=FollowingTimes)
+
+
+@attrs.frozen(kw_only=True)
+class EntryIdentity:
+    """Who an entry is."""
+
+    me: InstanceId
+    address: str
+    data_centre: str
+
+
+class EntryCore:
+    """The entry holds each waiting request and sees it to its answer.
+
+    `random` spreads callers' returns; `new_id` names reads and rounds. Feed it
+    an event and the time; carry out the actions it returns in order; call it
+    again no later than `next_due_s()`.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: EntryIdentity,
+        times: EntryTimes,
+        random: Random,
+        new_id: Callable[[], str],
+        policy: QueuePolicy = STRICT,
+        now_s: float = 0.0,
+    ):
+        self.identity = identity
+        self.times = times
+        self.services: dict[str, ServiceState] = {}
+        self.requests = TrackedRequests()
+        self.agents = AgentViews(lost_s=times.agent_lost_s)
+        self.peers = PeerViews(lost_s=times.peer_lost_s)
+        self.roster = Roster(lease_s=times.roster_lease_s)
+        self.draining = False
+        self.following = Following(requests=self.requests, times=times.following)
+        self.claims = KeyClaims(
+            roster=self.roster, claim_s=times.claim_s, new_id=new_id
+        )
+        self._random = random
+        self._policy = policy
+        self._listed_entries: tuple[str, ...] = ()
+        self._check_due_s = now_s
+        self._heartbeat_due_s = now_s
+
+    # Driving
+
+    def handle(self, event: object, now_s: float) -> list:
+        """Take one event; return what is to be done, in order."""
+        actions = self._settle(self._on(event, now_s), now_s)
+        actions += self._settle(self._timers(now_s), now_s)
+        if self.draining and not len(self.requests):
+            actions.append(Exit())
+        return actions
+
+    def next_due_s(self) -> float:
+        """Return when a tick is due at the latest."""
+        if len(self.requests):
+            return min(self._check_due_s, self._heartbeat_due_s)
+        return self._heartbeat_due_s
+
+    def _settle(self, actions: list, now_s: float) -> list:
+        """Carry out the core's own actions until only the daemon's are left."""
+        done = []
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            if isinstance(action, events.Finish):
+                pending[:0] = self._finish(action, now_s)
+            elif isinstance(action, events.PutBack):
+                pending[:0] = self._put_back(action, now_s)
+            else:
+                done.append(action)
+        return done
+
+    def _timers(self, now_s: float) -> list:
+        actions = []
+        if self._check_due_s <= now_s:
+            self._check_due_s = now_s + CHECK_S
+            actions += self._check(now_s)
+        if self._heartbeat_due_s <= now_s:
+            self._heartbeat_due_s = now_s + self.times.heartbeat_s
+            actions += self._heartbeat(now_s)
+        return actions
+
+    def _check(self, now_s: float) -> list:
+        actions = []
+        for state in self.services.values():
+            actions += self._expire(state, now_s)
+            actions += self._make_room(state, now_s)
+            agents = self.agents.of(state.service.name)
+            actions += state.demand.due(state.queue, agents, now_s)
+        for tracked in self.requests:
+            if tracked.phase is Phase.CLAIMING:
+                actions += self._check_claims(tracked, now_s)
+            else:
+                actions += self.following.check(tracked, now_s)
+        return actions
+
+    def _expire(self, state: ServiceState, now_s: float) -> list:
+        return [
+            self._refuse(waiting.call.request_id, Reason.DEADLINE_EXPIRED)
+            for waiting in state.queue.expired(now_s)
+        ]
+
+    def _make_room(self, state: ServiceState, now_s: float) -> list:
+        dropped, actions = state.victims(now_s, self.peers.ids())
+        actions = self._floor_actions(actions)
+        for waiting in dropped:
+            actions.append(self._refuse(waiting.call.request_id, Reason.SHED))
+        return actions
+
+    def _floor_actions(self, actions: list) -> list:
+        done = []
+        for action in actions:
+            done += [action] if isinstance(action, Send) else self._drop_below(action)
+        return done
+
+    def _drop_below(self, drop) -> list:
+        return [
+            self._refuse(tracked.request_id, Reason.SHED)
+            for tracked in self.requests
+            if tracked.call.service == drop.service
+            and tracked.call.tier < drop.rank
+            and not tracked.is_out
+        ]
+
+    # Heartbeats and views
+
+    def _heartbeat(self, now_s: float) -> list:
+        actions = []
+        for view in self.agents.expire(now_s):
+            state = self.services.get(view.announce.service)
+            if state is not None:
+                state.sketch.forget(view.announce.upstream)
+        for peer in self.peers.expire(now_s):
+            for state in self.services.values():
+                state.floors.peer_lost(peer.name)
+        actions += self._announce(self._everyone())
+        for state in self.services.values():
+            agents = self.agents.of(state.service.name)
+            actions += state.demand.refresh(state.queue, agents)
+        return actions
+
+    def _everyone(self) -> list[InstanceId]:
+        known = self.peers.ids()
+        names = {peer.name for peer in known}
+        listed = [name for name in self._listed_entries if name not in names]
+        unknown = [InstanceId(name=name, incarnation="") for name in listed]
+        return [view.agent for view in self.agents.all()] + list(known) + unknown
+
+    def _announce(self, recipients: list[InstanceId]) -> list[Send]:
+        message = messages.EntryAnnounce(
+            address=self.identity.address,
+            data_centre=self.identity.data_centre,
+            waiting={n: state.queue.counts() for n, state in self.services.items()},
+            versions={n: state.version for n, state in self.services.items()},
+            draining=self.draining,
+        )
+        return [Send(recipient=each, message=message) for each in recipients]
+
+    # Events from the daemon
+
+    @functools.singledispatchmethod
+    def _on(self, event: object, now_s: float) -> list:
+        raise TypeError(f"no such event: {event!r}")
+
+    @_on.register
+    def _(self, event: Tick, now_s: float) -> list:
+        return []
+
+    @_on.register
+    def _(self, event: Received, now_s: float) -> list:
+        return self._from(event.message, event.sender, now_s)
+
+    @_on.register
+    def _(self, event: DocumentInForce, now_s: float) -> list:
+        name = event.service.name
+        state = self.services.get(name)
+        if state is not None:
+            state.configure(event.service, event.version, now_s)
+        else:
+            self.services[name] = ServiceState(
+                service=event.service,
+                version=event.version,
+                me=self.identity.me,
+                random=self._random,
+                policy=self._policy,
+            )
+        return []
+
+    @_on.register
+    def _(self, event: events.PeersListed, now_s: float) -> list:
+        self._listed_entries = event.entry_names
+        self.agents.listed_leaving(event.leaving_agents)
+        return []
+
+    @_on.register
+    def _(self, event: events.DrainWanted, now_s: float) -> list:
+        self.draining = True
+        return self._announce(self._everyone())
+
+    @_on.register
+    def _(self, event: events.RosterRecord, now_s: float) -> list:
+        self.roster.apply(offset=event.offset, payload=event.payload, now_s=now_s)
+        return []
+
+    @_on.register
+    def _(self, event: events.RosterReached, now_s: float) -> list:
+        self.roster.reached(event.offset)
+        actions = []
+        for tracked in self._reading(event.read_ids):
+            actions += self.claims.roster_read(tracked, self._service(tracked), now_s)
+            actions += self._check_claims(tracked, now_s)
+        return actions
+
+    @_on.register
+    def _(self, event: events.RosterReadFailed, now_s: float) -> list:
+        actions = []
+        for tracked in self._reading(event.read_ids):
+            tracked.round.roster_failed()
+            actions += self._check_claims(tracked, now_s)
+        return actions
+
+    def _reading(self, read_ids: tuple[str, ...]) -> list[Tracked]:
+        return [
+            tracked
+            for tracked in self.requests
+            if tracked.round is not None and tracked.round.read_id in read_ids
+        ]
+
+    def _service(self, tracked: Tracked) -> Service:
+        return self.services[tracked.call.service].service
+
+    # Arrival
+
+    @_on.register
+    def _(self, event: events.Arrived, now_s: float) -> list:
+        arrival = event.arrival
+        problem = self._admission_problem(arrival, now_s)
+        if problem is not None:
+            return self._turn_away(arrival, problem)
+        tracked = Tracked(
+            arrival=arrival,
+            arrived_s=now_s,
+            deadline_s=now_s + arrival.deadline_in_s,
+            stamp=self.roster.offset,
+        )
+        self.requests.add(tracked)
+        if arrival.call.key is not None and arrival.sending is Sending.RESEND:
+            return self.claims.begin(tracked, self._service(tracked), now_s)
+        return self._wait(tracked, now_s)
+
+    def _admission_problem(self, arrival: Arrival, now_s: float) -> Problem | None:
+        state = self.services.get(arrival.call.service)
+        if state is None:
+            return Problem(reason=Reason.NO_DOCUMENT, ran=Ran.NO, retry_after_s=1.0)
+        if self.draining:
+            return Problem(reason=Reason.DRAINING, ran=Ran.NO, retry_after_s=1.0)
+        if state.below_floor(arrival.call.tier, now_s):
+            return self._problem(state, arrival.call.tier, Reason.SHED, now_s)
+        return state.admission.admit(
+            arrival.call, arrival.deadline_in_s, now_s, state.queue, state.drain
+        )
+
+    def _turn_away(self, arrival: Arrival, problem: Problem) -> list:
+        if arrival.call.key is not None and arrival.sending is Sending.RESEND:
+            # An earlier attempt of this key may have run, whatever this one did.
+            problem = attrs.evolve(problem, ran=Ran.UNKNOWN)
+        return [
+            Count(name="refusals", reason=problem.reason.value),
+            events.Reply(request_id=arrival.call.request_id, part=problem),
+        ]
+
+    def _wait(self, tracked: Tracked, now_s: float) -> list:
+        state = self.services[tracked.call.service]
+        tracked.phase = Phase.WAITING
+        warm = state.enqueue(tracked, now_s)
+        return self._offer(state, tracked, warm, now_s)
+
+    def _offer(self, state, tracked, warm: dict[str, int], now_s: float) -> list:
+        agents = self.agents.of(state.service.name)
+        actions = self._make_room(state, now_s) if state.is_full() else []
+        return actions + state.demand.arrived(
+            tracked.call, warm, state.queue, agents, now_s
+        )
+
+    @_on.register
+    def _(self, event: events.CallerGone, now_s: float) -> list:
+        tracked = self.requests.get(event.request_id)
+        if tracked is None:
+            return []
+        actions = []
+        if tracked.is_out:
+            cancel = messages.Cancel(request_id=tracked.run_id)
+            actions.append(Send(recipient=tracked.agent, message=cancel))
+        return [*actions, self._refuse(event.request_id, Reason.CALLER_GONE)]
+
+    # Claims
+
+    def _check_claims(self, tracked: Tracked, now_s: float) -> list:
+        if now_s >= tracked.deadline_s:
+            return [self._refuse(tracked.request_id, Reason.DEADLINE_EXPIRED)]
+        step = self.claims.check(tracked, self._service(tracked), now_s)
+        if step.found is not None:
+            found = self.following.attach(
+                tracked, step.found.agent, step.found.holder, now_s
+            )
+            return step.actions + found
+        if step.may_wait:
+            return step.actions + self._wait(tracked, now_s)
+        return step.actions
+
+    # Final answers
+
+    def _refuse(self, request_id: str, reason: Reason) -> events.Finish:
+        """Return the end of a request that was not granted, or is given up."""
+        tracked = self.requests.get(request_id)
+        ran = Ran.NO if tracked is None else not_granted_ran(tracked)
+        return events.Finish(
+            request_id=request_id, problem=Problem(reason=reason, ran=ran)
+        )
+
+    def _problem(self, state, rank: int, reason: Reason, now_s: float) -> Problem:
+        retry_after_s = state.admission.retry_after_s(
+            rank, now_s, state.queue, state.drain
+        )
+        return Problem(reason=reason, ran=Ran.NO, retry_after_s=retry_after_s)
+
+    def _finish(self, finish: events.Finish, now_s: float) -> list:
+        tracked = self.requests.remove(finish.request_id)
+        if tracked is None:
+            return []
+        state = self.services[tracked.call.service]
+        state.queue.remove(finish.request_id)
+        problem = finish.problem
+        if problem.retry_after_s is None and problem.reason not in FINAL_REASONS:
+            retry_after_s = state.admission.retry_after_s(
+                tracked.call.tier, now_s, state.queue, state.drain
+            )
+            problem = attrs.evolve(problem, retry_after_s=retry_after_s)
+        part = AnswerBroken(problem=problem) if tracked.head_given else problem
+        return [
+            *([] if tracked.is_out else self.claims.give_back(tracked)),
+            Count(name="refusals", reason=problem.reason.value),
+            Observe(
+                name="given_up_s",
+                service=tracked.call.service,
+                tier=tracked.call.tier,
+                value_s=max(0.0, now_s - max(tracked.arrived_s, tracked.deadline_s)),
+            ),
+            events.Reply(request_id=tracked.request_id, part=part),
+        ]
+
+    def _put_back(self, put_back: events.PutBack, now_s: float) -> list:
+        """Take a request back that provably did not run."""
+        tracked = self.requests.get(put_back.request_id)
+        if tracked is None:
+            return []
+        tracked.let_go()
+        counted = Count(name="retries", reason=put_back.reason)
+        if put_back.reason in KEY_REFUSALS:
+            return [counted, *self.claims.begin(tracked, self._service(tracked), now_s)]
+        state = self.services[tracked.call.service]
+        if now_s >= tracked.deadline_s:
+            return [counted, self._refuse(tracked.request_id, Reason.DEADLINE_EXPIRED)]
+        # Put back below a floor it would be kept while a higher tier is shed.
+        if state.below_floor(tracked.call.tier, now_s):
+            return [counted, self._refuse(tracked.request_id, Reason.SHED)]
+        warm = state.put_back(tracked, now_s)
+        return [counted, *self._offer(state, tracked, warm, now_s)]
+
+    # Messages from agents and other entries
+
+    @functools.singledispatchmethod
+    def _from(self, message: object, sender: InstanceId, now_s: float) -> list:
+        return [Count(name="messages_ignored", reason=type(message).__name__)]
+
+    @_from.register(messages.Granted)
+    @_from.register(messages.Refused)
+    @_from.register(messages.Revoked)
+    @_from.register(messages.Pieces)
+    def _(self, message, sender, now_s) -> list:
+        return self.following.take(message, sender, now_s)
+
+    @_from.register
+    def _(self, message: messages.Announce, sender, now_s) -> list:
+        known = self.agents.get(sender) is not None
+        replaced = self.agents.heard(sender, message, now_s)
+        actions = [] if known else self._welcome(sender, message)
+        if replaced is not None:
+            actions += self._replaced(replaced, sender, message, now_s)
+        return actions
+
+    def _welcome(self, agent: InstanceId, announce: messages.Announce) -> list:
+        actions = self._announce([agent])
+        state = self.services.get(announce.service)
+        if state is not None and self.agents.get(agent) is not None:
+            actions += state.demand.refresh(state.queue, [self.agents.get(agent)])
+        return actions
+
+    def _replaced(self, old, new, announce, now_s) -> list:
+        state = self.services.get(announce.service)
+        if state is None:
+            return []
+        state.sketch.forget(announce.upstream)
+        can_resume = state.service.upstreams.kind is Kind.MODEL
+        return self.following.replaced(old, new, can_resume, now_s)
+
+    @_from.register
+    def _(self, message: messages.EntryAnnounce, sender, now_s) -> list:
+        is_new = self.peers.heard(sender, message, now_s)
+        return self._announce([sender]) if is_new else []
+
+    @_from.register
+    def _(self, message: messages.Pull, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        view = self.agents.get(sender)
+        # The platform may say that an upstream leaves before its agent knows.
+        if state is None or view is None or not view.takes_work:
+            return []
+        grants, done = state.answer_pull(message, view, now_s)
+        sends = []
+        for grant in grants:
+            tracked = self.requests.get(grant.call.request_id)
+            tracked.grant(sender, grant.nonce, now_s)
+            grant = attrs.evolve(grant, claimed=tracked.claimed)
+            sends.append(Send(recipient=sender, message=grant))
+        return [*sends, Send(recipient=sender, message=done)]
+
+    @_from.register
+    def _(self, message: messages.Claimed, sender, now_s) -> list:
+        tracked = self.requests.get(message.request_id)
+        if tracked is None or tracked.phase is not Phase.CLAIMING:
+            return []
+        tracked.round.answered(sender, message)
+        return self._check_claims(tracked, now_s)
+
+    @_from.register
+    def _(self, message: messages.PrefixHeld, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        view = self.agents.get(sender)
+        if state is None or view is None:
+            return []
+        upstream = view.announce.upstream
+        if state.sketch.apply(sender, message, upstream=upstream):
+            return []
+        return [Count(name="prefix_gaps", reason=message.service)]
+
+    @_from.register
+    def _(self, message: messages.Floor, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        return self._floor_actions(state.floors.heard_floor(sender, message, now_s))
+
+    @_from.register
+    def _(self, message: messages.FloorHeld, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        state.floors.heard_held(sender, message, now_s)
+        return self._make_room(state, now_s)
+
+
+def not_granted_ran(tracked: Tracked) -> Ran:
+    """Return what may be said of a request that ends here.
+
+    "Not run" is said only of one that no agent has; a re-send without all its
+    claims may be of a key that ran under an earlier attempt.
+    """
+    if tracked.is_out:
+        return Ran.UNKNOWN
+    is_resend = tracked.arrival.sending is Sending.RESEND
+    unclaimed_resend = is_resend and tracked.call.key and not tracked.claimed
+    return Ran.UNKNOWN if unclaimed_resend else Ran.NO
--- /dev/null
+++ b/lavenderspoke/following.py
@@ -0,0 +1,247 @@
+"""A request from its grant to its answer, and every silence in between.
+
+Once granted, a request is not the entry's to dispatch again until its agent has
+said that it never ran. Silence is asked about; an agent that has died is
+replaced by its successor, which asks the upstream for the run by its id; and
+where no one can say, the caller is told that the outcome is unknown. A second
+run is never the answer to a doubt.
+"""
+
+import functools
+
+import attrs
+
+from lavenderspoke import messages
+from lavenderspoke.assembly import is_whole
+from lavenderspoke.core import Count, Observe, Send
+from lavenderspoke.entryevents import Finish, PutBack, Reply
+from lavenderspoke.gateway import AnswerBody, AnswerEnd
+from lavenderspoke.messages import Piece
+from lavenderspoke.model import InstanceId, Ran, Standing
+from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
+
+# "Never" is trusted for this long after the grant; the ledger remembers what
+# ran for twice as long (`ledger.RUN_MEMORY_S`), so that an entry which was
+# paused can't take a forgotten run for one that never was.
+TRUST_S = 60.0
+
+
+@attrs.frozen(kw_only=True)
+class FollowingTimes:
+    """When silence is asked about and when it is final, in seconds."""
+
+    grant_answer_s: float = 0.25
+    attach_after_s: float = 1.0
+    ask_again_s: float = 0.25
+    silence_s: float = 10.0
+
+
+@attrs.define(kw_only=True)
+class Following:
+    """The part of an entry that follows what it has granted."""
+
+    requests: TrackedRequests
+    times: FollowingTimes
+
+    @functools.singledispatchmethod
+    def take(self, message: object, sender: InstanceId, now_s: float) -> list:
+        """Take a message from an agent about something it was granted."""
+        raise TypeError(f"not about a grant: {message!r}")
+
+    def _granted_on(self, message, sender: InstanceId) -> Tracked | None:
+        # Any answer may come late or twice, when the request has long been
+        # granted elsewhere. Only the one for the grant in force counts.
+        tracked = self.requests.get(message.request_id)
+        if tracked is None or tracked.agent != sender:
+            return None
+        return tracked if tracked.nonce and tracked.nonce == message.nonce else None
+
+    @take.register
+    def _(self, message: messages.Granted, sender, now_s) -> list:
+        tracked = self._granted_on(message, sender)
+        if tracked is None:
+            return []
+        tracked.heard_s = now_s
+        if tracked.phase is Phase.GRANTED:
+            tracked.phase = Phase.RUNNING
+        return []
+
+    @take.register
+    def _(self, message: messages.Refused, sender, now_s) -> list:
+        tracked = self._granted_on(message, sender)
+        if tracked is None:
+            return []
+        return [PutBack(request_id=tracked.request_id, reason=message.reason)]
+
+    @take.register
+    def _(self, message: messages.Revoked, sender, now_s) -> list:
+        if message.nonce:
+            tracked = self._granted_on(message, sender)
+            followers = [] if tracked is None else [tracked]
+        else:
+            followers = self.requests.following(message.request_id, sender)
+        actions = []
+        for tracked in followers:
+            actions += self._stands(tracked, message.standing, now_s)
+        return actions
+
+    def _stands(self, tracked: Tracked, standing: Standing, now_s: float) -> list:
+        tracked.heard_s = now_s
+        if standing is Standing.NEVER:
+            return self._never(tracked, now_s)
+        if tracked.phase is Phase.GRANTED:
+            tracked.phase = Phase.RUNNING
+        if standing is Standing.FINISHED:
+            return [self._ends(tracked, "the answer is no longer held", Ran.YES)]
+        if standing is Standing.FAILED:
+            return [self._ends(tracked, "the answer can't be completed", Ran.UNKNOWN)]
+        if standing is Standing.UNKNOWN and tracked.phase is Phase.RUNNING:
+            return [self._ends(tracked, "the agent does not know it", Ran.UNKNOWN)]
+        return []
+
+    def _never(self, tracked: Tracked, now_s: float) -> list:
+        if now_s - tracked.granted_s > TRUST_S:
+            return [self._ends(tracked, "asked too late", Ran.UNKNOWN)]
+        return [PutBack(request_id=tracked.request_id, reason="revoked")]
+
+    @take.register
+    def _(self, message: messages.Pieces, sender, now_s) -> list:
+        actions = []
+        for piece in message.pieces:
+            for tracked in self.requests.following(piece.request_id, sender):
+                actions += self._piece(tracked, piece, now_s)
+        return actions
+
+    def _piece(self, tracked: Tracked, piece: Piece, now_s: float) -> list:
+        tracked.heard_s = now_s
+        tracked.phase = Phase.RUNNING
+        actions = []
+        for ready in tracked.assembly.add(piece):
+            actions += self._part(tracked, ready, now_s)
+        return actions
+
+    def _part(self, tracked: Tracked, piece: Piece, now_s: float) -> list:
+        request_id = tracked.request_id
+        if piece.error is not None:
+            return [self._ends(tracked, piece.error, Ran.UNKNOWN)]
+        if piece.count is not None:
+            return self._last(tracked, piece, now_s)
+        if piece.head is not None:
+            tracked.head_given = True
+            return [Reply(request_id=request_id, part=piece.head)]
+        actions = [Reply(request_id=request_id, part=AnswerBody(body=piece.body))]
+        if piece.number == 1:
+            actions.append(observe("first_part_s", tracked, now_s))
+        return actions
+
+    def _last(self, tracked: Tracked, piece: Piece, now_s: float) -> list:
+        if not is_whole(piece):
+            return [self._ends(tracked, "the count of pieces is wrong", Ran.YES)]
+        self.requests.remove(tracked.request_id)
+        taken = messages.AnswerTaken(request_id=tracked.run_id)
+        late = now_s > tracked.deadline_s
+        return [
+            Reply(request_id=tracked.request_id, part=AnswerEnd()),
+            Send(recipient=tracked.agent, message=taken),
+            Count(name="answers", reason="late" if late else "in_time"),
+            observe("answer_s", tracked, now_s),
+        ]
+
+    def _ends(self, tracked: Tracked, detail: str, ran: Ran) -> Finish:
+        incomplete = tracked.head_given or ran is Ran.YES
+        reason = Reason.ANSWER_INCOMPLETE if incomplete else Reason.OUTCOME_UNKNOWN
+        problem = Problem(reason=reason, ran=ran, detail=detail)
+        return Finish(request_id=tracked.request_id, problem=problem)
+
+    # Silence
+
+    def check(self, tracked: Tracked, now_s: float) -> list:
+        """Ask after a silent request, or give it up when its time is over."""
+        if not tracked.is_out:
+            return []
+        if self._is_over(tracked, now_s):
+            return [
+                Send(
+                    recipient=tracked.agent,
+                    message=messages.Cancel(request_id=tracked.run_id),
+                ),
+                self._ends(tracked, "no answer from the agent", Ran.UNKNOWN),
+            ]
+        if now_s - tracked.asked_s < self.times.ask_again_s:
+            return []
+        silent_s = now_s - tracked.heard_s
+        if tracked.phase is Phase.GRANTED and silent_s >= self.times.grant_answer_s:
+            return self._ask(tracked, self._revoke(tracked), now_s)
+        if tracked.phase is Phase.RESUMING:
+            return self._ask(tracked, self._resume(tracked), now_s)
+        if tracked.assembly.has_gap or silent_s >= self.times.attach_after_s:
+            return self._ask(tracked, self._attach(tracked), now_s)
+        return []
+
+    def _is_over(self, tracked: Tracked, now_s: float) -> bool:
+        if now_s < tracked.deadline_s:
+            return False
+        # An answer that has begun is given whole, however late, as long as its
+        # agent is heard of; one that hasn't is of no more use to its caller.
+        silent_s = now_s - tracked.heard_s
+        return not tracked.head_given or silent_s >= self.times.silence_s
+
+    def _ask(self, tracked: Tracked, message, now_s: float) -> list:
+        tracked.asked_s = now_s
+        return [
+            Count(name="retries", reason=type(message).__name__.lower()),
+            Send(recipient=tracked.agent, message=message),
+        ]
+
+    def _revoke(self, tracked: Tracked) -> messages.Revoke:
+        return messages.Revoke(request_id=tracked.request_id, nonce=tracked.nonce)
+
+    def _attach(self, tracked: Tracked) -> messages.Attach:
+        return messages.Attach(
+            request_id=tracked.run_id, number=tracked.assembly.next_number
+        )
+
+    def _resume(self, tracked: Tracked) -> messages.Resume:
+        call = attrs.evolve(tracked.call, request_id=tracked.run_id)
+        return messages.Resume(call=call, incarnation="")
+
+    def attach(
+        self, tracked: Tracked, agent: InstanceId, run_id: str, now_s: float
+    ) -> list:
+        """Follow the run of another attempt from its first piece."""
+        tracked.attach(agent, run_id, now_s)
+        return [Send(recipient=agent, message=self._attach(tracked))]
+
+    def replaced(
+        self, old: InstanceId, new: InstanceId, can_resume: bool, now_s: float
+    ) -> list:
+        """An agent has a successor: what it had runs on at most upstream.
+
+        The old process is gone, since the new one holds its address. Whether
+        it had dispatched a request can't be known here, so it is never granted
+        again; the upstream is asked for the run.
+        """
+        actions = []
+        for tracked in self.requests:
+            if not tracked.is_out or tracked.agent != old:
+                continue
+            if not can_resume:
+                detail = "the agent died; the upstream can't be asked"
+                actions.append(self._ends(tracked, detail, Ran.UNKNOWN))
+                continue
+            tracked.agent = new
+            tracked.phase = Phase.RESUMING
+            tracked.nonce = ""
+            actions += self._ask(tracked, self._resume(tracked), now_s)
+        return actions
+
+
+def observe(name: str, tracked: Tracked, now_s: float) -> Observe:
+    """Return the time since a request arrived, as a measurement."""
+    return Observe(
+        name=name,
+        service=tracked.call.service,
+        tier=tracked.call.tier,
+        value_s=now_s - tracked.arrived_s,
+    )
--- a/lavenderspoke/ledger.py
+++ b/lavenderspoke/ledger.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from lavenderspoke.messages import Grant, KeyRecord, Piece
+from lavenderspoke.messages import Claim, Grant, KeyRecord, Piece, Unclaim
 from lavenderspoke.model import Call, InstanceId, Standing
 
 # How long the ledger knows an unkeyed request after its answer was taken. An
@@ -31,7 +31,6 @@
     """One request that this agent dispatched, and its answer so far."""
 
     call: Call
-    entry: InstanceId
     changed_s: float
     nonce: str = ""
     claimed: bool = False
@@ -42,6 +41,8 @@
     resumes: int = 0
     crash_counted: bool = False
     pieces_dropped: bool = False
+    taken: bool = False
+    watchers: set[InstanceId] = attrs.field(factory=set)
 
     @property
     def request_id(self) -> str:
@@ -67,11 +68,12 @@
 
 @attrs.define(kw_only=True)
 class KeyHold:
-    """Which attempt holds a key, and until when."""
+    """Which attempt holds a key, since which of its rounds, and until when."""
 
     request_id: str
     expires_s: float
     standing: Standing
+    round: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -92,6 +94,10 @@
         """Return the run of a request, if it was dispatched here."""
         return self._runs.get(request_id)
 
+    def untaken(self) -> list[Run]:
+        """Return the runs whose entry has not said that it has the answer."""
+        return [run for run in self._runs.values() if not run.taken]
+
     def running(self) -> list[Run]:
         """Return the runs whose answers are not complete."""
         dispatched = Standing.DISPATCHED
@@ -117,10 +123,10 @@
         """Record a grant that was judged accepted, before its dispatch."""
         run = Run(
             call=grant.call,
-            entry=entry,
             changed_s=now_s,
             nonce=grant.nonce,
             claimed=grant.claimed,
+            watchers={entry},
         )
         self.restore(run, now_s)
         return run
@@ -177,32 +183,35 @@
     def taken(self, request_id: str) -> None:
         """The entry has the whole answer: an unkeyed one need not be held."""
         run = self._runs.get(request_id)
-        if run is not None and run.call.key is None:
+        if run is None:
+            return
+        run.taken = True
+        if run.call.key is None:
             self._drop_pieces(run)
 
-    def claim(
-        self, key: str, request_id: str, lifetime_s: float, now_s: float
-    ) -> KeyHold:
+    def claim(self, claim: Claim, now_s: float) -> KeyHold:
         """Claim a key for an attempt; return who holds it now."""
-        hold = self._key(key, now_s)
+        hold = self._key(claim.key, now_s)
         if hold is None:
             hold = KeyHold(
-                request_id=request_id,
-                expires_s=now_s + lifetime_s,
+                request_id=claim.request_id,
+                expires_s=now_s + claim.lifetime_s,
                 standing=Standing.CLAIMED,
             )
-            self._keys[key] = hold
+            self._keys[claim.key] = hold
+        if hold.request_id == claim.request_id:
+            hold.round = max(hold.round, claim.round)
         return hold
 
-    def unclaim(self, key: str, request_id: str) -> None:
+    def unclaim(self, unclaim: Unclaim) -> None:
         """Give a claim back; a key whose attempt was dispatched stays."""
-        hold = self._keys.get(key)
-        if (
-            hold is not None
-            and hold.request_id == request_id
-            and hold.standing is Standing.CLAIMED
-        ):
-            del self._keys[key]
+        hold = self._keys.get(unclaim.key)
+        if hold is None or hold.request_id != unclaim.request_id:
+            return
+        # One that was delayed until the attempt claimed again would free a key
+        # that its entry believes to hold: two attempts could then both run.
+        if hold.round == unclaim.round and hold.standing is Standing.CLAIMED:
+            del self._keys[unclaim.key]
 
     def _key(self, key: str, now_s: float) -> KeyHold | None:
         hold = self._keys.get(key)
@@ -249,7 +258,7 @@
             pieces=tuple(run.pieces) if whole else (),
         )
 
-    def take_over(self, record: KeyRecord, source: InstanceId, now_s: float) -> None:
+    def take_over(self, record: KeyRecord, now_s: float) -> None:
         """Take a key from a leaving agent; a run goes before a claim."""
         own = self._key(record.key, now_s)
         if own is not None and own.standing is not Standing.CLAIMED:
@@ -262,9 +271,9 @@
             standing=record.standing,
         )
         if record.standing is not Standing.CLAIMED:
-            self._take_run(record, source, now_s)
+            self._take_run(record, now_s)
 
-    def _take_run(self, record: KeyRecord, source: InstanceId, now_s: float) -> None:
+    def _take_run(self, record: KeyRecord, now_s: float) -> None:
         call = Call(
             request_id=record.request_id,
             service="",
@@ -274,7 +283,7 @@
             tier=0,
             key=record.key,
         )
-        run = Run(call=call, entry=source, changed_s=now_s, standing=record.standing)
+        run = Run(call=call, changed_s=now_s, standing=record.standing)
         run.pieces = list(record.pieces)
         run.held_bytes = sum(len(piece.body) for piece in record.pieces)
         run.pieces_dropped = not record.pieces
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -76,7 +76,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class PullEmpty:
+class PullDone:
     """An entry has granted all it will on this nonce; the rest is free again.
 
     `waiting` maps tier to what waits in the entry now.
@@ -211,12 +211,15 @@
 class Claim:
     """An entry reserves a key at an agent for one attempt.
 
-    The claim lapses at the agent after `lifetime_s`, counted from its arrival,
-    which is after the attempt's own deadline at the entry.
+    `round` counts the attempt's rounds of claims: an answer to an earlier one,
+    or a late Unclaim of it, says nothing about the present one. The claim
+    lapses at the agent after `lifetime_s`, which is the longest deadline that
+    the service allows: an earlier attempt may wait for as long as that.
     """
 
     key: str
     request_id: str
+    round: int
     lifetime_s: float
 
 
@@ -230,16 +233,18 @@
 
     key: str
     request_id: str
+    round: int
     holder: str
     standing: Standing
 
 
 @attrs.frozen(kw_only=True)
 class Unclaim:
-    """An entry gives a claim back, since its attempt will never be granted."""
+    """An entry gives a claim of one round back, which led to no grant."""
 
     key: str
     request_id: str
+    round: int
 
 
 @attrs.frozen(kw_only=True)
@@ -356,7 +361,7 @@
     | EntryAnnounce
     | Demand
     | Pull
-    | PullEmpty
+    | PullDone
     | Grant
     | Granted
     | Refused
--- a/lavenderspoke/model.py
+++ b/lavenderspoke/model.py
@@ -21,6 +21,7 @@
     FINISHED = "finished"  # the whole answer is held
     FAILED = "failed"  # dispatched, and its answer can't be completed
     NEVER = "never"  # not dispatched, and from now on it never will be
+    UNKNOWN = "unknown"  # nothing is known here; it may have run elsewhere
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavenderspoke.messages import Pull, PullEmpty
+from lavenderspoke.messages import Pull, PullDone
 from lavenderspoke.model import InstanceId
 
 
@@ -133,12 +133,12 @@
         if nonce is not None:
             nonce.requests.add(request_id)
 
-    def answered(self, entry: InstanceId, empty: PullEmpty, now_s: float) -> None:
+    def answered(self, entry: InstanceId, done: PullDone, now_s: float) -> None:
         """Free what an entry will not grant on a nonce."""
-        nonce = self._nonces.get(empty.nonce)
+        nonce = self._nonces.get(done.nonce)
         if nonce is not None and nonce.entry == entry:
-            nonce.promised = empty.granted
-        self.demand(entry, empty.waiting, now_s)
+            nonce.promised = done.granted
+        self.demand(entry, done.waiting, now_s)
 
     def expire(self, now_s: float) -> None:
         """Forget dead nonces and entries that have fallen silent."""
--- /dev/null
+++ b/lavenderspoke/resend.py
@@ -0,0 +1,146 @@
+"""Whether a key sent again may run: the round of claims.
+
+The entry reads the roster to its present end after the request came. Every
+incarnation that an earlier attempt could have reached had joined by then, so
+the roster names it. Each is asked to claim the key for this attempt. Only when
+all of them have does the attempt wait for a grant; an agent that ran the key,
+or has claimed it for another attempt, says so; one that can't answer makes the
+outcome unknown.
+"""
+
+import enum
+
+import attrs
+
+from lavenderspoke.core import Send
+from lavenderspoke.messages import Claim, Claimed, Unclaim
+from lavenderspoke.model import InstanceId, Standing
+from lavenderspoke.roster import Life
+
+ASK_AGAIN_S = 0.25
+
+
+class Claims(enum.Enum):
+    """How a round ended."""
+
+    ALL_HELD = "all_held"  # no attempt has run; this one may be granted
+    RAN = "ran"  # an agent ran the key: attach to its answer
+    TAKEN = "taken"  # another attempt has claimed the key
+    UNKNOWN = "unknown"  # someone who may have run it can't answer
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """The end of a round; `agent` and `holder` name the run that was found."""
+
+    claims: Claims
+    agent: InstanceId | None = None
+    holder: str | None = None
+
+
+@attrs.define(kw_only=True)
+class ResendRound:
+    """One round of claims for one attempt.
+
+    `lifetime_s` is how long the claims are to last at the agents, and
+    `until_s` when the round gives up on those that haven't answered.
+    """
+
+    request_id: str
+    key: str
+    number: int
+    lifetime_s: float
+    until_s: float
+    read_id: str
+    asked: set[InstanceId] | None = None
+    _answers: dict[InstanceId, Claimed] = attrs.field(factory=dict)
+    _unreachable: bool = False
+    _ask_s: float = 0.0
+
+    def roster_read(self, lives: list[Life], now_s: float) -> list[Send]:
+        """Ask every incarnation that the freshly read roster names."""
+        self.asked = set()
+        known = {life.agent: life for life in lives}
+        for life in lives:
+            target = answering(life, known)
+            if target is None:
+                self._unreachable = True
+            elif target is not NOBODY:
+                self.asked.add(target)
+        return self.ask(now_s)
+
+    def roster_failed(self) -> None:
+        """The roster can't be read: someone unknown may have run the key."""
+        self._unreachable = True
+
+    def ask(self, now_s: float) -> list[Send]:
+        """Ask again those that haven't answered, when it is time."""
+        if self.asked is None or now_s < self._ask_s:
+            return []
+        self._ask_s = now_s + ASK_AGAIN_S
+        claim = Claim(
+            key=self.key,
+            request_id=self.request_id,
+            round=self.number,
+            lifetime_s=self.lifetime_s,
+        )
+        return [
+            Send(recipient=agent, message=claim)
+            for agent in self.asked
+            if agent not in self._answers
+        ]
+
+    def answered(self, sender: InstanceId, claimed: Claimed) -> None:
+        """Take an agent's answer."""
+        current = claimed.round == self.number
+        if current and self.asked is not None and sender in self.asked:
+            self._answers[sender] = claimed
+
+    def outcome(self, now_s: float) -> Outcome | None:
+        """Return how the round ended, or None while it goes on.
+
+        A run that was found goes before everything: its answer is the answer,
+        whatever else can't be asked.
+        """
+        others = {
+            agent: claimed
+            for agent, claimed in self._answers.items()
+            if claimed.holder != self.request_id
+        }
+        for agent, claimed in others.items():
+            if claimed.standing is not Standing.CLAIMED:
+                return Outcome(claims=Claims.RAN, agent=agent, holder=claimed.holder)
+        if self._unreachable:
+            return Outcome(claims=Claims.UNKNOWN)
+        if self.asked is not None and len(self._answers) == len(self.asked):
+            claims = Claims.TAKEN if others else Claims.ALL_HELD
+            return Outcome(claims=claims)
+        if now_s >= self.until_s:
+            return Outcome(claims=Claims.TAKEN if others else Claims.UNKNOWN)
+        return None
+
+    def give_back(self) -> list[Send]:
+        """Return the messages that free what this round claimed."""
+        unclaim = Unclaim(key=self.key, request_id=self.request_id, round=self.number)
+        return [Send(recipient=agent, message=unclaim) for agent in self.asked or ()]
+
+
+# What `answering` returns for an incarnation that left and held no key.
+NOBODY = InstanceId(name="", incarnation="")
+
+
+def answering(life: Life, known: dict[InstanceId, Life]) -> InstanceId | None:
+    """Return who answers for an incarnation's keys; None when nobody can.
+
+    One that left cleanly named its heir, who has its keys. One that was
+    succeeded without leaving took its keys with it.
+    """
+    seen = set()
+    while life.left:
+        if life.heir is None:
+            return NOBODY
+        if life.heir in seen or life.heir not in known:
+            return None
+        seen.add(life.heir)
+        life = known[life.heir]
+    return None if life.succeeded else life.agent
--- /dev/null
+++ b/lavenderspoke/servicestate.py
@@ -0,0 +1,168 @@
+"""All that an entry holds for one service: queue, limits, floors, demand."""
+
+from random import Random
+
+from lavenderspoke.admission import Admission
+from lavenderspoke.affinity import PrefixSketch
+from lavenderspoke.demand import DemandTeller
+from lavenderspoke.drain import DrainRate
+from lavenderspoke.messages import Grant, Pull, PullDone
+from lavenderspoke.model import InstanceId
+from lavenderspoke.service import Service
+from lavenderspoke.shedding import FloorKeeper
+from lavenderspoke.tracked import Tracked
+from lavenderspoke.views import AgentView
+from lavenderspoke.waiting import (
+    STRICT,
+    QueuePolicy,
+    WaitingQueue,
+    WaitingRequest,
+    cost_tokens,
+)
+
+# Upstreams times prefixes that an entry remembers for a service.
+SKETCH_ENTRIES_MAX = 50_000
+# While a floor is being asked for, this many times the limit may wait. Past it
+# the memory of the entry goes first, and the order of tiers holds here only.
+HARD_LIMIT = 2
+ANY_RANK = 1 << 30
+
+
+class ServiceState:
+    """One service at one entry."""
+
+    def __init__(
+        self,
+        *,
+        service: Service,
+        version: int,
+        me: InstanceId,
+        random: Random,
+        policy: QueuePolicy = STRICT,
+    ):
+        self.service = service
+        self.version = version
+        self.queue = WaitingQueue(service=service, policy=policy)
+        self.admission = Admission(service=service, random=random)
+        self.drain = DrainRate()
+        self.floors = FloorKeeper(service=service, instance=me)
+        self.demand = DemandTeller(service=service.name)
+        self.sketch = PrefixSketch(entries_max=SKETCH_ENTRIES_MAX)
+
+    def configure(self, service: Service, version: int, now_s: float) -> None:
+        """Put another document in force."""
+        self.service = service
+        self.version = version
+        self.queue.reconfigure(service, now_s)
+        self.admission.reconfigure(service)
+        self.floors.reconfigure(service)
+
+    def warm(self, tracked: Tracked) -> dict[str, int]:
+        """Return the upstreams believed to hold the request's prefix."""
+        hashes = tracked.call.prefix_hashes
+        if not hashes:
+            return {}
+        return self.sketch.lookup(hashes, self.service.prefixes.block_tokens)
+
+    def enqueue(self, tracked: Tracked, now_s: float) -> dict[str, int]:
+        """Let a request wait; return the upstreams believed warm for it."""
+        warm = self.warm(tracked)
+        self.queue.add(self._waiting(tracked, warm), now_s)
+        return warm
+
+    def put_back(self, tracked: Tracked, now_s: float) -> dict[str, int]:
+        """Let a request wait again that was granted and did not run."""
+        warm = self.warm(tracked)
+        self.queue.put_back(self._waiting(tracked, warm), now_s)
+        return warm
+
+    def _waiting(self, tracked: Tracked, warm: dict[str, int]) -> WaitingRequest:
+        return WaitingRequest(
+            call=tracked.call,
+            arrived_s=tracked.arrived_s,
+            deadline_s=tracked.deadline_s,
+            stamp=tracked.stamp,
+            warm=warm,
+        )
+
+    def below_floor(self, rank: int, now_s: float) -> bool:
+        """Return whether a floor in force keeps this tier out."""
+        floor = self.floors.floor(now_s)
+        return floor is not None and rank < floor
+
+    def is_full(self) -> bool:
+        """Return whether more waits than the document allows."""
+        limits = self.service.waiting
+        return (
+            len(self.queue) > limits.requests_max or self.queue.bytes > limits.bytes_max
+        )
+
+    def is_overfull(self) -> bool:
+        """Return whether the entry's memory is in danger."""
+        limits = self.service.waiting
+        return (
+            len(self.queue) > limits.requests_max * HARD_LIMIT
+            or self.queue.bytes > limits.bytes_max * HARD_LIMIT
+        )
+
+    def victims(self, now_s: float, peers: set[InstanceId]) -> tuple[list, list]:
+        """Return the requests to drop for want of room, and other actions.
+
+        The lowest tier goes first, here and at every other entry: before work
+        is dropped of a tier that isn't the lowest, the peers must have dropped
+        theirs below it.
+        """
+        dropped, actions = [], []
+        while self.is_full():
+            victim = self.queue.lowest_victim(ANY_RANK)
+            rank = victim.call.tier
+            actions += self.floors.want_room(rank, now_s, peers)
+            allowed = self.floors.may_drop(rank, now_s)
+            if not allowed and not self.is_overfull():
+                break
+            dropped.append(self.queue.remove(victim.call.request_id))
+        return dropped, actions
+
+    def answer_pull(
+        self, pull: Pull, view: AgentView, now_s: float
+    ) -> tuple[list[Grant], PullDone]:
+        """Take out what an agent may run, at most as much as it pulled."""
+        grants = []
+        while len(grants) < pull.slots:
+            if max(self.queue.counts(), default=-ANY_RANK) < pull.rank_min:
+                break
+            request = self.queue.take(now_s, upstream=view.announce.upstream)
+            if request is None:
+                break
+            if request.call.tier < pull.rank_min:
+                self.queue.put_back(request, now_s)
+                break
+            self._drained(request, now_s)
+            grants.append(self._grant(request, pull, now_s))
+        return grants, self._done(pull, grants, view)
+
+    def _drained(self, request: WaitingRequest, now_s: float) -> None:
+        call = request.call
+        self.drain.granted(call.tier, cost_tokens(call), now_s, self.queue.counts())
+
+    def _grant(self, request: WaitingRequest, pull: Pull, now_s: float) -> Grant:
+        return Grant(
+            nonce=pull.nonce,
+            call=request.call,
+            stamp=request.stamp,
+            deadline_in_s=request.deadline_s - now_s,
+        )
+
+    def _done(self, pull: Pull, grants: list[Grant], view: AgentView) -> PullDone:
+        waiting = self.queue.counts()
+        if not grants:
+            # Nothing that waits at these tiers is for this agent now; it would
+            # only ask again at once, without end. The next demand tells it.
+            waiting = {r: n for r, n in waiting.items() if r < pull.rank_min}
+        self.demand.knows(view.agent, waiting)
+        return PullDone(
+            service=pull.service,
+            nonce=pull.nonce,
+            granted=len(grants),
+            waiting=waiting,
+        )
