Plug the learned limit, the crash ledger and the retry budget into the state machines

Cause: the policy modules stood by themselves. Change: LearnedLimit feeds the concurrency limit and the straggler detector from pieces; entries fold crash evidence, quarantine and pass the verdict on; re-sends spend the retry budget.

--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -15,6 +15,7 @@
 from lavenderspoke.pulling import Puller
 from lavenderspoke.service import Service
 from lavenderspoke.slots import FixedLimit, Limit
+from lavenderspoke.straggler import PullCaution
 
 # How often a broken stream is taken up again before its answer ends visibly.
 RESUMES_MAX = 5
@@ -79,9 +80,10 @@
         self.leaving = Leaving(me=identity.me, ledger=self.ledger)
         self.versions: dict[str, int] = {}
         self.upstream_up = True
-        self.step_s = 0.0
         self.join_offset = -1
         self._lease_until_s = 0.0
+        self._caution = PullCaution()
+        self._highest_rank = 0
         self._new_id = new_id
         self._outbox = Outbox(flush_s=times.flush_s)
         self._prefixes: dict[str, None] = {}
@@ -125,6 +127,15 @@
 
     def _pulls(self, now_s: float) -> list:
         self.puller.expire(now_s)
+        waiting = self.puller.waiting()
+        self.limit.tick(now_s)
+        if not self._caution.allows(
+            straggling=self.limit.straggling,
+            waiting=waiting,
+            highest_rank=self._highest_rank,
+            now_s=now_s,
+        ):
+            return []
         return [
             Send(recipient=entry, message=pull)
             for entry, pull in self.puller.pulls(self.room, now_s)
@@ -141,7 +152,7 @@
             leaving=not self.leaving.accepts,
             room=self.room,
             running=len(self.ledger.running()),
-            step_s=self.step_s,
+            step_s=self.limit.step_s,
             straggling=self.limit.straggling,
             versions=dict(self.versions),
         )
@@ -179,6 +190,7 @@
     def _configure(self, service: Service) -> None:
         self.ledger.key_lifetime_s = service.keys.lifetime_s
         self.ledger.bytes_max = service.keys.bytes_max
+        self._highest_rank = max(tier.rank for tier in service.tiers)
 
     @_on.register
     def _(self, event: events.Joined, now_s: float) -> list:
@@ -190,9 +202,6 @@
     def _(self, event: events.UpstreamHealth, now_s: float) -> list:
         changed = self.upstream_up != event.is_up
         self.upstream_up = event.is_up
-        self.step_s = event.step_s
-        if event.leaving:
-            self.leaving.begin(now_s)
         return self._announce(self.puller.entries()) if changed else []
 
     @_on.register
--- a/lavenderspoke/agentevents.py
+++ b/lavenderspoke/agentevents.py
@@ -60,14 +60,9 @@
 
 @attrs.frozen(kw_only=True)
 class UpstreamHealth:
-    """The upstream was asked whether it serves.
-
-    `leaving` comes from the platform's list.
-    """
+    """The upstream was asked whether it serves."""
 
     is_up: bool
-    step_s: float = 0.0
-    leaving: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -120,6 +120,9 @@
                 pending[:0] = self._finish(action, now_s)
             elif isinstance(action, events.PutBack):
                 pending[:0] = self._put_back(action, now_s)
+            elif isinstance(action, events.Answered):
+                state = self.services[action.call.service]
+                state.crashes.answered(action.call.fingerprint)
             else:
                 done.append(action)
         return done
@@ -310,10 +313,20 @@
             return Problem(reason=Reason.DRAINING, ran=Ran.NO, retry_after_s=1.0)
         if state.below_floor(arrival.call.tier, now_s):
             return self._problem(state, arrival.call.tier, Reason.SHED, now_s)
+        if state.crashes.quarantined(arrival.call.fingerprint, now_s):
+            return Problem(reason=Reason.QUARANTINED, ran=Ran.NO)
+        if not self._within_retry_budget(state, arrival, now_s):
+            return self._problem(state, arrival.call.tier, Reason.RETRY_BUDGET, now_s)
         return state.admission.admit(
             arrival.call, arrival.deadline_in_s, now_s, state.queue, state.drain
         )
 
+    def _within_retry_budget(self, state, arrival: Arrival, now_s: float) -> bool:
+        if arrival.call.key is None or arrival.sending is Sending.FIRST:
+            state.retries.first_try(now_s)
+            return True
+        return state.retries.spend(now_s)
+
     def _turn_away(self, arrival: Arrival, problem: Problem) -> list:
         if arrival.call.key is not None and arrival.sending is Sending.RESEND:
             # An earlier attempt of this key may have run, whatever this one did.
@@ -498,6 +511,39 @@
             return []
         return [Count(name="prefix_gaps", reason=message.service)]
 
+    @_from.register
+    def _(self, message: messages.CrashEvidence, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        actions = []
+        for verdict in state.crashes.crashed(message, now_s):
+            actions += self._quarantine(verdict)
+            actions += [
+                Send(recipient=peer, message=verdict) for peer in self.peers.ids()
+            ]
+        return actions
+
+    @_from.register
+    def _(self, message: messages.Quarantined, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        state.crashes.heard(message, now_s)
+        return self._quarantine(message)
+
+    def _quarantine(self, verdict: messages.Quarantined) -> list:
+        return [
+            Count(name="quarantines", reason=verdict.service),
+            *(
+                self._refuse(tracked.request_id, Reason.QUARANTINED)
+                for tracked in self.requests
+                if tracked.call.service == verdict.service
+                and tracked.call.fingerprint == verdict.fingerprint
+                and not tracked.is_out
+            ),
+        ]
+
     @_from.register
     def _(self, message: messages.Floor, sender, now_s) -> list:
         state = self.services.get(message.service)
--- a/lavenderspoke/entryevents.py
+++ b/lavenderspoke/entryevents.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lavenderspoke.gateway import AnswerPart, Arrival
+from lavenderspoke.model import Call
 from lavenderspoke.problems import Problem
 
 
@@ -82,6 +83,13 @@
     reason: str
 
 
+@attrs.frozen(kw_only=True)
+class Answered:
+    """An upstream answered a request whole; within the core only."""
+
+    call: Call
+
+
 @attrs.frozen(kw_only=True)
 class Finish:
     """A request gets its final answer; within the core only."""
--- a/lavenderspoke/following.py
+++ b/lavenderspoke/following.py
@@ -14,7 +14,7 @@
 from lavenderspoke import messages
 from lavenderspoke.assembly import is_whole
 from lavenderspoke.core import Count, Observe, Send
-from lavenderspoke.entryevents import Finish, PutBack, Reply
+from lavenderspoke.entryevents import Answered, Finish, PutBack, Reply
 from lavenderspoke.gateway import AnswerBody, AnswerEnd
 from lavenderspoke.messages import Piece
 from lavenderspoke.model import InstanceId, Ran, Standing
@@ -144,6 +144,7 @@
         return [
             Reply(request_id=tracked.request_id, part=AnswerEnd()),
             Send(recipient=tracked.agent, message=taken),
+            Answered(call=tracked.call),
             Count(name="answers", reason="late" if late else "in_time"),
             observe("answer_s", tracked, now_s),
         ]
--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -1,5 +1,6 @@
 """Which entry an agent asks for work, and the nonces its pulls rest on."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -30,6 +31,13 @@
     promised: int | None = None
 
     @property
+    def waiting(self) -> dict[int, int]:
+        """Return what waits in all entries, by tier."""
+        total = Counter()
+        for view in self._entries.values():
+            total.update(view.waiting)
+        return dict(total)
+
     def reserved(self) -> int:
         """Slots kept free for grants that may still come."""
         allowed = self.slots if self.promised is None else self.promised
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -8,6 +8,8 @@
 from lavenderspoke.drain import DrainRate
 from lavenderspoke.messages import Grant, Pull, PullDone
 from lavenderspoke.model import InstanceId
+from lavenderspoke.poison import CrashLedger
+from lavenderspoke.retrybudget import RetryAllowance
 from lavenderspoke.service import Service
 from lavenderspoke.shedding import FloorKeeper
 from lavenderspoke.tracked import Tracked
@@ -48,6 +50,8 @@
         self.floors = FloorKeeper(service=service, instance=me)
         self.demand = DemandTeller(service=service.name)
         self.sketch = PrefixSketch(entries_max=SKETCH_ENTRIES_MAX)
+        self.crashes = CrashLedger(service=service.name, poison=service.poison)
+        self.retries = RetryAllowance(budget=service.retry_budget)
 
     def configure(self, service: Service, version: int, now_s: float) -> None:
         """Put another document in force."""
@@ -56,6 +60,8 @@
         self.queue.reconfigure(service, now_s)
         self.admission.reconfigure(service)
         self.floors.reconfigure(service)
+        self.crashes.reconfigure(service.poison)
+        self.retries.reconfigure(service.retry_budget)
 
     def warm(self, tracked: Tracked) -> dict[str, int]:
         """Return the upstreams believed to hold the request's prefix."""
--- a/lavenderspoke/slots.py
+++ b/lavenderspoke/slots.py
@@ -10,6 +10,10 @@
 
     slots: int
     straggling: bool
+    step_s: float
+
+    def tick(self, now_s: float) -> None:
+        """Note the time."""
 
     def started(self, request_id: str, now_s: float) -> None:
         """Note that a request was dispatched."""
@@ -27,6 +31,10 @@
 
     slots: int
     straggling: bool = False
+    step_s: float = 0.0
+
+    def tick(self, now_s: float) -> None:
+        pass
 
     def started(self, request_id: str, now_s: float) -> None:
         pass
