Put the puller's count of waiting work where it belongs

Cause: the method stood inside the nonce, so every agent event raised AttributeError. Change: moved to the puller. Result: the hand-driven request passes again.

--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -31,13 +31,6 @@
     promised: int | None = None
 
     @property
-    def waiting(self) -> dict[int, int]:
-        """Return what waits in all entries, by tier."""
-        total = Counter()
-        for view in self._entries.values():
-            total.update(view.waiting)
-        return dict(total)
-
     def reserved(self) -> int:
         """Slots kept free for grants that may still come."""
         allowed = self.slots if self.promised is None else self.promised
@@ -80,6 +73,13 @@
             rank: count for rank, count in waiting.items() if count > 0
         }
 
+    def waiting(self) -> dict[int, int]:
+        """Return what waits in all entries, by tier."""
+        total = Counter()
+        for view in self._entries.values():
+            total.update(view.waiting)
+        return dict(total)
+
     def reserved(self) -> int:
         """Return the slots kept for grants under way."""
         return sum(nonce.reserved for nonce in self._nonces.values())
