Add the fault-injecting proxy and prove the upstream adapter

Tests of failures need links that delay, freeze, cut, refuse and swallow bytes.

The fuzz of answers found two faults: a body with a Content-Length that isn't a number was taken as whole, and urllib3's pool manager rewrote paths such as /a/../b. A client per server sends paths as they are. Ports come from below the range of outgoing connections.

--- a/features/processes.py
+++ b/features/processes.py
@@ -4,6 +4,8 @@
 condition.
 """
 
+import atexit
+import itertools
 import json
 import os
 import pathlib
@@ -26,9 +28,14 @@
 POLL_S = 0.02
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+PORTS = 16_000
 
 _http = urllib3.PoolManager(maxsize=8, retries=False)
-_given_ports: set[int] = set()
+_ports = itertools.chain.from_iterable(
+    itertools.repeat(range(FIRST_PORT + os.getpid() * 61 % PORTS, LAST_PORT))
+)
 
 
 class NotReached(AssertionError):
@@ -46,14 +53,18 @@
 
 
 def free_port() -> int:
-    """Return a free port that this process hasn't given out before."""
+    """Return a free port that this process hasn't given out before.
+
+    It lies below the ports that the system gives to outgoing connections, one of
+    which could otherwise take the port before its server listens.
+    """
     while True:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
-            return port
+        port = next(_ports)
+        try:
+            socket.create_server((HOST, port)).close()
+        except OSError:
+            continue
+        return port
 
 
 def accepts(port: int) -> bool:
@@ -190,6 +201,35 @@
         return get_json(self.port, "/control/counts")
 
 
+@attrs.frozen(kw_only=True)
+class Link:
+    """One link of the fault-injecting proxy."""
+
+    proxy: StandIn
+    name: str
+    port: int
+
+    @property
+    def address(self) -> str:
+        """The `host:port` to connect to in place of the target's."""
+        return f"{HOST}:{self.port}"
+
+    def set_faults(self, **faults) -> dict:
+        """Change the link as `features.standins.proxy` says; return its state.
+
+        >>> link.set_faults(to_target={"freeze": True})  # doctest: +SKIP
+        """
+        return post_json(self.proxy.port, "/control", {"link": self.name} | faults)
+
+    def heal(self) -> None:
+        """Take all faults away."""
+        self.set_faults(heal=True)
+
+    def report(self) -> dict:
+        """Return its connections, bytes and faults."""
+        return get_json(self.proxy.port, "/control")[self.name]
+
+
 class Stage:
     """All processes of one test, started by name and stopped together.
 
@@ -200,6 +240,7 @@
         self._owns_directory = directory is None
         self.directory = directory or pathlib.Path(tempfile.mkdtemp(prefix="stage-"))
         self.processes: dict[str, Process] = {}
+        atexit.register(self.stop)
 
     def __enter__(self) -> "Stage":
         return self
@@ -249,6 +290,17 @@
         """Start a plain service whose counts outlive it."""
         return self.start_standin(name, "plain", *self._counts(name), *options)
 
+    def proxy(self) -> StandIn:
+        """Start the proxy, whose links are added one by one."""
+        return self.start_standin("proxy", "proxy")
+
+    def link(self, proxy: StandIn, name: str, target: str) -> Link:
+        """Add a link from a free port to the target's `host:port`."""
+        port = free_port()
+        wanted = {"name": name, "listen": port, "target": target}
+        post_json(proxy.port, "/control/links", wanted)
+        return Link(proxy=proxy, name=name, port=port)
+
     def daemon(self, name: str, role: str, settings: dict) -> Process:
         """Start an entry or an agent with these settings; doesn't wait for it."""
         path = self.directory / f"{name}.yaml"
@@ -258,6 +310,7 @@
 
     def stop(self) -> None:
         """End everything that this stage started, and nothing else."""
+        atexit.unregister(self.stop)
         stop_all(self.processes.values())
         if self._owns_directory:
             shutil.rmtree(self.directory, ignore_errors=True)
--- a/features/standins/batcher.py
+++ b/features/standins/batcher.py
@@ -110,10 +110,12 @@
         prefill_per_step: int,
         cache_blocks: int,
         block_tokens: int,
+        step_s_per_run: float = 0.0,
     ):
         self.cache = PrefixCache(blocks_max=cache_blocks)
         self.totals = Totals()
-        self.step_s = step_s
+        self._step_s = step_s
+        self._step_s_per_run = step_s_per_run
         self.speed = 1.0
         self.frozen = False
         self._slots = slots
@@ -170,6 +172,11 @@
         with self._changed:
             self._note_read(run, run.tokens)
 
+    def step_s(self) -> float:
+        """Return how long a step takes with the runs there are now."""
+        batch_s = self._step_s_per_run * len(self._running)
+        return (self._step_s + batch_s) / self.speed
+
     def load(self, lag_s: float) -> tuple[float, int, int]:
         """Return when, how many ran and how many waited, that long ago."""
         seen_s = time.monotonic() - lag_s
@@ -198,7 +205,7 @@
                     next_s = time.monotonic()
                 if not self.frozen:
                     self._step()
-            next_s = max(next_s + self.step_s / self.speed, time.monotonic())
+            next_s = max(next_s + self.step_s(), time.monotonic())
             time.sleep(max(0.0, next_s - time.monotonic()))
 
     def _step(self) -> None:
--- a/features/standins/engine.py
+++ b/features/standins/engine.py
@@ -69,6 +69,7 @@
         self._batcher = Batcher(
             slots=options.slots,
             step_s=options.step_ms / 1000,
+            step_s_per_run=options.step_us_per_run / 1e6,
             prefill_per_step=options.prefill_tokens_per_step,
             cache_blocks=options.cache_blocks,
             block_tokens=options.block_tokens,
@@ -210,7 +211,7 @@
                 "running": running,
                 "waiting": waiting,
                 "slots": self._slots,
-                "step_s": self._batcher.step_s / self._batcher.speed,
+                "step_s": self._batcher.step_s(),
                 "kv_used": len(self._batcher.cache) / max(1, self._cache_blocks),
                 "at_s": at_s,
             }
@@ -235,6 +236,7 @@
     """Read the options and serve."""
     parser = server.parser(__doc__)
     parser.add_argument("--step-ms", type=float, default=4.0)
+    parser.add_argument("--step-us-per-run", type=float, default=0.0)
     parser.add_argument("--slots", type=int, default=16)
     parser.add_argument("--prefill-tokens-per-step", type=int, default=64)
     parser.add_argument("--cache-blocks", type=int, default=256)
--- a/features/steps/httpplatform_steps.py
+++ b/features/steps/httpplatform_steps.py
@@ -16,14 +16,14 @@
                 {
                     "offset": strategies.integers(-2, 9),
                     "record_id": strategies.text(max_size=4),
-                    "payload": strategies.text(max_size=8),
+                    "payload": strategies.sampled_from(["YQ==", "", "*"]),
                 }
             ),
             max_size=3,
         ),
         "next_offset": strategies.integers(-2, 12),
         "end_offset": strategies.integers(-2, 12),
-        "oldest_offset": strategies.integers(-2, 12) | JSON,
+        "oldest_offset": strategies.integers(-2, 12) | strategies.none(),
     }
 )
 
--- a/lavenderspoke/httpclient.py
+++ b/lavenderspoke/httpclient.py
@@ -4,6 +4,8 @@
 twice, or a log that holds a record twice, is worse than an error.
 """
 
+from collections.abc import Mapping
+
 import attrs
 import urllib3
 from result import Err, Ok, Result
@@ -36,32 +38,39 @@
     body: bytes
 
 
-def new_pool(*, connections: int = 16) -> urllib3.PoolManager:
-    """Return a pool that many threads may use; it keeps so many connections."""
-    return urllib3.PoolManager(
-        maxsize=connections, block=False, retries=False, num_pools=8
-    )
-
+class HttpClient:
+    """Speaks to one server, by pooled connections, from many threads.
 
-def open_response(
-    pool: urllib3.PoolManager,
-    *,
-    method: str,
-    url: str,
-    timeout_s: float,
-    headers: dict[str, str] | None = None,
-    body: bytes | None = None,
-) -> Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]:
-    """Send a request and return its answer with the body still to be read.
-
-    `timeout_s` bounds each silence of the other side, not the whole answer.
+    Paths are sent as they are given: a path such as `/a/../b` isn't rewritten, and
+    one that doesn't begin with a slash can't lead to another server.
     """
-    timeout = urllib3.Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s)
-    try:
-        return Ok(
-            pool.request(
+
+    def __init__(self, *, base_url: str, connections: int = 16):
+        self._pool = urllib3.connection_from_url(
+            base_url, maxsize=connections, block=False
+        )
+        self._prefix = (urllib3.util.parse_url(base_url).path or "").rstrip("/")
+
+    def open(
+        self,
+        *,
+        method: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]:
+        """Send a request and return its answer with the body still to be read.
+
+        `timeout_s` bounds each silence of the other side, not the whole answer.
+        """
+        timeout = urllib3.Timeout(
+            connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s
+        )
+        try:
+            response = self._pool.urlopen(
                 method,
-                url,
+                self._prefix + path,
                 headers=headers or {},
                 body=body,
                 timeout=timeout,
@@ -70,36 +79,44 @@
                 preload_content=False,
                 decode_content=False,
             )
-        )
-    except (NewConnectionError, ConnectTimeoutError) as error:
-        return Err(NotSent(detail=str(error)))
-    # ValueError and OSError: urllib3 lets some through, such as a status line
-    # that isn't one; by then the request has been sent.
-    except (HTTPError, OSError, ValueError) as error:
-        return Err(AnswerLost(detail=f"{type(error).__name__}: {error}"))
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Err(NotSent(detail=str(error)))
+        # ValueError and OSError: urllib3 lets some through, such as a status line
+        # that isn't one; by then the request has been sent.
+        except (HTTPError, OSError, ValueError) as error:
+            return Err(_lost(error))
+        return Ok(response)
 
+    def fetch(self, **request) -> Result[Reply, NotSent | AnswerLost]:
+        """Send a request and return its whole answer.
 
-def fetch(pool: urllib3.PoolManager, **request) -> Result[Reply, NotSent | AnswerLost]:
-    """Send a request and return its whole answer.
+        Takes the arguments of `open`. An answer longer than `ANSWER_BYTES_MAX`
+        counts as lost.
+        """
+        return self.open(**request).and_then(_read_whole)
 
-    Takes the arguments of `open_response`. An answer longer than
-    `ANSWER_BYTES_MAX` counts as lost.
-    """
-    opened = open_response(pool, **request)
-    if isinstance(opened, Err):
-        return opened
-    response = opened.ok_value
+
+def _read_whole(response: urllib3.BaseHTTPResponse) -> Result[Reply, AnswerLost]:
     whole = False
     try:
         body = response.read(ANSWER_BYTES_MAX + 1)
         whole = len(body) <= ANSWER_BYTES_MAX
     except (HTTPError, OSError, ValueError) as error:
-        return Err(AnswerLost(detail=f"{type(error).__name__}: {error}"))
+        return Err(_lost(error))
     finally:
-        if whole:
-            response.release_conn()
-        else:
-            response.close()
+        release(response, whole=whole)
     if not whole:
         return Err(AnswerLost(detail="answer too long"))
     return Ok(Reply(status=response.status, body=body))
+
+
+def release(response: urllib3.BaseHTTPResponse, *, whole: bool) -> None:
+    """Keep the connection for another request if its answer was read whole."""
+    if whole:
+        response.release_conn()
+    else:
+        response.close()
+
+
+def _lost(error: Exception) -> AnswerLost:
+    return AnswerLost(detail=f"{type(error).__name__}: {error}")
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -13,11 +13,10 @@
 from lavenderspoke.httpclient import (
     READ_BYTES,
     AnswerLost,
+    HttpClient,
     NotSent,
     Reply,
-    fetch,
-    new_pool,
-    open_response,
+    release,
 )
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
@@ -66,14 +65,13 @@
     """A plain service: it runs calls, and nothing else can be asked of it."""
 
     def __init__(self, *, base_url: str):
-        self._base_url = base_url.rstrip("/")
-        self._pool = new_pool(connections=RUN_CONNECTIONS)
+        self._client = HttpClient(base_url=base_url, connections=RUN_CONNECTIONS)
 
     def run(self, call: Call, *, timeout_s: float) -> Iterator[RunEvent]:
         """Send the call once."""
         return self._stream(
             method=call.method,
-            url=self._base_url + call.path,
+            path=call.path,
             headers=_request_headers(call),
             body=call.body,
             timeout_s=timeout_s,
@@ -114,17 +112,16 @@
     def _fetch(
         self, method: str, path: str, body: bytes | None = None
     ) -> Result[Reply, UpstreamError]:
-        return fetch(
-            self._pool,
+        return self._client.fetch(
             method=method,
-            url=self._base_url + path,
+            path=path,
             body=body,
             headers={"Content-Type": "application/json"},
             timeout_s=REPORT_TIMEOUT_S,
         ).map_err(_run_error)
 
     def _stream(self, **request) -> Iterator[RunEvent]:
-        opened = open_response(self._pool, **request)
+        opened = self._client.open(**request)
         if isinstance(opened, Err):
             yield _run_error(opened.err_value)
             return
@@ -139,10 +136,7 @@
             ending = yield from _body(response)
             whole = isinstance(ending, UpstreamEnd)
         finally:
-            if whole:
-                response.release_conn()
-            else:
-                response.close()
+            release(response, whole=whole)
         yield ending
 
 
@@ -161,7 +155,7 @@
         after = -1 if after_event_id is None else after_event_id
         events = self._stream(
             method="GET",
-            url=f"{self._base_url}{_run_path(request_id)}?after={after}",
+            path=f"{_run_path(request_id)}?after={after}",
             headers={},
             body=None,
             timeout_s=timeout_s,
@@ -232,10 +226,12 @@
 def _response_headers(
     response: urllib3.BaseHTTPResponse,
 ) -> tuple[tuple[str, str], ...]:
+    listed = response.headers.get("Connection", "").lower().split(",")
+    dropped = HOP_BY_HOP.union(name.strip() for name in listed)
     return tuple(
         (name, value)
         for name, value in response.headers.iteritems()
-        if name.lower() not in HOP_BY_HOP
+        if name.lower() not in dropped
     )
 
 
@@ -278,7 +274,8 @@
     in the middle of it.
     """
     bodiless = response.status in (204, 304)
-    return bodiless or response.chunked or "Content-Length" in response.headers
+    length = response.headers.get("Content-Length", "")
+    return bodiless or response.chunked or length.isdecimal()
 
 
 def _expect_ok(reply: Reply) -> Result[None, UpstreamError]:
--- a/lavenderspoke/memberlist.py
+++ b/lavenderspoke/memberlist.py
@@ -6,9 +6,11 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.httpclient import fetch, new_pool
+from lavenderspoke.httpclient import HttpClient
 from lavenderspoke.jsoncodec import decode
 
+MEMBERS_PATH = "/members"
+
 
 class Role(enum.StrEnum):
     """Which daemon an instance runs."""
@@ -67,14 +69,13 @@
     """The member list over HTTP: `GET /members` answers `{"members": [...]}`."""
 
     def __init__(self, *, base_url: str, timeout_s: float = 2.0):
-        self._url = f"{base_url.rstrip('/')}/members"
         self._timeout_s = timeout_s
-        self._pool = new_pool(connections=1)
+        self._client = HttpClient(base_url=base_url, connections=1)
 
     def read(self) -> Result[tuple[Member, ...], MemberListError]:
         """Read the list once."""
-        fetched = fetch(
-            self._pool, method="GET", url=self._url, timeout_s=self._timeout_s
+        fetched = self._client.fetch(
+            method="GET", path=MEMBERS_PATH, timeout_s=self._timeout_s
         )
         match fetched:
             case Err(error):
--- a/lavenderspoke/platformlog.py
+++ b/lavenderspoke/platformlog.py
@@ -15,7 +15,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.httpclient import AnswerLost, NotSent, Reply, fetch, new_pool
+from lavenderspoke.httpclient import AnswerLost, HttpClient, NotSent, Reply
 from lavenderspoke.jsoncodec import decode
 
 SERVICES_STREAM = "services"
@@ -120,22 +120,21 @@
     An append is `POST /streams/<stream>/records` with the payload as body and
     the record id in `X-Record-Id`; 201 answers `{"offset": n}`, and an answer
     with `"appended": false` says that it was definitely refused. A read is
-    `GET /streams/<stream>/records?offset=<n>&limit=<n>`; payloads are base64.
+    `GET /streams/<stream>/records?offset=<n>&limit=<n>`; payloads are base64, and
+    the log may give fewer records than asked for, so that a page stays small.
     """
 
     def __init__(self, *, base_url: str, timeout_s: float = 2.0):
-        self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
-        self._pool = new_pool()
+        self._client = HttpClient(base_url=base_url)
 
     def append(
         self, *, stream: str, record_id: str, payload: bytes
     ) -> Result[int, LogError]:
         """Append once; never retried here, since the first may have happened."""
-        fetched = fetch(
-            self._pool,
+        fetched = self._client.fetch(
             method="POST",
-            url=self._url(stream),
+            path=_records_path(stream),
             timeout_s=self._timeout_s,
             headers={"X-Record-Id": record_id},
             body=payload,
@@ -152,10 +151,9 @@
         self, *, stream: str, offset: int, limit: int = RECORDS_LIMIT
     ) -> Result[LogPage, LogError]:
         """Return one page; an answer lost on the way is just unavailable."""
-        fetched = fetch(
-            self._pool,
+        fetched = self._client.fetch(
             method="GET",
-            url=f"{self._url(stream)}?offset={offset}&limit={limit}",
+            path=f"{_records_path(stream)}?offset={offset}&limit={limit}",
             timeout_s=self._timeout_s,
         )
         match fetched:
@@ -166,8 +164,9 @@
             case Ok(reply):
                 return decode_page(reply.body, offset)
 
-    def _url(self, stream: str) -> str:
-        return f"{self._base_url}/streams/{quote(stream, safe='')}/records"
+
+def _records_path(stream: str) -> str:
+    return f"/streams/{quote(stream, safe='')}/records"
 
 
 def _append_outcome(reply: Reply) -> Result[int, LogError]:
