--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -1,9 +1,10 @@
 import pathlib
 
 from behave import then, when
-from hypothesis import given as sampled, settings, strategies
+from hypothesis import strategies
 from result import Err, Ok
 
+from features.helper import fuzz
 from lavenderspoke.service import parse_service
 
 TEXTS = {
@@ -50,9 +51,7 @@
 
 @then("random texts read as service documents give a service or mistakes")
 def step_random_texts(context):
-    @settings(derandomize=True, max_examples=300, deadline=None)
-    @sampled(YAML_PIECES)
     def check(text):
         assert isinstance(parse_service(text, "a.yaml"), Ok | Err)
 
-    check()
+    fuzz(YAML_PIECES, check)
