--- /dev/null
+++ b/features/logs.feature
@@ -0,0 +1,17 @@
+Feature: Logs
+  One JSON object a line, without credentials.
+
+  Scenario: A record is one line of JSON
+    When a daemon logs "started" with port 8080
+    Then the log line has time, level "info", daemon "entry-1", message "started" and port 8080
+
+  Scenario: A traceback stays on its line
+    When a daemon logs a caught exception
+    Then there is 1 log line and its traceback names the exception
+
+  Scenario: Credentials are never logged
+    A credential reaches the log in many ways: in a message, in headers kept for
+    an error, inside nested data, in an exception's text. In each it must be
+    replaced, or whoever reads the logs could act for a customer.
+    When a daemon logs a credential in every way it knows
+    Then no log line holds the credential
--- /dev/null
+++ b/features/steps/logs_steps.py
@@ -0,0 +1,78 @@
+import io
+import json
+
+import logbook
+from behave import then, when
+
+from lavenderspoke.logs import JsonLinesHandler
+
+SECRET = "open-sesame"
+HEADER = ("Authorization", f"Bearer {SECRET}")
+log = logbook.Logger("test")
+
+
+def logged(context, *actions):
+    stream = io.StringIO()
+    handler = JsonLinesHandler(daemon="entry-1", stream=stream)
+    with handler.threadbound():
+        for action in actions:
+            action()
+    context.logged = stream.getvalue()
+    context.lines = [json.loads(line) for line in context.logged.splitlines()]
+
+
+def log_exception():
+    try:
+        raise ValueError(f"bad header Authorization: Bearer {SECRET}")
+    except ValueError:
+        log.exception("parsing failed")
+
+
+@when('a daemon logs "{message}" with port {port:d}')
+def step_logs(context, message, port):
+    logged(context, lambda: log.info(message, port=port))
+
+
+@when("a daemon logs a caught exception")
+def step_logs_exception(context):
+    logged(context, log_exception)
+
+
+@when("a daemon logs a credential in every way it knows")
+def step_logs_credential(context):
+    logged(
+        context,
+        lambda: log.info(f"got Authorization: Bearer {SECRET}"),
+        lambda: log.info("got", headers=(("Host", "x"), HEADER)),
+        lambda: log.info("got", headers=dict([HEADER])),
+        lambda: log.info("got", credential=SECRET),
+        lambda: log.info("got", bearer_token=SECRET),
+        lambda: log.info("got", request={"headers": [HEADER], "authorization": SECRET}),
+        lambda: log.info("got", raw=f"authorization: bearer {SECRET}\r\n".encode()),
+        lambda: log.info("got", header=HEADER),
+        lambda: log.info("got", error=ValueError(f"Bearer {SECRET}")),
+        log_exception,
+    )
+    assert len(context.lines) == 10
+
+
+@then(
+    'the log line has time, level "{level}", daemon "{daemon}", '
+    'message "{message}" and port {port:d}'
+)
+def step_log_line(context, level, daemon, message, port):
+    (line,) = context.lines
+    assert line["time"].endswith("Z")
+    found = (line["level"], line["daemon"], line["message"], line["port"])
+    assert found == (level, daemon, message, port)
+
+
+@then("there is 1 log line and its traceback names the exception")
+def step_traceback(context):
+    (line,) = context.lines
+    assert "ValueError" in line["traceback"]
+
+
+@then("no log line holds the credential")
+def step_no_credential(context):
+    assert SECRET not in context.logged, context.logged
--- /dev/null
+++ b/lavenderspoke/answers.py
@@ -0,0 +1,101 @@
+"""Answers on their way from the entry's state machine to a caller's thread."""
+
+import threading
+from collections.abc import Callable, Iterator
+
+from lavenderspoke.gateway import AnswerBody, AnswerBroken, AnswerEnd, AnswerPart
+from lavenderspoke.model import Ran
+from lavenderspoke.problems import Problem, Reason
+
+ANSWER_BYTES_MAX = 32 * 1024 * 1024
+
+
+class AnswerQueue:
+    """An answer filled by one thread and taken by another.
+
+    `on_abandon(request_id)` is called once, on whatever thread abandons it,
+    unless the answer had already ended.
+
+    >>> queue = AnswerQueue(request_id="r1")
+    >>> queue.put(AnswerBody(body=b"a"))
+    >>> queue.put(AnswerEnd())
+    >>> [type(part).__name__ for part in queue.take()]
+    ['AnswerBody', 'AnswerEnd']
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        on_abandon: Callable[[str], None] = lambda request_id: None,
+        bytes_max: int = ANSWER_BYTES_MAX,
+    ):
+        self.request_id = request_id
+        self._on_abandon = on_abandon
+        self._bytes_max = bytes_max
+        self._changed = threading.Condition()
+        self._parts: list[AnswerPart] = []
+        self._bytes = 0
+        self._ended = False
+        self._abandoned = False
+
+    def put(self, part: AnswerPart) -> None:
+        """Add a part; what comes after the end or an abandonment is dropped."""
+        with self._changed:
+            if self._ended or self._abandoned:
+                return
+            overflow = self._overflows(part)
+            self._parts.append(_TOO_SLOW if overflow else part)
+            self._ended = overflow or isinstance(
+                part, (AnswerEnd, AnswerBroken, Problem)
+            )
+            self._changed.notify()
+        if overflow:
+            self._on_abandon(self.request_id)
+
+    def take(self) -> list[AnswerPart]:
+        """Return what has gathered; blocks until there is something.
+
+        Empty only when the answer was abandoned.
+        """
+        with self._changed:
+            self._changed.wait_for(lambda: self._parts or self._abandoned)
+            if self._abandoned:
+                return []
+            parts, self._parts = self._parts, []
+            self._bytes = 0
+            return parts
+
+    def __iter__(self) -> Iterator[AnswerPart]:
+        """Yield the parts until the answer ends or is abandoned."""
+        while parts := self.take():
+            yield from parts
+            if isinstance(parts[-1], (AnswerEnd, AnswerBroken, Problem)):
+                return
+
+    def abandon(self) -> None:
+        """Say that the caller has gone; may be called at any time, also twice."""
+        with self._changed:
+            if self._abandoned:
+                return
+            self._abandoned = True
+            ended = self._ended
+            self._changed.notify()
+        if not ended:
+            self._on_abandon(self.request_id)
+
+    def _overflows(self, part: AnswerPart) -> bool:
+        # A caller that reads slowly would otherwise hold a whole long answer
+        # in memory, and a few of them the daemon's whole allowance.
+        if isinstance(part, AnswerBody):
+            self._bytes += len(part.body)
+        return self._bytes > self._bytes_max
+
+
+_TOO_SLOW = AnswerBroken(
+    problem=Problem(
+        reason=Reason.ANSWER_INCOMPLETE,
+        ran=Ran.YES,
+        detail="the answer was read too slowly",
+    )
+)
--- /dev/null
+++ b/lavenderspoke/codec.py
@@ -0,0 +1,121 @@
+"""Bytes for the messages between daemons, by msgpack and cattrs.
+
+A message travels as a msgpack map whose `type` names its class; fields at
+their defaults are left out. Unknown fields are ignored, so that daemons of two
+neighbouring releases understand each other. `decode` takes bytes from outside:
+it checks every type and never raises.
+"""
+
+import math
+import typing
+from collections.abc import Callable
+
+import attrs
+import msgpack
+from cattrs.preconf.msgpack import MsgpackConverter, make_converter
+from cattrs.strategies import configure_tagged_union
+from result import Err, Ok, Result
+
+from lavenderspoke.messages import Envelope, Message
+
+MESSAGE_BYTES_MAX = 8 * 1024 * 1024
+"""No message is larger; both ends refuse it."""
+
+
+@attrs.frozen(kw_only=True)
+class CodecError:
+    """Bytes that are not a message; `detail` is for the log."""
+
+    detail: str
+
+
+def _strict(wanted: type) -> Callable:
+    """Return a hook that takes that exact type and nothing that resembles it."""
+
+    def structure(value, _):
+        if type(value) is not wanted:
+            raise TypeError(f"{type(value).__name__} where {wanted.__name__} belongs")
+        return value
+
+    return structure
+
+
+def _structure_float(value, _) -> float:
+    # A NaN deadline compares false with everything, so a request that carried
+    # one would never expire; no field has a use for it or for infinity.
+    if type(value) not in (float, int) or not math.isfinite(value):
+        raise TypeError("a finite number belongs here")
+    return float(value)
+
+
+def _is_tuple(annotation) -> bool:
+    return typing.get_origin(annotation) is tuple
+
+
+def _tuple_hook(annotation, converter: MsgpackConverter) -> Callable:
+    """Return a hook for tuples that takes only lists.
+
+    Any iterable would do for cattrs, so the string "ab" would pass as the
+    tuple ("a", "b").
+    """
+    arguments = typing.get_args(annotation)
+    if arguments[-1] is Ellipsis:
+        element, _ = arguments
+        # Looked up on first use: a tuple may hold the class that holds it.
+        hooks = []
+
+        def structure_many(value, _):
+            if type(value) is not list:
+                raise TypeError("a list belongs here")
+            if not hooks:
+                hooks.append(converter.get_structure_hook(element))
+            hook = hooks[0]
+            return tuple([hook(each, element) for each in value])
+
+        return structure_many
+    pairs = [(each, converter.get_structure_hook(each)) for each in arguments]
+
+    def structure_fixed(value, _):
+        if type(value) is not list or len(value) != len(pairs):
+            raise TypeError(f"a list of {len(pairs)} belongs here")
+        return tuple(hook(each, kind) for each, (kind, hook) in zip(value, pairs))
+
+    return structure_fixed
+
+
+def _make_converter() -> MsgpackConverter:
+    """Return a converter with its hooks generated once, not for each message."""
+    converter = make_converter(omit_if_default=True, detailed_validation=False)
+    for wanted in (str, int, bool, bytes):
+        converter.register_structure_hook(wanted, _strict(wanted))
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook_factory(_is_tuple)(_tuple_hook)
+    configure_tagged_union(Message, converter, tag_name="type")
+    return converter
+
+
+_converter = _make_converter()
+_structure = _converter.get_structure_hook(Envelope)
+_unstructure = _converter.get_unstructure_hook(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the envelope as bytes."""
+    return msgpack.packb(_unstructure(envelope))
+
+
+def decode(data: bytes) -> Result[Envelope, CodecError]:
+    """Return the envelope in these bytes, or what is wrong with them.
+
+    >>> decode(b"junk").is_err()
+    True
+    """
+    if len(data) > MESSAGE_BYTES_MAX:
+        return Err(CodecError(detail=f"{len(data)} bytes is too large"))
+    try:
+        return Ok(_structure(msgpack.unpackb(data, strict_map_key=False), Envelope))
+    except Exception as error:
+        # Bytes from outside reach msgpack, cattrs and the generated hooks, and
+        # each fails in its own way. A broken message must cost its sender the
+        # message and not this daemon its receiving thread.
+        return Err(CodecError(detail=f"{type(error).__name__}: {error}"[:200]))
--- a/lavenderspoke/gateway.py
+++ b/lavenderspoke/gateway.py
@@ -1,7 +1,6 @@
 """What lies between the callers' HTTP server and the entry's state machine."""
 
 import enum
-from collections.abc import Iterator
 from typing import Protocol
 
 import attrs
@@ -61,12 +60,17 @@
 
     The first part is a Head or a Problem. A Head is followed by bodies and
     then exactly one AnswerEnd or AnswerBroken; a Problem stands alone.
+    `lavenderspoke.answers.AnswerQueue` is one that a state machine's shell can
+    fill from another thread.
     """
 
     request_id: str
 
-    def __iter__(self) -> Iterator[AnswerPart]:
-        """Yield the parts; blocks until each is there."""
+    def take(self) -> list[AnswerPart]:
+        """Return what has gathered; blocks until there is something.
+
+        Empty only when the answer was abandoned.
+        """
 
     def abandon(self) -> None:
         """Say that the caller has gone; may be called at any time, also twice."""
--- /dev/null
+++ b/lavenderspoke/httpserver.py
@@ -0,0 +1,328 @@
+"""Cheroot's server, with the limits and refusals that callers are promised.
+
+Cheroot answers what it refuses itself in plain text, bounds each read but not
+a whole request, and shakes hands for TLS on its only accepting thread. The
+classes here change just that.
+"""
+
+import errno
+import io
+import socket
+import ssl
+import time
+
+import attrs
+import logbook
+from cheroot import errors, wsgi
+from cheroot.makefile import StreamReader
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from lavenderspoke import problempage
+from lavenderspoke.model import Ran
+from lavenderspoke.problems import Problem, Reason
+
+HEADER_BYTES_MAX = 32 * 1024
+BACKLOG_CONNECTIONS = 128
+ACCEPTED_QUEUE_CONNECTIONS = 64
+REFUSING_QUEUE_CONNECTIONS = 256
+REFUSING_WAIT_S = 0.1
+LINGER_S = 1.0
+LINGER_BYTES_MAX = 4 * 1024 * 1024
+SOCKET_TIMEOUT_S = 10.0
+REQUEST_READ_S = 15.0
+BUSY_RETRY_S = 1.0
+KEEP_ALIVE_CONNECTIONS = 1000
+REQUEST_KEY = "lavenderspoke.request"
+READ_BYTES = 64 * 1024
+
+log = logbook.Logger(__name__)
+
+_PROBLEMS = {
+    408: (Reason.BODY_TIMEOUT, Ran.NO, None),
+    413: (Reason.HEADERS_TOO_LARGE, Ran.NO, None),
+    414: (Reason.HEADERS_TOO_LARGE, Ran.NO, None),
+    500: (Reason.INTERNAL_ERROR, Ran.UNKNOWN, None),
+    503: (Reason.SERVER_BUSY, Ran.NO, BUSY_RETRY_S),
+}
+
+
+@attrs.frozen(kw_only=True)
+class Tls:
+    """The files, in PEM, with which a server proves who it is."""
+
+    certificate_file: str
+    key_file: str
+
+
+class CutOff(ConnectionResetError):
+    """Closes a connection in the middle of an answer, without the last chunk."""
+
+    def __init__(self):
+        super().__init__(errno.ECONNRESET, "the answer was cut off")
+
+
+class _Reader(StreamReader):
+    """A connection's reader that gives up when the whole request is late."""
+
+    def __init__(self, sock: socket.socket, timeout_s: float):
+        super().__init__(sock, "rb")
+        self.raw.readinto = self._readinto
+        self._sock = sock
+        self._timeout_s = timeout_s
+        self._deadline_s = None
+
+    def allow(self, request_read_s: float) -> None:
+        """Give the request that begins now that long to arrive."""
+        self._deadline_s = time.monotonic() + request_read_s
+
+    def _readinto(self, buffer) -> int:
+        # A caller that sends a byte now and then never exceeds the timeout of
+        # one read, so a few hundred of them would hold every thread for good.
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("timed out")
+        self._sock.settimeout(min(left_s, self._timeout_s))
+        try:
+            return self._sock.recv_into(buffer)
+        finally:
+            self._sock.settimeout(self._timeout_s)
+
+
+class _StrictHeaderReader(HeaderReader):
+    """A header reader that leaves out names with an underscore.
+
+    WSGI and many upstreams take X_Y for X-Y, so such a name would pass by the
+    check of the header that it stands for.
+    """
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        return b"_" not in key_name
+
+
+class CallerHttpRequest(HTTPRequest):
+    """A request whose early refusals are problems."""
+
+    header_reader = _StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        if not super().read_request_headers():
+            return False
+        length = self.inheaders.get(b"Content-Length")
+        if length is not None and not length.isdigit():
+            self.simple_response("400 Bad Request", "malformed Content-Length")
+            return False
+        if length is not None and b"Transfer-Encoding" in self.inheaders:
+            self.simple_response("400 Bad Request", "two lengths for one body")
+            return False
+        return True
+
+    def simple_response(self, status, msg="") -> None:
+        code = int(str(status)[:3])
+        fallback = (Reason.BAD_REQUEST, Ran.NO, None)
+        reason, ran, retry_after_s = _PROBLEMS.get(code, fallback)
+        problem = Problem(
+            reason=reason, ran=ran, detail=str(msg), retry_after_s=retry_after_s
+        )
+        self.server.on_problem(problem)
+        self.close_connection = True
+        self.conn.linger_on_close = True
+        self._write_page(problempage.render(problem))
+
+    def _write_page(self, page: problempage.Page) -> None:
+        lines = [f"HTTP/1.1 {page.status}"]
+        lines += [f"{name}: {value}" for name, value in page.headers]
+        lines += ["Connection: close", "", ""]
+        try:
+            self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + page.body)
+        except OSError as error:
+            if error.args[0] not in errors.socket_errors_to_ignore:
+                raise
+
+
+class CallerConnection(HTTPConnection):
+    """A connection with a limit on how long each request takes to arrive."""
+
+    RequestHandlerClass = CallerHttpRequest
+    linger_on_close = False
+
+    def __init__(self, server, sock, makefile):
+        super().__init__(server, sock, makefile)
+        self.rfile = _Reader(sock, server.timeout)
+
+    def communicate(self) -> bool:
+        self.rfile.allow(self.server.request_read_s)
+        return super().communicate()
+
+    def close(self) -> None:
+        # Closing with unread bytes resets the connection, and the reset can
+        # overtake the refusal: the caller would see no reason at all.
+        if self.linger_on_close:
+            self._drain()
+        super().close()
+
+    def _drain(self) -> None:
+        until_s = time.monotonic() + LINGER_S
+        left_bytes = LINGER_BYTES_MAX
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while left_bytes > 0 and (left_s := until_s - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                data = self.socket.recv(READ_BYTES)
+                if not data:
+                    return
+                left_bytes -= len(data)
+        except (OSError, ValueError):
+            return
+
+
+class LazyTlsAdapter(BuiltinSSLAdapter):
+    """A TLS adapter that leaves the handshake to the connection's own thread.
+
+    Done on the accepting thread, one caller that connects and says nothing
+    would keep every other caller out until its timeout.
+    """
+
+    def wrap(self, sock):
+        wrapped = self.context.wrap_socket(
+            sock, server_side=True, do_handshake_on_connect=False
+        )
+        return wrapped, {}
+
+
+class _WsgiGateway(wsgi.Gateway_10):
+    """A WSGI gateway that shows the application cheroot's own request."""
+
+    def get_environ(self) -> dict:
+        return super().get_environ() | {REQUEST_KEY: self.req}
+
+
+class HttpServer(wsgi.Server):
+    """A WSGI server that refuses at once what it has no thread for."""
+
+    ConnectionClass = CallerConnection
+    max_request_header_size = HEADER_BYTES_MAX
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        app,
+        threads: int,
+        tls: Tls | None = None,
+        request_read_s: float = REQUEST_READ_S,
+        on_problem=lambda problem: None,
+    ):
+        super().__init__(
+            (host, port),
+            app,
+            numthreads=threads,
+            max=threads,
+            server_name="lavenderspoke",
+            request_queue_size=BACKLOG_CONNECTIONS,
+            timeout=SOCKET_TIMEOUT_S,
+            accepted_queue_size=ACCEPTED_QUEUE_CONNECTIONS,
+            accepted_queue_timeout=0,
+        )
+        self.gateway = _WsgiGateway
+        self.request_read_s = request_read_s
+        self.on_problem = on_problem
+        if tls is not None:
+            self.ssl_adapter = LazyTlsAdapter(tls.certificate_file, tls.key_file)
+
+    def process_conn(self, conn) -> None:
+        # A connection queued behind long streams would wait for minutes
+        # without a word; its caller does better to go to another entry.
+        if self.requests.idle > self.requests.qsize:
+            super().process_conn(conn)
+        elif self._unservicable_conns.qsize() < REFUSING_QUEUE_CONNECTIONS:
+            self._unservicable_conns.put(conn)
+        else:
+            conn.close()
+
+    def _serve_unservicable(self) -> None:
+        while self.ready:
+            conn = self._unservicable_conns.get()
+            if isinstance(conn, HTTPConnection):
+                self._refuse(conn)
+
+    def _refuse(self, conn: CallerConnection) -> None:
+        """Read what has been sent, as far as it is there, and answer busy."""
+        try:
+            conn.socket.settimeout(REFUSING_WAIT_S)
+            _read_once(conn.socket)
+            CallerHttpRequest(self, conn).simple_response("503", "try another")
+        except (OSError, ValueError):
+            pass
+        conn.linger_on_close = False
+        try:
+            conn.close()
+        except OSError:
+            pass
+
+    def error_log(self, msg="", level=20, traceback=False) -> None:
+        if traceback:
+            log.exception("http server", detail=str(msg))
+        elif level >= 30:
+            log.warning("http server", detail=str(msg))
+        else:
+            log.debug("http server", detail=str(msg))
+
+
+def _read_once(sock: socket.socket) -> None:
+    try:
+        sock.recv(READ_BYTES)
+    except (TimeoutError, ssl.SSLError):
+        return
+
+
+class BodyTooLarge(Exception):
+    """A body exceeds its limit."""
+
+
+class BodyBroken(Exception):
+    """A body ended early or is malformed."""
+
+
+def read_body(request: CallerHttpRequest, bytes_max: int) -> bytes:
+    """Return a request's whole body.
+
+    Raises BodyTooLarge, BodyBroken, and TimeoutError when it came too slowly.
+    """
+    if request.chunked_read:
+        return _read_chunked(request, bytes_max)
+    length = int(request.inheaders.get(b"Content-Length", 0))
+    if length > bytes_max:
+        raise BodyTooLarge
+    try:
+        body = request.rfile.read(length)
+    except TimeoutError:
+        raise
+    except OSError as error:
+        raise BodyBroken("the connection broke") from error
+    if len(body) != length:
+        raise BodyBroken(f"{len(body)} of {length} bytes came")
+    return body
+
+
+def _read_chunked(request: CallerHttpRequest, bytes_max: int) -> bytes:
+    # Cheroot counts the chunks' framing too, hence the allowance; small chunks
+    # can't make it larger than the body.
+    request.rfile.maxlen = 2 * bytes_max + io.DEFAULT_BUFFER_SIZE
+    try:
+        body = request.rfile.read()
+    except TimeoutError:
+        raise
+    except errors.MaxSizeExceeded as error:
+        raise BodyTooLarge from error
+    except ValueError as error:
+        raise BodyBroken("malformed chunks") from error
+    except OSError as error:
+        if "Too Large" in str(error):
+            raise BodyTooLarge from error
+        raise BodyBroken("the connection broke") from error
+    if len(body) > bytes_max:
+        raise BodyTooLarge
+    return body
--- /dev/null
+++ b/lavenderspoke/metrics.py
@@ -0,0 +1,172 @@
+"""Counters and latencies, for the metrics page and the status page."""
+
+import threading
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+LATENCY_MAX_US = 600 * 1_000_000
+LATENCY_DIGITS = 2
+HISTOGRAMS_MAX = 256
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+US_PER_S = 1_000_000
+OTHER = "other"
+"""The label that stands for all beyond the bound on histograms or counters."""
+COUNTERS_MAX = 1024
+
+
+@attrs.frozen(kw_only=True)
+class LatencyKey:
+    """Whose latency a histogram holds."""
+
+    name: str
+    service: str
+    tier: str
+
+
+@attrs.frozen(kw_only=True)
+class LatencySummary:
+    """A histogram's quantiles in seconds, by percent, and its sum."""
+
+    count: int
+    sum_s: float
+    max_s: float
+    quantiles_s: dict[float, float]
+
+
+@attrs.define(kw_only=True)
+class _Latency:
+    histogram: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, LATENCY_MAX_US, LATENCY_DIGITS)
+    )
+    sum_s: float = 0.0
+
+    def summary(self) -> LatencySummary:
+        return LatencySummary(
+            count=self.histogram.get_total_count(),
+            sum_s=self.sum_s,
+            max_s=self.histogram.get_max_value() / US_PER_S,
+            quantiles_s={
+                percent: self.histogram.get_value_at_percentile(percent) / US_PER_S
+                for percent in QUANTILES
+            },
+        )
+
+
+class Metrics:
+    """Metrics of one daemon; every method may be called from any thread.
+
+    >>> metrics = Metrics()
+    >>> metrics.count("refusals", "shed")
+    >>> metrics.counter("refusals", "shed")
+    1
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._counters: dict[tuple[str, str], int] = {}
+        self._gauges: dict[str, float] = {}
+        self._latencies: dict[LatencyKey, _Latency] = {}
+
+    def count(self, name: str, reason: str, amount: int = 1) -> None:
+        """Add to the counter of that name and reason."""
+        with self._lock:
+            key = (name, reason)
+            if key not in self._counters and len(self._counters) >= COUNTERS_MAX:
+                key = (name, OTHER)
+            self._counters[key] = self._counters.get(key, 0) + amount
+
+    def counter(self, name: str, reason: str) -> int:
+        """Return what has been counted under that name and reason."""
+        with self._lock:
+            return self._counters.get((name, reason), 0)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a value that may also fall, such as the requests in flight."""
+        with self._lock:
+            self._gauges[name] = value
+
+    def observe(self, name: str, service: str, tier: str, latency_s: float) -> None:
+        """Record a latency; what exceeds ten minutes counts as ten minutes."""
+        value_us = min(max(round(latency_s * US_PER_S), 1), LATENCY_MAX_US)
+        key = LatencyKey(name=name, service=service, tier=tier)
+        with self._lock:
+            if key not in self._latencies and len(self._latencies) >= HISTOGRAMS_MAX:
+                key = LatencyKey(name=name, service=OTHER, tier=OTHER)
+            latency = self._latencies.setdefault(key, _Latency())
+            latency.histogram.record_value(value_us)
+            latency.sum_s += latency_s
+
+    def latencies(self) -> dict[LatencyKey, LatencySummary]:
+        """Return a summary of each histogram."""
+        with self._lock:
+            return {key: each.summary() for key, each in self._latencies.items()}
+
+    def snapshot(self) -> dict:
+        """Return everything as plain JSON data for the status page."""
+        with self._lock:
+            counters: dict[str, dict[str, int]] = {}
+            for (name, reason), value in sorted(self._counters.items()):
+                counters.setdefault(name, {})[reason] = value
+            gauges = dict(self._gauges)
+        latencies = [
+            {
+                **attrs.asdict(key),
+                "count": summary.count,
+                "sum_s": summary.sum_s,
+                "max_s": summary.max_s,
+                "quantiles_s": {f"{p:g}": s for p, s in summary.quantiles_s.items()},
+            }
+            for key, summary in self.latencies().items()
+        ]
+        return {"counters": counters, "gauges": gauges, "latencies": latencies}
+
+    def render(self) -> str:
+        """Return the Prometheus text exposition of everything."""
+        with self._lock:
+            counters = sorted(self._counters.items())
+            gauges = sorted(self._gauges.items())
+        lines = _render_counters(counters)
+        for name, value in gauges:
+            lines += [f"# TYPE {_metric(name)} gauge", f"{_metric(name)} {value:g}"]
+        lines += _render_latencies(self.latencies())
+        return "\n".join(lines) + "\n"
+
+
+def _metric(name: str) -> str:
+    return "lavenderspoke_" + name
+
+
+def _label(value: str) -> str:
+    """Escape a label's value as the exposition format asks."""
+    escaped = value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+    return f'"{escaped}"'
+
+
+def _render_counters(counters: list[tuple[tuple[str, str], int]]) -> list[str]:
+    lines = []
+    last = None
+    for (name, reason), value in counters:
+        metric = _metric(name) + "_total"
+        if name != last:
+            lines.append(f"# TYPE {metric} counter")
+        lines.append(f"{metric}{{reason={_label(reason)}}} {value}")
+        last = name
+    return lines
+
+
+def _render_latencies(latencies: dict[LatencyKey, LatencySummary]) -> list[str]:
+    lines = []
+    last = None
+    for key in sorted(latencies, key=attrs.astuple):
+        metric = _metric(key.name) + "_seconds"
+        if key.name != last:
+            lines.append(f"# TYPE {metric} summary")
+        last = key.name
+        labels = f"service={_label(key.service)},tier={_label(key.tier)}"
+        for percent, value_s in latencies[key].quantiles_s.items():
+            quantile = f'quantile="{percent / 100:g}"'
+            lines.append(f"{metric}{{{labels},{quantile}}} {value_s:g}")
+        lines.append(f"{metric}_sum{{{labels}}} {latencies[key].sum_s:g}")
+        lines.append(f"{metric}_count{{{labels}}} {latencies[key].count}")
+    return lines
--- a/lavenderspoke/problems.py
+++ b/lavenderspoke/problems.py
@@ -32,6 +32,9 @@
     UPSTREAM_FAILED = "upstream_failed"
     ANSWER_INCOMPLETE = "answer_incomplete"
     CALLER_GONE = "caller_gone"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    SERVER_BUSY = "server_busy"
+    INTERNAL_ERROR = "internal_error"
 
 
 STATUS = {
@@ -57,6 +60,9 @@
     Reason.UPSTREAM_FAILED: 502,
     Reason.ANSWER_INCOMPLETE: 502,
     Reason.CALLER_GONE: 499,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.SERVER_BUSY: 503,
+    Reason.INTERNAL_ERROR: 500,
 }
 
 
