Add the daemons, their platform feeds and a deployment for integration tests

Cause: the state machines ran only by hand. A refused connection while resuming is not taken for "not started", which would run the request again.

--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -19,6 +19,8 @@
 
 # How often a broken stream is taken up again before its answer ends visibly.
 RESUMES_MAX = 5
+# Doubled at each try: together about as long as an upstream takes to restart.
+RESUME_DELAY_S = 0.05
 # An upstream's cache is told to a new entry up to this many prefixes.
 PREFIXES_MAX = 4096
 # Timers are looked at no more often than this.
@@ -81,6 +83,7 @@
         self.versions: dict[str, int] = {}
         self.upstream_up = True
         self.join_offset = -1
+        self.listed_leaving = False
         self._lease_until_s = 0.0
         self._caution = PullCaution()
         self._highest_rank = 0
@@ -117,10 +120,15 @@
             actions += self._announce(self.puller.entries())
         return actions
 
+    @property
+    def accepts(self) -> bool:
+        """Whether the upstream may be given new work."""
+        return self.leaving.accepts and not self.listed_leaving
+
     @property
     def room(self) -> int:
         """How many more requests the upstream may be given now."""
-        if not self.leaving.accepts or not self.upstream_up:
+        if not self.accepts or not self.upstream_up:
             return 0
         taken = len(self.ledger.running()) + self.puller.reserved()
         return max(0, self.limit.slots - taken)
@@ -149,7 +157,7 @@
             address=identity.address,
             data_centre=identity.data_centre,
             join_offset=self.join_offset,
-            leaving=not self.leaving.accepts,
+            leaving=not self.accepts,
             room=self.room,
             running=len(self.ledger.running()),
             step_s=self.limit.step_s,
@@ -209,6 +217,12 @@
         self.leaving.begin(now_s)
         return self._announce(self.puller.entries())
 
+    @_on.register
+    def _(self, event: events.ListedLeaving, now_s: float) -> list:
+        changed = self.listed_leaving != event.is_leaving
+        self.listed_leaving = event.is_leaving
+        return self._announce(self.puller.entries()) if changed else []
+
     @_on.register
     def _(self, event: events.HeirFound, now_s: float) -> list:
         return self.leaving.heir_found(event.heir, now_s)
@@ -256,7 +270,8 @@
         run = self.ledger.run(event.request_id)
         if run is None or run.standing is not Standing.DISPATCHED:
             return []
-        run.last_event_id = event.event_id
+        if event.event_id is not None:
+            run.last_event_id = event.event_id
         self._add_piece(run, now_s, body=event.body)
         return []
 
@@ -295,7 +310,11 @@
         if run.resumes >= RESUMES_MAX:
             return actions + self._fail(run, event.detail, now_s)
         run.resumes += 1
-        resume = events.ResumeRun(call=run.call, after_event_id=run.last_event_id)
+        resume = events.ResumeRun(
+            call=run.call,
+            after_event_id=run.last_event_id,
+            delay_s=RESUME_DELAY_S * 2**run.resumes,
+        )
         return actions + [Count(name="retries", reason="resume"), resume]
 
     @_on.register
@@ -395,7 +414,7 @@
     def _refusal(self, grant, sender, verdict: Verdict, now_s) -> str | None:
         if not self.puller.use(grant.nonce, sender, grant.call.request_id, now_s):
             return "nonce"
-        if not self.leaving.accepts:
+        if not self.accepts:
             return "leaving"
         if grant.call.key is not None and not self._may_run_keyed(now_s):
             return "not_joined"
--- a/lavenderspoke/agentevents.py
+++ b/lavenderspoke/agentevents.py
@@ -21,7 +21,7 @@
 
     request_id: str
     body: bytes
-    event_id: str | None = None
+    event_id: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -36,6 +36,7 @@
     """No byte of the request reached the upstream: it did not run."""
 
     request_id: str
+    detail: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -99,7 +100,18 @@
 
 @attrs.frozen(kw_only=True)
 class LeaveWanted:
-    """This agent or its upstream is to leave."""
+    """The daemon is being stopped: finish, hand the keys over, and exit."""
+
+
+@attrs.frozen(kw_only=True)
+class ListedLeaving:
+    """Whether the platform's list calls this upstream leaving.
+
+    It then gets no new work. The list lags and may be wrong: it can take the
+    word back.
+    """
+
+    is_leaving: bool
 
 
 @attrs.frozen(kw_only=True)
@@ -127,7 +139,8 @@
     """Ask the upstream for a run by its id, after the event named."""
 
     call: Call
-    after_event_id: str | None
+    after_event_id: int | None
+    delay_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -137,6 +137,7 @@
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
     silence_s: float = attrs.field(metadata=_SECONDS)
     grant_answer_s: float = attrs.field(metadata=_SECONDS)
+    roster_lease_s: float = attrs.field(metadata=_SECONDS)
     drain_s: float = attrs.field(metadata=_SECONDS)
     carry_every_s: float = attrs.field(metadata=_SECONDS_OR_DAYS)
 
@@ -163,6 +164,7 @@
     slots_max: int = attrs.field(metadata=schema.between(1, 10_000))
     pull_ttl_s: float = attrs.field(metadata=_SECONDS)
     answer_bytes_max: int = attrs.field(metadata=_BYTES)
+    roster_lease_s: float = attrs.field(metadata=_SECONDS)
     drain_s: float = attrs.field(metadata=_SECONDS)
     carry_every_s: float = attrs.field(metadata=_SECONDS_OR_DAYS)
 
--- /dev/null
+++ b/lavenderspoke/entry.py
@@ -0,0 +1,130 @@
+"""The entry daemon: callers on one side, agents and other entries on the other."""
+
+import functools
+import threading
+from random import Random
+
+from lavenderspoke import entryevents as events
+from lavenderspoke.callers import CallerServer, StatusServer
+from lavenderspoke.config import TlsSettings
+from lavenderspoke.daemon import Daemon, new_id
+from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
+from lavenderspoke.entrygateway import EntryGateway
+from lavenderspoke.following import FollowingTimes
+from lavenderspoke.httpserver import Tls
+from lavenderspoke.memberlist import Role
+from lavenderspoke.periodic import Periodic
+from lavenderspoke.reports import entry_report
+from lavenderspoke.rosterfeed import RosterFeed
+from lavenderspoke.supervisor import Part
+
+
+class EntryDaemon(Daemon):
+    """One entry."""
+
+    role = "entry"
+
+    def __init__(self, *, settings, clock):
+        super().__init__(settings=settings, clock=clock)
+        self.gateway = EntryGateway(
+            post=self.loop.post,
+            service=self.documents.service,
+            ready=self.ready,
+            status=self.status,
+        )
+        self.roster = RosterFeed(log=self.log, post=self.loop.post)
+        self.roster_part = Periodic(
+            name="roster",
+            period_s=settings.platform.poll_s,
+            work=self.roster.poll,
+        )
+        callers = settings.callers
+        self.callers = CallerServer(
+            host=callers.host,
+            port=callers.port,
+            gateway=self.gateway,
+            metrics=self.metrics,
+            clock=clock,
+            threads=callers.threads,
+            tls=tls_files(callers.tls),
+            request_read_s=callers.body_timeout_s,
+            drain_s=settings.drain_s,
+        )
+        self.status_server = StatusServer(
+            host=settings.status.host,
+            port=settings.status.port,
+            ready=self.ready,
+            status=self.status,
+            metrics=self.metrics,
+        )
+
+    def make_core(self) -> EntryCore:
+        settings = self.settings
+        identity = EntryIdentity(
+            me=self.me,
+            address=settings.peers.address,
+            data_centre=settings.data_centre,
+        )
+        times = EntryTimes(
+            heartbeat_s=settings.heartbeat_s,
+            agent_lost_s=settings.silence_s,
+            peer_lost_s=settings.silence_s,
+            roster_lease_s=settings.roster_lease_s,
+            following=FollowingTimes(grant_answer_s=settings.grant_answer_s),
+        )
+        return EntryCore(
+            identity=identity,
+            times=times,
+            random=Random(),
+            new_id=new_id,
+            now_s=self.clock.monotonic_s(),
+        )
+
+    def parts(self) -> list[tuple[str, Part]]:
+        return [
+            ("roster", self.roster_part),
+            ("status", self.status_server),
+            ("callers", self.callers),
+        ]
+
+    def members_read(self) -> None:
+        self.loop.post(
+            events.PeersListed(
+                entry_names=self.directory.names(Role.ENTRY),
+                leaving_agents=self.directory.leaving(),
+            )
+        )
+
+    def drain(self) -> None:
+        # Signal handlers must return at once; the core finishes what it has.
+        self.loop.post(events.DrainWanted())
+        timer = threading.Timer(self.settings.drain_s, self.exit)
+        timer.daemon = True
+        timer.start()
+
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return bool(self.core.services) and not self.core.draining
+
+    def core_status(self) -> dict:
+        return entry_report(self.core)
+
+    @functools.singledispatchmethod
+    def perform(self, action: object) -> None:
+        super().perform(action)
+
+    @perform.register
+    def _(self, action: events.Reply) -> None:
+        self.gateway.reply(action.request_id, action.part)
+
+    @perform.register
+    def _(self, action: events.ReadRoster) -> None:
+        self.roster.want(action.read_id)
+        self.roster_part.wake()
+
+
+def tls_files(settings: TlsSettings | None) -> Tls | None:
+    """Return the server's TLS files, or None for plain HTTP."""
+    if settings is None:
+        return None
+    return Tls(certificate_file=settings.certificate_path, key_file=settings.key_path)
--- a/lavenderspoke/ledger.py
+++ b/lavenderspoke/ledger.py
@@ -37,7 +37,7 @@
     standing: Standing = Standing.DISPATCHED
     pieces: list[Piece] = attrs.field(factory=list)
     held_bytes: int = 0
-    last_event_id: str | None = None
+    last_event_id: int | None = None
     resumes: int = 0
     crash_counted: bool = False
     pieces_dropped: bool = False
