--- /dev/null
+++ b/features/atmostonce.feature
@@ -0,0 +1,133 @@
+Feature: Every request is dispatched at most once
+  Each run is counted by the upstream itself. A key sent again through another
+  entry must find the first attempt wherever it stands, or be told "unknown".
+
+  Scenario: An entry is killed while a payment waits in it
+    The caller's connection is cut. The payment was in that entry only and no
+    agent had it, so the re-send through the other entry claims its key and
+    runs it: once, although the caller couldn't know that it hadn't run.
+    Given two entries before a payment service with 1 slot
+    And each payment takes 1 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And payment "b" is sent through entry-1 with key "kb"
+    And entry-1 holds 1 waiting payment
+    And entry-1 is killed
+    And payment "b" is sent again through entry-2 with key "kb"
+    Then the last payment is answered whole
+    And payment "b" ran once
+    And no promise is broken
+
+  Scenario: An entry is killed while a payment runs
+    The caller's connection is cut after the payment was dispatched. The agent
+    holds the key and the answer, so the re-send through the other entry follows
+    the first run instead of starting one.
+    Given two entries before a payment service with 4 slots
+    And each payment takes 1 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And entry-1 is killed
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: An agent is killed while a payment runs
+    The agent's ledger dies with it, and a plain service can't be asked what
+    ran. The caller is told "unknown" when the successor comes; so is its
+    re-send, since the successor can't speak for the keys of the dead agent.
+    Given two entries before a payment service with 4 slots
+    And each payment takes 2 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And agent-p is killed
+    And agent-p is started again
+    Then the last payment is told that its outcome is unknown
+    When payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is told that its outcome is unknown
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: The answer to a grant is lost
+    The agent dispatches, but nothing that it says reaches the entry. The entry
+    neither dispatches again nor gives up: it asks, and when the link heals it
+    is given the answer from the agent's ledger.
+    Given two proxied entries before a payment service with 4 slots
+    And each payment takes 1 s
+    When the way to entry-1 is delayed by 300 ms
+    And payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And the way to entry-1 swallows everything
+    And entry-1 has asked again 3 times
+    And the way to entry-1 is healed
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: A paused entry wakes after its payment was sent again
+    The first send waits in an entry that is paused. The re-send through the
+    other entry claims the key at every agent and runs. When the paused entry
+    wakes, its grant is refused by the agent that holds the key, and it follows
+    the run that was made: both callers get the one answer.
+    Given two entries before a payment service with 1 slot
+    And each payment takes 1 s
+    When payment "a" is sent through entry-2 with key "ka"
+    And payment "a" has begun to run
+    And payment "b" is sent through entry-1 with key "kb"
+    And entry-1 holds 1 waiting payment
+    And entry-1 is paused
+    And payment "b" is sent again through entry-2 with key "kb"
+    Then the last payment is answered whole
+    When entry-1 is resumed
+    Then every payment is answered whole
+    And payment "b" ran once
+    And no promise is broken
+
+  Scenario: A paused agent wakes after the other side has given up
+    The agent is frozen with a payment in flight. The re-send can't be answered
+    by the one process that knows, so it is told "unknown" and nothing runs
+    again. Once the agent wakes, the first caller gets its answer, and another
+    re-send is given the same one.
+    Given two entries before a payment service with 4 slots
+    And each payment takes 1 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And agent-p is paused
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is told that its outcome is unknown
+    When agent-p is resumed
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: The log is down
+    First sends stay possible, since they need no read of the roster. A re-send
+    can't know which agents might hold its key: it is told "unknown", and runs
+    nothing. When the log is back it is given the first answer.
+    Given two entries before a payment service with 4 slots
+    When the log goes down
+    And payment "a" is sent through entry-1 with key "ka"
+    Then the last payment is answered whole
+    When payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is told that its outcome is unknown
+    When the log comes back
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: The member list is wrong in both directions
+    The platform's list is emptied, then names an instance that is gone. The
+    daemons know each other from their own announcements, so payments go on and
+    each runs once.
+    Given two entries before a payment service with 4 slots
+    When the member list is emptied
+    And payment "a" is sent through entry-1 with key "ka"
+    Then the last payment is answered whole
+    When entry-2 is killed
+    And the member list names every daemon
+    And payment "a" is sent again through entry-1 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
--- a/features/deployment.py
+++ b/features/deployment.py
@@ -85,12 +85,13 @@
 class Deployment:
     """Starts, finds and stops the processes of a deployment.
 
-    `links` maps a daemon's name to the address that others are to use, where a
-    proxy stands before it.
+    With `proxied`, a link of the fault-injecting proxy stands before each
+    daemon, under the daemon's name.
     """
 
-    def __init__(self, *, settings: dict | None = None):
+    def __init__(self, *, settings: dict | None = None, proxied: bool = False):
         self.stage = Stage()
+        self.proxy = self.stage.start_standin("proxy", "proxy") if proxied else None
         self.log = self.stage.log()
         self.members = self.stage.members()
         self.ports: dict[str, Ports] = {}
@@ -139,7 +140,21 @@
 
     # Daemons
 
+    def _link(self, name: str, port: int) -> None:
+        """Put a link of the proxy before a daemon."""
+        if self.proxy is None or name in self.links:
+            return
+        listen = free_port()
+        link = {"name": name, "listen": listen, "target": f"{HOST}:{port}"}
+        post_json(self.proxy.port, "/control/links", link)
+        self.links[name] = f"tcp://{HOST}:{listen}"
+
+    def set_link(self, name: str, **faults) -> None:
+        """Set the faults of the link before a daemon."""
+        post_json(self.proxy.port, "/control", {"link": name, **faults})
+
     def _base_settings(self, name: str, ports: Ports) -> dict:
+        self._link(name, ports.peers)
         settings = {
             "name": name,
             "data_centre": "central-1",
@@ -166,13 +181,17 @@
             "name": name,
             "role": role,
             "data_centre": "central-1",
-            "address": f"{HOST}:{self.ports[name].peers}",
+            "address": self._listed_address(name),
             "service": "",
             "upstream": "",
         } | member
         self.list_members()
         return self.restart(name)
 
+    def _listed_address(self, name: str) -> str:
+        direct = f"{HOST}:{self.ports[name].peers}"
+        return self.links.get(name, direct).removeprefix("tcp://")
+
     def restart(self, name: str) -> Process:
         """Start a daemon, again or for the first time, and wait until it listens."""
         role, settings = self._daemons[name]
@@ -291,9 +310,7 @@
     def pay(self, entry: str, order: str, **headers: str) -> Sent:
         """Send a payment, which must not run twice, to the plain service."""
         headers = {"Lavenderspoke_Idempotent": "false"} | headers
-        return self.send(
-            entry, "/ticketing/payments", body={"order": order}, **headers
-        )
+        return self.send(entry, "/ticketing/payments", body={"order": order}, **headers)
 
 
 class Sending:
@@ -335,7 +352,9 @@
 
 def streamed_tokens(body: bytes) -> list[str]:
     """Return the tokens of a streamed completion, which must end with its mark."""
-    events = [line[5:].strip() for line in body.decode().splitlines() if line[:5] == "data:"]
+    events = [
+        line[5:].strip() for line in body.decode().splitlines() if line[:5] == "data:"
+    ]
     if not events or events[-1] != "[DONE]":
         return []
     texts = [json.loads(event)["choices"][0]["text"] for event in events[:-1]]
--- /dev/null
+++ b/features/steps/wholeanswers_steps.py
@@ -0,0 +1,108 @@
+"""Steps about streamed answers of model engines."""
+
+from behave import given, then, when
+
+from features.deployment import (
+    Sent,
+    document,
+    expected_tokens,
+    streamed_tokens,
+)
+from features.processes import wait_until
+from features.steps.deployment_steps import WAIT_S, deploy, merged, result
+
+
+def start_models(context, engines: dict[str, list[str]], proxied: bool = False) -> None:
+    deployment = deploy(context, proxied=proxied)
+    deployment.publish(document("narrative", "model"))
+    deployment.entry("entry-1")
+    deployment.entry("entry-2")
+    for number, (name, options) in enumerate(engines.items(), start=1):
+        engine = deployment.stage.engine(name, *options)
+        deployment.agent(f"agent-{number}", "narrative", engine)
+    deployment.wait_ready()
+
+
+UNLIKE_ENGINES = {"engine-1": [], "engine-2": ["--step-ms", "12"]}
+
+
+@given("two entries before two model engines")
+def step_models(context):
+    start_models(context, UNLIKE_ENGINES)
+
+
+@given("two proxied entries before two model engines")
+def step_proxied_models(context):
+    start_models(context, UNLIKE_ENGINES, proxied=True)
+
+
+@given("two entries before one slow model engine")
+def step_slow_model(context):
+    start_models(context, {"engine-1": ["--step-ms", "50"]})
+
+
+def set_engines(context, **faults) -> None:
+    for engine in context.deployment.upstreams.values():
+        engine.set_faults(**faults)
+
+
+@when("every engine cuts its streams after {events:d} events")
+def step_cut(context, events):
+    set_engines(context, cut_after_events=events)
+
+
+@when("every engine ends its streams after {events:d} events")
+def step_end_early(context, events):
+    set_engines(context, end_after_events=events)
+
+
+@when("{count:d} completions of {tokens:d} tokens are sent through both entries")
+def step_complete(context, count, tokens):
+    context.expected = {}
+    for number in range(count):
+        prompt = f"split narrative {number}"
+        label = f"completion {number}"
+        context.expected[label] = expected_tokens(prompt, tokens)
+        context.sends.append(label)
+        entry = f"entry-{number % 2 + 1}"
+        complete = context.deployment.complete
+        context.sending.begin(label, complete, entry, prompt, tokens=tokens)
+
+
+@when("every completion has begun")
+def step_all_begun(context):
+    def begun() -> bool:
+        counts = [each.counts() for each in context.deployment.upstreams.values()]
+        return len(merged(counts, "runs")) == len(context.expected)
+
+    wait_until(begun, WAIT_S, "every completion has begun")
+
+
+@when("the way to {name} is cut {times:d} times")
+def step_cut_link(context, name, times):
+    for _ in range(times):
+        before = context.deployment.status(name)["transport"]["received"]
+        context.deployment.set_link(name, cut=True)
+        wait_until(
+            lambda: context.deployment.status(name)["transport"]["received"] > before,
+            WAIT_S,
+            f"{name} is heard again",
+        )
+
+
+@then("every completion is answered whole")
+def step_completions_whole(context):
+    for label, tokens in context.expected.items():
+        sent = result(context, label)
+        assert isinstance(sent, Sent), sent
+        assert (sent.status, sent.whole) == (200, True), sent
+        assert streamed_tokens(sent.body) == tokens, sent
+
+
+@then("no completion ends as if it were whole")
+def step_visible(context):
+    for label in context.expected:
+        sent = result(context, label)
+        assert isinstance(sent, Sent), sent
+        assert not (sent.status == 200 and sent.whole), sent
+        assert streamed_tokens(sent.body) == [], sent
