--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -11,8 +11,8 @@
     When payment "a" is sent through entry-1 with key "ka"
     And payment "a" has begun to run
     And payment "b" is sent through entry-1 with key "kb"
-    And entry-1 holds 1 waiting payment
-    And entry-1 is killed
+    And process entry-1 holds 1 waiting payment
+    And process entry-1 is killed
     And payment "b" is sent again through entry-2 with key "kb"
     Then the last payment is answered whole
     And payment "b" ran once
@@ -26,7 +26,7 @@
     And each payment takes 1 s
     When payment "a" is sent through entry-1 with key "ka"
     And payment "a" has begun to run
-    And entry-1 is killed
+    And process entry-1 is killed
     And payment "a" is sent again through entry-2 with key "ka"
     Then the last payment is answered whole
     And payment "a" ran once
@@ -40,8 +40,8 @@
     And each payment takes 2 s
     When payment "a" is sent through entry-1 with key "ka"
     And payment "a" has begun to run
-    And agent-p is killed
-    And agent-p is started again
+    And process agent-p is killed
+    And process agent-p is started again
     Then the last payment is told that its outcome is unknown
     When payment "a" is sent again through entry-2 with key "ka"
     Then the last payment is told that its outcome is unknown
@@ -58,7 +58,7 @@
     And payment "a" is sent through entry-1 with key "ka"
     And payment "a" has begun to run
     And the way to entry-1 swallows everything
-    And entry-1 has asked again 3 times
+    And process entry-1 has asked again 3 times
     And the way to entry-1 is healed
     Then the last payment is answered whole
     And payment "a" ran once
@@ -74,11 +74,11 @@
     When payment "a" is sent through entry-2 with key "ka"
     And payment "a" has begun to run
     And payment "b" is sent through entry-1 with key "kb"
-    And entry-1 holds 1 waiting payment
-    And entry-1 is paused
+    And process entry-1 holds 1 waiting payment
+    And process entry-1 is paused
     And payment "b" is sent again through entry-2 with key "kb"
     Then the last payment is answered whole
-    When entry-1 is resumed
+    When process entry-1 is resumed
     Then every payment is answered whole
     And payment "b" ran once
     And no promise is broken
@@ -92,10 +92,10 @@
     And each payment takes 1 s
     When payment "a" is sent through entry-1 with key "ka"
     And payment "a" has begun to run
-    And agent-p is paused
+    And process agent-p is paused
     And payment "a" is sent again through entry-2 with key "ka"
     Then the last payment is told that its outcome is unknown
-    When agent-p is resumed
+    When process agent-p is resumed
     And payment "a" is sent again through entry-2 with key "ka"
     Then the last payment is answered whole
     And payment "a" ran once
@@ -125,7 +125,7 @@
     When the member list is emptied
     And payment "a" is sent through entry-1 with key "ka"
     Then the last payment is answered whole
-    When entry-2 is killed
+    When process entry-2 is killed
     And the member list names every daemon
     And payment "a" is sent again through entry-1 with key "ka"
     Then the last payment is answered whole
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -74,7 +74,7 @@
     wait_until(lambda: payment_runs(context, order), WAIT_S, f"{order} runs")
 
 
-@when("{entry} holds {count:d} waiting payment")
+@when("process {entry} holds {count:d} waiting payment")
 def step_holds(context, entry, count):
     def waiting() -> int:
         return sum(context.deployment.status(entry)["waiting"]["ticketing"].values())
@@ -82,22 +82,22 @@
     wait_until(lambda: waiting() == count, WAIT_S, f"{count} wait in {entry}")
 
 
-@when("{name} is killed")
+@when("process {name} is killed")
 def step_kill(context, name):
     context.deployment.process(name).kill()
 
 
-@when("{name} is paused")
+@when("process {name} is paused")
 def step_pause(context, name):
     context.deployment.process(name).pause()
 
 
-@when("{name} is resumed")
+@when("process {name} is resumed")
 def step_resume(context, name):
     context.deployment.process(name).resume()
 
 
-@when("{name} is started again")
+@when("process {name} is started again")
 def step_start_again(context, name):
     deployment = context.deployment
     if name in deployment.upstreams:
@@ -121,7 +121,7 @@
     context.deployment.set_link(name, heal=True)
 
 
-@when("{name} has asked again {count:d} times")
+@when("process {name} has asked again {count:d} times")
 def step_asked(context, name, count):
     def asked() -> int:
         counters = context.deployment.status(name)["counters"].get("retries", {})
--- a/features/wholeanswers.feature
+++ b/features/wholeanswers.feature
@@ -37,8 +37,8 @@
     Given two entries before one slow model engine
     When 6 completions of 60 tokens are sent through both entries
     And every completion has begun
-    And agent-1 is killed
-    And agent-1 is started again
+    And process agent-1 is killed
+    And process agent-1 is started again
     Then every completion is answered whole
     And no promise is broken
 
@@ -58,7 +58,7 @@
     Given two entries before one slow model engine
     When 4 completions of 60 tokens are sent through both entries
     And every completion has begun
-    And engine-1 is killed
-    And engine-1 is started again
+    And process engine-1 is killed
+    And process engine-1 is started again
     Then no completion ends as if it were whole
     And no promise is broken
