Give upstreams the caller's own key; keys must outlast the longest deadline

Cause: an upstream saw the customer-scoped hash in place of the caller's key, and a document could let claims lapse before an earlier attempt's deadline. Change: the caller's header is passed on as it was; keys.lifetime_s may not be below deadline_max_s.

--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -30,6 +30,7 @@
     And payment "a" is sent again through entry-2 with key "ka"
     Then the last payment is answered whole
     And payment "a" ran once
+    And the payment service was given the key "ka"
     And no promise is broken
 
   Scenario: An agent is killed while a payment runs
--- a/features/service.feature
+++ b/features/service.feature
@@ -45,6 +45,23 @@
       | 10   | keys.lifetime                   | an unknown field                | lifetime_s        |
       | 11   | keys                            | the field twice                 | once              |
 
+  Scenario: Keys must outlast the longest deadline
+    A first send may wait for as long as its deadline. If the claims of its
+    re-send lapsed before, both could run.
+    When this service document is read
+      """
+      name: ticketing
+      upstreams: {kind: plain, labels: [a]}
+      tiers: [{name: low, rank: 1}]
+      customers: [{name: one, credential_sha256: "", tiers: [low]}]
+      deadline_max_s: 100.0
+      keys: {lifetime_s: 99.0}
+      """
+    Then the mistakes are
+      | line | field                          | found  | allowed         |
+      | 4    | customers[0].credential_sha256 | ''     | 64 hex digits   |
+      | 6    | keys.lifetime_s                | '99.0' | at least        |
+
   Scenario Outline: Text that is no document is one mistake, not a crash
     When the service document is <text>
     Then the mistakes are
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -187,6 +187,11 @@
     assert runs == 1, f"{order} ran {runs} times"
 
 
+@then('the payment service was given the key "{key}"')
+def step_given_key(context, key):
+    assert context.deployment.upstreams["plain-1"].counts()["keys"] == {key: 1}
+
+
 @then("no promise is broken")
 def step_promises(context):
     """Check every answer against the upstreams' own counts of runs."""
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -218,7 +218,9 @@
         # A compressed event stream couldn't be split into its events.
         headers["Accept-Encoding"] = "identity"
     headers[REQUEST_ID_HEADER] = call.request_id
-    if call.key is not None:
+    # The caller's own key, where it is passed on, is the one that an upstream
+    # knows from elsewhere; `call.key` is scoped to the customer.
+    if call.key is not None and KEY_HEADER not in headers:
         headers[KEY_HEADER] = call.key
     return headers
 
--- a/lavenderspoke/schema.py
+++ b/lavenderspoke/schema.py
@@ -75,6 +75,11 @@
     return {"not_above": field}
 
 
+def not_below(field: str) -> dict:
+    """Return metadata: a number may not be less than the top-level field's."""
+    return {"not_below": field}
+
+
 def _is_ip_address(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
@@ -277,6 +282,7 @@
             self.check_unique(path, leaf, seen)
             self.check_reference(path, leaf, groups)
             self.check_not_above(path, leaf)
+            self.check_not_below(path, leaf)
 
     def check_unique(self, path, leaf, seen) -> None:
         if not leaf.metadata.get("unique"):
@@ -302,12 +308,25 @@
         field = leaf.metadata.get("not_above")
         if field is None:
             return
-        other = self.leaves.get(f"{self.prefix}.{field}" if self.prefix else field)
-        limit = other.value if other else attrs.fields_dict(self.root)[field].default
+        limit = self.top_level(field)
         if leaf.value > limit:
             allowed = f"at most {field}, which is {limit:,}"
             self.add(leaf.node, path, describe(leaf.node), allowed)
 
+    def check_not_below(self, path, leaf) -> None:
+        field = leaf.metadata.get("not_below")
+        if field is None:
+            return
+        limit = self.top_level(field)
+        if leaf.value < limit:
+            allowed = f"at least {field}, which is {limit:,}"
+            self.add(leaf.node, path, describe(leaf.node), allowed)
+
+    def top_level(self, field: str):
+        """Return the value of a top-level field, or its default."""
+        other = self.leaves.get(f"{self.prefix}.{field}" if self.prefix else field)
+        return other.value if other else attrs.fields_dict(self.root)[field].default
+
 
 def _scalar(node: yaml.Node, kind: type):
     """Return the node's value, or _MISSING where it isn't of that kind."""
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -80,7 +80,11 @@
 class Keys:
     """How long, and in how many bytes, an agent holds keys and answers."""
 
-    lifetime_s: float = attrs.field(default=600.0, metadata=schema.above(0, DAY_S))
+    # A re-send's claims must outlast an earlier attempt that still waits.
+    lifetime_s: float = attrs.field(
+        default=600.0,
+        metadata=schema.above(0, DAY_S) | schema.not_below("deadline_max_s"),
+    )
     bytes_max: int = attrs.field(
         default=16 * 1024 * 1024, metadata=schema.between(0, GIB)
     )
