Order engines from the service document, fenced by its version

Cause: engines take orders and nothing gave them. Ruled out: a stream of orders of its own, since operators drive the system only by editing the document. Change: the document says what each label is to have; the agent beside the upstream reads back, gives one order at a time with the document's version as fencing number, and, where the engine ignores the number, first makes sure that no newer incarnation has joined.

--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -11,6 +11,7 @@
 from lavenderspoke.joining import Joining
 from lavenderspoke.learnedlimit import LearnedLimit
 from lavenderspoke.memberlist import Role
+from lavenderspoke.ordering import Ordering
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import agent_report
 from lavenderspoke.service import Kind
@@ -49,6 +50,14 @@
             lease_s=settings.roster_lease_s,
             learn_address=self.directory.learn,
         )
+        self.ordering = Ordering(
+            upstream=upstream,
+            documents=self.documents,
+            service=settings.service,
+            label=settings.label,
+            is_newest=self.joining.is_newest,
+            metrics=self.metrics,
+        )
         self.status_server = StatusServer(
             host=settings.status.host,
             port=settings.status.port,
@@ -85,6 +94,7 @@
         return [
             ("joining", self._part("joining", poll_s, self.joining.poll)),
             ("upstream", self._part("upstream", poll_s, self.watch.poll)),
+            ("ordering", self._part("ordering", poll_s, self.ordering.poll)),
             ("status", self.status_server),
         ]
 
--- a/lavenderspoke/joining.py
+++ b/lavenderspoke/joining.py
@@ -92,6 +92,14 @@
             self._join_offset = offset
         return Ok(offset)
 
+    def is_newest(self) -> bool:
+        """Return whether no newer incarnation of this agent has joined."""
+        known = self._read_roster()
+        if known is None or self._join_offset is None:
+            return False
+        life = known.get(self._identity.me)
+        return life is not None and not life.succeeded
+
     def leave(self, record: RosterRecord) -> None:
         """Append the leave record, once, and say that it was tried."""
         self.is_leaving = True
--- /dev/null
+++ b/lavenderspoke/ordering.py
@@ -0,0 +1,84 @@
+"""Gives an upstream its orders, one at a time."""
+
+from collections.abc import Callable
+
+import logbook
+from result import Err, Ok
+
+from lavenderspoke.documentfeed import DocumentFeed
+from lavenderspoke.metrics import Metrics
+from lavenderspoke.orders import NextOrder, next_order
+from lavenderspoke.service import Service
+from lavenderspoke.upstream import OrderFenced, Upstream
+
+log = logbook.Logger(__name__)
+
+
+class Ordering:
+    """Reads an upstream's orders back and gives the next one that is due.
+
+    `is_newest()` says whether no newer incarnation of this agent has joined,
+    and False too when that can't be known.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: Upstream,
+        documents: DocumentFeed,
+        service: str,
+        label: str,
+        is_newest: Callable[[], bool],
+        metrics: Metrics,
+    ):
+        self._upstream = upstream
+        self._documents = documents
+        self._service = service
+        self._label = label
+        self._is_newest = is_newest
+        self._metrics = metrics
+
+    def poll(self) -> None:
+        """Give the orders that are due, until one fails or none is left."""
+        service = self._documents.service(self._service)
+        # Bounded, since an upstream may never say that it has what it was told.
+        for _ in range(len(service.orders) if service else 0):
+            if not self._give_next(service):
+                return
+
+    def _give_next(self, service: Service) -> bool:
+        state = self._upstream.order_state()
+        if isinstance(state, Err):
+            return False
+        due = next_order(
+            service=service,
+            version=self._documents.versions()[self._service],
+            label=self._label,
+            state=state.ok_value,
+        )
+        return due is not None and self._give(due)
+
+    def _give(self, due: NextOrder) -> bool:
+        # Such an upstream would obey an agent that was paused for long and
+        # whose place another has taken.
+        if not due.is_checked and not self._is_newest():
+            self._metrics.count("orders", "superseded")
+            return False
+        given = self._upstream.order(due.fencing_number, due.order)
+        match given:
+            case Ok(_):
+                outcome = "given"
+            case Err(OrderFenced()):
+                outcome = "fenced"
+            case _:
+                # It may have taken effect: the next look reads it back.
+                outcome = "unknown"
+        self._metrics.count("orders", outcome)
+        log.info(
+            "order",
+            action=due.order.action.value,
+            order=due.order.name,
+            fencing_number=due.fencing_number,
+            outcome=outcome,
+        )
+        return given.is_ok()
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from lavenderspoke import schema
+from lavenderspoke.upstream import OrderAction
 from lavenderspoke.util import Mistake
 
 DAY_S = 24 * 60 * 60.0
@@ -76,6 +77,20 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class LabelOrder:
+    """What the upstreams of a label are to have loaded, or to be.
+
+    The agent beside each upstream gives the order, with the document's version
+    as its fencing number, until the upstream says that it is in force.
+    """
+
+    label: str = attrs.field(metadata=schema.refers_to("upstreams.labels[]"))
+    action: OrderAction
+    name: str
+    version: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class Keys:
     """How long, and in how many bytes, an agent holds keys and answers."""
@@ -148,6 +163,7 @@
     poison: Poison = attrs.field(factory=Poison)
     waiting: Waiting = attrs.field(factory=Waiting)
     prefixes: Prefixes = attrs.field(factory=Prefixes)
+    orders: tuple[LabelOrder, ...] = ()
 
     def tier(self, name: str) -> Tier | None:
         """Return the tier of that name."""
