--- a/features/memorylog.py
+++ b/features/memorylog.py
@@ -1,5 +1,8 @@
 """A log in memory, and documents to put into it."""
 
+from collections.abc import Callable
+from functools import partial
+
 import attrs
 from result import Err, Ok, Result
 
@@ -26,13 +29,14 @@
     return DOCUMENT.format(name=name, digest="ab" * 32, burst=burst)
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, slots=False)
 class MemoryLog:
     """A log in memory, with faults that a test turns on.
 
     `faults` holds, for the next appends in turn, "lost" (appended, and the
     answer is lost), "vanished" (not appended, and the answer is lost) or
-    "down" (refused).
+    "down" (refused). What vanished may still arrive: `vanished` holds the calls
+    that make it.
     """
 
     records: list[tuple[str, LogRecord]] = attrs.field(factory=list)
@@ -40,6 +44,7 @@
     oldest_offset: int = FIRST_OFFSET
     down: bool = False
     faults: list[str] = attrs.field(factory=list)
+    vanished: list[Callable[[], object]] = attrs.field(factory=list)
 
     def append(
         self, *, stream: str, record_id: str, payload: bytes
@@ -48,6 +53,8 @@
         if self.down or fault == "down":
             return Err(LogUnavailable(detail="down"))
         if fault == "vanished":
+            again = {"stream": stream, "record_id": record_id, "payload": payload}
+            self.vanished.append(partial(self.append, **again))
             return Err(LogOutcomeUnknown(detail="vanished"))
         offset = self.next_offset
         record = LogRecord(offset=offset, record_id=record_id, payload=payload)
--- /dev/null
+++ b/features/steps/commandline_steps.py
@@ -0,0 +1,126 @@
+import json
+import os
+import subprocess
+import sys
+
+from behave import given, then, when
+
+from features.helper import stage_of
+from features.processes import ROOT, get_json, post_json
+
+
+def run(context, arguments):
+    urls = {"LOG": "log", "MEMBERS": "members"}
+    words = [
+        (
+            str(context.file)
+            if word == "FILE"
+            else getattr(context, urls[word]).url if word in urls else word
+        )
+        for word in arguments.split()
+    ]
+    context.done = subprocess.run(
+        [sys.executable, "-m", "lavenderspoke.ui", *words],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT), "COLUMNS": "200", "TERM": "dumb"},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    context.printed = context.done.stdout + context.done.stderr
+    assert "Traceback" not in context.printed, context.printed
+
+
+@given("a running platform")
+def step_platform(context):
+    stage = stage_of(context)
+    context.log, context.members = stage.log(), stage.members()
+
+
+@given("a file with the narrative example")
+def step_file(context):
+    context.file = stage_of(context).directory / "narrative.yaml"
+    context.file.write_text((ROOT / "examples/narrative.yaml").read_text())
+
+
+@given('the file begins with "{line}"')
+def step_begins(context, line):
+    context.file.write_text(f"{line}\n{context.file.read_text()}")
+
+
+@when('the file\'s "{old}" becomes "{new}"')
+def step_becomes(context, old, new):
+    text = context.file.read_text()
+    assert old in text
+    context.file.write_text(text.replace(old, new))
+
+
+@when('an operator runs "{arguments}"')
+@when('runs "{arguments}"')
+def step_run(context, arguments):
+    run(context, arguments)
+
+
+@when('an operator saves what "{arguments}" prints to the file')
+def step_save(context, arguments):
+    run(context, arguments)
+    context.file.write_text(context.done.stdout)
+
+
+@when("the platform's log goes down")
+def step_log_down(context):
+    context.log.set_faults(mode="down")
+
+
+@given('daemons "{first}" and "{second}" that have it in force once it is published')
+def step_daemons(context, first, second):
+    context.daemons = {}
+    for name in (first, second):
+        role = name.split("-")[0]
+        standin = stage_of(context).start_standin(
+            name, "statuspage", "--name", name, "--role", role, "--log", context.log.url
+        )
+        context.daemons[name] = standin
+    members = [
+        {
+            "name": name,
+            "role": name.split("-")[0],
+            "address": "127.0.0.1:1",
+            "status_address": standin.address,
+            "data_centre": "san-jose",
+        }
+        for name, standin in context.daemons.items()
+    ]
+    post_json(context.members.port, "/control/members", {"members": members})
+    assert get_json(context.members.port, "/members")["members"] == members
+
+
+@when('"{name}" falls behind')
+def step_behind(context, name):
+    context.daemons[name].set_faults(behind=True)
+
+
+@when('"{name}" is gone')
+def step_gone(context, name):
+    context.daemons[name].process.kill()
+
+
+@then('it exits with {status:d} and prints "{text}"')
+def step_exits(context, status, text):
+    assert context.done.returncode == status, context.printed
+    assert text in context.printed, context.printed
+
+
+@then('it prints "{text}"')
+def step_prints(context, text):
+    assert text in context.printed, context.printed
+
+
+@then(
+    "it exits with {status:d} and its JSON counts {count:d} waiting "
+    'at tier "{tier}" of "{service}"'
+)
+def step_json(context, status, count, tier, service):
+    assert context.done.returncode == status
+    daemons = json.loads(context.done.stdout)["daemons"]
+    assert sum(each["waiting"][service][tier] for each in daemons) == count
--- a/lavenderspoke/memberlist.py
+++ b/lavenderspoke/memberlist.py
@@ -23,8 +23,10 @@
 class Member:
     """An instance that the platform believes to be there.
 
-    The address is `host:port` of its daemon's listening socket. The service and
-    the upstream are those of an agent, and empty for an entry.
+    The address is `host:port` of its daemon's listening socket, and
+    `status_address` that of its status page, empty where the platform doesn't
+    know it. The service and the upstream are those of an agent, and empty for an
+    entry.
     """
 
     name: str
@@ -33,6 +35,7 @@
     data_centre: str
     service: str = ""
     upstream: str = ""
+    status_address: str = ""
     leaving: bool = False
 
 
--- a/lavenderspoke/ui/__init__.py
+++ b/lavenderspoke/ui/__init__.py
@@ -1,17 +1,30 @@
-"""The command line: a thin layer over the library."""
+"""The command line: a thin layer over the library.
+
+Each module here adds one command or group of commands; `main` runs them and
+shows errors that the operator can mend as lines without a traceback.
+"""
 
 import sys
 
 import typer
 
-from lavenderspoke.ui import daemons
+from lavenderspoke.ui import daemons, services, settings, status
+from lavenderspoke.ui.common import EXIT_CODES
 from lavenderspoke.util import UserError
 
-USAGE_STATUS = 2
-
-app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(
+    name="lavenderspoke",
+    help="Schedule requests for unlike engines.",
+    epilog=EXIT_CODES,
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
 app.command()(daemons.entry)
 app.command()(daemons.agent)
+app.add_typer(services.app, name="service")
+app.add_typer(settings.app, name="settings")
+app.command("status", epilog=EXIT_CODES)(status.status)
 
 
 def main() -> None:
@@ -21,4 +34,4 @@
     except UserError as error:
         for line in error.lines:
             print(line, file=sys.stderr)
-        sys.exit(USAGE_STATUS)
+        sys.exit(error.exit_status)
--- a/lavenderspoke/ui/__main__.py
+++ b/lavenderspoke/ui/__main__.py
@@ -1,5 +1,6 @@
-"""Lets `python -m lavenderspoke.ui` run the command line."""
+"""Runs the command line as `python -m lavenderspoke.ui`."""
 
 from lavenderspoke.ui import main
 
-main()
+if __name__ == "__main__":
+    main()
--- a/lavenderspoke/ui/daemons.py
+++ b/lavenderspoke/ui/daemons.py
@@ -19,7 +19,7 @@
 def entry(settings: SettingsFile) -> None:
     """Run an entry until SIGTERM, which drains it.
 
-    Exit status: 0 drained, 1 a part could not be kept running, 2 bad settings.
+    Exit status: 0 drained; 1 bad settings, or a part could not be kept running.
     """
     run(EntryDaemon, load_entry_settings(settings))
 
@@ -27,7 +27,7 @@
 def agent(settings: SettingsFile) -> None:
     """Run an agent until SIGTERM, which makes it leave cleanly.
 
-    Exit status: 0 left, 1 a part could not be kept running, 2 bad settings.
+    Exit status: 0 left; 1 bad settings, or a part could not be kept running.
     """
     run(AgentDaemon, load_agent_settings(settings))
 
--- a/lavenderspoke/util.py
+++ b/lavenderspoke/util.py
@@ -26,7 +26,12 @@
 
 
 class UserError(Exception):
-    """An error that its reader can mend; shown line by line, with no traceback."""
+    """An error that its reader can mend; shown line by line, with no traceback.
+
+    `exit_status` is the command's.
+    """
+
+    exit_status = 1
 
     def __init__(self, *lines: object):
         super().__init__(*lines)
