--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -17,7 +17,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from lavenderspoke import schema
+from lavenderspoke import schema, yamlnodes
 from lavenderspoke.service import Kind
 from lavenderspoke.util import Mistake, UserError
 
@@ -181,7 +181,7 @@
     text: str, file_name: str, section: str
 ) -> Result[EntrySettings | AgentSettings, list[Mistake]]:
     """Read one section, `entry` or `agent`, of a settings file."""
-    composed = schema.compose(text, file_name)
+    composed = yamlnodes.compose(text, file_name)
     if composed.is_err():
         return composed
     node = composed.ok_value
@@ -191,8 +191,8 @@
         mistakes = [_mistake(node, file_name, section, "nothing", "a mapping")]
     if found is None:
         return Err(mistakes)
-    defaults = _sections(schema.compose(defaults_text(), DEFAULTS_FILE).unwrap())
-    merged = schema.overlay(found, defaults[section])
+    defaults = _sections(yamlnodes.compose(defaults_text(), DEFAULTS_FILE).unwrap())
+    merged = yamlnodes.overlay(found, defaults[section])
     read = schema.read(merged, SECTIONS[section], section)
     mistakes += read.err() or []
     return Err(mistakes) if mistakes else Ok(read.ok_value)
@@ -200,7 +200,7 @@
 
 def sections_of(text: str, file_name: str) -> list[str]:
     """Return the sections that a settings file has, in the file's order."""
-    composed = schema.compose(text, file_name)
+    composed = yamlnodes.compose(text, file_name)
     return list(_sections(composed.ok_value)) if composed.is_ok() else []
 
 
@@ -213,7 +213,7 @@
 def _section_mistakes(node: yaml.Node, file_name: str) -> list[Mistake]:
     allowed = "one of " + ", ".join(SECTIONS)
     if not isinstance(node, yaml.MappingNode):
-        return [_mistake(node, file_name, "(file)", schema.describe(node), allowed)]
+        return [_mistake(node, file_name, "(file)", yamlnodes.describe(node), allowed)]
     return [
         _mistake(key, file_name, str(key.value), "an unknown section", allowed)
         for key, _ in node.value
--- a/lavenderspoke/documents.py
+++ b/lavenderspoke/documents.py
@@ -28,6 +28,7 @@
 
 import attrs
 
+from lavenderspoke.carrying import CarryTimer
 from lavenderspoke.edits import (
     NO_VERSION,
     AcceptedDocument,
@@ -43,7 +44,6 @@
 
 CONFLICTS_KEPT = 100
 RECORD_IDS_KEPT = 1000
-CARRY_RETRY_S = 10.0
 
 
 @attrs.frozen(kw_only=True)
@@ -106,8 +106,7 @@
     """
 
     def __init__(self, *, random: random.Random, carry_every_s: float):
-        self._random = random
-        self._carry_every_s = carry_every_s
+        self._carry_timer = CarryTimer(random=random, period_s=carry_every_s)
         self.next_offset = FIRST_OFFSET
         self.complete = True
         self.caught_up = False
@@ -119,10 +118,6 @@
         self._unproven: list[_Edit] = []
         self._record_ids: deque[str] = deque(maxlen=RECORD_IDS_KEPT)
         self._corrupt_offset: int | None = None
-        self._snapshot_read_to: int | None = None
-        self._carry_due_s: float | None = None
-        self._carry_hurried = False
-        self._carry_spread_s = (0.0, carry_every_s)
 
     def in_force(self, name: str) -> InForce | None:
         """Return the document in force for a service, if there is one."""
@@ -232,7 +227,7 @@
         if not snapshot.sound(offset):
             self.skipped["corrupt"] += 1
             return []
-        self._note_snapshot(snapshot.read_to)
+        self._carry_timer.seen(snapshot.read_to, self.caught_up)
         changes = []
         for document in snapshot.documents:
             changes += self._hold_passed_on(document)
@@ -289,37 +284,12 @@
         self._held[service.name] = document
         return [DocumentChange(previous=previous, document=document)]
 
-    def _note_snapshot(self, read_to: int) -> None:
-        if self._snapshot_read_to is None or read_to > self._snapshot_read_to:
-            self._snapshot_read_to = read_to
-            self._carry_due_s = None
-            self._carry_hurried = False
-            if self.caught_up:
-                period_s = self._carry_every_s
-                self._carry_spread_s = (period_s, 2 * period_s)
-
     def due_to_carry(self, oldest_offset: int, now_s: float) -> bool:
-        """Return whether to append `snapshot()` now; a failed append may be
-        asked for again a little later.
-
-        Every snapshot that is read puts the next one off, and each daemon
-        draws its own delay, so that about one of them writes in each period.
-        The period is bounded from the time of reading, not by clocks that
-        daemons would have to share. A daemon that has just started doesn't know
-        how old the last snapshot is and draws from zero, so that restarts don't
-        put the next one off for ever.
-        """
-        if self._carry_due_s is None:
-            self._carry_due_s = now_s + self._random.uniform(*self._carry_spread_s)
-        proof = self._snapshot_read_to or FIRST_OFFSET - 1
-        if proof + 1 < oldest_offset and not self._carry_hurried:
-            # No new reader could become complete: don't wait for the period.
-            self._carry_hurried = True
-            soon_s = now_s + self._random.uniform(0, CARRY_RETRY_S)
-            self._carry_due_s = min(self._carry_due_s, soon_s)
-        if now_s < self._carry_due_s or not self._can_carry():
+        """Return whether to append `snapshot()` now, see CarryTimer."""
+        due = self._carry_timer.due(oldest_offset, now_s)
+        if not due or not self._can_carry():
             return False
-        self._carry_due_s = now_s + self._random.uniform(1, 2) * CARRY_RETRY_S
+        self._carry_timer.tried(now_s)
         return True
 
     def _can_carry(self) -> bool:
--- a/lavenderspoke/schema.py
+++ b/lavenderspoke/schema.py
@@ -12,7 +12,6 @@
 """
 
 import enum
-import io
 import ipaddress
 import math
 import re
@@ -25,11 +24,9 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.util import Mistake
+from lavenderspoke.yamlnodes import TAG, describe, key_of
 
-TEXT_CHARS_MAX = 1024 * 1024
-FOUND_CHARS_MAX = 60
 NAME = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
-_TAG = "tag:yaml.org,2002:"
 
 UNIQUE = {"unique": True}
 NOT_EMPTY = {"not_empty": True}
@@ -88,79 +85,6 @@
     return True
 
 
-def compose(text: str, file_name: str) -> Result[yaml.Node, list[Mistake]]:
-    """Return the text's root node, whose marks carry the file's name."""
-    if len(text) > TEXT_CHARS_MAX:
-        found = f"{len(text):,} characters"
-        return Err([_whole_file(file_name, 1, found, f"up to {TEXT_CHARS_MAX:,}")])
-    stream = io.StringIO(text)
-    stream.name = file_name
-    try:
-        node = yaml.compose(stream, Loader=yaml.SafeLoader)
-    except yaml.YAMLError as error:
-        mark = getattr(error, "problem_mark", None)
-        line = mark.line + 1 if mark else 1
-        problem = getattr(error, "problem", None) or "a character that YAML bars"
-        found = f"a YAML error ({problem})"
-        return Err([_whole_file(file_name, line, found, "well-formed YAML")])
-    except RecursionError:
-        # Deep nesting exhausts the parser's stack; no file that a person writes
-        # comes near, and the process must live on whatever the log holds.
-        return Err([_whole_file(file_name, 1, "deep nesting", "a few levels")])
-    if node is None:
-        return Err([_whole_file(file_name, 1, "nothing", "a mapping of fields")])
-    return Ok(node)
-
-
-def _whole_file(file_name: str, line: int, found: str, allowed: str) -> Mistake:
-    return Mistake(
-        file=file_name, line=line, field="(file)", found=found, allowed=allowed
-    )
-
-
-def overlay(node: yaml.Node, defaults: yaml.Node) -> yaml.Node:
-    """Return `node` with what it leaves out taken from `defaults`.
-
-    Mappings are merged, anything else is replaced whole. Marks are kept, so a
-    mistake still names the file and line where the value was written.
-    """
-    if not (
-        isinstance(node, yaml.MappingNode) and isinstance(defaults, yaml.MappingNode)
-    ):
-        return node
-    default_values = {key.value: value for key, value in defaults.value}
-    pairs = [
-        (key, overlay(value, default_values.get(_key(key), value)))
-        for key, value in node.value
-    ]
-    given = {_key(key) for key, _ in node.value}
-    for key, value in defaults.value:
-        if key.value not in given:
-            # What is missing further in is missing from the writer's own file.
-            empty = yaml.MappingNode(value.tag, [], node.start_mark, node.end_mark)
-            inherited = isinstance(value, yaml.MappingNode)
-            pairs.append((key, overlay(empty, value) if inherited else value))
-    return yaml.MappingNode(node.tag, pairs, node.start_mark, node.end_mark)
-
-
-def _key(node: yaml.Node) -> str:
-    return node.value if isinstance(node, yaml.ScalarNode) else describe(node)
-
-
-def describe(node: yaml.Node) -> str:
-    """Return what was found, short enough for one line."""
-    if isinstance(node, yaml.MappingNode):
-        return "a mapping"
-    if isinstance(node, yaml.SequenceNode):
-        return "a list"
-    if node.tag == _TAG + "null":
-        return "nothing"
-    value = node.value
-    if len(value) > FOUND_CHARS_MAX:
-        value = value[:FOUND_CHARS_MAX] + "..."
-    return repr(value)
-
-
 def read(node: yaml.Node, cls: type, path: str = "") -> Result[typing.Any, list]:
     """Build `cls` from the node, or return every mistake in it, by line.
 
@@ -209,7 +133,7 @@
 
     def read_value(self, node, kind, metadata, path):
         if typing.get_origin(kind) in (types.UnionType, typing.Union):
-            if node.tag == _TAG + "null":
+            if node.tag == TAG + "null":
                 return None
             kind = next(
                 each for each in typing.get_args(kind) if each is not types.NoneType
@@ -227,7 +151,7 @@
         fields = {field.name: field for field in attrs.fields(cls)}
         values = {}
         for key, value in node.value:
-            label = _key(key)
+            label = key_of(key)
             inner = f"{path}.{label}" if path else label
             if label not in fields:
                 allowed = ", ".join(fields)
@@ -332,7 +256,7 @@
     """Return the node's value, or _MISSING where it isn't of that kind."""
     if not isinstance(node, yaml.ScalarNode):
         return _MISSING
-    tag = node.tag.removeprefix(_TAG)
+    tag = node.tag.removeprefix(TAG)
     if kind is str:
         return node.value if tag == "str" else _MISSING
     if issubclass(kind, enum.Enum):
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Result
 
-from lavenderspoke import schema
+from lavenderspoke import schema, yamlnodes
 from lavenderspoke.upstream import OrderAction
 from lavenderspoke.util import Mistake
 
@@ -180,6 +180,6 @@
     >>> parse_service("name: alerts", "alerts.yaml").unwrap_err()[0].field
     'upstreams'
     """
-    return schema.compose(text, file_name).and_then(
+    return yamlnodes.compose(text, file_name).and_then(
         lambda node: schema.read(node, Service)
     )
