Split the state machines into parts with one job each; index open runs and followers

Change: intake, making room and service messages stand by themselves, as do an agent's runs; the ledger keeps the open runs apart, and followers are found by their run. Behaviour is the same.

--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -6,23 +6,17 @@
 import attrs
 
 from lavenderspoke import agentevents as events, messages
+from lavenderspoke.agentruns import AgentRuns
 from lavenderspoke.core import Count, Received, Send, Tick
 from lavenderspoke.leaving import Leaving
 from lavenderspoke.ledger import Ledger, Run, Verdict
-from lavenderspoke.messages import Piece
-from lavenderspoke.model import Head, InstanceId, Standing
+from lavenderspoke.model import InstanceId, Standing
 from lavenderspoke.outbox import Outbox, split
 from lavenderspoke.pulling import Puller
 from lavenderspoke.service import Service
 from lavenderspoke.slots import FixedLimit, Limit
 from lavenderspoke.straggler import PullCaution
 
-# How often a broken stream is taken up again before its answer ends visibly.
-RESUMES_MAX = 5
-# Doubled at each try: together about as long as an upstream takes to restart.
-RESUME_DELAY_S = 0.05
-# An upstream's cache is told to a new entry up to this many prefixes.
-PREFIXES_MAX = 4096
 # Timers are looked at no more often than this.
 HOUSEKEEPING_S = 1.0
 
@@ -87,10 +81,16 @@
         self._lease_until_s = 0.0
         self._caution = PullCaution()
         self._highest_rank = 0
-        self._new_id = new_id
         self._outbox = Outbox(flush_s=times.flush_s)
-        self._prefixes: dict[str, None] = {}
-        self._prefix_sequence = 0
+        self.runs = AgentRuns(
+            service=identity.service,
+            upstream=identity.upstream,
+            ledger=self.ledger,
+            puller=self.puller,
+            limit=self.limit,
+            outbox=self._outbox,
+            new_id=new_id,
+        )
         self._heartbeat_due_s = now_s
         self._housekeeping_due_s = now_s
 
@@ -130,7 +130,7 @@
         """How many more requests the upstream may be given now."""
         if not self.accepts or not self.upstream_up:
             return 0
-        taken = len(self.ledger.running()) + self.puller.reserved()
+        taken = self.ledger.running_count() + self.puller.reserved()
         return max(0, self.limit.slots - taken)
 
     def _pulls(self, now_s: float) -> list:
@@ -159,7 +159,7 @@
             join_offset=self.join_offset,
             leaving=not self.accepts,
             room=self.room,
-            running=len(self.ledger.running()),
+            running=self.ledger.running_count(),
             step_s=self.limit.step_s,
             straggling=self.limit.straggling,
             versions=dict(self.versions),
@@ -231,142 +231,20 @@
     def _(self, event: events.LeaveAppended, now_s: float) -> list:
         return self.leaving.appended(now_s)
 
-    @_on.register
-    def _(self, event: events.CacheChanged, now_s: float) -> list:
-        return self._cache_changed(event)
-
-    def _cache_changed(self, event: events.CacheChanged) -> list:
-        if event.reset:
-            self._prefixes.clear()
-        for prefix in event.removed:
-            self._prefixes.pop(prefix, None)
-        for prefix in event.added:
-            self._prefixes[prefix] = None
-        while len(self._prefixes) > PREFIXES_MAX:
-            del self._prefixes[next(iter(self._prefixes))]
-        self._prefix_sequence += 1
-        message = messages.PrefixHeld(
-            service=self.identity.service,
-            sequence=self._prefix_sequence,
-            added=event.added,
-            removed=event.removed,
-            reset=event.reset,
-        )
-        return [Send(recipient=e, message=message) for e in self.puller.entries()]
-
-    # Events of a run
-
-    @_on.register
-    def _(self, event: events.RunHead, now_s: float) -> list:
-        run = self.ledger.run(event.request_id)
-        # A resumed stream begins with a head again; the caller has the first.
-        if run is None or run.pieces:
-            return []
-        self._add_piece(run, now_s, head=event.head)
-        return []
-
-    @_on.register
-    def _(self, event: events.RunBody, now_s: float) -> list:
-        run = self.ledger.run(event.request_id)
-        if run is None or run.standing is not Standing.DISPATCHED:
-            return []
-        if event.event_id is not None:
-            run.last_event_id = event.event_id
-        self._add_piece(run, now_s, body=event.body)
-        return []
-
-    @_on.register
-    def _(self, event: events.RunEnded, now_s: float) -> list:
-        run = self.ledger.run(event.request_id)
-        if run is None or run.standing is not Standing.DISPATCHED:
-            return []
-        self._add_piece(run, now_s, count=len(run.pieces) + 1)
-        self.limit.finished(event.request_id, now_s)
-        if not run.call.prefix_hashes:
-            return self._outbox.flush()
-        added = events.CacheChanged(added=run.call.prefix_hashes)
-        return self._outbox.flush() + self._cache_changed(added)
-
-    @_on.register
-    def _(self, event: events.RunNotStarted, now_s: float) -> list:
-        run = self.ledger.not_started(event.request_id)
-        self.upstream_up = False
-        if run is None:
-            return []
-        self.limit.finished(event.request_id, now_s)
-        refused = messages.Refused(
-            request_id=event.request_id,
-            nonce=run.nonce,
-            reason="upstream_unreachable",
-        )
-        return [Send(recipient=entry, message=refused) for entry in run.watchers]
-
-    @_on.register
-    def _(self, event: events.RunBroken, now_s: float) -> list:
-        run = self.ledger.run(event.request_id)
-        if run is None or run.standing is not Standing.DISPATCHED:
-            return []
-        actions = self._crash_evidence(run) if event.crashed else []
-        if run.resumes >= RESUMES_MAX:
-            return actions + self._fail(run, event.detail, now_s)
-        run.resumes += 1
-        resume = events.ResumeRun(
-            call=run.call,
-            after_event_id=run.last_event_id,
-            delay_s=RESUME_DELAY_S * 2**run.resumes,
-        )
-        return actions + [Count(name="retries", reason="resume"), resume]
-
-    @_on.register
-    def _(self, event: events.RunUnknown, now_s: float) -> list:
-        run = self.ledger.run(event.request_id)
-        if run is None or run.standing is not Standing.DISPATCHED:
-            return []
-        return self._fail(run, event.detail, now_s)
-
-    def _fail(self, run: Run, detail: str, now_s: float) -> list:
-        self._add_piece(run, now_s, error=detail)
-        self.limit.finished(run.request_id, now_s)
-        return [Count(name="runs_failed", reason="broken"), *self._outbox.flush()]
-
-    def _crash_evidence(self, run: Run) -> list:
-        # One crash breaks every stream; it must count once for each of them.
-        if run.crash_counted:
-            return []
-        running = self.ledger.running()
-        for each in running:
-            each.crash_counted = True
-        self.upstream_up = False
-        evidence = messages.CrashEvidence(
-            service=self.identity.service,
-            upstream=self.identity.upstream,
-            crash_id=self._new_id(),
-            fingerprints=tuple(each.call.fingerprint for each in running),
-        )
-        return [Send(recipient=e, message=evidence) for e in self.puller.entries()]
-
-    def _add_piece(
-        self,
-        run: Run,
-        now_s: float,
-        *,
-        head: Head | None = None,
-        body: bytes = b"",
-        count: int | None = None,
-        error: str | None = None,
-    ) -> None:
-        piece = Piece(
-            request_id=run.request_id,
-            number=len(run.pieces),
-            head=head,
-            body=body,
-            count=count,
-            error=error,
-        )
-        self.ledger.add_piece(run, piece, now_s)
-        self.limit.piece(run.request_id, now_s)
-        for entry in run.watchers:
-            self._outbox.add(entry, piece, now_s)
+    @_on.register(events.CacheChanged)
+    @_on.register(events.RunHead)
+    @_on.register(events.RunBody)
+    @_on.register(events.RunEnded)
+    @_on.register(events.RunNotStarted)
+    @_on.register(events.RunBroken)
+    @_on.register(events.RunUnknown)
+    def _(self, event, now_s: float) -> list:
+        actions = self.runs.take(event, now_s)
+        # A refused connection or a crash: nothing is pulled until the upstream
+        # answers again, or each pulled request would come straight back.
+        if isinstance(event, events.RunNotStarted) or getattr(event, "crashed", False):
+            self.upstream_up = False
+        return actions
 
     # Messages from entries and other agents
 
@@ -381,12 +259,7 @@
         return self._welcome(sender)
 
     def _welcome(self, entry: InstanceId) -> list:
-        held = messages.PrefixHeld(
-            service=self.identity.service,
-            sequence=self._prefix_sequence,
-            added=tuple(self._prefixes),
-            reset=True,
-        )
+        held = self.runs.prefixes_held()
         return self._announce([entry]) + [Send(recipient=entry, message=held)]
 
     @_from.register
--- /dev/null
+++ b/lavenderspoke/agentruns.py
@@ -0,0 +1,184 @@
+"""The runs at an agent's upstream: their pieces, their ends, their crashes."""
+
+import functools
+from collections.abc import Callable
+
+import attrs
+
+from lavenderspoke import agentevents as events, messages
+from lavenderspoke.core import Count, Send
+from lavenderspoke.ledger import Ledger, Run
+from lavenderspoke.messages import Piece
+from lavenderspoke.model import Head, Standing
+from lavenderspoke.outbox import Outbox
+from lavenderspoke.pulling import Puller
+from lavenderspoke.slots import Limit
+
+# How often a broken stream is taken up again before its answer ends visibly.
+RESUMES_MAX = 5
+# Doubled at each try: together about as long as an upstream takes to restart.
+RESUME_DELAY_S = 0.05
+# An upstream's cache is told to a new entry up to this many prefixes.
+PREFIXES_MAX = 4096
+
+
+@attrs.define(kw_only=True)
+class AgentRuns:
+    """Takes what comes of an upstream and passes it on to the entries."""
+
+    service: str
+    upstream: str
+    ledger: Ledger
+    puller: Puller
+    limit: Limit
+    outbox: Outbox
+    new_id: Callable[[], str]
+    _prefixes: dict[str, None] = attrs.field(factory=dict)
+    _prefix_sequence: int = 0
+
+    @functools.singledispatchmethod
+    def take(self, event: object, now_s: float) -> list:
+        """Take an event of a run or of the upstream's cache."""
+        raise TypeError(f"not about a run: {event!r}")
+
+    @take.register
+    def _(self, event: events.RunHead, now_s: float) -> list:
+        run = self.ledger.run(event.request_id)
+        # A resumed stream begins with a head again; the caller has the first.
+        if run is None or run.pieces:
+            return []
+        self._add_piece(run, now_s, head=event.head)
+        return []
+
+    @take.register
+    def _(self, event: events.RunBody, now_s: float) -> list:
+        run = self.ledger.run(event.request_id)
+        if run is None or run.standing is not Standing.DISPATCHED:
+            return []
+        if event.event_id is not None:
+            run.last_event_id = event.event_id
+        self._add_piece(run, now_s, body=event.body)
+        return []
+
+    @take.register
+    def _(self, event: events.RunEnded, now_s: float) -> list:
+        run = self.ledger.run(event.request_id)
+        if run is None or run.standing is not Standing.DISPATCHED:
+            return []
+        self._add_piece(run, now_s, count=len(run.pieces) + 1)
+        self.limit.finished(event.request_id, now_s)
+        if not run.call.prefix_hashes:
+            return self.outbox.flush()
+        added = events.CacheChanged(added=run.call.prefix_hashes)
+        return self.outbox.flush() + self._cache_changed(added)
+
+    @take.register
+    def _(self, event: events.RunNotStarted, now_s: float) -> list:
+        run = self.ledger.not_started(event.request_id)
+        if run is None:
+            return []
+        self.limit.finished(event.request_id, now_s)
+        refused = messages.Refused(
+            request_id=event.request_id,
+            nonce=run.nonce,
+            reason="upstream_unreachable",
+        )
+        return [Send(recipient=entry, message=refused) for entry in run.watchers]
+
+    @take.register
+    def _(self, event: events.RunBroken, now_s: float) -> list:
+        run = self.ledger.run(event.request_id)
+        if run is None or run.standing is not Standing.DISPATCHED:
+            return []
+        actions = self._crash_evidence(run) if event.crashed else []
+        if run.resumes >= RESUMES_MAX:
+            return actions + self._fail(run, event.detail, now_s)
+        run.resumes += 1
+        resume = events.ResumeRun(
+            call=run.call,
+            after_event_id=run.last_event_id,
+            delay_s=RESUME_DELAY_S * 2**run.resumes,
+        )
+        return actions + [Count(name="retries", reason="resume"), resume]
+
+    @take.register
+    def _(self, event: events.RunUnknown, now_s: float) -> list:
+        run = self.ledger.run(event.request_id)
+        if run is None or run.standing is not Standing.DISPATCHED:
+            return []
+        return self._fail(run, event.detail, now_s)
+
+    def _fail(self, run: Run, detail: str, now_s: float) -> list:
+        self._add_piece(run, now_s, error=detail)
+        self.limit.finished(run.request_id, now_s)
+        return [Count(name="runs_failed", reason="broken"), *self.outbox.flush()]
+
+    def _crash_evidence(self, run: Run) -> list:
+        # One crash breaks every stream; it must count once for each of them.
+        if run.crash_counted:
+            return []
+        running = self.ledger.running()
+        for each in running:
+            each.crash_counted = True
+        evidence = messages.CrashEvidence(
+            service=self.service,
+            upstream=self.upstream,
+            crash_id=self.new_id(),
+            fingerprints=tuple(each.call.fingerprint for each in running),
+        )
+        return [Send(recipient=e, message=evidence) for e in self.puller.entries()]
+
+    def _add_piece(
+        self,
+        run: Run,
+        now_s: float,
+        *,
+        head: Head | None = None,
+        body: bytes = b"",
+        count: int | None = None,
+        error: str | None = None,
+    ) -> None:
+        piece = Piece(
+            request_id=run.request_id,
+            number=len(run.pieces),
+            head=head,
+            body=body,
+            count=count,
+            error=error,
+        )
+        self.ledger.add_piece(run, piece, now_s)
+        self.limit.piece(run.request_id, now_s)
+        for entry in run.watchers:
+            self.outbox.add(entry, piece, now_s)
+
+    @take.register
+    def _(self, event: events.CacheChanged, now_s: float) -> list:
+        return self._cache_changed(event)
+
+    def _cache_changed(self, event: events.CacheChanged) -> list:
+        if event.reset:
+            self._prefixes.clear()
+        for prefix in event.removed:
+            self._prefixes.pop(prefix, None)
+        for prefix in event.added:
+            self._prefixes[prefix] = None
+        while len(self._prefixes) > PREFIXES_MAX:
+            del self._prefixes[next(iter(self._prefixes))]
+        self._prefix_sequence += 1
+        message = messages.PrefixHeld(
+            service=self.service,
+            sequence=self._prefix_sequence,
+            added=event.added,
+            removed=event.removed,
+            reset=event.reset,
+        )
+        return [Send(recipient=e, message=message) for e in self.puller.entries()]
+
+    def prefixes_held(self) -> messages.PrefixHeld:
+        """Return what a new entry is told of the upstream's cache."""
+        return messages.PrefixHeld(
+            service=self.service,
+            sequence=self._prefix_sequence,
+            added=tuple(self._prefixes),
+            reset=True,
+        )
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -10,12 +10,15 @@
 from lavenderspoke.agentevents import DocumentInForce, Exit
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
 from lavenderspoke.following import Following, FollowingTimes
-from lavenderspoke.gateway import AnswerBroken, Arrival, Sending
+from lavenderspoke.gateway import AnswerBroken, Sending
+from lavenderspoke.intake import Intake
 from lavenderspoke.keyclaims import KeyClaims
-from lavenderspoke.model import InstanceId, Ran
-from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.makingroom import MakingRoom
+from lavenderspoke.model import InstanceId
+from lavenderspoke.problems import Reason
 from lavenderspoke.roster import Roster
 from lavenderspoke.service import Kind, Service
+from lavenderspoke.servicemessages import ServiceMessages
 from lavenderspoke.servicestate import ServiceState
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
 from lavenderspoke.views import AgentViews, PeerViews
@@ -84,6 +87,14 @@
         self.peers = PeerViews(lost_s=times.peer_lost_s)
         self.roster = Roster(lease_s=times.roster_lease_s)
         self.draining = False
+        self.intake = Intake(services=self.services)
+        self.room = MakingRoom(requests=self.requests, peers=self.peers)
+        self.service_messages = ServiceMessages(
+            services=self.services,
+            agents=self.agents,
+            peers=self.peers,
+            room=self.room,
+        )
         self.following = Following(requests=self.requests, times=times.following)
         self.claims = KeyClaims(
             roster=self.roster, claim_s=times.claim_s, new_id=new_id
@@ -140,8 +151,8 @@
     def _check(self, now_s: float) -> list:
         actions = []
         for state in self.services.values():
-            actions += self._expire(state, now_s)
-            actions += self._make_room(state, now_s)
+            actions += self.room.expired(state, now_s)
+            actions += self.room.make_room(state, now_s)
             agents = self.agents.of(state.service.name)
             actions += state.demand.due(state.queue, agents, now_s)
         for tracked in self.requests:
@@ -151,34 +162,6 @@
                 actions += self.following.check(tracked, now_s)
         return actions
 
-    def _expire(self, state: ServiceState, now_s: float) -> list:
-        return [
-            self._refuse(waiting.call.request_id, Reason.DEADLINE_EXPIRED)
-            for waiting in state.queue.expired(now_s)
-        ]
-
-    def _make_room(self, state: ServiceState, now_s: float) -> list:
-        dropped, actions = state.victims(now_s, self.peers.ids())
-        actions = self._floor_actions(actions)
-        for waiting in dropped:
-            actions.append(self._refuse(waiting.call.request_id, Reason.SHED))
-        return actions
-
-    def _floor_actions(self, actions: list) -> list:
-        done = []
-        for action in actions:
-            done += [action] if isinstance(action, Send) else self._drop_below(action)
-        return done
-
-    def _drop_below(self, drop) -> list:
-        return [
-            self._refuse(tracked.request_id, Reason.SHED)
-            for tracked in self.requests
-            if tracked.call.service == drop.service
-            and tracked.call.tier < drop.rank
-            and not tracked.is_out
-        ]
-
     # Heartbeats and views
 
     def _heartbeat(self, now_s: float) -> list:
@@ -291,9 +274,12 @@
     @_on.register
     def _(self, event: events.Arrived, now_s: float) -> list:
         arrival = event.arrival
-        problem = self._admission_problem(arrival, now_s)
+        problem = self.intake.problem(arrival, self.draining, now_s)
         if problem is not None:
-            return self._turn_away(arrival, problem)
+            return [
+                Count(name="refusals", reason=problem.reason.value),
+                events.Reply(request_id=arrival.call.request_id, part=problem),
+            ]
         tracked = Tracked(
             arrival=arrival,
             arrived_s=now_s,
@@ -305,37 +291,6 @@
             return self.claims.begin(tracked, self._service(tracked), now_s)
         return self._wait(tracked, now_s)
 
-    def _admission_problem(self, arrival: Arrival, now_s: float) -> Problem | None:
-        state = self.services.get(arrival.call.service)
-        if state is None:
-            return Problem(reason=Reason.NO_DOCUMENT, ran=Ran.NO, retry_after_s=1.0)
-        if self.draining:
-            return Problem(reason=Reason.DRAINING, ran=Ran.NO, retry_after_s=1.0)
-        if state.below_floor(arrival.call.tier, now_s):
-            return self._problem(state, arrival.call.tier, Reason.SHED, now_s)
-        if state.crashes.quarantined(arrival.call.fingerprint, now_s):
-            return Problem(reason=Reason.QUARANTINED, ran=Ran.NO)
-        if not self._within_retry_budget(state, arrival, now_s):
-            return self._problem(state, arrival.call.tier, Reason.RETRY_BUDGET, now_s)
-        return state.admission.admit(
-            arrival.call, arrival.deadline_in_s, now_s, state.queue, state.drain
-        )
-
-    def _within_retry_budget(self, state, arrival: Arrival, now_s: float) -> bool:
-        if arrival.call.key is None or arrival.sending is Sending.FIRST:
-            state.retries.first_try(now_s)
-            return True
-        return state.retries.spend(now_s)
-
-    def _turn_away(self, arrival: Arrival, problem: Problem) -> list:
-        if arrival.call.key is not None and arrival.sending is Sending.RESEND:
-            # An earlier attempt of this key may have run, whatever this one did.
-            problem = attrs.evolve(problem, ran=Ran.UNKNOWN)
-        return [
-            Count(name="refusals", reason=problem.reason.value),
-            events.Reply(request_id=arrival.call.request_id, part=problem),
-        ]
-
     def _wait(self, tracked: Tracked, now_s: float) -> list:
         state = self.services[tracked.call.service]
         tracked.phase = Phase.WAITING
@@ -344,7 +299,7 @@
 
     def _offer(self, state, tracked, warm: dict[str, int], now_s: float) -> list:
         agents = self.agents.of(state.service.name)
-        actions = self._make_room(state, now_s) if state.is_full() else []
+        actions = self.room.make_room(state, now_s) if state.is_full() else []
         return actions + state.demand.arrived(
             tracked.call, warm, state.queue, agents, now_s
         )
@@ -358,13 +313,13 @@
         if tracked.is_out:
             cancel = messages.Cancel(request_id=tracked.run_id)
             actions.append(Send(recipient=tracked.agent, message=cancel))
-        return [*actions, self._refuse(event.request_id, Reason.CALLER_GONE)]
+        return [*actions, self.room.refuse(event.request_id, Reason.CALLER_GONE)]
 
     # Claims
 
     def _check_claims(self, tracked: Tracked, now_s: float) -> list:
         if now_s >= tracked.deadline_s:
-            return [self._refuse(tracked.request_id, Reason.DEADLINE_EXPIRED)]
+            return [self.room.refuse(tracked.request_id, Reason.DEADLINE_EXPIRED)]
         step = self.claims.check(tracked, self._service(tracked), now_s)
         if step.found is not None:
             found = self.following.attach(
@@ -377,20 +332,6 @@
 
     # Final answers
 
-    def _refuse(self, request_id: str, reason: Reason) -> events.Finish:
-        """Return the end of a request that was not granted, or is given up."""
-        tracked = self.requests.get(request_id)
-        ran = Ran.NO if tracked is None else not_granted_ran(tracked)
-        return events.Finish(
-            request_id=request_id, problem=Problem(reason=reason, ran=ran)
-        )
-
-    def _problem(self, state, rank: int, reason: Reason, now_s: float) -> Problem:
-        retry_after_s = state.admission.retry_after_s(
-            rank, now_s, state.queue, state.drain
-        )
-        return Problem(reason=reason, ran=Ran.NO, retry_after_s=retry_after_s)
-
     def _finish(self, finish: events.Finish, now_s: float) -> list:
         tracked = self.requests.remove(finish.request_id)
         if tracked is None:
@@ -399,9 +340,7 @@
         state.queue.remove(finish.request_id)
         problem = finish.problem
         if problem.retry_after_s is None and problem.reason not in FINAL_REASONS:
-            retry_after_s = state.admission.retry_after_s(
-                tracked.call.tier, now_s, state.queue, state.drain
-            )
+            retry_after_s = state.retry_after_s(tracked.call.tier, now_s)
             problem = attrs.evolve(problem, retry_after_s=retry_after_s)
         part = AnswerBroken(problem=problem) if tracked.head_given else problem
         return [
@@ -421,16 +360,19 @@
         tracked = self.requests.get(put_back.request_id)
         if tracked is None:
             return []
-        tracked.let_go()
+        self.requests.let_go(tracked)
         counted = Count(name="retries", reason=put_back.reason)
         if put_back.reason in KEY_REFUSALS:
             return [counted, *self.claims.begin(tracked, self._service(tracked), now_s)]
         state = self.services[tracked.call.service]
         if now_s >= tracked.deadline_s:
-            return [counted, self._refuse(tracked.request_id, Reason.DEADLINE_EXPIRED)]
-        # Put back below a floor it would be kept while a higher tier is shed.
+            return [
+                counted,
+                self.room.refuse(tracked.request_id, Reason.DEADLINE_EXPIRED),
+            ]
+        # Put back below a floor, it would be kept while a higher tier is shed.
         if state.below_floor(tracked.call.tier, now_s):
-            return [counted, self._refuse(tracked.request_id, Reason.SHED)]
+            return [counted, self.room.refuse(tracked.request_id, Reason.SHED)]
         warm = state.put_back(tracked, now_s)
         return [counted, *self._offer(state, tracked, warm, now_s)]
 
@@ -447,6 +389,14 @@
     def _(self, message, sender, now_s) -> list:
         return self.following.take(message, sender, now_s)
 
+    @_from.register(messages.CrashEvidence)
+    @_from.register(messages.Quarantined)
+    @_from.register(messages.PrefixHeld)
+    @_from.register(messages.Floor)
+    @_from.register(messages.FloorHeld)
+    def _(self, message, sender, now_s) -> list:
+        return self.service_messages.take(message, sender, now_s)
+
     @_from.register
     def _(self, message: messages.Announce, sender, now_s) -> list:
         known = self.agents.get(sender) is not None
@@ -487,7 +437,7 @@
         sends = []
         for grant in grants:
             tracked = self.requests.get(grant.call.request_id)
-            tracked.grant(sender, grant.nonce, now_s)
+            self.requests.grant(tracked, sender, grant.nonce, now_s)
             grant = attrs.evolve(grant, claimed=tracked.claimed)
             sends.append(Send(recipient=sender, message=grant))
         return [*sends, Send(recipient=sender, message=done)]
@@ -499,75 +449,3 @@
             return []
         tracked.round.answered(sender, message)
         return self._check_claims(tracked, now_s)
-
-    @_from.register
-    def _(self, message: messages.PrefixHeld, sender, now_s) -> list:
-        state = self.services.get(message.service)
-        view = self.agents.get(sender)
-        if state is None or view is None:
-            return []
-        upstream = view.announce.upstream
-        if state.sketch.apply(sender, message, upstream=upstream):
-            return []
-        return [Count(name="prefix_gaps", reason=message.service)]
-
-    @_from.register
-    def _(self, message: messages.CrashEvidence, sender, now_s) -> list:
-        state = self.services.get(message.service)
-        if state is None:
-            return []
-        actions = []
-        for verdict in state.crashes.crashed(message, now_s):
-            actions += self._quarantine(verdict)
-            actions += [
-                Send(recipient=peer, message=verdict) for peer in self.peers.ids()
-            ]
-        return actions
-
-    @_from.register
-    def _(self, message: messages.Quarantined, sender, now_s) -> list:
-        state = self.services.get(message.service)
-        if state is None:
-            return []
-        state.crashes.heard(message, now_s)
-        return self._quarantine(message)
-
-    def _quarantine(self, verdict: messages.Quarantined) -> list:
-        return [
-            Count(name="quarantines", reason=verdict.service),
-            *(
-                self._refuse(tracked.request_id, Reason.QUARANTINED)
-                for tracked in self.requests
-                if tracked.call.service == verdict.service
-                and tracked.call.fingerprint == verdict.fingerprint
-                and not tracked.is_out
-            ),
-        ]
-
-    @_from.register
-    def _(self, message: messages.Floor, sender, now_s) -> list:
-        state = self.services.get(message.service)
-        if state is None:
-            return []
-        return self._floor_actions(state.floors.heard_floor(sender, message, now_s))
-
-    @_from.register
-    def _(self, message: messages.FloorHeld, sender, now_s) -> list:
-        state = self.services.get(message.service)
-        if state is None:
-            return []
-        state.floors.heard_held(sender, message, now_s)
-        return self._make_room(state, now_s)
-
-
-def not_granted_ran(tracked: Tracked) -> Ran:
-    """Return what may be said of a request that ends here.
-
-    "Not run" is said only of one that no agent has; a re-send without all its
-    claims may be of a key that ran under an earlier attempt.
-    """
-    if tracked.is_out:
-        return Ran.UNKNOWN
-    is_resend = tracked.arrival.sending is Sending.RESEND
-    unclaimed_resend = is_resend and tracked.call.key and not tracked.claimed
-    return Ran.UNKNOWN if unclaimed_resend else Ran.NO
--- a/lavenderspoke/following.py
+++ b/lavenderspoke/following.py
@@ -138,8 +138,8 @@
     def _last(self, tracked: Tracked, piece: Piece, now_s: float) -> list:
         if not is_whole(piece):
             return [self._ends(tracked, "the count of pieces is wrong", Ran.YES)]
-        self.requests.remove(tracked.request_id)
         taken = messages.AnswerTaken(request_id=tracked.run_id)
+        self.requests.remove(tracked.request_id)
         late = now_s > tracked.deadline_s
         return [
             Reply(request_id=tracked.request_id, part=AnswerEnd()),
@@ -211,7 +211,7 @@
         self, tracked: Tracked, agent: InstanceId, run_id: str, now_s: float
     ) -> list:
         """Follow the run of another attempt from its first piece."""
-        tracked.attach(agent, run_id, now_s)
+        self.requests.attach(tracked, agent, run_id, now_s)
         return [Send(recipient=agent, message=self._attach(tracked))]
 
     def replaced(
--- a/lavenderspoke/ledger.py
+++ b/lavenderspoke/ledger.py
@@ -87,6 +87,7 @@
     key_lifetime_s: float
     bytes_max: int
     _runs: dict[str, Run] = attrs.field(factory=dict)
+    _open: dict[str, Run] = attrs.field(factory=dict)
     _keys: dict[str, KeyHold] = attrs.field(factory=dict)
     _held_bytes: int = 0
 
@@ -100,8 +101,11 @@
 
     def running(self) -> list[Run]:
         """Return the runs whose answers are not complete."""
-        dispatched = Standing.DISPATCHED
-        return [run for run in self._runs.values() if run.standing is dispatched]
+        return list(self._open.values())
+
+    def running_count(self) -> int:
+        """Return how many runs' answers are not complete."""
+        return len(self._open)
 
     def judge(self, grant: Grant, now_s: float) -> Verdict:
         """Say whether a grant may be dispatched; records nothing."""
@@ -133,7 +137,7 @@
 
     def restore(self, run: Run, now_s: float) -> None:
         """Record a run, such as one resumed for an earlier incarnation."""
-        self._runs[run.request_id] = run
+        self._runs[run.request_id] = self._open[run.request_id] = run
         if run.call.key is not None:
             self._keys[run.call.key] = KeyHold(
                 request_id=run.request_id,
@@ -145,12 +149,15 @@
         """Keep a piece, within the byte limit."""
         run.add(piece, now_s)
         self._held_bytes += len(piece.body)
-        if run.call.key is not None and run.standing is not Standing.DISPATCHED:
+        if run.standing is not Standing.DISPATCHED:
+            self._open.pop(run.request_id, None)
             self._settle_key(run, now_s)
         if self._held_bytes > self.bytes_max:
             self._free_bytes()
 
     def _settle_key(self, run: Run, now_s: float) -> None:
+        if run.call.key is None:
+            return
         hold = self._keys.get(run.call.key)
         if hold is not None and hold.request_id == run.request_id:
             hold.standing = run.standing
@@ -170,6 +177,7 @@
     def not_started(self, request_id: str) -> Run | None:
         """Take back a dispatch that provably never reached the upstream."""
         run = self._runs.pop(request_id, None)
+        self._open.pop(request_id, None)
         if run is None or run.call.key is None:
             return run
         hold = self._keys.get(run.call.key)
--- /dev/null
+++ b/lavenderspoke/makingroom.py
@@ -0,0 +1,71 @@
+"""Drops waiting work of an entry: for want of room, for a floor, for a crash."""
+
+from collections.abc import Callable
+
+import attrs
+
+from lavenderspoke.core import Send
+from lavenderspoke.entryevents import Finish
+from lavenderspoke.intake import not_granted_ran
+from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.servicestate import ServiceState
+from lavenderspoke.shedding import DropBelow
+from lavenderspoke.tracked import Tracked, TrackedRequests
+from lavenderspoke.views import PeerViews
+
+
+@attrs.define(kw_only=True)
+class MakingRoom:
+    """What an entry drops; every drop is a final answer to its caller."""
+
+    requests: TrackedRequests
+    peers: PeerViews
+
+    def make_room(self, state: ServiceState, now_s: float) -> list:
+        """Drop the lowest work while too much waits, as the floors allow."""
+        dropped, actions = state.victims(now_s, self.peers.ids())
+        ended = [self.refuse(each.call.request_id, Reason.SHED) for each in dropped]
+        return self.carry_out(actions) + ended
+
+    def carry_out(self, actions: list[DropBelow | Send]) -> list:
+        """Carry out what the floors ask for."""
+        done = []
+        for action in actions:
+            done += [action] if isinstance(action, Send) else self._below(action)
+        return done
+
+    def _below(self, drop: DropBelow) -> list[Finish]:
+        return self._drop(
+            drop.service, Reason.SHED, lambda each: each.call.tier < drop.rank
+        )
+
+    def content(self, service: str, fingerprint: str) -> list[Finish]:
+        """Drop every request with content that is quarantined."""
+        return self._drop(
+            service,
+            Reason.QUARANTINED,
+            lambda each: each.call.fingerprint == fingerprint,
+        )
+
+    def _drop(
+        self, service: str, reason: Reason, is_meant: Callable[[Tracked], bool]
+    ) -> list[Finish]:
+        return [
+            self.refuse(each.request_id, reason)
+            for each in self.requests
+            if each.call.service == service and not each.is_out and is_meant(each)
+        ]
+
+    def expired(self, state: ServiceState, now_s: float) -> list[Finish]:
+        """Drop what has waited past its deadline."""
+        return [
+            self.refuse(each.call.request_id, Reason.DEADLINE_EXPIRED)
+            for each in state.queue.expired(now_s)
+        ]
+
+    def refuse(self, request_id: str, reason: Reason) -> Finish:
+        """Return the final answer of a request, with whether it ran."""
+        tracked = self.requests.get(request_id)
+        ran = not_granted_ran(tracked)
+        problem = Problem(reason=reason, ran=ran)
+        return Finish(request_id=request_id, problem=problem)
--- /dev/null
+++ b/lavenderspoke/servicemessages.py
@@ -0,0 +1,80 @@
+"""What other daemons tell an entry about one of its services."""
+
+import functools
+
+import attrs
+
+from lavenderspoke import messages
+from lavenderspoke.core import Count, Send
+from lavenderspoke.makingroom import MakingRoom
+from lavenderspoke.model import InstanceId
+from lavenderspoke.servicestate import ServiceState
+from lavenderspoke.views import AgentViews, PeerViews
+
+
+@attrs.define(kw_only=True)
+class ServiceMessages:
+    """Takes the messages about crashes, prefixes and floors."""
+
+    services: dict[str, ServiceState]
+    agents: AgentViews
+    peers: PeerViews
+    room: MakingRoom
+
+    @functools.singledispatchmethod
+    def take(self, message: object, sender: InstanceId, now_s: float) -> list:
+        """Take a message about a service; one that isn't known is ignored."""
+        raise TypeError(f"not about a service: {message!r}")
+
+    @take.register
+    def _(self, message: messages.PrefixHeld, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        view = self.agents.get(sender)
+        if state is None or view is None:
+            return []
+        upstream = view.announce.upstream
+        if state.sketch.apply(sender, message, upstream=upstream):
+            return []
+        return [Count(name="prefix_gaps", reason=message.service)]
+
+    @take.register
+    def _(self, message: messages.CrashEvidence, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        actions = []
+        for verdict in state.crashes.crashed(message, now_s):
+            actions += self._quarantine(verdict)
+            actions += [
+                Send(recipient=peer, message=verdict) for peer in self.peers.ids()
+            ]
+        return actions
+
+    @take.register
+    def _(self, message: messages.Quarantined, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        state.crashes.heard(message, now_s)
+        return self._quarantine(message)
+
+    def _quarantine(self, verdict: messages.Quarantined) -> list:
+        return [
+            Count(name="quarantines", reason=verdict.service),
+            *self.room.content(verdict.service, verdict.fingerprint),
+        ]
+
+    @take.register
+    def _(self, message: messages.Floor, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        return self.room.carry_out(state.floors.heard_floor(sender, message, now_s))
+
+    @take.register
+    def _(self, message: messages.FloorHeld, sender, now_s) -> list:
+        state = self.services.get(message.service)
+        if state is None:
+            return []
+        state.floors.heard_held(sender, message, now_s)
+        return self.room.make_room(state, now_s)
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -91,6 +91,10 @@
             warm=warm,
         )
 
+    def retry_after_s(self, rank: int, now_s: float) -> float:
+        """Return when a caller of a tier should come back, with jitter."""
+        return self.admission.retry_after_s(rank, now_s, self.queue, self.drain)
+
     def below_floor(self, rank: int, now_s: float) -> bool:
         """Return whether a floor in force keeps this tier out."""
         floor = self.floors.floor(now_s)
--- a/lavenderspoke/tracked.py
+++ b/lavenderspoke/tracked.py
@@ -61,39 +61,13 @@
         """Whether an agent has or may have it."""
         return self.phase in (Phase.GRANTED, Phase.RUNNING, Phase.RESUMING)
 
-    def grant(self, agent: InstanceId, nonce: str, now_s: float) -> None:
-        """Note that the right to dispatch it has gone to an agent."""
-        self.phase = Phase.GRANTED
-        self.nonce = nonce
-        self._follow(agent, self.request_id, now_s)
-        self.granted_s = now_s
-
-    def attach(self, agent: InstanceId, run_id: str, now_s: float) -> None:
-        """Follow the run of an earlier attempt."""
-        self.phase = Phase.RUNNING
-        self.nonce = ""
-        self._follow(agent, run_id, now_s)
-
-    def _follow(self, agent: InstanceId, run_id: str, now_s: float) -> None:
-        self.agent = agent
-        self.run_id = run_id
-        self.heard_s = now_s
-        self.asked_s = now_s
-        self.assembly = Assembly()
-
-    def let_go(self) -> None:
-        """Note that it provably did not run and is the entry's again."""
-        self.phase = Phase.WAITING
-        self.agent = None
-        self.nonce = ""
-        self.run_id = ""
-
 
 @attrs.define(kw_only=True)
 class TrackedRequests:
-    """Every tracked request, found by its id or by the run it follows."""
+    """Every tracked request, found by its id or by the run that it follows."""
 
     _by_id: dict[str, Tracked] = attrs.field(factory=dict)
+    _by_run: dict[str, set[str]] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -111,15 +85,54 @@
 
     def remove(self, request_id: str) -> Tracked | None:
         """Forget a request that has its final answer."""
-        return self._by_id.pop(request_id, None)
+        tracked = self._by_id.pop(request_id, None)
+        if tracked is not None:
+            self._unfollow(tracked)
+        return tracked
+
+    def grant(
+        self, tracked: Tracked, agent: InstanceId, nonce: str, now_s: float
+    ) -> None:
+        """Note that the right to dispatch a request has gone to an agent."""
+        tracked.phase = Phase.GRANTED
+        tracked.nonce = nonce
+        tracked.granted_s = now_s
+        self._follow(tracked, agent, tracked.request_id, now_s)
+
+    def attach(
+        self, tracked: Tracked, agent: InstanceId, run_id: str, now_s: float
+    ) -> None:
+        """Note that a request follows the run of an earlier attempt."""
+        tracked.phase = Phase.RUNNING
+        tracked.nonce = ""
+        self._follow(tracked, agent, run_id, now_s)
+
+    def let_go(self, tracked: Tracked) -> None:
+        """Note that a request provably did not run and is the entry's again."""
+        tracked.phase = Phase.WAITING
+        tracked.agent = None
+        tracked.nonce = ""
+        self._unfollow(tracked)
 
     def following(self, run_id: str, agent: InstanceId) -> list[Tracked]:
         """Return the requests whose answer is this run's, at this agent."""
-        own = self._by_id.get(run_id)
-        if own is not None and own.run_id == run_id and own.call.key is None:
-            return [own] if own.agent == agent else []
-        return [
-            tracked
-            for tracked in self._by_id.values()
-            if tracked.run_id == run_id and tracked.agent == agent
-        ]
+        followers = [self._by_id[each] for each in self._by_run.get(run_id, ())]
+        return [tracked for tracked in followers if tracked.agent == agent]
+
+    def _follow(
+        self, tracked: Tracked, agent: InstanceId, run_id: str, now_s: float
+    ) -> None:
+        self._unfollow(tracked)
+        tracked.agent = agent
+        tracked.run_id = run_id
+        tracked.heard_s = now_s
+        tracked.asked_s = now_s
+        tracked.assembly = Assembly()
+        self._by_run.setdefault(run_id, set()).add(tracked.request_id)
+
+    def _unfollow(self, tracked: Tracked) -> None:
+        followers = self._by_run.get(tracked.run_id, set())
+        followers.discard(tracked.request_id)
+        if not followers:
+            self._by_run.pop(tracked.run_id, None)
+        tracked.run_id = ""
