Make each rule exchangeable by a setting, with pushing as the alternative to pull

Cause: a rule's worth shows only beside its alternative in one run. Change: the entry's policy settings choose pull or two ways of pushing and turn tiers, fairness, size, affinity and service-wide shedding on or off.

--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -6,6 +6,7 @@
 from lavenderspoke import agentevents as events
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.callers import StatusServer
+from lavenderspoke.config import AgentSettings
 from lavenderspoke.daemon import Daemon, new_id
 from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
 from lavenderspoke.joining import Joining
@@ -84,7 +85,8 @@
         return AgentCore(
             identity=identity,
             times=times,
-            limit=make_limit(settings.upstream.kind, settings.slots_max),
+            limit=make_limit(settings),
+            accepts_pushed=settings.accepts_pushed,
             new_id=new_id,
             now_s=self.clock.monotonic_s(),
         )
@@ -156,8 +158,8 @@
     return PlainUpstream(base_url=settings.base_url)
 
 
-def make_limit(kind: Kind, slots_max: int) -> Limit:
+def make_limit(settings: AgentSettings) -> Limit:
     """Return a limit that learns for engines, and a fixed one for the rest."""
-    if kind is Kind.MODEL:
-        return LearnedLimit(slots_max=slots_max)
-    return FixedLimit(slots=slots_max)
+    if settings.upstream.kind is Kind.MODEL and settings.learns_limit:
+        return LearnedLimit(slots_max=settings.slots_max)
+    return FixedLimit(slots=settings.slots_max)
--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -8,6 +8,7 @@
 from lavenderspoke import agentevents as events, messages
 from lavenderspoke.agentruns import AgentRuns
 from lavenderspoke.core import Count, Received, Send, Tick
+from lavenderspoke.dispatching import PUSHED
 from lavenderspoke.leaving import Leaving
 from lavenderspoke.ledger import Ledger, Run, Verdict
 from lavenderspoke.model import InstanceId, Standing
@@ -50,8 +51,10 @@
 class AgentCore:
     """The agent decides what its upstream runs, and remembers that it did.
 
-    `new_id` makes nonces and crash ids. Feed it an event and the time; carry
-    out the actions it returns; call it again no later than `next_due_s()`.
+    `new_id` makes nonces and crash ids. `accepts_pushed` is only for measuring
+    pushed grants, which have no nonce of this agent's to be refused by. Feed it
+    an event and the time; carry out the actions it returns; call it again no
+    later than `next_due_s()`.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         times: AgentTimes,
         limit: Limit | None = None,
         new_id: Callable[[], str],
+        accepts_pushed: bool = False,
         now_s: float = 0.0,
     ):
         self.identity = identity
@@ -79,6 +83,7 @@
         self.join_offset = -1
         self.listed_leaving = False
         self._lease_until_s = 0.0
+        self._accepts_pushed = accepts_pushed
         self._caution = PullCaution()
         self._highest_rank = 0
         self._outbox = Outbox(flush_s=times.flush_s)
@@ -285,7 +290,10 @@
         return self._accept(message, sender, now_s)
 
     def _refusal(self, grant, sender, verdict: Verdict, now_s) -> str | None:
-        if not self.puller.use(grant.nonce, sender, grant.call.request_id, now_s):
+        is_pushed = self._accepts_pushed and grant.nonce.startswith(PUSHED)
+        if not is_pushed and not self.puller.use(
+            grant.nonce, sender, grant.call.request_id, now_s
+        ):
             return "nonce"
         if not self.accepts:
             return "leaving"
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke import schema, yamlnodes
+from lavenderspoke.dispatching import Dispatching
 from lavenderspoke.service import Kind
 from lavenderspoke.util import Mistake, UserError
 
@@ -123,6 +124,18 @@
     read_timeout_s: float = attrs.field(metadata=_SECONDS)
 
 
+@attrs.frozen(kw_only=True)
+class PolicySettings:
+    """The rules that measurements turn off or exchange; all on in service."""
+
+    dispatching: Dispatching
+    tiers: bool
+    fair: bool
+    size_aware: bool
+    affinity: bool
+    service_wide_shedding: bool
+
+
 @attrs.frozen(kw_only=True)
 class EntrySettings:
     """The settings of one entry."""
@@ -134,6 +147,7 @@
     peers: PeersSettings
     status: StatusSettings
     platform: PlatformSettings
+    policy: PolicySettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
     silence_s: float = attrs.field(metadata=_SECONDS)
     grant_answer_s: float = attrs.field(metadata=_SECONDS)
@@ -163,6 +177,8 @@
     silence_s: float = attrs.field(metadata=_SECONDS)
     slots_max: int = attrs.field(metadata=schema.between(1, 10_000))
     pull_ttl_s: float = attrs.field(metadata=_SECONDS)
+    accepts_pushed: bool
+    learns_limit: bool
     answer_bytes_max: int = attrs.field(metadata=_BYTES)
     roster_lease_s: float = attrs.field(metadata=_SECONDS)
     drain_s: float = attrs.field(metadata=_SECONDS)
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -6,8 +6,9 @@
 
 from lavenderspoke import entryevents as events
 from lavenderspoke.callers import CallerServer, StatusServer
-from lavenderspoke.config import TlsSettings
+from lavenderspoke.config import PolicySettings, TlsSettings
 from lavenderspoke.daemon import Daemon, new_id
+from lavenderspoke.dispatching import EntryPolicy
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
 from lavenderspoke.entrygateway import EntryGateway
 from lavenderspoke.following import FollowingTimes
@@ -17,6 +18,7 @@
 from lavenderspoke.reports import entry_report
 from lavenderspoke.rosterfeed import RosterFeed
 from lavenderspoke.supervisor import Part
+from lavenderspoke.waiting import QueuePolicy
 
 
 class EntryDaemon(Daemon):
@@ -77,6 +79,7 @@
             times=times,
             random=Random(),
             new_id=new_id,
+            policy=entry_policy(settings.policy),
             now_s=self.clock.monotonic_s(),
         )
 
@@ -123,6 +126,21 @@
         self.roster_part.wake()
 
 
+def entry_policy(settings: PolicySettings) -> EntryPolicy:
+    """Return the rules that the settings name."""
+    queue = QueuePolicy(
+        tiers=settings.tiers,
+        fair=settings.fair,
+        size_aware=settings.size_aware,
+        affinity=settings.affinity,
+    )
+    return EntryPolicy(
+        queue=queue,
+        dispatching=settings.dispatching,
+        service_wide_shedding=settings.service_wide_shedding,
+    )
+
+
 def tls_files(settings: TlsSettings | None) -> Tls | None:
     """Return the server's TLS files, or None for plain HTTP."""
     if settings is None:
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -9,6 +9,7 @@
 from lavenderspoke import entryevents as events, messages
 from lavenderspoke.agentevents import DocumentInForce, Exit
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
+from lavenderspoke.dispatching import PUSHED, Dispatching, EntryPolicy, choose
 from lavenderspoke.following import Following, FollowingTimes
 from lavenderspoke.gateway import AnswerBroken, Sending
 from lavenderspoke.intake import Intake
@@ -21,8 +22,7 @@
 from lavenderspoke.servicemessages import ServiceMessages
 from lavenderspoke.servicestate import ServiceState
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
-from lavenderspoke.views import AgentViews, PeerViews
-from lavenderspoke.waiting import STRICT, QueuePolicy
+from lavenderspoke.views import AgentView, AgentViews, PeerViews
 
 # Refusals that say that the key, not the agent, is the trouble.
 KEY_REFUSALS = frozenset({"stale_stamp", "key_held", "claim_lost"})
@@ -76,7 +76,7 @@
         times: EntryTimes,
         random: Random,
         new_id: Callable[[], str],
-        policy: QueuePolicy = STRICT,
+        policy: EntryPolicy = EntryPolicy(),
         now_s: float = 0.0,
     ):
         self.identity = identity
@@ -100,6 +100,7 @@
             roster=self.roster, claim_s=times.claim_s, new_id=new_id
         )
         self._random = random
+        self._new_id = new_id
         self._policy = policy
         self._listed_entries: tuple[str, ...] = ()
         self._check_due_s = now_s
@@ -153,8 +154,7 @@
         for state in self.services.values():
             actions += self.room.expired(state, now_s)
             actions += self.room.make_room(state, now_s)
-            agents = self.agents.of(state.service.name)
-            actions += state.demand.due(state.queue, agents, now_s)
+            actions += self._tell_or_push(state, now_s)
         for tracked in self.requests:
             if tracked.phase is Phase.CLAIMING:
                 actions += self._check_claims(tracked, now_s)
@@ -162,6 +162,28 @@
                 actions += self.following.check(tracked, now_s)
         return actions
 
+    def _tell_or_push(self, state: ServiceState, now_s: float) -> list:
+        agents = self.agents.of(state.service.name)
+        if self._policy.dispatching is Dispatching.PULL:
+            return state.demand.due(state.queue, agents, now_s)
+        return self._push(state, agents, now_s)
+
+    def _push(self, state: ServiceState, agents: list[AgentView], now_s) -> list:
+        sends = []
+        while len(state.queue):
+            view = choose(self._policy.dispatching, agents, self._random)
+            grant = view and state.push(PUSHED + self._new_id(), view, now_s)
+            if not grant:
+                break
+            sends.append(self._hand_out(grant, view.agent, now_s))
+        return sends
+
+    def _hand_out(self, grant: messages.Grant, agent: InstanceId, now_s) -> Send:
+        tracked = self.requests.get(grant.call.request_id)
+        self.requests.grant(tracked, agent, grant.nonce, now_s)
+        claimed = attrs.evolve(grant, claimed=tracked.claimed)
+        return Send(recipient=agent, message=claimed)
+
     # Heartbeats and views
 
     def _heartbeat(self, now_s: float) -> list:
@@ -300,6 +322,8 @@
     def _offer(self, state, tracked, warm: dict[str, int], now_s: float) -> list:
         agents = self.agents.of(state.service.name)
         actions = self.room.make_room(state, now_s) if state.is_full() else []
+        if self._policy.dispatching is not Dispatching.PULL:
+            return actions + self._push(state, agents, now_s)
         return actions + state.demand.arrived(
             tracked.call, warm, state.queue, agents, now_s
         )
@@ -434,12 +458,7 @@
         if state is None or view is None or not view.takes_work:
             return []
         grants, done = state.answer_pull(message, view, now_s)
-        sends = []
-        for grant in grants:
-            tracked = self.requests.get(grant.call.request_id)
-            self.requests.grant(tracked, sender, grant.nonce, now_s)
-            grant = attrs.evolve(grant, claimed=tracked.claimed)
-            sends.append(Send(recipient=sender, message=grant))
+        sends = [self._hand_out(grant, sender, now_s) for grant in grants]
         return [*sends, Send(recipient=sender, message=done)]
 
     @_from.register
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -5,6 +5,7 @@
 from lavenderspoke.admission import Admission
 from lavenderspoke.affinity import PrefixSketch
 from lavenderspoke.demand import DemandTeller
+from lavenderspoke.dispatching import EntryPolicy
 from lavenderspoke.drain import DrainRate
 from lavenderspoke.messages import Grant, Pull, PullDone
 from lavenderspoke.model import InstanceId
@@ -14,13 +15,7 @@
 from lavenderspoke.shedding import FloorKeeper
 from lavenderspoke.tracked import Tracked
 from lavenderspoke.views import AgentView
-from lavenderspoke.waiting import (
-    STRICT,
-    QueuePolicy,
-    WaitingQueue,
-    WaitingRequest,
-    cost_tokens,
-)
+from lavenderspoke.waiting import WaitingQueue, WaitingRequest, cost_tokens
 
 # Upstreams times prefixes that an entry remembers for a service.
 SKETCH_ENTRIES_MAX = 50_000
@@ -40,11 +35,12 @@
         version: int,
         me: InstanceId,
         random: Random,
-        policy: QueuePolicy = STRICT,
+        policy: EntryPolicy = EntryPolicy(),
     ):
         self.service = service
         self.version = version
-        self.queue = WaitingQueue(service=service, policy=policy)
+        self.policy = policy
+        self.queue = WaitingQueue(service=service, policy=policy.queue)
         self.admission = Admission(service=service, random=random)
         self.drain = DrainRate()
         self.floors = FloorKeeper(service=service, instance=me)
@@ -126,10 +122,11 @@
         while self.is_full():
             victim = self.queue.lowest_victim(ANY_RANK)
             rank = victim.call.tier
-            actions += self.floors.want_room(rank, now_s, peers)
-            allowed = self.floors.may_drop(rank, now_s)
-            if not allowed and not self.is_overfull():
-                break
+            if self.policy.service_wide_shedding:
+                actions += self.floors.want_room(rank, now_s, peers)
+                allowed = self.floors.may_drop(rank, now_s)
+                if not allowed and not self.is_overfull():
+                    break
             dropped.append(self.queue.remove(victim.call.request_id))
         return dropped, actions
 
@@ -139,25 +136,41 @@
         """Take out what an agent may run, at most as much as it pulled."""
         grants = []
         while len(grants) < pull.slots:
-            if max(self.queue.counts(), default=-ANY_RANK) < pull.rank_min:
-                break
-            request = self.queue.take(now_s, upstream=view.announce.upstream)
+            request = self._take(pull.rank_min, view, now_s)
             if request is None:
                 break
-            if request.call.tier < pull.rank_min:
-                self.queue.put_back(request, now_s)
-                break
-            self._drained(request, now_s)
-            grants.append(self._grant(request, pull, now_s))
+            grants.append(self._grant(request, pull.nonce, now_s))
         return grants, self._done(pull, grants, view)
 
+    def push(self, nonce: str, view: AgentView, now_s: float) -> Grant | None:
+        """Take out what is pushed to an agent, whatever room it has."""
+        request = self._take(-ANY_RANK, view, now_s)
+        return None if request is None else self._grant(request, nonce, now_s)
+
+    def _take(
+        self, rank_min: int, view: AgentView, now_s: float
+    ) -> WaitingRequest | None:
+        if self.policy.queue.tiers and self._highest() < rank_min:
+            return None
+        request = self.queue.take(now_s, upstream=view.announce.upstream)
+        if request is None:
+            return None
+        if self.policy.queue.tiers and request.call.tier < rank_min:
+            self.queue.put_back(request, now_s)
+            return None
+        self._drained(request, now_s)
+        return request
+
+    def _highest(self) -> int:
+        return max(self.queue.counts(), default=-ANY_RANK)
+
     def _drained(self, request: WaitingRequest, now_s: float) -> None:
         call = request.call
         self.drain.granted(call.tier, cost_tokens(call), now_s, self.queue.counts())
 
-    def _grant(self, request: WaitingRequest, pull: Pull, now_s: float) -> Grant:
+    def _grant(self, request: WaitingRequest, nonce: str, now_s: float) -> Grant:
         return Grant(
-            nonce=pull.nonce,
+            nonce=nonce,
             call=request.call,
             stamp=request.stamp,
             deadline_in_s=request.deadline_s - now_s,
