Read event streams in larger parts, on a connection for each run

Cause: an agent spends most of its processor time on reading one chunk a token, and a kept connection that the upstream closes makes a false "unknown". Change: runs ask engines for HTTP/1.0, and reads of one stream are 10 ms apart after its first events. A stream ends at its last event.

--- a/features/httpupstream.feature
+++ b/features/httpupstream.feature
@@ -75,6 +75,19 @@
     When the engine is started again
     Then the engine has run "r1" once
 
+  Scenario: A frozen engine is given up on
+    The engine accepts the run and then says nothing. The adapter gives up after
+    the silence it was allowed; the run goes on once the engine thaws.
+    Given a model engine stand-in
+    And the engine's fault "freeze" is 1
+    When the run "r1" of 5 tokens is streamed with 0.2 seconds of silence allowed
+    Then it ends with UpstreamBroken
+    When the engine's fault "freeze" becomes 0
+    And it is resumed after its last event
+    Then it ends with UpstreamEnd
+    And its text is the engine's whole answer
+    And the engine has run "r1" once
+
   Scenario: A cancelled run ends visibly
     Given a model engine stand-in with slow steps
     When the run "r1" of 1000 tokens is cancelled after its head
--- a/features/standins/engine.py
+++ b/features/standins/engine.py
@@ -175,8 +175,12 @@
         self._finish_stream(request, run, listener)
 
     def _listener(self, request: Request, cut_after_events: int) -> Listener:
-        fd = request.http.conn.socket.fileno()
-        return Listener(fd=fd, cut_after_events=cut_after_events)
+        http = request.http
+        return Listener(
+            fd=http.conn.socket.fileno(),
+            chunked=http.response_protocol == "HTTP/1.1",
+            cut_after_events=cut_after_events,
+        )
 
     def _start_stream(self, request: Request) -> None:
         server.start_answer(request, Reply(content_type=EVENT_STREAM))
--- a/lavenderspoke/httpclient.py
+++ b/lavenderspoke/httpclient.py
@@ -38,17 +38,27 @@
     body: bytes
 
 
+class _Http10Connection(urllib3.connection.HTTPConnection):
+    """Asks for HTTP/1.0, so that the answer comes without chunks."""
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
 class HttpClient:
     """Speaks to one server, by pooled connections, from many threads.
 
     Paths are sent as they are given: a path such as `/a/../b` isn't rewritten, and
-    one that doesn't begin with a slash can't lead to another server.
+    one that doesn't begin with a slash can't lead to another server. With
+    `http10` no answer is chunked, and each request has a connection of its own.
     """
 
-    def __init__(self, *, base_url: str, connections: int = 16):
+    def __init__(self, *, base_url: str, connections: int = 16, http10: bool = False):
         self._pool = urllib3.connection_from_url(
             base_url, maxsize=connections, block=False
         )
+        if http10:
+            self._pool.ConnectionCls = _Http10Connection
         self._prefix = (urllib3.util.parse_url(base_url).path or "").rstrip("/")
 
     def open(
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -1,5 +1,6 @@
 """Upstreams over HTTP: model engines and plain services."""
 
+import time
 from collections.abc import Iterator
 from typing import TypeVar
 from urllib.parse import quote
@@ -16,7 +17,6 @@
     HttpClient,
     NotSent,
     Reply,
-    release,
 )
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
@@ -44,7 +44,7 @@
 KEY_HEADER = "Idempotency-Key"
 EVENT_STREAM = "text/event-stream"
 REPORT_TIMEOUT_S = 2.0
-RUN_CONNECTIONS = 256
+GATHER_S = 0.01
 HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -62,10 +62,17 @@
 
 
 class PlainUpstream:
-    """A plain service: it runs calls, and nothing else can be asked of it."""
+    """A plain service: it runs calls, and nothing else can be asked of it.
+
+    Each run has a connection of its own. On a kept one, a service that closes it
+    just then couldn't be told from one that dies with the request in its hands,
+    and callers would be told "unknown" for payments that never ran.
+    """
 
     def __init__(self, *, base_url: str):
-        self._client = HttpClient(base_url=base_url, connections=RUN_CONNECTIONS)
+        self._client = HttpClient(base_url=base_url)
+        self._run_client = self._client
+        self._gather_s = 0.0
 
     def run(self, call: Call, *, timeout_s: float) -> Iterator[RunEvent]:
         """Send the call once."""
@@ -121,22 +128,21 @@
         ).map_err(_run_error)
 
     def _stream(self, **request) -> Iterator[RunEvent]:
-        opened = self._client.open(**request)
+        opened = self._run_client.open(**request)
         if isinstance(opened, Err):
             yield _run_error(opened.err_value)
             return
         response = opened.ok_value
-        whole = False
         try:
             yield UpstreamHead(
                 status=response.status, headers=_response_headers(response)
             )
-            # The end is yielded after the connection is given back, since
-            # readers may stop iterating there.
-            ending = yield from _body(response)
-            whole = isinstance(ending, UpstreamEnd)
+            if response.headers.get("Content-Type", "").startswith(EVENT_STREAM):
+                ending = yield from _event_stream(response, self._gather_s)
+            else:
+                ending = yield from _body(response)
         finally:
-            release(response, whole=whole)
+            response.close()
         yield ending
 
 
@@ -146,8 +152,17 @@
     `POST <call.path>` runs; `GET /v1/runs/<id>?after=<event id>` resumes;
     `POST /v1/runs/<id>/cancel`; `GET /load`; `GET /cache/events?after=<n>`;
     `POST /orders` and `GET /orders/state`.
+
+    Runs ask for HTTP/1.0, since an engine writes a chunk for each token: without
+    chunks, one read takes all tokens that came in `gather_s`. That delays a token
+    by so much at most, and never the first.
     """
 
+    def __init__(self, *, base_url: str, gather_s: float = GATHER_S):
+        super().__init__(base_url=base_url)
+        self._run_client = HttpClient(base_url=base_url, http10=True)
+        self._gather_s = gather_s
+
     def resume(
         self, request_id: str, after_event_id: int | None, *, timeout_s: float
     ) -> Iterator[RunEvent]:
@@ -217,6 +232,7 @@
     if call.stream:
         # A compressed event stream couldn't be split into its events.
         headers["Accept-Encoding"] = "identity"
+    headers["Connection"] = "close"
     headers[REQUEST_ID_HEADER] = call.request_id
     # The caller's own key, where it is passed on, is the one that an upstream
     # knows from elsewhere; `call.key` is scoped to the customer.
@@ -237,28 +253,39 @@
     )
 
 
-def _body(
-    response: urllib3.BaseHTTPResponse,
+def _event_stream(
+    response: urllib3.BaseHTTPResponse, gather_s: float
 ) -> Iterator[UpstreamBody]:
-    """Yield the body and return how it ended."""
-    content_type = response.headers.get("Content-Type", "")
-    splitter = EventSplitter() if content_type.startswith(EVENT_STREAM) else None
-    ended = splitter is None
+    """Yield whole events and return how the stream ended.
+
+    After its first events, reads are at least `gather_s` apart.
+    """
+    splitter = EventSplitter()
+    next_read_s = 0.0
     try:
         while data := _read_some(response):
-            if splitter is None:
-                yield UpstreamBody(body=data)
-            elif events := splitter.feed(data):
-                ended = ended or events.last
+            if events := splitter.feed(data):
                 yield UpstreamBody(body=events.body, event_id=events.event_id)
+                if events.last:
+                    return UpstreamEnd()
+            time.sleep(max(0.0, next_read_s - time.monotonic()))
+            next_read_s = time.monotonic() + gather_s
     except (HTTPError, OSError, ValueError) as error:
-        return UpstreamBroken(detail=f"{type(error).__name__}: {error}")
+        return _broken(error)
     except EventTooLong:
         return UpstreamBroken(detail="event too long")
     # An engine that gives up early ends its HTTP answer properly; only its
     # missing last event shows the caller's answer to be cut short.
-    if not ended:
-        return UpstreamBroken(detail="event stream ended early")
+    return UpstreamBroken(detail="event stream ended early")
+
+
+def _body(response: urllib3.BaseHTTPResponse) -> Iterator[UpstreamBody]:
+    """Yield the body and return how it ended."""
+    try:
+        while data := _read_some(response):
+            yield UpstreamBody(body=data)
+    except (HTTPError, OSError, ValueError) as error:
+        return _broken(error)
     if not _delimited(response):
         return UpstreamBroken(detail="answer has neither length nor chunks")
     return UpstreamEnd()
@@ -269,6 +296,10 @@
     return response.read1(READ_BYTES)
 
 
+def _broken(error: Exception) -> UpstreamBroken:
+    return UpstreamBroken(detail=f"{type(error).__name__}: {error}")
+
+
 def _delimited(response: urllib3.BaseHTTPResponse) -> bool:
     """Return whether the answer's end can be told from a crash of its sender.
 
