--- a/features/commandline.feature
+++ b/features/commandline.feature
@@ -85,3 +85,13 @@
     Then it exits with 3 and prints "not reached"
     When an operator runs "status"
     Then it exits with 2 and prints "give --members or --daemon"
+
+  Scenario: Real daemons are followed and shown
+    Given an entry and an agent without documents
+    And a file with the ticketing example
+    When an operator runs "service publish FILE --log LOG --wait --members MEMBERS"
+    Then it exits with 0 and prints "in force: agent-1"
+    And it prints "in force: entry-1"
+    When an operator runs "status --members MEMBERS"
+    Then it exits with 0 and prints "ticketing/plain-1"
+    And it prints "reconciliation"
--- a/features/deployment.py
+++ b/features/deployment.py
@@ -182,6 +182,7 @@
             "role": role,
             "data_centre": "central-1",
             "address": self._listed_address(name),
+            "status_address": f"{HOST}:{self.ports[name].status}",
             "service": "",
             "upstream": "",
         } | member
--- a/features/steps/commandline_steps.py
+++ b/features/steps/commandline_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from features.deployment import Deployment
 from features.helper import stage_of
 from features.processes import ROOT, get_json, post_json
 
@@ -37,10 +38,19 @@
     context.log, context.members = stage.log(), stage.members()
 
 
-@given("a file with the narrative example")
-def step_file(context):
-    context.file = stage_of(context).directory / "narrative.yaml"
-    context.file.write_text((ROOT / "examples/narrative.yaml").read_text())
+@given("an entry and an agent without documents")
+def step_real_daemons(context):
+    deployment = Deployment()
+    context.stage = deployment.stage
+    context.log, context.members = deployment.log, deployment.members
+    deployment.entry("entry-1")
+    deployment.agent("agent-1", "ticketing", context.stage.plain("plain-1"))
+
+
+@given("a file with the {name} example")
+def step_file(context, name):
+    context.file = stage_of(context).directory / f"{name}.yaml"
+    context.file.write_text((ROOT / f"examples/{name}.yaml").read_text())
 
 
 @given('the file begins with "{line}"')
--- a/lavenderspoke/statuspages.py
+++ b/lavenderspoke/statuspages.py
@@ -21,7 +21,8 @@
     """What one daemon says of itself.
 
     `waiting` and `running` go by service and tier; `counters` by name and
-    reason; `skipped_records` counts the log records that it passed over.
+    reason; `skipped_records` counts the log records that it passed over. The
+    upstream's state is said by agents only, `draining` by entries.
     """
 
     name: str
@@ -35,6 +36,11 @@
     running: Counts = attrs.field(factory=dict)
     counters: Counts = attrs.field(factory=dict)
     skipped_records: int = 0
+    log_readable: bool = True
+    draining: bool = False
+    leaving: str = ""
+    upstream_up: bool = True
+    straggling: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/ui/status.py
+++ b/lavenderspoke/ui/status.py
@@ -10,6 +10,7 @@
 from rich.table import Table
 from rich.text import Text
 
+from lavenderspoke.leaving import Stage
 from lavenderspoke.statuspages import Counts, DaemonStatus, StatusUnavailable, read_all
 from lavenderspoke.ui.common import (
     DaemonUrls,
@@ -58,7 +59,9 @@
 
 
 def _daemons(read: list[DaemonStatus], failed: list[StatusUnavailable]) -> Table:
-    table = Table("daemon", "role", "data centre", "upstream", "in force", "skipped")
+    table = Table(
+        "daemon", "role", "data centre", "upstream", "state", "in force", "skipped"
+    )
     for each in sorted(read, key=lambda each: (each.role, each.name), reverse=True):
         versions = sorted(each.versions.items())
         in_force = ", ".join(f"{name} {version}" for name, version in versions)
@@ -69,14 +72,27 @@
             each.role,
             each.data_centre,
             upstream,
+            _state(each),
             in_force,
             each.skipped_records,
         )
     for each in failed:
-        _row(table, each.url, "not reached", "", "", "", "")
+        _row(table, each.url, "", "", "", "not reached")
     return table
 
 
+def _state(daemon: DaemonStatus) -> str:
+    """Return what is out of the ordinary about a daemon."""
+    states = {
+        "draining": daemon.draining,
+        "leaving": daemon.leaving not in ("", Stage.SERVING.value),
+        "upstream down": not daemon.upstream_up,
+        "straggling": daemon.straggling,
+        "log unreadable": not daemon.log_readable,
+    }
+    return ", ".join(name for name, holds in states.items() if holds)
+
+
 def _sum(counts: list[Counts]) -> Counter:
     """Add up counts of many daemons by both of their keys."""
     total = Counter()
