--- /dev/null
+++ b/features/steps/reference_steps.py
@@ -0,0 +1,41 @@
+import types
+import typing
+
+import attrs
+from behave import then
+
+from features.processes import ROOT
+from lavenderspoke.config import AgentSettings, EntrySettings
+from lavenderspoke.problems import Reason
+from lavenderspoke.service import Service
+
+
+def field_names(cls):
+    """Yield the names of all fields, those of nested classes too."""
+    for field in attrs.fields(cls):
+        yield field.name
+        kinds = [field.type, *typing.get_args(field.type)]
+        for kind in kinds:
+            if isinstance(kind, type) and not isinstance(kind, types.GenericAlias):
+                yield from field_names(kind) if attrs.has(kind) else ()
+
+
+def assert_names(path, names):
+    text = (ROOT / path).read_text().replace("`", " ").replace(".", " ")
+    words = set(text.replace(",", " ").split())
+    assert set(names) <= words, set(names) - words
+
+
+@then('"{path}" names each field of the service document')
+def step_document(context, path):
+    assert_names(path, field_names(Service))
+
+
+@then('"{path}" names each setting')
+def step_settings(context, path):
+    assert_names(path, [*field_names(EntrySettings), *field_names(AgentSettings)])
+
+
+@then('"{path}" names each reason')
+def step_reasons(context, path):
+    assert_names(path, [each.value for each in Reason])
