Bound the entries that an agent speaks to, by rendezvous hashing

Cause: with 2,000 agents and over 100 entries, announcing to all costs each daemon more than its 8 KB/s of control. Change: an agent picks entries_max entries, half of them at least in its own data centre; picks move only where an entry comes or goes.

--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -3,7 +3,7 @@
 import functools
 import threading
 
-from lavenderspoke import agentevents as events
+from lavenderspoke import agentevents as events, subset
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.callers import StatusServer
 from lavenderspoke.config import AgentSettings
@@ -104,7 +104,13 @@
         return Periodic(name=name, period_s=period_s, work=work)
 
     def members_read(self) -> None:
-        self.loop.post(events.EntriesListed(names=self.directory.names(Role.ENTRY)))
+        names = subset.choose(
+            self.me.name,
+            self.settings.data_centre,
+            self.directory.members(Role.ENTRY),
+            self.settings.entries_max,
+        )
+        self.loop.post(events.EntriesListed(names=names))
         is_leaving = self.me.name in self.directory.leaving()
         self.loop.post(events.ListedLeaving(is_leaving=is_leaving))
 
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -175,6 +175,7 @@
     platform: PlatformSettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
     silence_s: float = attrs.field(metadata=_SECONDS)
+    entries_max: int = attrs.field(metadata=schema.between(1, 1000))
     slots_max: int = attrs.field(metadata=schema.between(1, 10_000))
     pull_ttl_s: float = attrs.field(metadata=_SECONDS)
     accepts_pushed: bool
--- a/lavenderspoke/directory.py
+++ b/lavenderspoke/directory.py
@@ -42,11 +42,11 @@
             member = self._listed.get(name)
         return None if member is None else with_scheme(member.address)
 
-    def names(self, role: Role) -> tuple[str, ...]:
+    def members(self, role: Role) -> tuple[Member, ...]:
         """Return the listed instances of a role, without this one."""
         with self._lock:
             return tuple(
-                member.name
+                member
                 for member in self._listed.values()
                 if member.role is role and member.name != self._own_name
             )
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -93,7 +93,9 @@
     def members_read(self) -> None:
         self.loop.post(
             events.PeersListed(
-                entry_names=self.directory.names(Role.ENTRY),
+                entry_names=tuple(
+                    member.name for member in self.directory.members(Role.ENTRY)
+                ),
                 leaving_agents=self.directory.leaving(),
             )
         )
