--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -43,7 +43,8 @@
 
 
 @then(
-    "every agent has {count:d} entries, at least {near:d} of them in its own data centre"
+    "every agent has {count:d} entries,"
+    " at least {near:d} of them in its own data centre"
 )
 def step_near(context, count, near):
     centres = {entry.name: entry.data_centre for entry in context.entries}
--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -110,7 +110,8 @@
             self.directory.members(Role.ENTRY),
             self.settings.entries_max,
         )
-        self.loop.post(events.EntriesListed(names=names))
+        count_max = self.settings.entries_max
+        self.loop.post(events.EntriesListed(names=names, count_max=count_max))
         is_leaving = self.me.name in self.directory.leaving()
         self.loop.post(events.ListedLeaving(is_leaving=is_leaving))
 
--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -187,6 +187,7 @@
 
     @_on.register
     def _(self, event: events.EntriesListed, now_s: float) -> list:
+        self.puller.trim(event.names, event.count_max)
         known = {entry.name for entry in self.puller.entries()}
         unknown = [name for name in event.names if name not in known]
         return self._announce(
--- a/lavenderspoke/agentevents.py
+++ b/lavenderspoke/agentevents.py
@@ -93,9 +93,13 @@
 
 @attrs.frozen(kw_only=True)
 class EntriesListed:
-    """The platform's list names these entries; their incarnations are unknown."""
+    """The entries that this agent picked from the platform's list.
+
+    Their incarnations are unknown. No more than `count_max` are kept.
+    """
 
     names: tuple[str, ...]
+    count_max: int = 1000
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -56,6 +56,16 @@
         """Return the entries that have been heard lately."""
         return [view.entry for view in self._entries.values()]
 
+    def trim(self, picked: tuple[str, ...], count_max: int) -> None:
+        """Forget the entries that are not picked, while there are too many.
+
+        Up to the limit all stay: the platform's list may be wrong, and an entry
+        that is missing from it may hold waiting requests.
+        """
+        for name in [name for name in self._entries if name not in picked]:
+            if len(self._entries) > count_max:
+                del self._entries[name]
+
     def heard(self, entry: InstanceId, now_s: float, address: str = "") -> bool:
         """Note that an entry lives; return whether it is a new incarnation."""
         view = self._entries.get(entry.name)
