Finish TLS handshakes on the connection's thread and refuse while draining

One caller that connected to the TLS port and said nothing kept every other caller out until its timeout, since cheroot shakes hands on the accepting thread. The handshake now belongs to the connection's own thread; a failed one closes that connection and is logged. A draining server refuses by itself.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -149,3 +149,55 @@
     Given every thread of the server waits for an answer
     When a caller posts to "/tickets/x" with the header X-None: 1 and the body "hello"
     Then the caller is refused with 503 "server_busy", ran "no" and Retry-After "1"
+
+  Scenario: A request that dribbles in is given up, not waited for
+    A caller sends a byte now and then, so no single read ever times out. A few
+    hundred such callers would hold every thread; so the whole request has a
+    limit, and the caller learns that it was too slow.
+    Given a callers' server that gives requests 0.3 seconds to arrive
+    When a caller sends its body a byte at a time without end
+    Then the caller is refused with 408 "body_timeout", ran "no" and Retry-After "none"
+    And the gateway has 0 arrivals
+
+  Scenario: Headers that dribble in are given up too
+    Given a callers' server that gives requests 0.3 seconds to arrive
+    When a caller sends its headers a byte at a time without end
+    Then the caller is refused with 408 "body_timeout", ran "no" and Retry-After "none"
+
+  Scenario: Over TLS a caller gets its answer
+    Given a callers' server with TLS
+    When a caller posts over TLS to "/tickets/x"
+    Then the caller gets 201 and the body "POST hello"
+
+  Scenario: Callers that never shake hands keep nobody out
+    Some callers connect and say nothing. The handshake would wait for each on
+    the only thread that accepts connections; the next caller must not notice.
+    Given a callers' server with TLS
+    And callers that connect and never shake hands
+    When a caller posts over TLS to "/tickets/x"
+    Then the caller gets 201 and the body "POST hello"
+
+  Scenario: Plain HTTP to a TLS port costs nothing
+    Given a callers' server with TLS
+    When a caller sends plain bytes and then another posts over TLS
+    Then the caller gets 201 and the body "POST hello"
+
+  Scenario: What the server logs holds no credential
+    Given the server's log is kept at the level "DEBUG"
+    When callers use their credential in requests of every outcome
+    Then the kept log holds lines but not the credential
+
+  Scenario: The status pages tell of health, readiness, counters and state
+    Given a status server over the fake gateway
+    Then its pages answer
+      | page       | status | holds                            |
+      | /-/health  | 200    | "healthy": true                  |
+      | /-/ready   | 200    | "ready": true                    |
+      | /-/status  | 200    | "role": "fake"                   |
+      | /-/metrics | 200    | lavenderspoke_refusals_total     |
+      | /-/other   | 404    | no such page                     |
+    Given the gateway has no documents
+    Then its pages answer
+      | page       | status | holds                            |
+      | /-/health  | 200    | "healthy": true                  |
+      | /-/ready   | 503    | "ready": false                   |
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -1,6 +1,11 @@
+import io
 import json
+import select
+import ssl
+import tempfile
 import threading
 
+import trustme
 from behave import given, then, when
 
 from features.fakegateway import CREDENTIAL, FakeGateway, break_answer
@@ -13,9 +18,11 @@
     wait_for,
 )
 from lavenderspoke.arrivals import ArrivalBuilder
-from lavenderspoke.callers import CallerServer
+from lavenderspoke.callers import CallerServer, StatusServer
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.gateway import AnswerEnd, Sending
+from lavenderspoke.httpserver import Tls
+from lavenderspoke.logs import JsonLinesHandler
 from lavenderspoke.metrics import Metrics
 
 THREADS = 4
@@ -309,3 +316,125 @@
         lambda: context.metrics.counter("caller_answers", reason) == count,
         "the counter",
     )
+
+
+@given("a callers' server that gives requests {seconds:g} seconds to arrive")
+def step_impatient(context, seconds):
+    start_callers(context, request_read_s=seconds)
+
+
+def dribble(context, data):
+    with connect(context.server.port) as connection:
+        connection.sendall(data)
+        connection.setblocking(False)
+        received = b""
+        # Stops when the answer is whole, or by the connection's reset.
+        while b'"ran"' not in received:
+            select.select([connection], [], [], 0.02)
+            try:
+                received += connection.recv(65536)
+            except BlockingIOError:
+                connection.send(b"x")
+    context.response = RawResponse(data=received)
+
+
+@when("a caller sends its body a byte at a time without end")
+def step_dribbles_body(context):
+    data = request_bytes(path="/tickets/x", headers=AUTHORIZED, length=9999)
+    dribble(context, data)
+
+
+@when("a caller sends its headers a byte at a time without end")
+def step_dribbles_headers(context):
+    dribble(context, b"POST /tickets/x HTTP/1.1\r\nX: ")
+
+
+@given("a callers' server with TLS")
+def step_tls(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    paths = {name: f"{directory.name}/{name}.pem" for name in ("certificate", "key")}
+    certificate.cert_chain_pems[0].write_to_path(paths["certificate"])
+    certificate.private_key_pem.write_to_path(paths["key"])
+    tls = Tls(certificate_file=paths["certificate"], key_file=paths["key"])
+    start_callers(context, tls=tls)
+    context.tls = ssl.create_default_context()
+    authority.configure_trust(context.tls)
+
+
+@given("callers that connect and never shake hands")
+def step_no_handshake(context):
+    # One after the other they would hold up the next for longer than it waits.
+    for _ in range(THREADS - 1):
+        context.add_cleanup(connect(context.server.port).close)
+
+
+@when('a caller posts over TLS to "{path}"')
+def step_posts_tls(context, path):
+    data = request_bytes(path=path, headers=AUTHORIZED, body=b"hello")
+    plain = connect(context.server.port)
+    with context.tls.wrap_socket(plain, server_hostname="127.0.0.1") as connection:
+        connection.sendall(data)
+        context.response = read_all(connection)
+
+
+@when("a caller sends plain bytes and then another posts over TLS")
+def step_plain_to_tls(context):
+    exchange(context.server.port, request_bytes(path="/tickets/x"))
+    step_posts_tls(context, "/tickets/x")
+
+
+@given('the server\'s log is kept at the level "{level}"')
+def step_log_kept(context, level):
+    context.log_stream = io.StringIO()
+    handler = JsonLinesHandler(daemon="test", stream=context.log_stream, level=level)
+    handler.push_application()
+    context.add_cleanup(handler.pop_application)
+
+
+@when("callers use their credential in requests of every outcome")
+def step_every_outcome(context):
+    post(context, "/tickets/x")
+    post(context, "/tickets/x", [("Lavenderspoke-Tier", "alerts")])
+    post(context, "/tickets/x", [("Authorization", f"Digest {CREDENTIAL}")])
+    post(context, "/narrative/v1/completions", body=b"{")
+    post(context, f"/{CREDENTIAL}/x")
+    step_breaks(context)
+    context.gateway.submit = None  # a fault inside the server, with a traceback
+    post(context, "/tickets/x")
+    assert context.response.status == 500
+
+
+@then("the kept log holds lines but not the credential")
+def step_kept_log(context):
+    text = context.log_stream.getvalue()
+    assert "traceback" in text
+    assert CREDENTIAL not in text, text
+
+
+@given("a status server over the fake gateway")
+def step_status_server(context):
+    context.metrics.count("refusals", "shed")
+    gateway = context.gateway
+    context.status_server = StatusServer(
+        host="127.0.0.1",
+        port=0,
+        ready=gateway.ready,
+        status=gateway.status,
+        metrics=context.metrics,
+    )
+    context.status_server.start()
+    context.add_cleanup(context.status_server.stop)
+
+
+@then("its pages answer")
+def step_pages(context):
+    for row in context.table:
+        data = request_bytes(
+            method="GET", path=row["page"], headers=[("Connection", "close")]
+        )
+        response = exchange(context.status_server.port, data)
+        assert response.status == int(row["status"]), response
+        assert row["holds"] in response.body.decode(), response
--- a/lavenderspoke/callers.py
+++ b/lavenderspoke/callers.py
@@ -31,6 +31,7 @@
 STATUS_THREADS = 4
 DRAIN_S = 60.0
 DRAIN_POLL_S = 0.05
+DRAIN_RETRY_S = 1.0
 CALLER_ANSWERS = "caller_answers"
 ANSWER_LATENCY = "answer"
 FIRST_BYTE_LATENCY = "first_byte"
@@ -77,6 +78,8 @@
         http_request = environ[REQUEST_KEY]
         if self.draining:
             http_request.close_connection = True
+            problem = refusal(Reason.DRAINING, "try another instance", DRAIN_RETRY_S)
+            return self._refuse(http_request, start_response, problem)
         request = caller_request(http_request)
         admitted = arrivals.admit(request, self._gateway)
         if admitted.is_err():
@@ -277,7 +280,8 @@
     def alive(self) -> bool:
         """Return whether callers are being served."""
         running = self._running
-        return running is not None and running.thread.is_alive()
+        serving = running is not None and running.thread.is_alive()
+        return serving and self._watch.alive()
 
     def in_flight(self) -> int:
         """Return the number of answers that are awaited or being written."""
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -151,9 +151,22 @@
         self.rfile = _Reader(sock, server.timeout)
 
     def communicate(self) -> bool:
+        if not self._shake_hands():
+            return False
         self.rfile.allow(self.server.request_read_s)
         return super().communicate()
 
+    def _shake_hands(self) -> bool:
+        """Finish the TLS handshake, if there is one; return whether it went well."""
+        if not isinstance(self.socket, ssl.SSLSocket) or self.socket.version():
+            return True
+        try:
+            self.socket.do_handshake()
+        except OSError as error:
+            log.info("TLS handshake failed", error=str(error))
+            return False
+        return True
+
     def close(self) -> None:
         # Closing with unread bytes resets the connection, and the reset can
         # overtake the refusal: the caller would see no reason at all.
