Specify re-sends of one key, and check them with Spin

A second run of a payment is the worst fault the system can have, and the scheme that prevents it (stamps, claims, handed ledgers) leans on many small rules.

--- a/spec/check.py
+++ b/spec/check.py
@@ -3,9 +3,10 @@
 `python -m spec.check [--report FILE.json] [MODEL ...]` searches every model
 exhaustively with Spin, then once more with each safeguard taken out, which must
 give a counterexample: a model that cannot fail proves nothing. The safeguards
-are the `WITHOUT_` switches that a model's header lists. A search that met its
-depth, memory or time limit counts as failed. The exit code is 0 only when every
-check passed.
+are the `WITHOUT_` switches that a model's header lists; each is taken out of the
+model's first shape, where the header lists several `SHAPE_` bounds. A search that
+met its depth, memory or time limit counts as failed. The exit code is 0 only when
+every check passed.
 """
 
 import argparse
@@ -20,12 +21,13 @@
 import attrs
 
 HERE = pathlib.Path(__file__).resolve().parent
-MODELS = ("grant",)
+MODELS = ("grant", "resend")
 AT_ONCE = 4
 DEPTH_MAX = 2_000_000
 MEMORY_MAX_MB = 4096
 SEARCH_MAX_S = 170
 SWITCH = re.compile(r"^ \*   (WITHOUT_\w+)\s", re.MULTILINE)
+SHAPE = re.compile(r"^ \*   (SHAPE_\w+)\s", re.MULTILINE)
 BOUNDS = re.compile(r"^ \* Bounds: (.*?)\.$", re.MULTILINE | re.DOTALL)
 PROPERTY = re.compile(r"^ \* Property: (.*?)\.$", re.MULTILINE | re.DOTALL)
 TRUNCATED = ("Search not completed", "max search depth too small", "out of memory")
@@ -33,17 +35,23 @@
 
 @attrs.frozen(kw_only=True)
 class Check:
-    """One search: a model, and the safeguard taken out of it, if one is."""
+    """One search: a model, its shape, and the safeguard taken out, if one is."""
 
     model: str
+    shape: str | None = None
     switch: str | None = None
 
     @property
     def name(self) -> str:
         """The name under which the check is reported."""
-        if self.switch is None:
-            return f"model {self.model}"
-        return f"model {self.model} fails {self.switch}"
+        if self.switch:
+            return f"model {self.model} fails {self.switch}"
+        return f"model {self.model} {self.shape or ''}".strip()
+
+    @property
+    def defines(self) -> list[str]:
+        """The preprocessor options that choose the shape and the switch."""
+        return [f"-D{each}" for each in (self.shape, self.switch) if each]
 
 
 @attrs.frozen(kw_only=True)
@@ -64,23 +72,29 @@
 
 
 def checks(models: list[str]) -> list[Check]:
-    """Return the checks of the models: each whole, then each switch alone."""
-    found = []
+    """Return the checks of the models: each shape whole, then each switch alone.
+
+    The whole ones come first, since they take longest.
+    """
+    whole, broken = [], []
     for model in models:
         text = (HERE / f"{model}.pml").read_text()
-        found.append(Check(model=model))
-        found += [Check(model=model, switch=each) for each in SWITCH.findall(text)]
-    return found
+        shapes = SHAPE.findall(text) or [None]
+        whole += [Check(model=model, shape=shape) for shape in shapes]
+        broken += [
+            Check(model=model, shape=shapes[0], switch=switch)
+            for switch in SWITCH.findall(text)
+        ]
+    return whole + broken
 
 
 def search(check: Check) -> str:
     """Build the verifier of one check, run it and return what it printed."""
     with tempfile.TemporaryDirectory(prefix="spec-") as directory:
-        switches = [f"-D{check.switch}"] if check.switch else []
         source = str(HERE / f"{check.model}.pml")
         options = ["-O2", "-w", "-DSAFETY", "-DCOLLAPSE", f"-DMEMLIM={MEMORY_MAX_MB}"]
         for command in (
-            ["spin", "-a", *switches, source],
+            ["spin", "-a", *check.defines, source],
             ["gcc", *options, "-o", "pan", "pan.c"],
         ):
             subprocess.run(command, cwd=directory, check=True, capture_output=True)
