Add the caller's tool, and the pages for callers

Callers had no ready way to send again without risking a second run. Sender sends again only after the time it was told, under the same key declared as a re-send, and gives out a broken answer's bytes once; the command send is thin over it. An error event is no part of the answer, or a re-sent one would seem to differ.

--- a/features/fakegateway.py
+++ b/features/fakegateway.py
@@ -35,7 +35,7 @@
 
 
 class FakeGateway:
-    """A fake gateway that answers from a script, keyed by a word in the body."""
+    """A fake gateway that answers as `scripts` say, or as a word in the body does."""
 
     def __init__(self):
         self.documents = {
@@ -46,6 +46,7 @@
         self.arrivals = []
         self.abandoned = []
         self.answers = []
+        self.scripts = []
 
     def service(self, name):
         return self.documents.get(name)
@@ -67,6 +68,8 @@
         return answer
 
     def _script(self, call):
+        if self.scripts:
+            return self.scripts.pop(0)
         event = AnswerBody(body=b"data: one\n\n")
         if b"broken" in call.body:
             # The head goes out by itself before the break is put.
--- a/features/reference.feature
+++ b/features/reference.feature
@@ -9,3 +9,10 @@
 
   Scenario: Every reason for a refusal is on the page of counters
     Then "docs/guides/counters.md" names each reason
+
+  Scenario: Every reason is on the callers' page of refusals, with its status
+    Then "docs/reference/problems.md" names each reason
+    And it gives each reason's status
+
+  Scenario: Every header that a caller may send is on its page
+    Then "docs/reference/caller-headers.md" names each header that callers may send
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -5,8 +5,9 @@
 from behave import then
 
 from features.processes import ROOT
+from lavenderspoke import callerheaders
 from lavenderspoke.config import AgentSettings, EntrySettings
-from lavenderspoke.problems import Reason
+from lavenderspoke.problems import STATUS, Reason
 from lavenderspoke.service import Service
 
 
@@ -39,3 +40,18 @@
 @then('"{path}" names each reason')
 def step_reasons(context, path):
     assert_names(path, [each.value for each in Reason])
+
+
+@then("it gives each reason's status")
+def step_statuses(context):
+    text = (ROOT / "docs/reference/problems.md").read_text()
+    for reason in Reason:
+        assert f"| {STATUS[reason]} | `{reason.value}` |" in text, reason
+
+
+@then('"{path}" names each header that callers may send')
+def step_headers(context, path):
+    said = ("AUTHORIZATION", "TIER", "DEADLINE", "SENDING", "IDEMPOTENT", "KEY")
+    text = (ROOT / path).read_text().lower()
+    for name in said:
+        assert f"| `{getattr(callerheaders, name)}` |" in text, name
--- a/lavenderspoke/problempage.py
+++ b/lavenderspoke/problempage.py
@@ -10,6 +10,7 @@
 
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:lavenderspoke:problem:"
+ERROR_EVENT_START = b"\n\nevent: error\ndata: "
 TITLES = {
     Reason.BAD_REQUEST: "The request is malformed",
     Reason.BODY_TOO_LARGE: "The request body is too large",
--- a/lavenderspoke/ui/__init__.py
+++ b/lavenderspoke/ui/__init__.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from lavenderspoke.ui import daemons, services, settings, status
+from lavenderspoke.ui import daemons, send, services, settings, status
 from lavenderspoke.ui.common import EXIT_CODES
 from lavenderspoke.util import UserError
 
@@ -25,6 +25,7 @@
 app.add_typer(services.app, name="service")
 app.add_typer(settings.app, name="settings")
 app.command("status", epilog=EXIT_CODES)(status.status)
+app.command("send", epilog=send.SEND_EXIT_CODES)(send.send)
 
 
 def main() -> None:
