Check defaults against what is given, and prove documents past retention

A document with a long deadline and no word of keys passed with too short a key lifetime, since checks across fields saw only given values. Settings that contain themselves recursed without end. A publisher that was paused past the log's retention called its own accepted edit a conflict: without the mend the new scenario errs.

--- a/features/config.feature
+++ b/features/config.feature
@@ -58,3 +58,32 @@
 
   Scenario: A settings file that can't be read is one line for its reader
     Then loading entry settings from "features/no-such-file.yaml" is a user error
+
+  Scenario: Fields that contain themselves are mistakes, not an endless read
+    When these entry settings are read
+      """
+      entry: &entry
+        name: entry-1
+        data_centre: san-jose
+        peers: *entry
+        other: *entry
+      """
+    Then the mistakes are
+      | line | field                   | found            | allowed       |
+      | 2    | entry.peers.name        | an unknown field | host          |
+      | 3    | entry.peers.data_centre | an unknown field | host          |
+      | 4    | entry.peers.peers       | an unknown field | host          |
+      | 5    | entry.peers.other       | an unknown field | host          |
+      | 5    | entry.other             | an unknown field | data_centre   |
+
+  Scenario: Heartbeats must come faster than a peer is taken as gone
+    When these entry settings are read
+      """
+      entry:
+        name: entry-1
+        data_centre: san-jose
+        heartbeat_s: 5
+      """
+    Then the mistakes are
+      | line | field           | found | allowed                                    |
+      | 2    | entry.silence_s | '3.0' | at least 2 times heartbeat_s, which is 5.0 |
--- a/features/publisher.feature
+++ b/features/publisher.feature
@@ -58,6 +58,12 @@
     And the record that vanished arrives
     Then the log's readers have version 3 by "celia" in force
 
+  Scenario: The publisher is paused until its record has aged out
+    Its record was accepted and carried in a snapshot. The publisher wakes, can't
+    find the record, and finds another version in force than its base: its own.
+    When "badr" publishes burst 5 from version 1 and is paused past the retention
+    Then it is accepted as version 2
+
   Scenario: The log goes down between the append and the reading back
     When the log takes the append of "badr" and goes down
     Then it is unknown
--- a/features/service.feature
+++ b/features/service.feature
@@ -62,6 +62,39 @@
       | 4    | customers[0].credential_sha256 | ''     | 64 hex digits   |
       | 6    | keys.lifetime_s                | '99.0' | at least        |
 
+  Scenario: A default may clash with what is given
+    A key that is held for less than the longest deadline could be forgotten while
+    its first attempt still waits, and a re-send would run a second time. Leaving
+    the key's lifetime out must not let that pass.
+    When this service document is read
+      """
+      name: alerts
+      upstreams: {kind: model, labels: [a]}
+      tiers:
+        - {name: high, rank: 2}
+        - {name: low, rank: 1, deadline_s: 10}
+      customers:
+        - {name: one, credential_sha256: "abababababababababababababababababababababababababababababababab", tiers: [low]}
+      deadline_max_s: 700
+      """
+    Then the mistakes are
+      | line | field           | found              | allowed                                |
+      | 1    | keys.lifetime_s | 600.0, the default | at least deadline_max_s, which is 700.0 |
+    When this service document is read
+      """
+      name: alerts
+      upstreams: {kind: model, labels: [a]}
+      tiers:
+        - {name: high, rank: 2}
+        - {name: low, rank: 1, deadline_s: 10}
+      customers:
+        - {name: one, credential_sha256: "abababababababababababababababababababababababababababababababab", tiers: [low]}
+      deadline_max_s: 20
+      """
+    Then the mistakes are
+      | line | field               | found             | allowed                               |
+      | 4    | tiers[0].deadline_s | 30.0, the default | at most deadline_max_s, which is 20.0 |
+
   Scenario Outline: Text that is no document is one mistake, not a crash
     When the service document is <text>
     Then the mistakes are
--- a/features/steps/publisher_steps.py
+++ b/features/steps/publisher_steps.py
@@ -75,6 +75,27 @@
     publish(context, author, document(burst=5), 1)
 
 
+@when(
+    '"{author}" publishes burst {burst:d} from version {base:d} and is paused '
+    "past the retention"
+)
+def step_publish_paused(context, author, burst, base):
+    log, append = context.log, context.log.append
+
+    def append_and_pause(**record):
+        log.append = append
+        appended = append(**record)
+        reader = DocumentHistory(log=log)
+        reader.refresh().unwrap()
+        carried = reader.fold.snapshot()
+        log.append(stream="services", record_id="carried", payload=carried)
+        log.trim(appended.unwrap() + 1)
+        return appended
+
+    log.append = append_and_pause
+    publish(context, author, document(burst=burst), base)
+
+
 @when('"{author}" publishes a document without tiers')
 def step_publish_mistaken(context, author):
     publish(context, author, document().replace("tiers: [{", "tears: [{"), 1)
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -27,6 +27,8 @@
 GIB = 1024**3
 
 _SECONDS = schema.above(0, HOUR_S)
+# One lost announcement mustn't make a peer look gone.
+_SILENCE = _SECONDS | schema.not_below("heartbeat_s", times=2)
 _SECONDS_OR_DAYS = schema.above(0, 30 * 24 * HOUR_S)
 _BYTES = schema.between(1, GIB)
 _PORT = schema.between(0, 65535)
@@ -149,7 +151,7 @@
     platform: PlatformSettings
     policy: PolicySettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
-    silence_s: float = attrs.field(metadata=_SECONDS)
+    silence_s: float = attrs.field(metadata=_SILENCE)
     grant_answer_s: float = attrs.field(metadata=_SECONDS)
     roster_lease_s: float = attrs.field(metadata=_SECONDS)
     drain_s: float = attrs.field(metadata=_SECONDS)
@@ -174,7 +176,7 @@
     status: StatusSettings
     platform: PlatformSettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
-    silence_s: float = attrs.field(metadata=_SECONDS)
+    silence_s: float = attrs.field(metadata=_SILENCE)
     entries_max: int = attrs.field(metadata=schema.between(1, 1000))
     slots_max: int = attrs.field(metadata=schema.between(1, 10_000))
     pull_ttl_s: float = attrs.field(metadata=_SECONDS)
--- a/lavenderspoke/publisher.py
+++ b/lavenderspoke/publisher.py
@@ -173,6 +173,9 @@
         if version is not None:
             return Ok(Published(version=version, appended=True))
         present = history.fold.in_force(edit.service)
+        if present is not None and present.record == edit:
+            # Read from a snapshot: the record itself aged out while we paused.
+            return Ok(Published(version=present.version, appended=True))
         if (present.version if present else NO_VERSION) != edit.base:
             # Whether or not a copy is still under way, it can't be accepted now.
             return Err(_conflict(history, edit.service, edit.base))
--- a/lavenderspoke/schema.py
+++ b/lavenderspoke/schema.py
@@ -11,9 +11,7 @@
         rank: int = attrs.field(metadata=between(0, 1000) | UNIQUE)
 """
 
-import enum
 import ipaddress
-import math
 import re
 import types
 import typing
@@ -23,6 +21,7 @@
 import yaml
 from result import Err, Ok, Result
 
+from lavenderspoke.scalars import MISSING, allowed_for, read_scalar
 from lavenderspoke.util import Mistake
 from lavenderspoke.yamlnodes import TAG, describe, key_of
 
@@ -72,9 +71,11 @@
     return {"not_above": field}
 
 
-def not_below(field: str) -> dict:
-    """Return metadata: a number may not be less than the top-level field's."""
-    return {"not_below": field}
+def not_below(field: str, times: int = 1) -> dict:
+    """Return metadata: a number may not be less than the top-level field's,
+    or than several times it.
+    """
+    return {"not_below": (field, times)}
 
 
 def _is_ip_address(text: str) -> bool:
@@ -105,9 +106,7 @@
     value: typing.Any
     node: yaml.Node
     metadata: typing.Mapping
-
-
-_MISSING = object()
+    found: str
 
 
 @attrs.define(kw_only=True)
@@ -147,7 +146,7 @@
     def read_mapping(self, node, cls, path):
         if not isinstance(node, yaml.MappingNode):
             self.add(node, path, describe(node), "a mapping of fields")
-            return _MISSING
+            return MISSING
         fields = {field.name: field for field in attrs.fields(cls)}
         values = {}
         for key, value in node.value:
@@ -167,33 +166,61 @@
 
     def build(self, node, cls, fields, values, path):
         for label, field in fields.items():
-            if label not in values and field.default is attrs.NOTHING:
-                inner = f"{path}.{label}" if path else label
-                self.add(node, inner, "nothing", _allowed(field.type, field.metadata))
-                values[label] = _MISSING
-        if any(value is _MISSING for value in values.values()):
-            return _MISSING
+            inner = f"{path}.{label}" if path else label
+            if label in values:
+                continue
+            if field.default is attrs.NOTHING:
+                self.add(
+                    node, inner, "nothing", allowed_for(field.type, field.metadata)
+                )
+                values[label] = MISSING
+            else:
+                self.add_default(node, field, inner)
+        if any(value is MISSING for value in values.values()):
+            return MISSING
         return cls(**values)
 
+    def add_default(self, node, field, path) -> None:
+        """Keep a default for the checks across fields.
+
+        A default may clash with what is given: were it left out, a document
+        with a long deadline and no word of keys would pass with too short a
+        lifetime for them.
+        """
+        default = field.default
+        value = default.factory() if isinstance(default, attrs.Factory) else default
+        if attrs.has(type(value)):
+            for inner in attrs.fields(type(value)):
+                self.add_default(node, inner, f"{path}.{inner.name}")
+        elif isinstance(value, int | float):
+            self.leaves[path] = _Leaf(
+                value=value,
+                node=node,
+                metadata=field.metadata,
+                found=f"{value:,}, the default",
+            )
+
     def read_list(self, node, kind, metadata, path):
         if not isinstance(node, yaml.SequenceNode):
             self.add(node, path, describe(node), "a list")
-            return _MISSING
+            return MISSING
         if metadata.get("not_empty") and not node.value:
             self.add(node, path, "an empty list", "at least one")
         values = [
             self.read_value(each, kind, metadata, f"{path}[{index}]")
             for index, each in enumerate(node.value)
         ]
-        return _MISSING if _MISSING in values else tuple(values)
+        return MISSING if MISSING in values else tuple(values)
 
     def read_scalar(self, node, kind, metadata, path):
-        value = _scalar(node, kind)
+        value = read_scalar(node, kind)
         test = metadata.get("test")
-        if value is _MISSING or (test is not None and not test(value)):
-            self.add(node, path, describe(node), _allowed(kind, metadata))
-            return _MISSING
-        self.leaves[path] = _Leaf(value=value, node=node, metadata=metadata)
+        if value is MISSING or (test is not None and not test(value)):
+            self.add(node, path, describe(node), allowed_for(kind, metadata))
+            return MISSING
+        self.leaves[path] = _Leaf(
+            value=value, node=node, metadata=metadata, found=describe(node)
+        )
         return value
 
     def check_across(self) -> None:
@@ -216,7 +243,7 @@
         line = leaf.node.start_mark.line + 1
         first_path, first_line = seen.setdefault((group, leaf.value), (path, line))
         if first_path != path:
-            found = f"{describe(leaf.node)}, which line {first_line} has already"
+            found = f"{leaf.found}, which line {first_line} has already"
             self.add(leaf.node, path, found, "each value once")
 
     def check_reference(self, path, leaf, groups) -> None:
@@ -226,71 +253,24 @@
         known = groups.get(pattern, [])
         if known and leaf.value not in known:
             allowed = "one of " + ", ".join(dict.fromkeys(map(str, known)))
-            self.add(leaf.node, path, describe(leaf.node), allowed)
+            self.add(leaf.node, path, leaf.found, allowed)
 
     def check_not_above(self, path, leaf) -> None:
         field = leaf.metadata.get("not_above")
-        if field is None:
-            return
         limit = self.top_level(field)
-        if leaf.value > limit:
+        if limit is not None and leaf.value > limit:
             allowed = f"at most {field}, which is {limit:,}"
-            self.add(leaf.node, path, describe(leaf.node), allowed)
+            self.add(leaf.node, path, leaf.found, allowed)
 
     def check_not_below(self, path, leaf) -> None:
-        field = leaf.metadata.get("not_below")
-        if field is None:
-            return
+        field, times = leaf.metadata.get("not_below", (None, 1))
         limit = self.top_level(field)
-        if leaf.value < limit:
-            allowed = f"at least {field}, which is {limit:,}"
-            self.add(leaf.node, path, describe(leaf.node), allowed)
-
-    def top_level(self, field: str):
-        """Return the value of a top-level field, or its default."""
-        other = self.leaves.get(f"{self.prefix}.{field}" if self.prefix else field)
-        return other.value if other else attrs.fields_dict(self.root)[field].default
-
-
-def _scalar(node: yaml.Node, kind: type):
-    """Return the node's value, or _MISSING where it isn't of that kind."""
-    if not isinstance(node, yaml.ScalarNode):
-        return _MISSING
-    tag = node.tag.removeprefix(TAG)
-    if kind is str:
-        return node.value if tag == "str" else _MISSING
-    if issubclass(kind, enum.Enum):
-        found = [each for each in kind if each.value == node.value]
-        return found[0] if found else _MISSING
-    if tag != kind.__name__ and (tag, kind) != ("int", float):
-        return _MISSING
-    try:
-        value = kind(yaml.SafeLoader("").construct_object(node))
-        return value if math.isfinite(value) else _MISSING
-    except (ValueError, OverflowError):
-        return _MISSING
-
-
-def _allowed(kind: type, metadata: typing.Mapping) -> str:
-    """Return in words what a field may hold."""
-    if typing.get_origin(kind) in (types.UnionType, typing.Union):
-        inner = next(
-            each for each in typing.get_args(kind) if each is not types.NoneType
-        )
-        return f"{_allowed(inner, metadata)}, or nothing"
-    if attrs.has(kind):
-        return "a mapping of fields"
-    if typing.get_origin(kind) is tuple:
-        return "a list"
-    if issubclass(kind, enum.Enum):
-        return "one of " + ", ".join(str(each.value) for each in kind)
-    noun = {
-        str: "text (in quotes if it looks like a number)",
-        int: "a whole number",
-        float: "a number",
-        bool: "true or false",
-    }[kind]
-    allowed = metadata.get("allowed")
-    if allowed is None:
-        return noun
-    return allowed if kind is str else f"{noun} {allowed}"
+        if limit is not None and leaf.value < limit * times:
+            many = f"{times} times " if times > 1 else ""
+            allowed = f"at least {many}{field}, which is {limit:,}"
+            self.add(leaf.node, path, leaf.found, allowed)
+
+    def top_level(self, field: str | None):
+        """Return the value of a top-level field, None where it isn't known."""
+        leaf = self.leaves.get(f"{self.prefix}.{field}" if self.prefix else field)
+        return None if leaf is None else leaf.value
--- a/lavenderspoke/yamlnodes.py
+++ b/lavenderspoke/yamlnodes.py
@@ -53,20 +53,28 @@
     ):
         return node
     default_values = {key.value: value for key, value in defaults.value}
-    pairs = [
-        (key, overlay(value, default_values.get(key_of(key), value)))
-        for key, value in node.value
-    ]
+    pairs = []
+    for key, value in node.value:
+        default = default_values.get(key_of(key))
+        pairs.append((key, value if default is None else overlay(value, default)))
     given = {key_of(key) for key, _ in node.value}
     for key, value in defaults.value:
         if key.value not in given:
-            # What is missing further in is missing from the writer's own file.
-            empty = yaml.MappingNode(value.tag, [], node.start_mark, node.end_mark)
-            inherited = isinstance(value, yaml.MappingNode)
-            pairs.append((key, overlay(empty, value) if inherited else value))
+            pairs.append((key, _moved(value, node)))
     return yaml.MappingNode(node.tag, pairs, node.start_mark, node.end_mark)
 
 
+def _moved(default: yaml.Node, node: yaml.Node) -> yaml.Node:
+    """Return a default as if it stood in the node that lacks it.
+
+    What a default lacks, or clashes with, is for the writer of that file to mend.
+    """
+    marks = (node.start_mark, node.end_mark)
+    if isinstance(default, yaml.MappingNode):
+        return overlay(yaml.MappingNode(default.tag, [], *marks), default)
+    return type(default)(default.tag, default.value, *marks)
+
+
 def key_of(node: yaml.Node) -> str:
     """Return a mapping's key as text, also where it is no scalar."""
     return node.value if isinstance(node, yaml.ScalarNode) else describe(node)
