Find a dead agent's runs however late its successor comes; let first sends wait on

Cause: an entry that had given a silent agent up forgot which incarnation it had, so a successor that came after the heartbeat's silence was not taken for one and its streams hung until their deadlines. And a first send that a newly joined agent refused for its stamp could not go to any other agent while the log was down. Change: incarnations are remembered by name; a first send whose round fails waits on with the stamp of its arrival, never with a later one, which could reach an agent that a re-send had no cause to ask.

--- a/features/deployment.py
+++ b/features/deployment.py
@@ -86,7 +86,8 @@
     """Starts, finds and stops the processes of a deployment.
 
     With `proxied`, a link of the fault-injecting proxy stands before each
-    daemon, under the daemon's name.
+    daemon, under the daemon's name, and one named `log` between the entries and
+    the log.
     """
 
     def __init__(self, *, settings: dict | None = None, proxied: bool = False):
@@ -207,6 +208,10 @@
         self.ports[name] = ports
         settings = self._base_settings(name, ports)
         settings["callers"] = {"host": HOST, "port": ports.callers}
+        if self.proxy is not None:
+            self._link("log", self.log.port)
+            log_url = self.links["log"].replace("tcp://", "http://")
+            settings["platform"] |= {"log_url": log_url}
         return self._run(name, "entry", settings | changes, {})
 
     def agent(self, name: str, service: str, upstream: StandIn, **changes) -> Process:
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -130,6 +130,39 @@
     wait_until(lambda: asked() >= count, WAIT_S, f"{name} asks {count} times")
 
 
+@when("the entries can't reach the log")
+def step_log_unreachable(context):
+    context.deployment.set_link("log", refuse=True, cut=True)
+
+
+@when("{agent} joins with a payment service of its own")
+def step_joins(context, agent):
+    deployment = context.deployment
+    plain = deployment.stage.plain(f"plain-of-{agent}")
+    deployment.agent(agent, "ticketing", plain, slots_max=4)
+    wait_until(
+        lambda: deployment.status(agent)["join_offset"] >= 0, WAIT_S, f"{agent} joins"
+    )
+    for entry in ("entry-1", "entry-2"):
+        wait_until(lambda: sees(context, entry, agent), WAIT_S, f"{entry} sees it")
+
+
+def sees(context, entry: str, name: str) -> bool:
+    members = context.deployment.status(entry)["members"]
+    return any(member["name"] == name for member in members)
+
+
+@when("{count:d} payments are sent through {entry}")
+def step_pay_many(context, count, entry):
+    for number in range(count):
+        step_pay(context, f"order {number}", entry, f"key-{number}")
+
+
+@then("{agent} has refused some grants for their stamps")
+def step_refused_stamps(context, agent):
+    assert context.deployment.counter(agent, "grants_refused", "stale_stamp")
+
+
 @when("the log goes down")
 def step_log_down(context):
     context.deployment.log.set_faults(mode="down")
--- a/features/steps/wholeanswers_steps.py
+++ b/features/steps/wholeanswers_steps.py
@@ -9,7 +9,7 @@
     streamed_tokens,
 )
 from features.processes import wait_until
-from features.steps.deployment_steps import WAIT_S, deploy, merged, result
+from features.steps.deployment_steps import WAIT_S, deploy, merged, result, sees
 
 
 def start_models(context, engines: dict[str, list[str]], proxied: bool = False) -> None:
@@ -90,6 +90,14 @@
         )
 
 
+@when("no entry sees {name}")
+def step_unseen(context, name):
+    for entry in ("entry-1", "entry-2"):
+        wait_until(
+            lambda: not sees(context, entry, name), WAIT_S, f"{entry} has given it up"
+        )
+
+
 @then("every completion is answered whole")
 def step_completions_whole(context):
     for label, tokens in context.expected.items():
--- a/features/wholeanswers.feature
+++ b/features/wholeanswers.feature
@@ -42,6 +42,18 @@
     Then every completion is answered whole
     And no promise is broken
 
+  Scenario: An agent is dead for longer than its heartbeat's silence
+    The entries have given the agent up by the time its successor comes. Its
+    streams are still its successor's to resume.
+    Given two entries before one slow model engine
+    When 4 completions of 60 tokens are sent through both entries
+    And every completion has begun
+    And process agent-1 is killed
+    And no entry sees agent-1
+    And process agent-1 is started again
+    Then every completion is answered whole
+    And no promise is broken
+
   Scenario: Messages to an entry are late and their connection is cut
     Pieces are held up, then lost with their connection. The entry sees the hole
     in their numbers, or the silence, and asks the agent for the rest.
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -306,6 +306,7 @@
             arrival=arrival,
             arrived_s=now_s,
             deadline_s=now_s + arrival.deadline_in_s,
+            first_stamp=self.roster.offset,
             stamp=self.roster.offset,
         )
         self.requests.add(tracked)
@@ -424,11 +425,9 @@
     @_from.register
     def _(self, message: messages.Announce, sender, now_s) -> list:
         known = self.agents.get(sender) is not None
-        replaced = self.agents.heard(sender, message, now_s)
+        is_new = self.agents.heard(sender, message, now_s)
         actions = [] if known else self._welcome(sender, message)
-        if replaced is not None:
-            actions += self._replaced(replaced, sender, message, now_s)
-        return actions
+        return actions + self._succeeded(sender, message, now_s) if is_new else actions
 
     def _welcome(self, agent: InstanceId, announce: messages.Announce) -> list:
         actions = self._announce([agent])
@@ -437,13 +436,13 @@
             actions += state.demand.refresh(state.queue, [self.agents.get(agent)])
         return actions
 
-    def _replaced(self, old, new, announce, now_s) -> list:
+    def _succeeded(self, new: InstanceId, announce, now_s: float) -> list:
         state = self.services.get(announce.service)
         if state is None:
             return []
         state.sketch.forget(announce.upstream)
         can_resume = state.service.upstreams.kind is Kind.MODEL
-        return self.following.replaced(old, new, can_resume, now_s)
+        return self.following.succeeded(new, can_resume, now_s)
 
     @_from.register
     def _(self, message: messages.EntryAnnounce, sender, now_s) -> list:
--- a/lavenderspoke/following.py
+++ b/lavenderspoke/following.py
@@ -214,9 +214,7 @@
         self.requests.attach(tracked, agent, run_id, now_s)
         return [Send(recipient=agent, message=self._attach(tracked))]
 
-    def replaced(
-        self, old: InstanceId, new: InstanceId, can_resume: bool, now_s: float
-    ) -> list:
+    def succeeded(self, new: InstanceId, can_resume: bool, now_s: float) -> list:
         """An agent has a successor: what it had runs on at most upstream.
 
         The old process is gone, since the new one holds its address. Whether
@@ -225,7 +223,7 @@
         """
         actions = []
         for tracked in self.requests:
-            if not tracked.is_out or tracked.agent != old:
+            if not tracked.is_out or tracked.agent.name != new.name:
                 continue
             if not can_resume:
                 detail = "the agent died; the upstream can't be asked"
--- a/lavenderspoke/keyclaims.py
+++ b/lavenderspoke/keyclaims.py
@@ -14,8 +14,9 @@
 from lavenderspoke.service import Service
 from lavenderspoke.tracked import Phase, Tracked
 
-# A first send whose round could not be finished tries again after this long.
-RETRY_ROUND_S = 1.0
+# A first send whose round could not be finished waits on after this long; at
+# once, the agent that refused it would take and refuse it without end.
+WAIT_AGAIN_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +43,7 @@
         """Begin a round: the roster must be read after this moment."""
         tracked.phase = Phase.CLAIMING
         tracked.claimed = False
-        tracked.retry_round_s = None
+        tracked.wait_again_s = None
         tracked.rounds += 1
         tracked.round = ResendRound(
             request_id=tracked.request_id,
@@ -56,18 +57,15 @@
 
     def roster_read(self, tracked: Tracked, service: Service, now_s: float) -> list:
         """The roster was read to its end: ask every agent that it names."""
-        tracked.stamp = self.roster.offset
         lives = self.roster.accountable(
             service.name, now_s=now_s, key_lifetime_s=service.keys.lifetime_s
         )
-        return tracked.round.roster_read(lives, now_s)
+        return tracked.round.roster_read(lives, self.roster.offset, now_s)
 
     def check(self, tracked: Tracked, service: Service, now_s: float) -> Step:
         """Look at a request's round and go on as far as it allows."""
-        if tracked.retry_round_s is not None:
-            if now_s < tracked.retry_round_s:
-                return Step()
-            return Step(actions=self.begin(tracked, service, now_s))
+        if tracked.wait_again_s is not None:
+            return Step(may_wait=now_s >= tracked.wait_again_s)
         outcome = tracked.round.outcome(now_s)
         if outcome is None:
             return Step(actions=tracked.round.ask(now_s))
@@ -77,13 +75,17 @@
         counted = Count(name="key_claims", reason=outcome.claims.value)
         if outcome.claims is Claims.ALL_HELD:
             tracked.claimed = True
+            tracked.stamp = tracked.round.stamp
             return Step(actions=[counted], may_wait=True)
         returned = tracked.round.give_back()
         if outcome.claims is Claims.RAN:
             return Step(actions=[counted, *returned], found=outcome)
         if outcome.claims is Claims.UNKNOWN and is_first(tracked):
-            # It was granted to no one, so it may wait for the trouble to pass.
-            tracked.retry_round_s = now_s + RETRY_ROUND_S
+            # It was granted to no one, so it may go on waiting for an agent that
+            # accepts it as it came. With the later stamp it could reach one that
+            # a re-send didn't have to ask: a second run.
+            tracked.stamp = tracked.first_stamp
+            tracked.wait_again_s = now_s + WAIT_AGAIN_S
             return Step(actions=[counted, *returned])
         return Step(actions=[counted, self._refusal(tracked, outcome)])
 
--- a/lavenderspoke/resend.py
+++ b/lavenderspoke/resend.py
@@ -52,13 +52,15 @@
     lifetime_s: float
     until_s: float
     read_id: str
+    stamp: int = -1
     asked: set[InstanceId] | None = None
     _answers: dict[InstanceId, Claimed] = attrs.field(factory=dict)
     _unreachable: bool = False
     _ask_s: float = 0.0
 
-    def roster_read(self, lives: list[Life], now_s: float) -> list[Send]:
-        """Ask every incarnation that the freshly read roster names."""
+    def roster_read(self, lives: list[Life], offset: int, now_s: float) -> list[Send]:
+        """Ask every incarnation that the roster, read to `offset`, names."""
+        self.stamp = offset
         self.asked = set()
         known = {life.agent: life for life in lives}
         for life in lives:
--- a/lavenderspoke/tracked.py
+++ b/lavenderspoke/tracked.py
@@ -25,18 +25,21 @@
     """One request and all that the entry knows of it.
 
     `run_id` is the id under which its answer comes: its own, or that of the
-    earlier attempt whose run it follows. Times are on the entry's clock.
+    earlier attempt whose run it follows. `first_stamp` is the roster offset
+    when it arrived; a stamp above it rests on claims. Times are on the entry's
+    clock.
     """
 
     arrival: Arrival
     arrived_s: float
     deadline_s: float
+    first_stamp: int
     stamp: int
     phase: Phase = Phase.WAITING
     claimed: bool = False
     round: ResendRound | None = None
     rounds: int = 0
-    retry_round_s: float | None = None
+    wait_again_s: float | None = None
     agent: InstanceId | None = None
     nonce: str = ""
     run_id: str = ""
--- a/lavenderspoke/views.py
+++ b/lavenderspoke/views.py
@@ -5,9 +5,9 @@
 from lavenderspoke.messages import Announce, EntryAnnounce
 from lavenderspoke.model import InstanceId
 
-# Earlier incarnations of an instance that are remembered, so that a late
-# announcement of one isn't taken for a new life.
-PAST_MAX = 8
+# Incarnations of an instance that are remembered, newest first, also while it is
+# silent, so that a late announcement of one isn't taken for a new life.
+INCARNATIONS_MAX = 8
 
 
 @attrs.define(kw_only=True)
@@ -17,7 +17,6 @@
     agent: InstanceId
     announce: Announce
     heard_s: float
-    past: list[str] = attrs.field(factory=list)
     listed_leaving: bool = False
 
     @property
@@ -41,28 +40,25 @@
 
     lost_s: float
     _views: dict[str, AgentView] = attrs.field(factory=dict)
+    _incarnations: dict[str, list[str]] = attrs.field(factory=dict)
     _leaving: frozenset[str] = frozenset()
 
-    def heard(
-        self, agent: InstanceId, announce: Announce, now_s: float
-    ) -> InstanceId | None:
-        """Take an announcement; return the incarnation that it replaces."""
-        view = self._views.get(agent.name)
-        if view is not None and agent.incarnation in view.past:
-            return None
-        if view is not None and view.agent == agent:
-            view.announce = announce
-            view.heard_s = now_s
-            return None
-        past = [] if view is None else [view.agent.incarnation, *view.past]
-        self._views[agent.name] = AgentView(
-            agent=agent,
-            announce=announce,
-            heard_s=now_s,
-            past=past[:PAST_MAX],
-            listed_leaving=agent.name in self._leaving,
-        )
-        return None if view is None else view.agent
+    def heard(self, agent: InstanceId, announce: Announce, now_s: float) -> bool:
+        """Take an announcement; return whether the incarnation is a new one."""
+        known = self._incarnations.setdefault(agent.name, [])
+        is_new = agent.incarnation not in known
+        if is_new:
+            known.insert(0, agent.incarnation)
+            del known[INCARNATIONS_MAX:]
+        # A late announcement of an earlier life must not bring it back.
+        if agent.incarnation == known[0]:
+            self._views[agent.name] = AgentView(
+                agent=agent,
+                announce=announce,
+                heard_s=now_s,
+                listed_leaving=agent.name in self._leaving,
+            )
+        return is_new
 
     def listed_leaving(self, names: frozenset[str]) -> None:
         """Note which agents the platform's list says are leaving."""
