Read the services stream in short pages

500 such records would be longer than the HTTP client takes, so a new daemon could never read past it where the log doesn't bound its answers itself.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -16,5 +16,12 @@
     Then the other entry has the edit in force
     And a losing edit from version 1 changes nothing
 
+  Scenario: The stream is longer than one answer of the log may be
+    Snapshots of many services are long, and the log keeps many of them. Asked for
+    all at once, its answer would be too long to take, again and again, and a new
+    daemon would never get to its end.
+    Given a log with 60 records of 256 KiB, then a document, and answers of any length
+    Then a new reader has the document in force
+
   Scenario: No bytes from outside stop the fold
     Then random payloads as records, and passed on by daemons, are only counted
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -3,14 +3,23 @@
 
 from behave import given, then, when
 from hypothesis import strategies
+from result import Err
 
 from features.deployment import Deployment
 from features.helper import JSON, fuzz
-from features.memorylog import document
+from features.memorylog import MemoryLog, document
 from features.processes import ROOT, wait_until
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.documents import DocumentFold
-from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog, LogRecord
+from lavenderspoke.edits import encode_edit, new_edit
+from lavenderspoke.history import DocumentHistory
+from lavenderspoke.httpclient import ANSWER_BYTES_MAX
+from lavenderspoke.platformlog import (
+    SERVICES_STREAM,
+    HttpLog,
+    LogRecord,
+    LogUnavailable,
+)
 from lavenderspoke.publisher import PublishConflict, Publisher
 
 LIMIT_S = 30.0
@@ -90,6 +99,47 @@
     assert in_force(context, "entry-2") == context.edited
 
 
+class UnboundedLog(MemoryLog):
+    """A log that answers with all it is asked for, to a client that won't take it."""
+
+    def read(self, **wanted):
+        page = super().read(**wanted)
+        size = sum(len(each.payload) for each in page.unwrap().records) * 4 // 3
+        if size > ANSWER_BYTES_MAX:
+            return Err(LogUnavailable(detail="answer too long"))
+        return page
+
+
+@given(
+    "a log with {count:d} records of {size:d} KiB, then a document, "
+    "and answers of any length"
+)
+def step_long_log(context, count, size):
+    context.log = UnboundedLog()
+    for number in range(count):
+        context.log.append(
+            stream=SERVICES_STREAM, record_id=str(number), payload=bytes(size * 1024)
+        )
+    edit = new_edit(
+        service="alerts",
+        base=0,
+        text=document(),
+        author="ana",
+        now=SystemClock().now(),
+    )
+    appended = context.log.append(
+        stream=SERVICES_STREAM, record_id="edit", payload=encode_edit(edit)
+    )
+    context.version = appended.unwrap()
+
+
+@then("a new reader has the document in force")
+def step_read_long_log(context):
+    history = DocumentHistory(log=context.log)
+    history.refresh().unwrap()
+    assert history.fold.versions() == {"alerts": context.version}
+
+
 def nearly_records():
     """Return payloads that are records but for some value in them."""
     edit = {"service": "alerts", "base": 0, "text": document(), "author": "", "at": ""}
--- a/lavenderspoke/documentfeed.py
+++ b/lavenderspoke/documentfeed.py
@@ -10,6 +10,7 @@
 from lavenderspoke.agentevents import DocumentInForce
 from lavenderspoke.clock import Clock
 from lavenderspoke.documents import DocumentChange, DocumentFold
+from lavenderspoke.edits import READ_LIMIT
 from lavenderspoke.messages import DocumentRelay
 from lavenderspoke.platformlog import SERVICES_STREAM, Log
 from lavenderspoke.service import Service
@@ -42,7 +43,9 @@
     def poll(self) -> None:
         """Read the stream to its end, and carry documents forward when due."""
         while True:
-            page = self._log.read(stream=SERVICES_STREAM, offset=self._next_offset())
+            page = self._log.read(
+                stream=SERVICES_STREAM, offset=self._next_offset(), limit=READ_LIMIT
+            )
             if isinstance(page, Err):
                 self.read_failures += 1
                 self.reading = False
--- a/lavenderspoke/edits.py
+++ b/lavenderspoke/edits.py
@@ -15,6 +15,10 @@
 
 DOCUMENT_BYTES_MAX = 256 * 1024
 NO_VERSION = 0
+# Records asked for at once. A snapshot of 500 services takes about 0.6 MB, and an
+# answer that is longer than the HTTP client takes would be lost each time: a
+# daemon could never read past it.
+READ_LIMIT = 16
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/history.py
+++ b/lavenderspoke/history.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.documents import Conflict, DocumentFold, InForce
+from lavenderspoke.edits import READ_LIMIT
 from lavenderspoke.platformlog import SERVICES_STREAM, Log, LogError
 
 
@@ -38,7 +39,9 @@
         self.fold.caught_up = False
         while not self.fold.caught_up:
             read = self._log.read(
-                stream=SERVICES_STREAM, offset=self.fold.next_offset
+                stream=SERVICES_STREAM,
+                offset=self.fold.next_offset,
+                limit=READ_LIMIT,
             ).map_err(_unavailable)
             if isinstance(read, Err):
                 return read
