Shed lower tiers before the callers' threads run out

Cause: each request, waiting ones too, holds a thread of the callers' server. With all of them taken the server refuses whoever comes next, whatever its tier, while lower tiers wait.

--- a/features/deployment.py
+++ b/features/deployment.py
@@ -202,12 +202,16 @@
         process.wait_ready(lambda: accepts(port), "serves its status")
         return process
 
-    def entry(self, name: str, **changes) -> Process:
-        """Start an entry."""
+    def entry(self, name: str, threads: int = 200, **changes) -> Process:
+        """Start an entry with so many threads for its callers."""
         ports = Ports(peers=free_port(), status=free_port(), callers=free_port())
         self.ports[name] = ports
         settings = self._base_settings(name, ports)
-        settings["callers"] = {"host": HOST, "port": ports.callers}
+        settings["callers"] = {
+            "host": HOST,
+            "port": ports.callers,
+            "threads": threads,
+        }
         if self.proxy is not None:
             self._link("log", self.log.port)
             log_url = self.links["log"].replace("tcp://", "http://")
--- a/features/steps/tiers_steps.py
+++ b/features/steps/tiers_steps.py
@@ -39,6 +39,17 @@
     context.timed = {}
 
 
+@given("one entry with {threads:d} threads before one engine with 1 slot")
+def step_few_threads(context, threads):
+    deployment = deploy(context)
+    deployment.publish(document("narrative", "model"))
+    deployment.entry("entry-1", threads=threads)
+    engine = deployment.stage.engine("engine-1", "--step-ms", "30", "--slots", "1")
+    deployment.agent("agent-1", "narrative", engine, slots_max=1)
+    deployment.wait_ready()
+    context.timed = {}
+
+
 def send(context, tier: str, entry: str) -> None:
     label = f"{tier} {len(context.timed)}"
     timed = context.timed[label] = Timed(tier=tier, sent_s=time.monotonic())
@@ -121,6 +132,17 @@
     assert sorted(shed(context, "report")) == sorted(reports)
 
 
+@then("every {tier} was answered whole")
+def step_tier_whole(context, tier):
+    for label, timed in context.timed.items():
+        assert timed.tier != tier or answered(context, label), label
+
+
+@then("some {tier}s were shed")
+def step_tier_shed(context, tier):
+    assert shed(context, tier)
+
+
 def answered(context, label: str) -> bool:
     sent = context.sending.results[label]
     return sent.status == 200 and sent.whole
--- a/features/tiers.feature
+++ b/features/tiers.feature
@@ -36,3 +36,16 @@
     When process entry-2 is resumed
     Then every request has its end
     And no promise is broken
+
+  Scenario: The callers' threads run short before the queue does
+    Each request holds a thread of the callers' server. Without threads the
+    server could only refuse whoever comes next, an alert like a report; so the
+    entry sheds reports while it still has threads to take the alerts.
+    Given one entry with 20 threads before one engine with 1 slot
+    When 1 alert is sent through entry-1 and runs
+    And 14 reports are sent through entry-1 and wait
+    And 8 alerts are sent through entry-1
+    Then every request has its end
+    And every alert was answered whole
+    And some reports were shed
+    And no promise is broken
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -80,6 +80,7 @@
             random=Random(),
             new_id=new_id,
             policy=entry_policy(settings.policy),
+            requests_max=settings.callers.threads,
             now_s=self.clock.monotonic_s(),
         )
 
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -28,6 +28,8 @@
 KEY_REFUSALS = frozenset({"stale_stamp", "key_held", "claim_lost"})
 # How often timers are looked at while requests are here.
 CHECK_S = 0.02
+# What an entry holds where nobody says how many threads its callers have.
+REQUESTS_MAX = 100_000
 # Sending again is pointless for these.
 FINAL_REASONS = frozenset(
     {
@@ -64,7 +66,8 @@
 class EntryCore:
     """The entry holds each waiting request and sees it to its answer.
 
-    `random` spreads callers' returns; `new_id` names reads and rounds. Feed it
+    `random` spreads callers' returns; `new_id` names reads and rounds;
+    `requests_max` is how many requests it can hold at all. Feed it
     an event and the time; carry out the actions it returns in order; call it
     again no later than `next_due_s()`.
     """
@@ -77,6 +80,7 @@
         random: Random,
         new_id: Callable[[], str],
         policy: EntryPolicy = EntryPolicy(),
+        requests_max: int = REQUESTS_MAX,
         now_s: float = 0.0,
     ):
         self.identity = identity
@@ -88,7 +92,9 @@
         self.roster = Roster(lease_s=times.roster_lease_s)
         self.draining = False
         self.intake = Intake(services=self.services)
-        self.room = MakingRoom(requests=self.requests, peers=self.peers)
+        self.room = MakingRoom(
+            requests=self.requests, peers=self.peers, requests_max=requests_max
+        )
         self.service_messages = ServiceMessages(
             services=self.services,
             agents=self.agents,
@@ -322,7 +328,8 @@
 
     def _offer(self, state, tracked, warm: dict[str, int], now_s: float) -> list:
         agents = self.agents.of(state.service.name)
-        actions = self.room.make_room(state, now_s) if state.is_full() else []
+        is_short = state.is_full() or self.room.is_short()
+        actions = self.room.make_room(state, now_s) if is_short else []
         if self._policy.dispatching is not Dispatching.PULL:
             return actions + self._push(state, agents, now_s)
         return actions + state.demand.arrived(
--- a/lavenderspoke/makingroom.py
+++ b/lavenderspoke/makingroom.py
@@ -13,20 +13,35 @@
 from lavenderspoke.tracked import Tracked, TrackedRequests
 from lavenderspoke.views import PeerViews
 
+# Room is made from this part of what an entry can hold. Each request holds one
+# of the callers' threads; once those are gone the HTTP server can only refuse
+# whoever comes next, a high tier like a low one.
+FULL_PART = 0.8
+
 
 @attrs.define(kw_only=True)
 class MakingRoom:
-    """What an entry drops; every drop is a final answer to its caller."""
+    """What an entry drops; every drop is a final answer to its caller.
+
+    `requests_max` is what the entry can hold, waiting or with an agent.
+    """
 
     requests: TrackedRequests
     peers: PeerViews
+    requests_max: int
 
     def make_room(self, state: ServiceState, now_s: float) -> list:
         """Drop the lowest work while too much waits, as the floors allow."""
-        dropped, actions = state.victims(now_s, self.peers.ids())
+        excess = len(self.requests) - int(self.requests_max * FULL_PART)
+        is_forced = len(self.requests) >= self.requests_max
+        dropped, actions = state.victims(now_s, self.peers.ids(), excess, is_forced)
         ended = [self.refuse(each.call.request_id, Reason.SHED) for each in dropped]
         return self.carry_out(actions) + ended
 
+    def is_short(self) -> bool:
+        """Return whether the entry holds nearly as much as it can."""
+        return len(self.requests) > self.requests_max * FULL_PART
+
     def carry_out(self, actions: list[DropBelow | Send]) -> list:
         """Carry out what the floors ask for."""
         done = []
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -111,21 +111,25 @@
             or self.queue.bytes > limits.bytes_max * HARD_LIMIT
         )
 
-    def victims(self, now_s: float, peers: set[InstanceId]) -> tuple[list, list]:
+    def victims(
+        self, now_s: float, peers: set[InstanceId], excess: int, is_forced: bool
+    ) -> tuple[list, list]:
         """Return the requests to drop for want of room, and other actions.
 
+        `excess` is what the entry holds too much of, over all its services.
+
         The lowest tier goes first, here and at every other entry: before work
         is dropped of a tier that isn't the lowest, the peers must have dropped
         theirs below it.
         """
         dropped, actions = [], []
-        while self.is_full():
+        while len(self.queue) and (self.is_full() or len(dropped) < excess):
             victim = self.queue.lowest_victim(ANY_RANK)
             rank = victim.call.tier
             if self.policy.service_wide_shedding:
                 actions += self.floors.want_room(rank, now_s, peers)
                 allowed = self.floors.may_drop(rank, now_s)
-                if not allowed and not self.is_overfull():
+                if not (allowed or is_forced or self.is_overfull()):
                     break
             dropped.append(self.queue.remove(victim.call.request_id))
         return dropped, actions
