Tell agents once in five heartbeats what their demand says already

Cause: an entry sent each agent two messages a heartbeat, and both say that it lives. Change: the announcement goes to agents every fifth heartbeat; a demand from a new incarnation is answered like one.

--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -270,8 +270,8 @@
 
     @_from.register
     def _(self, message: messages.Demand, sender, now_s) -> list:
-        self.puller.demand(sender, message.waiting, now_s)
-        return []
+        is_new = self.puller.demand(sender, message.waiting, now_s)
+        return self._welcome(sender) if is_new else []
 
     @_from.register
     def _(self, message: messages.PullDone, sender, now_s) -> list:
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -30,6 +30,8 @@
 CHECK_S = 0.02
 # What an entry holds where nobody says how many threads its callers have.
 REQUESTS_MAX = 100_000
+# Heartbeats between two announcements to an agent.
+ANNOUNCE_EVERY = 5
 # Sending again is pointless for these.
 FINAL_REASONS = frozenset(
     {
@@ -110,6 +112,7 @@
         self._policy = policy
         self._listed_entries: tuple[str, ...] = ()
         self._check_due_s = now_s
+        self._heartbeats = 0
         self._heartbeat_due_s = now_s
 
     # Driving
@@ -201,18 +204,25 @@
         for peer in self.peers.expire(now_s):
             for state in self.services.values():
                 state.floors.peer_lost(peer.name)
-        actions += self._announce(self._everyone())
+        # Demand says as well that this entry lives, so agents need the longer
+        # announcement less often.
+        self._heartbeats += 1
+        to_agents = self._heartbeats % ANNOUNCE_EVERY == 0
+        actions += self._announce(self._everyone() if to_agents else self._entries())
         for state in self.services.values():
             agents = self.agents.of(state.service.name)
             actions += state.demand.refresh(state.queue, agents)
         return actions
 
     def _everyone(self) -> list[InstanceId]:
+        return [view.agent for view in self.agents.all()] + self._entries()
+
+    def _entries(self) -> list[InstanceId]:
         known = self.peers.ids()
         names = {peer.name for peer in known}
         listed = [name for name in self._listed_entries if name not in names]
         unknown = [InstanceId(name=name, incarnation="") for name in listed]
-        return [view.agent for view in self.agents.all()] + list(known) + unknown
+        return list(known) + unknown
 
     def _announce(self, recipients: list[InstanceId]) -> list[Send]:
         message = messages.EntryAnnounce(
--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -76,12 +76,13 @@
         view.address = address or view.address
         return is_new
 
-    def demand(self, entry: InstanceId, waiting: dict[int, int], now_s: float) -> None:
-        """Note what waits in an entry."""
-        self.heard(entry, now_s)
+    def demand(self, entry: InstanceId, waiting: dict[int, int], now_s: float) -> bool:
+        """Note what waits in an entry; return whether its incarnation is new."""
+        is_new = self.heard(entry, now_s)
         self._entries[entry.name].waiting = {
             rank: count for rank, count in waiting.items() if count > 0
         }
+        return is_new
 
     def waiting(self) -> dict[int, int]:
         """Return what waits in all entries, by tier."""
