Specify publishing and documents in force; fit the models to the nonces

The grant model had a record of each refusal; the code names the nonce in every answer and burns it, so the model does too, and the switches follow.

--- a/spec/check.py
+++ b/spec/check.py
@@ -21,11 +21,11 @@
 import attrs
 
 HERE = pathlib.Path(__file__).resolve().parent
-MODELS = ("grant", "resend")
+MODELS = ("grant", "resend", "publish", "documents")
 AT_ONCE = 4
 DEPTH_MAX = 2_000_000
 MEMORY_MAX_MB = 4096
-SEARCH_MAX_S = 170
+SEARCH_MAX_S = 600
 SWITCH = re.compile(r"^ \*   (WITHOUT_\w+)\s", re.MULTILINE)
 SHAPE = re.compile(r"^ \*   (SHAPE_\w+)\s", re.MULTILINE)
 BOUNDS = re.compile(r"^ \* Bounds: (.*?)\.$", re.MULTILINE | re.DOTALL)
--- a/spec/resend.pml
+++ b/spec/resend.pml
@@ -27,10 +27,10 @@
  *   WITHOUT_HANDOVER          the leave record follows the taken ledger
  *   WITHOUT_STOP_FIRST        the ledger is handed over after accepting has ended
  *   WITHOUT_FENCE             a key claimed for one send refuses the grants of others
- *   WITHOUT_TOMBSTONE         a refused or revoked grant leaves a NEVER record of its
- *                             request id, which outlives the claim it lost against
- *   WITHOUT_KEPT_CLAIMS       a re-send told "not run" keeps its claims; one that
- *                             gives them back is told "unknown"
+ *   WITHOUT_BURN              a refused or revoked grant burns its nonce for the
+ *                             request, which outlasts the claim that it lost against
+ *   WITHOUT_UNKNOWN_RESEND    a dropped re-send gives its claims back and is told
+ *                             "unknown", since an earlier send may then run
  *   WITHOUT_UNGRANTED         a claim is given back only by a send whose grants were
  *                             all refused or revoked
  *   WITHOUT_CLAIMING_FIRST    a first send refused for its stamp goes on only by
@@ -45,8 +45,8 @@
  *   SHAPE_THREE_SENDS_RESTART  a restart and a joining agent
  *   SHAPE_THREE_SENDS_LEAVING  a joining agent and clean leaves
  *
- * A send is granted once at most to one incarnation (see grant.pml), so a first
- * send that turns to claiming after a refusal goes on under a new request id.
+ * A send is granted once at most to one incarnation here; that a nonce tells a new
+ * grant from a late copy of an older one is grant.pml's part.
  *
  * Property: at most one dispatch of the key; when a send is told "not run", no
  * send up to it is ever dispatched.
@@ -63,7 +63,7 @@
 #define PAIRS 9
 #define AT(s, i) ((s) * INCARNATIONS + (i))
 
-/* A ledger's record of the key, as a set: handed ledgers are merged. */
+/* A ledger's record of the key. */
 #define CLAIMED(s) (1 << (s))
 #define DISPATCHED(s) (8 << (s))
 
@@ -83,7 +83,7 @@
 
 mtype:life life[INCARNATIONS] = ABSENT;
 byte ledger[INCARNATIONS];
-bool tombstone[PAIRS]; /* NEVER records by request id */
+bool burnt[PAIRS];
 
 byte roster_end = 1;
 byte join_at[INCARNATIONS]; /* offset of the join record, 0 for none */
@@ -163,14 +163,16 @@
     place[s] = GRANTED
 }
 
+#ifdef WITHOUT_UNKNOWN_RESEND
+#define TELLS_NOT_RUN(s) (true)
+#else
+#define TELLS_NOT_RUN(s) (s == 0)
+#endif
+
 inline tell_not_run() {
     not_run[s] = true;
     assert((ran & ((2 << s) - 1)) == 0);
-#ifdef WITHOUT_KEPT_CLAIMS
     unclaim[s] = true;
-#else
-    unclaim[s] = (s == 0);
-#endif
     end_send()
 }
 
@@ -198,7 +200,8 @@
         fi; i = 0 }
     :: atomic { place[s] == GRANTED && refused[AT(s, holder[s])] ->
         place[s] = (claiming[s] -> HOLDING : WAITING); holder[s] = 0 }
-    :: atomic { place[s] == WAITING || place[s] == HOLDING -> tell_not_run(); break }
+    :: atomic { (place[s] == WAITING || place[s] == HOLDING) && TELLS_NOT_RUN(s) ->
+        tell_not_run(); break }
     :: atomic { place[s] == CLAIMING || place[s] == HOLDING || GIVES_BACK ->
         unclaim[s] = true; end_send(); break }
     :: atomic { place[s] == GRANTED -> end_send(); break }
@@ -214,8 +217,8 @@
 }
 
 inline refuse(s) {
-#ifndef WITHOUT_TOMBSTONE
-    tombstone[AT(s, i)] = true;
+#ifndef WITHOUT_BURN
+    burnt[AT(s, i)] = true;
 #endif
     refused[AT(s, i)] = true
 }
@@ -245,7 +248,7 @@
     :: ledger[i] & DISPATCHED(s)
     :: else ->
         if
-        :: ACCEPTS && !tombstone[AT(s, i)] && STAMPED(s) && FREE(s) -> dispatch(s)
+        :: ACCEPTS && !burnt[AT(s, i)] && STAMPED(s) && FREE(s) -> dispatch(s)
         :: !refused[AT(s, i)] -> refuse(s) /* also for want of room, or revoked */
         :: else
         fi
@@ -264,7 +267,10 @@
 inline hand_over(h) {
     heir[i] = h;
 #ifndef WITHOUT_HANDOVER
-    ledger[h] = ledger[h] | ledger[i];
+    if /* a run goes before a claim, an own claim before a handed one */
+    :: ledger[h] >= DISPATCHED(0) || (ledger[h] != 0 && ledger[i] < DISPATCHED(0))
+    :: else -> ledger[h] = (ledger[i] != 0 -> ledger[i] : ledger[h])
+    fi;
 #endif
     life[i] = HANDED
 }
