Specify shedding across entries, and check it with Spin

Dropping a high tier while a lower one waits elsewhere is the one mistake that shedding may not make.

--- a/spec/check.py
+++ b/spec/check.py
@@ -21,7 +21,7 @@
 import attrs
 
 HERE = pathlib.Path(__file__).resolve().parent
-MODELS = ("grant", "resend", "publish", "documents")
+MODELS = ("grant", "resend", "publish", "documents", "shedding")
 AT_ONCE = 4
 DEPTH_MAX = 2_000_000
 MEMORY_MAX_MB = 4096
