Test re-sends and silence with a second agent that could run the payment

Cause: with one agent its ledger alone keeps a payment from running twice, so the tests could not notice a missing claim, stamp, fresh read, join or patience. Change: five scenarios with two agents.

--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -144,3 +144,79 @@
     Then the last payment is answered whole
     And payment "a" ran once
     And no promise is broken
+
+  Scenario: A payment is sent again while another agent could run it
+    The first send runs at one agent; its entry is killed. The other agent has
+    room and knows nothing of the key, so only the claim at the first one tells
+    the re-send that the payment runs.
+    Given two entries before two payment services
+    And each payment takes 2 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And process entry-1 is killed
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: An agent joins between a payment and the end of its re-send
+    The first send waits in an entry that is paused. Its re-send claims the key
+    at the one agent there is, and waits too. Then an agent joins, which the
+    re-send did not ask. When the paused entry wakes, the new agent refuses the
+    first send for its stamp: otherwise both would run.
+    Given two entries before a payment service with 1 slot
+    And each payment takes 3 s
+    When payment "a" is sent through entry-2 with key "ka"
+    And payment "a" has begun to run
+    And payment "b" is sent through entry-1 with key "kb"
+    And process entry-1 holds 1 waiting payment
+    And process entry-1 is paused
+    And payment "b" is sent again through entry-2 with key "kb"
+    And process entry-2 holds 1 waiting payment
+    And agent-q has joined with a payment service of its own
+    And process entry-1 is resumed
+    Then every payment is answered whole
+    And payment "b" ran once
+    And no promise is broken
+
+  Scenario: The other entry has not read the roster for long
+    An agent joined and ran the payment, and then its entry died. The other
+    entry's roster is old; it reads it anew for the re-send, learns of the agent,
+    asks it, and is given the answer.
+    Given two entries, of which entry-2 reads the log once, before a payment service
+    When agent-q has joined with a payment service of its own
+    And process agent-p is told to stop and has ended
+    And payment "a" is sent through entry-1 with key "ka"
+    Then the last payment is answered whole
+    When process agent-p is started again
+    And process entry-1 is killed
+    And payment "a" is sent again through entry-2 with key "ka"
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
+
+  Scenario: An agent that could not join runs no keyed payment
+    The log is down when the agent starts, so no re-send would know to ask it.
+    It runs what has no key, and refuses what has one until it has joined.
+    Given two entries before a payment service with 1 slot
+    When the log goes down
+    And agent-q starts with a payment service of its own
+    And 4 payments are sent through entry-1
+    Then every payment is answered whole
+    And agent-q has refused some grants because it has not joined
+    And agent-q has run nothing
+    And no promise is broken
+
+  Scenario: A paused agent's payment is not given to another
+    The agent is frozen after it dispatched; its silence proves nothing. The
+    other agent has room, and must not be given the payment.
+    Given two entries before two payment services
+    And each payment takes 1 s
+    When payment "a" is sent through entry-1 with key "ka"
+    And payment "a" has begun to run
+    And the agent that runs payment "a" is paused
+    And process entry-1 has asked again 8 times
+    And the agent that runs payment "a" is resumed
+    Then the last payment is answered whole
+    And payment "a" ran once
+    And no promise is broken
--- a/features/deployment.py
+++ b/features/deployment.py
@@ -202,7 +202,9 @@
         process.wait_ready(lambda: accepts(port), "serves its status")
         return process
 
-    def entry(self, name: str, threads: int = 200, **changes) -> Process:
+    def entry(
+        self, name: str, threads: int = 200, poll_s: float = 0.2, **changes
+    ) -> Process:
         """Start an entry with so many threads for its callers."""
         ports = Ports(peers=free_port(), status=free_port(), callers=free_port())
         self.ports[name] = ports
@@ -212,6 +214,7 @@
             "port": ports.callers,
             "threads": threads,
         }
+        settings["platform"] |= {"poll_s": poll_s}
         if self.proxy is not None:
             self._link("log", self.log.port)
             log_url = self.links["log"].replace("tcp://", "http://")
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -8,6 +8,7 @@
 from features.processes import post_json, wait_until
 
 WAIT_S = 30.0
+HOUR_S = 3600.0
 
 
 def deploy(context, *, proxied: bool = False, **settings) -> Deployment:
@@ -40,9 +41,22 @@
     start_payments(context, slots, proxied=True)
 
 
+@given("two entries, of which entry-2 reads the log once, before a payment service")
+def step_slow_reader(context):
+    deployment = deploy(context)
+    deployment.publish(document("ticketing", "plain"))
+    deployment.entry("entry-1")
+    plain = deployment.stage.plain("plain-1")
+    deployment.agent("agent-p", "ticketing", plain)
+    deployment.wait_ready()
+    deployment.entry("entry-2", poll_s=HOUR_S)
+    deployment.wait_ready()
+
+
 @given("each payment takes {seconds:g} s")
 def step_slow_payments(context, seconds):
-    context.deployment.upstreams["plain-1"].set_faults(delay_s=seconds)
+    for upstream in context.deployment.upstreams.values():
+        upstream.set_faults(delay_s=seconds)
 
 
 def send_payment(context, order, entry, **headers) -> None:
@@ -135,14 +149,26 @@
     context.deployment.set_link("log", refuse=True, cut=True)
 
 
-@when("{agent} joins with a payment service of its own")
-def step_joins(context, agent):
+@when("{agent} starts with a payment service of its own")
+def step_starts(context, agent):
     deployment = context.deployment
     plain = deployment.stage.plain(f"plain-of-{agent}")
     deployment.agent(agent, "ticketing", plain, slots_max=4)
+    wait_until(lambda: deployment.status(agent)["upstream_up"], WAIT_S, "it serves")
+
+
+@when("{agent} has joined with a payment service of its own")
+def step_has_joined(context, agent):
+    step_starts(context, agent)
+    deployment = context.deployment
     wait_until(
         lambda: deployment.status(agent)["join_offset"] >= 0, WAIT_S, f"{agent} joins"
     )
+
+
+@when("{agent} joins with a payment service of its own")
+def step_joins(context, agent):
+    step_has_joined(context, agent)
     for entry in ("entry-1", "entry-2"):
         wait_until(lambda: sees(context, entry, agent), WAIT_S, f"{entry} sees it")
 
@@ -163,6 +189,11 @@
     assert context.deployment.counter(agent, "grants_refused", "stale_stamp")
 
 
+@then("{agent} has refused some grants because it has not joined")
+def step_refused_not_joined(context, agent):
+    assert context.deployment.counter(agent, "grants_refused", "not_joined")
+
+
 @when("the log goes down")
 def step_log_down(context):
     context.deployment.log.set_faults(mode="down")
--- a/features/steps/graceful_steps.py
+++ b/features/steps/graceful_steps.py
@@ -44,15 +44,39 @@
     assert found == status, f"{name} ended with {found}"
 
 
-@when('the agent that ran payment "{order}" is told to stop and has ended')
-def step_stop_runner(context, order):
-    upstreams = context.deployment.upstreams
-    runner = next(n for n, each in upstreams.items() if each.counts()["runs"])
-    process = context.deployment.process(runner.replace("plain", "agent"))
+def stop_and_wait(process) -> None:
     process.terminate()
     assert process.wait(timeout_s=WAIT_S) == 0
 
 
+def runner(context):
+    """Return the agent whose upstream has run something."""
+    upstreams = context.deployment.upstreams
+    name = next(n for n, each in upstreams.items() if each.counts()["runs"])
+    return context.deployment.process(name.replace("plain", "agent"))
+
+
+@when('the agent that ran payment "{order}" is told to stop and has ended')
+def step_stop_runner(context, order):
+    stop_and_wait(runner(context))
+
+
+@when("process {name} is told to stop and has ended")
+def step_stop_process(context, name):
+    stop_and_wait(context.deployment.process(name))
+
+
+@when('the agent that runs payment "{order}" is paused')
+def step_pause_runner(context, order):
+    context.paused = runner(context)
+    context.paused.pause()
+
+
+@when('the agent that runs payment "{order}" is resumed')
+def step_resume_runner(context, order):
+    context.paused.resume()
+
+
 @when("the member list says that {name} is leaving")
 def step_listed_leaving(context, name):
     context.deployment.list_members(**{name.replace("-", "_"): True})
@@ -80,7 +104,10 @@
 
 
 def runs_of(context, name: str) -> int:
-    return sum(context.deployment.upstreams[name].counts()["runs"].values())
+    """Return the runs of an upstream, or of the one beside an agent."""
+    upstreams = context.deployment.upstreams
+    upstream = upstreams.get(name) or upstreams[f"plain-of-{name}"]
+    return sum(upstream.counts()["runs"].values())
 
 
 @then("{name} has run nothing")
