Hold to the entry's own limits on headers and bodies; split the callers' modules

The settings callers.header_bytes_max and body_bytes_max were checked on load and then not used. They now reach the server.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -105,6 +105,16 @@
       | with their length       |
       | in chunks of 1000 bytes |
 
+  Scenario Outline: The entry's own limits hold below the service's
+    Given a callers' server with limits of 100 body bytes and 1024 header bytes
+    When a caller posts to "/tickets/x" with the header X-Long: <header> and the body "<body>"
+    Then the caller is refused with <status> "<reason>", ran "no" and Retry-After "none"
+
+    Examples:
+      | header | body  | status | reason            |
+      | short  | {200} | 413    | body_too_large    |
+      | {2000} | short | 431    | headers_too_large |
+
   Scenario: A chunked body is put together
     When a caller sends 3000 bytes in chunks of 1000 bytes
     Then the gateway has 1 arrivals
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -1,5 +1,6 @@
 import io
 import json
+import re
 import select
 import ssl
 import tempfile
@@ -79,6 +80,16 @@
     return data
 
 
+def fill(text):
+    """Put that many letters in the place of a number in braces."""
+    return re.sub(r"\{(\d+)\}", lambda match: "x" * int(match[1]), text)
+
+
+@given("a callers' server with limits of {body:d} body bytes and {head:d} header bytes")
+def step_limits(context, body, head):
+    start_callers(context, body_bytes_max=body, header_bytes_max=head)
+
+
 @given("a callers' server over a fake gateway")
 def step_server(context):
     start_callers(context)
@@ -114,7 +125,8 @@
 
 @when('a caller posts to "{path}" with the header {header} and the body "{body}"')
 def step_posts_header(context, path, header, body):
-    name, _, value = header.partition(":")
+    name, _, value = fill(header).partition(":")
+    body = fill(body)
     if name == "Content-Length":
         post(context, path, body=body.encode(), length=value.strip())
     else:
@@ -123,7 +135,7 @@
 
 @when('a caller sends the raw bytes "{text}"')
 def step_sends_raw(context, text):
-    text = text.replace("{40000}", "x" * 40_000).replace("\\r\\n", "\r\n")
+    text = fill(text).replace("\\r\\n", "\r\n")
     context.response = exchange(context.server.port, text.encode())
 
 
--- a/lavenderspoke/callers.py
+++ b/lavenderspoke/callers.py
@@ -3,189 +3,29 @@
 import json
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import attrs
 
-from lavenderspoke import arrivals, problempage
-from lavenderspoke.answerstream import AnswerStream, StartResponse
-from lavenderspoke.arrivals import Admission, ArrivalBuilder, CallerRequest, refusal
+from lavenderspoke import problempage
+from lavenderspoke.answerstream import StartResponse
+from lavenderspoke.arrivals import ArrivalBuilder
+from lavenderspoke.callerapp import BODY_BYTES_MAX, CallerApp
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
-from lavenderspoke.gateway import Answer, Arrival, Gateway
+from lavenderspoke.gateway import Gateway
 from lavenderspoke.httpserver import (
-    REQUEST_KEY,
+    HEADER_BYTES_MAX,
     REQUEST_READ_S,
-    BodyBroken,
-    BodyTooLarge,
-    CallerHttpRequest,
     HttpServer,
     Tls,
-    read_body,
 )
 from lavenderspoke.metrics import Metrics
-from lavenderspoke.model import Ran
-from lavenderspoke.problems import Problem, Reason
 
 CALLER_THREADS = 256
 STATUS_THREADS = 4
 DRAIN_S = 60.0
 DRAIN_POLL_S = 0.05
-DRAIN_RETRY_S = 1.0
-CALLER_ANSWERS = "caller_answers"
-ANSWER_LATENCY = "answer"
-FIRST_BYTE_LATENCY = "first_byte"
-
-
-class CallerApp:
-    """The WSGI application that turns callers' requests into answers."""
-
-    def __init__(
-        self,
-        *,
-        gateway: Gateway,
-        metrics: Metrics,
-        clock: Clock,
-        builder: ArrivalBuilder,
-        watch: CallerWatch,
-    ):
-        self.draining = False
-        self._gateway = gateway
-        self._metrics = metrics
-        self._clock = clock
-        self._builder = builder
-        self._watch = watch
-        self._in_flight: dict[AnswerStream, Answer] = {}
-        self._lock = threading.Lock()
-
-    def in_flight(self) -> int:
-        """Return the number of answers that are awaited or being written."""
-        with self._lock:
-            return len(self._in_flight)
-
-    def abandon_all(self) -> None:
-        """Cut off the answers that are left when draining has taken too long."""
-        with self._lock:
-            answers = list(self._in_flight.values())
-        for answer in answers:
-            answer.abandon()
-
-    def count_problem(self, problem: Problem) -> None:
-        """Count an answer that is a problem."""
-        self._metrics.count(CALLER_ANSWERS, problem.reason.value)
-
-    def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
-        http_request = environ[REQUEST_KEY]
-        if self.draining:
-            http_request.close_connection = True
-            problem = refusal(Reason.DRAINING, "try another instance", DRAIN_RETRY_S)
-            return self._refuse(http_request, start_response, problem)
-        request = caller_request(http_request)
-        admitted = arrivals.admit(request, self._gateway)
-        if admitted.is_err():
-            return self._refuse(http_request, start_response, admitted.unwrap_err())
-        admission = admitted.unwrap()
-        received = self._receive(http_request, admission)
-        if isinstance(received, Problem):
-            return self._refuse(http_request, start_response, received)
-        return self._submit(http_request, start_response, admission, received)
-
-    def _receive(
-        self, http_request: CallerHttpRequest, admission: Admission
-    ) -> Arrival | Problem:
-        """Read the body and build the arrival, or say why that can't be."""
-        bytes_max = admission.service.waiting.body_bytes_max
-        try:
-            body = read_body(http_request, bytes_max)
-        except BodyTooLarge:
-            return refusal(Reason.BODY_TOO_LARGE, f"at most {bytes_max} bytes")
-        except TimeoutError:
-            return refusal(Reason.BODY_TIMEOUT, "the body came too slowly")
-        except BodyBroken as error:
-            return refusal(Reason.BAD_REQUEST, f"body: {error}")
-        built = self._builder.build(admission, body)
-        return built.unwrap() if built.is_ok() else built.unwrap_err()
-
-    def _refuse(
-        self,
-        http_request: CallerHttpRequest,
-        start_response: StartResponse,
-        problem: Problem,
-    ) -> list[bytes]:
-        """Answer at once; a body that is still to come is not waited for."""
-        self.count_problem(problem)
-        if has_unread_body(http_request):
-            http_request.close_connection = True
-            http_request.conn.linger_on_close = True
-        page = problempage.render(problem)
-        start_response(page.status, list(page.headers))
-        return [] if http_request.method == b"HEAD" else [page.body]
-
-    def _submit(
-        self,
-        http_request: CallerHttpRequest,
-        start_response: StartResponse,
-        admission: Admission,
-        arrival: Arrival,
-    ) -> AnswerStream:
-        answer = self._gateway.submit(arrival)
-        started_s = self._clock.monotonic_s()
-        labels = (admission.service.name, admission.tier.name)
-        fd = http_request.conn.socket.fileno()
-
-        def on_first_byte() -> None:
-            elapsed_s = self._clock.monotonic_s() - started_s
-            self._metrics.observe(FIRST_BYTE_LATENCY, *labels, elapsed_s)
-
-        def on_close(stream: AnswerStream) -> None:
-            self._watch.remove(fd)
-            with self._lock:
-                self._in_flight.pop(stream, None)
-            elapsed_s = self._clock.monotonic_s() - started_s
-            self._metrics.observe(ANSWER_LATENCY, *labels, elapsed_s)
-            self._metrics.count(CALLER_ANSWERS, stream.outcome)
-
-        stream = AnswerStream(
-            answer=answer,
-            start_response=start_response,
-            method=arrival.call.method,
-            whole_only=http_request.response_protocol != "HTTP/1.1",
-            on_first_byte=on_first_byte,
-            on_close=on_close,
-            abandoned=self._abandoned,
-        )
-        with self._lock:
-            self._in_flight[stream] = answer
-        self._watch.add(fd, answer.abandon)
-        return stream
-
-    def _abandoned(self) -> Problem:
-        """Return what became of an answer that was abandoned."""
-        if self.draining:
-            detail = "this instance stopped before the answer was whole"
-            return Problem(
-                reason=Reason.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=detail
-            )
-        return Problem(reason=Reason.CALLER_GONE, ran=Ran.UNKNOWN)
-
-
-def caller_request(http_request: CallerHttpRequest) -> CallerRequest:
-    """Return the request as sent, with its path and query untouched."""
-    return CallerRequest(
-        method=http_request.method.decode("latin-1"),
-        target=http_request.uri.decode("latin-1"),
-        headers=tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in http_request.inheaders.items()
-        ),
-    )
-
-
-def has_unread_body(http_request: CallerHttpRequest) -> bool:
-    """Return whether some of the request's body is still to be read."""
-    if http_request.chunked_read:
-        return not http_request.rfile.closed
-    return http_request.rfile.remaining > 0
 
 
 @attrs.define(kw_only=True)
@@ -225,6 +65,8 @@
         threads: int = CALLER_THREADS,
         tls: Tls | None = None,
         request_read_s: float = REQUEST_READ_S,
+        header_bytes_max: int = HEADER_BYTES_MAX,
+        body_bytes_max: int = BODY_BYTES_MAX,
         drain_s: float = DRAIN_S,
         builder: ArrivalBuilder = ArrivalBuilder(),
     ):
@@ -235,6 +77,7 @@
             clock=clock,
             builder=builder,
             watch=self._watch,
+            body_bytes_max=body_bytes_max,
         )
         self._drain_s = drain_s
         self._make_server = lambda: HttpServer(
@@ -244,6 +87,7 @@
             threads=threads,
             tls=tls,
             request_read_s=request_read_s,
+            header_bytes_max=header_bytes_max,
             on_problem=self._app.count_problem,
         )
         self._running: _RunningServer | None = None
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -50,6 +50,8 @@
             threads=callers.threads,
             tls=tls_files(callers.tls),
             request_read_s=callers.body_timeout_s,
+            header_bytes_max=callers.header_bytes_max,
+            body_bytes_max=callers.body_bytes_max,
             drain_s=settings.drain_s,
         )
         self.status_server = StatusServer(
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -6,7 +6,6 @@
 """
 
 import errno
-import io
 import socket
 import ssl
 import time
@@ -214,7 +213,6 @@
     """A WSGI server that refuses at once what it has no thread for."""
 
     ConnectionClass = CallerConnection
-    max_request_header_size = HEADER_BYTES_MAX
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
 
     def __init__(
@@ -226,6 +224,7 @@
         threads: int,
         tls: Tls | None = None,
         request_read_s: float = REQUEST_READ_S,
+        header_bytes_max: int = HEADER_BYTES_MAX,
         on_problem=lambda problem: None,
     ):
         super().__init__(
@@ -241,6 +240,7 @@
         )
         self.gateway = _WsgiGateway
         self.request_read_s = request_read_s
+        self.max_request_header_size = header_bytes_max
         self.on_problem = on_problem
         if tls is not None:
             self.ssl_adapter = LazyTlsAdapter(tls.certificate_file, tls.key_file)
@@ -289,53 +289,3 @@
         sock.recv(READ_BYTES)
     except (TimeoutError, ssl.SSLError):
         return
-
-
-class BodyTooLarge(Exception):
-    """A body exceeds its limit."""
-
-
-class BodyBroken(Exception):
-    """A body ended early or is malformed."""
-
-
-def read_body(request: CallerHttpRequest, bytes_max: int) -> bytes:
-    """Return a request's whole body.
-
-    Raises BodyTooLarge, BodyBroken, and TimeoutError when it came too slowly.
-    """
-    if request.chunked_read:
-        return _read_chunked(request, bytes_max)
-    length = int(request.inheaders.get(b"Content-Length", 0))
-    if length > bytes_max:
-        raise BodyTooLarge
-    try:
-        body = request.rfile.read(length)
-    except TimeoutError:
-        raise
-    except OSError as error:
-        raise BodyBroken("the connection broke") from error
-    if len(body) != length:
-        raise BodyBroken(f"{len(body)} of {length} bytes came")
-    return body
-
-
-def _read_chunked(request: CallerHttpRequest, bytes_max: int) -> bytes:
-    # Cheroot counts the chunks' framing too, hence the allowance; small chunks
-    # can't make it larger than the body.
-    request.rfile.maxlen = 2 * bytes_max + io.DEFAULT_BUFFER_SIZE
-    try:
-        body = request.rfile.read()
-    except TimeoutError:
-        raise
-    except errors.MaxSizeExceeded as error:
-        raise BodyTooLarge from error
-    except ValueError as error:
-        raise BodyBroken("malformed chunks") from error
-    except OSError as error:
-        if "Too Large" in str(error):
-            raise BodyTooLarge from error
-        raise BodyBroken("the connection broke") from error
-    if len(body) > bytes_max:
-        raise BodyTooLarge
-    return body
--- a/lavenderspoke/metrics.py
+++ b/lavenderspoke/metrics.py
@@ -159,7 +159,7 @@
     lines = []
     last = None
     for key in sorted(latencies, key=attrs.astuple):
-        metric = _metric(key.name) + "_seconds"
+        metric = _metric(key.name.removesuffix("_s")) + "_seconds"
         if key.name != last:
             lines.append(f"# TYPE {metric} summary")
         last = key.name
--- /dev/null
+++ b/lavenderspoke/requestbody.py
@@ -0,0 +1,57 @@
+"""Reading a request's body, whole or not at all."""
+
+import io
+
+from cheroot import errors
+
+from lavenderspoke.httpserver import CallerHttpRequest
+
+
+class BodyTooLarge(Exception):
+    """A body exceeds its limit."""
+
+
+class BodyBroken(Exception):
+    """A body ended early or is malformed."""
+
+
+def read_body(request: CallerHttpRequest, bytes_max: int) -> bytes:
+    """Return a request's whole body.
+
+    Raises BodyTooLarge, BodyBroken, and TimeoutError when it came too slowly.
+    """
+    if request.chunked_read:
+        return _read_chunked(request, bytes_max)
+    length = int(request.inheaders.get(b"Content-Length", 0))
+    if length > bytes_max:
+        raise BodyTooLarge
+    try:
+        body = request.rfile.read(length)
+    except TimeoutError:
+        raise
+    except OSError as error:
+        raise BodyBroken("the connection broke") from error
+    if len(body) != length:
+        raise BodyBroken(f"{len(body)} of {length} bytes came")
+    return body
+
+
+def _read_chunked(request: CallerHttpRequest, bytes_max: int) -> bytes:
+    # Cheroot counts the chunks' framing too, hence the allowance; small chunks
+    # can't make it larger than the body.
+    request.rfile.maxlen = 2 * bytes_max + io.DEFAULT_BUFFER_SIZE
+    try:
+        body = request.rfile.read()
+    except TimeoutError:
+        raise
+    except errors.MaxSizeExceeded as error:
+        raise BodyTooLarge from error
+    except ValueError as error:
+        raise BodyBroken("malformed chunks") from error
+    except OSError as error:
+        if "Too Large" in str(error):
+            raise BodyTooLarge from error
+        raise BodyBroken("the connection broke") from error
+    if len(body) > bytes_max:
+        raise BodyTooLarge
+    return body
