Drive the cores along the models' traces; mend two faults that these showed

Cause: a refusal, unlike an answer to a revocation, was believed however late, so a late copy of a grant whose run the ledger had forgotten freed the request for a second run (grant.pml WITHOUT_HOLD). And a re-send that held every claim was told "not run" when it was dropped, while its claims were given back: the first send could then be granted (resend.pml WITHOUT_UNKNOWN_RESEND). Change: both NEVER and Refused count for TRUST_S after the grant, and a dropped re-send is told "unknown". Sixteen scenarios drive one core each along the traces.

--- /dev/null
+++ b/features/model_traces.feature
@@ -0,0 +1,159 @@
+Feature: The cores follow the models along the traces that break them
+  Each scenario is a trace that Spin gives when one safeguard is taken out of a
+  model in spec/; with the safeguard in the code, the trace ends well.
+
+  Scenario: A grant that comes after its revocation is refused (grant WITHOUT_BURN)
+    The entry hears nothing, revokes, is told "never" and grants the request
+    elsewhere. Then the first grant arrives. Dispatched, it would be a second run.
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And the grant of "r1" on its pull 1 is revoked
+    And "r1" arrives on its pull 1
+    Then the traced agent said "Revoked never, Refused"
+    And "r1" was dispatched 0 times
+
+  Scenario: A doubled grant of a run is answered with Granted (grant WITHOUT_DUPLICATE)
+    A refusal would tell the entry that the request, which runs, never did.
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r1" arrives on its pull 1
+    And "r1" arrives on its pull 1
+    Then the traced agent said "Granted, Granted"
+    And "r1" was dispatched 1 times
+
+  Scenario: A late copy doesn't repeat a dispatch that never started (grant WITHOUT_ONCE)
+    The upstream refused the connection, so the entry is told that the request never
+    ran and grants it elsewhere; the late copy must not run it here as well.
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r1" arrives on its pull 1
+    And the upstream refuses the connection for "r1"
+    And "r1" arrives on its pull 1
+    Then the traced agent said "Granted, Refused, Refused"
+    And "r1" was dispatched 1 times
+
+  Scenario: A grant on an expired nonce is refused (grant WITHOUT_NONCE)
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And 2 s pass at the traced agent
+    And "r1" arrives on its pull 1
+    Then the traced agent said "Refused"
+    And "r1" was dispatched 0 times
+
+  Scenario: A stamp below the join offset is refused (resend WITHOUT_STAMP)
+    A re-send elsewhere may have read the roster before this agent joined: it asked
+    every agent but this one for the key, and may run already.
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r1" of key "k" arrives on its pull 1 with stamp 4
+    Then the traced agent said "Refused"
+    And "r1" was dispatched 0 times
+
+  Scenario: A claimed key refuses the first send's late grant, also when the claim is given back (resend WITHOUT_FENCE and WITHOUT_BURN)
+    The entry of the first send was told that its grant is refused. A copy of that
+    grant comes later, when the claim has been given back: it must stay refused.
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r2" claims key "k"
+    And "r1" of key "k" arrives on its pull 1 with stamp 5
+    And "r2" gives key "k" back
+    And "r1" of key "k" arrives on its pull 1 with stamp 5
+    Then the traced agent said "Claimed r2, Refused, Refused"
+    And "r1" was dispatched 0 times
+
+  Scenario: A claim tells of the run of the first send (resend WITHOUT_CLAIM)
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r1" of key "k" arrives on its pull 1 with stamp 5
+    And "r2" claims key "k"
+    Then the traced agent said "Granted, Claimed r1"
+
+  Scenario: Once its keys are handed over, an agent takes no claim (resend WITHOUT_STOP_FIRST)
+    The claim would be gone with the process, and the heir would promise the key to
+    another attempt: both would hold every claim.
+    Given a traced agent that joined at offset 5
+    When "r1" claims key "other"
+    And the traced agent leaves and hands its keys over
+    And "r2" claims key "k"
+    Then the traced agent said "Claimed r1"
+
+  Scenario: A late refusal of an older grant frees nothing (grant WITHOUT_NONCE_NAMED)
+    The request was refused on the first pull, granted again on the second and runs
+    there. A copy of the refusal comes late; the entry must not grant it elsewhere.
+    Given a traced entry that knows agents "a, b"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And agent "a" refuses "r1" on nonce "n1"
+    And agent "a" pulls from the traced entry on nonce "n2"
+    And agent "a" refuses "r1" on nonce "n1"
+    And agent "b" pulls from the traced entry on nonce "n3"
+    Then "r1" was granted to "a, a"
+
+  Scenario: Silence after a grant doesn't free it (grant WITHOUT_REVOKED and WITHOUT_SENDER)
+    Given a traced entry that knows agents "a, b"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And 5 s pass at the traced entry
+    And agent "b" refuses "r1" on nonce "n1"
+    And agent "b" pulls from the traced entry on nonce "n1"
+    Then "r1" was granted to "a"
+    And "a" was asked to revoke "r1"
+
+  Scenario Outline: A "<answer>" is believed only for a time (grant WITHOUT_HOLD)
+    The entry was paused for longer than the ledger remembers a run that has ended.
+    A grant's late copy, or a revocation, then finds nothing: that isn't "never ran".
+    Given a traced entry that knows agents "a, b"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And the traced entry is paused for 200 s
+    And agent "a" answers "<answer>" for "r1" on nonce "n1"
+    And agent "b" pulls from the traced entry on nonce "n2"
+    Then "r1" was granted to "a"
+    And "r1" was told that it ran "unknown"
+
+    Examples:
+      | answer        |
+      | Refused       |
+      | Revoked never |
+
+  Scenario: A dropped re-send is not told "not run" (resend WITHOUT_UNKNOWN_RESEND)
+    The re-send holds every claim and waits; nobody has run the key. It is dropped,
+    so its claims are given back. The first send, which still waits in another entry,
+    can then be granted: "not run" would have been false.
+    Given a traced entry that knows agents "a, b"
+    When re-send "r2" of key "k" comes to the traced entry
+    And the traced entry reads the roster to offset 2
+    And agents "a, b" grant the claim of "r2" on key "k"
+    And the caller's time for "r2" runs out
+    Then "a, b" were given the claim of "r2" back
+    And "r2" was told that it ran "unknown"
+
+  Scenario: A re-send is granted only when every agent of the roster has answered (resend WITHOUT_ALL_INCARNATIONS)
+    Given a traced entry that knows agents "a, b"
+    When re-send "r2" of key "k" comes to the traced entry
+    And the traced entry reads the roster to offset 2
+    And agents "a" grant the claim of "r2" on key "k"
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And 3 s pass at the traced entry
+    Then "r2" was granted to ""
+    And "r2" was told that it ran "unknown"
+
+  Scenario: A roster that can't be read makes a re-send unknown (resend WITHOUT_FRESH_READ)
+    Given a traced entry that knows agents "a, b"
+    When re-send "r2" of key "k" comes to the traced entry
+    And the traced entry can't read the roster
+    Then "r2" was granted to ""
+    And "r2" was told that it ran "unknown"
+
+  Scenario: A granted re-send that is given up keeps its claims (resend WITHOUT_UNGRANTED)
+    Its grant may still be under way. Were the claims given back, another attempt
+    could take them all and run, and then the late grant would run too.
+    Given a traced entry that knows agents "a, b"
+    When re-send "r2" of key "k" comes to the traced entry
+    And the traced entry reads the roster to offset 2
+    And agents "a, b" grant the claim of "r2" on key "k"
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And the caller's time for "r2" runs out
+    Then "r2" was granted to "a"
+    And "" were given the claim of "r2" back
+    And "r2" was told that it ran "unknown"
--- /dev/null
+++ b/features/modeltraces.py
@@ -0,0 +1,133 @@
+"""One agent's or one entry's core, driven along a trace by hand."""
+
+import itertools
+from random import Random
+
+import attrs
+
+from features.calls import make_call, make_service
+from lavenderspoke import messages
+from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
+from lavenderspoke.agentevents import Dispatch, DocumentInForce, Joined
+from lavenderspoke.core import Received, Send, Tick
+from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
+from lavenderspoke.entryevents import Arrived, Reply, RosterReached, RosterRecord
+from lavenderspoke.gateway import Arrival, Sending
+from lavenderspoke.model import InstanceId
+from lavenderspoke.roster import Join, encode
+from lavenderspoke.slots import FixedLimit
+
+SERVICE = make_service()
+ENTRY = InstanceId(name="entry", incarnation="e")
+DEADLINE_S = 500.0
+LEASE_S = 100_000.0
+
+
+def agent_id(name: str) -> InstanceId:
+    """Return an agent's only incarnation."""
+    return InstanceId(name=name, incarnation=name)
+
+
+@attrs.define(kw_only=True)
+class Trace:
+    """A core, the time, and all that it has asked to be done."""
+
+    core: AgentCore | EntryCore
+    now_s: float = 0.0
+    actions: list = attrs.field(factory=list)
+
+    def feed(self, event: object) -> list:
+        """Give the core an event; return what it asks for."""
+        done = self.core.handle(event, self.now_s)
+        self.actions += done
+        return done
+
+    def hear(self, message, sender: InstanceId = ENTRY) -> list:
+        """Let a message arrive; return the messages it sends."""
+        done = self.feed(Received(sender=sender, message=message))
+        return [action.message for action in done if isinstance(action, Send)]
+
+    def wait(self, seconds_s: float, step_s: float = 0.25) -> None:
+        """Let time pass, with a tick at every step."""
+        end_s = self.now_s + seconds_s
+        while self.now_s < end_s:
+            self.now_s = min(end_s, self.now_s + step_s)
+            self.feed(Tick())
+
+    def sent(self, kind: type) -> list[Send]:
+        """Return the messages of a kind that were sent so far."""
+        sends = [action for action in self.actions if isinstance(action, Send)]
+        return [send for send in sends if isinstance(send.message, kind)]
+
+    def dispatched(self, request_id: str) -> int:
+        """Return how often a request was handed to the upstream."""
+        dispatches = [each for each in self.actions if isinstance(each, Dispatch)]
+        return sum(each.call.request_id == request_id for each in dispatches)
+
+    def told(self, request_id: str) -> list:
+        """Return the parts of a request's answer."""
+        replies = [each for each in self.actions if isinstance(each, Reply)]
+        return [each.part for each in replies if each.request_id == request_id]
+
+
+def make_agent(join_offset: int) -> Trace:
+    """Return an agent with 9 slots that has joined and knows the entry."""
+    ids = itertools.count(1)
+    core = AgentCore(
+        identity=AgentIdentity(
+            me=agent_id("agent"),
+            service=SERVICE.name,
+            upstream="up",
+            address="a",
+            data_centre="d",
+        ),
+        times=AgentTimes(roster_lease_s=LEASE_S),
+        limit=FixedLimit(slots=9),
+        new_id=lambda: f"nonce {next(ids)}",
+    )
+    trace = Trace(core=core)
+    trace.feed(DocumentInForce(service=SERVICE, version=1))
+    trace.feed(Joined(join_offset=join_offset, since_s=0.0))
+    announce = messages.EntryAnnounce(address="e", data_centre="d")
+    trace.hear(announce)
+    return trace
+
+
+def make_entry(agents: list[str]) -> Trace:
+    """Return an entry that has heard of these agents and their join records."""
+    ids = itertools.count(1)
+    core = EntryCore(
+        identity=EntryIdentity(me=ENTRY, address="e", data_centre="d"),
+        times=EntryTimes(roster_lease_s=LEASE_S, agent_lost_s=LEASE_S),
+        random=Random(1),
+        new_id=lambda: f"id {next(ids)}",
+    )
+    trace = Trace(core=core)
+    trace.feed(DocumentInForce(service=SERVICE, version=1))
+    for offset, name in enumerate(agents, start=1):
+        who = {
+            "service": SERVICE.name,
+            "upstream": f"up {name}",
+            "address": name,
+            "data_centre": "d",
+        }
+        join = Join(agent=agent_id(name), **who)
+        trace.feed(RosterRecord(offset=offset, payload=encode(join)))
+        announce = messages.Announce(join_offset=offset, **who)
+        trace.hear(announce, agent_id(name))
+    trace.feed(RosterReached(offset=len(agents)))
+    return trace
+
+
+def keyed(request_id: str, key: str | None):
+    """Return a call, of a key if one is given."""
+    call = make_call(request_id)
+    return attrs.evolve(call, key=key, idempotent=key is None)
+
+
+def arrival(request_id: str, key: str | None, sending: Sending) -> Arrived:
+    """Return the arrival of a caller's request."""
+    call = keyed(request_id, key)
+    return Arrived(
+        arrival=Arrival(call=call, sending=sending, deadline_in_s=DEADLINE_S)
+    )
--- /dev/null
+++ b/features/steps/model_traces_steps.py
@@ -0,0 +1,245 @@
+"""Steps that drive one core along a trace of a model."""
+
+from behave import given, then, when
+
+from features.modeltraces import (
+    DEADLINE_S,
+    SERVICE,
+    agent_id,
+    arrival,
+    keyed,
+    make_agent,
+    make_entry,
+)
+from lavenderspoke import messages
+from lavenderspoke.agentevents import HeirFound, LeaveWanted, RunNotStarted
+from lavenderspoke.core import Tick
+from lavenderspoke.entryevents import ReadRoster, RosterReached, RosterReadFailed
+from lavenderspoke.gateway import Sending
+from lavenderspoke.model import Standing
+
+KEY_S = 300.0
+ANSWERS = (messages.Granted, messages.Refused, messages.Revoked, messages.Claimed)
+
+
+def split(names: str) -> list[str]:
+    return [name for name in names.split(", ") if name]
+
+
+# An agent
+
+
+@given("a traced agent that joined at offset {offset:d}")
+def step_agent(context, offset):
+    context.trace = make_agent(offset)
+    context.answers = []
+
+
+def hear(context, message) -> None:
+    for answer in context.trace.hear(message):
+        if isinstance(answer, ANSWERS):
+            context.answers.append(answer)
+
+
+def nonce(context, number: int) -> str:
+    return context.trace.sent(messages.Pull)[number - 1].message.nonce
+
+
+@when("the traced agent pulls")
+def step_pulls(context):
+    hear(context, messages.Demand(service=SERVICE.name, waiting={2: 5}))
+
+
+def grant(context, request_id, number, key=None, stamp=0) -> None:
+    message = messages.Grant(
+        nonce=nonce(context, number),
+        call=keyed(request_id, key),
+        stamp=stamp,
+        deadline_in_s=10.0,
+    )
+    hear(context, message)
+
+
+@when('"{request_id}" arrives on its pull {number:d}')
+def step_grant(context, request_id, number):
+    grant(context, request_id, number)
+
+
+@when('"{request_id}" of key "{key}" arrives on its pull {number:d} with stamp {at:d}')
+def step_keyed_grant(context, request_id, key, number, at):
+    grant(context, request_id, number, key, at)
+
+
+@when('the grant of "{request_id}" on its pull {number:d} is revoked')
+def step_revoke(context, request_id, number):
+    value = nonce(context, number)
+    hear(context, messages.Revoke(request_id=request_id, nonce=value))
+
+
+@when('the upstream refuses the connection for "{request_id}"')
+def step_not_started(context, request_id):
+    done = context.trace.feed(RunNotStarted(request_id=request_id))
+    context.answers += [
+        each.message for each in done if isinstance(each.message, ANSWERS)
+    ]
+
+
+@when("{seconds:d} s pass at the traced agent")
+@when("{seconds:d} s pass at the traced entry")
+def step_wait(context, seconds):
+    context.trace.wait(seconds)
+
+
+@when('"{request_id}" claims key "{key}"')
+def step_claim(context, request_id, key):
+    message = messages.Claim(key=key, request_id=request_id, round=1, lifetime_s=KEY_S)
+    hear(context, message)
+
+
+@when('"{request_id}" gives key "{key}" back')
+def step_unclaim(context, request_id, key):
+    hear(context, messages.Unclaim(key=key, request_id=request_id, round=1))
+
+
+@when("the traced agent leaves and hands its keys over")
+def step_leave(context):
+    context.trace.feed(LeaveWanted())
+    context.trace.feed(HeirFound(heir=agent_id("heir")))
+    (part,) = context.trace.sent(messages.LedgerHandover)
+    context.trace.hear(messages.LedgerTaken(part=part.message.part), agent_id("heir"))
+
+
+def describe(message) -> str:
+    name = type(message).__name__
+    if isinstance(message, messages.Revoked):
+        return f"{name} {message.standing.value}"
+    if isinstance(message, messages.Claimed):
+        return f"{name} {message.holder}"
+    return name
+
+
+@then('the traced agent said "{answers}"')
+def step_said(context, answers):
+    assert [describe(each) for each in context.answers] == split(
+        answers
+    ), context.answers
+
+
+@then('"{request_id}" was dispatched {count:d} times')
+def step_dispatched(context, request_id, count):
+    assert context.trace.dispatched(request_id) == count
+
+
+# An entry
+
+
+@given('a traced entry that knows agents "{names}"')
+def step_entry(context, names):
+    context.trace = make_entry(split(names))
+
+
+@when('first send "{request_id}" comes to the traced entry')
+def step_first_send(context, request_id):
+    context.trace.feed(arrival(request_id, None, Sending.FIRST))
+
+
+@when('re-send "{request_id}" of key "{key}" comes to the traced entry')
+def step_resend(context, request_id, key):
+    context.trace.feed(arrival(request_id, key, Sending.RESEND))
+
+
+def read_ids(context) -> tuple[str, ...]:
+    reads = [each for each in context.trace.actions if isinstance(each, ReadRoster)]
+    return tuple(each.read_id for each in reads)
+
+
+@when("the traced entry reads the roster to offset {offset:d}")
+def step_read(context, offset):
+    context.trace.feed(RosterReached(offset=offset, read_ids=read_ids(context)))
+
+
+@when("the traced entry can't read the roster")
+def step_read_failed(context):
+    context.trace.feed(RosterReadFailed(read_ids=read_ids(context)))
+
+
+@when('agents "{names}" grant the claim of "{request_id}" on key "{key}"')
+def step_claimed(context, names, request_id, key):
+    for name in split(names):
+        message = messages.Claimed(
+            key=key,
+            request_id=request_id,
+            round=1,
+            holder=request_id,
+            standing=Standing.CLAIMED,
+        )
+        context.trace.hear(message, agent_id(name))
+
+
+@when('agent "{name}" pulls from the traced entry on nonce "{value}"')
+def step_entry_pulled(context, name, value):
+    pull = messages.Pull(
+        service=SERVICE.name, nonce=value, slots=1, ttl_s=0.5, rank_min=1
+    )
+    context.trace.hear(pull, agent_id(name))
+
+
+@when('agent "{name}" refuses "{request_id}" on nonce "{value}"')
+def step_refuses(context, name, request_id, value):
+    answer(context, name, "Refused", request_id, value)
+
+
+@when('agent "{name}" answers "{said}" for "{request_id}" on nonce "{value}"')
+def step_answers(context, name, said, request_id, value):
+    answer(context, name, said, request_id, value)
+
+
+def answer(context, name, said, request_id, value) -> None:
+    message = messages.Revoked(
+        request_id=request_id, nonce=value, standing=Standing.NEVER
+    )
+    if said == "Refused":
+        message = messages.Refused(request_id=request_id, nonce=value, reason="nonce")
+    context.trace.hear(message, agent_id(name))
+
+
+@when("the traced entry is paused for {seconds:d} s")
+def step_paused(context, seconds):
+    context.trace.now_s += seconds
+
+
+@when('the caller\'s time for "{request_id}" runs out')
+def step_times_out(context, request_id):
+    context.trace.now_s += DEADLINE_S
+    context.trace.feed(Tick())
+
+
+@then('"{request_id}" was granted to "{names}"')
+@then('"{request_id}" was granted to ""')
+def step_granted_to(context, request_id, names=""):
+    grants = context.trace.sent(messages.Grant)
+    assert [
+        each.recipient.name
+        for each in grants
+        if each.message.call.request_id == request_id
+    ] == split(names), grants
+
+
+@then('"{name}" was asked to revoke "{request_id}"')
+def step_revoked(context, name, request_id):
+    revokes = context.trace.sent(messages.Revoke)
+    assert {each.recipient.name for each in revokes} == {name}
+    assert {each.message.request_id for each in revokes} == {request_id}
+
+
+@then('"{names}" were given the claim of "{request_id}" back')
+@then('"" were given the claim of "{request_id}" back')
+def step_given_back(context, request_id, names=""):
+    unclaims = context.trace.sent(messages.Unclaim)
+    assert sorted(each.recipient.name for each in unclaims) == split(names)
+
+
+@then('"{request_id}" was told that it ran "{ran}"')
+def step_told(context, request_id, ran):
+    (problem,) = context.trace.told(request_id)
+    assert problem.ran.value == ran, problem
--- a/lavenderspoke/following.py
+++ b/lavenderspoke/following.py
@@ -21,9 +21,10 @@
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
 
-# "Never" is trusted for this long after the grant; the ledger remembers what
-# ran for twice as long (`ledger.RUN_MEMORY_S`), so that an entry which was
-# paused can't take a forgotten run for one that never was.
+# "Never", said of a revoke or by a refusal, is trusted for this long after the
+# grant; the ledger remembers what ran for twice as long (`ledger.RUN_MEMORY_S`),
+# so that an entry which was paused can't take a forgotten run for one that never
+# was. A late copy of a grant is refused too once its run is forgotten.
 TRUST_S = 60.0
 
 
@@ -72,7 +73,7 @@
         tracked = self._granted_on(message, sender)
         if tracked is None:
             return []
-        return [PutBack(request_id=tracked.request_id, reason=message.reason)]
+        return self._never(tracked, message.reason, now_s)
 
     @take.register
     def _(self, message: messages.Revoked, sender, now_s) -> list:
@@ -89,7 +90,7 @@
     def _stands(self, tracked: Tracked, standing: Standing, now_s: float) -> list:
         tracked.heard_s = now_s
         if standing is Standing.NEVER:
-            return self._never(tracked, now_s)
+            return self._never(tracked, "revoked", now_s)
         if tracked.phase is Phase.GRANTED:
             tracked.phase = Phase.RUNNING
         if standing is Standing.FINISHED:
@@ -100,10 +101,10 @@
             return [self._ends(tracked, "the agent does not know it", Ran.UNKNOWN)]
         return []
 
-    def _never(self, tracked: Tracked, now_s: float) -> list:
+    def _never(self, tracked: Tracked, reason: str, now_s: float) -> list:
         if now_s - tracked.granted_s > TRUST_S:
             return [self._ends(tracked, "asked too late", Ran.UNKNOWN)]
-        return [PutBack(request_id=tracked.request_id, reason="revoked")]
+        return [PutBack(request_id=tracked.request_id, reason=reason)]
 
     @take.register
     def _(self, message: messages.Pieces, sender, now_s) -> list:
--- a/lavenderspoke/intake.py
+++ b/lavenderspoke/intake.py
@@ -73,11 +73,9 @@
 def not_granted_ran(tracked: Tracked) -> Ran:
     """Return what may be said of a request that ends in this entry.
 
-    "Not run" is said only of one that no agent has; a re-send without all its
-    claims may be of a key that ran under an earlier attempt.
+    "Not run" is said only of one that no agent has, and never of a re-send:
+    without all its claims the key may have run under an earlier attempt; with
+    them, they are given back now, and an earlier attempt may then run.
     """
-    if tracked.is_out:
-        return Ran.UNKNOWN
-    is_resend = tracked.arrival.sending is Sending.RESEND
-    unclaimed_resend = is_resend and tracked.call.key and not tracked.claimed
-    return Ran.UNKNOWN if unclaimed_resend else Ran.NO
+    is_resend = tracked.call.key and tracked.arrival.sending is Sending.RESEND
+    return Ran.UNKNOWN if tracked.is_out or is_resend else Ran.NO
