--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement programs; what they print is what docs/ quotes."""
--- a/features/pacing.feature
+++ b/features/pacing.feature
@@ -18,6 +18,18 @@
     When 20 windows show first tokens after 0.05 s at the limit but one after 5 s
     Then the limit is 32
 
+  Scenario: Nothing more is sent to an engine that is long at reading a prompt
+    An alert that is sent to it would stand behind the long prompt for seconds
+    while other engines are free. It waits in the entry instead, for the first
+    engine that has room.
+    Given a learned limit that has seen first tokens after 0.05 s
+    When a request begins and 0.2 s pass
+    Then there is room beside it
+    When 0.1 s pass
+    Then there is no room beside it
+    When its first token comes
+    Then there is room beside it
+
   Scenario: An unused limit doesn't rise
     Given a concurrency limit of at most 32 slots
     When 40 windows show first tokens after 0.05 s with 1 running
--- a/features/steps/pacing_steps.py
+++ b/features/steps/pacing_steps.py
@@ -1,6 +1,7 @@
 from behave import given, then, when
 
 from lavenderspoke.concurrency import WINDOW, ConcurrencyLimit
+from lavenderspoke.learnedlimit import LearnedLimit
 from lavenderspoke.retrybudget import RetryAllowance
 from lavenderspoke.service import RetryBudget
 from lavenderspoke.straggler import PullCaution, StragglerDetector
@@ -56,6 +57,43 @@
     assert 1 <= context.limit.limit < bound, context.limit.limit
 
 
+@given("a learned limit that has seen first tokens after {latency:g} s")
+def step_learned(context, latency):
+    context.learned, context.now_s = LearnedLimit(slots_max=8), 0.0
+    for number in range(WINDOW):
+        context.learned.started(str(number), context.now_s)
+        context.now_s += latency
+        context.learned.piece(str(number), context.now_s)
+        context.learned.finished(str(number), context.now_s)
+
+
+@when("a request begins and {seconds:g} s pass")
+def step_learned_begins(context, seconds):
+    context.learned.started("long", context.now_s)
+    step_learned_pass(context, seconds)
+
+
+@when("{seconds:g} s pass")
+def step_learned_pass(context, seconds):
+    context.now_s += seconds
+    context.learned.tick(context.now_s)
+
+
+@when("its first token comes")
+def step_learned_token(context):
+    context.learned.piece("long", context.now_s)
+
+
+@then("there is room beside it")
+def step_learned_room(context):
+    assert context.learned.slots > 1
+
+
+@then("there is no room beside it")
+def step_learned_full(context):
+    assert context.learned.slots == 1
+
+
 @given("a straggler detector")
 def step_detector(context):
     context.detector, context.now_s, context.peers_s = StragglerDetector(), 0.0, None
--- a/lavenderspoke/agentruns.py
+++ b/lavenderspoke/agentruns.py
@@ -147,7 +147,9 @@
             error=error,
         )
         self.ledger.add_piece(run, piece, now_s)
-        self.limit.piece(run.request_id, now_s)
+        # The head is no token: an engine may send it before it reads the prompt.
+        if body:
+            self.limit.piece(run.request_id, now_s)
         for entry in run.watchers:
             self.outbox.add(entry, piece, now_s)
 
--- a/lavenderspoke/concurrency.py
+++ b/lavenderspoke/concurrency.py
@@ -11,7 +11,7 @@
 # Samples of first-token latency that make up one decision.
 WINDOW = 8
 # Congested when the median of a window is above this many times the baseline.
-TOLERANCE = 2.5
+TOLERANCE = 5.0
 # The baseline follows a slower engine up by this part a window.
 BASELINE_GROWTH = 0.02
 DECREASE = 0.8
@@ -45,6 +45,10 @@
         """Return how many more may start beside those that run."""
         return max(0, self.limit - running)
 
+    def is_slow(self, latency_s: float) -> bool:
+        """Return whether a first token that comes no sooner means congestion."""
+        return self._baseline_s is not None and latency_s > TOLERANCE * self._baseline_s
+
     def step(self, step_s: float) -> None:
         """Take in the time of one engine step."""
         if self._step_s is None:
@@ -70,7 +74,7 @@
             and self._step_s is not None
             and self._step_s > self._step_max_s
         )
-        if slow_steps or latency_s > TOLERANCE * self._baseline_s:
+        if slow_steps or self.is_slow(latency_s):
             self._limit = max(1.0, self._limit * DECREASE)
         elif self._reached:
             self._limit = min(float(self._slots_max), self._limit + 1.0)
