--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -165,7 +165,7 @@
     re-send did not ask. When the paused entry wakes, the new agent refuses the
     first send for its stamp: otherwise both would run.
     Given two entries before a payment service with 1 slot
-    And each payment takes 3 s
+    And each payment takes 6 s
     When payment "a" is sent through entry-2 with key "ka"
     And payment "a" has begun to run
     And payment "b" is sent through entry-1 with key "kb"
@@ -177,6 +177,7 @@
     And process entry-1 is resumed
     Then every payment is answered whole
     And payment "b" ran once
+    And agent-q has refused some grants for their stamps
     And no promise is broken
 
   Scenario: The other entry has not read the roster for long
--- a/features/steps/wholeanswers_steps.py
+++ b/features/steps/wholeanswers_steps.py
@@ -78,6 +78,21 @@
     wait_until(begun, WAIT_S, "every completion has begun")
 
 
+@when("every completion has given its first tokens")
+def step_first_tokens(context):
+    def given() -> int:
+        latencies = [
+            each
+            for entry in ("entry-1", "entry-2")
+            for each in context.deployment.status(entry)["latencies"]
+        ]
+        return sum(e["count"] for e in latencies if e["name"] == "first_part_s")
+
+    wait_until(
+        lambda: given() == len(context.expected), WAIT_S, "first tokens have come"
+    )
+
+
 @when("the way to {name} is cut {times:d} times")
 def step_cut_link(context, name, times):
     for _ in range(times):
--- a/features/wholeanswers.feature
+++ b/features/wholeanswers.feature
@@ -36,7 +36,7 @@
     the rest of its own stream.
     Given two entries before one slow model engine
     When 6 completions of 60 tokens are sent through both entries
-    And every completion has begun
+    And every completion has given its first tokens
     And process agent-1 is killed
     And process agent-1 is started again
     Then every completion is answered whole
@@ -47,7 +47,7 @@
     streams are still its successor's to resume.
     Given two entries before one slow model engine
     When 4 completions of 60 tokens are sent through both entries
-    And every completion has begun
+    And every completion has given its first tokens
     And process agent-1 is killed
     And no entry sees agent-1
     And process agent-1 is started again
@@ -69,7 +69,7 @@
     can complete the answer: it ends visibly, and the run is not repeated.
     Given two entries before one slow model engine
     When 4 completions of 60 tokens are sent through both entries
-    And every completion has begun
+    And every completion has given its first tokens
     And process engine-1 is killed
     And process engine-1 is started again
     Then no completion ends as if it were whole
