--- a/features/commandline.feature
+++ b/features/commandline.feature
@@ -17,6 +17,22 @@
     When an operator runs "--help"
     Then it exits with 0 and prints "Exit status"
 
+  Scenario Outline: A URL that is none is wrong usage
+    When an operator runs "<command>"
+    Then it exits with 2 and prints "isn't a URL"
+
+    Examples:
+      | command                                 |
+      | service history narrative --log ftp://x |
+      | status --daemon 127.0.0.1:7401          |
+      | status --members http://[               |
+
+  Scenario: The platform's list holds an address that is none
+    Given a running platform
+    And a member whose status address is "no address"
+    When an operator runs "status --members MEMBERS"
+    Then it exits with 3 and prints "not reached: http://no address"
+
   Scenario: A document's life, from the first version to a conflict
     Given a running platform
     And a file with the narrative example
--- a/features/config.feature
+++ b/features/config.feature
@@ -27,6 +27,7 @@
         slots: 5
         pull_ttl_s: 0
         status: 7401
+        platform: {log_url: "http://["}
       daemon: {}
       """
     Then the mistakes are
@@ -39,7 +40,8 @@
       | 7    | agent.slots                    | an unknown field   | slots_max            |
       | 8    | agent.pull_ttl_s               | '0'                | above 0              |
       | 9    | agent.status                   | '7401'             | a mapping            |
-      | 10   | daemon                         | an unknown section | entry, agent         |
+      | 10   | agent.platform.log_url         | 'http://['         | http             |
+      | 11   | daemon                         | an unknown section | entry, agent         |
 
   Scenario: What has no default is asked for in the writer's own file
     When these agent settings are read
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -14,6 +14,13 @@
     And the agent with version 5 carries out "v5"
     Then the engine was ordered 1 time
 
+  Scenario: The document changes while the agent looks at its engine
+    An order goes out under the number of the document that it comes from. Under
+    the newer document's number the older order would look like the newer one's.
+    Given an engine that checks fencing numbers
+    When the document becomes version 9 with "v9" while the agent with version 5 carries out "v5"
+    Then the engine has "v5" in force under number 5
+
   Scenario: An engine that restarted is ordered anew
     Given an engine that checks fencing numbers
     When the agent with version 5 carries out "v5"
--- a/features/steps/commandline_steps.py
+++ b/features/steps/commandline_steps.py
@@ -105,6 +105,13 @@
     assert get_json(context.members.port, "/members")["members"] == members
 
 
+@given('a member whose status address is "{address}"')
+def step_odd_member(context, address):
+    member = {"name": "entry-1", "role": "entry", "data_centre": "a", "address": "a"}
+    members = [member | {"status_address": address}]
+    post_json(context.members.port, "/control/members", {"members": members})
+
+
 @when('"{name}" falls behind')
 def step_behind(context, name):
     context.daemons[name].set_faults(behind=True)
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -5,6 +5,7 @@
 
 from features.helper import stage_of
 from features.processes import get_json
+from lavenderspoke.documents import InForce
 from lavenderspoke.httpupstream import ModelUpstream
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.ordering import Ordering
@@ -25,25 +26,26 @@
     """Stands for the feed of an agent that has one document in force."""
 
     def __init__(self, *, version: int, model: str, labels_checked: tuple[str, ...]):
+        self._labels_checked = labels_checked
+        self.change(version, model)
+
+    def change(self, version: int, model: str) -> None:
         order = LabelOrder(
             label=LABEL, action=OrderAction.LOAD_MODEL, name=ORDERED, version=model
         )
-        self._version = version
-        self._service = Service(
+        service = Service(
             name="narrative",
             upstreams=Upstreams(
-                kind=Kind.MODEL, labels=(LABEL,), checks_fencing=labels_checked
+                kind=Kind.MODEL, labels=(LABEL,), checks_fencing=self._labels_checked
             ),
             tiers=(Tier(name="low", rank=1),),
             customers=(),
             orders=(order,),
         )
+        self._document = InForce(version=version, service=service, record=None)
 
-    def service(self, name: str) -> Service:
-        return self._service
-
-    def versions(self) -> dict[str, int]:
-        return {"narrative": self._version}
+    def in_force(self, name: str) -> InForce:
+        return self._document
 
 
 class LosesAnswers(ModelUpstream):
@@ -64,6 +66,16 @@
         return super().order(fencing_number, order)
 
 
+class LooksSlowly(ModelUpstream):
+    """An upstream whose state takes so long that something else happens first."""
+
+    meanwhile = None
+
+    def order_state(self):
+        self.meanwhile()
+        return super().order_state()
+
+
 def ordering(context, version, model, upstream_class=ModelUpstream, newest=True):
     upstream = upstream_class(base_url=context.engine.url)
     documents = Documents(
@@ -77,6 +89,7 @@
         is_newest=lambda: newest,
         metrics=Metrics(),
     )
+    context.documents = documents
     return part, upstream
 
 
@@ -109,6 +122,16 @@
     )
 
 
+@when(
+    'the document becomes version {newer:d} with "{newer_model}" while the agent '
+    'with version {version:d} carries out "{model}"'
+)
+def step_changes_meanwhile(context, newer, newer_model, version, model):
+    part, upstream = ordering(context, version, model, LooksSlowly)
+    upstream.meanwhile = lambda: context.documents.change(newer, newer_model)
+    part.poll()
+
+
 @when('meanwhile the agent with version {version:d} carries out "{model}"')
 def step_meanwhile(context, version, model):
     newer, _ = ordering(context, version, model)
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -20,7 +20,7 @@
 from lavenderspoke import schema, yamlnodes
 from lavenderspoke.dispatching import Dispatching
 from lavenderspoke.service import Kind
-from lavenderspoke.util import Mistake, UserError
+from lavenderspoke.util import Mistake, UserError, is_http_url
 
 DEFAULTS_FILE = "config_default.yaml"
 HOUR_S = 3600.0
@@ -32,7 +32,7 @@
 _SECONDS_OR_DAYS = schema.above(0, 30 * 24 * HOUR_S)
 _BYTES = schema.between(1, GIB)
 _PORT = schema.between(0, 65535)
-_HTTP_URL = schema.matching(r"https?://[^/\s]+(/\S*)?", "a URL of http or https")
+_HTTP_URL = schema.rule(is_http_url, "a URL of http or https")
 _PEER_ADDRESS = schema.matching(
     r"tcp://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}",
     "tcp://<IP number>:<port>",
--- a/lavenderspoke/documentfeed.py
+++ b/lavenderspoke/documentfeed.py
@@ -9,7 +9,7 @@
 
 from lavenderspoke.agentevents import DocumentInForce
 from lavenderspoke.clock import Clock
-from lavenderspoke.documents import DocumentChange, DocumentFold
+from lavenderspoke.documents import DocumentChange, DocumentFold, InForce
 from lavenderspoke.edits import READ_LIMIT
 from lavenderspoke.messages import DocumentRelay
 from lavenderspoke.platformlog import SERVICES_STREAM, Log
@@ -112,10 +112,14 @@
         with self._lock:
             return self._fold.versions()
 
-    def service(self, name: str) -> Service | None:
-        """Return the document in force for a service."""
+    def in_force(self, name: str) -> InForce | None:
+        """Return the document in force for a service, with its version."""
         with self._lock:
-            held = self._fold.in_force(name)
+            return self._fold.in_force(name)
+
+    def service(self, name: str) -> Service | None:
+        """Return the service that the document in force describes."""
+        held = self.in_force(name)
         return None if held is None else held.service
 
     def skipped(self) -> dict[str, int]:
--- a/lavenderspoke/ordering.py
+++ b/lavenderspoke/ordering.py
@@ -6,9 +6,9 @@
 from result import Err, Ok
 
 from lavenderspoke.documentfeed import DocumentFeed
+from lavenderspoke.documents import InForce
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.orders import NextOrder, next_order
-from lavenderspoke.service import Service
 from lavenderspoke.upstream import OrderFenced, Upstream
 
 log = logbook.Logger(__name__)
@@ -40,19 +40,21 @@
 
     def poll(self) -> None:
         """Give the orders that are due, until one fails or none is left."""
-        service = self._documents.service(self._service)
+        # Taken as one: were the version read by itself, the order of a document
+        # replaced meanwhile would go out under the number of the new one.
+        document = self._documents.in_force(self._service)
         # Bounded, since an upstream may never say that it has what it was told.
-        for _ in range(len(service.orders) if service else 0):
-            if not self._give_next(service):
+        for _ in range(len(document.service.orders) if document else 0):
+            if not self._give_next(document):
                 return
 
-    def _give_next(self, service: Service) -> bool:
+    def _give_next(self, document: InForce) -> bool:
         state = self._upstream.order_state()
         if isinstance(state, Err):
             return False
         due = next_order(
-            service=service,
-            version=self._documents.versions()[self._service],
+            service=document.service,
+            version=document.version,
             label=self._label,
             state=state.ok_value,
         )
--- a/lavenderspoke/statuspages.py
+++ b/lavenderspoke/statuspages.py
@@ -53,9 +53,12 @@
 
 def read_status(url: str) -> Result[DaemonStatus, StatusUnavailable]:
     """Read the page of the daemon whose status port is at `url`."""
-    fetched = HttpClient(base_url=url, connections=1).fetch(
-        method="GET", path=STATUS_PATH, timeout_s=STATUS_TIMEOUT_S
-    )
+    try:
+        client = HttpClient(base_url=url, connections=1)
+    except ValueError as error:
+        # The platform's list may hold an address that is none.
+        return Err(StatusUnavailable(url=url, detail=str(error)))
+    fetched = client.fetch(method="GET", path=STATUS_PATH, timeout_s=STATUS_TIMEOUT_S)
     match fetched:
         case Err(error):
             return Err(StatusUnavailable(url=url, detail=error.detail))
--- a/lavenderspoke/ui/common.py
+++ b/lavenderspoke/ui/common.py
@@ -6,7 +6,7 @@
 
 from lavenderspoke.memberlist import HttpMemberList
 from lavenderspoke.statuspages import find_status_urls
-from lavenderspoke.util import UserError
+from lavenderspoke.util import UserError, is_http_url
 
 EXIT_CODES = (
     "Exit status: 0 done; 1 mistakes in a file, or a conflict; 2 wrong usage; "
@@ -14,10 +14,22 @@
 )
 EXIT_PLATFORM = 3
 
+
+def http_url(value: str | list[str] | None) -> str | list[str] | None:
+    """Refuse an option's value, or one of its values, that is no URL of HTTP."""
+    for each in value if isinstance(value, list) else [value]:
+        if each is not None and not is_http_url(each):
+            raise typer.BadParameter(f"{each!r} isn't a URL such as http://10.0.0.2:80")
+    return value
+
+
 LogUrl = Annotated[
     str,
     typer.Option(
-        "--log", envvar="LAVENDERSPOKE_LOG", help="URL of the platform's log service."
+        "--log",
+        envvar="LAVENDERSPOKE_LOG",
+        callback=http_url,
+        help="URL of the platform's log service.",
     ),
 ]
 MembersUrl = Annotated[
@@ -25,13 +37,16 @@
     typer.Option(
         "--members",
         envvar="LAVENDERSPOKE_MEMBERS",
+        callback=http_url,
         help="URL of the platform's list of instances.",
     ),
 ]
 DaemonUrls = Annotated[
     list[str] | None,
     typer.Option(
-        "--daemon", help="URL of a daemon's status port; may be given many times."
+        "--daemon",
+        callback=http_url,
+        help="URL of a daemon's status port; may be given many times.",
     ),
 ]
 
--- a/lavenderspoke/ui/status.py
+++ b/lavenderspoke/ui/status.py
@@ -55,7 +55,7 @@
 
 def _row(table: Table, *cells: object) -> None:
     """Add a row; cells come from other machines and are no markup."""
-    table.add_row(*(Text(printable(str(cell))) for cell in cells))
+    table.add_row(*(Text(printable(str(cell)), overflow="fold") for cell in cells))
 
 
 def _daemons(read: list[DaemonStatus], failed: list[StatusUnavailable]) -> Table:
--- a/lavenderspoke/util.py
+++ b/lavenderspoke/util.py
@@ -1,6 +1,8 @@
 """Small things that any module may use; this module imports no other."""
 
 import attrs
+from urllib3.exceptions import LocationParseError
+from urllib3.util import parse_url
 
 
 @attrs.frozen(kw_only=True)
@@ -36,3 +38,16 @@
     def __init__(self, *lines: object):
         super().__init__(*lines)
         self.lines = [str(line) for line in lines]
+
+
+def is_http_url(text: str) -> bool:
+    """Return whether the text is a URL that an HTTP client can use.
+
+    >>> is_http_url("http://10.0.0.2:7500"), is_http_url("10.0.0.2:7500")
+    (True, False)
+    """
+    try:
+        url = parse_url(text)
+    except LocationParseError:
+        return False
+    return url.scheme in ("http", "https") and bool(url.host)
