Write streamed bodies on the thread that puts them

Cause: each token woke the thread of its stream, which then wrote it; the wake-up cost ten times the write. Ruled out: cheroot's writer, at 9.6 us of processor time a write against 4.1 us for the bare socket. Change: once the head is out, the putting thread writes chunks as far as the socket takes them without waiting; the stream's thread is woken for the rest and for the end. Under TLS nothing changes.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -147,6 +147,17 @@
     Then the gateway is told that the caller has gone
     And 1 "caller_gone" answers are counted
 
+  Scenario: A caller that reads slowly holds up nobody and misses nothing
+    One caller stops reading until every buffer on its way is full. Whoever puts
+    its answer must not wait for it: the same thread serves every other caller.
+    Once it reads on, its answer is whole and in order.
+    Given a caller that has stopped reading its event stream
+    When 3000 numbered events of 10000 bytes are put for it
+    And a caller posts to "/tickets/x" with the header X-None: 1 and the body "hello"
+    Then the caller gets 201 and the body "POST hello"
+    When the slow caller reads on and its answer ends
+    Then it has all 3000 events in order and the last chunk
+
   Scenario: A stop finishes the answers in flight
     A deploy stops the entry while an answer is half written. The server refuses
     new connections only after the answers in flight have ended whole.
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -21,7 +21,7 @@
 from lavenderspoke.arrivals import ArrivalBuilder
 from lavenderspoke.callers import CallerServer, StatusServer
 from lavenderspoke.clock import SystemClock
-from lavenderspoke.gateway import AnswerEnd, Sending
+from lavenderspoke.gateway import AnswerBody, AnswerEnd, Sending
 from lavenderspoke.httpserver import Tls
 from lavenderspoke.logs import JsonLinesHandler
 from lavenderspoke.metrics import Metrics
@@ -189,6 +189,32 @@
     begin(context, '{"prompt": "silent"}').close()
 
 
+@given("a caller that has stopped reading its event stream")
+def step_slow_reader(context):
+    context.connection = begin(context)
+    context.received = receive_until(context.connection, b"data: one")
+
+
+@when("{count:d} numbered events of {size:d} bytes are put for it")
+def step_put_events(context, count, size):
+    for number in range(count):
+        event = f"data: {number} ".encode().ljust(size, b".") + b"\n\n"
+        context.gateway.answers[0].put(AnswerBody(body=event))
+
+
+@when("the slow caller reads on and its answer ends")
+def step_reads_on(context):
+    context.gateway.answers[0].put(AnswerEnd())
+    context.received += read_all(context.connection).data
+
+
+@then("it has all {count:d} events in order and the last chunk")
+def step_all_events(context, count):
+    numbers = re.findall(rb"data: (\d+) ", context.received)
+    assert [int(each) for each in numbers] == list(range(count))
+    assert context.received.endswith(b"\r\n0\r\n\r\n")
+
+
 @when("the server is stopped while an event stream is half written")
 def step_stopped(context):
     context.connection = begin(context)
--- a/lavenderspoke/answers.py
+++ b/lavenderspoke/answers.py
@@ -3,7 +3,13 @@
 import threading
 from collections.abc import Callable, Iterator
 
-from lavenderspoke.gateway import AnswerBody, AnswerBroken, AnswerEnd, AnswerPart
+from lavenderspoke.gateway import (
+    AnswerBody,
+    AnswerBroken,
+    AnswerEnd,
+    AnswerPart,
+    BodyWriter,
+)
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 
@@ -16,6 +22,11 @@
     `on_abandon(request_id)` is called once, on whatever thread abandons it,
     unless the answer had already ended.
 
+    Waking the taking thread for each token costs ten times what writing the
+    token does. So once there is a writer, and the taking thread has nothing to
+    write, the putting thread writes through it, as far as that goes without
+    waiting; the taking thread is woken only for the rest, and for the end.
+
     >>> queue = AnswerQueue(request_id="r1")
     >>> queue.put(AnswerBody(body=b"a"))
     >>> queue.put(AnswerEnd())
@@ -38,12 +49,20 @@
         self._bytes = 0
         self._ended = False
         self._abandoned = False
+        self._writer: BodyWriter | None = None
+        self._taking = False
+        self._rest = b""
 
     def put(self, part: AnswerPart) -> None:
         """Add a part; what comes after the end or an abandonment is dropped."""
         with self._changed:
             if self._ended or self._abandoned:
                 return
+            if self._can_write_through(part):
+                self._rest = self._writer.write_now(part.body)
+                if self._rest:
+                    self._changed.notify()
+                return
             overflow = self._overflows(part)
             self._parts.append(_TOO_SLOW if overflow else part)
             self._ended = overflow or isinstance(
@@ -58,14 +77,21 @@
 
         Empty only when the answer was abandoned.
         """
+        while rest := self._wait():
+            # This thread may wait for the caller; the one that puts may not.
+            self._writer.write(rest)
         with self._changed:
-            self._changed.wait_for(lambda: self._parts or self._abandoned)
             if self._abandoned:
                 return []
             parts, self._parts = self._parts, []
             self._bytes = 0
             return parts
 
+    def write_through(self, writer: BodyWriter) -> None:
+        """Let bodies be written by the thread that puts them, from now on."""
+        with self._changed:
+            self._writer = writer
+
     def __iter__(self) -> Iterator[AnswerPart]:
         """Yield the parts until the answer ends or is abandoned."""
         while parts := self.take():
@@ -84,6 +110,20 @@
         if not ended:
             self._on_abandon(self.request_id)
 
+    def _wait(self) -> bytes:
+        """Wait for a change; return what is left to write, if that is the change."""
+        with self._changed:
+            self._taking = True
+            self._changed.wait_for(lambda: self._parts or self._abandoned or self._rest)
+            self._taking = False
+            rest, self._rest = self._rest, b""
+            return rest
+
+    def _can_write_through(self, part: AnswerPart) -> bool:
+        """Return whether a part may overtake nothing by being written at once."""
+        idle = self._taking and not self._parts and not self._rest
+        return self._writer is not None and idle and isinstance(part, AnswerBody)
+
     def _overflows(self, part: AnswerPart) -> bool:
         # A caller that reads slowly would otherwise hold a whole long answer
         # in memory, and a few of them the daemon's whole allowance.
--- a/lavenderspoke/answerstream.py
+++ b/lavenderspoke/answerstream.py
@@ -6,7 +6,13 @@
 
 from lavenderspoke import callerheaders, problempage
 from lavenderspoke.callerheaders import REQUEST_ID
-from lavenderspoke.gateway import Answer, AnswerBody, AnswerBroken, AnswerEnd
+from lavenderspoke.gateway import (
+    Answer,
+    AnswerBody,
+    AnswerBroken,
+    AnswerEnd,
+    BodyWriter,
+)
 from lavenderspoke.httpserver import CutOff
 from lavenderspoke.model import Head, Ran
 from lavenderspoke.problems import Problem, Reason
@@ -52,7 +58,8 @@
 
     `outcome` says how it ended: "whole", "broken" or a problem's reason.
     `whole_only` holds everything until the end, for callers that couldn't
-    tell a broken answer from a whole one (HTTP/1.0).
+    tell a broken answer from a whole one (HTTP/1.0). `writer` is asked, once
+    the head is out, for a way to write the bodies that follow.
     """
 
     def __init__(
@@ -65,6 +72,7 @@
         on_first_byte: Callable[[], None] = lambda: None,
         on_close: Callable[["AnswerStream"], None] = lambda stream: None,
         abandoned: Callable[[], Problem],
+        writer: Callable[[], BodyWriter | None] = lambda: None,
     ):
         self.outcome = Reason.CALLER_GONE.value
         self.ended = False
@@ -75,6 +83,7 @@
         self._on_first_byte = on_first_byte
         self._on_close = on_close
         self._abandoned = abandoned
+        self._writer = writer
         self._gathered = Gathered()
 
     def __iter__(self) -> Iterator[bytes]:
@@ -133,6 +142,7 @@
             body = gathered.body()
             if body and not silent:
                 yield body
+                self._offer_writer()
             if gathered.end:
                 break
             self._gather()
@@ -147,6 +157,12 @@
         # look whole; the raised error makes the server close without it.
         raise CutOff
 
+    def _offer_writer(self) -> None:
+        """Offer the writer after the first body, when the head is out."""
+        writer, self._writer = self._writer(), lambda: None
+        if writer is not None:
+            self._answer.write_through(writer)
+
     def _problem(self, problem: Problem | None) -> bytes:
         problem = problem or _NO_HEAD
         self._end(problem.reason.value)
--- a/lavenderspoke/callerapp.py
+++ b/lavenderspoke/callerapp.py
@@ -9,7 +9,7 @@
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Answer, Arrival, Gateway
-from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest
+from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, chunk_writer
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
@@ -141,6 +141,7 @@
             on_first_byte=on_first_byte,
             on_close=on_close,
             abandoned=self._abandoned,
+            writer=lambda: chunk_writer(http_request),
         )
         with self._lock:
             self._in_flight[stream] = answer
--- a/lavenderspoke/gateway.py
+++ b/lavenderspoke/gateway.py
@@ -55,6 +55,16 @@
 AnswerPart = Head | AnswerBody | AnswerEnd | AnswerBroken | Problem
 
 
+class BodyWriter(Protocol):
+    """Writes an answer's bodies to its caller, framed as they must be."""
+
+    def write_now(self, body: bytes) -> bytes:
+        """Write without waiting; return the framed bytes that are left."""
+
+    def write(self, framed: bytes) -> None:
+        """Write what was left; waits for the caller, and raises OSError."""
+
+
 class Answer(Protocol):
     """The parts of one answer, as they come.
 
@@ -72,6 +82,9 @@
         Empty only when the answer was abandoned.
         """
 
+    def write_through(self, writer: BodyWriter) -> None:
+        """Offer a writer for the bodies after those that were taken."""
+
     def abandon(self) -> None:
         """Say that the caller has gone; may be called at any time, also twice."""
 
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import os
 import socket
 import ssl
 import time
@@ -188,6 +189,42 @@
             return
 
 
+class ChunkWriter:
+    """Writes chunks straight to a connection, from any thread."""
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._fd = sock.fileno()
+
+    def write_now(self, body: bytes) -> bytes:
+        """Write a chunk as far as the socket takes it; return the rest.
+
+        An error is left to `write`, on the thread that owns the connection.
+        """
+        framed = b"%x\r\n%b\r\n" % (len(body), body)
+        try:
+            # `socket.send` would wait out the socket's timeout; the descriptor
+            # is non-blocking, since a timeout is set.
+            return framed[os.write(self._fd, framed) :]
+        except OSError:
+            return framed
+
+    def write(self, framed: bytes) -> None:
+        """Write the rest, as long as the caller takes some within the timeout."""
+        self._sock.sendall(framed)
+
+
+def chunk_writer(request: CallerHttpRequest) -> ChunkWriter | None:
+    """Return a writer for a response whose head is out, if it comes in chunks.
+
+    None under TLS, whose sockets can't be written without waiting.
+    """
+    sock = request.conn.socket
+    if not request.chunked_write or isinstance(sock, ssl.SSLSocket):
+        return None
+    return ChunkWriter(sock)
+
+
 class LazyTlsAdapter(BuiltinSSLAdapter):
     """A TLS adapter that leaves the handshake to the connection's own thread.
 
