--- a/features/steps/publisher_steps.py
+++ b/features/steps/publisher_steps.py
@@ -19,6 +19,7 @@
 
 
 def error_of(context, kind):
+    assert context.published.is_err(), context.published
     error = context.published.unwrap_err()
     assert isinstance(error, kind), error
     return error
@@ -113,7 +114,8 @@
 
 @then("it is accepted as version {version:d}")
 def step_accepted(context, version):
-    assert context.published.unwrap() == Published(version=version, appended=True)
+    published = Published(version=version, appended=True)
+    assert context.published.ok() == published, context.published
 
 
 @then("it was in force already as version {version:d}")
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -136,7 +136,8 @@
 @then("a new reader has the document in force")
 def step_read_long_log(context):
     history = DocumentHistory(log=context.log)
-    history.refresh().unwrap()
+    read = history.refresh()
+    assert read.is_ok(), read
     assert history.fold.versions() == {"alerts": context.version}
 
 
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -40,6 +40,7 @@
 
 @then("the mistakes are")
 def step_mistakes(context):
+    assert context.parsed.is_err(), "no mistakes"
     mistakes = sorted(context.parsed.unwrap_err(), key=lambda each: each.line)
     found = {(str(each.line), each.field): each for each in mistakes}
     expected = {(row["line"], row["field"]): row for row in context.table}
