--- a/features/affinity.feature
+++ b/features/affinity.feature
@@ -34,6 +34,15 @@
     And life 1 of "a" tells 1 that it holds blocks 3
     Then blocks 1, 2, 3 are warm at a=8
 
+  Scenario: An agent tells each prefix once, and again after it was dropped
+    Given an agent whose engine has answered a prompt of blocks 1, 2
+    When its engine answers a prompt of blocks 1, 2, 3
+    And its engine answers a prompt of blocks 1, 2
+    Then the entry was told of blocks 1, 2 and then of 3
+    When its engine drops blocks 2
+    And its engine answers a prompt of blocks 1, 2
+    Then the entry was told of blocks 1, 2 and then of 3 and then of 2
+
   Scenario: A gap forgets what was believed
     An event that told of a removal may be the one that was lost. Requests would
     hold out for a cache that is cold, so only what is told from here on counts.
--- a/features/steps/affinity_steps.py
+++ b/features/steps/affinity_steps.py
@@ -1,8 +1,13 @@
 import hashlib
 
+import attrs
 from behave import given, then, when
 
+from features import modeltraces
+from features.calls import make_call
+from lavenderspoke import messages
 from lavenderspoke.affinity import PrefixSketch
+from lavenderspoke.agentevents import CacheChanged, RunBody, RunEnded
 from lavenderspoke.messages import PrefixHeld
 from lavenderspoke.model import InstanceId
 from lavenderspoke.prefix import prefix_hashes
@@ -80,3 +85,35 @@
 @then("the sketch has {entries:d} entries")
 def step_entries(context, entries):
     assert len(context.sketch) == entries
+
+
+@given("an agent whose engine has answered a prompt of blocks {blocks}")
+def step_agent(context, blocks):
+    context.trace = modeltraces.make_agent(join_offset=1)
+    context.answers = 0
+    step_answers(context, blocks)
+
+
+@when("its engine answers a prompt of blocks {blocks}")
+def step_answers(context, blocks):
+    context.answers += 1
+    call = make_call(f"r{context.answers}")
+    call = attrs.evolve(call, prefix_hashes=names(blocks))
+    demand = messages.Demand(service=call.service, waiting={call.tier: 1})
+    pull = context.trace.hear(demand)[-1]
+    grant = messages.Grant(nonce=pull.nonce, call=call, stamp=1, deadline_in_s=9.0)
+    context.trace.hear(grant)
+    context.trace.feed(RunBody(request_id=call.request_id, body=b"x"))
+    context.trace.feed(RunEnded(request_id=call.request_id))
+
+
+@when("its engine drops blocks {blocks}")
+def step_engine_drops(context, blocks):
+    context.trace.feed(CacheChanged(removed=names(blocks)))
+
+
+@then("the entry was told of blocks {blocks}")
+def step_told(context, blocks):
+    told = [send.message.added for send in context.trace.sent(PrefixHeld)]
+    expected = [names(each) for each in blocks.split(" and then of ")]
+    assert [added for added in told if added] == expected, told
