Run what should notice before taking a safeguard out, and add the cores' own

Change: `make falsify` runs the scenarios before each patch too, takes whole outlines, and doesn't count a raised error as noticed.

--- a/features/falsify.py
+++ b/features/falsify.py
@@ -3,13 +3,16 @@
     python -m features.falsify [--only WORD]
 
 Each patch of `safeguards.yaml` is applied in a scratch copy of the project, and
-the scenario that it names is run there. A safeguard that no test notices is one
-that anybody could lose by accident. Exits with 0 only when each is noticed.
+the scenarios that it names are run there, before and after: they must pass with
+the safeguard, and one must fail a check without it. A safeguard that no test
+notices is one that anybody could lose by accident. Exits with 0 only when each is
+noticed.
 """
 
 import argparse
 import concurrent.futures
 import pathlib
+import re
 import shutil
 import subprocess
 import sys
@@ -23,6 +26,7 @@
 COPIED = ("lavenderspoke", "features", "examples", "pyproject.toml")
 AT_ONCE = 3
 TIMEOUT_S = 240
+ENDED = re.compile(r"(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?")
 
 
 @attrs.frozen(kw_only=True)
@@ -82,16 +86,17 @@
     return safeguards
 
 
-def run_scenario(
+def run_scenarios(
     root: pathlib.Path, safeguard: Safeguard
 ) -> subprocess.CompletedProcess:
-    """Run the scenario in a copy of the project."""
+    """Run the scenarios in a copy of the project."""
     arguments = [
         "--format",
         "plain",
         "--no-capture",
+        "--no-color",
         "--name",
-        f"^{safeguard.scenario}$",
+        f"^{re.escape(safeguard.scenario)}",
     ]
     feature = f"features/{safeguard.feature}.feature"
     return subprocess.run(
@@ -104,14 +109,21 @@
     )
 
 
-def judge(done: subprocess.CompletedProcess) -> tuple[bool, str]:
-    """Return whether the run shows a failed check, and what it shows."""
-    if "0 scenarios passed, 0 failed" in done.stdout:
-        return False, "no such scenario"
-    if "1 scenario passed" in done.stdout:
-        return False, "passed all the same"
-    failed = "0 scenarios passed, 1 failed" in done.stdout
-    return failed, "failed" if failed else "did not run"
+def judge(done: subprocess.CompletedProcess) -> str:
+    """Return "passed" or "failed", or what else became of the scenarios.
+
+    One that raises shows a broken patch as well as a missed safeguard, so it
+    doesn't count as failed.
+    """
+    ended = ENDED.search(done.stdout)
+    passed, failed, broken = (
+        (int(each or 0) for each in ended.groups()) if ended else (0, 0, 0)
+    )
+    if broken:
+        return "raised an error"
+    if failed:
+        return "failed"
+    return "passed" if passed else "no such scenario"
 
 
 def falsify(safeguard: Safeguard) -> Finding:
@@ -122,12 +134,15 @@
             copy = shutil.copytree if (ROOT / name).is_dir() else shutil.copy
             copy(ROOT / name, root / name)
         try:
+            detail = judge(run_scenarios(root, safeguard))
+            if detail != "passed":
+                raise ValueError(f"with the safeguard: {detail}")
             for patch in safeguard.patches:
                 patch.apply(root / "lavenderspoke")
-            noticed, detail = judge(run_scenario(root, safeguard))
+            detail = judge(run_scenarios(root, safeguard))
         except (OSError, ValueError, subprocess.TimeoutExpired) as error:
-            noticed, detail = False, str(error)
-    return Finding(safeguard=safeguard, noticed=noticed, detail=detail)
+            detail = str(error)
+    return Finding(safeguard=safeguard, noticed=detail == "failed", detail=detail)
 
 
 def show(finding: Finding) -> None:
--- a/features/model_traces.feature
+++ b/features/model_traces.feature
@@ -49,6 +49,14 @@
     Then the traced agent said "Refused"
     And "r1" was dispatched 0 times
 
+  Scenario: An agent that hasn't joined runs nothing keyed (resend WITHOUT_JOIN_FIRST)
+    No roster names it, so no re-send would ask it for the key.
+    Given a traced agent that has not joined
+    When the traced agent pulls
+    And "r1" of key "k" arrives on its pull 1 with stamp 5
+    Then the traced agent said "Refused"
+    And "r1" was dispatched 0 times
+
   Scenario: A claimed key refuses the first send's late grant, also when the claim is given back (resend WITHOUT_FENCE and WITHOUT_BURN)
     The entry of the first send was told that its grant is refused. A copy of that
     grant comes later, when the claim has been given back: it must stay refused.
@@ -157,3 +165,57 @@
     Then "r2" was granted to "a"
     And "" were given the claim of "r2" back
     And "r2" was told that it ran "unknown"
+
+  Scenario: A dead agent's successor can't speak for its keys (resend WITHOUT_UPSTREAM_DOUBT)
+    What the dead one dispatched may still be on its way to the upstream, so that
+    neither the successor nor the upstream can say that the key never ran.
+    Given a traced entry that knows agents "a, b"
+    And agent "a" has a successor in the roster
+    When re-send "r2" of key "k" comes to the traced entry
+    And the traced entry reads the roster to offset 3
+    And agents "b, a" grant the claim of "r2" on key "k"
+    Then "r2" was granted to ""
+    And "r2" was told that it ran "unknown"
+
+  Scenario: Pieces come late, doubled and out of order
+    The caller gets each part once, in order, and then the end.
+    Given a traced entry that knows agents "a"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And pieces "2, 0, 1, 1, end 4" of "r1" come from agent "a"
+    Then the caller of "r1" was given "Head, 1, 2, AnswerEnd"
+
+  Scenario: An end that counts more pieces than came is no clean end
+    Given a traced entry that knows agents "a"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And pieces "0, 1, 2, end 5" of "r1" come from agent "a"
+    Then the caller of "r1" was given "Head, 1, 2, AnswerBroken"
+
+  Scenario: What comes back from a grant below a floor is dropped (shedding WITHOUT_PUT_BACK)
+    A peer sheds a higher tier, because nothing lower is kept anywhere. A granted
+    request of a lower tier that comes back must not wait again.
+    Given a traced entry that knows agents "a"
+    When first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And a peer of the traced entry announces a floor at tier 3
+    And agent "a" refuses "r1" on nonce "n1"
+    Then "r1" was told that it ran "no"
+
+  Scenario: A peer drops what is below a floor before it says so (shedding WITHOUT_DROPPING)
+    Given a traced entry that knows agents "a"
+    When first send "r1" comes to the traced entry
+    And a peer of the traced entry announces a floor at tier 3
+    And first send "r2" comes to the traced entry
+    Then "r1" was told that it ran "no"
+    And "r2" was told that it ran "no"
+    And the traced entry holds the floor of its peer
+
+  Scenario: An upstream that the platform calls leaving is granted nothing
+    Its agent may not know yet, or be dead with pulls still under way.
+    Given a traced entry that knows agents "a, b"
+    When the platform calls agent "a" leaving
+    And first send "r1" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And agent "b" pulls from the traced entry on nonce "n2"
+    Then "r1" was granted to "b"
--- a/features/modeltraces.py
+++ b/features/modeltraces.py
@@ -70,8 +70,8 @@
         return [each.part for each in replies if each.request_id == request_id]
 
 
-def make_agent(join_offset: int) -> Trace:
-    """Return an agent with 9 slots that has joined and knows the entry."""
+def make_agent(join_offset: int | None) -> Trace:
+    """Return an agent with 9 slots that knows the entry; None: hasn't joined."""
     ids = itertools.count(1)
     core = AgentCore(
         identity=AgentIdentity(
@@ -87,12 +87,29 @@
     )
     trace = Trace(core=core)
     trace.feed(DocumentInForce(service=SERVICE, version=1))
-    trace.feed(Joined(join_offset=join_offset, since_s=0.0))
+    if join_offset is not None:
+        trace.feed(Joined(join_offset=join_offset, since_s=0.0))
     announce = messages.EntryAnnounce(address="e", data_centre="d")
     trace.hear(announce)
     return trace
 
 
+def who(name: str) -> dict[str, str]:
+    """Return what an agent says of itself in all its lives."""
+    return {
+        "service": SERVICE.name,
+        "upstream": f"up {name}",
+        "address": name,
+        "data_centre": "d",
+    }
+
+
+def join(trace: Trace, agent: InstanceId, offset: int) -> None:
+    """Let an entry read an agent's join record."""
+    record = Join(agent=agent, **who(agent.name))
+    trace.feed(RosterRecord(offset=offset, payload=encode(record)))
+
+
 def make_entry(agents: list[str]) -> Trace:
     """Return an entry that has heard of these agents and their join records."""
     ids = itertools.count(1)
@@ -105,15 +122,8 @@
     trace = Trace(core=core)
     trace.feed(DocumentInForce(service=SERVICE, version=1))
     for offset, name in enumerate(agents, start=1):
-        who = {
-            "service": SERVICE.name,
-            "upstream": f"up {name}",
-            "address": name,
-            "data_centre": "d",
-        }
-        join = Join(agent=agent_id(name), **who)
-        trace.feed(RosterRecord(offset=offset, payload=encode(join)))
-        announce = messages.Announce(join_offset=offset, **who)
+        join(trace, agent_id(name), offset)
+        announce = messages.Announce(join_offset=offset, **who(name))
         trace.hear(announce, agent_id(name))
     trace.feed(RosterReached(offset=len(agents)))
     return trace
--- a/features/steps/model_traces_steps.py
+++ b/features/steps/model_traces_steps.py
@@ -7,6 +7,7 @@
     SERVICE,
     agent_id,
     arrival,
+    join,
     keyed,
     make_agent,
     make_entry,
@@ -14,11 +15,17 @@
 from lavenderspoke import messages
 from lavenderspoke.agentevents import HeirFound, LeaveWanted, RunNotStarted
 from lavenderspoke.core import Tick
-from lavenderspoke.entryevents import ReadRoster, RosterReached, RosterReadFailed
-from lavenderspoke.gateway import Sending
-from lavenderspoke.model import Standing
+from lavenderspoke.entryevents import (
+    PeersListed,
+    ReadRoster,
+    RosterReached,
+    RosterReadFailed,
+)
+from lavenderspoke.gateway import AnswerBody, Sending
+from lavenderspoke.model import Head, InstanceId, Standing
 
 KEY_S = 300.0
+PEER = InstanceId(name="peer", incarnation="p")
 ANSWERS = (messages.Granted, messages.Refused, messages.Revoked, messages.Claimed)
 
 
@@ -35,6 +42,12 @@
     context.answers = []
 
 
+@given("a traced agent that has not joined")
+def step_agent_unjoined(context):
+    context.trace = make_agent(None)
+    context.answers = []
+
+
 def hear(context, message) -> None:
     for answer in context.trace.hear(message):
         if isinstance(answer, ANSWERS):
@@ -138,6 +151,12 @@
     context.trace = make_entry(split(names))
 
 
+@given('agent "{name}" has a successor in the roster')
+def step_succeeded(context, name):
+    successor = InstanceId(name=name, incarnation="successor")
+    join(context.trace, successor, 3)
+
+
 @when('first send "{request_id}" comes to the traced entry')
 def step_first_send(context, request_id):
     context.trace.feed(arrival(request_id, None, Sending.FIRST))
@@ -176,6 +195,17 @@
         context.trace.hear(message, agent_id(name))
 
 
+@when("a peer of the traced entry announces a floor at tier {tier:d}")
+def step_floor(context, tier):
+    floor = messages.Floor(service=SERVICE.name, tier=tier, round=1, lease_s=2.0)
+    context.trace.hear(floor, PEER)
+
+
+@when('the platform calls agent "{name}" leaving')
+def step_listed_leaving(context, name):
+    context.trace.feed(PeersListed(entry_names=(), leaving_agents=frozenset({name})))
+
+
 @when('agent "{name}" pulls from the traced entry on nonce "{value}"')
 def step_entry_pulled(context, name, value):
     pull = messages.Pull(
@@ -225,6 +255,12 @@
     ] == split(names), grants
 
 
+@then("the traced entry holds the floor of its peer")
+def step_holds_floor(context):
+    held = context.trace.sent(messages.FloorHeld)
+    assert [each.recipient for each in held] == [PEER]
+
+
 @then('"{name}" was asked to revoke "{request_id}"')
 def step_revoked(context, name, request_id):
     revokes = context.trace.sent(messages.Revoke)
@@ -241,5 +277,35 @@
 
 @then('"{request_id}" was told that it ran "{ran}"')
 def step_told(context, request_id, ran):
-    (problem,) = context.trace.told(request_id)
-    assert problem.ran.value == ran, problem
+    told = context.trace.told(request_id)
+    assert [problem.ran.value for problem in told] == [ran], told
+
+
+@when('pieces "{numbers}" of "{request_id}" come from agent "{name}"')
+def step_pieces(context, numbers, request_id, name):
+    last = 1 + max(int(each) for each in split(numbers) if each.isdigit())
+    for each in split(numbers):
+        context.trace.hear(
+            messages.Pieces(pieces=(make_piece(request_id, each, last),)),
+            agent_id(name),
+        )
+
+
+def make_piece(request_id: str, number: str, last: int) -> messages.Piece:
+    if number.startswith("end "):
+        count = int(number.removeprefix("end "))
+        return messages.Piece(request_id=request_id, number=last, count=count)
+    if number == "0":
+        return messages.Piece(request_id=request_id, number=0, head=Head(status=200))
+    return messages.Piece(
+        request_id=request_id, number=int(number), body=number.encode()
+    )
+
+
+@then('the caller of "{request_id}" was given "{parts}"')
+def step_given(context, request_id, parts):
+    told = context.trace.told(request_id)
+    assert [
+        part.body.decode() if isinstance(part, AnswerBody) else type(part).__name__
+        for part in told
+    ] == split(parts), told
