Look at held requests four times a second, tell prefixes once, wait a moment for a thread

Cause, three of them. Each answer told its whole prefix to every entry again: 141 KB/s of an agent's control at the size aimed at. And a caller that found no free thread was refused at once, unread, so an alert could be turned away while reports waited: the scenario with 20 threads failed now and then on a busy machine, whenever eight alerts came before the entry had shed a report. Change: a watchlist by due time; only names that were not told before; a new connection waits up to 1 s for a thread, during which the entry sheds its lowest tier.

--- a/lavenderspoke/agentruns.py
+++ b/lavenderspoke/agentruns.py
@@ -163,18 +163,22 @@
     def _cache_changed(self, event: events.CacheChanged) -> list:
         if event.reset:
             self._prefixes.clear()
-        for prefix in event.removed:
-            self._prefixes.pop(prefix, None)
-        for prefix in event.added:
-            self._prefixes[prefix] = None
+        # Answers to one shared prompt name the same blocks again and again.
+        removed = tuple(each for each in event.removed if each in self._prefixes)
+        added = tuple(each for each in event.added if each not in self._prefixes)
+        if not (added or removed or event.reset):
+            return []
+        for prefix in removed:
+            del self._prefixes[prefix]
+        self._prefixes.update(dict.fromkeys(added))
         while len(self._prefixes) > PREFIXES_MAX:
             del self._prefixes[next(iter(self._prefixes))]
         self._prefix_sequence += 1
         message = messages.PrefixHeld(
             service=self.service,
             sequence=self._prefix_sequence,
-            added=event.added,
-            removed=event.removed,
+            added=added,
+            removed=removed,
             reset=event.reset,
         )
         return [Send(recipient=e, message=message) for e in self.puller.entries()]
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -23,11 +23,15 @@
 from lavenderspoke.servicestate import ServiceState
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
 from lavenderspoke.views import AgentView, AgentViews, PeerViews
+from lavenderspoke.watchlist import Watchlist
 
 # Refusals that say that the key, not the agent, is the trouble.
 KEY_REFUSALS = frozenset({"stale_stamp", "key_held", "claim_lost"})
-# How often timers are looked at while requests are here.
+# How often the queues are looked at while requests are here.
 CHECK_S = 0.02
+# How often a request that an agent has, or whose key is being claimed, is looked
+# at. All of them at each check would take most of a core at 16,000 streams.
+WATCH_S = 0.25
 # What an entry holds where nobody says how many threads its callers have.
 REQUESTS_MAX = 100_000
 # Heartbeats between two announcements to an agent.
@@ -111,6 +115,7 @@
         self._new_id = new_id
         self._policy = policy
         self._listed_entries: tuple[str, ...] = ()
+        self._watchlist = Watchlist()
         self._check_due_s = now_s
         self._heartbeats = 0
         self._heartbeat_due_s = now_s
@@ -164,13 +169,27 @@
             actions += self.room.expired(state, now_s)
             actions += self.room.make_room(state, now_s)
             actions += self._tell_or_push(state, now_s)
-        for tracked in self.requests:
-            if tracked.phase is Phase.CLAIMING:
-                actions += self._check_claims(tracked, now_s)
-            else:
-                actions += self.following.check(tracked, now_s)
+        for request_id in self._watchlist.due(now_s):
+            tracked = self.requests.get(request_id)
+            if tracked is not None and tracked.phase is not Phase.WAITING:
+                actions += self._check_one(tracked, now_s)
+                self._watch(tracked, now_s)
         return actions
 
+    def _check_one(self, tracked: Tracked, now_s: float) -> list:
+        if tracked.phase is Phase.CLAIMING:
+            return self._check_claims(tracked, now_s)
+        return self.following.check(tracked, now_s)
+
+    def _watch(self, tracked: Tracked, now_s: float) -> None:
+        """Look at a request again soon, and at its deadline."""
+        until_deadline_s = max(CHECK_S, tracked.deadline_s - now_s)
+        self._watchlist.add(tracked.request_id, now_s + min(WATCH_S, until_deadline_s))
+
+    def _claim(self, tracked: Tracked, now_s: float) -> list:
+        self._watch(tracked, now_s)
+        return self.claims.begin(tracked, self._service(tracked), now_s)
+
     def _tell_or_push(self, state: ServiceState, now_s: float) -> list:
         agents = self.agents.of(state.service.name)
         if self._policy.dispatching is Dispatching.PULL:
@@ -190,6 +209,7 @@
     def _hand_out(self, grant: messages.Grant, agent: InstanceId, now_s) -> Send:
         tracked = self.requests.get(grant.call.request_id)
         self.requests.grant(tracked, agent, grant.nonce, now_s)
+        self._watch(tracked, now_s)
         claimed = attrs.evolve(grant, claimed=tracked.claimed)
         return Send(recipient=agent, message=claimed)
 
@@ -332,7 +352,7 @@
         )
         self.requests.add(tracked)
         if arrival.call.key is not None and arrival.sending is Sending.RESEND:
-            return self.claims.begin(tracked, self._service(tracked), now_s)
+            return self._claim(tracked, now_s)
         return self._wait(tracked, now_s)
 
     def _wait(self, tracked: Tracked, now_s: float) -> list:
@@ -410,7 +430,7 @@
         self.requests.let_go(tracked)
         counted = Count(name="retries", reason=put_back.reason)
         if put_back.reason in KEY_REFUSALS:
-            return [counted, *self.claims.begin(tracked, self._service(tracked), now_s)]
+            return [counted, *self._claim(tracked, now_s)]
         state = self.services[tracked.call.service]
         if now_s >= tracked.deadline_s:
             return [
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -27,6 +27,8 @@
 ACCEPTED_QUEUE_CONNECTIONS = 64
 REFUSING_QUEUE_CONNECTIONS = 256
 REFUSING_WAIT_S = 0.1
+THREAD_WAIT_S = 1.0
+THREAD_POLL_S = 0.005
 LINGER_S = 1.0
 LINGER_BYTES_MAX = 4 * 1024 * 1024
 SOCKET_TIMEOUT_S = 10.0
@@ -145,6 +147,7 @@
 
     RequestHandlerClass = CallerHttpRequest
     linger_on_close = False
+    thread_wanted_until_s = 0.0
 
     def __init__(self, server, sock, makefile):
         super().__init__(server, sock, makefile)
@@ -247,7 +250,7 @@
 
 
 class HttpServer(wsgi.Server):
-    """A WSGI server that refuses at once what it has no thread for."""
+    """A WSGI server that soon refuses what it has no thread for."""
 
     ConnectionClass = CallerConnection
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
@@ -283,21 +286,38 @@
             self.ssl_adapter = LazyTlsAdapter(tls.certificate_file, tls.key_file)
 
     def process_conn(self, conn) -> None:
-        # A connection queued behind long streams would wait for minutes
-        # without a word; its caller does better to go to another entry.
-        if self.requests.idle > self.requests.qsize:
+        if self._has_thread():
             super().process_conn(conn)
         elif self._unservicable_conns.qsize() < REFUSING_QUEUE_CONNECTIONS:
+            conn.thread_wanted_until_s = time.monotonic() + THREAD_WAIT_S
             self._unservicable_conns.put(conn)
         else:
             conn.close()
 
+    def _has_thread(self) -> bool:
+        return self.requests.idle > self.requests.qsize
+
     def _serve_unservicable(self) -> None:
         while self.ready:
             conn = self._unservicable_conns.get()
-            if isinstance(conn, HTTPConnection):
+            if not isinstance(conn, HTTPConnection):
+                continue
+            if self._waited_for_thread(conn):
+                super().process_conn(conn)
+            else:
                 self._refuse(conn)
 
+    def _waited_for_thread(self, conn: CallerConnection) -> bool:
+        # Its tier isn't known yet. While it waits, the entry sheds the lowest
+        # tier that it holds, whose threads then come free; refused at once, an
+        # alert could be turned away while reports are kept. Behind long streams
+        # it would wait for minutes without a word, so the wait is short.
+        while not self._has_thread():
+            if not self.ready or time.monotonic() >= conn.thread_wanted_until_s:
+                return False
+            time.sleep(THREAD_POLL_S)
+        return True
+
     def _refuse(self, conn: CallerConnection) -> None:
         """Read what has been sent, as far as it is there, and answer busy."""
         try:
