Shed a request that is refused for its key below a floor

A granted request whose agent refused it for its stamp or its key went back to claiming without a look at the floors, and then waited below one: its peers shed a higher tier meanwhile. It now ends as shed; whether its key ran is said to be unknown.

--- a/features/bagrules.py
+++ b/features/bagrules.py
@@ -192,7 +192,9 @@
     entry = entry_of(bag, number)
     waiting = len(entry.core.requests) + len(entry.inbox)
     if waiting < 2 * bag.settings.waiting_max:
-        bag.send(entry, rank=pick(RANKS, number // 7), deadline_s=DEADLINE_MAX_S)
+        key = None if number % 4 else f"s{len(bag.promises.callers)}"
+        rank = pick(RANKS, number // 7)
+        bag.send(entry, rank=rank, key=key, deadline_s=DEADLINE_MAX_S)
 
 
 def drop_floor(bag: CoreBag, number: int) -> None:
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -60,3 +60,10 @@
       send_some 1, local 0, send_some 14, send_some 1, send_some 9, send_some 14,
       send_some 14, send_some 14
       """
+
+  Scenario: A request refused for its key comes back below a floor
+    A keyed request of the lowest tier was granted when a peer's floor came. The
+    agent refuses it for its stamp. It must not claim its key and wait again: the
+    peer sheds a higher tier in the belief that nothing lower waits.
+    When a granted keyed request is refused for its stamp below a peer's floor
+    Then its caller is told that it was shed and may have run elsewhere
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -1,11 +1,15 @@
 """Steps about what holds under any order of messages."""
 
-from behave import then
+from behave import then, when
 from hypothesis import strategies
 
 from features.bagrules import Choice, choices, play
-from features.corebag import BagSettings, CoreBag
+from features.corebag import SERVICE, BagSettings, CoreBag
 from features.helper import fuzz
+from lavenderspoke.core import Received
+from lavenderspoke.messages import Floor, Grant, Refused
+from lavenderspoke.model import Ran
+from lavenderspoke.problems import Reason
 from lavenderspoke.service import Kind
 
 COMMON = {
@@ -37,13 +41,14 @@
     "lose_append": 1,
 }
 SHEDDING = {
-    "send_some": 10,
+    "send_some": 12,
     "flow": 3,
     "deliver": 6,
     "double": 2,
     "drop_floor": 1,
+    "restart_agent": 1,
     "local": 6,
-    "advance_little": 5,
+    "advance_little": 6,
     "answer": 2,
 }
 KINDS = strategies.sampled_from([Kind.MODEL, Kind.PLAIN])
@@ -90,9 +95,36 @@
 
 @then("no tier is shed before a lower one in any of {count:d} runs")
 def step_shed(context, count):
-    hold(SHEDDING, count, **CROWDED)
+    hold(SHEDDING, count, **CROWDED | {"agents": 2})
 
 
 @then("no tier is shed before a lower one by these choices")
 def step_shed_recorded(context):
     play(CoreBag(BagSettings(**CROWDED)), recorded(context))
+
+
+@when("a granted keyed request is refused for its stamp below a peer's floor")
+def step_refused_below(context):
+    bag = CoreBag(BagSettings(agents=1))
+    entry, peer = bag.entries.values()
+    context.request_id = bag.send(entry, rank=1, key="k")
+    grants = []
+    while not grants:
+        bag.flow(1)
+        grants = [each for each in bag.parcels if isinstance(each.message, Grant)]
+    floor = Floor(service=SERVICE, tier=2, round=1, lease_s=2.0)
+    bag.feed(entry, Received(sender=peer.me, message=floor))
+    refused = Refused(
+        request_id=context.request_id,
+        nonce=grants[0].message.nonce,
+        reason="stale_stamp",
+    )
+    bag.feed(entry, Received(sender=grants[0].recipient, message=refused))
+    context.bag = bag
+
+
+@then("its caller is told that it was shed and may have run elsewhere")
+def step_told_shed(context):
+    (problem,) = context.bag.promises.callers[context.request_id].parts
+    assert (problem.reason, problem.ran) == (Reason.SHED, Ran.UNKNOWN), problem
+    assert not context.bag.entries["entry-0"].core.requests.get(context.request_id)
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -15,8 +15,8 @@
 from lavenderspoke.intake import Intake
 from lavenderspoke.keyclaims import KeyClaims
 from lavenderspoke.makingroom import MakingRoom
-from lavenderspoke.model import InstanceId
-from lavenderspoke.problems import Reason
+from lavenderspoke.model import InstanceId, Ran
+from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.roster import Roster
 from lavenderspoke.service import Kind, Service
 from lavenderspoke.servicemessages import ServiceMessages
@@ -429,16 +429,25 @@
             return []
         self.requests.let_go(tracked)
         counted = Count(name="retries", reason=put_back.reason)
+        state = self.services[tracked.call.service]
+        # Put back below a floor, it would be kept while a higher tier is shed; so
+        # would one that goes back to claiming, which waits again after its round.
+        is_below = state.below_floor(tracked.call.tier, now_s)
         if put_back.reason in KEY_REFUSALS:
+            if is_below:
+                # Another attempt of its key may run.
+                problem = Problem(reason=Reason.SHED, ran=Ran.UNKNOWN)
+                return [
+                    counted,
+                    events.Finish(request_id=tracked.request_id, problem=problem),
+                ]
             return [counted, *self._claim(tracked, now_s)]
-        state = self.services[tracked.call.service]
         if now_s >= tracked.deadline_s:
             return [
                 counted,
                 self.room.refuse(tracked.request_id, Reason.DEADLINE_EXPIRED),
             ]
-        # Put back below a floor, it would be kept while a higher tier is shed.
-        if state.below_floor(tracked.call.tier, now_s):
+        if is_below:
             return [counted, self.room.refuse(tracked.request_id, Reason.SHED)]
         warm = state.put_back(tracked, now_s)
         return [counted, *self._offer(state, tracked, warm, now_s)]
