--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -77,7 +77,15 @@
     Given a queue
     And a cold request waits at 0 s
     When a warm request arrives each 0.05 s and one is taken each 0.05 s
-    Then the cold one is taken before 1 s
+    Then the cold one is taken before 5.1 s
+
+  Scenario: Warm requests don't pass one that has little time left
+    The cold request's caller waits at the most 2 s. Were warm ones to pass it for
+    longer than half of that, it would expire while others are served.
+    Given a queue
+    And a request of 100 tokens waits at 0 s until 2 s
+    When a warm request arrives each 0.05 s and one is taken each 0.05 s
+    Then the cold one is taken before 1.1 s
 
   Scenario: A customer whose prefixes are warm doesn't take the tier over
     Given a queue where customer "cold" weighs 1 and "hot" weighs 1
--- a/lavenderspoke/agentruns.py
+++ b/lavenderspoke/agentruns.py
@@ -67,12 +67,9 @@
             return []
         self._add_piece(run, now_s, count=len(run.pieces) + 1)
         self.limit.finished(event.request_id, now_s)
-        # A shared prompt is answered often; its names need telling only once.
-        told = self._prefixes
-        new = tuple(each for each in run.call.prefix_hashes if each not in told)
-        if not new:
+        if not run.call.prefix_hashes:
             return self.outbox.flush()
-        added = events.CacheChanged(added=new)
+        added = events.CacheChanged(added=run.call.prefix_hashes)
         return self.outbox.flush() + self._cache_changed(added)
 
     @take.register
--- a/lavenderspoke/fairness.py
+++ b/lavenderspoke/fairness.py
@@ -25,6 +25,9 @@
 AGEING_TOKENS_PER_S = 2000.0
 # No request is overtaken for longer than this part of the time it may wait.
 AGEING_PATIENCE = 0.5
+# For so long, and no longer than the same part of its time, may warm requests
+# of its customer go before the one whose turn it is.
+WARM_PASSES_S = 5.0
 # How many requests one choice looks at, in all and of one customer.
 LOOKED_AT_MAX = 32
 LOOKED_AT_PER_CUSTOMER = 8
@@ -50,6 +53,12 @@
     number: int
     warm: dict[str, int] = attrs.field(factory=dict)
 
+    @property
+    def patient_until_s(self) -> float:
+        """Until when warm requests may go before it."""
+        patience_s = (self.deadline_s - self.arrived_s) * AGEING_PATIENCE
+        return self.arrived_s + min(WARM_PASSES_S, patience_s)
+
     def holds_out(self, *, upstream: str, now_s: float, prefixes: Prefixes) -> bool:
         """Return whether it is still cheaper to wait for a warmer upstream.
 
@@ -208,9 +217,9 @@
             if share.start - self._turns[0][0] > WARM_AHEAD_TOKENS:
                 continue
             # Without this bound a stream of warm requests would starve the
-            # cold one at the head of their customer. Places grow with the time
-            # of arrival, so at most those of the next `wait_max_s` pass it.
-            if item.order_s - share.items[0].order_s > prefixes.wait_max_s:
+            # cold one at the head of their customer.
+            head = share.items[0]
+            if item is not head and head.patient_until_s <= now_s:
                 continue
             if not item.holds_out(upstream=upstream, now_s=now_s, prefixes=prefixes):
                 return item
