Read all streams of an upstream on one thread

Cause: with a thread for each stream an engine step wakes them all, and reading took more of the agent's processor time than deciding. Ruled out: reads 10 ms apart on each thread, which delay every token and leave a slot free so long; leaving answers with a length to the selector, whose socket is closed with their last byte (the integration tests of at-most-once failed on that). Change: a thread sends the request and waits for its first tokens; a selector's thread reads event streams on, and gives what it read after each round. Chunked answers stay on their thread, since a selector doesn't see what waits in a buffer.

--- a/features/steps/httpupstream_steps.py
+++ b/features/steps/httpupstream_steps.py
@@ -1,14 +1,19 @@
 import json
-import socket
-import threading
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 from hypothesis import strategies
 
 from features.helper import fuzz, stage_of
-from features.processes import HOST, wait_until
+from features.processes import wait_until
 from features.standins.batcher import answer_text
+from features.upstreamcalls import (
+    PROMPT,
+    TIMEOUT_S,
+    Babbler,
+    model_call,
+    stream_text,
+)
 from lavenderspoke.eventstream import EventSplitter
 from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
 from lavenderspoke.model import Call
@@ -21,25 +26,7 @@
     UpstreamUnsupported,
 )
 
-TIMEOUT_S = 30.0
-PROMPT = "tell the splits"
 ENDINGS = ("UpstreamEnd", "UpstreamBroken", "UpstreamUnknownRun", "UpstreamUnreachable")
-COMPLETIONS = "/v1/completions"
-
-
-def model_call(request_id, prompt, tokens, stream=True):
-    body = {"prompt": prompt, "max_tokens": tokens, "stream": stream}
-    return Call(
-        request_id=request_id,
-        service="narrative",
-        method="POST",
-        path=COMPLETIONS,
-        headers=(("Content-Type", "application/json"),),
-        body=json.dumps(body).encode(),
-        customer="senderos",
-        tier=1,
-        stream=stream,
-    )
 
 
 def run(context, call, timeout_s=TIMEOUT_S):
@@ -48,13 +35,6 @@
     context.call = call
 
 
-def stream_text(bodies):
-    """Return the text of the events, as a caller would put it together."""
-    lines = b"".join(each.body for each in bodies).decode().splitlines()
-    data = [line[6:] for line in lines if line.startswith("data: {")]
-    return "".join(json.loads(each)["choices"][0]["text"] for each in data)
-
-
 def start_engine(context, *options):
     context.engine = stage_of(context).engine("engine", *options)
     context.upstream = ModelUpstream(base_url=context.engine.url)
@@ -381,23 +361,6 @@
     assert (headers["x-request-id"], headers["idempotency-key"]) == ("r1", "k1")
 
 
-class Babbler:
-    """Answers each connection with the bytes it was last given, and closes."""
-
-    def __init__(self):
-        self.answer = b""
-        self._listener = socket.create_server((HOST, 0), backlog=64)
-        self.url = f"http://{HOST}:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            accepted, _ = self._listener.accept()
-            with accepted:
-                accepted.recv(65536)
-                accepted.sendall(self.answer)
-
-
 STATUS_LINES = strategies.sampled_from(
     [b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 9 \r\n", b""]
 )
--- /dev/null
+++ b/features/steps/runselector_steps.py
@@ -0,0 +1,153 @@
+from collections import defaultdict
+
+from behave import given, then, when
+
+from features.processes import wait_until
+from features.standins.batcher import answer_text
+from features.upstreamcalls import (
+    PROMPT,
+    TIMEOUT_S,
+    Babbler,
+    model_call,
+    stream_text,
+)
+from lavenderspoke.httpupstream import ModelUpstream
+from lavenderspoke.runselector import RunSelector
+from lavenderspoke.upstream import UpstreamBody, UpstreamBroken, UpstreamEnd
+
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+    b"e\r\nid: 0\ndata:a\n\n\r\n14\r\nid: 1\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+)
+
+
+def leave(context, count, tokens, silence_s=TIMEOUT_S):
+    """Send runs and leave them to the selector, each after its first tokens."""
+    if not hasattr(context, "selector"):
+        context.selector = RunSelector()
+        context.add_cleanup(context.selector.stop)
+        context.taken = defaultdict(list)
+        context.tokens = tokens
+    for number in range(len(context.taken), len(context.taken) + count):
+        taken = context.taken[number]
+        call = model_call(f"r{number}", f"{PROMPT} {number}", tokens)
+        run = context.upstream.run(call, timeout_s=TIMEOUT_S)
+        for event in run:
+            taken.append(event)
+            if run.is_selectable:
+                context.selector.add(run, taken.append, timeout_s=silence_s)
+                break
+
+
+def ended(taken):
+    return taken and type(taken[-1]) in (UpstreamEnd, UpstreamBroken)
+
+
+def wait_ended(context):
+    def all_ended():
+        return all(ended(taken) for taken in context.taken.values())
+
+    wait_until(all_ended, TIMEOUT_S, "every run has ended")
+
+
+def check_whole(context, number):
+    taken = context.taken[number]
+    assert [type(each) for each in taken].count(UpstreamEnd) == 1, taken
+    bodies = [each for each in taken if isinstance(each, UpstreamBody)]
+    assert stream_text(bodies) == answer_text(f"{PROMPT} {number}", context.tokens)
+
+
+@given("an upstream that answers two chunks in one packet")
+def step_two_chunks(context):
+    babbler = Babbler()
+    babbler.answer = CHUNKED
+    context.upstream = ModelUpstream(base_url=babbler.url)
+
+
+@given("an upstream that answers {content_type} with a length")
+def step_length(context, content_type):
+    babbler = Babbler()
+    babbler.answer = (
+        f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n"
+        "Content-Length: 20\r\n\r\nid: 1\ndata: [DONE]\n\n"
+    ).encode()
+    context.upstream = ModelUpstream(base_url=babbler.url)
+
+
+@when("a run that is closed already is left to a selector")
+def step_left_closed(context):
+    leave(context, 0, 20)
+    run = context.upstream.run(model_call("closed", PROMPT, 1), timeout_s=TIMEOUT_S)
+    list(run)
+    context.selector.add(run, context.taken[0].append, timeout_s=TIMEOUT_S)
+
+
+@when("{count:d} run of {tokens:d} tokens is left to a selector")
+@when("{count:d} runs of {tokens:d} tokens are left to a selector")
+@when("{count:d} more runs of {tokens:d} tokens are left to it")
+def step_left(context, count, tokens):
+    leave(context, count, tokens)
+
+
+@when(
+    "{count:d} runs of {tokens:d} tokens are left to a selector "
+    "for {silence_s:g} seconds of silence"
+)
+def step_left_for(context, count, tokens, silence_s):
+    leave(context, count, tokens, silence_s)
+
+
+@then("each of them has its whole answer, ended once")
+def step_each_whole(context):
+    wait_ended(context)
+    for number in context.taken:
+        check_whole(context, number)
+
+
+@then("the first is broken and the others have their whole answers")
+def step_first_broken(context):
+    wait_ended(context)
+    assert isinstance(context.taken[0][-1], UpstreamBroken)
+    for number in range(1, len(context.taken)):
+        check_whole(context, number)
+
+
+@then("each of them is told of the silence once")
+def step_silence(context):
+    wait_ended(context)
+    for taken in context.taken.values():
+        endings = [each for each in taken if isinstance(each, UpstreamBroken)]
+        assert [each.detail for each in endings] == ["silent for too long"], endings
+
+
+@then("the selector stops, and the engine sees the streams go")
+def step_stops(context):
+    context.selector.stop()
+
+    def unread():
+        return context.engine.counts()["tokens_unread"] > len(context.taken)
+
+    wait_until(unread, TIMEOUT_S, "tokens that nobody reads")
+    assert not any(ended(taken) for taken in context.taken.values())
+
+
+def iterated(context):
+    run = context.upstream.run(model_call("r", "a", 1), timeout_s=TIMEOUT_S)
+    bodies = []
+    for event in run:
+        assert not run.is_selectable
+        if isinstance(event, UpstreamBody):
+            bodies.append(event)
+    assert isinstance(event, UpstreamEnd), event
+    return bodies
+
+
+@then("the run isn't selectable, and iterating gives both")
+def step_not_selectable(context):
+    assert [body.event_id for body in iterated(context)] == [0, 1]
+
+
+@then("the run isn't selectable, and iterating gives it whole")
+def step_length_whole(context):
+    assert b"".join(body.body for body in iterated(context))[-8:] == b"[DONE]\n\n"
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -1,23 +1,15 @@
 """Upstreams over HTTP: model engines and plain services."""
 
-import time
-from collections.abc import Iterator
+import functools
 from typing import TypeVar
 from urllib.parse import quote
 
 import attrs
 import urllib3
 from result import Err, Ok, Result
-from urllib3.exceptions import HTTPError
-
-from lavenderspoke.eventstream import EventSplitter, EventTooLong
-from lavenderspoke.httpclient import (
-    READ_BYTES,
-    AnswerLost,
-    HttpClient,
-    NotSent,
-    Reply,
-)
+
+from lavenderspoke.httpclient import HttpClient, Reply
+from lavenderspoke.httprun import HOP_BY_HOP, HttpRun, run_error
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
 from lavenderspoke.upstream import (
@@ -26,15 +18,10 @@
     Order,
     OrderFenced,
     OrderState,
-    RunEvent,
-    UpstreamBody,
-    UpstreamBroken,
+    Run,
     UpstreamCorrupt,
-    UpstreamEnd,
     UpstreamError,
-    UpstreamHead,
     UpstreamUnknownRun,
-    UpstreamUnreachable,
     UpstreamUnsupported,
 )
 
@@ -42,25 +29,18 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 KEY_HEADER = "Idempotency-Key"
-EVENT_STREAM = "text/event-stream"
 REPORT_TIMEOUT_S = 2.0
-GATHER_S = 0.01
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 SET_BY_CLIENT = HOP_BY_HOP | {"host", "content-length"}
 
 
+class UnsupportedRun(HttpRun):
+    """What a plain service gives of a run to be resumed."""
+
+    def __init__(self):
+        super().__init__(send=None)
+        self._end(UpstreamUnsupported())
+
+
 class PlainUpstream:
     """A plain service: it runs calls, and nothing else can be asked of it.
 
@@ -72,23 +52,24 @@
     def __init__(self, *, base_url: str):
         self._client = HttpClient(base_url=base_url)
         self._run_client = self._client
-        self._gather_s = 0.0
 
-    def run(self, call: Call, *, timeout_s: float) -> Iterator[RunEvent]:
+    def run(self, call: Call, *, timeout_s: float) -> Run:
         """Send the call once."""
-        return self._stream(
+        send = functools.partial(
+            self._run_client.open,
             method=call.method,
             path=call.path,
             headers=_request_headers(call),
             body=call.body,
             timeout_s=timeout_s,
         )
+        return HttpRun(send=send)
 
     def resume(
         self, request_id: str, after_event_id: int | None, *, timeout_s: float
-    ) -> Iterator[RunEvent]:
+    ) -> Run:
         """Plain services keep no runs."""
-        yield UpstreamUnsupported()
+        return UnsupportedRun()
 
     def cancel(self, request_id: str) -> Result[None, UpstreamError]:
         """Plain services can't be told to stop."""
@@ -125,25 +106,7 @@
             body=body,
             headers={"Content-Type": "application/json"},
             timeout_s=REPORT_TIMEOUT_S,
-        ).map_err(_run_error)
-
-    def _stream(self, **request) -> Iterator[RunEvent]:
-        opened = self._run_client.open(**request)
-        if isinstance(opened, Err):
-            yield _run_error(opened.err_value)
-            return
-        response = opened.ok_value
-        try:
-            yield UpstreamHead(
-                status=response.status, headers=_response_headers(response)
-            )
-            if response.headers.get("Content-Type", "").startswith(EVENT_STREAM):
-                ending = yield from _event_stream(response, self._gather_s)
-            else:
-                ending = yield from _body(response)
-        finally:
-            response.close()
-        yield ending
+        ).map_err(run_error)
 
 
 class ModelUpstream(PlainUpstream):
@@ -154,33 +117,25 @@
     `POST /orders` and `GET /orders/state`.
 
     Runs ask for HTTP/1.0, since an engine writes a chunk for each token: without
-    chunks, one read takes all tokens that came in `gather_s`. That delays a token
-    by so much at most, and never the first.
+    chunks, one read takes all that came, and a selector may wait for more.
     """
 
-    def __init__(self, *, base_url: str, gather_s: float = GATHER_S):
+    def __init__(self, *, base_url: str):
         super().__init__(base_url=base_url)
         self._run_client = HttpClient(base_url=base_url, http10=True)
-        self._gather_s = gather_s
 
     def resume(
         self, request_id: str, after_event_id: int | None, *, timeout_s: float
-    ) -> Iterator[RunEvent]:
+    ) -> Run:
         """Ask for the rest of a run."""
         after = -1 if after_event_id is None else after_event_id
-        events = self._stream(
+        send = functools.partial(
+            self._run_client.open,
             method="GET",
             path=f"{_run_path(request_id)}?after={after}",
-            headers={},
-            body=None,
             timeout_s=timeout_s,
         )
-        for event in events:
-            if isinstance(event, UpstreamHead) and event.status == 404:
-                events.close()
-                yield UpstreamUnknownRun()
-                return
-            yield event
+        return HttpRun(send=send, is_resumed=True)
 
     def cancel(self, request_id: str) -> Result[None, UpstreamError]:
         """Ask the engine to stop a run."""
@@ -217,13 +172,6 @@
     return f"/v1/runs/{quote(request_id, safe='')}"
 
 
-def _run_error(error: NotSent | AnswerLost) -> UpstreamUnreachable | UpstreamBroken:
-    """Turn the HTTP layer's error into the upstream's."""
-    if isinstance(error, NotSent):
-        return UpstreamUnreachable(detail=error.detail)
-    return UpstreamBroken(detail=error.detail)
-
-
 def _request_headers(call: Call) -> dict[str, str]:
     headers = urllib3.HTTPHeaderDict()
     for name, value in call.headers:
@@ -241,76 +189,6 @@
     return headers
 
 
-def _response_headers(
-    response: urllib3.BaseHTTPResponse,
-) -> tuple[tuple[str, str], ...]:
-    listed = response.headers.get("Connection", "").lower().split(",")
-    dropped = HOP_BY_HOP.union(name.strip() for name in listed)
-    return tuple(
-        (name, value)
-        for name, value in response.headers.iteritems()
-        if name.lower() not in dropped
-    )
-
-
-def _event_stream(
-    response: urllib3.BaseHTTPResponse, gather_s: float
-) -> Iterator[UpstreamBody]:
-    """Yield whole events and return how the stream ended.
-
-    After its first events, reads are at least `gather_s` apart.
-    """
-    splitter = EventSplitter()
-    next_read_s = 0.0
-    try:
-        while data := _read_some(response):
-            if events := splitter.feed(data):
-                yield UpstreamBody(body=events.body, event_id=events.event_id)
-                if events.last:
-                    return UpstreamEnd()
-            time.sleep(max(0.0, next_read_s - time.monotonic()))
-            next_read_s = time.monotonic() + gather_s
-    except (HTTPError, OSError, ValueError) as error:
-        return _broken(error)
-    except EventTooLong:
-        return UpstreamBroken(detail="event too long")
-    # An engine that gives up early ends its HTTP answer properly; only its
-    # missing last event shows the caller's answer to be cut short.
-    return UpstreamBroken(detail="event stream ended early")
-
-
-def _body(response: urllib3.BaseHTTPResponse) -> Iterator[UpstreamBody]:
-    """Yield the body and return how it ended."""
-    try:
-        while data := _read_some(response):
-            yield UpstreamBody(body=data)
-    except (HTTPError, OSError, ValueError) as error:
-        return _broken(error)
-    if not _delimited(response):
-        return UpstreamBroken(detail="answer has neither length nor chunks")
-    return UpstreamEnd()
-
-
-def _read_some(response: urllib3.BaseHTTPResponse) -> bytes:
-    """Return what has come, b"" at the end; blocks for the first byte only."""
-    return response.read1(READ_BYTES)
-
-
-def _broken(error: Exception) -> UpstreamBroken:
-    return UpstreamBroken(detail=f"{type(error).__name__}: {error}")
-
-
-def _delimited(response: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether the answer's end can be told from a crash of its sender.
-
-    A body that ends with its connection looks the same when the upstream dies
-    in the middle of it.
-    """
-    bodiless = response.status in (204, 304)
-    length = response.headers.get("Content-Length", "")
-    return bodiless or response.chunked or length.isdecimal()
-
-
 def _expect_ok(reply: Reply) -> Result[None, UpstreamError]:
     if reply.status != 200:
         return Err(UpstreamCorrupt(detail=f"status {reply.status}"))
--- a/lavenderspoke/upstream.py
+++ b/lavenderspoke/upstream.py
@@ -160,15 +160,44 @@
     orders: tuple[Order, ...] = ()
 
 
+class Run(Protocol):
+    """The events of one run: an iterator that blocks until the next is there.
+
+    Once it is selectable, a selector may wait on its socket instead, and `take`
+    what has come.
+    """
+
+    is_ended: bool
+
+    def __iter__(self) -> Iterator[RunEvent]:
+        """Iterate over the events."""
+
+    def __next__(self) -> RunEvent:
+        """Return the next event."""
+
+    @property
+    def is_selectable(self) -> bool:
+        """Whether a selector sees all that comes from here on."""
+
+    def fileno(self) -> int:
+        """Return the socket's number."""
+
+    def take(self) -> list[RunEvent]:
+        """Return the events that have come."""
+
+    def close(self) -> None:
+        """Drop the connection; the run itself may go on."""
+
+
 class Upstream(Protocol):
     """One upstream instance; safe to use from many threads."""
 
-    def run(self, call: Call, *, timeout_s: float) -> Iterator[RunEvent]:
+    def run(self, call: Call, *, timeout_s: float) -> Run:
         """Run a call; `timeout_s` bounds each silence of the upstream."""
 
     def resume(
         self, request_id: str, after_event_id: int | None, *, timeout_s: float
-    ) -> Iterator[RunEvent]:
+    ) -> Run:
         """Give a run's answer after that event, or from its start for None."""
 
     def cancel(self, request_id: str) -> Result[None, UpstreamError]:
--- a/lavenderspoke/upstreamruns.py
+++ b/lavenderspoke/upstreamruns.py
@@ -1,5 +1,10 @@
-"""Runs requests at the upstream, each on a thread, and reports what comes."""
+"""Runs requests at the upstream and reports what comes.
 
+A thread sends each request and waits for the first part of its answer; from then
+on one thread reads all the streams.
+"""
+
+import contextlib
 import functools
 import re
 import threading
@@ -11,8 +16,10 @@
 
 from lavenderspoke import agentevents as events
 from lavenderspoke.model import Call, Head
+from lavenderspoke.runselector import RunSelector
 from lavenderspoke.service import Kind
 from lavenderspoke.upstream import (
+    Run,
     RunEvent,
     Upstream,
     UpstreamBody,
@@ -63,6 +70,7 @@
         self._post = post
         self._read_timeout_s = read_timeout_s
         self._stopping = threading.Event()
+        self._selector = RunSelector()
         self._pool = ThreadPoolExecutor(
             max_workers=threads + SPARE_THREADS, thread_name_prefix="run"
         )
@@ -81,7 +89,7 @@
         """Take up a run by its id after an event, a moment from now."""
         relay = self._new_relay(request_id, is_resumed=True)
 
-        def begin() -> Iterator[RunEvent]:
+        def begin() -> Run:
             self._stopping.wait(delay_s)
             return self._upstream.resume(
                 request_id, after_event_id, timeout_s=self._read_timeout_s
@@ -96,6 +104,7 @@
     def stop(self) -> None:
         """Take no new runs; those under way are not waited for."""
         self._stopping.set()
+        self._selector.stop()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _new_relay(self, request_id: str, *, is_resumed: bool) -> _Relay:
@@ -104,12 +113,37 @@
             request_id=request_id, whole_body=whole_body, is_resumed=is_resumed
         )
 
-    def _relay(self, relay: _Relay, begin: Callable[[], Iterator[RunEvent]]) -> None:
-        try:
-            for event in begin():
+    def _relay(self, relay: _Relay, begin: Callable[[], Run]) -> None:
+        with self._telling_errors(relay):
+            run = begin()
+            for event in run:
+                self._on(event, relay)
+                if run.is_selectable:
+                    self._read_on(relay, run)
+                    return
+
+    def _read_on(self, relay: _Relay, run: Run) -> None:
+        """Leave the rest of an answer to the thread that reads all streams."""
+
+        def on_event(event: RunEvent) -> None:
+            if isinstance(event, UpstreamBody):
+                on_event_safely(event)
+            else:
+                # Its end may take a request to the upstream, for its health.
+                self._pool.submit(on_event_safely, event)
+
+        def on_event_safely(event: RunEvent) -> None:
+            with self._telling_errors(relay):
                 self._on(event, relay)
+
+        self._selector.add(run, on_event, timeout_s=self._read_timeout_s)
+
+    @contextlib.contextmanager
+    def _telling_errors(self, relay: _Relay) -> Iterator[None]:
+        """Tell the caller even of an error of our own: its run may have begun."""
+        try:
+            yield
         except Exception as error:
-            # The run's state is unknown, and its caller must still be told.
             self._broken(relay, f"{type(error).__name__}: {error}", crashed=False)
 
     def _broken(self, relay: _Relay, detail: str, *, crashed: bool) -> None:
