--- a/features/model_traces.feature
+++ b/features/model_traces.feature
@@ -219,3 +219,21 @@
     And agent "a" pulls from the traced entry on nonce "n1"
     And agent "b" pulls from the traced entry on nonce "n2"
     Then "r1" was granted to "b"
+
+  Scenario: An entry that stops ends when its last request has
+    Given a traced entry that knows agents "a"
+    When first send "r1" comes to the traced entry
+    And the traced entry is told to stop
+    Then the traced daemon has not ended
+    When agent "a" pulls from the traced entry on nonce "n1"
+    And pieces "0, 1, end 3" of "r1" come from agent "a"
+    Then the caller of "r1" was given "Head, 1, AnswerEnd"
+    And the traced daemon has ended
+
+  Scenario: An agent that stops finishes what runs before it hands over
+    Given a traced agent that joined at offset 5
+    When the traced agent pulls
+    And "r1" of key "k" arrives on its pull 1 with stamp 5
+    And the traced agent is told to stop
+    And 10 s pass at the traced agent
+    Then the traced agent looks for no heir yet
--- a/features/steps/model_traces_steps.py
+++ b/features/steps/model_traces_steps.py
@@ -13,9 +13,16 @@
     make_entry,
 )
 from lavenderspoke import messages
-from lavenderspoke.agentevents import HeirFound, LeaveWanted, RunNotStarted
+from lavenderspoke.agentevents import (
+    Exit,
+    FindHeir,
+    HeirFound,
+    LeaveWanted,
+    RunNotStarted,
+)
 from lavenderspoke.core import Tick
 from lavenderspoke.entryevents import (
+    DrainWanted,
     PeersListed,
     ReadRoster,
     RosterReached,
@@ -114,6 +121,36 @@
     hear(context, messages.Unclaim(key=key, request_id=request_id, round=1))
 
 
+@when("the traced agent is told to stop")
+def step_stop_agent(context):
+    context.trace.feed(LeaveWanted())
+
+
+@then("the traced agent looks for no heir yet")
+def step_no_heir_yet(context):
+    sought = [each for each in context.trace.actions if isinstance(each, FindHeir)]
+    assert not sought
+
+
+@when("the traced entry is told to stop")
+def step_stop_entry(context):
+    context.trace.feed(DrainWanted())
+
+
+def has_ended(context) -> bool:
+    return any(isinstance(each, Exit) for each in context.trace.actions)
+
+
+@then("the traced daemon has not ended")
+def step_not_ended(context):
+    assert not has_ended(context)
+
+
+@then("the traced daemon has ended")
+def step_ended(context):
+    assert has_ended(context)
+
+
 @when("the traced agent leaves and hands its keys over")
 def step_leave(context):
     context.trace.feed(LeaveWanted())
