--- a/bench/points.py
+++ b/bench/points.py
@@ -27,7 +27,7 @@
 
 TOKEN = b'data: {"choices": [{"text": " word"}]}\n\n'
 QUEUE_OPERATIONS = 2000
-CHECKS = 20
+CHECKS = 100
 CHECK_EVERY_S = 0.03
 HEARTBEATS = 10
 # The rate at which an agent's requests come, so that pulls expire as they do.
