Take out three reasons that nothing gives; answer those who wait for a thread at a stop

Connections that waited for a thread when the server stopped were dropped without a word. Change: the reasons are gone, the waiting ones are refused.

--- a/features/commandline.feature
+++ b/features/commandline.feature
@@ -93,7 +93,7 @@
     And daemons "entry-1" and "agent-1" that have it in force once it is published
     When an operator runs "status --members MEMBERS"
     Then it exits with 0 and prints "entry-1"
-    And it prints "queue_full"
+    And it prints "shed"
     When an operator runs "status --members MEMBERS --json"
     Then it exits with 0 and its JSON counts 3 waiting at tier "alert" of "narrative"
     When "agent-1" is gone
--- a/features/standins/statuspage.py
+++ b/features/standins/statuspage.py
@@ -44,7 +44,7 @@
             "versions": self._fold.versions(),
             "waiting": {"narrative": {"alert": waiting}},
             "running": {"narrative": {"alert": 1}},
-            "counters": {"refusals": {"queue_full": 2}},
+            "counters": {"refusals": {"shed": 2}},
             "members": [],
             "skipped_records": 0,
         }
--- a/lavenderspoke/core.py
+++ b/lavenderspoke/core.py
@@ -37,8 +37,8 @@
 class Count:
     """Add to a counter, named after what happened and why.
 
-    >>> Count(name="refusals", reason="queue_full").reason
-    'queue_full'
+    >>> Count(name="refusals", reason="shed").reason
+    'shed'
     """
 
     name: str
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -42,9 +42,7 @@
 FINAL_REASONS = frozenset(
     {
         Reason.QUARANTINED,
-        Reason.UPSTREAM_FAILED,
         Reason.CALLER_GONE,
-        Reason.KEY_EXPIRED,
         Reason.SUPERSEDED,
     }
 )
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -306,6 +306,11 @@
                 super().process_conn(conn)
             else:
                 self._refuse(conn)
+        # Stopped: those that still wait for a thread are told so, not dropped.
+        while not self._unservicable_conns.empty():
+            conn = self._unservicable_conns.get_nowait()
+            if isinstance(conn, HTTPConnection):
+                self._refuse(conn)
 
     def _waited_for_thread(self, conn: CallerConnection) -> bool:
         # Its tier isn't known yet. While it waits, the entry sheds the lowest
--- a/lavenderspoke/problems.py
+++ b/lavenderspoke/problems.py
@@ -19,7 +19,6 @@
     NO_DOCUMENT = "no_document"
     DRAINING = "draining"
     CUSTOMER_LIMIT = "customer_limit"
-    QUEUE_FULL = "queue_full"
     SHED = "shed"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXPIRED = "deadline_expired"
@@ -27,9 +26,7 @@
     QUARANTINED = "quarantined"
     IN_PROGRESS = "in_progress"
     SUPERSEDED = "superseded"
-    KEY_EXPIRED = "key_expired"
     OUTCOME_UNKNOWN = "outcome_unknown"
-    UPSTREAM_FAILED = "upstream_failed"
     ANSWER_INCOMPLETE = "answer_incomplete"
     CALLER_GONE = "caller_gone"
     HEADERS_TOO_LARGE = "headers_too_large"
@@ -47,7 +44,6 @@
     Reason.NO_DOCUMENT: 503,
     Reason.DRAINING: 503,
     Reason.CUSTOMER_LIMIT: 429,
-    Reason.QUEUE_FULL: 503,
     Reason.SHED: 503,
     Reason.DEADLINE_UNREACHABLE: 503,
     Reason.DEADLINE_EXPIRED: 504,
@@ -55,9 +51,7 @@
     Reason.QUARANTINED: 422,
     Reason.IN_PROGRESS: 409,
     Reason.SUPERSEDED: 409,
-    Reason.KEY_EXPIRED: 409,
     Reason.OUTCOME_UNKNOWN: 504,
-    Reason.UPSTREAM_FAILED: 502,
     Reason.ANSWER_INCOMPLETE: 502,
     Reason.CALLER_GONE: 499,
     Reason.HEADERS_TOO_LARGE: 431,
