Have keys claimed that an entry reads after it was paused

Cause: an entry stamps a first send when it reads it. Ruled out for now: a stamp that callers carry from an earlier answer, which would also cover bytes held up in the network, since callers must learn it. Change: an entry that handled nothing for 1 s beyond its heartbeat takes the keyed requests of the next 10 s as re-sends. Result: a scenario with a paused entry and an agent that joins passes, and fails without the change.

--- a/features/atmostonce.feature
+++ b/features/atmostonce.feature
@@ -222,3 +222,22 @@
     Then the last payment is answered whole
     And payment "a" ran once
     And no promise is broken
+
+  Scenario: A payment lies unread in a paused entry while its re-send runs
+    The caller's bytes reach the entry's machine, but the paused entry reads them
+    only when it wakes. By then the re-send has run elsewhere, and an agent has
+    joined that knows nothing of it and alone has room. The entry notices its
+    own pause and has the key claimed, which finds the run.
+    Given two entries before a payment service with 1 slot
+    And each payment takes 6 s
+    When process entry-1 is paused
+    And payment "b" is sent through entry-1 with key "kb"
+    And payment "b" is sent again through entry-2 with key "kb"
+    Then the last payment is answered whole
+    When payment "c" is sent through entry-2 with key "kc"
+    And payment "c" has begun to run
+    And agent-q has joined with a payment service of its own
+    And process entry-1 is resumed
+    Then every payment is answered whole
+    And payment "b" ran once
+    And no promise is broken
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -38,6 +38,10 @@
 REQUESTS_MAX = 100_000
 # Heartbeats between two announcements to an agent.
 ANNOUNCE_EVERY = 5
+# An entry that handled nothing for so long beyond its heartbeat was paused, and
+# what is read within the next while may have come during the pause.
+PAUSE_S = 1.0
+DOUBT_S = 10.0
 # Sending again is pointless for these.
 FINAL_REASONS = frozenset(
     {
@@ -117,6 +121,8 @@
         self._listed_entries: tuple[str, ...] = ()
         self._watchlist = Watchlist()
         self._check_due_s = now_s
+        self._handled_s = now_s
+        self._doubt_until_s = now_s
         self._heartbeats = 0
         self._heartbeat_due_s = now_s
 
@@ -124,12 +130,18 @@
 
     def handle(self, event: object, now_s: float) -> list:
         """Take one event; return what is to be done, in order."""
+        self._notice_pause(now_s)
         actions = self._settle(self._on(event, now_s), now_s)
         actions += self._settle(self._timers(now_s), now_s)
         if self.draining and not len(self.requests):
             actions.append(Exit())
         return actions
 
+    def _notice_pause(self, now_s: float) -> None:
+        if now_s - self._handled_s > self.times.heartbeat_s + PAUSE_S:
+            self._doubt_until_s = now_s + DOUBT_S
+        self._handled_s = now_s
+
     def next_due_s(self) -> float:
         """Return when a tick is due at the latest."""
         if len(self.requests):
@@ -345,6 +357,11 @@
                 Count(name="refusals", reason=problem.reason.value),
                 events.Reply(request_id=arrival.call.request_id, part=problem),
             ]
+        if now_s < self._doubt_until_s and arrival.call.key is not None:
+            # It may have lain unread while this entry was paused. Stamped as of
+            # now it could reach an agent that its re-send, long answered
+            # elsewhere, had no cause to ask: a second run. Claims find that out.
+            arrival = attrs.evolve(arrival, sending=Sending.RESEND)
         tracked = Tracked(
             arrival=arrival,
             arrived_s=now_s,
