Never tell a first send "not run" whose key another attempt holds

Cause: a first send that was refused for its key and whose time ran out while it asked who holds it was told "not run", though a re-send of the key may run. Change: it is told "unknown". Result: a scenario fails before and passes after.

--- a/features/model_traces.feature
+++ b/features/model_traces.feature
@@ -136,6 +136,17 @@
     Then "a, b" were given the claim of "r2" back
     And "r2" was told that it ran "unknown"
 
+  Scenario: A first send whose key another attempt holds is not told "not run"
+    An agent refuses it because a re-send of the key got there first. It asks who
+    holds the key, and its time runs out before anyone answers. It did not run, but
+    the key may: its caller must not start over.
+    Given a traced entry that knows agents "a, b"
+    When keyed first send "r1" of key "k" comes to the traced entry
+    And agent "a" pulls from the traced entry on nonce "n1"
+    And agent "a" finds that another attempt holds the key of "r1"
+    And the caller's time for "r1" runs out
+    Then "r1" was told that it ran "unknown"
+
   Scenario: A re-send is granted only when every agent of the roster has answered (resend WITHOUT_ALL_INCARNATIONS)
     Given a traced entry that knows agents "a, b"
     When re-send "r2" of key "k" comes to the traced entry
--- a/features/steps/model_traces_steps.py
+++ b/features/steps/model_traces_steps.py
@@ -199,6 +199,11 @@
     context.trace.feed(arrival(request_id, None, Sending.FIRST))
 
 
+@when('keyed first send "{request_id}" of key "{key}" comes to the traced entry')
+def step_keyed_first_send(context, request_id, key):
+    context.trace.feed(arrival(request_id, key, Sending.FIRST))
+
+
 @when('re-send "{request_id}" of key "{key}" comes to the traced entry')
 def step_resend(context, request_id, key):
     context.trace.feed(arrival(request_id, key, Sending.RESEND))
@@ -256,6 +261,15 @@
     answer(context, name, "Refused", request_id, value)
 
 
+@when('agent "{name}" finds that another attempt holds the key of "{request_id}"')
+def step_key_held(context, name, request_id):
+    granted = context.trace.sent(messages.Grant)[-1].message
+    refused = messages.Refused(
+        request_id=request_id, nonce=granted.nonce, reason="key_held"
+    )
+    context.trace.hear(refused, agent_id(name))
+
+
 @when('agent "{name}" answers "{said}" for "{request_id}" on nonce "{value}"')
 def step_answers(context, name, said, request_id, value):
     answer(context, name, said, request_id, value)
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -26,7 +26,8 @@
 from lavenderspoke.watchlist import Watchlist
 
 # Refusals that say that the key, not the agent, is the trouble.
-KEY_REFUSALS = frozenset({"stale_stamp", "key_held", "claim_lost"})
+KEY_HELD = "key_held"
+KEY_REFUSALS = frozenset({"stale_stamp", KEY_HELD, "claim_lost"})
 # How often the queues are looked at while requests are here.
 CHECK_S = 0.02
 # How often a request that an agent has, or whose key is being claimed, is looked
@@ -452,6 +453,8 @@
         # Put back below a floor, it would be kept while a higher tier is shed; so
         # would one that goes back to claiming, which waits again after its round.
         is_below = state.below_floor(tracked.call.tier, now_s)
+        if put_back.reason == KEY_HELD:
+            tracked.is_contested = True
         if put_back.reason in KEY_REFUSALS:
             if is_below:
                 # Another attempt of its key may run.
--- a/lavenderspoke/intake.py
+++ b/lavenderspoke/intake.py
@@ -75,7 +75,9 @@
 
     "Not run" is said only of one that no agent has, and never of a re-send:
     without all its claims the key may have run under an earlier attempt; with
-    them, they are given back now, and an earlier attempt may then run.
+    them, they are given back now, and an earlier attempt may then run. Nor of a
+    first send whose key another attempt was found to hold.
     """
     is_resend = tracked.call.key and tracked.arrival.sending is Sending.RESEND
-    return Ran.UNKNOWN if tracked.is_out or is_resend else Ran.NO
+    in_doubt = tracked.is_out or is_resend or tracked.is_contested
+    return Ran.UNKNOWN if in_doubt else Ran.NO
--- a/lavenderspoke/tracked.py
+++ b/lavenderspoke/tracked.py
@@ -26,7 +26,8 @@
 
     `run_id` is the id under which its answer comes: its own, or that of the
     earlier attempt whose run it follows. `first_stamp` is the roster offset
-    when it arrived; a stamp above it rests on claims. Times are on the entry's
+    when it arrived; a stamp above it rests on claims. `is_contested` says that
+    another attempt was found to hold its key. Times are on the entry's
     clock.
     """
 
@@ -37,6 +38,7 @@
     stamp: int
     phase: Phase = Phase.WAITING
     claimed: bool = False
+    is_contested: bool = False
     round: ResendRound | None = None
     rounds: int = 0
     wait_again_s: float | None = None
