Stop daemons under a load that lasts, in the graceful tests

Cause: the streams of both stop-under-load scenarios could end before the stop, so they passed without the core's safeguard. Change: slower engines.

--- a/features/graceful.feature
+++ b/features/graceful.feature
@@ -4,8 +4,8 @@
   Scenario: An entry is stopped under load
     The entry refuses what is new and finishes what it has, waiting or running;
     its callers get whole answers. New requests go through the other entry.
-    Given two entries before two model engines
-    When 40 completions of 30 tokens are sent through both entries
+    Given two entries before two slow model engines
+    When 30 completions of 30 tokens are sent through both entries
     And every entry has a request in flight
     And process entry-1 is told to stop
     Then process entry-1 ends with status 0
@@ -15,8 +15,8 @@
   Scenario: An agent is stopped under load
     The agent stops pulling, finishes its streams, says that it left, and ends.
     What waits goes to the other agent; nothing is lost or cut off.
-    Given two entries before two model engines
-    When 40 completions of 30 tokens are sent through both entries
+    Given two entries before two slow model engines
+    When 30 completions of 30 tokens are sent through both entries
     And every completion's entry has granted some
     And process agent-1 is told to stop
     Then process agent-1 ends with status 0
--- a/features/steps/wholeanswers_steps.py
+++ b/features/steps/wholeanswers_steps.py
@@ -36,6 +36,12 @@
     start_models(context, UNLIKE_ENGINES, proxied=True)
 
 
+@given("two entries before two slow model engines")
+def step_slow_models(context):
+    engines = {"engine-1": ["--step-ms", "30"], "engine-2": ["--step-ms", "50"]}
+    start_models(context, engines)
+
+
 @given("two entries before one slow model engine")
 def step_slow_model(context):
     start_models(context, {"engine-1": ["--step-ms", "50"]})
