Take out the unused ways to ask for warm requests; add kills and an outage to the measurement

Cause: only_warm, warm_counts and Demand.warm have had no user since a pull names the least tier. The kills in the burst and the log's outage were not measured. Change: the dead code and the steps that spoke of it are gone; bench.measure has the scenarios kills and log-down.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -9,9 +9,12 @@
 """
 
 import argparse
+import functools
 import json
 import pathlib
+import threading
 from collections import Counter
+from collections.abc import Callable
 from statistics import median
 
 import attrs
@@ -78,13 +81,30 @@
 }
 
 
+def slow_engine(deployment: Deployment) -> None:
+    """Make one engine a straggler."""
+    deployment.upstreams["engine-0"].set_faults(speed=STRAGGLER_SPEED)
+
+
+def kill_daemons(deployment: Deployment) -> None:
+    """Kill an entry and an agent, and start both again as the platform would."""
+    for name in ("entry-1", "agent-3"):
+        deployment.process(name).kill()
+        threading.Thread(target=deployment.restart, args=(name,), daemon=True).start()
+
+
+def stop_log(deployment: Deployment) -> None:
+    """Take the log down for the rest of the run."""
+    deployment.log.set_faults(mode="down")
+
+
 @attrs.frozen(kw_only=True)
 class Scenario:
-    """Phases of arrivals, and whether an engine slows down at half time."""
+    """Phases of arrivals, and what goes wrong at half time."""
 
     name: str
     phases: tuple[arrivals.Phase, ...]
-    straggler: bool = False
+    at_half: Callable[[Deployment], None] = lambda deployment: None
 
 
 SCENARIOS = {
@@ -95,7 +115,17 @@
         Scenario(
             name="straggler",
             phases=arrivals.ordinary(CAPACITY_PER_S),
-            straggler=True,
+            at_half=slow_engine,
+        ),
+        Scenario(
+            name="kills",
+            phases=arrivals.closing(CAPACITY_PER_S),
+            at_half=kill_daemons,
+        ),
+        Scenario(
+            name="log-down",
+            phases=arrivals.closing(CAPACITY_PER_S),
+            at_half=stop_log,
         ),
     )
 }
@@ -135,12 +165,10 @@
         ports = [deployment.ports[f"entry-{n}"].callers for n in range(ENTRIES)]
         daemons = [name for name in deployment.ports]
         before = {name: deployment.process(name).cpu_s() for name in daemons}
-        slow = None
-        if scenario.straggler:
-            engine = deployment.upstreams["engine-0"]
-            slow = lambda: engine.set_faults(speed=STRAGGLER_SPEED)  # noqa: E731
         callers = Callers(urls=[f"http://{HOST}:{port}" for port in ports])
-        outcomes = callers.run(planned, at_half=slow)
+        outcomes = callers.run(
+            planned, at_half=functools.partial(scenario.at_half, deployment)
+        )
         found = summary(outcomes) | engine_figures(deployment, outcomes)
         found["cpu_s"] = {
             name: round(deployment.process(name).cpu_s() - before[name], 2)
@@ -241,7 +269,11 @@
         name: sum(each[name] for each in counts)
         for name in ("prefill_computed", "prefill_reused", "tokens_unread")
     }
-    return total | {"prefill_needed": needed_prefill(outcomes)}
+    most_runs = max((n for each in counts for n in each["runs"].values()), default=0)
+    return total | {
+        "prefill_needed": needed_prefill(outcomes),
+        "runs_of_one_request": most_runs,
+    }
 
 
 def needed_prefill(outcomes: list[Outcome]) -> int:
@@ -298,6 +330,7 @@
         row["prefill_computed"] - row["prefill_needed"] for row in rows
     ]
     shown["tokens nobody read"] = [row["tokens_unread"] for row in rows]
+    shown["most runs of a request"] = [row["runs_of_one_request"] for row in rows]
     shown["broken answers"] = [row["broken"] for row in rows]
     for role in ("entry-0", "agent-0"):
         shown[f"processor s {role}"] = [row["cpu_s"][role] for row in rows]
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -149,11 +149,6 @@
         assert context.queue.take(now, upstream=upstream) is None
 
 
-@then('upstream "{upstream}" is offered no warm request at {now:g} s')
-def step_takes_no_warm(context, upstream, now):
-    assert context.queue.take(now, upstream=upstream, only_warm=True) is None
-
-
 @then("the queue counts {low:d}, {middle:d}, {high:d} and holds {size:d} bytes")
 def step_counts(context, low, middle, high, size):
     counts = context.queue.counts()
@@ -166,11 +161,6 @@
     assert context.queue.ahead_tokens(TIERS["position"]) == tokens
 
 
-@then('{count:d} position request is warm at "{upstream}"')
-def step_warm_counts(context, count, upstream):
-    assert context.queue.warm_counts(upstream) == {TIERS["position"]: count}
-
-
 @when("all below an alert are dropped")
 def step_drop_below(context):
     context.queue.drop_below(TIERS["alert"])
@@ -209,9 +199,7 @@
         queue.add(request, now_s)
         waiting[request.call.request_id] = request
     elif choice < 0.85:
-        taken = queue.take(
-            now_s, upstream=random.choice("abc"), only_warm=random.random() < 0.2
-        )
+        taken = queue.take(now_s, upstream=random.choice("abc"))
         if taken is not None:
             alive = [r.call.tier for r in waiting.values() if r.deadline_s > now_s]
             del waiting[taken.call.request_id]
--- a/features/waiting.feature
+++ b/features/waiting.feature
@@ -70,8 +70,7 @@
       | name | tier     | tokens | warm  | held |
       | w    | alert    | 1000   | a     | 400  |
       | l    | position | 1000   | b     | 400  |
-    Then upstream "b" is offered no warm request at 0.1 s
-    And upstream "b" takes w, l at 0.1 s
+    Then upstream "b" takes w, l at 0.1 s
 
   Scenario: A stream of warm requests doesn't starve a cold one
     Given a queue
@@ -111,7 +110,6 @@
       | a1   | alert    | 1000   |       |      |
     Then the queue counts 1, 1, 1 and holds 30 bytes
     And 1100 tokens are ahead of a position request
-    And 1 position request is warm at "a"
     When all below an alert are dropped
     Then the queue counts 0, 0, 1 and holds 10 bytes
 
--- a/lavenderspoke/fairness.py
+++ b/lavenderspoke/fairness.py
@@ -172,7 +172,6 @@
         *,
         upstream: str,
         now_s: float,
-        only_warm: bool = False,
         prefixes: Prefixes | None = None,
     ) -> Item | None:
         """Return the request to go next to an upstream, or None.
@@ -186,8 +185,6 @@
             warm = self._choose_warm(upstream=upstream, now_s=now_s, prefixes=prefixes)
             if warm is not None:
                 return warm
-        if only_warm:
-            return None
         first = None
         for item in islice(self._in_turn(now_s), LOOKED_AT_MAX):
             if prefixes is None or not item.holds_out(
@@ -203,10 +200,6 @@
             return None
         return self._shares[self._loads[-1][1]].items[-1]
 
-    def warm_count(self, upstream: str) -> int:
-        """Return how many are believed warm at an upstream."""
-        return len(self._warm.get(upstream, ()))
-
     def _choose_warm(
         self, *, upstream: str, now_s: float, prefixes: Prefixes
     ) -> Item | None:
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -50,13 +50,11 @@
 class Demand:
     """An entry tells an agent what waits in it for the agent's service.
 
-    `waiting` maps tier to count; `warm` counts, by tier, those that the entry
-    believes would find their prefix in this agent's upstream.
+    `waiting` maps tier to count.
     """
 
     service: str
     waiting: dict[int, int] = attrs.field(factory=dict)
-    warm: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/waiting.py
+++ b/lavenderspoke/waiting.py
@@ -108,25 +108,18 @@
             return None
         return self._extract(self._items[request_id])
 
-    def take(
-        self, now_s: float, *, upstream: str, only_warm: bool = False
-    ) -> WaitingRequest | None:
+    def take(self, now_s: float, *, upstream: str) -> WaitingRequest | None:
         """Take out the request that goes next to an upstream.
 
-        Those past their deadline stay for `expired`. With `only_warm`, just a
-        request of the highest tier that is believed warm there.
+        Those past their deadline stay for `expired`.
         """
         prefixes = self._service.prefixes if self._policy.affinity else None
         for rank in sorted(self._tiers, reverse=True):
             tier = self._tiers[rank]
-            item = tier.choose(
-                upstream=upstream, now_s=now_s, only_warm=only_warm, prefixes=prefixes
-            )
+            item = tier.choose(upstream=upstream, now_s=now_s, prefixes=prefixes)
             if item is not None:
                 tier.charge(item)
                 return self._extract(item)
-            if only_warm and tier.choose(upstream=upstream, now_s=now_s):
-                return None
         return None
 
     def counts(self) -> dict[int, int]:
@@ -137,13 +130,6 @@
         """Return how many requests of a customer wait."""
         return self._customers[customer]
 
-    def warm_counts(self, upstream: str) -> dict[int, int]:
-        """Return, by tier rank, how many are believed warm at an upstream."""
-        if not self._policy.affinity:
-            return {}
-        counts = {rank: t.warm_count(upstream) for rank, t in self._tiers.items()}
-        return {rank: count for rank, count in counts.items() if count}
-
     def lowest_tier(self) -> int | None:
         """Return the lowest rank that waits here."""
         return min(self.counts(), default=None)
