Drop a nonce when its pull is answered and its grants are in

Cause: a busy agent kept every nonce until its expiry and walked through all of them at every event. Ruled out as unsafe: nothing; an unknown nonce allows nothing, and a doubled grant of what was dispatched is answered from the ledger. Change: spent nonces go at once.

--- a/lavenderspoke/pulling.py
+++ b/lavenderspoke/pulling.py
@@ -144,6 +144,7 @@
         if request_id in nonce.requests or len(nonce.requests) >= nonce.slots:
             return False
         nonce.requests.add(request_id)
+        self._drop_if_spent(value, nonce)
         return True
 
     def burn(self, value: str, request_id: str) -> None:
@@ -157,8 +158,16 @@
         nonce = self._nonces.get(done.nonce)
         if nonce is not None and nonce.entry == entry:
             nonce.promised = done.granted
+            self._drop_if_spent(done.nonce, nonce)
         self.demand(entry, done.waiting, now_s)
 
+    def _drop_if_spent(self, value: str, nonce: Nonce) -> None:
+        # The entry grants no more on it, and an unknown nonce allows nothing.
+        # Kept until they expire, a busy agent would walk through hundreds of
+        # them at every event.
+        if nonce.promised is not None and nonce.reserved == 0:
+            del self._nonces[value]
+
     def expire(self, now_s: float) -> None:
         """Forget dead nonces and entries that have fallen silent."""
         for value, nonce in list(self._nonces.items()):
