Give the stand-ins and deployments a package of their own

Cause: the demonstration and the measurements imported the tests' folder for what isn't a test: stand-ins, the process harness and the deployment. Change: they stand in standins/; nothing else changed.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
-SOURCES := lavenderspoke features bench
+SOURCES := lavenderspoke standins features bench spec
 
 .PHONY: run test lint format model behave falsify measure slopes clean
 
@@ -38,7 +38,7 @@
 	$(BIN)/python -m features.suite
 
 run: $(STAMP)
-	$(BIN)/python -m features.demo
+	$(BIN)/python -m standins.demo
 
 falsify: $(STAMP)
 	$(BIN)/python -m features.falsify
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from bench.arrivals import Planned
-from features.deployment import CREDENTIAL, streamed_tokens
+from standins.deployment import CREDENTIAL, streamed_tokens
 
 PATH = "/narrative/v1/completions"
 READ_BYTES = 65536
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -22,8 +22,8 @@
 from bench import arrivals
 from bench.callers import Callers, Outcome
 from bench.slopes import machine
-from features.deployment import TIERS, Deployment, document
-from features.processes import HOST, NotReached
+from standins.deployment import TIERS, Deployment, document
+from standins.processes import HOST, NotReached
 
 OUT = pathlib.Path("out")
 ENTRIES = 2
--- a/bench/report.py
+++ b/bench/report.py
@@ -10,7 +10,7 @@
 import matplotlib
 
 from bench.measure import OUT, figures, spread
-from features.deployment import TIERS
+from standins.deployment import TIERS
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402
--- a/features/helper.py
+++ b/features/helper.py
@@ -2,7 +2,7 @@
 
 from hypothesis import HealthCheck, given, settings, strategies
 
-from features.processes import Stage
+from standins.processes import Stage
 
 JSON = strategies.recursive(
     strategies.none()
--- a/features/rawhttp.py
+++ b/features/rawhttp.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from features.processes import wait_until
+from standins.processes import wait_until
 
 WAIT_S = 20.0
 
--- a/features/steps/commandline_steps.py
+++ b/features/steps/commandline_steps.py
@@ -5,9 +5,9 @@
 
 from behave import given, then, when
 
-from features.deployment import Deployment
 from features.helper import stage_of
-from features.processes import ROOT, get_json, post_json
+from standins.deployment import Deployment
+from standins.processes import ROOT, get_json, post_json
 
 
 def run(context, arguments):
--- a/features/steps/concurrency_steps.py
+++ b/features/steps/concurrency_steps.py
@@ -4,9 +4,9 @@
 
 from behave import given, then, when
 
-from features.deployment import document, streamed_tokens
-from features.processes import wait_until
 from features.steps.deployment_steps import WAIT_S, deploy, result
+from standins.deployment import document, streamed_tokens
+from standins.processes import wait_until
 
 ENTRIES = ("entry-1", "entry-2")
 AGENTS = ("agent-1", "agent-2")
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -2,10 +2,10 @@
 
 from behave import given, then, when
 
-from features.processes import wait_until
 from features.steps.deployment_steps import WAIT_S
 from features.steps.graceful_steps import ENTRIES, seen_leaving
 from features.steps.wholeanswers_steps import set_engines, start_models, step_complete
+from standins.processes import wait_until
 
 POISON = "a briefing with poison in it"
 
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from features.deployment import Deployment, Sending, Sent, document
-from features.processes import post_json, wait_until
+from standins.deployment import Deployment, Sending, Sent, document
+from standins.processes import post_json, wait_until
 
 WAIT_S = 30.0
 HOUR_S = 3600.0
--- a/features/steps/graceful_steps.py
+++ b/features/steps/graceful_steps.py
@@ -2,9 +2,9 @@
 
 from behave import given, then, when
 
-from features.deployment import document
-from features.processes import wait_until
 from features.steps.deployment_steps import WAIT_S, deploy
+from standins.deployment import document
+from standins.processes import wait_until
 
 ENTRIES = ("entry-1", "entry-2")
 
--- a/features/steps/httpplatform_steps.py
+++ b/features/steps/httpplatform_steps.py
@@ -5,9 +5,9 @@
 from result import Err, Ok
 
 from features.helper import JSON, fuzz, stage_of
-from features.processes import post_json, wait_until
 from lavenderspoke.memberlist import HttpMemberList, decode_members
 from lavenderspoke.platformlog import HttpLog, decode_page
+from standins.processes import post_json, wait_until
 
 WIRE_PAGES = strategies.fixed_dictionaries(
     {
--- a/features/steps/httpupstream_steps.py
+++ b/features/steps/httpupstream_steps.py
@@ -5,8 +5,6 @@
 from hypothesis import strategies
 
 from features.helper import fuzz, stage_of
-from features.processes import wait_until
-from features.standins.batcher import answer_text
 from features.upstreamcalls import (
     PROMPT,
     TIMEOUT_S,
@@ -25,6 +23,8 @@
     UpstreamHead,
     UpstreamUnsupported,
 )
+from standins.batcher import answer_text
+from standins.processes import wait_until
 
 ENDINGS = ("UpstreamEnd", "UpstreamBroken", "UpstreamUnknownRun", "UpstreamUnreachable")
 
--- a/features/steps/inforce_steps.py
+++ b/features/steps/inforce_steps.py
@@ -4,10 +4,10 @@
 
 from behave import then, when
 
-from features.deployment import document
-from features.processes import wait_until
 from features.steps.deployment_steps import WAIT_S
 from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
+from standins.deployment import document
+from standins.processes import wait_until
 
 
 def daemons(context) -> list[str]:
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -4,7 +4,6 @@
 from result import Err
 
 from features.helper import stage_of
-from features.processes import get_json
 from lavenderspoke.documents import InForce
 from lavenderspoke.httpupstream import ModelUpstream
 from lavenderspoke.metrics import Metrics
@@ -17,6 +16,7 @@
     Upstreams,
 )
 from lavenderspoke.upstream import OrderAction, UpstreamBroken
+from standins.processes import get_json
 
 LABEL = "a"
 ORDERED = "narrator"
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from features.helper import stage_of
-from features.processes import HOST, wait_until
+from standins.processes import HOST, wait_until
 
 TIMEOUT_S = 20
 
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -4,11 +4,11 @@
 import attrs
 from behave import then
 
-from features.processes import ROOT
 from lavenderspoke import callerheaders
 from lavenderspoke.config import AgentSettings, EntrySettings
 from lavenderspoke.problems import STATUS, Reason
 from lavenderspoke.service import Service
+from standins.processes import ROOT
 
 
 def field_names(cls):
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -5,10 +5,8 @@
 from hypothesis import strategies
 from result import Err
 
-from features.deployment import Deployment
 from features.helper import JSON, fuzz
 from features.memorylog import MemoryLog, document
-from features.processes import ROOT, wait_until
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.documents import DocumentFold
 from lavenderspoke.edits import encode_edit, new_edit
@@ -21,6 +19,8 @@
     LogUnavailable,
 )
 from lavenderspoke.publisher import PublishConflict, Publisher
+from standins.deployment import Deployment
+from standins.processes import ROOT, wait_until
 
 LIMIT_S = 30.0
 
--- a/features/steps/runselector_steps.py
+++ b/features/steps/runselector_steps.py
@@ -2,8 +2,6 @@
 
 from behave import given, then, when
 
-from features.processes import wait_until
-from features.standins.batcher import answer_text
 from features.upstreamcalls import (
     PROMPT,
     TIMEOUT_S,
@@ -14,6 +12,8 @@
 from lavenderspoke.httpupstream import ModelUpstream
 from lavenderspoke.runselector import RunSelector
 from lavenderspoke.upstream import UpstreamBody, UpstreamBroken, UpstreamEnd
+from standins.batcher import answer_text
+from standins.processes import wait_until
 
 CHUNKED = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/features/steps/sender_steps.py
+++ b/features/steps/sender_steps.py
@@ -7,7 +7,6 @@
 from behave import given, then, when
 
 from features.fakegateway import CREDENTIAL, EVENTS
-from features.processes import ROOT
 from features.rawhttp import WAIT_S
 from lavenderspoke.gateway import AnswerBody, AnswerBroken
 from lavenderspoke.model import Ran
@@ -21,6 +20,7 @@
     Unreached,
     retry_delay_s,
 )
+from standins.processes import ROOT
 
 INCOMPLETE = Problem(reason=Reason.ANSWER_INCOMPLETE, ran=Ran.YES)
 
--- a/features/steps/tiers_steps.py
+++ b/features/steps/tiers_steps.py
@@ -5,9 +5,9 @@
 import attrs
 from behave import given, then, when
 
-from features.deployment import TIERS, Sent, document
-from features.processes import wait_until
 from features.steps.deployment_steps import WAIT_S, deploy
+from standins.deployment import TIERS, Sent, document
+from standins.processes import wait_until
 
 TOKENS = 10
 DEADLINE_S = 30
--- a/features/steps/wholeanswers_steps.py
+++ b/features/steps/wholeanswers_steps.py
@@ -2,14 +2,14 @@
 
 from behave import given, then, when
 
-from features.deployment import (
+from features.steps.deployment_steps import WAIT_S, deploy, merged, result, sees
+from standins.deployment import (
     Sent,
     document,
     expected_tokens,
     streamed_tokens,
 )
-from features.processes import wait_until
-from features.steps.deployment_steps import WAIT_S, deploy, merged, result, sees
+from standins.processes import wait_until
 
 
 def start_models(context, engines: dict[str, list[str]], proxied: bool = False) -> None:
--- a/features/suite.py
+++ b/features/suite.py
@@ -17,7 +17,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SOURCES = [
     name
-    for name in ("lavenderspoke", "features", "bench", "spec")
+    for name in ("lavenderspoke", "standins", "features", "bench", "spec")
     if (ROOT / name).is_dir()
 ]
 CHECKS = {
--- a/features/upstreamcalls.py
+++ b/features/upstreamcalls.py
@@ -4,8 +4,8 @@
 import socket
 import threading
 
-from features.processes import HOST
 from lavenderspoke.model import Call
+from standins.processes import HOST
 
 TIMEOUT_S = 30.0
 PROMPT = "tell the splits"
--- a/features/standins/batcher.py
+++ b/standins/batcher.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from features.standins.prefixcache import PrefixCache
+from standins.prefixcache import PrefixCache
 
 KEPT_RUNS = 2000
 CRASH_STATUS = 9
--- a/features/demo.py
+++ b/standins/demo.py
@@ -12,7 +12,7 @@
 
 import yaml
 
-from features.deployment import (
+from standins.deployment import (
     CREDENTIAL,
     TIERS,
     Deployment,
@@ -20,7 +20,7 @@
     document,
     streamed_tokens,
 )
-from features.processes import HOST, ROOT
+from standins.processes import HOST, ROOT
 
 ENTRIES = ("entry-1", "entry-2")
 AGENTS = ("agent-fast", "agent-slow", "agent-plain")
--- a/features/deployment.py
+++ b/standins/deployment.py
@@ -14,7 +14,9 @@
 import urllib3
 import yaml
 
-from features.processes import (
+from lavenderspoke.edits import encode_edit, new_edit
+from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
+from standins.processes import (
     HOST,
     Process,
     Stage,
@@ -25,8 +27,6 @@
     post_json,
     wait_until,
 )
-from lavenderspoke.edits import encode_edit, new_edit
-from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
 
 CREDENTIAL = "runner-secret"
 CUSTOMER = "senderos"
--- a/features/standins/engine.py
+++ b/standins/engine.py
@@ -12,12 +12,12 @@
 import attrs
 import cattrs
 
-from features.standins import server
-from features.standins.batcher import Batcher, Listener, Run, answer_text
-from features.standins.counts import RunCounts
-from features.standins.orders import Orders
-from features.standins.prefixcache import block_hashes
-from features.standins.server import Cut, Reply, Request, json_reply
+from standins import server
+from standins.batcher import Batcher, Listener, Run, answer_text
+from standins.counts import RunCounts
+from standins.orders import Orders
+from standins.prefixcache import block_hashes
+from standins.server import Cut, Reply, Request, json_reply
 
 EVENT_STREAM = "text/event-stream"
 CHAT_PATH = "/v1/chat/completions"
--- a/features/standins/log.py
+++ b/standins/log.py
@@ -14,8 +14,8 @@
 
 import attrs
 
-from features.standins import server
-from features.standins.server import Cut, Reply, Request, json_reply
+from standins import server
+from standins.server import Cut, Reply, Request, json_reply
 
 PAGE_BYTES_MAX = 4 * 1024 * 1024
 REFUSED = {"appended": False}
--- a/features/standins/members.py
+++ b/standins/members.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from features.standins import server
-from features.standins.server import Reply, Request, json_reply
+from standins import server
+from standins.server import Reply, Request, json_reply
 
 
 @attrs.frozen(kw_only=True)
--- a/features/standins/orders.py
+++ b/standins/orders.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from features.standins.server import Reply, Request, json_reply
+from standins.server import Reply, Request, json_reply
 
 
 class Orders:
--- a/features/standins/plain.py
+++ b/standins/plain.py
@@ -11,9 +11,9 @@
 
 import attrs
 
-from features.standins import server
-from features.standins.counts import RunCounts
-from features.standins.server import Cut, Reply, Request, json_reply
+from standins import server
+from standins.counts import RunCounts
+from standins.server import Cut, Reply, Request, json_reply
 
 CRASH_STATUS = 9
 
--- a/features/processes.py
+++ b/standins/processes.py
@@ -215,7 +215,7 @@
         return f"{HOST}:{self.port}"
 
     def set_faults(self, **faults) -> dict:
-        """Change the link as `features.standins.proxy` says; return its state.
+        """Change the link as `standins.proxy` says; return its state.
 
         >>> link.set_faults(to_target={"freeze": True})  # doctest: +SKIP
         """
@@ -260,9 +260,9 @@
     def start_standin(
         self, name: str, kind: str, *options: str, port: int | None = None
     ) -> StandIn:
-        """Start `features.standins.<kind>` and wait until it listens."""
+        """Start `standins.<kind>` and wait until it listens."""
         port = port or free_port()
-        module = f"features.standins.{kind}"
+        module = f"standins.{kind}"
         argv = [sys.executable, "-m", module, "--port", str(port), *options]
         process = self.start(name, argv)
         process.wait_ready(lambda: accepts(port), "listens")
--- a/features/standins/proxy.py
+++ b/standins/proxy.py
@@ -19,8 +19,8 @@
 
 import attrs
 
-from features.standins import server
-from features.standins.server import Reply, Request, json_reply
+from standins import server
+from standins.server import Reply, Request, json_reply
 
 READ_BYTES = 64 * 1024
 QUEUED_MAX = 4096
--- a/features/standins/statuspage.py
+++ b/standins/statuspage.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from features.standins import server
-from features.standins.server import Reply, Request, json_reply
 from lavenderspoke.documents import DocumentFold
 from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
+from standins import server
+from standins.server import Reply, Request, json_reply
 
 
 @attrs.frozen(kw_only=True)
