--- a/lavenderspoke/arrivals.py
+++ b/lavenderspoke/arrivals.py
@@ -13,8 +13,9 @@
 from result import Err, Ok, Result
 
 from lavenderspoke import callerheaders, modelrequest
-from lavenderspoke.callerheaders import CallerHeaders, Headers
+from lavenderspoke.callerheaders import CallerHeaders
 from lavenderspoke.gateway import Arrival, Gateway
+from lavenderspoke.hopbyhop import Headers
 from lavenderspoke.model import Call, Ran
 from lavenderspoke.prefix import prefix_hashes
 from lavenderspoke.problems import Problem, Reason
--- a/lavenderspoke/callerheaders.py
+++ b/lavenderspoke/callerheaders.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.gateway import Sending
+from lavenderspoke.hopbyhop import Headers, end_to_end
 
 PREFIX = "lavenderspoke-"
 AUTHORIZATION = "authorization"
@@ -16,25 +17,10 @@
 KEY = "idempotency-key"
 REQUEST_ID = "Lavenderspoke-Request-Id"
 KEY_CHARACTERS_MAX = 255
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # The agent sets the length and the upstream's name itself, and the server has
 # answered the expectation already.
 SET_BY_SENDER = frozenset(("content-length", "host", "expect", AUTHORIZATION))
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @attrs.frozen(kw_only=True)
 class HeaderError:
@@ -98,17 +84,10 @@
 
 
 def _without(headers: Headers, dropped: frozenset[str]) -> Headers:
-    named = {
-        name.strip().lower()
-        for header, value in headers
-        if header.lower() == "connection"
-        for name in value.split(",")
-    }
-    dropped = dropped | HOP_BY_HOP | named
     return tuple(
         (name, value)
-        for name, value in headers
-        if name.lower() not in dropped and not name.lower().startswith(PREFIX)
+        for name, value in end_to_end(headers, dropped)
+        if not name.lower().startswith(PREFIX)
     )
 
 
--- a/lavenderspoke/httprun.py
+++ b/lavenderspoke/httprun.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from lavenderspoke.eventstream import EventSplitter, EventTooLong
+from lavenderspoke.hopbyhop import end_to_end
 from lavenderspoke.httpclient import READ_BYTES, AnswerLost, NotSent
 from lavenderspoke.upstream import (
     RunEvent,
@@ -20,19 +21,6 @@
 )
 
 EVENT_STREAM = "text/event-stream"
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 
 Opened = Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]
 
@@ -118,7 +106,7 @@
         content_type = self._response.headers.get("Content-Type", "")
         if content_type.startswith(EVENT_STREAM):
             self._splitter = EventSplitter()
-        headers = _response_headers(self._response)
+        headers = end_to_end(tuple(self._response.headers.iteritems()))
         self._events.append(UpstreamHead(status=self._response.status, headers=headers))
 
     def _end(self, ending: RunEvent) -> None:
@@ -151,18 +139,6 @@
     return UpstreamBroken(detail=error.detail)
 
 
-def _response_headers(
-    response: urllib3.BaseHTTPResponse,
-) -> tuple[tuple[str, str], ...]:
-    listed = response.headers.get("Connection", "").lower().split(",")
-    dropped = HOP_BY_HOP.union(name.strip() for name in listed)
-    return tuple(
-        (name, value)
-        for name, value in response.headers.iteritems()
-        if name.lower() not in dropped
-    )
-
-
 def _is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
     """Return whether the answer's end can be told from a crash of its sender.
 
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -8,8 +8,9 @@
 import urllib3
 from result import Err, Ok, Result
 
+from lavenderspoke.hopbyhop import HOP_BY_HOP
 from lavenderspoke.httpclient import HttpClient, Reply
-from lavenderspoke.httprun import HOP_BY_HOP, HttpRun, run_error
+from lavenderspoke.httprun import HttpRun, run_error
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
 from lavenderspoke.upstream import (
