Write behave's progress to standard output, not over it

Cause: behave opened /dev/stdout as a file of its own, which cut off what the suite had printed when standard output was a file. Change: the report's format comes first, with its file.

--- a/features/suite.py
+++ b/features/suite.py
@@ -83,10 +83,11 @@
 def run_behave(tally: Tally) -> None:
     """Run every scenario; a run that reports none counts as failed."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
-        arguments = ["--format", "progress", "--format", "json", "--outfile"]
+        # The first format goes to the file, the other to standard output.
+        formats = ["--format", "json", "--outfile", report.name]
         done = subprocess.run(
-            [sys.executable, "-m", "behave", *arguments, "/dev/stdout"]
-            + ["--outfile", report.name, "features"],
+            [sys.executable, "-m", "behave", *formats]
+            + ["--format", "progress", "features"],
             cwd=ROOT,
         )
         text = pathlib.Path(report.name).read_text()
