Make the status server and the drain timer once, for both daemons

Cause: entry and agent each built the same status server and the same timer. Change: the daemon that both extend has them; behaviour is the same.

--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -5,7 +5,6 @@
 
 from lavenderspoke import agentevents as events, subset
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
-from lavenderspoke.callers import StatusServer
 from lavenderspoke.config import AgentSettings
 from lavenderspoke.daemon import Daemon, new_id
 from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
@@ -59,13 +58,6 @@
             is_newest=self.joining.is_newest,
             metrics=self.metrics,
         )
-        self.status_server = StatusServer(
-            host=settings.status.host,
-            port=settings.status.port,
-            ready=self.ready,
-            status=self.status,
-            metrics=self.metrics,
-        )
 
     def make_core(self) -> AgentCore:
         settings = self.settings
@@ -118,9 +110,7 @@
     def drain(self) -> None:
         self.joining.is_leaving = True
         self.loop.post(events.LeaveWanted())
-        timer = threading.Timer(self.settings.drain_s, self.exit)
-        timer.daemon = True
-        timer.start()
+        self.exit_after_drain()
 
     def ready(self) -> bool:
         """Return whether the agent pulls work for its upstream."""
--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -2,6 +2,7 @@
 
 import functools
 import signal
+import threading
 import uuid
 from random import Random
 
@@ -10,6 +11,7 @@
 from result import Err
 
 from lavenderspoke.agentevents import Exit
+from lavenderspoke.callers import StatusServer
 from lavenderspoke.clock import Clock
 from lavenderspoke.codec import CodecError
 from lavenderspoke.config import AgentSettings, EntrySettings
@@ -73,6 +75,13 @@
             clock=clock,
             post=self.loop.post,
         )
+        self.status_server = StatusServer(
+            host=settings.status.host,
+            port=settings.status.port,
+            ready=self.ready,
+            status=self.status,
+            metrics=self.metrics,
+        )
         self.members_failed = 0
         self.supervisor: Supervisor | None = None
 
@@ -90,6 +99,10 @@
         """The directory has just taken the platform's list."""
         raise NotImplementedError
 
+    def ready(self) -> bool:
+        """Return whether the platform may send work here."""
+        raise NotImplementedError
+
     def core_status(self) -> dict:
         """Return what the status page says of the core."""
         raise NotImplementedError
@@ -131,6 +144,12 @@
         """Begin the graceful stop; the core's Exit ends the daemon."""
         raise NotImplementedError
 
+    def exit_after_drain(self) -> None:
+        """End the daemon once draining has taken as long as the settings allow."""
+        timer = threading.Timer(self.settings.drain_s, self.exit)
+        timer.daemon = True
+        timer.start()
+
     def exit(self) -> None:
         """End the daemon."""
         if self.supervisor is not None:
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -1,11 +1,10 @@
 """The entry daemon: callers on one side, agents and other entries on the other."""
 
 import functools
-import threading
 from random import Random
 
 from lavenderspoke import entryevents as events
-from lavenderspoke.callers import CallerServer, StatusServer
+from lavenderspoke.callers import CallerServer
 from lavenderspoke.config import PolicySettings, TlsSettings
 from lavenderspoke.daemon import Daemon, new_id
 from lavenderspoke.dispatching import EntryPolicy
@@ -54,13 +53,6 @@
             body_bytes_max=callers.body_bytes_max,
             drain_s=settings.drain_s,
         )
-        self.status_server = StatusServer(
-            host=settings.status.host,
-            port=settings.status.port,
-            ready=self.ready,
-            status=self.status,
-            metrics=self.metrics,
-        )
 
     def make_core(self) -> EntryCore:
         settings = self.settings
@@ -106,9 +98,7 @@
     def drain(self) -> None:
         # Signal handlers must return at once; the core finishes what it has.
         self.loop.post(events.DrainWanted())
-        timer = threading.Timer(self.settings.drain_s, self.exit)
-        timer.daemon = True
-        timer.start()
+        self.exit_after_drain()
 
     def ready(self) -> bool:
         """Return whether callers may be sent here."""
