--- a/lavenderspoke/clock.py
+++ b/lavenderspoke/clock.py
@@ -46,3 +46,14 @@
     def advance(self, seconds_s: float) -> None:
         """Move the clock forward by that many seconds."""
         self._monotonic_s += seconds_s
+
+
+class BootClock(SystemClock):
+    """A clock whose monotonic seconds also count while the machine is suspended.
+
+    The usual monotonic clock stands still then, so a daemon that was suspended
+    for ten seconds would take a lease or a key it read before for fresh.
+    """
+
+    def monotonic_s(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/lavenderspoke/direct/app.py
@@ -0,0 +1,348 @@
+"""The WSGI application of an entry that dispatches directly.
+
+It decides what can be decided on arrival (route, key, limit), hands the rest to
+`Handling`, and writes what comes of it: whole, or visibly broken.
+"""
+
+import hashlib
+import threading
+from collections.abc import Iterable, Iterator
+
+import attrs
+import logbook
+from result import Err, Ok, Result
+
+from lavenderspoke import problempage
+from lavenderspoke.answerstream import StartResponse
+from lavenderspoke.callerapp import caller_request
+from lavenderspoke.callerwatch import CallerWatch
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.catalog import Catalog, Customer, Route
+from lavenderspoke.direct.dialect import CallerHead, Dialect
+from lavenderspoke.direct.exchange import AnswerCut
+from lavenderspoke.direct.handling import (
+    Accepted,
+    Handling,
+    StreamAnswer,
+    WholeAnswer,
+)
+from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.office import Office
+from lavenderspoke.hopbyhop import Headers, end_to_end
+from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, CutOff
+from lavenderspoke.metrics import Metrics
+from lavenderspoke.model import Ran
+from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.requestbody import BodyBroken, BodyTooLarge, read_body
+
+# What callers are told to wait, in seconds, for what ends within a second or two.
+SOON_S = 0.5
+# The part of the remaining time after which callers no longer come back.
+RETURN_PART = 1 / 3
+# The end of a request lies this much before the route's timeout, in seconds, so
+# that its answer is out in time.
+TIMEOUT_MARGIN_S = 0.05
+SET_HERE = frozenset(("content-length", "date", "server"))
+
+ANSWERS = "direct_answers"
+FIRST_BYTE = "direct_first_byte_s"
+WHOLE = "direct_answer_s"
+
+log = logbook.Logger(__name__)
+
+
+@attrs.define(kw_only=True)
+class _Journey:
+    """What the log line of a request says at its end."""
+
+    request_id: str
+    arrived_s: float
+    route: str = ""
+    customer: str = ""
+    version: int = 0
+    returned: bool = False
+    outcome: str = ""
+    status: int = 0
+    retry_after_s: float | None = None
+    detail: str = ""
+    handling: Handling | None = None
+    first_s: float | None = None
+
+
+class DirectApp:
+    """The application; cheroot calls it on many threads."""
+
+    def __init__(
+        self,
+        *,
+        in_force: InForce,
+        office: Office,
+        dialect: Dialect,
+        watch: CallerWatch,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self.draining = False
+        self._in_force = in_force
+        self._office = office
+        self._dialect = dialect
+        self._watch = watch
+        self._metrics = metrics
+        self._clock = clock
+        self._in_flight: set[int] = set()
+        self._lock = threading.Lock()
+
+    def in_flight(self) -> int:
+        """Return the number of requests that are being handled."""
+        with self._lock:
+            return len(self._in_flight)
+
+    def count_problem(self, problem: Problem) -> None:
+        """Count a refusal that the server made itself."""
+        self._metrics.count(ANSWERS, problem.reason.value)
+
+    def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
+        http_request = environ[REQUEST_KEY]
+        with self._lock:
+            self._in_flight.add(id(http_request))
+        return self._answer(http_request, start_response)
+
+    def _answer(
+        self, http_request: CallerHttpRequest, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        journey = _Journey(request_id="", arrived_s=self._clock.monotonic_s())
+        try:
+            yield from self._handle(http_request, start_response, journey)
+        finally:
+            with self._lock:
+                self._in_flight.discard(id(http_request))
+            self._record(journey)
+
+    def _handle(
+        self,
+        http_request: CallerHttpRequest,
+        start_response: StartResponse,
+        journey: _Journey,
+    ) -> Iterator[bytes]:
+        # Callers on connections that stay open must learn to go elsewhere.
+        http_request.close_connection |= self.draining
+        accepted = self._accept(http_request, journey)
+        if isinstance(accepted, Err):
+            http_request.close_connection |= _unread(http_request)
+            yield self._refuse(start_response, accepted.err_value, journey)
+            return
+        handling = Handling(
+            accepted=accepted.ok_value,
+            desk=self._office,
+            dialect=self._dialect,
+            clock=self._clock,
+        )
+        journey.handling = handling
+        fd = http_request.conn.socket.fileno()
+        self._watch.add(fd, handling.abandon)
+        try:
+            yield from self._pass_on(handling, start_response, journey)
+        finally:
+            self._watch.remove(fd)
+
+    def _pass_on(
+        self, handling: Handling, start_response: StartResponse, journey: _Journey
+    ) -> Iterator[bytes]:
+        answer = handling.first()
+        journey.first_s = self._clock.monotonic_s()
+        accepted = handling.accepted
+        if isinstance(answer, Problem):
+            self._office.refused(accepted, ran=answer.ran)
+            if handling.gone:
+                journey.outcome = Reason.CALLER_GONE.value
+                raise CutOff
+            yield self._refuse(start_response, answer, journey)
+            return
+        journey.status = answer.status
+        if isinstance(answer, WholeAnswer):
+            journey.outcome = "whole"
+            start_response(
+                problempage.status_line(answer.status),
+                _returned(answer.headers, len(answer.body)),
+            )
+            yield answer.body
+            return
+        yield from self._stream(answer, handling, start_response, journey)
+
+    def _stream(
+        self,
+        answer: StreamAnswer,
+        handling: Handling,
+        start_response: StartResponse,
+        journey: _Journey,
+    ) -> Iterator[bytes]:
+        start_response(
+            problempage.status_line(answer.status), _returned(answer.headers, None)
+        )
+        journey.outcome = Reason.CALLER_GONE.value
+        try:
+            yield from answer.bodies
+        except AnswerCut as error:
+            journey.outcome = "broken"
+            journey.detail = str(error)
+            # Returning would end the answer as if it were whole.
+            raise CutOff from error
+        finally:
+            answer.bodies.close()
+        journey.outcome = "whole"
+
+    # Decisions on arrival
+
+    def _accept(
+        self, http_request: CallerHttpRequest, journey: _Journey
+    ) -> Result[Accepted, Problem]:
+        request = caller_request(http_request)
+        read = self._dialect.read(request.method, request.target, request.headers)
+        if isinstance(read, Err):
+            return Err(_not_run(Reason.BAD_REQUEST, read.err_value.detail))
+        head = read.ok_value
+        journey.request_id = head.request_id
+        catalog = self._in_force.catalog
+        if catalog is None:
+            detail = "no configuration has been read yet"
+            return Err(_not_run(Reason.NO_DOCUMENT, detail, SOON_S))
+        journey.version = catalog.version
+        route = catalog.route_for(head.host, head.path)
+        if route is None:
+            return Err(_not_run(Reason.NO_ROUTE, "no route leads there"))
+        journey.route = route.name
+        customer = self._customer(catalog, route, head)
+        if isinstance(customer, Err):
+            return customer
+        journey.customer = customer.ok_value.name if customer.ok_value else ""
+        body = self._body(http_request, catalog)
+        if isinstance(body, Err):
+            return body
+        accepted = self._weigh(
+            catalog, route, customer.ok_value, head, body.ok_value, journey.arrived_s
+        )
+        if isinstance(accepted, Ok):
+            journey.returned = accepted.ok_value.returned
+        return accepted
+
+    def _customer(
+        self, catalog: Catalog, route: Route, head: CallerHead
+    ) -> Result[Customer | None, Problem]:
+        if route.anonymous or not catalog.needs_key:
+            return Ok(None)
+        if not self._in_force.fresh():
+            detail = "the keys were read too long ago"
+            return Err(_not_run(Reason.KEYS_STALE, detail, SOON_S))
+        customer = catalog.customer_for(head.key) if head.key else None
+        if customer is None:
+            return Err(_not_run(Reason.UNAUTHORIZED, "the key is missing or unknown"))
+        return Ok(customer)
+
+    @staticmethod
+    def _body(
+        http_request: CallerHttpRequest, catalog: Catalog
+    ) -> Result[bytes, Problem]:
+        try:
+            return Ok(read_body(http_request, catalog.limits.body_bytes_max))
+        except BodyTooLarge:
+            return Err(_not_run(Reason.BODY_TOO_LARGE, "the body is too long"))
+        except TimeoutError:
+            return Err(_not_run(Reason.BODY_TIMEOUT, "the body came too slowly"))
+        except BodyBroken as error:
+            return Err(_not_run(Reason.BAD_REQUEST, str(error)))
+
+    def _weigh(
+        self,
+        catalog: Catalog,
+        route: Route,
+        customer: Customer | None,
+        head: CallerHead,
+        body: bytes,
+        arrived_s: float,
+    ) -> Result[Accepted, Problem]:
+        allowed_s = route.timeout_s - TIMEOUT_MARGIN_S
+        if head.deadline_in_s is not None:
+            allowed_s = min(allowed_s, head.deadline_in_s)
+        accepted = Accepted(
+            head=head,
+            body=body,
+            route=route,
+            service=self._office.choose_service(route),
+            customer=customer,
+            rank=(customer.rank if customer else 0, route.rank),
+            fingerprint=_fingerprint(head, customer, body),
+            returned=False,
+            arrived_s=arrived_s,
+            until_s=arrived_s + allowed_s,
+            version=catalog.version,
+        )
+        return self._office.admit(accepted)
+
+    # Writing
+
+    def _refuse(
+        self, start_response: StartResponse, problem: Problem, journey: _Journey
+    ) -> bytes:
+        journey.outcome = problem.reason.value
+        journey.status = problem.status
+        journey.detail = problem.detail
+        journey.retry_after_s = problem.retry_after_s
+        page = problempage.render(problem, retry_after=problempage.retry_after_exact)
+        start_response(page.status, list(page.headers))
+        return page.body
+
+    def _record(self, journey: _Journey) -> None:
+        now_s = self._clock.monotonic_s()
+        self._metrics.count(ANSWERS, journey.outcome or "broken")
+        handling = journey.handling
+        if handling is not None and journey.first_s is not None:
+            accepted = handling.accepted
+            tier = str(accepted.route.rank)
+            waited_s = journey.first_s - journey.arrived_s
+            self._metrics.observe(FIRST_BYTE, accepted.service, tier, waited_s)
+            whole_s = now_s - journey.arrived_s
+            self._metrics.observe(WHOLE, accepted.service, tier, whole_s)
+        log.info(
+            "request",
+            request=journey.request_id,
+            route=journey.route,
+            customer=journey.customer,
+            version=journey.version,
+            outcome=journey.outcome or "broken",
+            status=journey.status,
+            returned=journey.returned,
+            trail=handling.trail if handling else [],
+            retry_after_s=journey.retry_after_s,
+            detail=journey.detail,
+            first_s=_since(journey.first_s, journey.arrived_s),
+            whole_s=_since(now_s, journey.arrived_s),
+        )
+
+
+def _since(at_s: float | None, start_s: float) -> float | None:
+    return None if at_s is None else round(at_s - start_s, 4)
+
+
+def _not_run(reason: Reason, detail: str, after_s: float | None = None) -> Problem:
+    return Problem(reason=reason, ran=Ran.NO, detail=detail, retry_after_s=after_s)
+
+
+def _unread(http_request: CallerHttpRequest) -> bool:
+    if http_request.chunked_read:
+        return not http_request.rfile.closed
+    return getattr(http_request.rfile, "remaining", 0) > 0
+
+
+def _returned(headers: Headers, length: int | None) -> list[tuple[str, str]]:
+    """Return the headers for the caller; an unknown length is sent in chunks."""
+    returned = list(end_to_end(headers, SET_HERE))
+    if length is not None:
+        returned.append(("Content-Length", str(length)))
+    return returned
+
+
+def _fingerprint(head: CallerHead, customer: Customer | None, body: bytes) -> str:
+    """Return what a caller's repeat of a request has in common with it."""
+    name = customer.name if customer else ""
+    text = f"{name}\0{head.method}\0{head.host}\0{head.target}\0".encode()
+    return hashlib.blake2b(text + body, digest_size=12).hexdigest()
--- /dev/null
+++ b/lavenderspoke/direct/daemon.py
@@ -0,0 +1,149 @@
+"""An entry that dispatches directly, put together from its parts."""
+
+import signal
+import threading
+import uuid
+from random import Random
+from typing import Protocol
+
+import logbook
+
+from lavenderspoke.callerwatch import CallerWatch
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.app import DirectApp
+from lavenderspoke.direct.catalog import Catalog
+from lavenderspoke.direct.dialect import Dialect
+from lavenderspoke.direct.gossip import Gossip
+from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.office import Office
+from lavenderspoke.direct.readiness import ReadinessServer
+from lavenderspoke.direct.server import CallerPart
+from lavenderspoke.direct.settings import KEY_MARGIN_S, DirectSettings
+from lavenderspoke.metrics import Metrics
+from lavenderspoke.model import InstanceId
+from lavenderspoke.supervisor import Part, Supervisor
+
+# For so long after the signal to stop, in seconds, callers are still sent here:
+# the balancer asks once a second and turns away after two refusals.
+TURNED_AWAY_S = 3.3
+# The stop ends this long, in seconds, before the process would be killed.
+STOP_MARGIN_S = 0.9
+DRAIN_POLL_S = 0.05
+
+log = logbook.Logger(__name__)
+
+
+class Feeds(Protocol):
+    """What brings catalog, upstreams and peers from a platform."""
+
+    def parts(self) -> list[tuple[str, Part]]:
+        """Return the parts that follow the platform."""
+
+    def leave(self) -> None:
+        """Take this entry off the platform's records."""
+
+
+class DirectEntry:
+    """One entry."""
+
+    def __init__(
+        self,
+        *,
+        settings: DirectSettings,
+        dialect: Dialect,
+        clock: Clock,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.me = InstanceId(name=settings.name, incarnation=uuid.uuid4().hex)
+        self.address = f"tcp://{settings.peers.host}:{settings.peers.port}"
+        bounds = settings.bounds
+        self.in_force = InForce(
+            clock=clock, key_age_max_s=bounds.revoke_s - KEY_MARGIN_S
+        )
+        self.office = Office(
+            name=settings.name,
+            address=self.address,
+            bounds=bounds,
+            clock=clock,
+            random=Random(),
+            metrics=self.metrics,
+        )
+        self._watch = CallerWatch()
+        self._app = DirectApp(
+            in_force=self.in_force,
+            office=self.office,
+            dialect=dialect,
+            watch=self._watch,
+            metrics=self.metrics,
+            clock=clock,
+        )
+        self._callers = CallerPart(settings=settings, app=self._app)
+        self._readiness = ReadinessServer(
+            address=settings.readiness, ready=self.ready, metrics=self.metrics
+        )
+        self._gossip = Gossip(
+            me=self.me,
+            listen=settings.peers,
+            office=self.office,
+            metrics=self.metrics,
+        )
+        self._feeds: Feeds | None = None
+        self._supervisor: Supervisor | None = None
+
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return (
+            not self._app.draining
+            and self.in_force.catalog is not None
+            and self.in_force.fresh()
+            and self.office.has_upstreams()
+        )
+
+    def catalog_changed(self, catalog: Catalog) -> None:
+        """Take over a catalog that has come into force."""
+        self.office.catalog_changed(catalog)
+        self._callers.limit(catalog.limits)
+
+    def run(self, feeds: Feeds) -> int:
+        """Run until told to stop; return the process's exit status."""
+        self._feeds = feeds
+        self._supervisor = Supervisor(
+            name="entry",
+            parts=[
+                ("readiness", self._readiness),
+                ("watch", self._watch),
+                ("callers", self._callers),
+                ("gossip", self._gossip),
+                *feeds.parts(),
+            ],
+            clock=self.clock,
+        )
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        log.info("starting", entry=self.me.name, incarnation=self.me.incarnation)
+        status = self._supervisor.run()
+        log.info("stopped", entry=self.me.name, status=status)
+        return status
+
+    def _on_stop(self, number: int, frame: object) -> None:
+        # A signal handler must return at once.
+        if not self._app.draining:
+            self._app.draining = True
+            threading.Thread(target=self._drain, name="drain", daemon=True).start()
+
+    def _drain(self) -> None:
+        """Finish what came before the balancer turned away, then stop."""
+        started_s = self.clock.monotonic_s()
+        turned_away_s = started_s + TURNED_AWAY_S
+        latest_s = started_s + self.settings.bounds.grace_s - STOP_MARGIN_S
+        log.info("stopping", in_flight=self._app.in_flight())
+        self._feeds.leave()
+        pause = threading.Event()
+        while (now_s := self.clock.monotonic_s()) < latest_s:
+            if now_s >= turned_away_s and not self._app.in_flight():
+                break
+            pause.wait(DRAIN_POLL_S)
+        log.info("finished", cut_off=self._app.in_flight())
+        self._supervisor.request_stop()
--- /dev/null
+++ b/lavenderspoke/direct/dialect.py
@@ -0,0 +1,77 @@
+"""What direct dispatch needs to know of a platform's way of speaking HTTP."""
+
+from typing import Protocol
+
+import attrs
+from result import Result
+
+from lavenderspoke.direct.exchange import Exchange
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.hopbyhop import Headers
+
+
+@attrs.frozen(kw_only=True)
+class CallerHead:
+    """What a caller's request says before its body.
+
+    `target` is the path with its query, untouched. `headers` are those that go
+    on to an upstream. Tokens are None where the request states none, and
+    `deadline_in_s` where it sets no deadline. `after_event` is the id of the
+    last event that the caller has, as it sent it.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    key: str | None = None
+    deadline_in_s: float | None = None
+    prompt_tokens: int | None = None
+    output_tokens: int | None = None
+    after_event: str | None = None
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def tokens(self) -> int | None:
+        """Prompt and longest answer together, or None where not stated."""
+        if self.prompt_tokens is None:
+            return None
+        return self.prompt_tokens + (self.output_tokens or 0)
+
+
+@attrs.frozen(kw_only=True)
+class BadHead:
+    """A request that can't be handled; `detail` is for its caller."""
+
+    detail: str
+
+
+class Dialect(Protocol):
+    """How callers and upstreams of a platform spell things."""
+
+    def read(
+        self, method: str, target: str, headers: Headers
+    ) -> Result[CallerHead, BadHead]:
+        """Decode a caller's request."""
+
+    def upstream_headers(
+        self,
+        *,
+        head: CallerHead,
+        upstream: Upstream,
+        customer: str | None,
+        left_s: float,
+        after_event: str | None,
+    ) -> dict[str, str]:
+        """Return the headers for an upstream."""
+
+    def never_ran(self, exchange: Exchange) -> bool:
+        """Return whether the upstream says that it did not run the request."""
+
+    def answers(self, exchange: Exchange, head: CallerHead) -> bool:
+        """Return whether this is the upstream's own answer to that request."""
--- /dev/null
+++ b/lavenderspoke/direct/exchange.py
@@ -0,0 +1,359 @@
+"""One request to an upstream and its answer, over pooled connections.
+
+A connection is kept for another request only after an answer that came whole,
+that was meant for the request, and behind which nothing more was sent. Bytes
+left behind one answer would be read as the start of the next.
+"""
+
+import errno
+import http.client
+import io
+import socket
+import threading
+from collections.abc import Mapping
+
+import attrs
+import logbook
+import urllib3.connection
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+from urllib3.util.connection import is_connection_dropped
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.hopbyhop import Headers
+
+# A handshake takes a few milliseconds inside a data centre and some ten between
+# them; in seconds, short enough that another upstream can still be tried.
+CONNECT_TIMEOUT_S = 0.4
+# Data that stays unacknowledged so long means that the other side is away: in
+# milliseconds, as TCP_USER_TIMEOUT takes it.
+UNACKNOWLEDGED_MS = 1500
+# Probes on silent connections, in seconds and in number: a machine that lost
+# power is noticed after three seconds although it never resets anything.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# A connection is not used within this time, in seconds, of its idle limit: the
+# request would cross the upstream's close.
+IDLE_MARGIN_S = 1.0
+# Idle limit in seconds where the upstream states none.
+IDLE_DEFAULT_S = 4.0
+READ_BYTES = 64 * 1024
+
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+]
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class NotSent:
+    """No connection was made, so the request has not run."""
+
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class Unanswered:
+    """The request may have run; no head of an answer came."""
+
+    detail: str
+    timed_out: bool = False
+
+
+class AnswerCut(Exception):
+    """An answer ended before it was whole, or was silent for too long."""
+
+    def __init__(self, detail: str, *, timed_out: bool = False):
+        super().__init__(detail)
+        self.timed_out = timed_out
+
+
+class _Raw(socket.SocketIO):
+    """A socket's reader that stops reading once the answer has ended."""
+
+    ended = False
+
+    def readinto(self, buffer):
+        return None if self.ended else super().readinto(buffer)
+
+
+class _Response(http.client.HTTPResponse):
+    """A response that notices bytes behind its end."""
+
+    def __init__(self, sock, *args, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp.close()
+        self._raw = _Raw(sock, "rb")
+        sock._io_refs += 1
+        self.fp = io.BufferedReader(self._raw)
+        self.followed = False
+
+    def _close_conn(self):
+        # What the reader has buffered beyond this answer would be lost with it,
+        # and the rest would be read as the start of the next answer.
+        self._raw.ended = True
+        self.followed = bool(self.fp.peek(1))
+        super()._close_conn()
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    response_class = _Response
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Idle:
+    connection: _Connection
+    until_s: float
+
+
+class Exchange:
+    """An answer whose head has come.
+
+    `read` returns the next bytes as they come and nothing at its whole end.
+    """
+
+    def __init__(self, *, connection: _Connection, response, pool: "ConnectionPool"):
+        self.status: int = response.status
+        self.headers: Headers = tuple(response.headers.items())
+        self._connection = connection
+        self._response = response
+        self._pool = pool
+        self._whole = False
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty string."""
+        return self._response.headers.get(name, "")
+
+    def read(self, timeout_s: float) -> bytes:
+        """Return the next bytes, waiting up to `timeout_s`; raises AnswerCut."""
+        if self._whole:
+            return b""
+        try:
+            # Without a socket the connection ends with this answer and belongs
+            # to the response now.
+            self._sock().settimeout(max(0.001, timeout_s))
+            data = self._raw_response().read1(READ_BYTES)
+        except TimeoutError as error:
+            raise AnswerCut("silent for too long", timed_out=True) from error
+        except (http.client.HTTPException, OSError, ValueError) as error:
+            raise AnswerCut(f"{type(error).__name__}: {error}") from error
+        if not data:
+            self._check_whole()
+        return data
+
+    def read_whole(self, until_s: float, clock: Clock) -> bytes:
+        """Return the rest of the answer; raises AnswerCut."""
+        parts = []
+        while data := self.read(until_s - clock.monotonic_s()):
+            parts.append(data)
+        return b"".join(parts)
+
+    def cancel(self) -> None:
+        """Break the exchange off, from any thread; its reader gets AnswerCut."""
+        _shut(self._sock())
+
+    def close(self, *, keep: bool) -> None:
+        """Give the connection back, or close it unless the answer came whole."""
+        reusable = (
+            keep
+            and self._whole
+            and not self._raw_response().followed
+            and self._connection.sock is not None
+            and self.header("Connection").lower() != "close"
+        )
+        if reusable:
+            self._pool.give_back(self._connection, self.header("Keep-Alive"))
+            return
+        self._response.close()
+        self._pool.discard(self._connection)
+
+    def _check_whole(self) -> None:
+        response = self._raw_response()
+        if response.length not in (None, 0):
+            raise AnswerCut(f"{response.length} bytes are missing")
+        response._close_conn() if response.fp is not None else None
+        self._whole = True
+
+    def _raw_response(self) -> _Response:
+        return self._response._original_response
+
+    def _sock(self) -> socket.socket:
+        if self._connection.sock is not None:
+            return self._connection.sock
+        return self._raw_response()._raw._sock
+
+
+class Sending:
+    """A request on its way, so that another thread can break it off."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._connection: _Connection | None = None
+        self._exchange: Exchange | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Break off whatever is under way, now or soon; from any thread."""
+        with self._lock:
+            self.cancelled = True
+            if self._exchange is not None:
+                self._exchange.cancel()
+            elif self._connection is not None and self._connection.sock is not None:
+                _shut(self._connection.sock)
+
+    def holds(self, connection: _Connection | None, exchange: Exchange | None) -> bool:
+        """Note what is under way; return False if it was broken off before."""
+        with self._lock:
+            self._connection = connection
+            self._exchange = exchange
+            return not self.cancelled
+
+
+class ConnectionPool:
+    """The connections of one upstream incarnation; used by many threads."""
+
+    def __init__(self, *, host: str, port: int, clock: Clock):
+        self._host = host
+        self._port = port
+        self._clock = clock
+        self._idle: list[_Idle] = []
+        self._lock = threading.Lock()
+        self.opened = 0
+
+    def send(
+        self,
+        *,
+        sending: Sending,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        head_timeout_s: float,
+    ) -> Result[Exchange, NotSent | Unanswered]:
+        """Send a request and wait for the head of its answer."""
+        connection = self._idle_connection()
+        if connection is None:
+            opened = self._open()
+            if opened.is_err():
+                return opened
+            connection = opened.ok_value
+        if not sending.holds(connection, None):
+            self.discard(connection)
+            return Err(NotSent(detail="the caller has gone"))
+        sent = self._exchange(connection, method, target, headers, body, head_timeout_s)
+        if sent.is_err():
+            self.discard(connection)
+            sending.holds(None, None)
+            return sent
+        exchange = sent.ok_value
+        if not sending.holds(connection, exchange):
+            exchange.cancel()
+        return sent
+
+    def give_back(self, connection: _Connection, keep_alive: str) -> None:
+        """Keep a connection whose last answer came whole."""
+        idle_s = _keep_alive_s(keep_alive) - IDLE_MARGIN_S
+        if idle_s <= 0.0:
+            self.discard(connection)
+            return
+        until_s = self._clock.monotonic_s() + idle_s
+        with self._lock:
+            self._idle.append(_Idle(connection=connection, until_s=until_s))
+
+    def discard(self, connection: _Connection) -> None:
+        """Close a connection."""
+        connection.close()
+
+    def close(self) -> None:
+        """Close the connections that nobody uses."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for each in idle:
+            each.connection.close()
+
+    def _idle_connection(self) -> _Connection | None:
+        now_s = self._clock.monotonic_s()
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                # The newest first: the others reach their idle limit and go.
+                idle = self._idle.pop()
+            connection = idle.connection
+            if now_s < idle.until_s and not is_connection_dropped(connection):
+                return connection
+            connection.close()
+
+    def _open(self) -> Result[_Connection, NotSent]:
+        connection = _Connection(
+            self._host,
+            self._port,
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=SOCKET_OPTIONS,
+        )
+        try:
+            connection.connect()
+        except (HTTPError, OSError) as error:
+            connection.close()
+            return Err(NotSent(detail=f"{type(error).__name__}: {error}"))
+        self.opened += 1
+        return Ok(connection)
+
+    def _exchange(
+        self, connection, method, target, headers, body, head_timeout_s
+    ) -> Result[Exchange, Unanswered]:
+        connection.timeout = max(0.001, head_timeout_s)
+        try:
+            self._write(connection, method, target, headers, body)
+            response = connection.getresponse()
+        except TimeoutError as error:
+            return Err(Unanswered(detail=str(error), timed_out=True))
+        except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
+            return Err(Unanswered(detail=f"{type(error).__name__}: {error}"))
+        return Ok(Exchange(connection=connection, response=response, pool=self))
+
+    @staticmethod
+    def _write(connection, method, target, headers, body) -> None:
+        try:
+            connection.request(
+                method,
+                target,
+                body=body or None,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except OSError as error:
+            # The upstream answered before it had read the body and closed: the
+            # answer may still be there.
+            if error.errno not in (errno.EPIPE, errno.ECONNRESET):
+                raise
+            log.info("body was not taken", error=str(error))
+
+
+def _keep_alive_s(header: str) -> float:
+    """Return the idle limit in seconds that a Keep-Alive header states.
+
+    >>> _keep_alive_s("timeout=5, max=100")
+    5.0
+    """
+    for part in header.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return IDLE_DEFAULT_S
+
+
+def _shut(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError as error:
+        # It has been closed or reset already, which is what was wanted.
+        log.debug("shutdown of a closed socket", error=str(error))
--- /dev/null
+++ b/lavenderspoke/direct/handling.py
@@ -0,0 +1,498 @@
+"""The life of one request: placed, sent, answered, resumed or refused.
+
+A request runs on its caller's thread. Whether it can have run is tracked in
+`_may_have_run`: once it may have, a request that must not run twice is never
+sent again, and nobody is told that it did not run.
+"""
+
+import enum
+import threading
+from collections.abc import Iterator
+from typing import Protocol
+
+import attrs
+import logbook
+from result import Err
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.catalog import Customer, Route
+from lavenderspoke.direct.dialect import CallerHead, Dialect
+from lavenderspoke.direct.exchange import (
+    AnswerCut,
+    ConnectionPool,
+    Exchange,
+    NotSent,
+    Sending,
+    Unanswered,
+)
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.scheduler import (
+    Decision,
+    Dispatch,
+    Rank,
+    Refusal,
+    Refuse,
+    Ticket,
+)
+from lavenderspoke.eventstream import EventSplitter, EventTooLong
+from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.model import Ran
+from lavenderspoke.problems import Problem, Reason
+
+# An upstream that is silent for so long, in seconds, is given up where another
+# may run the request; well under the two seconds after which callers leave.
+SILENCE_MIN_S = 1.4
+# The least time in seconds that is worth an attempt.
+ATTEMPT_MIN_S = 0.1
+# What callers are told to wait, in seconds, where the cause passes soon.
+SOON_S = 0.4
+# How long the body of a short answer may take once its head has come, seconds.
+DRAIN_BODY_S = 0.3
+
+REASONS = {
+    Refusal.CROWDED: Reason.NO_ROOM,
+    Refusal.WAITED_TOO_LONG: Reason.NO_ROOM,
+    Refusal.NO_UPSTREAM: Reason.NO_UPSTREAM,
+}
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """A request that may be sent, with everything that was decided on arrival.
+
+    `until_s` is the end of the caller's patience or of the route's timeout,
+    whichever comes first.
+    """
+
+    head: CallerHead
+    body: bytes
+    route: Route
+    service: str
+    customer: Customer | None
+    rank: Rank
+    fingerprint: str
+    returned: bool
+    arrived_s: float
+    until_s: float
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class WholeAnswer:
+    """An upstream's answer of known length."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class StreamAnswer:
+    """An upstream's stream whose first events have come."""
+
+    status: int
+    headers: Headers
+    bodies: Iterator[bytes]
+
+
+FirstAnswer = WholeAnswer | StreamAnswer | Problem
+
+
+class Outcome(enum.Enum):
+    """What became of one attempt at an upstream."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"  # the upstream's own failure, or no proper answer
+    BROKEN = "broken"  # the connection broke; it may have run
+    SILENT = "silent"  # nothing came in time; it may have run
+    UNREACHABLE = "unreachable"  # no connection; it has not run
+    NOT_RUN = "not_run"  # the upstream says that it did not run it
+    LEFT = "left"  # given up by this side: the caller has gone, or time is up
+
+
+class Desk(Protocol):
+    """What a request asks of its entry; safe for threads."""
+
+    def submit(self, ticket: Ticket) -> None:
+        """Put a request in line."""
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take it out of the line; False if it has been decided on."""
+
+    def began(self, ticket: Ticket, upstream: Upstream) -> None:
+        """Note its first event."""
+
+    def ended(
+        self, ticket: Ticket, upstream: Upstream, accepted: Accepted, outcome: Outcome
+    ) -> None:
+        """Give its place at an upstream back, and note what became of it."""
+
+    def connections(self, upstream: Upstream) -> ConnectionPool:
+        """Return the connections of an upstream."""
+
+    def may_retry(self, service: str) -> bool:
+        """Take one retry from the service's budget."""
+
+    def stepped(self, upstream: Upstream, step_s: float) -> None:
+        """Note the time between two events of a stream."""
+
+
+@attrs.define(kw_only=True)
+class _Attempt:
+    """One attempt at one upstream and what came of it so far."""
+
+    upstream: Upstream
+    ticket: Ticket
+    sending: Sending
+    exchange: Exchange | None = None
+    outcome: Outcome | None = None
+    detail: str = ""
+
+
+class Handling:
+    """One request's way through the entry."""
+
+    def __init__(
+        self, *, accepted: Accepted, desk: Desk, dialect: Dialect, clock: Clock
+    ):
+        self.accepted = accepted
+        self.trail: list[str] = []
+        self.runs = 0
+        self._desk = desk
+        self._dialect = dialect
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._gone = False
+        self._ticket: Ticket | None = None
+        self._sending: Sending | None = None
+        self._decided = threading.Event()
+        self._decision: Decision | None = None
+        self._tried: set[str] = set()
+        self._may_have_run = False
+        self._last_event = accepted.head.after_event
+        # An upstream's own failure, for the case that no other one does better.
+        self._own_failure: WholeAnswer | None = None
+
+    def abandon(self) -> None:
+        """Stop all work, since the caller has gone; from any thread."""
+        with self._lock:
+            self._gone = True
+            ticket, sending = self._ticket, self._sending
+        if ticket is not None:
+            self._desk.withdraw(ticket)
+        self._decided.set()
+        if sending is not None:
+            sending.cancel()
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has gone."""
+        return self._gone
+
+    def first(self) -> FirstAnswer:
+        """Return a whole answer, the beginning of a stream, or a refusal."""
+        while True:
+            attempt = self._attempt()
+            if isinstance(attempt, Problem):
+                return self._own_failure or attempt
+            answer = self._begin(attempt)
+            if answer is not None:
+                return answer
+            if not self._again(attempt):
+                return self._own_failure or self._failure(attempt)
+
+    # One attempt
+
+    def _attempt(self) -> _Attempt | Problem:
+        """Wait for a place and send; return the attempt or why there is none."""
+        ticket = self._line_up()
+        self._wait(ticket)
+        decision = self._decision
+        if not isinstance(decision, Dispatch):
+            return self._refused(decision)
+        attempt = _Attempt(upstream=decision.upstream, ticket=ticket, sending=Sending())
+        with self._lock:
+            self._sending = attempt.sending
+            gone = self._gone
+        # Time has passed in line, and the machine may have been suspended.
+        left_s = self._left_s()
+        if gone or left_s < ATTEMPT_MIN_S:
+            self._end(attempt, Outcome.LEFT)
+            return self._problem(Reason.DEADLINE_EXPIRED, "time ran out in line")
+        self._send(attempt, left_s)
+        return attempt
+
+    def _line_up(self) -> Ticket:
+        accepted = self.accepted
+        ticket = Ticket(
+            request_id=f"{accepted.head.request_id}.{len(self.trail)}",
+            service=accepted.service,
+            rank=accepted.rank,
+            prompt_tokens=accepted.head.prompt_tokens or 0,
+            arrived_s=accepted.arrived_s,
+            deadline_s=accepted.until_s,
+            target_s=accepted.route.target_s,
+            returned=accepted.returned or self._may_have_run or bool(self._tried),
+            decided=self._decide,
+            excluded=set(self._tried),
+        )
+        with self._lock:
+            self._decided.clear()
+            self._decision = None
+            self._ticket = ticket
+        return ticket
+
+    def _decide(self, decision: Decision) -> None:
+        self._decision = decision
+        self._decided.set()
+
+    def _wait(self, ticket: Ticket) -> None:
+        if self._gone:
+            return
+        self._desk.submit(ticket)
+        if not self._decided.wait(max(0.0, self._left_s())) or self._gone:
+            self._desk.withdraw(ticket)
+
+    def _send(self, attempt: _Attempt, left_s: float) -> None:
+        accepted, upstream = self.accepted, attempt.upstream
+        headers = self._dialect.upstream_headers(
+            head=accepted.head,
+            upstream=upstream,
+            customer=accepted.customer.name if accepted.customer else None,
+            left_s=left_s,
+            after_event=self._last_event,
+        )
+        sent = self._desk.connections(upstream).send(
+            sending=attempt.sending,
+            method=accepted.head.method,
+            target=accepted.head.target,
+            headers=headers,
+            body=accepted.body,
+            head_timeout_s=self._silence_s(),
+        )
+        self._tried.add(upstream.upstream_id)
+        if isinstance(sent, Err):
+            self._not_answered(attempt, sent.err_value)
+            return
+        attempt.exchange = sent.ok_value
+        self._check_head(attempt)
+
+    def _not_answered(self, attempt: _Attempt, error: NotSent | Unanswered) -> None:
+        attempt.detail = error.detail
+        if isinstance(error, NotSent):
+            self._end(attempt, Outcome.UNREACHABLE)
+            return
+        self._ran()
+        self._end(attempt, Outcome.SILENT if error.timed_out else Outcome.BROKEN)
+
+    def _check_head(self, attempt: _Attempt) -> None:
+        exchange = attempt.exchange
+        if self._dialect.never_ran(exchange):
+            self._drain(exchange)
+            self._end(attempt, Outcome.NOT_RUN)
+        elif not self._dialect.answers(exchange, self.accepted.head):
+            # Another request's answer, or bytes that only look like one. This
+            # request was sent, so it may run all the same.
+            self._ran()
+            attempt.detail = f"foreign answer, status {exchange.status}"
+            self._end(attempt, Outcome.FAILED)
+        else:
+            self._ran()
+
+    def _drain(self, exchange: Exchange) -> None:
+        """Read a short answer to its end, so that its connection can be kept."""
+        until_s = self._clock.monotonic_s() + DRAIN_BODY_S
+        try:
+            exchange.read_whole(until_s, self._clock)
+        except AnswerCut as error:
+            log.debug("refusal without an end", error=str(error))
+
+    def _end(self, attempt: _Attempt, outcome: Outcome) -> None:
+        """Close the attempt, once."""
+        if attempt.outcome is not None:
+            return
+        attempt.outcome = outcome
+        self.trail.append(f"{attempt.upstream.upstream_id}:{outcome.value}")
+        if attempt.exchange is not None:
+            keep = outcome in (Outcome.ANSWERED, Outcome.FAILED, Outcome.NOT_RUN)
+            attempt.exchange.close(keep=keep)
+        self._desk.ended(attempt.ticket, attempt.upstream, self.accepted, outcome)
+
+    def _ran(self) -> None:
+        self._may_have_run = True
+        self.runs += 1
+
+    # The answer
+
+    def _begin(self, attempt: _Attempt) -> FirstAnswer | None:
+        """Return what can be passed on of an attempt's answer, if anything."""
+        if attempt.outcome is not None:
+            return None
+        if self.accepted.route.stream and attempt.exchange.status == 200:
+            return self._begin_stream(attempt)
+        return self._whole_answer(attempt)
+
+    def _whole_answer(self, attempt: _Attempt) -> WholeAnswer | None:
+        exchange = attempt.exchange
+        try:
+            body = exchange.read_whole(self.accepted.until_s, self._clock)
+        except AnswerCut as error:
+            self._cut(attempt, error)
+            return None
+        is_failure = exchange.status >= 500
+        outcome = Outcome.FAILED if is_failure else Outcome.ANSWERED
+        answer = WholeAnswer(
+            status=exchange.status, headers=exchange.headers, body=body
+        )
+        self._end(attempt, outcome)
+        if is_failure and self._may_run_again():
+            self._own_failure = answer
+            return None
+        return answer
+
+    def _begin_stream(self, attempt: _Attempt) -> StreamAnswer | None:
+        """Wait for the first event: until then another upstream may do it all."""
+        bodies = self._events(attempt)
+        try:
+            first = next(bodies, b"")
+        except AnswerCut:
+            return None
+        self._desk.began(attempt.ticket, attempt.upstream)
+        exchange = attempt.exchange
+        return StreamAnswer(
+            status=exchange.status,
+            headers=exchange.headers,
+            bodies=self._joined(first, bodies),
+        )
+
+    def _events(self, attempt: _Attempt) -> Iterator[bytes]:
+        """Yield whole events as they come; ends the attempt in every case."""
+        splitter = EventSplitter()
+        before_s = None
+        try:
+            while data := attempt.exchange.read(self._silence_s()):
+                events = splitter.feed(data)
+                if events is None:
+                    continue
+                now_s = self._clock.monotonic_s()
+                if before_s is not None:
+                    self._desk.stepped(attempt.upstream, now_s - before_s)
+                before_s = now_s
+                self._note_event(events.event_id)
+                yield events.body
+            if rest := splitter.rest():
+                yield rest
+            self._end(attempt, Outcome.ANSWERED)
+        except EventTooLong as error:
+            self._end(attempt, Outcome.FAILED)
+            raise AnswerCut("an event without end") from error
+        except AnswerCut as error:
+            self._cut(attempt, error)
+            raise
+        finally:
+            self._end(attempt, Outcome.LEFT)
+
+    def _note_event(self, event_id: int | None) -> None:
+        if event_id is None:
+            return
+        if self._last_event is not None and event_id <= int(self._last_event):
+            # The pieces of another run: what the caller has can't go on there.
+            raise AnswerCut(f"event {event_id} came after {self._last_event}")
+        self._last_event = str(event_id)
+
+    def _joined(self, first: bytes, bodies: Iterator[bytes]) -> Iterator[bytes]:
+        """Yield a stream's events, going on at another upstream where allowed.
+
+        The first upstream has been told to stop by then: its connection is
+        closed before the next one is asked.
+        """
+        yield first
+        while True:
+            try:
+                yield from bodies
+                return
+            except AnswerCut as error:
+                bodies = self._resumed(error)
+
+    def _resumed(self, error: AnswerCut) -> Iterator[bytes]:
+        if self._gone or not self._may_run_again() or not self._can_retry():
+            raise error
+        attempt = self._attempt()
+        if isinstance(attempt, Problem):
+            raise error
+        if attempt.outcome is None and attempt.exchange.status == 200:
+            return self._events(attempt)
+        self._end(attempt, Outcome.FAILED)
+        return self._resumed(error)
+
+    def _cut(self, attempt: _Attempt, error: AnswerCut) -> None:
+        attempt.detail = str(error)
+        if self._gone or self._left_s() <= 0.0:
+            outcome = Outcome.LEFT
+        else:
+            outcome = Outcome.SILENT if error.timed_out else Outcome.BROKEN
+        self._end(attempt, outcome)
+
+    # What next
+
+    def _again(self, attempt: _Attempt) -> bool:
+        """Return whether to try another upstream after a failed attempt."""
+        if self._gone or self._left_s() < ATTEMPT_MIN_S:
+            return False
+        if attempt.outcome in (Outcome.UNREACHABLE, Outcome.NOT_RUN):
+            may = not self._may_have_run or self._may_run_again()
+        else:
+            may = self._may_run_again()
+        return may and self._can_retry()
+
+    def _may_run_again(self) -> bool:
+        route = self.accepted.route
+        return route.repeatable and self.runs < route.attempts_max
+
+    def _can_retry(self) -> bool:
+        return self._desk.may_retry(self.accepted.service)
+
+    def _silence_s(self) -> float:
+        """Return for how long an upstream may say nothing, in seconds.
+
+        An answer that only this upstream can give is waited for to the end.
+        """
+        left_s = max(0.0, self._left_s())
+        route = self.accepted.route
+        if not route.repeatable or self.runs + 1 > route.attempts_max:
+            return left_s
+        return min(left_s, max(SILENCE_MIN_S, route.target_s))
+
+    def _left_s(self) -> float:
+        return self.accepted.until_s - self._clock.monotonic_s()
+
+    # Refusals
+
+    def _refused(self, decision: Refuse | None) -> Problem:
+        if decision is None:
+            return self._problem(Reason.DEADLINE_EXPIRED, "time ran out in line")
+        reason = REASONS[decision.reason]
+        return self._problem(reason, "try again later", decision.retry_after_s)
+
+    def _failure(self, attempt: _Attempt) -> Problem:
+        if attempt.outcome is Outcome.LEFT or self._left_s() < ATTEMPT_MIN_S:
+            return self._problem(Reason.DEADLINE_EXPIRED, attempt.detail)
+        if not self._may_have_run:
+            return self._problem(Reason.NO_ROOM, attempt.detail, SOON_S)
+        return self._problem(Reason.ANSWER_INCOMPLETE, attempt.detail)
+
+    def _problem(
+        self, reason: Reason, detail: str, retry_after_s: float | None = None
+    ) -> Problem:
+        """Return a refusal that says "not run" only where that is known."""
+        if not self._may_have_run:
+            if reason is Reason.DEADLINE_EXPIRED:
+                reason, retry_after_s = Reason.DEADLINE_UNREACHABLE, SOON_S
+            return Problem(
+                reason=reason, ran=Ran.NO, detail=detail, retry_after_s=retry_after_s
+            )
+        if reason is not Reason.DEADLINE_EXPIRED:
+            reason = Reason.ANSWER_INCOMPLETE
+        return Problem(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- /dev/null
+++ b/lavenderspoke/direct/health.py
@@ -0,0 +1,69 @@
+"""What an entry's own requests say about an upstream's health.
+
+Health checks cost a slot and may lie in either direction, so only what became
+of real requests counts. An upstream that can't be reached or falls silent is
+left alone for a while that doubles, and then gets one trial request, not all
+that waits. One that answers but often fails is only made less attractive,
+since on some days all of them do.
+"""
+
+import attrs
+
+# How long an upstream is left alone after the first failure in a row, in
+# seconds; short, since most resets hit one connection and not the process.
+SUSPEND_MIN_S = 0.25
+# The longest suspension in seconds: a crashed engine is back after some seconds.
+SUSPEND_MAX_S = 2.0
+# Weight of the newest outcome in the failure share: some ten requests count.
+OUTCOME_WEIGHT = 0.1
+# Weight of the newest step in the pace: some twenty events count.
+PACE_WEIGHT = 0.05
+
+
+@attrs.define(kw_only=True)
+class Health:
+    """One upstream's record.
+
+    `failure_share` runs from 0 to 1. `pace_s` is the recent time between two
+    events of a stream, or of a whole plain answer; None until one was seen.
+    """
+
+    failure_share: float = 0.0
+    pace_s: float | None = None
+    failures_in_row: int = 0
+    suspended_until_s: float = 0.0
+
+    def succeeded(self) -> None:
+        """Count an answer that came whole and was no failure."""
+        self.failure_share -= self.failure_share * OUTCOME_WEIGHT
+        self.failures_in_row = 0
+
+    def failed(self) -> None:
+        """Count an answer that was a failure: the upstream lives."""
+        self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT
+        self.failures_in_row = 0
+
+    def unreachable(self, now_s: float) -> None:
+        """Count a connection that failed, broke or fell silent."""
+        self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT
+        if now_s < self.suspended_until_s:
+            # Requests that broke together are one failure, not several.
+            return
+        pause_s = SUSPEND_MIN_S * 2**self.failures_in_row
+        self.failures_in_row += 1
+        self.suspended_until_s = now_s + min(pause_s, SUSPEND_MAX_S)
+
+    def stepped(self, step_s: float) -> None:
+        """Count one measured step."""
+        if self.pace_s is None:
+            self.pace_s = step_s
+        self.pace_s += (step_s - self.pace_s) * PACE_WEIGHT
+
+    def usable(self, running: int, now_s: float) -> bool:
+        """Return whether one more request may be sent, given those running.
+
+        After a suspension one request at a time goes until one succeeds.
+        """
+        if now_s < self.suspended_until_s:
+            return False
+        return self.failures_in_row == 0 or running == 0
--- /dev/null
+++ b/lavenderspoke/direct/instances.py
@@ -0,0 +1,20 @@
+"""The upstream instances of a service, as the platform lists them."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Upstream:
+    """One incarnation of an upstream.
+
+    `upstream_id` is new at each start. `slots` is how many requests it works on
+    at once. A `leaving` one takes no new requests.
+    """
+
+    upstream_id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    leaving: bool = False
--- /dev/null
+++ b/lavenderspoke/direct/office.py
@@ -0,0 +1,297 @@
+"""Where an entry's threads meet its decisions: one lock around all of them.
+
+The decisions themselves (scheduler, limits, crashes, peers) are plain classes;
+each call here is short and none blocks.
+"""
+
+import threading
+from random import Random
+
+import attrs
+import logbook
+from result import Err, Ok, Result
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.catalog import Catalog, Route
+from lavenderspoke.direct.crashes import CrashWatch
+from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.handling import Accepted, Outcome
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.quota import SharedQuota
+from lavenderspoke.direct.scheduler import Scheduler, Ticket
+from lavenderspoke.direct.settings import RETRY_PART, Bounds
+from lavenderspoke.direct.sharing import Peers, Returns
+from lavenderspoke.messages import CrashEvidence, SharedState
+from lavenderspoke.metrics import Metrics
+from lavenderspoke.model import InstanceId, Ran
+from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.retrybudget import RetryAllowance
+from lavenderspoke.service import RetryBudget
+
+# The longest that a customer over its limit is told to wait, in seconds.
+LIMIT_WAIT_MAX_S = 3.0
+RETURN_PART = 1 / 3
+ATTEMPTS = "direct_attempts"
+RETRIES = "direct_retries"
+
+log = logbook.Logger(__name__)
+
+
+class Office:
+    """The decisions of one entry, safe for threads."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        bounds: Bounds,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+    ):
+        self._address = address
+        self._bounds = bounds
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._lock = threading.RLock()
+        self._peers = Peers(own_name=name)
+        self._returns = Returns()
+        self._quota = SharedQuota()
+        self._crashes = CrashWatch(own_name=name)
+        self._evidence: list[CrashEvidence] = []
+        self._allowances: dict[str, RetryAllowance] = {}
+        self._connections: dict[str, ConnectionPool] = {}
+        self._scheduler = Scheduler(
+            random=random,
+            peers_running=lambda upstream_id: self._peers.running(
+                upstream_id, self._now_s()
+            ),
+            peers_waiting=lambda service: self._peers.waiting(service, self._now_s()),
+        )
+
+    # Arrival
+
+    def choose_service(self, route: Route) -> str:
+        """Return the service for one request, by the route's weights."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+    def admit(self, accepted: Accepted) -> Result[Accepted, Problem]:
+        """Check a request's content and its customer's limit."""
+        with self._lock:
+            now_s = self._now_s()
+            service, fingerprint = accepted.service, accepted.fingerprint
+            self._allowance(service).first_try(now_s)
+            if self._crashes.quarantined(service, fingerprint, now_s):
+                return Err(_not_run(Reason.CRASHES_UPSTREAMS, None))
+            returned = self._returns.take(fingerprint, now_s)
+            refused = self._spend(accepted, now_s)
+            if refused is not None:
+                return Err(refused)
+        return Ok(_with_return(accepted, returned))
+
+    def _spend(self, accepted: Accepted, now_s: float) -> Problem | None:
+        customer = accepted.customer
+        if customer is None:
+            return None
+        cost = customer.cost(accepted.head.tokens)
+        if self._quota.spend(customer, cost, now_s=now_s):
+            return None
+        wait_s = self._quota.wait_s(customer, cost, now_s=now_s)
+        latest_s = max(0.0, (accepted.until_s - now_s) * RETURN_PART)
+        after_s = min(max(0.3, wait_s), LIMIT_WAIT_MAX_S, latest_s)
+        return _not_run(Reason.CUSTOMER_LIMIT, after_s)
+
+    def refused(self, accepted: Accepted, *, ran: Ran) -> None:
+        """Note a request that got no answer from an upstream."""
+        with self._lock:
+            self._returns.refused(accepted.fingerprint, self._now_s())
+            customer = accepted.customer
+            if ran is Ran.NO and customer is not None:
+                self._quota.refund(customer, customer.cost(accepted.head.tokens))
+
+    # Desk
+
+    def submit(self, ticket: Ticket) -> None:
+        with self._lock:
+            self._scheduler.line(ticket.service).submit(ticket, self._now_s())
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        with self._lock:
+            return self._scheduler.line(ticket.service).withdraw(ticket)
+
+    def began(self, ticket: Ticket, upstream: Upstream) -> None:
+        with self._lock:
+            line = self._scheduler.line(ticket.service)
+            line.began(ticket, upstream.upstream_id)
+
+    def ended(
+        self, ticket: Ticket, upstream: Upstream, accepted: Accepted, outcome: Outcome
+    ) -> None:
+        self._metrics.count(ATTEMPTS, outcome.value)
+        with self._lock:
+            now_s = self._now_s()
+            self._judge(upstream, accepted, outcome, now_s)
+            line = self._scheduler.line(ticket.service)
+            line.ended(ticket, upstream.upstream_id, now_s)
+
+    def connections(self, upstream: Upstream) -> ConnectionPool:
+        with self._lock:
+            pool = self._connections.get(upstream.upstream_id)
+            if pool is None:
+                pool = ConnectionPool(
+                    host=upstream.host, port=upstream.port, clock=self._clock
+                )
+                self._connections[upstream.upstream_id] = pool
+            return pool
+
+    def may_retry(self, service: str) -> bool:
+        with self._lock:
+            may = self._allowance(service).spend(self._now_s())
+        self._metrics.count(RETRIES, "sent" if may else "budget_spent")
+        return may
+
+    def stepped(self, upstream: Upstream, step_s: float) -> None:
+        with self._lock:
+            line = self._scheduler.line(upstream.service)
+            seat = line.pool.seat(upstream.upstream_id)
+            if seat is not None:
+                seat.health.stepped(step_s)
+
+    # Upstreams and catalog
+
+    def upstreams_changed(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Take over the platform's list of upstreams."""
+        with self._lock:
+            self._scheduler.reconfigure(upstreams, self._now_s())
+            listed = {each.upstream_id for each in upstreams}
+            left = [each for each in self._connections if each not in listed]
+            pools = [self._connections.pop(each) for each in left]
+        for pool in pools:
+            pool.close()
+
+    def catalog_changed(self, catalog: Catalog) -> None:
+        """Take over customers' limits."""
+        with self._lock:
+            self._quota.reconfigure(catalog.customers, now_s=self._now_s())
+
+    def has_upstreams(self) -> bool:
+        """Return whether any upstream is known."""
+        with self._lock:
+            lines = self._scheduler.lines().values()
+            return any(line.pool.slots() for line in lines)
+
+    # Peers
+
+    def peers_listed(self, addresses: dict[str, str]) -> None:
+        """Take over the entries that the platform's store names."""
+        with self._lock:
+            self._peers.listed(addresses, self._now_s())
+
+    def heard(self, sender: InstanceId, message: SharedState | CrashEvidence) -> None:
+        """Take in another entry's message."""
+        with self._lock:
+            now_s = self._now_s()
+            if isinstance(message, CrashEvidence):
+                self._crashes.heard(message, now_s)
+                return
+            self._peers.heard(sender, message, now_s)
+            self._returns.heard(message.refused, now_s)
+            self._quota.peer_spent(sender.name, sender.incarnation, message.spent)
+
+    def tick(self) -> None:
+        """Serve the lines again and follow what the peers said."""
+        with self._lock:
+            now_s = self._now_s()
+            heard, known = self._peers.heard_and_known(now_s)
+            self._quota.share(heard=heard, known=known)
+            self._scheduler.tick(now_s)
+
+    def peer_addresses(self) -> dict[str, str]:
+        """Return where the other entries listen, by name."""
+        with self._lock:
+            return self._peers.addresses(self._now_s())
+
+    def gone_peers(self) -> list[str]:
+        """Forget the entries that are gone and return their addresses."""
+        with self._lock:
+            return self._peers.gone(self._now_s())
+
+    def news(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
+        """Return what the other entries are to be told now."""
+        with self._lock:
+            running, waiting = {}, {}
+            for service, line in self._scheduler.lines().items():
+                for upstream_id, each in line.pool.running().items():
+                    running[upstream_id] = (each.requests, each.prefill_tokens)
+                rows = line.waiting().items()
+                if rows:
+                    waiting[service] = tuple((*rank, count) for rank, count in rows)
+            state = SharedState(
+                address=self._address,
+                running=running,
+                waiting=waiting,
+                spent=self._quota.spent(),
+                refused=self._returns.news(),
+                leaving=leaving,
+            )
+            evidence, self._evidence = self._evidence, []
+        return [state, *evidence]
+
+    # Inside
+
+    def _judge(
+        self, upstream: Upstream, accepted: Accepted, outcome: Outcome, now_s: float
+    ) -> None:
+        seat = self._scheduler.line(upstream.service).pool.seat(upstream.upstream_id)
+        fingerprint = accepted.fingerprint
+        if outcome is Outcome.ANSWERED:
+            self._crashes.answered(upstream.service, fingerprint)
+        elif outcome is Outcome.BROKEN:
+            self._crashes.broke(upstream.upstream_id, fingerprint, now_s)
+        elif outcome is Outcome.UNREACHABLE:
+            self._died(upstream, now_s)
+        if seat is None:
+            return
+        if outcome is Outcome.ANSWERED:
+            seat.health.succeeded()
+        elif outcome in (Outcome.FAILED, Outcome.BROKEN):
+            # A broken connection alone doesn't mean that the upstream is away;
+            # if it is, the next connection is refused without any harm.
+            seat.health.failed()
+        elif outcome in (Outcome.SILENT, Outcome.UNREACHABLE):
+            seat.health.unreachable(now_s)
+
+    def _died(self, upstream: Upstream, now_s: float) -> None:
+        evidence = self._crashes.dead(upstream.service, upstream.upstream_id, now_s)
+        if evidence is not None:
+            self._evidence.append(evidence)
+
+    def _allowance(self, service: str) -> RetryAllowance:
+        if service not in self._allowances:
+            bounds = self._bounds
+            _, known = self._peers.heard_and_known(self._now_s())
+            slack = bounds.retry_slack * RETRY_PART / known
+            budget = RetryBudget(
+                ratio=bounds.retry_ratio * RETRY_PART,
+                per_s_min=slack / bounds.retry_window_s,
+            )
+            self._allowances[service] = RetryAllowance(
+                budget=budget, now_s=self._now_s()
+            )
+        return self._allowances[service]
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic_s()
+
+
+def _not_run(reason: Reason, after_s: float | None) -> Problem:
+    return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s)
+
+
+def _with_return(accepted: Accepted, returned: bool) -> Accepted:
+    return attrs.evolve(accepted, returned=returned)
--- /dev/null
+++ b/lavenderspoke/direct/sharing.py
@@ -0,0 +1,145 @@
+"""What an entry knows of the other entries, from their last messages."""
+
+from collections import Counter, OrderedDict
+
+import attrs
+
+from lavenderspoke.direct.pool import Running
+from lavenderspoke.direct.scheduler import Rank
+from lavenderspoke.messages import SharedState
+from lavenderspoke.model import InstanceId
+
+# An entry not heard for so long, in seconds, counts as silent: ten of the
+# messages that are due in that time would have to be lost.
+SILENT_S = 1.0
+# An entry silent for so long is taken as gone, in seconds. It is long, since
+# one that is only cut off may still let requests through.
+GONE_S = 20.0
+# How long a refused request is expected back, in seconds.
+RETURN_S = 8.0
+RETURNS_MAX = 4096
+
+
+@attrs.define(kw_only=True)
+class _Peer:
+    """`seen_s` is when it was listed or heard last, `heard_s` only the latter."""
+
+    address: str
+    seen_s: float
+    incarnation: str = ""
+    heard_s: float | None = None
+    state: SharedState | None = None
+
+
+class Peers:
+    """The other entries.
+
+    Times are in seconds on the clock that the caller passes in.
+    """
+
+    def __init__(self, *, own_name: str):
+        self._own_name = own_name
+        self._peers: dict[str, _Peer] = {}
+
+    def listed(self, addresses: dict[str, str], now_s: float) -> None:
+        """Take over the names and addresses that the platform's store holds.
+
+        A record there outlives its entry, so it makes an entry known once and
+        doesn't keep it alive.
+        """
+        for name, address in addresses.items():
+            if name == self._own_name:
+                continue
+            peer = self._peers.get(name)
+            if peer is None:
+                self._peers[name] = _Peer(address=address, seen_s=now_s)
+            elif peer.address != address and not self._fresh(peer, now_s):
+                self._peers[name] = _Peer(address=address, seen_s=now_s)
+
+    def heard(self, sender: InstanceId, state: SharedState, now_s: float) -> None:
+        """Take in a peer's message."""
+        if state.leaving:
+            self._peers.pop(sender.name, None)
+            return
+        self._peers[sender.name] = _Peer(
+            address=state.address,
+            seen_s=now_s,
+            incarnation=sender.incarnation,
+            heard_s=now_s,
+            state=state,
+        )
+
+    def addresses(self, now_s: float) -> dict[str, str]:
+        """Return the addresses by name of those that may be alive."""
+        return {
+            name: peer.address
+            for name, peer in self._peers.items()
+            if now_s < peer.seen_s + GONE_S
+        }
+
+    def gone(self, now_s: float) -> list[str]:
+        """Forget those that are gone for good and return their addresses."""
+        names = [n for n, p in self._peers.items() if now_s >= p.seen_s + GONE_S]
+        return [self._peers.pop(name).address for name in names]
+
+    def running(self, upstream_id: str, now_s: float) -> Running:
+        """Return what the entries that are heard have running at an upstream."""
+        requests = prefill_tokens = 0
+        for state in self._states(now_s):
+            count, tokens = state.running.get(upstream_id, (0, 0))
+            requests += count
+            prefill_tokens += tokens
+        return Running(requests=requests, prefill_tokens=prefill_tokens)
+
+    def waiting(self, service: str, now_s: float) -> dict[Rank, int]:
+        """Return how many wait at the entries that are heard, by rank."""
+        counts: Counter[Rank] = Counter()
+        for state in self._states(now_s):
+            for customer_rank, route_rank, count in state.waiting.get(service, ()):
+                counts[customer_rank, route_rank] += count
+        return dict(counts)
+
+    def heard_and_known(self, now_s: float) -> tuple[int, int]:
+        """Return how many entries are heard and how many there may be.
+
+        Both count this entry.
+        """
+        known = len(self.addresses(now_s))
+        return 1 + len(self._states(now_s)), 1 + known
+
+    def _states(self, now_s: float) -> list[SharedState]:
+        return [p.state for p in self._peers.values() if self._fresh(p, now_s)]
+
+    @staticmethod
+    def _fresh(peer: _Peer, now_s: float) -> bool:
+        return peer.heard_s is not None and now_s < peer.heard_s + SILENT_S
+
+
+class Returns:
+    """The refused requests that are expected back, here or at another entry."""
+
+    def __init__(self):
+        self._until_s: OrderedDict[str, float] = OrderedDict()
+        self._news: list[str] = []
+
+    def refused(self, fingerprint: str, now_s: float) -> None:
+        """Note a refusal of this entry, to be told to the others."""
+        self.heard((fingerprint,), now_s)
+        self._news.append(fingerprint)
+
+    def heard(self, fingerprints: tuple[str, ...], now_s: float) -> None:
+        """Take in refusals, here or elsewhere."""
+        for fingerprint in fingerprints:
+            self._until_s[fingerprint] = now_s + RETURN_S
+            self._until_s.move_to_end(fingerprint)
+        while len(self._until_s) > RETURNS_MAX:
+            self._until_s.popitem(last=False)
+
+    def take(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether this one was refused before, and forget it."""
+        return now_s < self._until_s.pop(fingerprint, now_s)
+
+    def news(self) -> tuple[str, ...]:
+        """Return the refusals that the others haven't been told of."""
+        news, self._news = self._news, []
+        return tuple(news)
--- a/lavenderspoke/eventstream.py
+++ b/lavenderspoke/eventstream.py
@@ -36,6 +36,10 @@
     def __init__(self):
         self._held = b""
 
+    def rest(self) -> bytes:
+        """Return what came behind the last whole event."""
+        return self._held
+
     def feed(self, data: bytes) -> Events | None:
         """Return the events that these bytes complete, if any."""
         held = self._held + data
--- /dev/null
+++ b/lavenderspoke/platform/__main__.py
@@ -0,0 +1,95 @@
+"""Runs an entry on the platform: `python -m lavenderspoke.platform`."""
+
+import os
+import sys
+import threading
+from pathlib import Path
+
+from result import Err
+
+from lavenderspoke.clock import BootClock, Clock
+from lavenderspoke.direct.daemon import DirectEntry
+from lavenderspoke.logs import JsonLinesHandler
+from lavenderspoke.platform import settings
+from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
+from lavenderspoke.platform.settings import PlatformSettings
+from lavenderspoke.platform.store import Store
+from lavenderspoke.platform.wire import PlatformDialect
+from lavenderspoke.supervisor import Part
+from lavenderspoke.util import UserError
+
+SETTINGS_VARIABLE = "LAVENDERSPOKE_CONFIG"
+SETTINGS_DEFAULT = "/etc/lavenderspoke/node.conf"
+# A thread's stack in bytes: with the standard eight megabytes, a hundred threads
+# count for far more than they use.
+STACK_BYTES = 512 * 1024
+
+
+class PlatformFeeds:
+    """Follows the platform's store for one entry."""
+
+    def __init__(self, *, entry: DirectEntry, settings: PlatformSettings, clock: Clock):
+        self._configuration = ConfigurationFeed(
+            store=Store(address=settings.store),
+            clock=clock,
+            in_force=entry.in_force,
+            on_change=entry.catalog_changed,
+        )
+        self._upstreams = UpstreamsFeed(
+            store=Store(address=settings.store),
+            clock=clock,
+            on_change=entry.office.upstreams_changed,
+        )
+        self._entries = EntriesFeed(
+            store=Store(address=settings.store),
+            clock=clock,
+            name=entry.me.name,
+            address=entry.address,
+            on_change=entry.office.peers_listed,
+        )
+
+    def parts(self) -> list[tuple[str, Part]]:
+        """Return the feeds in the order of their start."""
+        return [
+            ("configuration", self._configuration),
+            ("upstreams", self._upstreams),
+            ("entries", self._entries),
+        ]
+
+    def leave(self) -> None:
+        """Drop this entry's record."""
+        self._entries.leave()
+
+
+def read_settings(path: str) -> PlatformSettings:
+    """Return the settings; raises UserError with a line for each mistake."""
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror}") from error
+    parsed = settings.parse(text)
+    if isinstance(parsed, Err):
+        raise UserError(*(f"{path}: {each}" for each in parsed.err_value.mistakes))
+    return parsed.ok_value
+
+
+def main() -> int:
+    """Run the entry and return its exit status."""
+    threading.stack_size(STACK_BYTES)
+    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_DEFAULT)
+    try:
+        platform = read_settings(path)
+    except UserError as error:
+        print("\n".join(error.lines), file=sys.stderr)
+        return error.exit_status
+    handler = JsonLinesHandler(daemon=platform.direct.name, stream=sys.stdout)
+    with handler.applicationbound():
+        clock = BootClock()
+        entry = DirectEntry(
+            settings=platform.direct, dialect=PlatformDialect(), clock=clock
+        )
+        return entry.run(PlatformFeeds(entry=entry, settings=platform, clock=clock))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lavenderspoke/platform/configuration.py
@@ -0,0 +1,118 @@
+"""The operators' configuration, decoded into a catalog.
+
+The store accepts only valid configurations, so what can't be decoded is a fault
+of this program or of the way here: the catalog in force stays.
+"""
+
+import json
+
+from result import Err, Ok, Result
+
+from lavenderspoke.direct.catalog import (
+    Catalog,
+    Customer,
+    Limits,
+    Repeat,
+    Route,
+    Service,
+    Share,
+)
+
+MS_PER_S = 1000.0
+TIMEOUT_DEFAULT_MS = 30_000
+TARGET_DEFAULT_MS = 1000
+
+
+def decode(data: bytes) -> Result[Catalog, str]:
+    """Return the catalog in a configuration, or what is wrong with it."""
+    try:
+        content = json.loads(data)
+        return Ok(
+            Catalog(
+                version=int(content["version"]),
+                routes=tuple(_route(each) for each in content.get("routes") or ()),
+                services={
+                    each["name"]: _service(each)
+                    for each in content.get("services") or ()
+                },
+                customers=tuple(
+                    _customer(each) for each in content.get("tenants") or ()
+                ),
+                limits=_limits(content.get("limits") or {}),
+            )
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def _route(content: dict) -> Route:
+    kind = content["kind"]
+    # A timeout of 0, like a missing one, means that the operators set none.
+    timeout_ms = content.get("timeout-ms") or TIMEOUT_DEFAULT_MS
+    target_ms = content.get("target-latency-ms") or TARGET_DEFAULT_MS
+    return Route(
+        name=content["name"],
+        host=content["host"],
+        path_prefix=content["path-prefix"],
+        repeat=Repeat.IDEMPOTENT if kind == "idempotent" else Repeat.ONCE,
+        stream=kind == "streaming",
+        resumable=bool(content.get("stream-resume")),
+        timeout_s=timeout_ms / MS_PER_S,
+        target_s=target_ms / MS_PER_S,
+        rank=int(content.get("priority") or 0),
+        shares=_shares(content),
+        attempts_max=max(1, int(content.get("max-attempts") or 1)),
+        anonymous=bool(content.get("anonymous")),
+    )
+
+
+def _shares(content: dict) -> tuple[Share, ...]:
+    split = content.get("traffic-split")
+    if not split:
+        return (Share(service=content["service"], weight=1.0),)
+    shares = tuple(
+        Share(service=each["service"], weight=float(each["weight"])) for each in split
+    )
+    # A weight of 0 keeps a service in the list without sending it anything.
+    return tuple(share for share in shares if share.weight > 0.0) or shares[:1]
+
+
+def _service(content: dict) -> Service:
+    return Service(
+        name=content["name"],
+        connections_max=int(content.get("max-connections") or 0),
+        is_model=bool(content.get("engine")),
+    )
+
+
+def _customer(content: dict) -> Customer:
+    return Customer(
+        name=content["name"],
+        keys=tuple(content.get("api-keys") or ()),
+        rank=int(content.get("priority") or 0),
+        per_s=float(content.get("rate-per-s") or 0),
+        burst=float(content.get("burst") or 0),
+        # The other unit is a request.
+        counts_tokens=content.get("unit") == "token_unit",
+        plain_tokens=int(content.get("uncached-tokens") or 1),
+    )
+
+
+def _limits(content: dict) -> Limits:
+    standard = Limits()
+    return Limits(
+        header_bytes_max=int(
+            content.get("max-header-bytes") or standard.header_bytes_max
+        ),
+        body_bytes_max=int(content.get("max-body-bytes") or standard.body_bytes_max),
+        read_timeout_s=_seconds(
+            content.get("header-timeout-ms"), standard.read_timeout_s
+        ),
+        idle_timeout_s=_seconds(
+            content.get("idle-timeout-ms"), standard.idle_timeout_s
+        ),
+    )
+
+
+def _seconds(value_ms: float | None, default_s: float) -> float:
+    return value_ms / MS_PER_S if value_ms else default_s
--- /dev/null
+++ b/lavenderspoke/platform/settings.py
@@ -0,0 +1,111 @@
+"""The platform's settings file: lines of `name=value`, lists joined by commas."""
+
+import attrs
+from result import Err, Ok, Result
+
+from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
+
+MS_PER_S = 1000.0
+
+
+@attrs.frozen(kw_only=True)
+class SettingsError:
+    """What is wrong in a settings file, one line for each mistake."""
+
+    mistakes: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """The settings file, decoded.
+
+    `first_port` and `last_port` are free for messages between daemons.
+    """
+
+    direct: DirectSettings
+    store: Address
+    ports: tuple[int, int]
+
+
+class _Reader:
+    """Reads typed values and gathers all mistakes."""
+
+    def __init__(self, values: dict[str, str]):
+        self.values = values
+        self.mistakes: list[str] = []
+
+    def text(self, name: str) -> str:
+        value = self.values.get(name, "")
+        if not value:
+            self.mistakes.append(f"{name}: missing")
+        return value
+
+    def address(self, name: str) -> Address:
+        return self._convert(name, _address, Address(host="", port=0), None)
+
+    def number(self, name: str, default: float) -> float:
+        return self._convert(name, float, default, default)
+
+    def ports(self, name: str) -> tuple[int, int]:
+        return self._convert(name, _port_range, (0, 0), None)
+
+    def _convert(self, name, convert, fallback, default):
+        value = self.values.get(name, "")
+        if not value and default is not None:
+            return default
+        try:
+            return convert(value)
+        except ValueError:
+            self.mistakes.append(f"{name}: found {value!r}")
+            return fallback
+
+
+def parse(text: str) -> Result[PlatformSettings, SettingsError]:
+    """Return the settings in the file's text, or all mistakes in it.
+
+    Names that are not known are left alone: the platform adds some at times.
+    """
+    values = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not line.lstrip().startswith("#"):
+            values[name.strip()] = value.strip()
+    reader = _Reader(values)
+    settings = _settings(reader)
+    if reader.mistakes:
+        return Err(SettingsError(mistakes=tuple(reader.mistakes)))
+    return Ok(settings)
+
+
+def _settings(reader: _Reader) -> PlatformSettings:
+    ports = reader.ports("internal-port-range")
+    bounds = Bounds(
+        grace_s=reader.number("bounds.grace-s", Bounds().grace_s),
+        revoke_s=reader.number("bounds.revoke-ms", 5000.0) / MS_PER_S,
+        retry_ratio=reader.number("bounds.retry-budget-ratio", Bounds().retry_ratio),
+        retry_slack=reader.number("bounds.budget-slack", Bounds().retry_slack),
+        retry_window_s=reader.number("bounds.retry-window-s", 10.0),
+    )
+    direct = DirectSettings(
+        name=reader.text("node-name"),
+        data_centre=reader.text("zone"),
+        callers=reader.address("listen.frontend"),
+        readiness=reader.address("listen.readiness"),
+        peers=Address(host=reader.text("ip"), port=ports[0]),
+        bounds=bounds,
+    )
+    return PlatformSettings(
+        direct=direct, store=reader.address("platform.address"), ports=ports
+    )
+
+
+def _address(value: str) -> Address:
+    host, separator, port = value.rpartition(":")
+    if not separator or not host:
+        raise ValueError(value)
+    return Address(host=host, port=int(port))
+
+
+def _port_range(value: str) -> tuple[int, int]:
+    first, last = value.split(",")
+    return int(first), int(last)
--- /dev/null
+++ b/lavenderspoke/platform/store.py
@@ -0,0 +1,226 @@
+"""The one client of the platform's store: a log whose topics may hold keys."""
+
+import base64
+import binascii
+import json
+import struct
+from urllib.parse import urlencode
+
+import attrs
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import HTTPError
+
+from lavenderspoke.direct.settings import Address
+
+# What an answer may take beyond the time that the store was asked to wait, in
+# seconds: its answers take milliseconds, and much longer only when it is ill.
+ANSWER_S = 0.8
+CONNECT_S = 0.5
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+PAGES_MAX = 1000
+
+
+@attrs.frozen(kw_only=True)
+class StoreError:
+    """A call without a good answer: it may have been carried out all the same."""
+
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class Forgotten:
+    """The records asked for are gone; reading goes on at `first_offset`."""
+
+    first_offset: int
+
+
+@attrs.frozen(kw_only=True)
+class KeyedRecord:
+    """The record of a key; `value` is None where the key was dropped."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@attrs.frozen(kw_only=True)
+class Records:
+    """Records in order and the offset at which to read on.
+
+    `skipped` counts those that could not be decoded.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+    skipped: int = 0
+
+
+class Store:
+    """A client with one kept connection; used by one thread."""
+
+    def __init__(self, *, address: Address):
+        self._pool = urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=1, block=False
+        )
+
+    def newest(self, topic: str) -> Result[Records, StoreError]:
+        """Return the newest record of each key of a topic.
+
+        The pages are not a snapshot: reading on from the first page's end shows
+        again what changed between them.
+        """
+        items: list[dict] = []
+        next_offset = None
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        for _ in range(PAGES_MAX):
+            page = self._get("/v1/log-newest", query, wait_s=0.0)
+            if isinstance(page, Err):
+                return page
+            decoded = _page(page.ok_value.data)
+            if isinstance(decoded, Err):
+                return decoded
+            content = decoded.ok_value
+            if next_offset is None:
+                next_offset = content["end-offset"]
+            items += content["items"]
+            if not content.get("has-more") or not content["items"]:
+                break
+            query["after"] = content["items"][-1]["key"]
+        return _newest_records(items, next_offset)
+
+    def read(
+        self, topic: str, from_offset: int, *, wait_s: float
+    ) -> Result[Records | Forgotten, StoreError]:
+        """Return the records from an offset on, waiting for one up to `wait_s`."""
+        query: dict[str, object] = {"topic": topic, "part": 0, "from": from_offset}
+        if wait_s > 0.0:
+            query["wait-ms"] = round(wait_s * 1000)
+        response = self._get("/v1/log-read", query, wait_s=wait_s, gone_allowed=True)
+        if isinstance(response, Err):
+            return response
+        reply = response.ok_value
+        if reply.status == 410:
+            return _forgotten(reply.data)
+        return _decode_records(reply.data, from_offset)
+
+    def append(
+        self, topic: str, key: str, value: bytes | None
+    ) -> Result[None, StoreError]:
+        """Put the newest value of a key, or drop the key."""
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b"")
+        query = urlencode({"topic": topic, "part": 0})
+        sent = self._call(
+            "POST",
+            f"/v1/log-append?{query}",
+            body=LENGTH.pack(len(content)) + content,
+            wait_s=0.0,
+        )
+        return sent.and_then(_expect_ok)
+
+    def _get(
+        self, path: str, query: dict, *, wait_s: float, gone_allowed: bool = False
+    ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
+        called = self._call("GET", f"{path}?{urlencode(query)}", wait_s=wait_s)
+        if isinstance(called, Err):
+            return called
+        if gone_allowed and called.ok_value.status == 410:
+            return called
+        return called.and_then(lambda reply: _expect_ok(reply).map(lambda _: reply))
+
+    def _call(
+        self, method: str, target: str, *, wait_s: float, body: bytes | None = None
+    ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
+        timeout = urllib3.Timeout(connect=CONNECT_S, read=wait_s + ANSWER_S)
+        try:
+            reply = self._pool.urlopen(
+                method, target, body=body, timeout=timeout, retries=False
+            )
+        except (HTTPError, OSError, ValueError) as error:
+            # Nothing more comes on a connection that lost an answer.
+            self._pool.close()
+            self._pool = urllib3.HTTPConnectionPool(
+                self._pool.host, self._pool.port, maxsize=1, block=False
+            )
+            return Err(StoreError(detail=f"{type(error).__name__}: {error}"))
+        return Ok(reply)
+
+
+def _expect_ok(reply: urllib3.BaseHTTPResponse) -> Result[None, StoreError]:
+    if reply.status != 200:
+        return Err(StoreError(detail=f"status {reply.status}"))
+    return Ok(None)
+
+
+def _page(data: bytes) -> Result[dict, StoreError]:
+    try:
+        content = json.loads(data)
+        if isinstance(content["items"], list) and type(content["end-offset"]) is int:
+            return Ok(content)
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(StoreError(detail=f"malformed page: {error}"))
+    return Err(StoreError(detail="malformed page"))
+
+
+def _newest_records(items: list, next_offset: int) -> Result[Records, StoreError]:
+    records, skipped = [], 0
+    for item in items:
+        try:
+            record = KeyedRecord(
+                key=item["key"],
+                value=base64.b64decode(item["value"], validate=True),
+                offset=int(item["offset"]),
+            )
+        except (KeyError, TypeError, ValueError, binascii.Error):
+            skipped += 1
+            continue
+        records.append(record)
+    return Ok(Records(records=tuple(records), next_offset=next_offset, skipped=skipped))
+
+
+def _forgotten(data: bytes) -> Result[Forgotten, StoreError]:
+    try:
+        return Ok(Forgotten(first_offset=int(json.loads(data)["first-offset"])))
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(StoreError(detail=f"malformed refusal: {error}"))
+
+
+def _decode_records(data: bytes, from_offset: int) -> Result[Records, StoreError]:
+    """Decode an answer: the end and the first offset, then length and content.
+
+    A record whose content makes no sense is skipped and counted; a length that
+    doesn't fit the answer spoils all of it.
+    """
+    if len(data) < OFFSETS.size:
+        return Err(StoreError(detail="answer without offsets"))
+    records, skipped = [], 0
+    at, offset = OFFSETS.size, from_offset
+    while at < len(data):
+        if at + LENGTH.size > len(data):
+            return Err(StoreError(detail="cut record"))
+        (length,) = LENGTH.unpack_from(data, at)
+        at += LENGTH.size
+        content = data[at : at + length]
+        if len(content) != length:
+            return Err(StoreError(detail="cut record"))
+        record = _keyed(content, offset)
+        if record is None:
+            skipped += 1
+        else:
+            records.append(record)
+        at += length
+        offset += 1
+    return Ok(Records(records=tuple(records), next_offset=offset, skipped=skipped))
+
+
+def _keyed(content: bytes, offset: int) -> KeyedRecord | None:
+    if not content or len(content) < 1 + content[0]:
+        return None
+    end = 1 + content[0]
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError:
+        return None
+    return KeyedRecord(key=key, value=content[end:] or None, offset=offset)
--- /dev/null
+++ b/lavenderspoke/platform/wire.py
@@ -0,0 +1,147 @@
+"""The headers that callers and upstreams of the platform send and expect."""
+
+import math
+
+from result import Err, Ok, Result
+
+from lavenderspoke.direct.dialect import BadHead, CallerHead
+from lavenderspoke.direct.exchange import Exchange
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.hopbyhop import Headers, end_to_end
+
+# Names the caller's one try, and not the request over all its tries.
+ATTEMPT_ID = "X-Attempt-Id"
+DEADLINE = "X-Deadline-Ms"
+# Prompt tokens and the most output tokens, though the name speaks of use.
+TOKENS = "X-Token-Usage"
+LAST_EVENT = "Last-Event-Id"
+AUTHORIZATION = "Authorization"
+CUSTOMER = "X-Tenant"
+# Names one start of an upstream: another one at the same address refuses.
+EXPECTED_UPSTREAM = "X-Expect-Instance"
+# Says that the upstream did not run the request.
+NEVER_RAN = "X-Not-Executed"
+# Marks an answer as the upstream's own.
+SIGNATURE = "X-Response-Signature"
+CONTENT_ENCODING = "Content-Encoding"
+MISDIRECTED = 421
+MS_PER_S = 1000.0
+
+# What only the system may tell an upstream, and what concerns one connection.
+NOT_PASSED_ON = frozenset(
+    name.lower()
+    for name in (
+        AUTHORIZATION,
+        CUSTOMER,
+        DEADLINE,
+        EXPECTED_UPSTREAM,
+        LAST_EVENT,
+        "X-Expect-Version",
+        "X-Kv-Retention",
+        "X-Pin-Ms",
+        "X-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Content-Length",
+        "Expect",
+    )
+)
+
+
+class PlatformDialect:
+    """The platform's way of speaking HTTP."""
+
+    def read(
+        self, method: str, target: str, headers: Headers
+    ) -> Result[CallerHead, BadHead]:
+        """Decode a caller's request; the names of headers are case-blind."""
+        values = {name.lower(): value for name, value in headers}
+        request_id = values.get(ATTEMPT_ID.lower(), "")
+        if not request_id:
+            return Err(BadHead(detail=f"{ATTEMPT_ID} is missing"))
+        deadline = values.get(DEADLINE.lower())
+        deadline_in_s = None
+        if deadline is not None:
+            deadline_in_s = _seconds(deadline)
+            if deadline_in_s is None:
+                return Err(BadHead(detail=f"{DEADLINE} is no time"))
+        tokens = _tokens(values.get(TOKENS.lower()))
+        after_event = values.get(LAST_EVENT.lower())
+        if after_event is not None and not after_event.isdigit():
+            return Err(BadHead(detail=f"{LAST_EVENT} is no number"))
+        return Ok(
+            CallerHead(
+                request_id=request_id,
+                method=method,
+                target=target,
+                host=values.get("host", ""),
+                headers=end_to_end(headers, NOT_PASSED_ON),
+                key=_bearer(values.get(AUTHORIZATION.lower())),
+                deadline_in_s=deadline_in_s,
+                prompt_tokens=tokens[0] if tokens else None,
+                output_tokens=tokens[1] if tokens else None,
+                after_event=after_event,
+            )
+        )
+
+    def upstream_headers(
+        self,
+        *,
+        head: CallerHead,
+        upstream: Upstream,
+        customer: str | None,
+        left_s: float,
+        after_event: str | None,
+    ) -> dict[str, str]:
+        """Return the headers for an upstream, with the time that is left."""
+        headers = dict(head.headers)
+        headers[DEADLINE] = str(max(1, math.floor(left_s * MS_PER_S)))
+        headers[EXPECTED_UPSTREAM] = upstream.upstream_id
+        if customer is not None:
+            headers[CUSTOMER] = customer
+        if after_event is not None:
+            headers[LAST_EVENT] = after_event
+        return headers
+
+    def never_ran(self, exchange: Exchange) -> bool:
+        """Return whether the upstream says that it did not run the request."""
+        return exchange.status == MISDIRECTED or bool(exchange.header(NEVER_RAN))
+
+    def answers(self, exchange: Exchange, head: CallerHead) -> bool:
+        """Return whether this is the upstream's own answer to that request.
+
+        An answer to another request may come late on a kept connection, and a
+        faulty upstream may send one that is encoded or not signed.
+        """
+        return (
+            exchange.header(ATTEMPT_ID) == head.request_id
+            and bool(exchange.header(SIGNATURE))
+            and not exchange.header(CONTENT_ENCODING)
+        )
+
+
+def _seconds(value: str) -> float | None:
+    try:
+        value_ms = float(value)
+    except ValueError:
+        return None
+    return value_ms / MS_PER_S if math.isfinite(value_ms) else None
+
+
+def _tokens(value: str | None) -> tuple[int, int] | None:
+    """Return prompt and output tokens.
+
+    >>> _tokens("1460,80")
+    (1460, 80)
+    """
+    if value is None:
+        return None
+    first, _, second = value.partition(",")
+    if not first.strip().isdigit() or not second.strip().isdigit():
+        return None
+    return int(first), int(second)
+
+
+def _bearer(value: str | None) -> str | None:
+    scheme, _, key = (value or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
--- a/lavenderspoke/problempage.py
+++ b/lavenderspoke/problempage.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Callable
 from http import HTTPStatus
 
 import attrs
@@ -31,6 +32,11 @@
     Reason.OUTCOME_UNKNOWN: "Whether the request ran is not known",
     Reason.ANSWER_INCOMPLETE: "The answer can't be completed",
     Reason.CALLER_GONE: "The caller has gone",
+    Reason.KEYS_STALE: "Keys can't be checked at this instance now",
+    Reason.NO_ROUTE: "No route leads there",
+    Reason.NO_ROOM: "All upstreams are busy with work that goes first",
+    Reason.NO_UPSTREAM: "No upstream of the service is known",
+    Reason.CRASHES_UPSTREAMS: "This request has crashed upstreams",
     Reason.HEADERS_TOO_LARGE: "The request headers are too large",
     Reason.SERVER_BUSY: "All of this instance's connections are in use",
     Reason.INTERNAL_ERROR: "This instance failed",
@@ -73,7 +79,22 @@
     return str(max(1, math.ceil(problem.retry_after_s)))
 
 
-def render(problem: Problem, request_id: str | None = None) -> Page:
+def retry_after_exact(problem: Problem) -> str | None:
+    """Return Retry-After in seconds with a fraction, for callers that take it.
+
+    Whole seconds would double the wait of callers who have only a few left.
+    """
+    if problem.retry_after_s is None:
+        return None
+    return f"{problem.retry_after_s:.2f}"
+
+
+def render(
+    problem: Problem,
+    request_id: str | None = None,
+    *,
+    retry_after: Callable[[Problem], str | None] = retry_after,
+) -> Page:
     """Return the problem as a response."""
     body = json.dumps(document(problem)).encode()
     headers = [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body)))]
--- a/lavenderspoke/problems.py
+++ b/lavenderspoke/problems.py
@@ -29,6 +29,11 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ANSWER_INCOMPLETE = "answer_incomplete"
     CALLER_GONE = "caller_gone"
+    KEYS_STALE = "keys_stale"
+    NO_ROUTE = "no_route"
+    NO_ROOM = "no_room"
+    NO_UPSTREAM = "no_upstream"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     HEADERS_TOO_LARGE = "headers_too_large"
     SERVER_BUSY = "server_busy"
     INTERNAL_ERROR = "internal_error"
@@ -54,6 +59,11 @@
     Reason.OUTCOME_UNKNOWN: 504,
     Reason.ANSWER_INCOMPLETE: 502,
     Reason.CALLER_GONE: 499,
+    Reason.KEYS_STALE: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.NO_ROOM: 503,
+    Reason.NO_UPSTREAM: 503,
+    Reason.CRASHES_UPSTREAMS: 503,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.SERVER_BUSY: 503,
     Reason.INTERNAL_ERROR: 500,
