--- a/lavenderspoke/callerwatch.py
+++ b/lavenderspoke/callerwatch.py
@@ -11,10 +11,13 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 
 GONE = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 POLL_S = 0.5
 
+log = logbook.Logger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class _Watched:
@@ -69,7 +72,16 @@
             for fd, _ in self._epoll.poll(POLL_S):
                 watched = self._gone(fd)
                 if watched is not None:
-                    watched.on_gone()
+                    self._tell(watched)
+
+    @staticmethod
+    def _tell(watched: _Watched) -> None:
+        try:
+            watched.on_gone()
+        except Exception:
+            # A fault in giving up one request would end this thread, and the
+            # work of every caller that leaves later would go on for nobody.
+            log.exception("giving up a request failed")
 
     def _gone(self, fd: int) -> _Watched | None:
         """Return what to do about a socket, if it is still the one that went.
--- a/lavenderspoke/direct/catalog.py
+++ b/lavenderspoke/direct/catalog.py
@@ -29,7 +29,8 @@
     """Where requests of one host and path prefix go, and what they are promised.
 
     `rank` orders routes, 0 first. `target_s` is the time to the first byte for
-    full value, `timeout_s` the longest a caller is kept. A `stream` may be
+    full value, `timeout_s` the longest a caller is kept, `patience_s` how long it
+    waits for the first byte before it leaves. A `stream` may be
     `resumable`, and then counts as idempotent. `attempts_max` bounds the
     upstreams on which one request may run.
     """
@@ -42,6 +43,7 @@
     resumable: bool
     timeout_s: float
     target_s: float
+    patience_s: float
     rank: int
     shares: tuple[Share, ...]
     attempts_max: int
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -124,6 +124,8 @@
         self.headers: Headers = tuple(response.headers.items())
         self._connection = connection
         self._response = response
+        # Kept, since the connection gives it up when its answer is the last.
+        self._socket = self._raw_response()._raw._sock
         self._pool = pool
         self._whole = False
 
@@ -136,9 +138,7 @@
         if self._whole:
             return b""
         try:
-            # Without a socket the connection ends with this answer and belongs
-            # to the response now.
-            self._sock().settimeout(max(0.001, timeout_s))
+            self._socket.settimeout(max(0.001, timeout_s))
             data = self._raw_response().read1(READ_BYTES)
         except TimeoutError as error:
             raise AnswerCut("silent for too long", timed_out=True) from error
@@ -157,7 +157,7 @@
 
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
-        _shut(self._sock())
+        _shut(self._socket)
 
     def close(self, *, keep: bool) -> None:
         """Give the connection back, or close it unless the answer came whole."""
@@ -184,11 +184,6 @@
     def _raw_response(self) -> _Response:
         return self._response._original_response
 
-    def _sock(self) -> socket.socket:
-        if self._connection.sock is not None:
-            return self._connection.sock
-        return self._raw_response()._raw._sock
-
 
 class Sending:
     """A request on its way, so that another thread can break it off."""
@@ -208,6 +203,14 @@
             elif self._connection is not None and self._connection.sock is not None:
                 _shut(self._connection.sock)
 
+    def ended(self) -> None:
+        """Let go: the connection may be another request's from now on.
+
+        Without this, a caller that leaves just after its answer would cut off
+        the next request on the same connection.
+        """
+        self.holds(None, None)
+
     def holds(self, connection: _Connection | None, exchange: Exchange | None) -> bool:
         """Note what is under way; return False if it was broken off before."""
         with self._lock:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -160,6 +160,7 @@
         self.accepted = accepted
         self.trail: list[str] = []
         self.runs = 0
+        self.waited_s = 0.0
         self._desk = desk
         self._dialect = dialect
         self._clock = clock
@@ -234,6 +235,7 @@
             arrived_s=accepted.arrived_s,
             deadline_s=accepted.until_s,
             target_s=accepted.route.target_s,
+            patience_s=accepted.route.patience_s,
             returned=accepted.returned or self._may_have_run or bool(self._tried),
             decided=self._decide,
             excluded=set(self._tried),
@@ -251,9 +253,11 @@
     def _wait(self, ticket: Ticket) -> None:
         if self._gone:
             return
+        before_s = self._clock.monotonic_s()
         self._desk.submit(ticket)
         if not self._decided.wait(max(0.0, self._left_s())) or self._gone:
             self._desk.withdraw(ticket)
+        self.waited_s += self._clock.monotonic_s() - before_s
 
     def _send(self, attempt: _Attempt, left_s: float) -> None:
         accepted, upstream = self.accepted, attempt.upstream
@@ -314,6 +318,7 @@
         if attempt.outcome is not None:
             return
         attempt.outcome = outcome
+        attempt.sending.ended()
         self.trail.append(f"{attempt.upstream.upstream_id}:{outcome.value}")
         if attempt.exchange is not None:
             keep = outcome in (Outcome.ANSWERED, Outcome.FAILED, Outcome.NOT_RUN)
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -76,7 +76,8 @@
 class Ticket:
     """A request's place in line.
 
-    `target_s` counts from `arrived_s`. `excluded` holds upstreams it was sent to
+    `target_s` counts from `arrived_s`, and so does `patience_s`, after which a
+    caller that has seen no byte leaves. `excluded` holds upstreams it was sent to
     before. `decided` is called once with the decision, under the scheduler's
     lock: it must not block.
     """
@@ -88,6 +89,7 @@
     arrived_s: float
     deadline_s: float
     target_s: float
+    patience_s: float
     returned: bool
     decided: Callable[[Decision], None]
     excluded: set[str] = attrs.field(factory=set)
@@ -220,7 +222,8 @@
 
 
 def _patience_s(ticket: Ticket, now_s: float) -> float:
-    left_s = ticket.deadline_s - now_s - SERVICE_MARGIN_S
+    leaves_s = min(ticket.deadline_s, ticket.arrived_s + ticket.patience_s)
+    left_s = leaves_s - now_s - SERVICE_MARGIN_S
     if ticket.returned:
         return left_s * RETURNED_PATIENCE
     return min(left_s, ticket.target_s * NEWCOMER_PATIENCE)
--- a/lavenderspoke/platform/configuration.py
+++ b/lavenderspoke/platform/configuration.py
@@ -21,6 +21,11 @@
 MS_PER_S = 1000.0
 TIMEOUT_DEFAULT_MS = 30_000
 TARGET_DEFAULT_MS = 1000
+# The gaps after which a stream's caller leaves: in milliseconds, in times of the
+# route's target, and in times of the longest pause that is still good.
+GAP_MIN_MS = 2000
+GAP_TARGETS = 4
+GAP_PAUSES = 8
 
 
 def decode(data: bytes) -> Result[Catalog, str]:
@@ -59,6 +64,7 @@
         resumable=bool(content.get("stream-resume")),
         timeout_s=timeout_ms / MS_PER_S,
         target_s=target_ms / MS_PER_S,
+        patience_s=_patience_ms(content, timeout_ms, target_ms) / MS_PER_S,
         rank=int(content.get("priority") or 0),
         shares=_shares(content),
         attempts_max=max(1, int(content.get("max-attempts") or 1)),
@@ -66,6 +72,19 @@
     )
 
 
+def _patience_ms(content: dict, timeout_ms: float, target_ms: float) -> float:
+    """Return how long callers wait for the first byte, in milliseconds.
+
+    Callers of streams leave after the longest of three gaps, also before the
+    first event.
+    """
+    if content["kind"] != "streaming":
+        return timeout_ms
+    pause_ms = content.get("itl-target-ms") or 0
+    gap_ms = max(GAP_MIN_MS, GAP_TARGETS * target_ms, GAP_PAUSES * pause_ms)
+    return min(timeout_ms, gap_ms)
+
+
 def _shares(content: dict) -> tuple[Share, ...]:
     split = content.get("traffic-split")
     if not split:
