Stop in time, and refuse what comes long after the signal; count limits over a window

Customers' buckets refused what a window of the limit would allow. Ruled out: cutting sooner (the engine is at work), closing idle connections.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -70,7 +70,11 @@
 
 
 class DirectApp:
-    """The application; cheroot calls it on many threads."""
+    """The application; cheroot calls it on many threads.
+
+    While `draining` it tells callers to connect elsewhere next time; once
+    `refusing` it takes no more requests, since a long one could not be finished.
+    """
 
     def __init__(
         self,
@@ -83,6 +87,7 @@
         clock: Clock,
     ):
         self.draining = False
+        self.refusing = False
         self._in_force = in_force
         self._office = office
         self._dialect = dialect
@@ -196,6 +201,8 @@
     def _accept(
         self, http_request: CallerHttpRequest, journey: _Journey
     ) -> Result[Accepted, Problem]:
+        if self.refusing:
+            return Err(_not_run(Reason.DRAINING, "try another instance", SOON_S))
         request = caller_request(http_request)
         read = self._dialect.read(request.method, request.target, request.headers)
         if isinstance(read, Err):
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -1,5 +1,6 @@
 """An entry that dispatches directly, put together from its parts."""
 
+import os
 import signal
 import threading
 import uuid
@@ -142,8 +143,12 @@
         self._feeds.leave()
         pause = threading.Event()
         while (now_s := self.clock.monotonic_s()) < latest_s:
-            if now_s >= turned_away_s and not self._app.in_flight():
+            self._app.refusing = now_s >= turned_away_s
+            if self._app.refusing and not self._app.in_flight():
                 break
             pause.wait(DRAIN_POLL_S)
-        log.info("finished", cut_off=self._app.in_flight())
-        self._supervisor.request_stop()
+        self._gossip.stop()
+        log.info("stopped", cut_off=self._app.in_flight())
+        # What is left are threads that wait on sockets. Joining them takes up to
+        # a second for each server, and the process would be killed meanwhile.
+        os._exit(0)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -58,7 +58,7 @@
         self._lock = threading.RLock()
         self._peers = Peers(own_name=name)
         self._returns = Returns()
-        self._quota = SharedQuota()
+        self._quota = SharedQuota(window_s=bounds.quota_window_s)
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
         self._allowances: dict[str, RetryAllowance] = {}
@@ -112,7 +112,8 @@
             self._returns.refused(accepted.fingerprint, self._now_s())
             customer = accepted.customer
             if ran is Ran.NO and customer is not None:
-                self._quota.refund(customer, customer.cost(accepted.head.tokens))
+                cost = customer.cost(accepted.head.tokens)
+                self._quota.refund(customer, cost, now_s=self._now_s())
 
     # Desk
 
@@ -201,7 +202,9 @@
                 return
             self._peers.heard(sender, message, now_s)
             self._returns.heard(message.refused, now_s)
-            self._quota.peer_spent(sender.name, sender.incarnation, message.spent)
+            self._quota.peer_spent(
+                sender.name, sender.incarnation, message.spent, now_s=now_s
+            )
 
     def tick(self) -> None:
         """Serve the lines again and follow what the peers said."""
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -1,109 +1,131 @@
 """Customers' limits, shared by all entries without a call for each request.
 
-Every entry holds a bucket for each customer that fills at the customer's whole
-rate. Its own requests are taken out at once, those of the other entries when
-they tell of them, several times a second. What is told late is bounded by that
-period, and the burst of the bucket bounds what any window can hold.
+A limit counts over a sliding window: in any `window_s`, a customer may use what
+its rate gives in that time and its burst. Every entry counts its own requests
+at once, and those of the other entries when they tell of them, several times a
+second.
 
 An entry that doesn't hear some peers can't know what they let through. Each
-side then fills its buckets only with its part of the rate, so that the sum over
-all entries stays within it, however they are cut off from each other.
+side then keeps to its part of the limit, so that the sum over all entries stays
+within it, however they are cut off from each other.
+
+An entry that has just started knows nothing of the window before. Until one has
+passed it gives out the burst and what the rate has given since its start, so
+that a restart of all entries can't double a customer's limit.
 """
 
+from collections import deque
+
 import attrs
 
 from lavenderspoke.direct.catalog import Customer
 
 
 @attrs.define(kw_only=True)
-class _Bucket:
-    level: float
-    at_s: float
+class _Window:
+    """What a customer used lately: rows of time and amount, and their sum."""
+
+    since_s: float
     spent: float = 0.0
+    used: float = 0.0
+    rows: deque = attrs.field(factory=deque)
+
+    def add(self, amount: float, now_s: float) -> None:
+        self.rows.append((now_s, amount))
+        self.used += amount
+
+    def forget(self, before_s: float) -> None:
+        while self.rows and self.rows[0][0] <= before_s:
+            self.used -= self.rows.popleft()[1]
 
 
 class SharedQuota:
-    """The buckets of one entry.
+    """The limits as one entry counts them; times are seconds.
 
-    >>> quota = SharedQuota()
-    >>> customer = Customer(name="c", keys=(), rank=0, per_s=10.0, burst=5.0,
+    >>> quota = SharedQuota(window_s=1.0)
+    >>> customer = Customer(name="c", keys=(), rank=0, per_s=2.0, burst=3.0,
     ...     counts_tokens=False, plain_tokens=0)
     >>> quota.reconfigure((customer,), now_s=0.0)
-    >>> [quota.spend(customer, 1.0, now_s=0.0) for _ in range(6)][-2:]
+    >>> [quota.spend(customer, 1.0, now_s=5.0) for _ in range(6)][-2:]
     [True, False]
-    >>> quota.spend(customer, 1.0, now_s=0.5)
+    >>> quota.spend(customer, 1.0, now_s=6.5)
     True
     """
 
-    def __init__(self):
-        self._buckets: dict[str, _Bucket] = {}
+    def __init__(self, *, window_s: float):
+        self._window_s = window_s
+        self._windows: dict[str, _Window] = {}
         self._part = 1.0
         self._heard: dict[tuple[str, str], dict[str, float]] = {}
 
     def reconfigure(self, customers: tuple[Customer, ...], *, now_s: float) -> None:
-        """Keep a bucket for each customer, also for those not seen here yet.
+        """Count for each customer, also for those not seen here yet.
 
-        Without one, what peers let through before a customer's first request
-        here would be forgotten, and each entry would add a burst of its own.
+        Without that, what peers let through before a customer's first request
+        here would be forgotten.
         """
         for customer in customers:
             if customer.per_s > 0.0:
-                self._filled(customer, now_s)
+                self._window(customer, now_s)
 
     def share(self, *, heard: int, known: int) -> None:
         """Set how many of the known entries, this one included, are heard."""
         self._part = heard / max(1, known)
 
     def spend(self, customer: Customer, cost: float, *, now_s: float) -> bool:
-        """Take a request's cost out, or return False when it exceeds the limit.
-
-        One that costs more than the whole burst passes from a full bucket, and
-        what it overdrew has to fill again first.
-        """
+        """Count a request, or return False when it exceeds the limit."""
         if customer.per_s <= 0.0:
             return True
-        bucket = self._filled(customer, now_s)
-        if bucket.level < min(cost, customer.burst):
+        window = self._window(customer, now_s)
+        if window.used + cost > self._limit(customer, window, now_s):
             return False
-        bucket.level -= cost
-        bucket.spent += cost
+        window.add(cost, now_s)
+        window.spent += cost
         return True
 
-    def refund(self, customer: Customer, cost: float) -> None:
+    def refund(self, customer: Customer, cost: float, *, now_s: float) -> None:
         """Give back the cost of a request that never ran."""
-        bucket = self._buckets.get(customer.name)
-        if customer.per_s > 0.0 and bucket is not None:
-            bucket.level += cost
-            bucket.spent -= cost
+        if customer.per_s > 0.0 and customer.name in self._windows:
+            window = self._windows[customer.name]
+            window.add(-cost, now_s)
+            window.spent -= cost
 
     def wait_s(self, customer: Customer, cost: float, *, now_s: float) -> float:
         """Return in how many seconds a request of that cost could pass."""
         if customer.per_s <= 0.0:
             return 0.0
-        missing = min(cost, customer.burst) - self._filled(customer, now_s).level
-        return max(0.0, missing / (customer.per_s * self._part))
+        window = self._window(customer, now_s)
+        over = window.used + cost - self._limit(customer, window, now_s)
+        for at_s, amount in window.rows:
+            if over <= 0.0:
+                return max(0.0, at_s + self._window_s - now_s)
+            over -= amount
+        return self._window_s if over > 0.0 else 0.0
 
     def spent(self) -> dict[str, float]:
         """Return what this entry has let through since it started."""
-        return {name: bucket.spent for name, bucket in self._buckets.items()}
+        return {name: window.spent for name, window in self._windows.items()}
 
-    def peer_spent(self, name: str, incarnation: str, spent: dict[str, float]) -> None:
+    def peer_spent(
+        self, name: str, incarnation: str, spent: dict[str, float], *, now_s: float
+    ) -> None:
         """Take in what a peer has let through since its incarnation started."""
-        before = self._heard.setdefault((name, incarnation), {})
+        before = self._heard.get((name, incarnation), {})
         for customer, total in spent.items():
             added = total - before.get(customer, 0.0)
-            bucket = self._buckets.get(customer)
-            if bucket is not None:
-                bucket.level -= added
+            if added and customer in self._windows:
+                self._windows[customer].add(added, now_s)
+        for key in [each for each in self._heard if each[0] == name]:
+            del self._heard[key]
         self._heard[name, incarnation] = dict(spent)
 
-    def _filled(self, customer: Customer, now_s: float) -> _Bucket:
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
-            bucket = _Bucket(level=customer.burst, at_s=now_s)
-            self._buckets[customer.name] = bucket
-        elapsed_s = max(0.0, now_s - bucket.at_s)
-        filled = bucket.level + elapsed_s * customer.per_s * self._part
-        bucket.level = min(filled, customer.burst)
-        bucket.at_s = now_s
-        return bucket
+    def _window(self, customer: Customer, now_s: float) -> _Window:
+        window = self._windows.get(customer.name)
+        if window is None:
+            window = self._windows[customer.name] = _Window(since_s=now_s)
+        window.forget(now_s - self._window_s)
+        return window
+
+    def _limit(self, customer: Customer, window: _Window, now_s: float) -> float:
+        known_s = min(self._window_s, now_s - window.since_s)
+        return (customer.per_s * known_s + customer.burst) * self._part
--- a/lavenderspoke/direct/settings.py
+++ b/lavenderspoke/direct/settings.py
@@ -24,7 +24,8 @@
 
     `grace_s` is the time between a stop's signal and the kill; `revoke_s` how
     long a key may work after it was taken away; `retry_ratio` and `retry_slack`
-    bound retries in any `retry_window_s`, over all entries.
+    bound retries in any `retry_window_s`, over all entries; customers' limits
+    count in any `quota_window_s`.
     """
 
     grace_s: float = 8.0
@@ -32,6 +33,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    quota_window_s: float = 8.0
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -84,7 +84,8 @@
         revoke_s=reader.number("bounds.revoke-ms", 5000.0) / MS_PER_S,
         retry_ratio=reader.number("bounds.retry-budget-ratio", Bounds().retry_ratio),
         retry_slack=reader.number("bounds.budget-slack", Bounds().retry_slack),
-        retry_window_s=reader.number("bounds.retry-window-s", 10.0),
+        retry_window_s=reader.number("bounds.retry-window-s", Bounds().retry_window_s),
+        quota_window_s=reader.number("bounds.quota-window-s", Bounds().quota_window_s),
     )
     direct = DirectSettings(
         name=reader.text("node-name"),
