--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -19,14 +19,15 @@
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.readiness import ReadinessServer
 from lavenderspoke.direct.server import CallerPart
-from lavenderspoke.direct.settings import KEY_MARGIN_S, DirectSettings
+from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
 from lavenderspoke.supervisor import Part, Supervisor
 
-# For so long after the signal to stop, in seconds, callers are still sent here:
-# the balancer asks once a second and turns away after two refusals.
-TURNED_AWAY_S = 3.3
+# Requests are taken for so long after the signal to stop, in seconds. The balancer
+# asks once a second and turns callers away after two refusals; what comes later
+# than three seconds could not be finished in the grace time if it is long.
+TURNED_AWAY_S = 2.6
 # The stop ends this long, in seconds, before the process would be killed.
 STOP_MARGIN_S = 0.9
 DRAIN_POLL_S = 0.05
@@ -107,6 +108,11 @@
         self.office.catalog_changed(catalog)
         self._callers.limit(catalog.limits)
 
+    def reload(self, bounds: Bounds) -> None:
+        """Put changed bounds in force."""
+        self.in_force.key_age_max_s = bounds.revoke_s - KEY_MARGIN_S
+        self.office.reload(bounds)
+
     def run(self, feeds: Feeds) -> int:
         """Run until told to stop; return the process's exit status."""
         self._feeds = feeds
@@ -138,7 +144,7 @@
         """Finish what came before the balancer turned away, then stop."""
         started_s = self.clock.monotonic_s()
         turned_away_s = started_s + TURNED_AWAY_S
-        latest_s = started_s + self.settings.bounds.grace_s - STOP_MARGIN_S
+        latest_s = started_s + self.office.bounds.grace_s - STOP_MARGIN_S
         log.info("stopping", in_flight=self._app.in_flight())
         self._feeds.leave()
         pause = threading.Event()
--- a/lavenderspoke/direct/inforce.py
+++ b/lavenderspoke/direct/inforce.py
@@ -22,7 +22,7 @@
 
     def __init__(self, *, clock: Clock, key_age_max_s: float):
         self._clock = clock
-        self._key_age_max_s = key_age_max_s
+        self.key_age_max_s = key_age_max_s
         self._lock = threading.Lock()
         self._catalog: Catalog | None = None
         self._confirmed_s: float | None = None
@@ -62,4 +62,4 @@
     def fresh(self) -> bool:
         """Return whether keys may be honoured now."""
         age_s = self.age_s()
-        return age_s is not None and age_s < self._key_age_max_s
+        return age_s is not None and age_s < self.key_age_max_s
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -8,7 +8,6 @@
 from random import Random
 
 import attrs
-import logbook
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
@@ -34,8 +33,6 @@
 ATTEMPTS = "direct_attempts"
 RETRIES = "direct_retries"
 
-log = logbook.Logger(__name__)
-
 
 class Office:
     """The decisions of one entry, safe for threads."""
@@ -51,7 +48,7 @@
         metrics: Metrics,
     ):
         self._address = address
-        self._bounds = bounds
+        self.bounds = bounds
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -180,6 +177,12 @@
         with self._lock:
             self._quota.reconfigure(catalog.customers, now_s=self._now_s())
 
+    def reload(self, bounds: Bounds) -> None:
+        """Put changed bounds in force."""
+        with self._lock:
+            self.bounds = bounds
+            self._allowances.clear()
+
     def has_upstreams(self) -> bool:
         """Return whether any upstream is known."""
         with self._lock:
@@ -276,7 +279,7 @@
 
     def _allowance(self, service: str) -> RetryAllowance:
         if service not in self._allowances:
-            bounds = self._bounds
+            bounds = self.bounds
             _, known = self._peers.heard_and_known(self._now_s())
             slack = bounds.retry_slack * RETRY_PART / known
             budget = RetryBudget(
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -1,15 +1,19 @@
 """Runs an entry on the platform: `python -m lavenderspoke.platform`."""
 
 import os
+import signal
 import sys
 import threading
 from pathlib import Path
 
+import attrs
+import logbook
 from result import Err
 
 from lavenderspoke.clock import BootClock, Clock
 from lavenderspoke.direct.daemon import DirectEntry
 from lavenderspoke.logs import JsonLinesHandler
+from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform import settings
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.settings import PlatformSettings
@@ -25,10 +29,53 @@
 STACK_BYTES = 512 * 1024
 
 
+# Time between two looks at the settings file, in seconds: it may change without
+# a signal, and nothing in it is more urgent than a few seconds.
+SETTINGS_PERIOD_S = 2.0
+
+log = logbook.Logger(__name__)
+
+
+class SettingsWatch:
+    """Puts changes of the settings file in force, and keeps what it can't read."""
+
+    def __init__(self, *, path: str, entry: DirectEntry, settings: PlatformSettings):
+        self._path = path
+        self._entry = entry
+        self._settings = settings
+        self.part = Periodic(
+            name="settings", period_s=SETTINGS_PERIOD_S, work=self._look
+        )
+
+    def on_signal(self, number: int, frame: object) -> None:
+        """Look now."""
+        self.part.wake()
+
+    def _look(self) -> None:
+        try:
+            changed = read_settings(self._path)
+        except UserError as error:
+            log.error("settings not understood", mistakes=error.lines)
+            return
+        if changed == self._settings:
+            return
+        self._settings = changed
+        self._entry.reload(changed.direct.bounds)
+        log.info("settings reloaded", bounds=attrs.asdict(changed.direct.bounds))
+
+
 class PlatformFeeds:
     """Follows the platform's store for one entry."""
 
-    def __init__(self, *, entry: DirectEntry, settings: PlatformSettings, clock: Clock):
+    def __init__(
+        self,
+        *,
+        entry: DirectEntry,
+        settings: PlatformSettings,
+        watch: SettingsWatch,
+        clock: Clock,
+    ):
+        self._settings = watch
         self._configuration = ConfigurationFeed(
             store=Store(address=settings.store),
             clock=clock,
@@ -51,6 +98,7 @@
     def parts(self) -> list[tuple[str, Part]]:
         """Return the feeds in the order of their start."""
         return [
+            ("settings", self._settings.part),
             ("configuration", self._configuration),
             ("upstreams", self._upstreams),
             ("entries", self._entries),
@@ -88,7 +136,12 @@
         entry = DirectEntry(
             settings=platform.direct, dialect=PlatformDialect(), clock=clock
         )
-        return entry.run(PlatformFeeds(entry=entry, settings=platform, clock=clock))
+        watch = SettingsWatch(path=path, entry=entry, settings=platform)
+        # Without a handler this signal would end the process.
+        signal.signal(signal.SIGHUP, watch.on_signal)
+        return entry.run(
+            PlatformFeeds(entry=entry, settings=platform, watch=watch, clock=clock)
+        )
 
 
 if __name__ == "__main__":
