Order the line by what can still be on time, with places reserved and guaranteed

Ruled out by trials: no reservation, reservations of 7 and 15 % a rank above, guarantees of 20 and 40 %, returned requests waiting half of their time, refusing as soon as the expected wait exceeds the patience (DOUBT 1).

--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -15,11 +15,11 @@
 
 # Time between two looks at the lines, in seconds: how late a request learns that
 # its time in line is up, or that a peer's place came free.
-TICK_S = 0.05
+TICK_S = 0.02
 # Ticks between two messages while something changes, and while nothing does.
 # At 0.1 s two entries rarely fill the same place; the engine queues one more.
-TELL_TICKS = 2
-QUIET_TICKS = 6
+TELL_TICKS = 1
+QUIET_TICKS = 15
 
 log = logbook.Logger(__name__)
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -17,7 +17,7 @@
 from lavenderspoke.direct.handling import Accepted, Outcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.quota import SharedQuota
-from lavenderspoke.direct.scheduler import Scheduler, Ticket
+from lavenderspoke.direct.scheduler import Rank, Scheduler, Ticket
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns
 from lavenderspoke.messages import CrashEvidence, SharedState
@@ -65,7 +65,7 @@
             peers_running=lambda upstream_id: self._peers.running(
                 upstream_id, self._now_s()
             ),
-            peers_waiting=lambda service: self._peers.waiting(service, self._now_s()),
+            peers_share=lambda service: self._peers.share(service, self._now_s()),
         )
 
     # Arrival
@@ -230,17 +230,19 @@
     def news(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
         """Return what the other entries are to be told now."""
         with self._lock:
-            running, waiting = {}, {}
+            running, waiting, held = {}, {}, {}
             for service, line in self._scheduler.lines().items():
                 for upstream_id, each in line.pool.running().items():
                     running[upstream_id] = (each.requests, each.prefill_tokens)
-                rows = line.waiting().items()
-                if rows:
-                    waiting[service] = tuple((*rank, count) for rank, count in rows)
+                if rows := line.waiting():
+                    waiting[service] = _rows(rows)
+                if rows := line.held():
+                    held[service] = _rows(rows)
             state = SharedState(
                 address=self._address,
                 running=running,
                 waiting=waiting,
+                held=held,
                 spent=self._quota.spent(),
                 refused=self._returns.news(),
                 leaving=leaving,
@@ -295,6 +297,10 @@
         return self._clock.monotonic_s()
 
 
+def _rows(counts: dict[Rank, int]) -> tuple[tuple[int, int, int], ...]:
+    return tuple((*rank, count) for rank, count in counts.items())
+
+
 def _not_run(reason: Reason, after_s: float | None) -> Problem:
     return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s)
 
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -1,9 +1,13 @@
 """Who goes next, where to, and who is refused early.
 
-Each service has one line. Ranks go first in strict order, except that one place
-in `LOW_TURN` goes to the lowest rank that waits, so that no kind of request
-starves. Within a rank those that were refused before and came back go ahead of
-newcomers: they were promised a place.
+Each service has one line. Ranks go first in strict order, with two exceptions.
+Some places stay free for the ranks above, so that a request of the highest rank
+finds one and needn't wait until a long answer of a low rank ends. And each rank
+is guaranteed a part of the places, so that none starves.
+
+Within a rank go first those that can still be answered on time: behind a burst,
+serving the oldest first would make every answer late. Among them those that
+were refused before and came back go ahead of newcomers.
 
 A request is refused as soon as its turn can't come in time. Held longer it would
 only keep its caller from asking again; refused at once with a time to come back,
@@ -22,13 +26,26 @@
 
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.pool import Pool, Running, Seat
-
-# Every so many-th place goes to the lowest rank that waits.
-LOW_TURN = 8
-# The part of its target that a newcomer is expected to wait at most.
-NEWCOMER_PATIENCE = 0.6
-# The part of its remaining time that one that came back may wait.
-RETURNED_PATIENCE = 0.6
+from lavenderspoke.direct.rankrates import RankRates
+
+# The part of all places that stays free for the ranks above, for each rank that
+# is above. Answers of the lowest rank last seconds; with a place free for about
+# one in eight, the highest rank rarely waits for one of them to end.
+RESERVED = 0.12
+# The part of all places that is guaranteed to the ranks below the highest,
+# shared among them.
+GUARANTEED = 0.3
+# The part of its target that a request waits at most, so that its first byte
+# can still come on time.
+ON_TIME_PART = 0.7
+# The part of the time it has that a request of the highest rank waits, also when
+# it will be late: with nothing above it, its turn comes.
+HIGHEST_PART = 0.5
+# The part of the time it has that one that came back waits.
+RETURNED_PART = 0.25
+# A request is refused on arrival when its expected wait is so many times what it
+# may take: the expectation is rough, and waiting on time costs its caller little.
+DOUBT = 2.0
 # Time kept, in seconds, between the end of waiting and the deadline: an answer
 # that begins with less left would be cut off.
 SERVICE_MARGIN_S = 0.15
@@ -38,9 +55,8 @@
 # Returns are spread over this range of the expected wait, so that they don't
 # come as the next burst.
 RETRY_SPREAD = (0.9, 1.5)
-# Time that a request holds its place, in seconds, before one has been seen.
-HOLD_INITIAL_S = 0.3
-HOLD_WEIGHT = 0.05
+# How long a rank counts as present after its last request, in seconds.
+PRESENT_S = 5.0
 
 Rank = tuple[int, int]
 """The customer's rank, then the route's; the smallest goes first."""
@@ -94,12 +110,27 @@
     decided: Callable[[Decision], None]
     excluded: set[str] = attrs.field(factory=set)
     number: int = 0
+    late: bool = False
     leaves_line_s: float = 0.0
     started_s: float = 0.0
 
+    @property
+    def on_time_until_s(self) -> float:
+        """Until when it may wait and still be answered on time."""
+        return self.arrived_s + self.target_s * ON_TIME_PART
+
 
 def _place(ticket: Ticket) -> tuple:
-    return ticket.rank, not ticket.returned, ticket.number
+    return ticket.rank, ticket.late, not ticket.returned, ticket.number
+
+
+@attrs.frozen(kw_only=True)
+class PeersShare:
+    """What the other entries said last of one service, and how many they are."""
+
+    waiting: dict[Rank, int] = attrs.field(factory=dict)
+    held: dict[Rank, int] = attrs.field(factory=dict)
+    entries: int = 0
 
 
 class Line:
@@ -107,28 +138,36 @@
 
     def __init__(self, *, pool: Pool, random: Random):
         self.pool = pool
-        self.peers_waiting: dict[Rank, int] = {}
+        self.peers = PeersShare()
         self._random = random
         self._waiting: SortedKeyList = SortedKeyList(key=_place)
         self._ranks: Counter[Rank] = Counter()
-        self._picks = 0
+        self._held: Counter[Rank] = Counter()
+        self._rates: dict[Rank, RankRates] = {}
+        self._seen_s: dict[Rank, float] = {}
         self._numbers = 0
-        self._hold_s = HOLD_INITIAL_S
 
     def waiting(self) -> dict[Rank, int]:
         """Return how many wait here, by rank."""
         return {rank: count for rank, count in self._ranks.items() if count}
 
+    def held(self) -> dict[Rank, int]:
+        """Return how many places this entry's requests hold, by rank."""
+        return {rank: count for rank, count in self._held.items() if count}
+
     def submit(self, ticket: Ticket, now_s: float) -> None:
         """Decide on a request now or let it wait."""
         self._numbers += 1
         ticket.number = self._numbers
-        patience_s = _patience_s(ticket, now_s)
+        ticket.late = now_s >= ticket.on_time_until_s
+        self._seen_s[ticket.rank] = now_s
+        self._rate(ticket.rank).arrived(now_s)
+        patience_s = self._patience_s(ticket, now_s)
         ticket.leaves_line_s = now_s + max(0.0, patience_s)
         if not self.pool.slots():
             ticket.decided(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
             return
-        if self._wait_s(ticket, now_s) > patience_s:
+        if self._wait_s(ticket, now_s) > patience_s * DOUBT:
             ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
             return
         self._waiting.add(ticket)
@@ -147,8 +186,8 @@
         seat = self.pool.seat(upstream_id)
         if seat is not None:
             seat.own.pop(ticket.request_id, None)
-        held_s = now_s - ticket.started_s
-        self._hold_s += (held_s - self._hold_s) * HOLD_WEIGHT
+        self._held[ticket.rank] -= 1
+        self._rate(ticket.rank).held(now_s - ticket.started_s)
         self.serve(now_s)
 
     def began(self, ticket: Ticket, upstream_id: str) -> None:
@@ -159,9 +198,7 @@
 
     def serve(self, now_s: float) -> None:
         """Hand out what room there is, and refuse those whose time is up."""
-        for ticket in [t for t in self._waiting if now_s >= t.leaves_line_s]:
-            self._remove(ticket)
-            ticket.decided(self._refusal(ticket, Refusal.WAITED_TOO_LONG, now_s))
+        self._sort_out(now_s)
         passed: set[Rank] = set()
         while ticket := self._next(passed, now_s):
             seat = self.pool.choose(
@@ -169,50 +206,114 @@
                 excluded=ticket.excluded,
                 now_s=now_s,
             )
-            if seat is None:
-                if not ticket.excluded:
-                    return
+            if seat is not None:
+                self._dispatch(ticket, seat, now_s)
+            elif ticket.excluded:
                 # It waits for another upstream than those it was sent to; the
-                # others of its rank needn't.
+                # other ranks needn't.
                 passed.add(ticket.rank)
-                continue
-            self._dispatch(ticket, seat, now_s)
+            else:
+                return
+
+    def _sort_out(self, now_s: float) -> None:
+        """Refuse those whose time is up, and put back those that are late now."""
+        for ticket in list(self._waiting):
+            if now_s >= ticket.leaves_line_s:
+                self._remove(ticket)
+                reason = Refusal.WAITED_TOO_LONG
+                ticket.decided(self._refusal(ticket, reason, now_s))
+            elif not ticket.late and now_s >= ticket.on_time_until_s:
+                self._waiting.remove(ticket)
+                ticket.late = True
+                self._waiting.add(ticket)
 
     def _next(self, passed: set[Rank], now_s: float) -> Ticket | None:
-        """Return who goes next, if there is room beyond what peers need more."""
-        first = next((t for t in self._waiting if t.rank not in passed), None)
-        if first is None:
+        """Return who goes next, if anyone may."""
+        ranks = [r for r in sorted(self.waiting()) if r not in passed]
+        if not ranks:
             return None
-        if (self._picks + 1) % LOW_TURN == 0:
-            lowest = self._waiting[-1].rank
-            if lowest not in passed:
-                first = next(t for t in self._waiting if t.rank == lowest)
-                return first
-        ahead = sum(n for rank, n in self.peers_waiting.items() if rank < first.rank)
-        return first if not ahead or self.pool.room(now_s) > ahead else None
+        room = self.pool.room(now_s)
+        if room <= 0:
+            return None
+        slots = self.pool.slots()
+        present = self._present(now_s)
+        for rank in reversed(ranks):
+            if self._below_guarantee(rank, present, slots):
+                return self._first(rank)
+        for rank in ranks:
+            above = sum(1 for each in present if each < rank)
+            needed = sum(n for r, n in self.peers.waiting.items() if r < rank)
+            if room > above * RESERVED * slots + needed:
+                return self._first(rank)
+        return None
+
+    def _below_guarantee(self, rank: Rank, present: list[Rank], slots: int) -> bool:
+        if rank == present[0]:
+            return False
+        part = GUARANTEED / (len(present) - 1)
+        held = self._held[rank] + self.peers.held.get(rank, 0)
+        return held < part * slots
+
+    def _present(self, now_s: float) -> list[Rank]:
+        """Return the ranks that are in use, the highest first."""
+        own = [r for r, at_s in self._seen_s.items() if now_s < at_s + PRESENT_S]
+        return sorted({*own, *self.peers.waiting, *self.peers.held})
+
+    def _first(self, rank: Rank) -> Ticket:
+        return next(ticket for ticket in self._waiting if ticket.rank == rank)
 
     def _dispatch(self, ticket: Ticket, seat: Seat, now_s: float) -> None:
         self._remove(ticket)
-        self._picks += 1
         ticket.started_s = now_s
         seat.own[ticket.request_id] = ticket.prompt_tokens
+        self._held[ticket.rank] += 1
         ticket.decided(Dispatch(upstream=seat.upstream))
 
     def _remove(self, ticket: Ticket) -> None:
         self._waiting.remove(ticket)
         self._ranks[ticket.rank] -= 1
 
+    def _rate(self, rank: Rank) -> RankRates:
+        return self._rates.setdefault(rank, RankRates())
+
+    def _patience_s(self, ticket: Ticket, now_s: float) -> float:
+        """Return how long a request may wait from now on."""
+        leaves_s = min(ticket.deadline_s, ticket.arrived_s + ticket.patience_s)
+        left_s = leaves_s - now_s - SERVICE_MARGIN_S
+        if ticket.returned:
+            return left_s * RETURNED_PART
+        if ticket.rank == min(self._present(now_s)):
+            return left_s * HIGHEST_PART
+        return min(left_s, ticket.on_time_until_s - now_s)
+
     def _wait_s(self, ticket: Ticket, now_s: float) -> float:
-        """Return how long the request would wait, by what is ahead of it.
+        """Return how long the request would wait.
 
         Places come free at the rate of slots over the mean time one is held.
+        What arrives above it takes its part of them first, but never the part
+        that its rank is guaranteed.
         """
+        rank, slots = ticket.rank, max(1, self.pool.slots())
         own = sum(1 for t in self._waiting if _place(t) < _place(ticket))
-        peers = sum(n for rank, n in self.peers_waiting.items() if rank <= ticket.rank)
-        ahead = own + peers - self.pool.room(now_s)
+        peers = sum(n for r, n in self.peers.waiting.items() if r <= rank)
+        present = self._present(now_s)
+        reserved = RESERVED * slots * sum(1 for each in present if each < rank)
+        ahead = own + peers - max(0, self.pool.room(now_s) - reserved)
         if ahead < 0:
             return 0.0
-        return (ahead + 1) * self._hold_s / max(1, self.pool.slots())
+        entries = self.peers.entries + 1
+        arrivals = {
+            each: rates.arrivals_per_s(now_s) * entries
+            for each, rates in self._rates.items()
+        }
+        above_slots = sum(
+            per_s * self._rates[each].hold_s
+            for each, per_s in arrivals.items()
+            if each < rank
+        )
+        guaranteed = GUARANTEED / max(1, len(present) - 1) * slots
+        left_slots = max(slots - above_slots, guaranteed, 1.0)
+        return (ahead + 1) * self._rate(rank).hold_s / left_slots
 
     def _refusal(self, ticket: Ticket, reason: Refusal, now_s: float) -> Refuse:
         wait_s = self._wait_s(ticket, now_s) * self._random.uniform(*RETRY_SPREAD)
@@ -221,19 +322,11 @@
         return Refuse(reason=reason, retry_after_s=after_s)
 
 
-def _patience_s(ticket: Ticket, now_s: float) -> float:
-    leaves_s = min(ticket.deadline_s, ticket.arrived_s + ticket.patience_s)
-    left_s = leaves_s - now_s - SERVICE_MARGIN_S
-    if ticket.returned:
-        return left_s * RETURNED_PATIENCE
-    return min(left_s, ticket.target_s * NEWCOMER_PATIENCE)
-
-
 class Scheduler:
     """The lines of all services.
 
     Not safe for threads: its owner holds a lock. `peers_running(upstream_id)`
-    and `peers_waiting(service)` return what the other entries said last.
+    and `peers_share(service)` return what the other entries said last.
     """
 
     def __init__(
@@ -241,11 +334,11 @@
         *,
         random: Random,
         peers_running: Callable[[str], Running] = lambda upstream_id: Running(),
-        peers_waiting: Callable[[str], dict[Rank, int]] = lambda service: {},
+        peers_share: Callable[[str], PeersShare] = lambda service: PeersShare(),
     ):
         self._random = random
         self._peers_running = peers_running
-        self._peers_waiting = peers_waiting
+        self._peers_share = peers_share
         self._lines: dict[str, Line] = {}
 
     def line(self, service: str) -> Line:
@@ -273,5 +366,5 @@
         """Refuse those whose time is up, and use what peers no longer need."""
         for service, line in self._lines.items():
             line.pool.refresh_peers()
-            line.peers_waiting = self._peers_waiting(service)
+            line.peers = self._peers_share(service)
             line.serve(now_s)
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -1,11 +1,12 @@
 """What an entry knows of the other entries, from their last messages."""
 
 from collections import Counter, OrderedDict
+from collections.abc import Iterable
 
 import attrs
 
 from lavenderspoke.direct.pool import Running
-from lavenderspoke.direct.scheduler import Rank
+from lavenderspoke.direct.scheduler import PeersShare, Rank
 from lavenderspoke.messages import SharedState
 from lavenderspoke.model import InstanceId
 
@@ -91,13 +92,14 @@
             prefill_tokens += tokens
         return Running(requests=requests, prefill_tokens=prefill_tokens)
 
-    def waiting(self, service: str, now_s: float) -> dict[Rank, int]:
-        """Return how many wait at the entries that are heard, by rank."""
-        counts: Counter[Rank] = Counter()
-        for state in self._states(now_s):
-            for customer_rank, route_rank, count in state.waiting.get(service, ()):
-                counts[customer_rank, route_rank] += count
-        return dict(counts)
+    def share(self, service: str, now_s: float) -> PeersShare:
+        """Return what the entries that are heard have of a service."""
+        states = self._states(now_s)
+        return PeersShare(
+            waiting=_by_rank(state.waiting.get(service, ()) for state in states),
+            held=_by_rank(state.held.get(service, ()) for state in states),
+            entries=len(states),
+        )
 
     def heard_and_known(self, now_s: float) -> tuple[int, int]:
         """Return how many entries are heard and how many there may be.
@@ -115,6 +117,14 @@
         return peer.heard_s is not None and now_s < peer.heard_s + SILENT_S
 
 
+def _by_rank(rows_of_peers: Iterable[tuple]) -> dict[Rank, int]:
+    counts: Counter[Rank] = Counter()
+    for rows in rows_of_peers:
+        for customer_rank, route_rank, count in rows:
+            counts[customer_rank, route_rank] += count
+    return dict(counts)
+
+
 class Returns:
     """The refused requests that are expected back, here or at another entry."""
 
