Count a returned request's target from its first try; drive the line in tests

Cause: one that came back counted as on time from its return, went before every newcomer, and under a load that lasts all were late; short requests of a middle rank found no place although they give it back at once. Both seen first in a driven model of the line (features/direct_line.feature).

--- /dev/null
+++ b/features/direct_line.feature
@@ -0,0 +1,71 @@
+Feature: Who goes next, where to, and who is refused early
+  The scheduler of an entry that dispatches directly, driven without a network.
+
+  Scenario: A closing burst of short valuable requests among long cheap ones
+    The pattern: for ten seconds come two and a half times as many requests as
+    five upstreams of four places can carry. Short ones of the highest rank and
+    of a middle one come beside long ones of the lowest, whose answers hold a
+    place for two seconds. The figures are those of a model service whose mean
+    prompts take 0.1 s to read and whose chats write for seconds: with no place
+    kept free, the highest rank would wait for chats to end.
+    Given a line before 5 upstreams of 4 places
+    When for 10 s there come each second
+      | rank    | requests | hold s | target s | deadline s |
+      | highest | 30       | 0.25   | 0.8      | 5          |
+      | middle  | 20       | 0.3    | 1.2      | 3          |
+      | lowest  | 20       | 2.0    | 1.2      | 15         |
+    Then at least 95 in 100 of the highest rank begin within their target
+    And at least 70 in 100 of the middle rank begin within their target
+    And at least 10 in 100 of the lowest rank are served
+    And who is refused has waited no longer than 90 in 100 of its target
+    And no more run at an upstream than it has places
+
+  Scenario: All requests of one rank, more than can be carried
+    The pattern: one kind of request, twice what the upstreams carry, for ten
+    seconds. Served oldest first, all of them would be late after a second.
+    Given a line before 5 upstreams of 4 places
+    When for 10 s there come each second
+      | rank    | requests | hold s | target s | deadline s |
+      | highest | 100      | 0.4    | 0.8      | 5          |
+    Then at least 30 in 100 of the highest rank begin within their target
+
+  Scenario: There is room
+    Given a line before 5 upstreams of 4 places
+    When for 5 s there come each second
+      | rank    | requests | hold s | target s | deadline s |
+      | highest | 10       | 0.25   | 0.8      | 5          |
+      | lowest  | 2        | 1.0    | 1.2      | 15         |
+    Then nobody is refused or waits
+
+  Scenario: One that came back goes before newcomers of its rank
+    Given a line before 1 upstream of 1 place
+    When one runs, and a newcomer and one that came back wait
+    Then the one that came back goes next
+
+  Scenario: A peer's more valuable request gets the free place
+    Given a line before 1 upstream of 8 places
+    And a peer has 2 requests of a higher rank in line
+    When a request of a lower rank comes
+    Then it waits
+
+  Scenario: A request that was refused by one upstream waits for another
+    Given a line before 2 upstreams of 1 place
+    When a request comes that was sent to the first before
+    Then it goes to the second
+
+  Scenario: An upstream that leaves gets nothing new
+    Given a line before 1 upstream of 4 places
+    When the upstream is leaving and a request comes
+    Then it is refused because no upstream is there
+
+  Scenario: An upstream that can't be reached is left alone, then tried once
+    Given a line before 1 upstream of 4 places
+    When the upstream can't be reached
+    Then nothing is sent there for a while, and then one request at a time
+    When that one is answered
+    Then it takes as many as it has places again
+
+  Scenario: Retry-After lies within the time in which callers come back
+    Given a line before 1 upstream of 1 place
+    When 60 requests with 1.5 s left come at once
+    Then each refusal names between 0.3 s and 0.5 s
--- /dev/null
+++ b/features/steps/direct_line_steps.py
@@ -0,0 +1,321 @@
+"""Steps about the scheduler of direct dispatch, on a clock of their own."""
+
+import heapq
+import itertools
+from random import Random
+
+import attrs
+from behave import given, then, when
+
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.scheduler import (
+    Dispatch,
+    PeersShare,
+    Refusal,
+    Refuse,
+    Scheduler,
+    Ticket,
+)
+
+RANKS = {"highest": (0, 0), "middle": (0, 1), "lowest": (0, 2)}
+TICK_S = 0.02
+SERVICE = "narrative"
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """A request of the drive, over all its tries."""
+
+    rank: str
+    hold_s: float
+    target_s: float
+    first_s: float
+    deadline_s: float
+    began_s: float | None = None
+    held_in_line_s: float = 0.0
+    waiting_since_s: float = 0.0
+    tries: int = 0
+
+
+class Drive:
+    """Plays arrivals, answers and one return of each refused caller."""
+
+    def __init__(self, *, upstreams: int, places: int):
+        self.now_s = 0.0
+        self.peers = PeersShare()
+        self.scheduler = Scheduler(
+            random=Random(7), peers_share=lambda service: self.peers
+        )
+        self.upstreams = [
+            Upstream(
+                upstream_id=f"u{n}",
+                service=SERVICE,
+                host="127.0.0.1",
+                port=1 + n,
+                data_centre="here",
+                slots=places,
+            )
+            for n in range(upstreams)
+        ]
+        self.scheduler.reconfigure(tuple(self.upstreams), 0.0)
+        self.line = self.scheduler.line(SERVICE)
+        self.requests: list[Request] = []
+        self.refused: list[tuple[Request, Refuse]] = []
+        self.most_at_one = 0
+        self._events: list = []
+        self._numbers = itertools.count()
+        self._random = Random(11)
+
+    def at(self, when_s: float, work) -> None:
+        heapq.heappush(self._events, (when_s, next(self._numbers), work))
+
+    def arrivals(self, row, seconds: float) -> None:
+        """Plan requests at random moments, in clumps of three."""
+        per_s = float(row["requests"])
+        at_s = 0.0
+        while at_s < seconds:
+            for _ in range(3):
+                request = Request(
+                    rank=row["rank"],
+                    hold_s=float(row["hold s"]),
+                    target_s=float(row["target s"]),
+                    first_s=at_s,
+                    deadline_s=at_s + float(row["deadline s"]),
+                )
+                self.requests.append(request)
+                self.at(at_s, lambda each=request: self.come(each))
+            at_s += self._random.expovariate(per_s / 3)
+
+    def come(self, request: Request) -> None:
+        request.tries += 1
+        request.waiting_since_s = self.now_s
+        ticket = Ticket(
+            request_id=f"{id(request)}.{request.tries}",
+            service=SERVICE,
+            rank=RANKS[request.rank],
+            prompt_tokens=1000,
+            first_s=request.first_s,
+            arrived_s=self.now_s,
+            deadline_s=request.deadline_s,
+            target_s=request.target_s,
+            patience_s=request.deadline_s - self.now_s,
+            returned=request.tries > 1,
+            decided=lambda decision: None,
+        )
+        ticket.decided = lambda decision: self.decided(request, ticket, decision)
+        self.line.submit(ticket, self.now_s)
+
+    def decided(self, request: Request, ticket: Ticket, decision) -> None:
+        request.held_in_line_s = self.now_s - request.waiting_since_s
+        if isinstance(decision, Dispatch):
+            request.began_s = self.now_s
+            upstream_id = decision.upstream.upstream_id
+            seat = self.line.pool.seat(upstream_id)
+            self.most_at_one = max(self.most_at_one, len(seat.own))
+            hold_s = self._random.expovariate(1 / request.hold_s)
+            self.at(
+                self.now_s + hold_s,
+                lambda: self.line.ended(ticket, upstream_id, self.now_s),
+            )
+            return
+        self.refused.append((request, decision))
+        if request.tries == 1:
+            back_s = self.now_s + decision.retry_after_s
+            self.at(back_s, lambda: self.come(request))
+
+    def run(self, seconds: float) -> None:
+        end_s = self.now_s + seconds
+        tick_s = self.now_s
+        while tick_s < end_s:
+            tick_s += TICK_S
+            while self._events and self._events[0][0] <= tick_s:
+                self.now_s, _, work = heapq.heappop(self._events)
+                work()
+            self.now_s = tick_s
+            self.scheduler.tick(self.now_s)
+
+    def ticket(self, **changes) -> tuple[Ticket, list]:
+        """Submit one request by itself; return it and its decisions."""
+        decisions: list = []
+        fields = dict(
+            request_id=f"t{next(self._numbers)}",
+            service=SERVICE,
+            rank=RANKS["highest"],
+            prompt_tokens=100,
+            first_s=self.now_s,
+            arrived_s=self.now_s,
+            deadline_s=self.now_s + 5.0,
+            target_s=0.8,
+            patience_s=5.0,
+            returned=False,
+            decided=decisions.append,
+        )
+        ticket = Ticket(**(fields | changes))
+        self.line.submit(ticket, self.now_s)
+        return ticket, decisions
+
+
+@given("a line before {upstreams:d} upstreams of {places:d} places")
+@given("a line before {upstreams:d} upstream of {places:d} places")
+@given("a line before {upstreams:d} upstreams of {places:d} place")
+@given("a line before {upstreams:d} upstream of {places:d} place")
+def step_line(context, upstreams, places):
+    context.places = places
+    context.drive = Drive(upstreams=upstreams, places=places)
+
+
+@given("a peer has {count:d} requests of a higher rank in line")
+def step_peer(context, count):
+    # The lower rank holds more than what it is guaranteed.
+    for _ in range(6):
+        context.drive.ticket(rank=RANKS["lowest"])
+    context.drive.peers = PeersShare(waiting={RANKS["highest"]: count}, entries=1)
+    context.drive.scheduler.tick(0.0)
+
+
+@when("for {seconds:d} s there come each second")
+def step_arrivals(context, seconds):
+    for row in context.table:
+        context.drive.arrivals(row, seconds)
+    context.drive.run(seconds + 20.0)
+
+
+def of_rank(context, rank: str) -> list[Request]:
+    return [each for each in context.drive.requests if each.rank == rank]
+
+
+@then("at least {part:d} in 100 of the {rank} rank begin within their target")
+def step_on_time(context, part, rank):
+    requests = of_rank(context, rank)
+    on_time = [
+        each
+        for each in requests
+        if each.began_s is not None and each.began_s <= each.first_s + each.target_s
+    ]
+    assert 100 * len(on_time) >= part * len(requests), (len(on_time), len(requests))
+
+
+@then("at least {part:d} in 100 of the {rank} rank are served")
+def step_served(context, part, rank):
+    requests = of_rank(context, rank)
+    served = [each for each in requests if each.began_s is not None]
+    assert 100 * len(served) >= part * len(requests), (len(served), len(requests))
+
+
+@then("who is refused has waited no longer than {part:d} in 100 of its target")
+def step_waited(context, part):
+    for request, decision in context.drive.refused:
+        if request.tries == 1 and request.rank != "highest":
+            most_s = request.target_s * part / 100
+            assert request.held_in_line_s <= most_s, (request, decision)
+
+
+@then("no more run at an upstream than it has places")
+def step_places(context):
+    assert context.drive.most_at_one <= context.places
+
+
+@then("nobody is refused or waits")
+def step_nobody(context):
+    assert not context.drive.refused
+    assert all(each.held_in_line_s == 0.0 for each in context.drive.requests)
+
+
+@when("one runs, and a newcomer and one that came back wait")
+def step_two_wait(context):
+    drive = context.drive
+    running, _ = drive.ticket()
+    _, context.newcomer = drive.ticket()
+    _, context.returned = drive.ticket(returned=True)
+    drive.line.ended(running, "u0", drive.now_s)
+
+
+@then("the one that came back goes next")
+def step_returned_next(context):
+    assert len(context.returned) == 1 and not context.newcomer
+
+
+@when("a request of a lower rank comes")
+def step_lower(context):
+    _, context.decisions = context.drive.ticket(rank=RANKS["lowest"])
+
+
+@then("it waits")
+def step_it_waits(context):
+    assert context.decisions == []
+
+
+@when("a request comes that was sent to the first before")
+def step_excluded(context):
+    _, context.decisions = context.drive.ticket(excluded={"u0"})
+
+
+@then("it goes to the second")
+def step_second(context):
+    (decision,) = context.decisions
+    assert decision.upstream.upstream_id == "u1"
+
+
+@when("the upstream is leaving and a request comes")
+def step_leaving(context):
+    drive = context.drive
+    (upstream,) = drive.upstreams
+    drive.scheduler.reconfigure((attrs.evolve(upstream, leaving=True),), 0.0)
+    _, context.decisions = drive.ticket()
+
+
+@then("it is refused because no upstream is there")
+def step_none(context):
+    (decision,) = context.decisions
+    assert decision.reason is Refusal.NO_UPSTREAM
+
+
+@when("the upstream can't be reached")
+def step_unreachable(context):
+    seat = context.drive.line.pool.seat("u0")
+    seat.health.unreachable(context.drive.now_s)
+
+
+@then("nothing is sent there for a while, and then one request at a time")
+def step_trial(context):
+    drive = context.drive
+    decisions = [drive.ticket()[1] for _ in range(3)]
+    assert decisions == [[], [], []]
+    drive.run(0.3)
+    sent = [each for each in decisions if each]
+    assert len(sent) == 1, decisions
+    context.sent = sent
+
+
+@when("that one is answered")
+def step_answered(context):
+    drive = context.drive
+    seat = drive.line.pool.seat("u0")
+    seat.health.succeeded()
+    seat.own.clear()
+    drive.run(0.1)
+
+
+@then("it takes as many as it has places again")
+def step_all_again(context):
+    assert len(context.drive.line.pool.seat("u0").own) == 2
+    assert context.drive.line.pool.room(context.drive.now_s) == 2
+
+
+@when("{count:d} requests with {left_s:f} s left come at once")
+def step_many_at_once(context, count, left_s):
+    drive = context.drive
+    decisions = [drive.ticket(deadline_s=left_s, target_s=0.4) for _ in range(count)]
+    drive.run(left_s)
+    context.refusals = [
+        each for _, made in decisions for each in made if isinstance(each, Refuse)
+    ]
+
+
+@then("each refusal names between {least_s:f} s and {most_s:f} s")
+def step_retry_after(context, least_s, most_s):
+    assert context.refusals
+    early = [each for each in context.refusals if each.reason is Refusal.CROWDED]
+    assert early
+    for each in early:
+        assert least_s <= each.retry_after_s <= most_s, each
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -279,6 +279,7 @@
             rank=(customer.rank if customer else 0, route.rank),
             fingerprint=_fingerprint(head, customer, body),
             returned=False,
+            first_s=arrived_s,
             arrived_s=arrived_s,
             until_s=arrived_s + allowed_s,
             version=catalog.version,
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -62,8 +62,9 @@
 class Accepted:
     """A request that may be sent, with everything that was decided on arrival.
 
-    `until_s` is the end of the caller's patience or of the route's timeout,
-    whichever comes first.
+    `first_s` is when the caller asked for the first time, which for one that came
+    back is before `arrived_s`. `until_s` is the end of the caller's patience or of
+    the route's timeout, whichever comes first.
     """
 
     head: CallerHead
@@ -74,6 +75,7 @@
     rank: Rank
     fingerprint: str
     returned: bool
+    first_s: float
     arrived_s: float
     until_s: float
     version: int
@@ -232,6 +234,7 @@
             service=accepted.service,
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
+            first_s=accepted.first_s,
             arrived_s=accepted.arrived_s,
             deadline_s=accepted.until_s,
             target_s=accepted.route.target_s,
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -85,11 +85,13 @@
             self._allowance(service).first_try(now_s)
             if self._crashes.quarantined(service, fingerprint, now_s):
                 return Err(_not_run(Reason.CRASHES_UPSTREAMS, None))
-            returned = self._returns.take(fingerprint, now_s)
+            first_s = self._returns.take(fingerprint, now_s)
             refused = self._spend(accepted, now_s)
             if refused is not None:
                 return Err(refused)
-        return Ok(_with_return(accepted, returned))
+        if first_s is None:
+            return Ok(accepted)
+        return Ok(attrs.evolve(accepted, returned=True, first_s=first_s))
 
     def _spend(self, accepted: Accepted, now_s: float) -> Problem | None:
         customer = accepted.customer
@@ -106,7 +108,7 @@
     def refused(self, accepted: Accepted, *, ran: Ran) -> None:
         """Note a request that got no answer from an upstream."""
         with self._lock:
-            self._returns.refused(accepted.fingerprint, self._now_s())
+            self._returns.refused(accepted.fingerprint, accepted.first_s)
             customer = accepted.customer
             if ran is Ran.NO and customer is not None:
                 cost = customer.cost(accepted.head.tokens)
@@ -303,7 +305,3 @@
 
 def _not_run(reason: Reason, after_s: float | None) -> Problem:
     return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s)
-
-
-def _with_return(accepted: Accepted, returned: bool) -> Accepted:
-    return attrs.evolve(accepted, returned=returned)
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -5,9 +5,11 @@
 finds one and needn't wait until a long answer of a low rank ends. And each rank
 is guaranteed a part of the places, so that none starves.
 
-Within a rank go first those that can still be answered on time: behind a burst,
-serving the oldest first would make every answer late. Among them those that
-were refused before and came back go ahead of newcomers.
+Within a rank go first those that can still be answered on time, counted from
+when their callers asked first: under a load that lasts, serving the oldest first
+would make every answer late, and nobody would gain by it. Among those that are
+on time, and among those that are late, the ones that were refused before and
+came back go ahead of newcomers.
 
 A request is refused as soon as its turn can't come in time. Held longer it would
 only keep its caller from asking again; refused at once with a time to come back,
@@ -29,9 +31,14 @@
 from lavenderspoke.direct.rankrates import RankRates
 
 # The part of all places that stays free for the ranks above, for each rank that
-# is above. Answers of the lowest rank last seconds; with a place free for about
-# one in eight, the highest rank rarely waits for one of them to end.
+# is above, towards requests that hold a place for `LONG_S` and longer. Answers of
+# the lowest rank last seconds; with one place in eight free, the highest rank
+# rarely waits for one of them to end. Short ones give their place back in time
+# and leave less free.
 RESERVED = 0.12
+# Time that a place is held, in seconds, from which on a rank is in the way: a
+# request of the highest rank that waits for it misses its target.
+LONG_S = 1.0
 # The part of all places that is guaranteed to the ranks below the highest,
 # shared among them.
 GUARANTEED = 0.3
@@ -92,16 +99,17 @@
 class Ticket:
     """A request's place in line.
 
-    `target_s` counts from `arrived_s`, and so does `patience_s`, after which a
-    caller that has seen no byte leaves. `excluded` holds upstreams it was sent to
-    before. `decided` is called once with the decision, under the scheduler's
-    lock: it must not block.
+    `target_s` counts from `first_s`, when its caller asked for the first time, and
+    `patience_s` from `arrived_s`: after it a caller that has seen no byte leaves.
+    `excluded` holds upstreams it was sent to before. `decided` is called once with
+    the decision, under the scheduler's lock: it must not block.
     """
 
     request_id: str
     service: str
     rank: Rank
     prompt_tokens: int
+    first_s: float
     arrived_s: float
     deadline_s: float
     target_s: float
@@ -117,7 +125,7 @@
     @property
     def on_time_until_s(self) -> float:
         """Until when it may wait and still be answered on time."""
-        return self.arrived_s + self.target_s * ON_TIME_PART
+        return self.first_s + self.target_s * ON_TIME_PART
 
 
 def _place(ticket: Ticket) -> tuple:
@@ -241,12 +249,17 @@
             if self._below_guarantee(rank, present, slots):
                 return self._first(rank)
         for rank in ranks:
-            above = sum(1 for each in present if each < rank)
             needed = sum(n for r, n in self.peers.waiting.items() if r < rank)
-            if room > above * RESERVED * slots + needed:
+            if room > self._reserved(rank, present) + needed:
                 return self._first(rank)
         return None
 
+    def _reserved(self, rank: Rank, present: list[Rank]) -> float:
+        """Return how many places stay free for the ranks above this one."""
+        above = sum(1 for each in present if each < rank)
+        length = min(1.0, self._rate(rank).hold_s / LONG_S)
+        return above * RESERVED * length * self.pool.slots()
+
     def _below_guarantee(self, rank: Rank, present: list[Rank], slots: int) -> bool:
         if rank == present[0]:
             return False
@@ -297,7 +310,7 @@
         own = sum(1 for t in self._waiting if _place(t) < _place(ticket))
         peers = sum(n for r, n in self.peers.waiting.items() if r <= rank)
         present = self._present(now_s)
-        reserved = RESERVED * slots * sum(1 for each in present if each < rank)
+        reserved = self._reserved(rank, present)
         ahead = own + peers - max(0, self.pool.room(now_s) - reserved)
         if ahead < 0:
             return 0.0
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -16,8 +16,9 @@
 # An entry silent for so long is taken as gone, in seconds. It is long, since
 # one that is only cut off may still let requests through.
 GONE_S = 20.0
-# How long a refused request is expected back, in seconds.
-RETURN_S = 8.0
+# How long after it was first asked for a refused request is expected back, in
+# seconds: callers come back within a third of the time they have.
+RETURN_S = 12.0
 RETURNS_MAX = 4096
 
 
@@ -129,27 +130,39 @@
     """The refused requests that are expected back, here or at another entry."""
 
     def __init__(self):
-        self._until_s: OrderedDict[str, float] = OrderedDict()
+        self._first_s: OrderedDict[str, float] = OrderedDict()
         self._news: list[str] = []
 
-    def refused(self, fingerprint: str, now_s: float) -> None:
-        """Note a refusal of this entry, to be told to the others."""
-        self.heard((fingerprint,), now_s)
+    def refused(self, fingerprint: str, first_s: float) -> None:
+        """Note a refusal of this entry, to be told to the others.
+
+        `first_s` is when its caller asked for the first time.
+        """
+        self._expect(fingerprint, first_s)
         self._news.append(fingerprint)
 
     def heard(self, fingerprints: tuple[str, ...], now_s: float) -> None:
-        """Take in refusals, here or elsewhere."""
+        """Take in refusals of another entry, which tells of them at once."""
         for fingerprint in fingerprints:
-            self._until_s[fingerprint] = now_s + RETURN_S
-            self._until_s.move_to_end(fingerprint)
-        while len(self._until_s) > RETURNS_MAX:
-            self._until_s.popitem(last=False)
+            self._expect(fingerprint, now_s)
 
-    def take(self, fingerprint: str, now_s: float) -> bool:
-        """Return whether this one was refused before, and forget it."""
-        return now_s < self._until_s.pop(fingerprint, now_s)
+    def take(self, fingerprint: str, now_s: float) -> float | None:
+        """Return when this one was first asked for, or None if it is new.
+
+        What came back is forgotten: its next refusal will note it again.
+        """
+        first_s = self._first_s.pop(fingerprint, None)
+        if first_s is None or now_s >= first_s + RETURN_S:
+            return None
+        return first_s
 
     def news(self) -> tuple[str, ...]:
         """Return the refusals that the others haven't been told of."""
         news, self._news = self._news, []
         return tuple(news)
+
+    def _expect(self, fingerprint: str, first_s: float) -> None:
+        self._first_s[fingerprint] = first_s
+        self._first_s.move_to_end(fingerprint)
+        while len(self._first_s) > RETURNS_MAX:
+            self._first_s.popitem(last=False)
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -148,12 +148,17 @@
             elif self._in_force.catalog is None:
                 self._stopping.wait(RETRY_PAUSE_S)
             return
-        decoded = configuration.decode(values[-1] or b"")
-        if isinstance(decoded, Err):
-            # Not confirmed either: it may take keys away.
-            log.error("configuration not understood", error=decoded.err_value)
-            return
-        catalog = decoded.ok_value
+        catalogs = []
+        for value in values:
+            decoded = configuration.decode(value or b"")
+            if isinstance(decoded, Err):
+                # Not confirmed either: it may take keys away.
+                log.error("configuration not understood", error=decoded.err_value)
+                return
+            catalogs.append(decoded.ok_value)
+        # Of several in one read the highest counts, not the last: an older one
+        # that was written again must not hide it.
+        catalog = max(catalogs, key=lambda each: each.version)
         if self._in_force.offer(catalog):
             self._on_change(catalog)
         if catalog.version == self._in_force.catalog.version:
--- /dev/null
+++ b/standins/platformdeployment.py
@@ -0,0 +1,267 @@
+"""A small deployment on the users' platform: store, upstreams and entries."""
+
+import json
+import os
+import struct
+import threading
+import time
+from urllib.parse import urlencode
+
+import attrs
+import urllib3
+
+from standins.processes import (
+    HOST,
+    Process,
+    Stage,
+    StandIn,
+    free_port,
+    get_json,
+    wait_until,
+)
+
+WAIT_S = 20.0
+KEY = "key-of-tours"
+HOST_HEADER = "tours.example"
+SETTINGS = """\
+node-name={name}
+role=entry
+zone=here
+ip=127.0.0.1
+listen.frontend=127.0.0.1:{callers}
+listen.readiness=127.0.0.1:{readiness}
+internal-port-range={peers},{peers}
+bounds.grace-s={grace_s}
+bounds.revoke-ms={revoke_ms}
+bounds.retry-budget-ratio=0.2
+bounds.budget-slack=50
+bounds.retry-window-s=10
+bounds.quota-window-s=8
+platform.address={store}
+unknown.field=left alone
+"""
+
+
+def route(name: str, kind: str, service: str, **changes) -> dict:
+    """Return one route of a configuration, on the path of its name."""
+    base = {
+        "name": name,
+        "host": HOST_HEADER,
+        "path-prefix": f"/{name}/",
+        "kind": kind,
+        "timeout-ms": 5000,
+        "target-latency-ms": 800,
+        "priority": 0,
+        "service": service,
+        "max-attempts": 2,
+        "stream-resume": False,
+        "itl-target-ms": 300,
+    }
+    return base | changes
+
+
+def configuration(version: int, **changes) -> dict:
+    """Return a configuration with a resumable stream and two plain routes."""
+    base = {
+        "version": version,
+        "routes": [
+            route("stream", "streaming", "model", **{"stream-resume": True}),
+            route("stream-once", "streaming", "model", **{"max-attempts": 1}),
+            route("look", "idempotent", "desk"),
+            route("pay", "non_idempotent", "desk", **{"max-attempts": 1}),
+        ],
+        "services": [
+            {"name": "model", "max-connections": 100, "engine": {}},
+            {"name": "desk", "max-connections": 100},
+        ],
+        "tenants": [{"name": "tours", "api-keys": [KEY], "priority": 1}],
+        "limits": {"idle-timeout-ms": 15000},
+    }
+    return base | changes
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a caller got; `whole` is false when it broke off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    took_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """An entry's process and its ports."""
+
+    process: Process
+    callers: int
+    readiness: int
+    settings_path: str
+
+    def ready(self) -> bool:
+        """Return whether it says that callers may come."""
+        http = urllib3.PoolManager(retries=False, timeout=2.0)
+        try:
+            url = f"http://{HOST}:{self.readiness}/v1/readyz"
+            return http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+class PlatformDeployment:
+    """Everything of one test, stopped together with its stage."""
+
+    def __init__(self, *, stage: Stage):
+        self.stage = stage
+        self.store = stage.start_standin("store", "platformstore")
+        self.upstreams: dict[str, StandIn] = {}
+        self.entries: dict[str, Entry] = {}
+        self._attempts = 0
+        self._lock = threading.Lock()
+
+    def put(self, topic: str, key: str, value: dict | None) -> None:
+        """Write a record as the operator or an upstream does."""
+        content = bytes([len(key)]) + key.encode()
+        content += json.dumps(value).encode() if value is not None else b""
+        url = f"{self.store.url}/v1/log-append?" + urlencode({"topic": topic})
+        urllib3.request(
+            "POST",
+            url,
+            body=struct.pack(">I", len(content)) + content,
+            headers={"X-Operator": "1"},
+        )
+
+    def configure(self, content: dict) -> None:
+        """Put a configuration in force."""
+        self.put("keyed.op", "config", content)
+
+    def upstream(self, name: str, service: str, *options: str) -> StandIn:
+        """Start an upstream and register it."""
+        standin = self.stage.start_standin(
+            name, "platformengine", "--upstream-id", name, *options
+        )
+        self.upstreams[name] = standin
+        self.register(name, service)
+        return standin
+
+    def register(self, name: str, service: str, *, state: str = "ready") -> None:
+        """Write an upstream's record."""
+        record = {
+            "service": service,
+            "address": self.upstreams[name].address,
+            "zone": "here",
+            "slots": 4,
+            "state": state,
+        }
+        self.put("keyed.servers", name, record)
+
+    def unregister(self, name: str) -> None:
+        """Drop an upstream's record."""
+        self.put("keyed.servers", name, None)
+
+    def entry(self, name: str, *, grace_s: float = 8.0, revoke_ms: int = 5000) -> Entry:
+        """Start an entry and wait until it is ready."""
+        callers, readiness, peers = free_port(), free_port(), free_port()
+        path = self.stage.directory / f"{name}.conf"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                callers=callers,
+                readiness=readiness,
+                peers=peers,
+                grace_s=grace_s,
+                revoke_ms=revoke_ms,
+                store=self.store.address,
+            )
+        )
+        entry = self._start(name, callers, readiness, str(path))
+        wait_until(entry.ready, WAIT_S, f"{name} is ready")
+        return entry
+
+    def restart(self, name: str) -> Entry:
+        """Start an ended entry again and wait until it is ready."""
+        old = self.entries[name]
+        entry = self._start(name, old.callers, old.readiness, old.settings_path)
+        wait_until(entry.ready, WAIT_S, f"{name} is ready again")
+        return entry
+
+    def _start(self, name: str, callers: int, readiness: int, path: str) -> Entry:
+        # The daemon's own command line takes no settings file: the platform
+        # names it in the environment.
+        argv = [
+            "/usr/bin/env",
+            f"LAVENDERSPOKE_CONFIG={path}",
+            os.sys.executable,
+            "-m",
+            "lavenderspoke.platform",
+        ]
+        entry = Entry(
+            process=self.stage.start(name, argv),
+            callers=callers,
+            readiness=readiness,
+            settings_path=path,
+        )
+        self.entries[name] = entry
+        return entry
+
+    def send(
+        self,
+        entry: str,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"",
+        key: str = KEY,
+        deadline_ms: int = 5000,
+        headers: dict[str, str] | None = None,
+        http: urllib3.PoolManager | None = None,
+    ) -> Answer:
+        """Send one attempt through an entry and take all that comes back."""
+        http = http or urllib3.PoolManager(retries=False)
+        sent = {
+            "Host": HOST_HEADER,
+            "X-Attempt-Id": self._attempt_id(),
+            "X-Deadline-Ms": str(deadline_ms),
+            "Authorization": f"Bearer {key}",
+        }
+        port = self.entries[entry].callers
+        began_s = time.monotonic()
+        response = http.request(
+            method,
+            f"http://{HOST}:{port}{path}",
+            body=body or None,
+            headers=sent | (headers or {}),
+            preload_content=False,
+            decode_content=False,
+            timeout=urllib3.Timeout(connect=2.0, read=WAIT_S),
+        )
+        parts, whole = [], True
+        try:
+            parts.extend(response.stream(1024))
+        except urllib3.exceptions.HTTPError:
+            whole = False
+            response.close()
+        response.release_conn()
+        return Answer(
+            status=response.status,
+            headers={name.lower(): value for name, value in response.headers.items()},
+            body=b"".join(parts),
+            whole=whole,
+            took_s=time.monotonic() - began_s,
+        )
+
+    def runs(self, *names: str) -> list[dict]:
+        """Return what the upstreams ran, all of them or those named."""
+        chosen = names or tuple(self.upstreams)
+        return [
+            run
+            for name in chosen
+            for run in get_json(self.upstreams[name].port, "/control/runs")
+        ]
+
+    def _attempt_id(self) -> str:
+        with self._lock:
+            self._attempts += 1
+            return f"attempt-{self._attempts}"
--- /dev/null
+++ b/standins/platformengine.py
@@ -0,0 +1,176 @@
+"""A stand-in for an upstream of the users' platform.
+
+It works on `slots` requests at once and queues as many again, echoes the id of
+each attempt, signs its answers, and refuses what names another incarnation.
+`GET /control/runs` tells which attempts ran and how they ended.
+
+`POST /stream/...` answers with `events` events of server-sent events; any other
+path answers with a short body.
+"""
+
+import argparse
+import threading
+import time
+
+import attrs
+
+from standins import server
+from standins.server import Cut, Reply, Request, json_reply
+
+ID = "x-attempt-id"
+EXPECTED = "x-expect-instance"
+LAST_EVENT = "last-event-id"
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """What a test may set; -1 stands for "never".
+
+    `cut_after_events` cuts a stream in the middle of the next event, but not one
+    that was resumed.
+    `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
+    `status` is the status of plain answers. `unsigned` leaves the signature out.
+    `mute` runs and never answers. `crash` refuses everything, as if it had died.
+    """
+
+    event_s: float = 0.01
+    events: int = 5
+    work_s: float = 0.01
+    cut_after_events: int = -1
+    wrong_id: bool = False
+    truncate: bool = False
+    unsigned: bool = False
+    mute: bool = False
+    crash: bool = False
+    full: bool = False
+    status: int = 200
+
+
+@attrs.define(kw_only=True)
+class _Run:
+    attempt_id: str
+    headers: dict[str, str]
+    method: str
+    target: str
+    body: str
+    end: str = "running"
+
+
+class Upstream:
+    """Answers the upstream's requests."""
+
+    def __init__(self, *, options: argparse.Namespace):
+        self._upstream_id = options.upstream_id
+        self._faults = server.Faults(kind=Faults, initial=options.faults)
+        self._slots = threading.Semaphore(options.slots)
+        self._lock = threading.Lock()
+        self._runs: list[_Run] = []
+
+    def handle(self, request: Request) -> Reply | None:
+        """Answer one request."""
+        if request.path == "/control/runs":
+            with self._lock:
+                return json_reply([attrs.asdict(run) for run in self._runs])
+        if request.path.startswith("/control"):
+            return self._faults.handle(request)
+        faults = self._faults.now
+        if faults.crash:
+            raise Cut
+        if request.headers.get(EXPECTED) != self._upstream_id:
+            return json_reply({}, 421)
+        if faults.full:
+            return self._refuse(request)
+        with self._slots:
+            return self._run(request)
+
+    def _refuse(self, request: Request) -> None:
+        self._start(request, 503, ("X-Not-Executed", "1"), length=0)
+
+    def _run(self, request: Request) -> None:
+        run = _Run(
+            attempt_id=request.headers[ID],
+            headers=request.headers,
+            method=request.method,
+            target=request.http.uri.decode(),
+            body=request.body.decode("latin-1"),
+        )
+        with self._lock:
+            self._runs.append(run)
+        run.end = "broken"
+        if self._faults.now.mute:
+            server.wait_while(
+                lambda: self._faults.now.mute and not server.caller_gone(request)
+            )
+            raise Cut
+        if request.path.startswith("/stream"):
+            self._stream(request, run)
+        else:
+            self._plain(request, run)
+
+    def _plain(self, request: Request, run: _Run) -> None:
+        faults = self._faults.now
+        if not self._work(request, run, faults.work_s):
+            raise Cut
+        body = f"answer to {run.attempt_id}".encode()
+        self._start(request, faults.status, *self._signed(run), length=len(body))
+        if faults.truncate:
+            request.http.write(body[:-3])
+            raise Cut
+        request.http.write(body)
+        run.end = "whole"
+
+    def _stream(self, request: Request, run: _Run) -> None:
+        faults = self._faults.now
+        after = int(request.headers.get(LAST_EVENT, -1))
+        self._start(request, 200, *self._signed(run), length=None)
+        for number in range(after + 1, faults.events):
+            if not self._work(request, run, faults.event_s):
+                raise Cut
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if after < 0 and number == faults.cut_after_events:
+                request.http.write(event[:-4])
+                raise Cut
+            request.http.write(event)
+        run.end = "whole"
+
+    def _work(self, request: Request, run: _Run, work_s: float) -> bool:
+        """Work for so long; return False when the caller has gone."""
+        until_s = time.monotonic() + work_s
+        while time.monotonic() < until_s:
+            if server.caller_gone(request):
+                run.end = "cancelled"
+                return False
+            time.sleep(min(0.005, work_s))
+        return True
+
+    def _signed(self, run: _Run) -> list[tuple[str, str]]:
+        faults = self._faults.now
+        echoed = "another" if faults.wrong_id else run.attempt_id
+        headers = [("X-Attempt-Id", echoed), ("X-Instance-Id", self._upstream_id)]
+        if not faults.unsigned:
+            headers.append(("X-Response-Signature", f"signed.{run.attempt_id}"))
+        return headers
+
+    @staticmethod
+    def _start(request: Request, status: int, *headers, length: int | None) -> None:
+        http = request.http
+        http.status = f"{status} Said".encode()
+        http.outheaders = [(n.encode(), v.encode()) for n, v in headers]
+        if length is not None:
+            http.outheaders.append((b"Content-Length", str(length).encode()))
+        else:
+            http.outheaders.append((b"Content-Type", b"text/event-stream"))
+        http.ensure_headers_sent()
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = server.parser(__doc__)
+    parser.add_argument("--upstream-id", required=True)
+    parser.add_argument("--slots", type=int, default=4)
+    options = parser.parse_args()
+    server.serve(options, Upstream(options=options).handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,143 @@
+"""A stand-in for the users' platform's store: a log with keyed topics, in memory.
+
+It serves reads that wait, newest records, appends, and what goes wrong with
+them. Modes: `up`; `down` answers 503; `reset` cuts; `silent` answers nothing;
+`lose` carries out and then cuts. `forgotten_before` makes older reads fail as
+if the records had been dropped.
+"""
+
+import base64
+import struct
+import threading
+import time
+
+import attrs
+
+from standins import server
+from standins.server import Cut, Reply, Request, json_reply
+
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+# The operator's own topics; the system may only read them.
+OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
+OPERATOR_HEADER = "x-operator"
+POLL_S = 0.005
+# A caller that is answered nothing is held for this long at most.
+SILENCE_S = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """What a test may set."""
+
+    mode: str = "up"
+    delay_s: float = 0.0
+    forgotten_before: int = 0
+
+
+class StoreStandIn:
+    """The topics and what the faults make of calls."""
+
+    def __init__(self, *, faults: str):
+        self._topics: dict[str, list[bytes]] = {}
+        self._faults = server.Faults(kind=Faults, initial=faults)
+        self._lock = threading.Lock()
+
+    def handle(self, request: Request) -> Reply | None:
+        """Answer one call."""
+        if request.path.startswith("/control"):
+            return self._faults.handle(request)
+        is_operator = OPERATOR_HEADER in request.headers
+        if not is_operator:
+            self._suffer()
+        reply = self._call(request, is_operator)
+        if self._faults.now.mode == "lose" and not is_operator:
+            raise Cut
+        return reply
+
+    def _suffer(self) -> None:
+        mode = self._faults.now.mode
+        time.sleep(self._faults.now.delay_s)
+        if mode == "reset":
+            raise Cut
+        if mode == "silent":
+            until_s = time.monotonic() + SILENCE_S
+            server.wait_while(
+                lambda: self._faults.now.mode == "silent" and time.monotonic() < until_s
+            )
+            raise Cut
+
+    def _call(self, request: Request, is_operator: bool) -> Reply:
+        if self._faults.now.mode == "down" and not is_operator:
+            return json_reply({"reason": "down"}, 503)
+        topic = request.query.get("topic", "")
+        if request.path == "/v1/log-append":
+            if topic in OPERATOR_TOPICS and not is_operator:
+                return json_reply({"reason": "forbidden"}, 403)
+            return self._append(topic, request.body)
+        if request.path == "/v1/log-read":
+            return self._read(topic, request)
+        if request.path == "/v1/log-newest":
+            return self._newest(topic)
+        return json_reply({"reason": "unknown call"}, 404)
+
+    def _append(self, topic: str, body: bytes) -> Reply:
+        records, at = [], 0
+        while at < len(body):
+            (length,) = LENGTH.unpack_from(body, at)
+            records.append(body[at + LENGTH.size : at + LENGTH.size + length])
+            at += LENGTH.size + length
+        with self._lock:
+            held = self._topics.setdefault(topic, [])
+            offset = len(held)
+            held += records
+            return json_reply({"offset": offset, "end-offset": len(held)})
+
+    def _read(self, topic: str, request: Request) -> Reply:
+        start = request.number("from", 0)
+        if start < self._faults.now.forgotten_before:
+            first = self._faults.now.forgotten_before
+            return json_reply({"first-offset": first}, 410)
+        until_s = time.monotonic() + request.number("wait-ms", 0) / 1000
+        while not self._records(topic, start) and time.monotonic() < until_s:
+            if self._faults.now.mode in ("reset", "silent"):
+                self._suffer()
+            time.sleep(POLL_S)
+        records = self._records(topic, start)
+        head = OFFSETS.pack(start + len(records), self._faults.now.forgotten_before)
+        body = b"".join(LENGTH.pack(len(each)) + each for each in records)
+        return Reply(body=head + body, content_type="application/octet-stream")
+
+    def _records(self, topic: str, start: int) -> list[bytes]:
+        with self._lock:
+            return self._topics.get(topic, [])[start:]
+
+    def _newest(self, topic: str) -> Reply:
+        newest: dict[bytes, tuple[int, bytes]] = {}
+        records = self._records(topic, 0)
+        for offset, record in enumerate(records):
+            key, value = record[1 : 1 + record[0]], record[1 + record[0] :]
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        items = [
+            {
+                "key": key.decode(),
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in newest.items()
+        ]
+        return json_reply(
+            {"items": items, "has-more": False, "end-offset": len(records)}
+        )
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    options = server.parser(__doc__).parse_args()
+    server.serve(options, StoreStandIn(faults=options.faults).handle)
+
+
+if __name__ == "__main__":
+    main()
