--- /dev/null
+++ b/features/direct_limits.feature
@@ -0,0 +1,33 @@
+Feature: Customers' limits, shared by entries that may not hear each other
+  Times are driven; no network.
+
+  Scenario: Any window holds the rate and the burst, and no more
+    Given entries that share a limit of 100 a second and a burst of 300
+    When a customer asks 400 a second for 30 s, through both of 2 entries
+    Then no 8 s hold more than 1,100 that passed
+    And at least 30 s hold 2,900 that passed
+
+  Scenario: Two entries that don't hear each other
+    Each counts only itself. Both would let the whole limit through; with a part
+    each the sum stays within it.
+    Given entries that share a limit of 100 a second and a burst of 300
+    And the entries don't hear each other
+    When a customer asks 400 a second for 30 s, through both of 2 entries
+    Then no 8 s hold more than 1,100 that passed
+
+  Scenario: All entries restart at once
+    They forget what passed before. Starting with a full window each, they would
+    double the limit.
+    Given entries that share a limit of 100 a second and a burst of 300
+    When a customer asks 400 a second for 30 s, and all entries restart at 15 s
+    Then no 8 s hold more than 1,400 that passed
+
+  Scenario: What never ran is given back
+    Given entries that share a limit of 100 a second and a burst of 300
+    When a request of 250 passes and is given back
+    Then a request of 300 passes
+
+  Scenario: A refusal says when a request could pass
+    Given entries that share a limit of 100 a second and a burst of 300
+    When the limit is used up at once, 8 s after the start
+    Then a request of 1 may come back after 8 s
--- /dev/null
+++ b/features/platform_words.feature
@@ -0,0 +1,37 @@
+Feature: The platform's files, records and headers, decoded once
+  What comes from outside is refused with a reason; it never stops a daemon.
+
+  Scenario: A settings file
+    Then the settings file is read with its addresses, seconds and parts
+    And all mistakes of a settings file are told at once
+
+  Scenario: A configuration
+    Then a configuration becomes routes, services, customers and limits
+    And the longest prefix of a path wins, over 500 routes
+    And no bytes given as a configuration raise
+
+  Scenario: Records of the store
+    Then records and dropped keys are read, and those without sense are skipped
+    And no bytes given as an answer of the store raise
+
+  Scenario: The upstreams' records are folded in order
+    Then an older read changes nothing
+    And a key that is dropped is gone at once
+    And after a gap, what isn't among the newest records is gone
+    And a record without sense leaves the one before
+
+  Scenario: Records lapse while the store is away
+    Upstreams can't renew their records then, and all lapse. At the store's return
+    they seem to have left, although every one of them lives.
+    Then an upstream whose record lapsed while the store was away stays
+    And it is gone 2 s after the return unless its record is back
+
+  Scenario: Keys are honoured by the age of the last read
+    Then a read counts from when it was sent
+    And a suspension of the machine counts
+    And an older version never replaces a newer one
+
+  Scenario: The platform's words stay in its folder
+    Then no module outside the adapter names what the platform calls things
+    And no decision imports a socket, a thread or a clock of its own
+    And the deployed packages are those of the project
--- /dev/null
+++ b/features/steps/direct_exchange_steps.py
@@ -0,0 +1,170 @@
+"""Steps about exchanges with upstreams that are faulty byte by byte."""
+
+import socket
+import struct
+import threading
+import time
+
+from behave import given, then, when
+from result import Err
+
+from lavenderspoke.clock import SystemClock
+from lavenderspoke.direct.exchange import (
+    AnswerCut,
+    ConnectionPool,
+    NotSent,
+    Sending,
+)
+from standins.processes import HOST, free_port
+
+HEAD_TIMEOUT_S = 0.6
+
+
+class RawUpstream:
+    """Sends the same bytes for each request it reads."""
+
+    def __init__(self, *, answer: bytes, then: str):
+        self.connections = 0
+        self._answer = answer
+        self._then = then
+        self._listener = socket.create_server((HOST, 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=[connection], daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            while data := connection.recv(65536):
+                assert data.startswith(b"GET ")
+                connection.sendall(self._answer)
+                if self._then == "reset":
+                    time.sleep(0.05)
+                    linger = struct.pack("ii", 1, 0)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    return
+                if self._then == "ends":
+                    return
+
+
+def send(context, sending: Sending | None = None):
+    sent = context.connections.send(
+        sending=sending or Sending(),
+        method="GET",
+        target="/a/../b?c=%2f",
+        headers={"Host": "test"},
+        body=b"",
+        head_timeout_s=HEAD_TIMEOUT_S,
+    )
+    return sent
+
+
+def outcome(sent) -> str:
+    if isinstance(sent, Err):
+        error = sent.err_value
+        if isinstance(error, NotSent):
+            return "not sent"
+        return "unanswered for so long" if error.timed_out else "unanswered"
+    exchange = sent.ok_value
+    try:
+        body = exchange.read_whole(time.monotonic() + HEAD_TIMEOUT_S, SystemClock())
+    except AnswerCut:
+        exchange.close(keep=False)
+        return "cut"
+    exchange.close(keep=True)
+    assert body == b"whole", body
+    return "whole"
+
+
+@given('an upstream that sends "{text}" and then "{then}"')
+def step_upstream(context, text, then):
+    answer = text.encode().decode("unicode_escape").encode("latin-1")
+    context.raw = RawUpstream(answer=answer, then=then)
+    context.add_cleanup(context.raw.close)
+    context.connections = ConnectionPool(
+        host=HOST, port=context.raw.port, clock=SystemClock()
+    )
+    context.add_cleanup(context.connections.close)
+
+
+@given('an upstream that sends "" and then "{then}"')
+def step_silent_upstream(context, then):
+    step_upstream(context, "", then)
+
+
+@given("a port where nobody listens")
+def step_nobody(context):
+    context.connections = ConnectionPool(
+        host=HOST, port=free_port(), clock=SystemClock()
+    )
+
+
+@when("a request is sent to it")
+def step_send(context):
+    context.outcomes = [outcome(send(context))]
+
+
+@when("a request is sent to it, twice")
+def step_send_twice(context):
+    context.outcomes = [outcome(send(context)), outcome(send(context))]
+
+
+@when("a request is sent to it and given up after {ms:d} ms")
+def step_given_up(context, ms):
+    sending = Sending()
+    timer = threading.Timer(ms / 1000, sending.cancel)
+    timer.start()
+    began_s = time.monotonic()
+    context.outcomes = [outcome(send(context, sending))]
+    context.took_s = time.monotonic() - began_s
+    timer.join()
+
+
+@when("a request is answered and given up afterwards")
+def step_given_up_late(context):
+    sending = Sending()
+    assert outcome(send(context, sending)) == "whole"
+    sending.ended()
+    second = send(context)
+    sending.cancel()
+    context.outcomes = [outcome(second)]
+
+
+@then('its outcome is "{wanted}"')
+def step_outcome(context, wanted):
+    assert context.outcomes == [wanted], context.outcomes
+
+
+@then('its outcome is "{wanted}" within {ms:d} ms')
+def step_outcome_within(context, wanted, ms):
+    assert context.outcomes == [wanted], context.outcomes
+    assert context.took_s < ms / 1000, context.took_s
+
+
+@then('both outcomes are "{wanted}" and the upstream saw {count:d} connections')
+def step_both(context, wanted, count):
+    assert context.outcomes == [wanted, wanted], context.outcomes
+    assert context.raw.connections == count, context.raw.connections
+
+
+@then("the upstream saw {count:d} connection")
+@then("the upstream saw {count:d} connections")
+def step_connections(context, count):
+    assert context.outcomes == ["whole", "whole"], context.outcomes
+    assert context.raw.connections == count, context.raw.connections
+
+
+@then("the next request on its connection comes whole")
+def step_next_whole(context):
+    assert context.outcomes == ["whole"], context.outcomes
+    assert context.raw.connections == 1
--- /dev/null
+++ b/features/steps/direct_limits_steps.py
@@ -0,0 +1,109 @@
+"""Steps about customers' limits in direct dispatch."""
+
+from behave import given, then, when
+
+from lavenderspoke.direct.catalog import Customer
+from lavenderspoke.direct.quota import SharedQuota
+
+WINDOW_S = 8.0
+TOLD_EVERY_S = 0.1
+TICK_S = 0.01
+
+
+def new_quota(context, now_s: float) -> SharedQuota:
+    quota = SharedQuota(window_s=WINDOW_S)
+    quota.reconfigure((context.customer,), now_s=now_s)
+    return quota
+
+
+@given("entries that share a limit of {per_s:d} a second and a burst of {burst:d}")
+def step_limit(context, per_s, burst):
+    context.customer = Customer(
+        name="tours",
+        keys=(),
+        rank=0,
+        per_s=float(per_s),
+        burst=float(burst),
+        counts_tokens=True,
+        plain_tokens=1,
+    )
+    context.hearing = True
+
+
+@given("the entries don't hear each other")
+def step_deaf(context):
+    context.hearing = False
+
+
+def ask(context, per_s: int, seconds: int, restart_s: float | None) -> None:
+    quotas = [new_quota(context, 0.0) for _ in range(2)]
+    context.passed = []
+    lives = 0
+    ticks = round(seconds / TICK_S)
+    for tick in range(ticks):
+        now_s = tick * TICK_S
+        if restart_s is not None and now_s >= restart_s and not lives:
+            quotas, lives = [new_quota(context, now_s) for _ in quotas], 1
+        for quota in quotas:
+            quota.share(heard=2 if context.hearing else 1, known=2)
+        quota = quotas[tick % 2]
+        if quota.spend(context.customer, per_s * TICK_S, now_s=now_s):
+            context.passed.append((now_s, per_s * TICK_S))
+        if context.hearing and tick % round(TOLD_EVERY_S / TICK_S) == 0:
+            for index, peer in enumerate(quotas):
+                told = quotas[1 - index].spent()
+                peer.peer_spent("peer", str(lives), told, now_s=now_s)
+
+
+@when("a customer asks {per_s:d} a second for {seconds:d} s, through both of 2 entries")
+def step_ask(context, per_s, seconds):
+    ask(context, per_s, seconds, None)
+
+
+@when(
+    "a customer asks {per_s:d} a second for {seconds:d} s, "
+    "and all entries restart at {restart_s:d} s"
+)
+def step_restart(context, per_s, seconds, restart_s):
+    ask(context, per_s, seconds, restart_s)
+
+
+@then("no {seconds:d} s hold more than {most} that passed")
+def step_window(context, seconds, most):
+    for start_s, _ in context.passed:
+        end_s = start_s + seconds
+        held = sum(n for at_s, n in context.passed if start_s <= at_s < end_s)
+        # What one entry lets through until the other has told of its own.
+        lag = 400 * 2 * TOLD_EVERY_S
+        assert held <= int(most.replace(",", "")) + lag, (start_s, held)
+
+
+@then("at least {seconds:d} s hold {least} that passed")
+def step_total(context, seconds, least):
+    total = sum(amount for _, amount in context.passed)
+    assert total >= int(least.replace(",", "")), total
+
+
+@when("a request of {cost:d} passes and is given back")
+def step_given_back(context, cost):
+    context.quota = new_quota(context, 0.0)
+    assert context.quota.spend(context.customer, cost, now_s=0.0)
+    context.quota.refund(context.customer, cost, now_s=0.0)
+
+
+@then("a request of {cost:d} passes")
+def step_passes(context, cost):
+    assert context.quota.spend(context.customer, cost, now_s=0.0)
+
+
+@when("the limit is used up at once, {seconds:d} s after the start")
+def step_used_up(context, seconds):
+    context.quota = new_quota(context, 0.0)
+    context.now_s = float(seconds)
+    assert context.quota.spend(context.customer, 1100.0, now_s=context.now_s)
+
+
+@then("a request of {cost:d} may come back after {seconds:d} s")
+def step_back(context, cost, seconds):
+    wait_s = context.quota.wait_s(context.customer, cost, now_s=context.now_s)
+    assert abs(wait_s - seconds) < 0.01, wait_s
--- /dev/null
+++ b/features/steps/platform_words_steps.py
@@ -0,0 +1,316 @@
+"""Steps about decoding what the platform sends, without processes."""
+
+import ast
+import json
+import pathlib
+import struct
+import tomllib
+
+from behave import then
+from hypothesis import strategies
+from result import Err
+
+from features.helper import JSON, fuzz
+from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.catalog import Repeat
+from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.platform import configuration, settings, store
+from lavenderspoke.platform.registry import BACK_WITHIN_S, Registry
+from lavenderspoke.platform.store import KeyedRecord
+from standins.platformdeployment import SETTINGS, configuration as example, route
+
+
+def takes_anything(strategy, decode) -> None:
+    """Check that decoding never raises, whatever it is given."""
+
+    def check(value) -> None:
+        decode(value)
+
+    fuzz(strategy, check)
+
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PACKAGE = ROOT / "lavenderspoke"
+# What the platform calls things; none of it belongs into the product's modules.
+WORDS = (
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Token-Usage",
+    "X-Expect-Instance",
+    "X-Not-Executed",
+    "X-Response-Signature",
+    "X-Tenant",
+    "path-prefix",
+    "api-keys",
+    "keyed.",
+    "log-read",
+    "node-name",
+    "LAVENDERSPOKE_CONFIG",
+)
+# Modules of direct dispatch that decide, and what they must not import.
+DECISIONS = ("catalog", "health", "pool", "quota", "rankrates", "scheduler", "sharing")
+SHELLS = {"socket", "threading", "time", "urllib3", "cheroot", "pynng", "http"}
+
+
+def settings_text(**changes) -> str:
+    values = dict(
+        name="edge-1",
+        callers=80,
+        readiness=81,
+        peers=7600,
+        grace_s=8,
+        revoke_ms=5000,
+        store="10.0.0.1:8225",
+    )
+    return SETTINGS.format(**(values | changes))
+
+
+@then("the settings file is read with its addresses, seconds and parts")
+def step_settings(context):
+    read = settings.parse(settings_text()).unwrap()
+    assert read.direct.name == "edge-1"
+    assert (read.direct.callers.host, read.direct.callers.port) == ("127.0.0.1", 80)
+    assert read.direct.bounds.revoke_s == 5.0
+    assert read.store.port == 8225
+
+
+@then("all mistakes of a settings file are told at once")
+def step_mistakes(context):
+    text = settings_text(callers="x", store="nowhere").replace("zone=here", "zone=")
+    mistakes = settings.parse(text).unwrap_err().mistakes
+    assert len(mistakes) == 3, mistakes
+    assert any(each.startswith("zone: missing") for each in mistakes)
+
+
+def encoded(content: dict) -> bytes:
+    return json.dumps(content).encode()
+
+
+@then("a configuration becomes routes, services, customers and limits")
+def step_configuration(context):
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    content = example(3)
+    content["routes"].append(
+        route("split", "streaming", "", **{"traffic-split": split})
+    )
+    catalog = configuration.decode(encoded(content)).unwrap()
+    assert catalog.version == 3
+    once = catalog.route_for("tours.example", "/pay/1")
+    assert once.repeat is Repeat.ONCE and not once.repeatable
+    stream = catalog.route_for("TOURS.example", "/stream/1")
+    assert stream.repeatable and stream.timeout_s == 5.0 and stream.patience_s == 3.2
+    shares = catalog.route_for("tours.example", "/split/").shares
+    assert [(each.service, each.weight) for each in shares] == [
+        ("a", 90.0),
+        ("b", 10.0),
+    ]
+    assert catalog.customer_for("key-of-tours").name == "tours"
+    assert catalog.customer_for("other") is None
+    assert catalog.limits.idle_timeout_s == 15.0
+
+
+@then("the longest prefix of a path wins, over {count:d} routes")
+def step_prefixes(context, count):
+    routes = [route(f"r{n}/{n}", "idempotent", "s") for n in range(count)]
+    routes += [route("r7", "idempotent", "s"), route("r7/7/7", "idempotent", "s")]
+    catalog = configuration.decode(encoded(example(1, routes=routes))).unwrap()
+    names = {
+        "/r7/7/7/x": "r7/7/7",
+        "/r7/7/x": "r7/7",
+        "/r7/x": "r7",
+        "/r499/499/": "r499/499",
+    }
+    for path, name in names.items():
+        assert catalog.route_for("tours.example", path).name == name
+    assert catalog.route_for("tours.example", "/r7") is None
+    assert catalog.route_for("other.example", "/r7/") is None
+
+
+@then("no bytes given as a configuration raise")
+def step_fuzz_configuration(context):
+    fields = strategies.sampled_from(
+        ["version", "routes", "services", "tenants", "limits", "kind", "name"]
+    )
+    shaped = strategies.dictionaries(fields, JSON, max_size=6)
+    takes_anything(shaped, lambda value: configuration.decode(encoded(value)))
+    takes_anything(strategies.binary(max_size=60), configuration.decode)
+
+
+def wire_record(key: str, value: bytes) -> bytes:
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
+
+
+@then("records and dropped keys are read, and those without sense are skipped")
+def step_records(context):
+    nonsense = struct.pack(">I", 3) + b"\xff\x00\x00"
+    data = struct.pack(">QQ", 9, 0) + wire_record("a", b"1") + nonsense
+    data += wire_record("b", b"")
+    read = store.decode_records(data, 4).unwrap()
+    assert read.records == (
+        KeyedRecord(key="a", value=b"1", offset=4),
+        KeyedRecord(key="b", value=None, offset=6),
+    )
+    assert (read.next_offset, read.skipped) == (7, 1)
+    assert isinstance(store.decode_records(data[:-2], 4), Err)
+
+
+@then("no bytes given as an answer of the store raise")
+def step_fuzz_store(context):
+    takes_anything(
+        strategies.binary(max_size=80), lambda data: store.decode_records(data, 0)
+    )
+    takes_anything(strategies.binary(max_size=80), store.decode_page)
+    takes_anything(strategies.binary(max_size=80), store.decode_forgotten)
+    takes_anything(
+        strategies.lists(JSON, max_size=3),
+        lambda items: store.decode_newest(items, 0),
+    )
+
+
+def upstream_value(state: str = "ready") -> bytes:
+    return encoded(
+        {
+            "service": "s",
+            "address": "10.0.0.9:80",
+            "zone": "z",
+            "slots": 4,
+            "state": state,
+        }
+    )
+
+
+def record(key: str, offset: int, value: bytes | None) -> KeyedRecord:
+    return KeyedRecord(key=key, value=value, offset=offset)
+
+
+def names(registry: Registry, now_s: float) -> list[str]:
+    return sorted(each.upstream_id for each in registry.upstreams(now_s))
+
+
+@then("an older read changes nothing")
+def step_older(context):
+    registry = Registry()
+    registry.apply((record("a", 5, upstream_value("draining")),), 0.0)
+    registry.replace((record("a", 3, upstream_value()),), 4, 0.0)
+    assert registry.upstreams(0.0)[0].leaving
+    registry.apply((record("a", 6, None),), 0.0)
+    registry.apply((record("a", 5, upstream_value()),), 0.0)
+    assert names(registry, 0.0) == []
+
+
+@then("a key that is dropped is gone at once")
+def step_dropped(context):
+    registry = Registry()
+    registry.apply((record("a", 1, upstream_value()), record("a", 2, None)), 0.0)
+    assert names(registry, 0.0) == []
+
+
+@then("after a gap, what isn't among the newest records is gone")
+def step_gap(context):
+    registry = Registry()
+    both = (record("a", 1, upstream_value()), record("b", 2, upstream_value()))
+    registry.apply(both, 0.0)
+    registry.replace((record("b", 2, upstream_value()),), 9, 0.0)
+    assert names(registry, 0.0) == ["b"]
+
+
+@then("a record without sense leaves the one before")
+def step_nonsense(context):
+    registry = Registry()
+    registry.apply((record("a", 1, upstream_value()), record("a", 2, b"[]")), 0.0)
+    assert names(registry, 0.0) == ["a"]
+
+
+@then("an upstream whose record lapsed while the store was away stays")
+def step_lapsed(context):
+    registry = context.registry = Registry()
+    both = (record("a", 1, upstream_value()), record("b", 2, upstream_value()))
+    registry.apply(both, 0.0)
+    registry.store_failed()
+    registry.apply((record("a", 3, None), record("b", 4, None)), 10.0)
+    assert names(registry, 10.0) == ["a", "b"]
+
+
+@then("it is gone {seconds:d} s after the return unless its record is back")
+def step_gone(context, seconds):
+    registry = context.registry
+    registry.apply((record("a", 5, upstream_value()),), 11.0)
+    assert BACK_WITHIN_S < seconds
+    assert names(registry, 10.0 + seconds) == ["a"]
+
+
+def in_force(clock: ManualClock) -> InForce:
+    force = InForce(clock=clock, key_age_max_s=4.0)
+    force.offer(configuration.decode(encoded(example(5))).unwrap())
+    return force
+
+
+@then("a read counts from when it was sent")
+def step_sent(context):
+    clock = ManualClock(start_s=10.0)
+    force = in_force(clock)
+    assert not force.fresh()
+    force.confirm(7.0)
+    assert force.fresh()
+    clock.advance(1.5)
+    assert not force.fresh()
+
+
+@then("a suspension of the machine counts")
+def step_suspension(context):
+    clock = ManualClock()
+    force = in_force(clock)
+    force.confirm(0.0)
+    clock.advance(30.0)
+    assert not force.fresh()
+
+
+@then("an older version never replaces a newer one")
+def step_version(context):
+    force = in_force(ManualClock())
+    assert not force.offer(configuration.decode(encoded(example(4))).unwrap())
+    assert force.catalog.version == 5
+
+
+def imported_modules(path: pathlib.Path) -> list[str]:
+    modules = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            modules += [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom):
+            modules.append(node.module)
+    return modules
+
+
+def modules_outside() -> list[pathlib.Path]:
+    return [
+        path
+        for path in PACKAGE.rglob("*.py")
+        if "platform" not in path.relative_to(PACKAGE).parts
+    ]
+
+
+@then("no module outside the adapter names what the platform calls things")
+def step_words(context):
+    for path in modules_outside():
+        text = path.read_text()
+        found = [word for word in WORDS if word in text]
+        assert not found, (path, found)
+        roots = [each for each in imported_modules(path) if "platform" in each]
+        assert not any(each.split(".")[1:2] == ["platform"] for each in roots), path
+
+
+@then("no decision imports a socket, a thread or a clock of its own")
+def step_decisions(context):
+    for name in DECISIONS:
+        imported = imported_modules(PACKAGE / "direct" / f"{name}.py")
+        roots = {each.partition(".")[0] for each in imported}
+        assert not roots & SHELLS, (name, roots)
+
+
+@then("the deployed packages are those of the project")
+def step_packages(context):
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    deployed = (ROOT / "deploy" / "requirements.txt").read_text().split("\n")
+    assert set(filter(None, deployed)) <= set(project["dependencies"])
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -96,11 +96,13 @@
             return 0.0
         window = self._window(customer, now_s)
         over = window.used + cost - self._limit(customer, window, now_s)
+        if over <= 0.0:
+            return 0.0
         for at_s, amount in window.rows:
+            over -= amount
             if over <= 0.0:
                 return max(0.0, at_s + self._window_s - now_s)
-            over -= amount
-        return self._window_s if over > 0.0 else 0.0
+        return self._window_s
 
     def spent(self) -> dict[str, float]:
         """Return what this entry has let through since it started."""
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -78,7 +78,7 @@
             page = self._get("/v1/log-newest", query, wait_s=0.0)
             if isinstance(page, Err):
                 return page
-            decoded = _page(page.ok_value.data)
+            decoded = decode_page(page.ok_value.data)
             if isinstance(decoded, Err):
                 return decoded
             content = decoded.ok_value
@@ -88,7 +88,7 @@
             if not content.get("has-more") or not content["items"]:
                 break
             query["after"] = content["items"][-1]["key"]
-        return _newest_records(items, next_offset)
+        return decode_newest(items, next_offset)
 
     def read(
         self, topic: str, from_offset: int, *, wait_s: float
@@ -102,8 +102,8 @@
             return response
         reply = response.ok_value
         if reply.status == 410:
-            return _forgotten(reply.data)
-        return _decode_records(reply.data, from_offset)
+            return decode_forgotten(reply.data)
+        return decode_records(reply.data, from_offset)
 
     def append(
         self, topic: str, key: str, value: bytes | None
@@ -154,7 +154,7 @@
     return Ok(None)
 
 
-def _page(data: bytes) -> Result[dict, StoreError]:
+def decode_page(data: bytes) -> Result[dict, StoreError]:
     try:
         content = json.loads(data)
         if isinstance(content["items"], list) and type(content["end-offset"]) is int:
@@ -164,7 +164,7 @@
     return Err(StoreError(detail="malformed page"))
 
 
-def _newest_records(items: list, next_offset: int) -> Result[Records, StoreError]:
+def decode_newest(items: list, next_offset: int) -> Result[Records, StoreError]:
     records, skipped = [], 0
     for item in items:
         try:
@@ -180,14 +180,14 @@
     return Ok(Records(records=tuple(records), next_offset=next_offset, skipped=skipped))
 
 
-def _forgotten(data: bytes) -> Result[Forgotten, StoreError]:
+def decode_forgotten(data: bytes) -> Result[Forgotten, StoreError]:
     try:
         return Ok(Forgotten(first_offset=int(json.loads(data)["first-offset"])))
     except (ValueError, KeyError, TypeError) as error:
         return Err(StoreError(detail=f"malformed refusal: {error}"))
 
 
-def _decode_records(data: bytes, from_offset: int) -> Result[Records, StoreError]:
+def decode_records(data: bytes, from_offset: int) -> Result[Records, StoreError]:
     """Decode an answer: the end and the first offset, then length and content.
 
     A record whose content makes no sense is skipped and counted; a length that
