--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -159,8 +159,7 @@
         if isinstance(answer, Problem):
             self._office.refused(accepted, ran=answer.ran)
             if handling.gone:
-                journey.outcome = Reason.CALLER_GONE.value
-                raise CutOff
+                answer = attrs.evolve(answer, reason=Reason.CALLER_GONE)
             yield self._refuse(start_response, answer, journey)
             return
         journey.status = answer.status
