--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -53,6 +53,15 @@
     When a request comes that was sent to the first before
     Then it goes to the second
 
+  Scenario: A long prompt waits for a fast upstream
+    The pattern: a third of the engines is three times as fast as the others. A
+    prompt of 20,000 tokens takes a second at a slow one; when the fast one's places
+    are taken, they come free in a tenth of that. Short ones needn't wait.
+    Given a line before 2 upstreams of 1 place
+    And the first takes 40 ms a step and the second 12 ms
+    When the second is taken, and a long prompt and a short one come
+    Then the short one goes to the first, and the long one to the second when it is free
+
   Scenario: An upstream that leaves gets nothing new
     Given a line before 1 upstream of 4 places
     When the upstream is leaving and a request comes
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -94,6 +94,7 @@
             service=SERVICE,
             rank=RANKS[request.rank],
             prompt_tokens=1000,
+            output_tokens=50,
             first_s=request.first_s,
             arrived_s=self.now_s,
             deadline_s=request.deadline_s,
@@ -142,6 +143,7 @@
             service=SERVICE,
             rank=RANKS["highest"],
             prompt_tokens=100,
+            output_tokens=50,
             first_s=self.now_s,
             arrived_s=self.now_s,
             deadline_s=self.now_s + 5.0,
@@ -256,6 +258,30 @@
     assert decision.upstream.upstream_id == "u1"
 
 
+@given("the first takes {first:d} ms a step and the second {second:d} ms")
+def step_paces(context, first, second):
+    for upstream_id, pace_ms in (("u0", first), ("u1", second)):
+        context.drive.line.pool.seat(upstream_id).health.stepped(pace_ms / 1000)
+
+
+@when("the second is taken, and a long prompt and a short one come")
+def step_long_and_short(context):
+    drive = context.drive
+    context.running, _ = drive.ticket(excluded={"u0"})
+    _, context.long = drive.ticket(prompt_tokens=20_000)
+    _, context.short = drive.ticket(prompt_tokens=500)
+
+
+@then("the short one goes to the first, and the long one to the second when it is free")
+def step_long_second(context):
+    (decision,) = context.short
+    assert decision.upstream.upstream_id == "u0"
+    assert context.long == []
+    context.drive.line.ended(context.running, "u1", context.drive.now_s)
+    (decision,) = context.long
+    assert decision.upstream.upstream_id == "u1"
+
+
 @when("the upstream is leaving and a request comes")
 def step_leaving(context):
     drive = context.drive
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -42,6 +42,9 @@
 # An upstream that is silent for so long, in seconds, is given up where another
 # may run the request; well under the two seconds after which callers leave.
 SILENCE_MIN_S = 1.4
+# Prompt tokens that a slow upstream reads in a second while it reads others too: a
+# long prompt is not taken for silence.
+SLOW_PREFILL_TOKENS_PER_S = 8000.0
 # The least time in seconds that is worth an attempt.
 ATTEMPT_MIN_S = 0.1
 # What callers are told to wait, in seconds, where the cause passes soon.
@@ -234,6 +237,7 @@
             service=accepted.service,
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
+            output_tokens=accepted.head.output_tokens or 0,
             first_s=accepted.first_s,
             arrived_s=accepted.arrived_s,
             deadline_s=accepted.until_s,
@@ -471,7 +475,8 @@
         route = self.accepted.route
         if not route.repeatable or self.runs + 1 > route.attempts_max:
             return left_s
-        return min(left_s, max(SILENCE_MIN_S, route.target_s))
+        prompt_s = (self.accepted.head.prompt_tokens or 0) / SLOW_PREFILL_TOKENS_PER_S
+        return min(left_s, max(SILENCE_MIN_S, route.target_s) + prompt_s)
 
     def _left_s(self) -> float:
         return self.accepted.until_s - self._clock.monotonic_s()
--- a/lavenderspoke/direct/health.py
+++ b/lavenderspoke/direct/health.py
@@ -16,8 +16,11 @@
 SUSPEND_MAX_S = 2.0
 # Weight of the newest outcome in the failure share: some ten requests count.
 OUTCOME_WEIGHT = 0.1
-# Weight of the newest step in the pace: some twenty events count.
-PACE_WEIGHT = 0.05
+# Weights of the newest step in the pace, where it is faster than what is known and
+# where it is slower. Prompts that are read beside a stream make its steps longer
+# and say nothing of the upstream, so the pace follows the fast ones.
+FASTER_WEIGHT = 0.1
+SLOWER_WEIGHT = 0.02
 
 
 @attrs.define(kw_only=True)
@@ -57,7 +60,8 @@
         """Count one measured step."""
         if self.pace_s is None:
             self.pace_s = step_s
-        self.pace_s += (step_s - self.pace_s) * PACE_WEIGHT
+        weight = FASTER_WEIGHT if step_s < self.pace_s else SLOWER_WEIGHT
+        self.pace_s += (step_s - self.pace_s) * weight
 
     def usable(self, running: int, now_s: float) -> bool:
         """Return whether one more request may be sent, given those running.
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -1,19 +1,32 @@
 """The upstreams of one service as an entry sees them, and which to take next."""
 
 from collections.abc import Callable, Iterable
-from statistics import median
+from random import Random
 
 import attrs
 
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
 
-# Prompt tokens that an engine of usual pace reads in a second. Only the ratio to
-# the step matters here: a long prompt keeps its neighbours waiting.
-PREFILL_TOKENS_PER_S = 36_000.0
-# What each request that runs beside costs a new one, in seconds: its tokens
-# take part in every step, and there is one slot less for what comes next.
-NEIGHBOUR_S = 0.03
+# Time between two events of a stream, in seconds, at an upstream not yet measured.
+PACE_DEFAULT_S = 0.02
+# Prompt tokens that an engine reads in the time between two events: reading and
+# writing slow down together, so the pace of one tells that of the other. From the
+# engines' sheets: 4 steps of 3.5 to 4.3 ms, and 36 tokens read in a ms.
+PROMPT_TOKENS_PER_EVENT = 650.0
+# Tokens of an answer in one event, from the engines' sheets.
+TOKENS_PER_EVENT = 4.0
+# What each request that runs beside adds to the time to the first byte, in paces:
+# its tokens take part in every step.
+NEIGHBOUR_PACES = 1.0
+# The part of an answer's whole time that counts beside the time to its first byte:
+# a long answer holds its place for long at a slow upstream.
+FINISH_PART = 0.1
+# What it counts when the answer would not be whole by the deadline, in seconds.
+MISSED_S = 1.0
+# Choices that cost about the same are spread over this range: entries that all see
+# the same best upstream would otherwise send to it in the same instant.
+SPREAD = 0.3
 # What a certain failure would cost, in seconds: about one wasted attempt.
 FAILURE_S = 0.6
 
@@ -29,6 +42,21 @@
     prefill_tokens: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Demand:
+    """What a request asks of an upstream.
+
+    `first_in_s` is how long its first byte may take from now on to be on time,
+    `left_s` how long all of it may. `excluded` names upstreams not to be taken.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    first_in_s: float
+    left_s: float
+    excluded: set[str] = attrs.field(factory=set)
+
+
 @attrs.define(kw_only=True, eq=False)
 class Seat:
     """One upstream with what runs there: this entry's own and its peers'."""
@@ -47,13 +75,26 @@
         return Running(requests=len(self.own), prefill_tokens=sum(self.own.values()))
 
 
+@attrs.frozen(kw_only=True)
+class Choice:
+    """Which upstream a request goes to.
+
+    Without one, `worth_waiting` says that there is room, only not for this
+    request; otherwise there is none at all.
+    """
+
+    seat: Seat | None
+    worth_waiting: bool = False
+
+
 class Pool:
     """The upstreams of one service.
 
     `peers_running(upstream_id)` returns what the other entries have running.
     """
 
-    def __init__(self, *, peers_running: Callable[[str], Running]):
+    def __init__(self, *, peers_running: Callable[[str], Running], random: Random):
+        self._random = random
         self._seats: dict[str, Seat] = {}
         self._peers_running = peers_running
 
@@ -102,36 +143,56 @@
         """Return this entry's own requests by upstream."""
         return {key: seat.running() for key, seat in self._seats.items() if seat.own}
 
-    def choose(
-        self, *, prompt_tokens: int, excluded: set[str], now_s: float
-    ) -> Seat | None:
-        """Return the upstream with room that should answer soonest, if any."""
-        candidates = [
+    def choose(self, demand: Demand, *, now_s: float) -> Choice:
+        """Return the upstream with room that should answer soonest.
+
+        One at which the first byte would come too late is passed over while
+        another one, whose places are all taken now, would still be in time.
+        """
+        able = [
             seat
             for seat in self._open()
-            if seat.room() > 0
-            and seat.upstream.upstream_id not in excluded
+            if seat.upstream.upstream_id not in demand.excluded
             and seat.health.usable(len(seat.own), now_s)
         ]
-        if not candidates:
-            return None
-        usual_s = self._usual_pace_s()
-        return min(candidates, key=lambda seat: _cost_s(seat, prompt_tokens, usual_s))
+        free = [seat for seat in able if seat.room() > 0]
+        in_time = [seat for seat in free if _first_s(seat, demand) <= demand.first_in_s]
+        if in_time:
+            return Choice(seat=self._best(in_time, demand))
+        if not free:
+            return Choice(seat=None, worth_waiting=bool(demand.excluded))
+        if any(_first_s(seat, demand) <= demand.first_in_s for seat in able):
+            return Choice(seat=None, worth_waiting=True)
+        return Choice(seat=self._best(free, demand))
+
+    def _best(self, seats: list[Seat], demand: Demand) -> Seat:
+        costs = [
+            (_cost_s(seat, demand) * self._random.uniform(1.0, 1.0 + SPREAD), number)
+            for number, seat in enumerate(seats)
+        ]
+        return seats[min(costs)[1]]
 
     def _open(self) -> list[Seat]:
         return [seat for seat in self._seats.values() if not seat.upstream.leaving]
 
-    def _usual_pace_s(self) -> float | None:
-        known = [s.health.pace_s for s in self._open() if s.health.pace_s is not None]
-        return median(known) if known else None
 
+def _pace_s(seat: Seat) -> float:
+    return seat.health.pace_s or PACE_DEFAULT_S
 
-def _cost_s(seat: Seat, prompt_tokens: int, usual_s: float | None) -> float:
-    """Return the expected time to the first byte, in seconds, with penalties."""
-    pace = 1.0
-    if usual_s and seat.health.pace_s is not None:
-        pace = seat.health.pace_s / usual_s
-    prefill = prompt_tokens + seat.peers.prefill_tokens + sum(seat.own.values())
+
+def _first_s(seat: Seat, demand: Demand) -> float:
+    """Return the expected time to the first byte, in seconds."""
+    prefill = demand.prompt_tokens + seat.peers.prefill_tokens + sum(seat.own.values())
     neighbours = len(seat.own) + seat.peers.requests + 1
-    busy_s = prefill / PREFILL_TOKENS_PER_S + neighbours * NEIGHBOUR_S
-    return pace * busy_s + seat.health.failure_share * FAILURE_S
+    paces = prefill / PROMPT_TOKENS_PER_EVENT + neighbours * NEIGHBOUR_PACES
+    return _pace_s(seat) * paces
+
+
+def _cost_s(seat: Seat, demand: Demand) -> float:
+    """Return the expected time to the first byte, in seconds, with penalties."""
+    first_s = _first_s(seat, demand)
+    answer_s = _pace_s(seat) * demand.output_tokens / TOKENS_PER_EVENT
+    cost_s = first_s + answer_s * FINISH_PART
+    if first_s + answer_s > demand.left_s:
+        cost_s += MISSED_S
+    return cost_s + seat.health.failure_share * FAILURE_S
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -27,7 +27,7 @@
 from sortedcontainers import SortedKeyList
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.pool import Pool, Running, Seat
+from lavenderspoke.direct.pool import Demand, Pool, Running, Seat
 from lavenderspoke.direct.rankrates import RankRates
 
 # The part of all places that stays free for the ranks above, for each rank that
@@ -109,6 +109,7 @@
     service: str
     rank: Rank
     prompt_tokens: int
+    output_tokens: int
     first_s: float
     arrived_s: float
     deadline_s: float
@@ -207,19 +208,14 @@
     def serve(self, now_s: float) -> None:
         """Hand out what room there is, and refuse those whose time is up."""
         self._sort_out(now_s)
-        passed: set[Rank] = set()
+        passed: set[int] = set()
         while ticket := self._next(passed, now_s):
-            seat = self.pool.choose(
-                prompt_tokens=ticket.prompt_tokens,
-                excluded=ticket.excluded,
-                now_s=now_s,
-            )
-            if seat is not None:
-                self._dispatch(ticket, seat, now_s)
-            elif ticket.excluded:
-                # It waits for another upstream than those it was sent to; the
-                # other ranks needn't.
-                passed.add(ticket.rank)
+            choice = self.pool.choose(_demand(ticket, now_s), now_s=now_s)
+            if choice.seat is not None:
+                self._dispatch(ticket, choice.seat, now_s)
+            elif choice.worth_waiting:
+                # It waits for another upstream; those behind it needn't.
+                passed.add(ticket.number)
             else:
                 return
 
@@ -235,23 +231,26 @@
                 ticket.late = True
                 self._waiting.add(ticket)
 
-    def _next(self, passed: set[Rank], now_s: float) -> Ticket | None:
+    def _next(self, passed: set[int], now_s: float) -> Ticket | None:
         """Return who goes next, if anyone may."""
-        ranks = [r for r in sorted(self.waiting()) if r not in passed]
-        if not ranks:
+        firsts: dict[Rank, Ticket] = {}
+        for ticket in self._waiting:
+            if ticket.number not in passed:
+                firsts.setdefault(ticket.rank, ticket)
+        if not firsts:
             return None
         room = self.pool.room(now_s)
         if room <= 0:
             return None
         slots = self.pool.slots()
         present = self._present(now_s)
-        for rank in reversed(ranks):
+        for rank in sorted(firsts, reverse=True):
             if self._below_guarantee(rank, present, slots):
-                return self._first(rank)
-        for rank in ranks:
+                return firsts[rank]
+        for rank in sorted(firsts):
             needed = sum(n for r, n in self.peers.waiting.items() if r < rank)
             if room > self._reserved(rank, present) + needed:
-                return self._first(rank)
+                return firsts[rank]
         return None
 
     def _reserved(self, rank: Rank, present: list[Rank]) -> float:
@@ -272,9 +271,6 @@
         own = [r for r, at_s in self._seen_s.items() if now_s < at_s + PRESENT_S]
         return sorted({*own, *self.peers.waiting, *self.peers.held})
 
-    def _first(self, rank: Rank) -> Ticket:
-        return next(ticket for ticket in self._waiting if ticket.rank == rank)
-
     def _dispatch(self, ticket: Ticket, seat: Seat, now_s: float) -> None:
         self._remove(ticket)
         ticket.started_s = now_s
@@ -335,6 +331,19 @@
         return Refuse(reason=reason, retry_after_s=after_s)
 
 
+def _demand(ticket: Ticket, now_s: float) -> Demand:
+    on_time_s = ticket.first_s + ticket.target_s - now_s
+    left_s = ticket.deadline_s - now_s
+    return Demand(
+        prompt_tokens=ticket.prompt_tokens,
+        output_tokens=ticket.output_tokens,
+        # One that is late already has no time to lose, and no upstream to wait for.
+        first_in_s=on_time_s if on_time_s > 0.0 else left_s,
+        left_s=left_s,
+        excluded=ticket.excluded,
+    )
+
+
 class Scheduler:
     """The lines of all services.
 
@@ -357,7 +366,7 @@
     def line(self, service: str) -> Line:
         """Return a service's line."""
         if service not in self._lines:
-            pool = Pool(peers_running=self._peers_running)
+            pool = Pool(peers_running=self._peers_running, random=self._random)
             self._lines[service] = Line(pool=pool, random=self._random)
         return self._lines[service]
 
