--- a/features/logs.feature
+++ b/features/logs.feature
@@ -15,3 +15,10 @@
     replaced, or whoever reads the logs could act for a customer.
     When a daemon logs a credential in every way it knows
     Then no log line holds the credential
+
+  Scenario: The reader of the log stalls
+    A full pipe blocks whoever writes to it. Were that the thread of a request,
+    every request would stop until the reader goes on. Lines are left out instead;
+    the log says how many when there is room again.
+    When a daemon logs 6,000 lines to a pipe that nobody reads
+    Then each took less than 100 ms, and the pipe's reader learns how many are missing
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -1,10 +1,12 @@
 import io
 import json
+import os
+import time
 
 import logbook
 from behave import then, when
 
-from lavenderspoke.logs import JsonLinesHandler
+from lavenderspoke.logs import BoundedStream, JsonLinesHandler
 
 SECRET = "open-sesame"
 HEADER = ("Authorization", f"Bearer {SECRET}")
@@ -76,3 +78,32 @@
 @then("no log line holds the credential")
 def step_no_credential(context):
     assert SECRET not in context.logged, context.logged
+
+
+@when("a daemon logs 6,000 lines to a pipe that nobody reads")
+def step_stalled(context):
+    reading, writing = os.pipe()
+    context.reading = os.fdopen(reading)
+    stream = BoundedStream(os.fdopen(writing, "w"), lines_max=1000)
+    handler = JsonLinesHandler(daemon="entry-1", stream=stream)
+    context.longest_s = 0.0
+    with handler.threadbound():
+        for number in range(6000):
+            began_s = time.monotonic()
+            log.info("request", number=number)
+            context.longest_s = max(context.longest_s, time.monotonic() - began_s)
+
+
+@then("each took less than 100 ms, and the pipe's reader learns how many are missing")
+def step_missing(context):
+    assert context.longest_s < 0.1, context.longest_s
+    numbers, left_out = 0, None
+    for text in context.reading:
+        line = json.loads(text)
+        if line["message"] == "lines left out":
+            left_out = line["count"]
+            break
+        numbers += 1
+        if numbers > 6000:
+            break
+    assert left_out is not None and 0 < left_out < 6000, left_out
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -37,8 +37,6 @@
 
 # What callers are told to wait, in seconds, for what ends within a second or two.
 SOON_S = 0.5
-# The part of the remaining time after which callers no longer come back.
-RETURN_PART = 1 / 3
 # The end of a request lies this much before the route's timeout, in seconds, so
 # that its answer is out in time.
 TIMEOUT_MARGIN_S = 0.05
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import uuid
+from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
@@ -46,7 +47,11 @@
 
 
 class DirectEntry:
-    """One entry."""
+    """One entry.
+
+    `flush` is called before the process ends by itself, to get the last log lines
+    out.
+    """
 
     def __init__(
         self,
@@ -54,8 +59,10 @@
         settings: DirectSettings,
         dialect: Dialect,
         clock: Clock,
+        flush: Callable[[], None] = lambda: None,
     ):
         self.settings = settings
+        self._flush = flush
         self.clock = clock
         self.metrics = Metrics()
         self.me = InstanceId(name=settings.name, incarnation=uuid.uuid4().hex)
@@ -157,4 +164,5 @@
         log.info("stopped", cut_off=self._app.in_flight())
         # What is left are threads that wait on sockets. Joining them takes up to
         # a second for each server, and the process would be killed meanwhile.
+        self._flush()
         os._exit(0)
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -16,9 +16,10 @@
 # Time between two looks at the lines, in seconds: how late a request learns that
 # its time in line is up, or that a peer's place came free.
 TICK_S = 0.02
-# Ticks between two messages while something changes, and while nothing does.
-# At 0.1 s two entries rarely fill the same place; the engine queues one more.
-TELL_TICKS = 1
+# So many peers more make it one tick longer between two messages: each message
+# goes to all of them, so what an entry sends would grow with their square.
+PEERS_PER_TICK = 6
+# Ticks between two messages while nothing changes.
 QUIET_TICKS = 15
 
 log = logbook.Logger(__name__)
@@ -69,15 +70,16 @@
             ticks += 1
             try:
                 self._office.tick()
-                if ticks % TELL_TICKS == 0:
-                    self._tell(leaving=False)
+                every = 1 + len(self._office.peer_addresses()) // PEERS_PER_TICK
+                if ticks % every == 0:
+                    self._tell(leaving=False, ticks=every)
             except Exception:
                 # The lines must go on being served, whatever one tick met.
                 log.exception("tick failed")
 
-    def _tell(self, *, leaving: bool) -> None:
+    def _tell(self, *, leaving: bool, ticks: int = 0) -> None:
         state, *evidence = self._office.news(leaving=leaving)
-        self._quiet_ticks += TELL_TICKS
+        self._quiet_ticks += ticks
         if state == self._told and not evidence and self._quiet_ticks < QUIET_TICKS:
             return
         self._told = state
--- a/lavenderspoke/logs.py
+++ b/lavenderspoke/logs.py
@@ -1,8 +1,10 @@
 """The daemons' logs: one JSON object a line."""
 
 import json
+import queue
 import re
 import sys
+import threading
 from typing import TextIO
 
 import logbook
@@ -10,6 +12,9 @@
 SECRET_FIELDS = re.compile(r"authorization|credential|token$|secret|password", re.I)
 SECRET_TEXT = re.compile(r"\b(bearer|basic)\s+[^\s\"',]+", re.I)
 REDACTED = "[redacted]"
+# Lines that wait to be written: a few seconds' worth at the highest load of one
+# entry, and some two megabytes.
+LINES_MAX = 4096
 
 
 def redact(value, field: str = ""):
@@ -65,3 +70,58 @@
         # One write a line, so that lines of several threads don't mix.
         self._stream.write(json.dumps(line) + "\n")
         self._stream.flush()
+
+
+class BoundedStream:
+    """A stream that never keeps its writers waiting.
+
+    Lines go through a bounded queue to a thread that writes them. When the reader
+    of the daemon's output stalls, the pipe fills and a write blocks: were that on a
+    request's thread, every request would stop with it. Lines that find the queue
+    full are left out, and how many is said once there is room again.
+    """
+
+    def __init__(self, stream: TextIO, *, lines_max: int = LINES_MAX):
+        self._stream = stream
+        self._lines: queue.Queue[str] = queue.Queue(lines_max)
+        self._lock = threading.Lock()
+        self._left_out = 0
+        threading.Thread(target=self._run, name="log", daemon=True).start()
+
+    def write(self, line: str) -> None:
+        """Queue a line, or leave it out."""
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            with self._lock:
+                self._left_out += 1
+
+    def flush(self) -> None:
+        """Lines are flushed as they are written."""
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait until what is queued has been written, but no longer."""
+        done = threading.Event()
+        threading.Thread(
+            target=lambda: (self._lines.join(), done.set()), daemon=True
+        ).start()
+        done.wait(timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            line = self._lines.get()
+            try:
+                self._stream.write(self._note() + line)
+                self._stream.flush()
+            except (OSError, ValueError):
+                # The reader has gone: there is nobody left to tell.
+                return
+            finally:
+                self._lines.task_done()
+
+    def _note(self) -> str:
+        with self._lock:
+            left_out, self._left_out = self._left_out, 0
+        if not left_out:
+            return ""
+        return json.dumps({"message": "lines left out", "count": left_out}) + "\n"
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -12,7 +12,7 @@
 
 from lavenderspoke.clock import BootClock, Clock
 from lavenderspoke.direct.daemon import DirectEntry
-from lavenderspoke.logs import JsonLinesHandler
+from lavenderspoke.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform import settings
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
@@ -33,6 +33,9 @@
 # a signal, and nothing in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
 
+# How long the last lines may take to be written at the stop, in seconds.
+LOG_DRAIN_S = 0.3
+
 log = logbook.Logger(__name__)
 
 
@@ -130,11 +133,15 @@
     except UserError as error:
         print("\n".join(error.lines), file=sys.stderr)
         return error.exit_status
-    handler = JsonLinesHandler(daemon=platform.direct.name, stream=sys.stdout)
+    stream = BoundedStream(sys.stdout)
+    handler = JsonLinesHandler(daemon=platform.direct.name, stream=stream)
     with handler.applicationbound():
         clock = BootClock()
         entry = DirectEntry(
-            settings=platform.direct, dialect=PlatformDialect(), clock=clock
+            settings=platform.direct,
+            dialect=PlatformDialect(),
+            clock=clock,
+            flush=lambda: stream.drain(LOG_DRAIN_S),
         )
         watch = SettingsWatch(path=path, entry=entry, settings=platform)
         # Without a handler this signal would end the process.
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -26,11 +26,11 @@
 
 # How long the store may hold a read of the configuration, in seconds. Two such
 # reads and one that is lost must fit into the time for which keys are honoured.
-CONFIGURATION_WAIT_S = 1.2
+CONFIGURATION_WAIT_S = 1.5
 # Time between two reads of the upstreams, in seconds: well under the two seconds
 # in which one that is leaving must get its last request. A read that waits would
 # return at each heartbeat of each upstream.
-UPSTREAMS_PERIOD_S = 0.5
+UPSTREAMS_PERIOD_S = 0.7
 # Time between two reads of the entries' records, in seconds: they change only
 # when an entry starts, and one that starts makes itself known to the others.
 ENTRIES_PERIOD_S = 8.0
