Free a place in every case; refuse double lengths; see events that go back

Cause, found by reading and by tests: a fault between an answer's first event and its end kept the upstream's place for good; a request refused for its customer's limit was not known when it came back; pieces of another run inside one read went unnoticed; a configuration with an infinite version raised; of two Content-Length headers the last was taken. Accepted requests and their outcomes have a module of their own, and both servers share one part.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -85,6 +85,8 @@
       | nonsense\r\n\r\n                                   | 400    | bad_request       |
       | POST /tickets/x HTTP/1.1\r\nnonsense\r\n\r\n       | 400    | bad_request       |
       | POST http://other/ HTTP/1.1\r\nHost: a\r\n\r\n     | 400    | bad_request       |
+      | POST /t HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 9\r\n\r\nhi | 400    | bad_request       |
+      | POST /t HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n   | 400    | bad_request       |
       | POST /tickets/x HTTP/1.1\r\nX: {40000}\r\n\r\n     | 431    | headers_too_large |
       | GET /{40000} HTTP/1.1\r\n\r\n                      | 431    | headers_too_large |
 
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -134,6 +134,8 @@
     shaped = strategies.dictionaries(fields, JSON, max_size=6)
     takes_anything(shaped, lambda value: configuration.decode(encoded(value)))
     takes_anything(strategies.binary(max_size=60), configuration.decode)
+    for text in (b'{"version": Infinity}', b'{"version": 1, "routes": [[]]}', b"[]"):
+        assert isinstance(configuration.decode(text), Err), text
 
 
 def wire_record(key: str, value: bytes) -> bytes:
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -18,14 +18,10 @@
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog, Customer, Route
+from lavenderspoke.direct.desk import Accepted, StreamAnswer, WholeAnswer
 from lavenderspoke.direct.dialect import CallerHead, Dialect
 from lavenderspoke.direct.exchange import AnswerCut
-from lavenderspoke.direct.handling import (
-    Accepted,
-    Handling,
-    StreamAnswer,
-    WholeAnswer,
-)
+from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.office import Office
 from lavenderspoke.hopbyhop import Headers, end_to_end
@@ -45,6 +41,8 @@
 ANSWERS = "direct_answers"
 FIRST_BYTE = "direct_first_byte_s"
 WHOLE = "direct_answer_s"
+WHOLE_ANSWER = "whole"
+BROKEN = "broken"
 
 log = logbook.Logger(__name__)
 
@@ -146,6 +144,7 @@
         try:
             yield from self._pass_on(handling, start_response, journey)
         finally:
+            handling.close()
             self._watch.remove(fd)
 
     def _pass_on(
@@ -162,7 +161,7 @@
             return
         journey.status = answer.status
         if isinstance(answer, WholeAnswer):
-            journey.outcome = "whole"
+            journey.outcome = WHOLE_ANSWER
             start_response(
                 problempage.status_line(answer.status),
                 _returned(answer.headers, len(answer.body)),
@@ -185,13 +184,14 @@
         try:
             yield from answer.bodies
         except AnswerCut as error:
-            journey.outcome = "broken"
+            if not handling.gone:
+                journey.outcome = BROKEN
             journey.detail = str(error)
             # Returning would end the answer as if it were whole.
             raise CutOff from error
         finally:
             answer.bodies.close()
-        journey.outcome = "whole"
+        journey.outcome = WHOLE_ANSWER
 
     # Decisions on arrival
 
@@ -298,7 +298,7 @@
 
     def _record(self, journey: _Journey) -> None:
         now_s = self._clock.monotonic_s()
-        self._metrics.count(ANSWERS, journey.outcome or "broken")
+        self._metrics.count(ANSWERS, journey.outcome or BROKEN)
         handling = journey.handling
         if handling is not None and journey.first_s is not None:
             accepted = handling.accepted
@@ -313,7 +313,7 @@
             route=journey.route,
             customer=journey.customer,
             version=journey.version,
-            outcome=journey.outcome or "broken",
+            outcome=journey.outcome or BROKEN,
             status=journey.status,
             returned=journey.returned,
             trail=handling.trail if handling else [],
--- /dev/null
+++ b/lavenderspoke/direct/desk.py
@@ -0,0 +1,98 @@
+"""What an accepted request is, what becomes of it, and what it asks of its entry."""
+
+import enum
+from collections.abc import Iterator
+from typing import Protocol
+
+import attrs
+
+from lavenderspoke.direct.catalog import Customer, Route
+from lavenderspoke.direct.dialect import CallerHead
+from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.scheduler import Rank, Ticket
+from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.problems import Problem
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """A request that may be sent, with everything that was decided on arrival.
+
+    `first_s` is when the caller asked for the first time, which for one that came
+    back is before `arrived_s`. `until_s` is the end of the caller's patience or of
+    the route's timeout, whichever comes first.
+    """
+
+    head: CallerHead
+    body: bytes
+    route: Route
+    service: str
+    customer: Customer | None
+    rank: Rank
+    fingerprint: str
+    returned: bool
+    first_s: float
+    arrived_s: float
+    until_s: float
+    version: int
+
+
+@attrs.frozen(kw_only=True)
+class WholeAnswer:
+    """An upstream's answer of known length."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class StreamAnswer:
+    """An upstream's stream whose first events have come."""
+
+    status: int
+    headers: Headers
+    bodies: Iterator[bytes]
+
+
+FirstAnswer = WholeAnswer | StreamAnswer | Problem
+
+
+class Outcome(enum.Enum):
+    """What became of one attempt at an upstream."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"  # the upstream's own failure, or no proper answer
+    BROKEN = "broken"  # the connection broke; it may have run
+    SILENT = "silent"  # nothing came in time; it may have run
+    UNREACHABLE = "unreachable"  # no connection; it has not run
+    NOT_RUN = "not_run"  # the upstream says that it did not run it
+    LEFT = "left"  # given up by this side: the caller has gone, or time is up
+
+
+class Desk(Protocol):
+    """What a request asks of its entry; safe for threads."""
+
+    def submit(self, ticket: Ticket) -> None:
+        """Put a request in line."""
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take it out of the line; False if it has been decided on."""
+
+    def began(self, ticket: Ticket, upstream: Upstream) -> None:
+        """Note its first event."""
+
+    def ended(
+        self, ticket: Ticket, upstream: Upstream, accepted: Accepted, outcome: Outcome
+    ) -> None:
+        """Give its place at an upstream back, and note what became of it."""
+
+    def connections(self, upstream: Upstream) -> ConnectionPool:
+        """Return the connections of an upstream."""
+
+    def may_retry(self, service: str) -> bool:
+        """Take one retry from the service's budget."""
+
+    def stepped(self, upstream: Upstream, step_s: float) -> None:
+        """Note the time between two events of a stream."""
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -5,21 +5,25 @@
 sent again, and nobody is told that it did not run.
 """
 
-import enum
 import threading
 from collections.abc import Iterator
-from typing import Protocol
 
 import attrs
 import logbook
 from result import Err
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.direct.catalog import Customer, Route
-from lavenderspoke.direct.dialect import CallerHead, Dialect
+from lavenderspoke.direct.desk import (
+    Accepted,
+    Desk,
+    FirstAnswer,
+    Outcome,
+    StreamAnswer,
+    WholeAnswer,
+)
+from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.exchange import (
     AnswerCut,
-    ConnectionPool,
     Exchange,
     NotSent,
     Sending,
@@ -29,13 +33,11 @@
 from lavenderspoke.direct.scheduler import (
     Decision,
     Dispatch,
-    Rank,
     Refusal,
     Refuse,
     Ticket,
 )
-from lavenderspoke.eventstream import EventSplitter, EventTooLong
-from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 
@@ -61,89 +63,6 @@
 log = logbook.Logger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class Accepted:
-    """A request that may be sent, with everything that was decided on arrival.
-
-    `first_s` is when the caller asked for the first time, which for one that came
-    back is before `arrived_s`. `until_s` is the end of the caller's patience or of
-    the route's timeout, whichever comes first.
-    """
-
-    head: CallerHead
-    body: bytes
-    route: Route
-    service: str
-    customer: Customer | None
-    rank: Rank
-    fingerprint: str
-    returned: bool
-    first_s: float
-    arrived_s: float
-    until_s: float
-    version: int
-
-
-@attrs.frozen(kw_only=True)
-class WholeAnswer:
-    """An upstream's answer of known length."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-@attrs.frozen(kw_only=True)
-class StreamAnswer:
-    """An upstream's stream whose first events have come."""
-
-    status: int
-    headers: Headers
-    bodies: Iterator[bytes]
-
-
-FirstAnswer = WholeAnswer | StreamAnswer | Problem
-
-
-class Outcome(enum.Enum):
-    """What became of one attempt at an upstream."""
-
-    ANSWERED = "answered"
-    FAILED = "failed"  # the upstream's own failure, or no proper answer
-    BROKEN = "broken"  # the connection broke; it may have run
-    SILENT = "silent"  # nothing came in time; it may have run
-    UNREACHABLE = "unreachable"  # no connection; it has not run
-    NOT_RUN = "not_run"  # the upstream says that it did not run it
-    LEFT = "left"  # given up by this side: the caller has gone, or time is up
-
-
-class Desk(Protocol):
-    """What a request asks of its entry; safe for threads."""
-
-    def submit(self, ticket: Ticket) -> None:
-        """Put a request in line."""
-
-    def withdraw(self, ticket: Ticket) -> bool:
-        """Take it out of the line; False if it has been decided on."""
-
-    def began(self, ticket: Ticket, upstream: Upstream) -> None:
-        """Note its first event."""
-
-    def ended(
-        self, ticket: Ticket, upstream: Upstream, accepted: Accepted, outcome: Outcome
-    ) -> None:
-        """Give its place at an upstream back, and note what became of it."""
-
-    def connections(self, upstream: Upstream) -> ConnectionPool:
-        """Return the connections of an upstream."""
-
-    def may_retry(self, service: str) -> bool:
-        """Take one retry from the service's budget."""
-
-    def stepped(self, upstream: Upstream, step_s: float) -> None:
-        """Note the time between two events of a stream."""
-
-
 @attrs.define(kw_only=True)
 class _Attempt:
     """One attempt at one upstream and what came of it so far."""
@@ -173,6 +92,7 @@
         self._gone = False
         self._ticket: Ticket | None = None
         self._sending: Sending | None = None
+        self._current: _Attempt | None = None
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
@@ -192,6 +112,15 @@
         if sending is not None:
             sending.cancel()
 
+    def close(self) -> None:
+        """End what is still under way; called in every case.
+
+        A fault between an attempt and its end would otherwise keep its place at
+        the upstream taken for good, and the entry would run out of places.
+        """
+        if self._current is not None:
+            self._end(self._current, Outcome.LEFT)
+
     @property
     def gone(self) -> bool:
         """Whether the caller has gone."""
@@ -219,6 +148,7 @@
         if not isinstance(decision, Dispatch):
             return self._refused(decision)
         attempt = _Attempt(upstream=decision.upstream, ticket=ticket, sending=Sending())
+        self._current = attempt
         with self._lock:
             self._sending = attempt.sending
             gone = self._gone
@@ -392,7 +322,7 @@
                 if before_s is not None:
                     self._desk.stepped(attempt.upstream, now_s - before_s)
                 before_s = now_s
-                self._note_event(events.event_id)
+                self._note_events(events)
                 yield events.body
             if rest := splitter.rest():
                 yield rest
@@ -406,13 +336,17 @@
         finally:
             self._end(attempt, Outcome.LEFT)
 
-    def _note_event(self, event_id: int | None) -> None:
-        if event_id is None:
+    def _note_events(self, events: Events) -> None:
+        """Note the last event, unless these are the pieces of another run.
+
+        What the caller has couldn't go on there: a piece would come twice.
+        """
+        if events.event_id is None:
             return
-        if self._last_event is not None and event_id <= int(self._last_event):
-            # The pieces of another run: what the caller has can't go on there.
-            raise AnswerCut(f"event {event_id} came after {self._last_event}")
-        self._last_event = str(event_id)
+        before = int(self._last_event) if self._last_event is not None else None
+        if not events.rising or (before is not None and events.first_id <= before):
+            raise AnswerCut(f"event {events.first_id} came after {before}")
+        self._last_event = str(events.event_id)
 
     def _joined(self, first: bytes, bodies: Iterator[bytes]) -> Iterator[bytes]:
         """Yield a stream's events, going on at another upstream where allowed.
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -13,11 +13,17 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.crashes import CrashWatch
+from lavenderspoke.direct.desk import Accepted, Outcome
 from lavenderspoke.direct.exchange import ConnectionPool
-from lavenderspoke.direct.handling import Accepted, Outcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.quota import SharedQuota
-from lavenderspoke.direct.scheduler import Rank, Scheduler, Ticket
+from lavenderspoke.direct.scheduler import (
+    RETRY_AFTER_MIN_S,
+    RETURN_PART,
+    Rank,
+    Scheduler,
+    Ticket,
+)
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns
 from lavenderspoke.messages import CrashEvidence, SharedState
@@ -29,7 +35,6 @@
 
 # The longest that a customer over its limit is told to wait, in seconds.
 LIMIT_WAIT_MAX_S = 3.0
-RETURN_PART = 1 / 3
 ATTEMPTS = "direct_attempts"
 RETRIES = "direct_retries"
 
@@ -88,6 +93,8 @@
             first_s = self._returns.take(fingerprint, now_s)
             refused = self._spend(accepted, now_s)
             if refused is not None:
+                # It is told when to come back, so it counts as one that did.
+                self._returns.refused(fingerprint, first_s or accepted.first_s)
                 return Err(refused)
         if first_s is None:
             return Ok(accepted)
@@ -102,7 +109,7 @@
             return None
         wait_s = self._quota.wait_s(customer, cost, now_s=now_s)
         latest_s = max(0.0, (accepted.until_s - now_s) * RETURN_PART)
-        after_s = min(max(0.3, wait_s), LIMIT_WAIT_MAX_S, latest_s)
+        after_s = min(max(RETRY_AFTER_MIN_S, wait_s), LIMIT_WAIT_MAX_S, latest_s)
         return _not_run(Reason.CUSTOMER_LIMIT, after_s)
 
     def refused(self, accepted: Accepted, *, ran: Ran) -> None:
--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -1,4 +1,4 @@
-"""The callers' server of an entry that dispatches directly, as a part."""
+"""HTTP servers as parts of an entry that dispatches directly."""
 
 import threading
 
@@ -17,48 +17,70 @@
 SHUTDOWN_S = 0.3
 
 
-class CallerPart:
-    """Runs cheroot's server on a thread of its own, under changing limits."""
+class ServerPart:
+    """Runs cheroot's server on a thread of its own."""
 
-    def __init__(self, *, settings: DirectSettings, app: DirectApp):
-        self._settings = settings
-        self._app = app
-        self._limits = Limits()
-        self._server: HttpServer | None = None
+    name = ""
+
+    def __init__(self):
+        self.server: HttpServer | None = None
         self._thread: threading.Thread | None = None
 
+    def make(self) -> HttpServer:
+        """Return a new server, ready to be prepared."""
+        raise NotImplementedError
+
     def start(self) -> None:
         """Listen; raises OSError when the address is taken."""
-        address = self._settings.callers
-        self._server = HttpServer(
-            host=address.host,
-            port=address.port,
-            app=self._app,
-            threads=self._settings.threads,
-            on_problem=self._app.count_problem,
-        )
-        self._server.shutdown_timeout = SHUTDOWN_S
-        self.limit(self._limits)
-        self._server.prepare()
+        self.server = self.make()
+        self.server.shutdown_timeout = SHUTDOWN_S
+        self.server.prepare()
         self._thread = threading.Thread(
-            target=self._server.serve, name="callers", daemon=True
+            target=self.server.serve, name=self.name, daemon=True
         )
         self._thread.start()
 
     def stop(self) -> None:
         """Stop listening and close what is open."""
-        if self._server is not None:
-            self._server.stop()
+        if self.server is not None:
+            self.server.stop()
 
     def alive(self) -> bool:
         """Return whether the server runs."""
         return self._thread is not None and self._thread.is_alive()
 
+
+class CallerPart(ServerPart):
+    """The callers' server, under limits that change."""
+
+    name = "callers"
+
+    def __init__(self, *, settings: DirectSettings, app: DirectApp):
+        super().__init__()
+        self._settings = settings
+        self._app = app
+        self._limits = Limits()
+
+    def make(self) -> HttpServer:
+        address = self._settings.callers
+        server = HttpServer(
+            host=address.host,
+            port=address.port,
+            app=self._app,
+            threads=self._settings.threads,
+            on_problem=self._app.count_problem,
+        )
+        _limit(server, self._limits)
+        return server
+
     def limit(self, limits: Limits) -> None:
         """Put other limits in force, for requests and connections from now on."""
         self._limits = limits
-        if self._server is None:
-            return
-        self._server.timeout = limits.idle_timeout_s + IDLE_MARGIN_S
-        self._server.request_read_s = limits.read_timeout_s * BODY_TIMES
-        self._server.max_request_header_size = limits.header_bytes_max
+        if self.server is not None:
+            _limit(self.server, limits)
+
+
+def _limit(server: HttpServer, limits: Limits) -> None:
+    server.timeout = limits.idle_timeout_s + IDLE_MARGIN_S
+    server.request_read_s = limits.read_timeout_s * BODY_TIMES
+    server.max_request_header_size = limits.header_bytes_max
--- a/lavenderspoke/eventstream.py
+++ b/lavenderspoke/eventstream.py
@@ -4,6 +4,8 @@
 
 EVENT_BYTES_MAX = 1024 * 1024
 LAST_DATA = b"[DONE]"
+# Ids of more digits don't fit 64 bits and are no numbers of events.
+ID_DIGITS_MAX = 19
 
 
 class EventTooLong(Exception):
@@ -14,12 +16,15 @@
 class Events:
     """Whole events as they came; `last` when the stream's last one is in there.
 
-    `event_id` is that of the last event that has one, or None.
+    `event_id` is that of the last event that has one, or None, and `first_id` that
+    of the first. `rising` says whether their ids only grow.
     """
 
     body: bytes
     event_id: int | None = None
     last: bool = False
+    first_id: int | None = attrs.field(default=None, repr=False)
+    rising: bool = attrs.field(default=True, repr=False)
 
 
 class EventSplitter:
@@ -50,9 +55,12 @@
         if not end:
             return None
         lines = held[:end].splitlines()
+        ids = _ids(lines)
         return Events(
             body=held[:end],
-            event_id=_last_id(lines),
+            event_id=ids[-1] if ids else None,
+            rising=all(a < b for a, b in zip(ids, ids[1:])),
+            first_id=ids[0] if ids else None,
             last=any(_value(line, b"data:") == LAST_DATA for line in lines),
         )
 
@@ -66,9 +74,10 @@
     return line[len(field) :].strip() if line.startswith(field) else None
 
 
-def _last_id(lines: list[bytes]) -> int | None:
-    for line in reversed(lines):
-        value = _value(line, b"id:")
-        if value and value.isdigit() and len(value) < 19:
-            return int(value)
-    return None
+def _ids(lines: list[bytes]) -> list[int]:
+    values = (_value(line, b"id:") for line in lines)
+    return [
+        int(value)
+        for value in values
+        if value and value.isdigit() and len(value) < ID_DIGITS_MAX
+    ]
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -102,11 +102,30 @@
         return b"_" not in key_name
 
 
+class _FramingHeaders(dict):
+    """Headers of which those that frame a request come only once.
+
+    Of two lengths, cheroot takes the last and another program the first: what one
+    of them reads as a body the other reads as the next request.
+    """
+
+    ONCE = frozenset((b"Content-Length", b"Transfer-Encoding", b"Host"))
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in self.ONCE and name in self:
+            raise ValueError(f"two {name.decode()} headers")
+        super().__setitem__(name, value)
+
+
 class CallerHttpRequest(HTTPRequest):
     """A request whose early refusals are problems."""
 
     header_reader = _StrictHeaderReader()
 
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.inheaders = _FramingHeaders()
+
     def read_request_headers(self) -> bool:
         if not super().read_request_headers():
             return False
--- a/lavenderspoke/platform/configuration.py
+++ b/lavenderspoke/platform/configuration.py
@@ -46,7 +46,13 @@
                 limits=_limits(content.get("limits") or {}),
             )
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Err(f"{type(error).__name__}: {error}")
 
 
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -249,7 +249,7 @@
                 continue
             try:
                 addresses[record.key] = str(json.loads(record.value)["address"])
-            except (ValueError, KeyError, TypeError) as error:
+            except (LookupError, TypeError, ValueError) as error:
                 log.warning("entry's record skipped", key=record.key, error=str(error))
         if addresses:
             self._on_change(addresses)
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -33,7 +33,13 @@
                 leaving=content.get("state") != "ready",
             )
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Err(f"{type(error).__name__}: {error}")
 
 
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -159,7 +159,7 @@
         content = json.loads(data)
         if isinstance(content["items"], list) and type(content["end-offset"]) is int:
             return Ok(content)
-    except (ValueError, KeyError, TypeError) as error:
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
         return Err(StoreError(detail=f"malformed page: {error}"))
     return Err(StoreError(detail="malformed page"))
 
@@ -173,7 +173,7 @@
                 value=base64.b64decode(item["value"], validate=True),
                 offset=int(item["offset"]),
             )
-        except (KeyError, TypeError, ValueError, binascii.Error):
+        except (ArithmeticError, LookupError, TypeError, ValueError, binascii.Error):
             skipped += 1
             continue
         records.append(record)
@@ -183,7 +183,7 @@
 def decode_forgotten(data: bytes) -> Result[Forgotten, StoreError]:
     try:
         return Ok(Forgotten(first_offset=int(json.loads(data)["first-offset"])))
-    except (ValueError, KeyError, TypeError) as error:
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
         return Err(StoreError(detail=f"malformed refusal: {error}"))
 
 
