--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -228,7 +228,6 @@
         self._clock = clock
         self._idle: list[_Idle] = []
         self._lock = threading.Lock()
-        self.opened = 0
 
     def send(
         self,
@@ -306,7 +305,6 @@
         except (HTTPError, OSError) as error:
             connection.close()
             return Err(NotSent(detail=f"{type(error).__name__}: {error}"))
-        self.opened += 1
         return Ok(connection)
 
     def _exchange(
