--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -22,6 +22,15 @@
     When a customer asks 400 a second for 30 s, and all entries restart at 15 s
     Then no 8 s hold more than 1,100 that passed
 
+  Scenario: Right after a start, what the platform tolerates may pass
+    Nothing of the window before is known. A customer far below its limit would be
+    refused for seconds if nothing passed; what is tolerated beyond a limit can do
+    no harm, whatever was used before.
+    Given entries that share a limit of 100 a second and a burst of 300
+    And the platform tolerates a tenth and 290 more
+    When all entries have just started
+    Then 320 pass at once and no more
+
   Scenario: An entry starts beside one that has run for long
     The old one tells how much it has let through since it started. Taken as if all
     of it had just passed, it would close the limit at the new one for 8 s, and
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from lavenderspoke.direct.catalog import Customer
-from lavenderspoke.direct.quota import SharedQuota
+from lavenderspoke.direct.quota import SharedQuota, Tolerance
 from lavenderspoke.retrybudget import TIME_CONSTANT_S, RetryAllowance
 from lavenderspoke.service import RetryBudget
 
@@ -13,7 +13,7 @@
 
 
 def new_quota(context, now_s: float) -> SharedQuota:
-    quota = SharedQuota(window_s=WINDOW_S)
+    quota = SharedQuota(window_s=WINDOW_S, tolerance=context.tolerance)
     quota.reconfigure((context.customer,), now_s=now_s)
     return quota
 
@@ -30,6 +30,12 @@
         plain_tokens=1,
     )
     context.hearing = True
+    context.tolerance = Tolerance()
+
+
+@given("the platform tolerates a tenth and {tokens:d} more")
+def step_tolerance(context, tokens):
+    context.tolerance = Tolerance(part=0.1, tokens=float(tokens))
 
 
 @given("the entries don't hear each other")
@@ -105,6 +111,19 @@
     assert context.quota.spend(context.customer, float(cost), now_s=now_s)
 
 
+@when("all entries have just started")
+def step_just_started(context):
+    context.quota = new_quota(context, 0.0)
+
+
+@then("{most:d} pass at once and no more")
+def step_at_once(context, most):
+    passed = 0
+    while context.quota.spend(context.customer, 10.0, now_s=0.0):
+        passed += 10
+    assert passed == most, passed
+
+
 @when("a request of {cost:d} passes and is given back")
 def step_given_back(context, cost):
     context.quota = new_quota(context, 0.0)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -64,7 +64,9 @@
         self._lock = threading.RLock()
         self._peers = Peers(own_name=name)
         self._returns = Returns()
-        self._quota = SharedQuota(window_s=bounds.quota_window_s)
+        self._quota = SharedQuota(
+            window_s=bounds.quota_window_s, tolerance=bounds.quota_tolerance
+        )
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
         self._told_spent: dict[str, float] = {}
@@ -195,7 +197,7 @@
         """Put changed bounds in force."""
         with self._lock:
             self.bounds = bounds
-            self._quota.count_over(bounds.quota_window_s)
+            self._quota.count_over(bounds.quota_window_s, bounds.quota_tolerance)
             self._share_retries()
 
     def has_upstreams(self) -> bool:
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -11,9 +11,11 @@
 
 An entry that has just started knows nothing of the window before, in which a
 customer may have used all of its limit, burst included. It takes the limit as
-used evenly and gives out the part that has come free since its start. Giving out
-the whole burst at once, after a restart of all entries, let a customer have 1.3
-times its limit in one window.
+used evenly and gives out the part that has come free since its start, or most of
+what the platform tolerates beyond the limit, if that is more. Giving out the whole
+burst at once, after a restart of all entries, let a customer have 1.3 times its
+limit in one window; giving out nothing at first refuses customers that are well
+within it.
 """
 
 from collections import deque
@@ -22,6 +24,22 @@
 
 from lavenderspoke.direct.catalog import Customer
 
+# The part of what the platform tolerates that an entry gives out after its start;
+# the rest is for what peers let through before they tell of it.
+TOLERATED_PART = 0.8
+
+
+@attrs.frozen(kw_only=True)
+class Tolerance:
+    """How far a window may exceed a limit: a part of it and a number of tokens."""
+
+    part: float = 0.0
+    tokens: float = 0.0
+
+    def of(self, customer: Customer, limit: float) -> float:
+        """Return what is tolerated beyond a customer's limit."""
+        return limit * self.part + (self.tokens if customer.counts_tokens else 0.0)
+
 
 @attrs.define(kw_only=True)
 class _Window:
@@ -54,8 +72,9 @@
     True
     """
 
-    def __init__(self, *, window_s: float):
+    def __init__(self, *, window_s: float, tolerance: Tolerance = Tolerance()):
         self._window_s = window_s
+        self._tolerance = tolerance
         self._windows: dict[str, _Window] = {}
         self._part = 1.0
         self._heard: dict[tuple[str, str], dict[str, float]] = {}
@@ -70,9 +89,10 @@
             if customer.per_s > 0.0:
                 self._window(customer, now_s)
 
-    def count_over(self, window_s: float) -> None:
+    def count_over(self, window_s: float, tolerance: Tolerance) -> None:
         """Count limits over windows of another length from now on."""
         self._window_s = window_s
+        self._tolerance = tolerance
 
     def share(self, *, heard: int, known: int) -> None:
         """Set how many of the known entries, this one included, are heard."""
@@ -150,6 +170,9 @@
         return now_s - window.since_s >= self._window_s
 
     def _limit(self, customer: Customer, window: _Window, now_s: float) -> float:
-        known_part = min(1.0, (now_s - window.since_s) / self._window_s)
         limit = customer.per_s * self._window_s + customer.burst
-        return limit * known_part * self._part
+        if not self._is_full(window, now_s):
+            free = limit * (now_s - window.since_s) / self._window_s
+            tolerated = self._tolerance.of(customer, limit) * TOLERATED_PART
+            limit = min(limit, max(free, tolerated))
+        return limit * self._part
--- a/lavenderspoke/direct/settings.py
+++ b/lavenderspoke/direct/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from lavenderspoke.direct.quota import Tolerance
+
 # The part of the platform's retry budget that entries use: the platform counts
 # over a sliding window, in which a full balance and what is added meanwhile can
 # both be spent.
@@ -25,7 +27,8 @@
     `grace_s` is the time between a stop's signal and the kill; `revoke_s` how
     long a key may work after it was taken away; `retry_ratio` and `retry_slack`
     bound retries in any `retry_window_s`, over all entries; customers' limits
-    count in any `quota_window_s`; an upstream that leaves gets its last request
+    count in any `quota_window_s`, which may exceed them by `quota_tolerance`; an
+    upstream that leaves gets its last request
     within `drain_s` of saying so.
     """
 
@@ -35,6 +38,7 @@
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     quota_window_s: float = 8.0
+    quota_tolerance: Tolerance = Tolerance()
     drain_s: float = 2.0
 
 
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -3,6 +3,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
 
 MS_PER_S = 1000.0
@@ -86,6 +87,11 @@
         retry_slack=reader.number("bounds.budget-slack", Bounds().retry_slack),
         retry_window_s=reader.number("bounds.retry-window-s", Bounds().retry_window_s),
         quota_window_s=reader.number("bounds.quota-window-s", Bounds().quota_window_s),
+        quota_tolerance=Tolerance(
+            part=reader.number("bounds.quota-overage", 0.0),
+            # In tokens where customers' limits are.
+            tokens=reader.number("bounds.quota-tolerance", 0.0),
+        ),
         drain_s=reader.number("bounds.drain-ms", 2000.0) / MS_PER_S,
     )
     direct = DirectSettings(
