Read the store for each other: two entries read, the others ask them

Ruled out: longer waits alone, since keys must be confirmed every few seconds. The same answers keep an entry going that the store turns away.

--- /dev/null
+++ b/features/steps/store_relay_steps.py
@@ -0,0 +1,281 @@
+"""Steps about entries that read the platform's store for each other."""
+
+import heapq
+import itertools
+import json
+from random import Random
+
+from behave import given, step, then, when
+from result import Err, Ok
+
+from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.messages import RecordsAsked, RecordsTold
+from lavenderspoke.model import InstanceId
+from lavenderspoke.platform.feeds import (
+    CONFIGURATION_TOPIC,
+    UPSTREAMS_TOPIC,
+    ConfigurationFeed,
+    UpstreamsFeed,
+)
+from lavenderspoke.platform.relay import Peering, Relay
+from lavenderspoke.platform.store import Forgotten, KeyedRecord, Records, StoreError
+from standins.platformdeployment import configuration
+
+KEY_AGE_MAX_S = 4.6
+DRAIN_S = 2.0
+CALL_S = 0.01
+STEP_S = 0.05
+
+
+class World:
+    """Entries and a store on one clock."""
+
+    def __init__(self, *, entries: int, feed: str):
+        self.now_s = 0.0
+        self.topics: dict[str, list[KeyedRecord]] = {}
+        self.forgotten_before = 0
+        self.turned_away: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.calls: dict[str, int] = {}
+        self.entries = {}
+        self._events: list = []
+        self._numbers = itertools.count()
+        names = [f"entry-{n}" for n in range(entries)]
+        for name in names:
+            self.calls[name] = 0
+            self.entries[name] = DrivenEntry(world=self, name=name, feed=feed)
+        for number, name in enumerate(names):
+            self.at(number * 0.03, self.entries[name].turn)
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def at(self, when_s: float, work) -> None:
+        heapq.heappush(self._events, (when_s, next(self._numbers), work))
+
+    def run(self, seconds: float) -> None:
+        end_s = self.now_s + seconds
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, work = heapq.heappop(self._events)
+            work()
+        self.now_s = end_s
+
+    def append(self, topic: str, key: str, value: dict | None) -> None:
+        records = self.topics.setdefault(topic, [])
+        data = None if value is None else json.dumps(value).encode()
+        records.append(KeyedRecord(key=key, value=data, offset=len(records)))
+
+    def send(self, sender: str, name: str, message) -> None:
+        if not {sender, name} & self.cut_off:
+            who = InstanceId(name=sender, incarnation="1")
+            self.entries[name].relay.heard(who, message)
+
+
+class FakeStore:
+    """The store as one entry reaches it."""
+
+    def __init__(self, *, world: World, name: str):
+        self._world = world
+        self._name = name
+
+    def _call(self) -> StoreError | None:
+        self._world.calls[self._name] += 1
+        away = self._name in self._world.turned_away | self._world.cut_off
+        return StoreError(detail="turned away") if away else None
+
+    def newest(self, topic: str):
+        if error := self._call():
+            return Err(error)
+        records = self._world.topics.get(topic, [])
+        newest = {record.key: record for record in records}
+        present = tuple(r for r in newest.values() if r.value is not None)
+        return Ok(Records(records=present, next_offset=len(records)))
+
+    def read(self, topic: str, from_offset: int, *, wait_s: float):
+        if error := self._call():
+            return Err(error)
+        if from_offset < self._world.forgotten_before:
+            return Ok(Forgotten(first_offset=self._world.forgotten_before))
+        records = self._world.topics.get(topic, [])
+        return Ok(
+            Records(records=tuple(records[from_offset:]), next_offset=len(records))
+        )
+
+
+class DrivenEntry:
+    """One entry's feed, turned by the world; a read that waits ends when it may."""
+
+    def __init__(self, *, world: World, name: str, feed: str):
+        self.name = name
+        self.upstreams: tuple = ()
+        self.in_force = InForce(clock=world, key_age_max_s=KEY_AGE_MAX_S)
+        self._world = world
+        self.relay = Relay(
+            peering=Peering(
+                name=name,
+                heard=lambda: [
+                    n
+                    for n in world.entries
+                    if n != name and not {n, name} & world.cut_off
+                ],
+                tell=lambda peer, message: world.send(name, peer, message),
+            ),
+            clock=world,
+            random=Random(name),
+        )
+        store = FakeStore(world=world, name=name)
+        if feed == "configuration":
+            self.feed = ConfigurationFeed(
+                store=store,
+                clock=world,
+                relay=self.relay,
+                in_force=self.in_force,
+                on_change=lambda catalog: None,
+            )
+        else:
+            self.feed = UpstreamsFeed(
+                store=store,
+                clock=world,
+                relay=self.relay,
+                drain_s=DRAIN_S,
+                on_change=self._on_upstreams,
+            )
+
+    def _on_upstreams(self, upstreams) -> None:
+        self.upstreams = upstreams
+
+    def turn(self) -> None:
+        calls = self._world.calls[self.name]
+        pause_s = self.feed.turn()
+        read = self._world.calls[self.name] > calls
+        # The fake answers at once where the store would hold a read back.
+        held_s = self.feed._wait_s() if read else 0.0
+        self._world.at(self._world.now_s + max(CALL_S, pause_s + held_s), self.turn)
+
+
+@given("{count:d} entries before a store with a configuration")
+def step_configured(context, count):
+    context.world = World(entries=count, feed="configuration")
+    context.world.append(CONFIGURATION_TOPIC, "config", configuration(1))
+
+
+@given("{count:d} entries before a store with upstreams a and b")
+def step_upstreams(context, count):
+    context.world = World(entries=count, feed="upstreams")
+    for name in ("a", "b"):
+        record = {"service": "s", "address": "127.0.0.1:1", "state": "ready"}
+        context.world.append(UPSTREAMS_TOPIC, name, record)
+
+
+@step("the entries follow it for {seconds:d} s")
+def step_pass(context, seconds):
+    context.world.run(seconds)
+
+
+@then("all have it in force and may honour keys")
+def step_all_fresh(context):
+    for entry in context.world.entries.values():
+        assert entry.in_force.catalog.version == 1
+        assert entry.in_force.fresh(), entry.name
+
+
+@then(
+    "the store was called at most {most:d} times in all, and by {others:d} entries "
+    "at most {few:d} times"
+)
+def step_calls(context, most, others, few):
+    calls = sorted(context.world.calls.values())
+    assert sum(calls) <= most, calls
+    assert all(each <= few for each in calls[:others]), calls
+
+
+@when("the operator writes version {version:d}, and {seconds:g} s pass")
+def step_version(context, version, seconds):
+    content = configuration(version)
+    context.world.append(CONFIGURATION_TOPIC, "config", content)
+    context.world.run(seconds)
+
+
+@then("version {version:d} is in force at all")
+def step_version_all(context, version):
+    for entry in context.world.entries.values():
+        assert entry.in_force.catalog.version == version, entry.name
+
+
+@when("the store turns away the first {count:d} entries for {seconds:d} s")
+def step_turned_away(context, count, seconds):
+    world = context.world
+    world.turned_away = set(list(world.entries)[:count])
+    context.stale = set()
+    for _ in range(round(seconds / STEP_S)):
+        world.run(STEP_S)
+        context.stale |= {n for n, e in world.entries.items() if not e.in_force.fresh()}
+
+
+@then("all may honour keys all the while")
+def step_never_stale(context):
+    assert not context.stale, context.stale
+
+
+@then("nobody may honour keys")
+def step_all_stale(context):
+    for entry in context.world.entries.values():
+        assert not entry.in_force.fresh(), entry.name
+
+
+@when("an entry that is cut off from all hears an answer {seconds:d} s after it asked")
+def step_late_answer(context, seconds):
+    world = context.world
+    context.entry = entry = world.entries["entry-5"]
+    asked = RecordsAsked(
+        topic=CONFIGURATION_TOPIC,
+        from_offset=entry.feed.shelf.next_offset,
+        asked_s=world.now_s,
+    )
+    told = world.entries["entry-0"].feed.shelf.told(asked, world.now_s)
+    world.cut_off = {entry.name}
+    world.run(seconds)
+    peer = InstanceId(name="entry-0", incarnation="1")
+    entry.relay.heard(peer, told)
+
+
+@then("that entry may not honour keys")
+def step_entry_stale(context):
+    assert not context.entry.in_force.fresh()
+
+
+@when("an entry hears an answer from before version 2, which it has in force")
+def step_older_answer(context):
+    world = context.world
+    entry = context.entry = world.entries["entry-5"]
+    old = RecordsTold(
+        topic=CONFIGURATION_TOPIC,
+        asked_s=world.now_s,
+        age_s=0.0,
+        next_offset=1,
+        whole=True,
+        records=(("config", json.dumps(configuration(1)).encode(), 0),),
+    )
+    step_version(context, 2, 2.0)
+    entry.relay.heard(InstanceId(name="entry-0", incarnation="1"), old)
+    context.version_age_s = entry.in_force.age_s()
+
+
+@then("version 2 stays in force there")
+def step_stays(context):
+    assert context.entry.in_force.catalog.version == 2
+
+
+@when("upstream a is dropped, and the store forgets everything up to now")
+def step_dropped_and_forgotten(context):
+    world = context.world
+    world.append(UPSTREAMS_TOPIC, "a", None)
+    world.forgotten_before = len(world.topics[UPSTREAMS_TOPIC])
+
+
+@then("within {seconds:d} s all entries know only b")
+def step_only_b(context, seconds):
+    context.world.run(seconds)
+    for entry in context.world.entries.values():
+        names = [upstream.upstream_id for upstream in entry.upstreams]
+        assert names == ["b"], (entry.name, names)
--- /dev/null
+++ b/features/store_relay.feature
@@ -0,0 +1,54 @@
+Feature: Entries read the platform's store for each other
+  Feeds of several entries before a fake store, on a clock of their own; messages
+  between them arrive at once unless a step says otherwise.
+
+  Scenario: Only two of six entries call the store
+    The pattern: six entries for twenty seconds with nothing new, as in a quiet
+    hour. Each reading by itself would call it 27 times.
+    Given 6 entries before a store with a configuration
+    When the entries follow it for 20 s
+    Then all have it in force and may honour keys
+    And the store was called at most 130 times in all, and by 4 entries at most 4 times
+
+  Scenario: A new version reaches those that don't read
+    Given 6 entries before a store with a configuration
+    When the entries follow it for 20 s
+    And the operator writes version 2, and 1.5 s pass
+    Then version 2 is in force at all
+
+  Scenario: The store turns away both entries that read
+    The others notice that the readers' knowledge gets old and read themselves; the
+    readers then go on with what these know. Nobody stops honouring keys.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the store turns away the first 2 entries for 20 s
+    Then all may honour keys all the while
+
+  Scenario: The store turns everyone away
+    Nobody's knowledge may look younger for being passed around.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the store turns away the first 6 entries for 6 s
+    Then nobody may honour keys
+
+  Scenario: An answer that lay on the way for long
+    A cut holds an answer back for four seconds and delivers it then. What it says
+    is four seconds older by then than when it was sent.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When an entry that is cut off from all hears an answer 5 s after it asked
+    Then that entry may not honour keys
+
+  Scenario: An entry that knows less can't bring an older version back
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When an entry hears an answer from before version 2, which it has in force
+    Then version 2 stays in force there
+
+  Scenario: An upstream is dropped while the store forgets
+    The reader finds its records gone and takes the newest of each key. Nothing says
+    that the dropped one went, so who asks it for what is new gets all that is left.
+    Given 6 entries before a store with upstreams a and b
+    And the entries follow it for 20 s
+    When upstream a is dropped, and the store forgets everything up to now
+    Then within 3 s all entries know only b
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -21,6 +21,7 @@
 from lavenderspoke.direct.readiness import ReadinessServer
 from lavenderspoke.direct.server import CallerPart
 from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
+from lavenderspoke.messages import RecordsAsked, RecordsTold
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
 from lavenderspoke.supervisor import Part, Supervisor
@@ -42,6 +43,9 @@
     def parts(self) -> list[tuple[str, Part]]:
         """Return the parts that follow the platform."""
 
+    def heard(self, sender: InstanceId, message: RecordsAsked | RecordsTold) -> None:
+        """Take in what another entry asks or tells about the platform's records."""
+
     def leave(self) -> None:
         """Take this entry off the platform's records."""
 
@@ -97,6 +101,7 @@
             listen=settings.peers,
             office=self.office,
             metrics=self.metrics,
+            on_records=self._on_records,
         )
         self._feeds: Feeds | None = None
         self._supervisor: Supervisor | None = None
@@ -120,6 +125,16 @@
         self.in_force.key_age_max_s = bounds.revoke_s - KEY_MARGIN_S
         self.office.reload(bounds)
 
+    def tell(self, name: str, message: RecordsAsked | RecordsTold) -> None:
+        """Send another entry a question or an answer, if it can be reached."""
+        self._gossip.tell(name, message)
+
+    def _on_records(
+        self, sender: InstanceId, message: RecordsAsked | RecordsTold
+    ) -> None:
+        if self._feeds is not None:
+            self._feeds.heard(sender, message)
+
     def run(self, feeds: Feeds) -> int:
         """Run until told to stop; return the process's exit status."""
         self._feeds = feeds
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -1,6 +1,7 @@
 """Tells the other entries several times a second what they share."""
 
 import threading
+from collections.abc import Callable
 
 import logbook
 import pynng
@@ -8,7 +9,13 @@
 from lavenderspoke.codec import CodecError
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.settings import Address
-from lavenderspoke.messages import CrashEvidence, Envelope, SharedState
+from lavenderspoke.messages import (
+    CrashEvidence,
+    Envelope,
+    RecordsAsked,
+    RecordsTold,
+    SharedState,
+)
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
 from lavenderspoke.transport import Transport
@@ -29,9 +36,16 @@
     """The part of an entry that keeps it in step with the others."""
 
     def __init__(
-        self, *, me: InstanceId, listen: Address, office: Office, metrics: Metrics
+        self,
+        *,
+        me: InstanceId,
+        listen: Address,
+        office: Office,
+        metrics: Metrics,
+        on_records: Callable[[InstanceId, RecordsAsked | RecordsTold], None],
     ):
         self._me = me
+        self._on_records = on_records
         self._office = office
         self._metrics = metrics
         self._transport = Transport(
@@ -64,6 +78,12 @@
         running = self._thread is not None and self._thread.is_alive()
         return running and self._transport.alive()
 
+    def tell(self, name: str, message: RecordsAsked | RecordsTold) -> None:
+        """Send one entry a message; it is dropped if that can't be reached."""
+        address = self._office.peer_addresses().get(name)
+        if address is not None:
+            self._send(name, address, message)
+
     def _run(self) -> None:
         ticks = 0
         while not self._stopping.wait(TICK_S):
@@ -107,6 +127,8 @@
             return
         if isinstance(envelope.message, (SharedState, CrashEvidence)):
             self._office.heard(envelope.sender, envelope.message)
+        elif isinstance(envelope.message, (RecordsAsked, RecordsTold)):
+            self._on_records(envelope.sender, envelope.message)
 
     def _on_bad_message(self, error: CodecError) -> None:
         self._metrics.count("gossip", "malformed")
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -242,6 +242,11 @@
         with self._lock:
             return self._peers.addresses(self._now_s())
 
+    def heard_names(self) -> list[str]:
+        """Return the names of the other entries that were heard just now."""
+        with self._lock:
+            return self._peers.heard_names(self._now_s())
+
     def gone_peers(self) -> list[str]:
         """Forget the entries that are gone and return their addresses."""
         with self._lock:
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -79,6 +79,10 @@
             if now_s < peer.seen_s + GONE_S
         }
 
+    def heard_names(self, now_s: float) -> list[str]:
+        """Return the names of those that were heard just now."""
+        return [n for n, peer in self._peers.items() if self._fresh(peer, now_s)]
+
     def gone(self, now_s: float) -> list[str]:
         """Forget those that are gone for good and return their addresses."""
         names = [n for n, p in self._peers.items() if now_s >= p.seen_s + GONE_S]
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -375,6 +375,37 @@
     part: int
 
 
+@attrs.frozen(kw_only=True)
+class RecordsAsked:
+    """An entry asks another what that knows of a topic of the platform's log.
+
+    `from_offset` is where the asker would read on, -1 when it knows nothing yet.
+    `asked_s` is on the asker's clock and comes back with the answer.
+    """
+
+    topic: str
+    from_offset: int
+    asked_s: float
+
+
+@attrs.frozen(kw_only=True)
+class RecordsTold:
+    """An entry's answer: the newest record of each key since the offset asked for.
+
+    `age_s` is the time since the log was asked for what this says; the asker counts
+    it back from `asked_s`, since the answer was put together after that. Records
+    are rows of key, value and offset, in order; the value is None where the key was
+    dropped. With `whole` these are all keys there are.
+    """
+
+    topic: str
+    asked_s: float
+    age_s: float
+    next_offset: int
+    whole: bool
+    records: tuple[tuple[str, bytes | None, int], ...] = ()
+
+
 Message = (
     Announce
     | EntryAnnounce
@@ -404,6 +435,8 @@
     | LedgerHandover
     | LedgerTaken
     | SharedState
+    | RecordsAsked
+    | RecordsTold
 )
 
 
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 from pathlib import Path
+from random import Random
 
 import attrs
 import logbook
@@ -13,9 +14,12 @@
 from lavenderspoke.clock import BootClock, Clock
 from lavenderspoke.direct.daemon import DirectEntry
 from lavenderspoke.logs import BoundedStream, JsonLinesHandler
+from lavenderspoke.messages import RecordsAsked, RecordsTold
+from lavenderspoke.model import InstanceId
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform import settings
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
+from lavenderspoke.platform.relay import Peering, Relay
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.platform.store import Store
 from lavenderspoke.platform.wire import PlatformDialect
@@ -76,21 +80,33 @@
         clock: Clock,
     ):
         self._settings = watch
+        self._relay = Relay(
+            peering=Peering(
+                name=entry.me.name,
+                heard=entry.office.heard_names,
+                tell=entry.tell,
+            ),
+            clock=clock,
+            random=Random(),
+        )
         self._configuration = ConfigurationFeed(
             store=Store(address=settings.store),
             clock=clock,
+            relay=self._relay,
             in_force=entry.in_force,
             on_change=entry.catalog_changed,
         )
         self._upstreams = UpstreamsFeed(
             store=Store(address=settings.store),
             clock=clock,
+            relay=self._relay,
             drain_s=settings.direct.bounds.drain_s,
             on_change=entry.office.upstreams_changed,
         )
         self._entries = EntriesFeed(
             store=Store(address=settings.store),
             clock=clock,
+            relay=self._relay,
             name=entry.me.name,
             address=entry.address,
             on_change=entry.office.peers_listed,
@@ -105,6 +121,10 @@
             ("entries", self._entries),
         ]
 
+    def heard(self, sender: InstanceId, message: RecordsAsked | RecordsTold) -> None:
+        """Take in another entry's question or answer about the store's records."""
+        self._relay.heard(sender, message)
+
     def leave(self) -> None:
         """Drop this entry's record."""
         self._entries.leave()
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -1,7 +1,8 @@
 """Threads that follow the platform's store and tell the entry what changed.
 
 A feed reads on from where it was. When the records it wants are gone, it takes
-the newest record of each key and goes on from there.
+the newest record of each key and goes on from there. While other entries read the
+store, it asks them instead.
 """
 
 import json
@@ -17,6 +18,7 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.registry import Registry
+from lavenderspoke.platform.relay import Relay, Shelf
 from lavenderspoke.platform.store import Forgotten, Records, Store, StoreError
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -27,14 +29,33 @@
 # How long the store may hold a read of the configuration, in seconds. Two such
 # reads and one that is lost must fit into the time for which keys are honoured.
 CONFIGURATION_WAIT_S = 1.5
+# The same while other entries rely on the answers: these get older on their way,
+# and must still leave time for a read of one's own.
+CONFIGURATION_SHARED_WAIT_S = 0.75
+# Time between two questions to another entry, in seconds. With the age of what it
+# knows, twice the wait above, a follower's knowledge is two seconds old at most.
+CONFIGURATION_ASK_S = 0.5
+# Age in seconds from which a follower reads the store itself: two questions got no
+# answer, and a read that is lost fits in before keys are refused at 4.6 s.
+CONFIGURATION_STALE_S = 2.6
 # Time between two reads of the upstreams, as a part of the time in which one that
 # leaves must get its last request: one read, its answer and a request under way
 # fit in. A read that waits would return at each heartbeat of each upstream, and
 # calls are paid for: twice as many reads bring nothing that a caller notices.
 UPSTREAMS_PERIOD_PART = 0.5
+# The same while other entries rely on them, the time between two of their
+# questions, and the age from which they read themselves: read and question together
+# take as long as a read alone does above.
+UPSTREAMS_SHARED_PART = 0.3
+UPSTREAMS_ASK_PART = 0.2
+UPSTREAMS_STALE_PART = 0.75
 # Time between two reads of the entries' records, in seconds: they change only
 # when an entry starts, and one that starts makes itself known to the others.
 ENTRIES_PERIOD_S = 8.0
+# Time between two questions about them, and the age from which an entry reads them
+# itself, in seconds.
+ENTRIES_ASK_S = 4.0
+ENTRIES_STALE_S = 20.0
 # Pause after a call that failed, in seconds.
 RETRY_PAUSE_S = 0.2
 
@@ -42,19 +63,29 @@
 
 
 class Feed:
-    """A feed follows one topic on a thread of its own."""
+    """A feed follows one topic on a thread of its own.
+
+    `stale_s` is how old its knowledge may get, in seconds, before it reads the
+    store although other entries do; `ask_s` is the time between two questions to
+    them.
+    """
 
     topic = ""
-    wait_s = 0.0
-    period_s = 0.0
+    stale_s = 0.0
+    ask_s = 0.0
 
-    def __init__(self, *, store: Store, clock: Clock):
+    def __init__(self, *, store: Store, clock: Clock, relay: Relay):
+        self.shelf = Shelf()
         self._store = store
         self._clock = clock
-        self._next_offset: int | None = None
+        self._relay = relay
+        self._from_newest = True
         self._failing = False
+        # Own reads and other entries' answers are taken in on different threads.
+        self._taking = threading.Lock()
         self._stopping = threading.Event()
         self._thread: threading.Thread | None = None
+        relay.serve(self)
 
     def start(self) -> None:
         """Begin to follow."""
@@ -73,46 +104,83 @@
         return self._thread is not None and self._thread.is_alive()
 
     def poll(self) -> bool:
-        """Read once and pass on what came; return whether the store answered."""
+        """Read once and pass on what came; return whether that was of use."""
         sent_s = self._clock.monotonic_s()
-        if self._next_offset is None:
+        whole = self._from_newest
+        if whole:
             read = self._store.newest(self.topic)
         else:
-            read = self._store.read(self.topic, self._next_offset, wait_s=self.wait_s)
+            offset = self.shelf.next_offset
+            read = self._store.read(self.topic, offset, wait_s=self._wait_s())
         if isinstance(read, Err):
             self._failed(read.err_value)
             return False
         self._answered()
         content = read.ok_value
         if isinstance(content, Forgotten):
-            log.info("records are gone", topic=self.topic, offset=self._next_offset)
-            self._next_offset = None
+            log.info("records are gone", topic=self.topic, offset=offset)
+            self._from_newest = True
             return self.poll()
         if content.skipped:
             log.warning("records skipped", topic=self.topic, count=content.skipped)
-        whole = self._next_offset is None
-        self._next_offset = content.next_offset
-        self.take(content, whole=whole, sent_s=sent_s)
-        return True
+        return self._take(content, whole=whole, sent_s=sent_s)
 
-    def take(self, content: Records, *, whole: bool, sent_s: float) -> None:
-        """Take records in; `whole` when they are the newest of every key."""
+    def learn(self, content: Records, *, whole: bool, sent_s: float) -> None:
+        """Take in what another entry told; from the thread that hears it."""
+        self._take(content, whole=whole, sent_s=sent_s)
+
+    def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
+        """Take records in; `whole` when they are the newest of every key.
+
+        Returns False when they make no sense, and are to be read again.
+        """
         raise NotImplementedError
 
     def failed(self) -> None:
         """The store couldn't be read."""
 
+    def _take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
+        with self._taking:
+            if not self.take(content, whole=whole, sent_s=sent_s):
+                return False
+            self.shelf.put(content, whole=whole, sent_s=sent_s)
+            self._from_newest = False
+            return True
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
-                answered = self.poll()
+                pause_s = self.turn()
             except Exception:
                 log.exception("feed failed", topic=self.topic)
-                answered = False
-            pause_s = self.period_s if answered else max(RETRY_PAUSE_S, self.period_s)
+                pause_s = RETRY_PAUSE_S
             if pause_s:
                 self._stopping.wait(pause_s)
 
+    def turn(self) -> float:
+        """Learn what is new and return the pause after it in seconds."""
+        if self._relies_on_others():
+            self._relay.ask_reader(self.topic)
+            return self.ask_s
+        if self.poll():
+            return self._period_s()
+        # The store may turn this entry away and serve others.
+        self._relay.ask_anyone(self.topic)
+        return max(RETRY_PAUSE_S, self._period_s())
+
+    def _relies_on_others(self) -> bool:
+        if self._from_newest or not self._relay.follows():
+            return False
+        return self.shelf.age_s(self._clock.monotonic_s()) < self.stale_s
+
+    def _wait_s(self) -> float:
+        """Return how long the store may hold a read, in seconds."""
+        return 0.0
+
+    def _period_s(self) -> float:
+        """Return the time between two reads, in seconds."""
+        return 0.0
+
     def _failed(self, error: StoreError) -> None:
         if not self._failing:
             log.warning("store lost", topic=self.topic, error=error.detail)
@@ -129,35 +197,35 @@
     """Follows the operators' configuration."""
 
     topic = CONFIGURATION_TOPIC
-    wait_s = CONFIGURATION_WAIT_S
+    stale_s = CONFIGURATION_STALE_S
+    ask_s = CONFIGURATION_ASK_S
 
     def __init__(
         self,
         *,
         store: Store,
         clock: Clock,
+        relay: Relay,
         in_force: InForce,
         on_change: Callable[[Catalog], None],
     ):
-        super().__init__(store=store, clock=clock)
+        super().__init__(store=store, clock=clock, relay=relay)
         self._in_force = in_force
         self._on_change = on_change
 
-    def take(self, content: Records, *, whole: bool, sent_s: float) -> None:
+    def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
         values = [r.value for r in content.records if r.key == CONFIGURATION_KEY]
         if not values:
             if self._in_force.catalog is not None and not whole:
                 self._in_force.confirm(sent_s)
-            elif self._in_force.catalog is None:
-                self._stopping.wait(RETRY_PAUSE_S)
-            return
+            return True
         catalogs = []
         for value in values:
             decoded = configuration.decode(value or b"")
             if isinstance(decoded, Err):
-                # Not confirmed either: it may take keys away.
+                # Neither confirmed nor passed by: it may take keys away.
                 log.error("configuration not understood", error=decoded.err_value)
-                return
+                return False
             catalogs.append(decoded.ok_value)
         # Of several in one read the highest counts, not the last: an older one
         # that was written again must not hide it.
@@ -166,6 +234,14 @@
             self._on_change(catalog)
         if catalog.version == self._in_force.catalog.version:
             self._in_force.confirm(sent_s)
+        return True
+
+    def _wait_s(self) -> float:
+        if self._failing:
+            return 0.0
+        if self._relay.is_asked():
+            return CONFIGURATION_SHARED_WAIT_S
+        return CONFIGURATION_WAIT_S
 
 
 class UpstreamsFeed(Feed):
@@ -178,22 +254,31 @@
         *,
         store: Store,
         clock: Clock,
+        relay: Relay,
         drain_s: float,
         on_change: Callable[[tuple[Upstream, ...]], None],
     ):
-        super().__init__(store=store, clock=clock)
-        self.period_s = drain_s * UPSTREAMS_PERIOD_PART
+        super().__init__(store=store, clock=clock, relay=relay)
+        self.stale_s = drain_s * UPSTREAMS_STALE_PART
+        self.ask_s = drain_s * UPSTREAMS_ASK_PART
+        self._drain_s = drain_s
         self._registry = Registry()
         self._on_change = on_change
         self._told: tuple[Upstream, ...] = ()
 
-    def take(self, content: Records, *, whole: bool, sent_s: float) -> None:
+    def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
         now_s = self._clock.monotonic_s()
         if whole:
             self._registry.replace(content.records, content.next_offset, now_s)
         else:
             self._registry.apply(content.records, now_s)
         self._tell(now_s)
+        return True
+
+    def _period_s(self) -> float:
+        asked = self._relay.is_asked()
+        part = UPSTREAMS_SHARED_PART if asked else UPSTREAMS_PERIOD_PART
+        return self._drain_s * part
 
     def failed(self) -> None:
         self._registry.store_failed()
@@ -218,18 +303,20 @@
     """Makes this entry known to the others, and them to it."""
 
     topic = ENTRIES_TOPIC
-    period_s = ENTRIES_PERIOD_S
+    stale_s = ENTRIES_STALE_S
+    ask_s = ENTRIES_ASK_S
 
     def __init__(
         self,
         *,
         store: Store,
         clock: Clock,
+        relay: Relay,
         name: str,
         address: str,
         on_change: Callable[[dict[str, str]], None],
     ):
-        super().__init__(store=store, clock=clock)
+        super().__init__(store=store, clock=clock, relay=relay)
         self._name = name
         self._address = address
         self._on_change = on_change
@@ -246,7 +333,13 @@
             self._known = True
         return super().poll()
 
-    def take(self, content: Records, *, whole: bool, sent_s: float) -> None:
+    def _relies_on_others(self) -> bool:
+        return self._known and super()._relies_on_others()
+
+    def _period_s(self) -> float:
+        return ENTRIES_PERIOD_S
+
+    def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
         addresses = {}
         for record in content.records:
             if record.value is None:
@@ -257,6 +350,7 @@
                 log.warning("entry's record skipped", key=record.key, error=str(error))
         if addresses:
             self._on_change(addresses)
+        return True
 
     def leave(self) -> None:
         """Drop this entry's record; when that fails, its silence tells the others."""
--- /dev/null
+++ b/lavenderspoke/platform/relay.py
@@ -0,0 +1,200 @@
+"""Entries that read the platform's store for each other.
+
+Every call to the store is paid for and counts against a rate that all entries
+share, and most find nothing new. So two of the entries read, and the others ask
+one of them; with 26 entries that is a fifth of the calls. The same answers keep an
+entry going that the store turns away while it serves others.
+
+An answer is as old as the read it rests on, and its age counts back from when it
+was asked for: it can lie on the way for any time without seeming younger. That is
+what lets keys be honoured on the word of another entry.
+"""
+
+import threading
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import attrs
+import logbook
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.messages import RecordsAsked, RecordsTold
+from lavenderspoke.model import InstanceId
+from lavenderspoke.platform.store import KeyedRecord, Records
+
+# Entries that read the store while others ask them: one more than is needed, so
+# that the loss of one costs nothing.
+READERS = 2
+# Dropped keys that are remembered; who asks for older offsets gets all keys.
+DROPPED_MAX = 1000
+
+log = logbook.Logger(__name__)
+
+
+class Shelf:
+    """The newest record of each key of one topic, and how old this knowledge is.
+
+    Safe for threads. Times are in seconds on the clock that the caller passes in.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._newest: dict[str, KeyedRecord] = {}
+        self._next_offset: int | None = None
+        # Before this offset it isn't known which keys were dropped.
+        self._gap_offset = 0
+        self._read_s: float | None = None
+
+    @property
+    def next_offset(self) -> int | None:
+        """The offset at which to read on, None before the first read."""
+        return self._next_offset
+
+    def age_s(self, now_s: float) -> float:
+        """Return how long ago the read was sent that this rests on."""
+        return float("inf") if self._read_s is None else now_s - self._read_s
+
+    def put(self, content: Records, *, whole: bool, sent_s: float) -> None:
+        """Add what a read brought that was sent then."""
+        with self._lock:
+            if whole and content.next_offset >= (self._next_offset or 0):
+                self._newest.clear()
+                self._gap_offset = content.next_offset
+            for record in content.records:
+                known = self._newest.get(record.key)
+                if known is None or known.offset < record.offset:
+                    self._newest[record.key] = record
+            self._next_offset = max(self._next_offset or 0, content.next_offset)
+            if self._read_s is None or sent_s > self._read_s:
+                self._read_s = sent_s
+            self._forget_dropped()
+
+    def told(self, asked: RecordsAsked, now_s: float) -> RecordsTold | None:
+        """Return what to tell, or None when the asker knows more."""
+        with self._lock:
+            if self._next_offset is None or asked.from_offset > self._next_offset:
+                return None
+            whole = asked.from_offset < self._gap_offset
+            records = [
+                r for r in self._newest.values() if r.offset >= asked.from_offset
+            ]
+            if whole:
+                records = [r for r in self._newest.values() if r.value is not None]
+            records.sort(key=lambda record: record.offset)
+            return RecordsTold(
+                topic=asked.topic,
+                asked_s=asked.asked_s,
+                age_s=self.age_s(now_s),
+                next_offset=self._next_offset,
+                whole=whole,
+                records=tuple((r.key, r.value, r.offset) for r in records),
+            )
+
+    def _forget_dropped(self) -> None:
+        dropped = [r for r in self._newest.values() if r.value is None]
+        if len(dropped) <= DROPPED_MAX:
+            return
+        for record in dropped:
+            del self._newest[record.key]
+        self._gap_offset = max(record.offset for record in dropped) + 1
+
+
+class Follower(Protocol):
+    """A feed that can learn from other entries."""
+
+    topic: str
+    shelf: Shelf
+
+    def learn(self, content: Records, *, whole: bool, sent_s: float) -> None:
+        """Take in what another entry told."""
+
+
+@attrs.frozen(kw_only=True)
+class Peering:
+    """How an entry reaches the others.
+
+    `heard()` names those that were heard just now, `tell(name, message)` sends one
+    a message.
+    """
+
+    name: str
+    heard: Callable[[], list[str]]
+    tell: Callable[[str, RecordsAsked | RecordsTold], None]
+
+
+class Relay:
+    """Asks other entries for records, and answers them."""
+
+    def __init__(self, *, peering: Peering, clock: Clock, random: Random):
+        self._peering = peering
+        self._clock = clock
+        self._random = random
+        self._feeds: dict[str, Follower] = {}
+        self._was_following = False
+
+    def serve(self, feed: Follower) -> None:
+        """Answer for a feed's topic, and pass answers on to it."""
+        self._feeds[feed.topic] = feed
+
+    def follows(self) -> bool:
+        """Return whether other entries read the store for this one."""
+        following = self._peering.name not in self._readers()
+        if following != self._was_following:
+            self._was_following = following
+            log.info("store is read", by="other entries" if following else "itself")
+        return following
+
+    def is_asked(self) -> bool:
+        """Return whether others rely on what this entry reads."""
+        return len(self._peering.heard()) >= READERS and not self.follows()
+
+    def ask_reader(self, topic: str) -> None:
+        """Ask one of the entries that read; its answer comes to the feed, if any."""
+        self._ask(topic, self._readers())
+
+    def ask_anyone(self, topic: str) -> None:
+        """Ask any entry: the store may turn those away that usually read."""
+        self._ask(topic, self._peering.heard())
+
+    def _ask(self, topic: str, names: list[str]) -> None:
+        others = [name for name in names if name != self._peering.name]
+        if not others:
+            return
+        offset = self._feeds[topic].shelf.next_offset
+        asked = RecordsAsked(
+            topic=topic,
+            from_offset=-1 if offset is None else offset,
+            asked_s=self._clock.monotonic_s(),
+        )
+        self._peering.tell(self._random.choice(others), asked)
+
+    def heard(self, sender: InstanceId, message: RecordsAsked | RecordsTold) -> None:
+        """Take in another entry's question or answer."""
+        feed = self._feeds.get(message.topic)
+        if feed is None:
+            log.warning("unknown topic", topic=message.topic, peer=sender.name)
+        elif isinstance(message, RecordsAsked):
+            told = feed.shelf.told(message, self._clock.monotonic_s())
+            if told is not None:
+                self._peering.tell(sender.name, told)
+        else:
+            self._learn(feed, message)
+
+    def _learn(self, feed: Follower, told: RecordsTold) -> None:
+        known = feed.shelf.next_offset
+        if known is not None and told.next_offset < known:
+            # It knows less than this entry: an older version must not come back.
+            return
+        records = tuple(
+            KeyedRecord(key=key, value=value, offset=offset)
+            for key, value, offset in told.records
+        )
+        feed.learn(
+            Records(records=records, next_offset=told.next_offset),
+            whole=told.whole,
+            sent_s=told.asked_s - max(0.0, told.age_s),
+        )
+
+    def _readers(self) -> list[str]:
+        return sorted([self._peering.name, *self._peering.heard()])[:READERS]
