--- a/features/platform_entry.feature
+++ b/features/platform_entry.feature
@@ -71,6 +71,16 @@
     When the store answers again
     Then requests with the key are told that it is unknown
 
+  Scenario: The store turns one of two entries away
+    The entry can't read the store, but the other one can, and tells it what the
+    store says and how old that is. Callers with a key are served by both for longer
+    than a key lasts without a read, and a key that is taken away stops at both.
+    Given a platform with two entries, one of them reaching the store by a proxy
+    When the store turns that entry away
+    Then for 6 s both serve requests with a key
+    When the key is taken away
+    Then within 5 s both say that it is unknown
+
   Scenario: A new version moves a route, and no older one comes back
     Given a platform with an entry, two model upstreams and two desk upstreams
     When version 2 drops a route, and version 1 is written again
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -242,6 +242,48 @@
     assert time.monotonic() - context.left_s < ms / 1000
 
 
+@given("a platform with two entries, one of them reaching the store by a proxy")
+def step_platform_proxied(context):
+    platform = deploy(context)
+    start_upstreams(platform)
+    platform.entry("entry-1")
+    stage = platform.stage
+    context.link = stage.link(stage.proxy(), "store", platform.store.address)
+    platform.entry("entry-2", store_address=context.link.address)
+
+
+@when("the store turns that entry away")
+def step_turned_away(context):
+    context.link.set_faults(refuse=True, cut=True)
+    context.turned_away_s = time.monotonic()
+
+
+def look(context, entry: str) -> int:
+    return context.platform.send(entry, "/look/1", method="GET").status
+
+
+@then("for {seconds:d} s both serve requests with a key")
+def step_both_serve(context, seconds):
+    while time.monotonic() < context.turned_away_s + seconds:
+        for entry in ("entry-1", "entry-2"):
+            assert look(context, entry) == 200, entry
+        time.sleep(0.1)
+    assert context.platform.entries["entry-2"].ready()
+
+
+@when("the key is taken away")
+def step_key_taken(context):
+    context.platform.configure(configuration(2, tenants=[{"name": "t"}]))
+    context.removed_s = time.monotonic()
+
+
+@then("within {seconds:d} s both say that it is unknown")
+def step_both_unknown(context, seconds):
+    for entry in ("entry-1", "entry-2"):
+        wait_until(lambda each=entry: look(context, each) == 401, WAIT_S, "401")
+    assert time.monotonic() - context.removed_s < seconds
+
+
 @when("the store answers nothing and the key is taken away")
 def step_silent(context):
     context.platform.store.set_faults(mode="silent")
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -117,7 +117,8 @@
         wait_s = self._quota.wait_s(customer, cost, now_s=now_s)
         latest_s = max(0.0, (accepted.until_s - now_s) * RETURN_PART)
         after_s = min(max(RETRY_AFTER_MIN_S, wait_s), LIMIT_WAIT_MAX_S, latest_s)
-        return _not_run(Reason.CUSTOMER_LIMIT, after_s)
+        detail = self._quota.explain(customer, cost, now_s=now_s)
+        return _not_run(Reason.CUSTOMER_LIMIT, after_s, detail)
 
     def refused(self, accepted: Accepted, *, ran: Ran) -> None:
         """Note a request that got no answer from an upstream."""
@@ -346,5 +347,5 @@
     return tuple((*rank, count) for rank, count in counts.items())
 
 
-def _not_run(reason: Reason, after_s: float | None) -> Problem:
-    return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s)
+def _not_run(reason: Reason, after_s: float | None, detail: str = "") -> Problem:
+    return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s, detail=detail)
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -130,6 +130,15 @@
                 return max(0.0, at_s + self._window_s - now_s)
         return self._window_s
 
+    def explain(self, customer: Customer, cost: float, *, now_s: float) -> str:
+        """Return why a request exceeds the limit, for the log."""
+        window = self._window(customer, now_s)
+        limit = self._limit(customer, window, now_s)
+        return (
+            f"{window.used:.0f} used in {self._window_s:g} s and {cost:.0f} asked, "
+            f"of {limit:.0f}; {self._part:.2f} of the entries are heard"
+        )
+
     def spent(self) -> dict[str, float]:
         """Return what this entry has let through since it started."""
         return {name: window.spent for name, window in self._windows.items()}
