--- a/features/platform_entry.feature
+++ b/features/platform_entry.feature
@@ -107,6 +107,12 @@
     And all streams come whole and it ends by itself within 8 s
     And its log names no part that died
 
+  Scenario: Settings files are checked before a start
+    When a settings file without an address, and with a word for a time, is checked
+    Then both mistakes are named, and the status says that there are some
+    When the settings file of a running entry is checked
+    Then it is in order
+
   Scenario: SIGHUP puts other bounds in force
     Given a platform with an entry, two model upstreams and two desk upstreams
     When its settings change to keys of 1500 ms and it gets SIGHUP
--- a/features/steps/commandline_steps.py
+++ b/features/steps/commandline_steps.py
@@ -1,37 +1,12 @@
 import json
-import os
-import subprocess
-import sys
 
 from behave import given, then, when
 
-from features.helper import stage_of
+from features.helper import run, stage_of
 from standins.deployment import Deployment
 from standins.processes import ROOT, get_json, post_json
 
 
-def run(context, arguments):
-    urls = {"LOG": "log", "MEMBERS": "members"}
-    words = [
-        (
-            str(context.file)
-            if word == "FILE"
-            else getattr(context, urls[word]).url if word in urls else word
-        )
-        for word in arguments.split()
-    ]
-    context.done = subprocess.run(
-        [sys.executable, "-m", "lavenderspoke.ui", *words],
-        cwd=ROOT,
-        env=os.environ | {"PYTHONPATH": str(ROOT), "COLUMNS": "200", "TERM": "dumb"},
-        capture_output=True,
-        text=True,
-        timeout=60,
-    )
-    context.printed = context.done.stdout + context.done.stderr
-    assert "Traceback" not in context.printed, context.printed
-
-
 @given("a running platform")
 def step_platform(context):
     stage = stage_of(context)
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,91 @@
+"""Steps about a request's story from logs."""
+
+import json
+
+from behave import given, then, when
+
+from features.helper import run, stage_of
+from standins.processes import wait_until
+
+
+def logged_id(context, outcome: str) -> str:
+    """Return the id of the entry's request that ended so, once it is logged."""
+    process = context.platform.entries["entry-1"].process
+
+    def found() -> str | None:
+        for text in process.output().splitlines():
+            fields = json.loads(text) if text.startswith("{") else {}
+            if fields.get("message") == "request" and fields["outcome"] == outcome:
+                return fields["request"]
+        return None
+
+    return wait_until(found, 5.0, f"a line of a request that ended as {outcome}")
+
+
+def explain(context, request_id: str) -> None:
+    path = context.platform.entries["entry-1"].process.output_path
+    run(context, f"explain {request_id} {path}")
+    assert context.done.returncode == 0, context.done
+
+
+@when("its id is explained from the entry's log")
+def step_explain(context):
+    refused = context.answer.status == 503
+    explain(context, logged_id(context, "no_room" if refused else "broken"))
+
+
+@when("the single one's id is explained from the entry's log")
+def step_explain_single(context):
+    explain(context, logged_id(context, "answer_incomplete"))
+
+
+@then('the story says "{text}"')
+def step_says(context, text):
+    assert text in context.done.stdout, context.done.stdout
+
+
+def record(second: int, message: str, daemon: str = "entry-1", **fields) -> str:
+    time = f"2026-01-01T10:00:{second:02d}.000000Z"
+    return json.dumps({"time": time, "daemon": daemon, "message": message} | fields)
+
+
+@given("log files with cut, foreign and swapped lines about one request")
+def step_files(context):
+    directory = stage_of(context).directory
+    request = record(
+        20, "request", request="r1", outcome="keys_stale", status=503, whole_s=0.5
+    )
+    first = [
+        record(30, "store regained", topic="after the request"),
+        record(18, "store regained", topic="t"),
+        request[:40],
+        "collector-7 | " + request,
+    ]
+    second = [
+        "not a record at all",
+        record(12, "store lost", topic="t", error="timed out"),
+        record(13, "store lost", daemon="entry-2", topic="another's"),
+    ]
+    context.files = []
+    for name, lines in (("a.log", first), ("b.log", second)):
+        path = directory / name
+        path.write_text("\n".join(lines) + "\n")
+        context.files.append(str(path))
+
+
+@when("its id is explained from them")
+def step_explain_files(context):
+    run(context, f"explain r1 {' '.join(context.files)}")
+    assert context.done.returncode == 0, context.done
+
+
+@then("the story tells the lost store before the regained one")
+def step_order(context):
+    lost = context.done.stdout.index("store lost: topic=t")
+    assert lost < context.done.stdout.index("store regained: topic=t")
+
+
+@then("the story leaves out what another process wrote")
+def step_left_out(context):
+    assert "another's" not in context.done.stdout
+    assert "after the request" not in context.done.stdout
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -3,6 +3,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -18,7 +20,7 @@
     configuration,
     route,
 )
-from standins.processes import HOST, wait_until
+from standins.processes import HOST, ROOT, wait_until
 
 NOT_RUN = (408, 421, 429, 503)
 EVENTS = 5
@@ -435,6 +437,43 @@
     step_serves(context)
 
 
+def check_settings(context, path) -> None:
+    context.done = subprocess.run(
+        [sys.executable, "-m", "lavenderspoke.platform", "--check", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+    )
+
+
+@when("a settings file without an address, and with a word for a time, is checked")
+def step_check_mistakes(context):
+    path = stage_of(context).directory / "node.conf"
+    path.write_text("node-name=entry-1\nzone=here\nbounds.grace-s=soon\n")
+    check_settings(context, path)
+
+
+@then("both mistakes are named, and the status says that there are some")
+def step_mistakes_named(context):
+    assert context.done.returncode == 1, context.done
+    for mistake in ("listen.frontend: found ''", "bounds.grace-s: found 'soon'"):
+        assert mistake in context.done.stderr, context.done
+
+
+@when("the settings file of a running entry is checked")
+def step_check_running(context):
+    platform = deploy(context)
+    start_upstreams(platform)
+    check_settings(context, platform.entry("entry-1").settings_path)
+
+
+@then("it is in order")
+def step_in_order(context):
+    assert context.done.returncode == 0, context.done
+    assert "in order" in context.done.stdout, context.done
+
+
 @when("its settings change to keys of {ms:d} ms and it gets SIGHUP")
 def step_sighup(context, ms):
     entry = context.platform.entries["entry-1"]
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -4,12 +4,10 @@
 import signal
 import sys
 import threading
-from pathlib import Path
 from random import Random
 
 import attrs
 import logbook
-from result import Err
 
 from lavenderspoke.clock import BootClock, Clock
 from lavenderspoke.direct.daemon import DirectEntry
@@ -17,10 +15,10 @@
 from lavenderspoke.messages import RecordsAsked, RecordsTold
 from lavenderspoke.model import InstanceId
 from lavenderspoke.periodic import Periodic
-from lavenderspoke.platform import settings
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.relay import Peering, Relay
 from lavenderspoke.platform.settings import PlatformSettings
+from lavenderspoke.platform.settingsfile import read_settings
 from lavenderspoke.platform.store import Store
 from lavenderspoke.platform.wire import PlatformDialect
 from lavenderspoke.supervisor import Part
@@ -130,18 +128,6 @@
         self._entries.leave()
 
 
-def read_settings(path: str) -> PlatformSettings:
-    """Return the settings; raises UserError with a line for each mistake."""
-    try:
-        text = Path(path).read_text()
-    except OSError as error:
-        raise UserError(f"{path}: {error.strerror}") from error
-    parsed = settings.parse(text)
-    if isinstance(parsed, Err):
-        raise UserError(*(f"{path}: {each}" for each in parsed.err_value.mistakes))
-    return parsed.ok_value
-
-
 def main() -> int:
     """Run the entry and return its exit status."""
     threading.stack_size(STACK_BYTES)
--- /dev/null
+++ b/lavenderspoke/ui/explain.py
@@ -0,0 +1,73 @@
+"""The command that tells a request's story from log files."""
+
+import datetime
+import json
+import pathlib
+from typing import Annotated
+
+import attrs
+import typer
+
+from lavenderspoke import explaining
+from lavenderspoke.explaining import Line, Story
+from lavenderspoke.ui.common import printable
+from lavenderspoke.util import UserError
+
+COMMON_FIELDS = ("time", "level", "daemon", "logger", "message", "traceback")
+EXIT_CODES = (
+    "Exit status: 0 found; 1 not found, or a file can't be read; 2 wrong usage."
+)
+
+RequestId = Annotated[str, typer.Argument(help="The id of the caller's attempt.")]
+LogFiles = Annotated[
+    list[pathlib.Path], typer.Argument(help="Log files of any number of processes.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print the lines as JSON.")]
+
+
+def explain(request_id: RequestId, files: LogFiles, as_json: AsJson = False) -> None:
+    """Tell what became of a request and what may explain it."""
+    lines = explaining.parse(text for path in files for text in _read(path))
+    stories = explaining.stories(lines, request_id)
+    if not stories:
+        raise UserError(f"{request_id}: in none of {len(lines.lines)} log lines")
+    if as_json:
+        told = [attrs.asdict(story) for story in stories]
+        print(json.dumps(told, indent=2))
+        return
+    for story in stories:
+        _print(story)
+    if lines.skipped:
+        print(f"{lines.skipped} lines that are no log records were left out")
+
+
+def _read(path: pathlib.Path) -> list[str]:
+    try:
+        return path.read_text(errors="replace").splitlines()
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror}") from error
+
+
+def _print(story: Story) -> None:
+    line = story.line
+    print(f"At {line.daemon}: {story.meaning}")
+    for name, value in _fields(line).items():
+        print(f"  {name:14} {printable(str(value))}")
+    if not story.around:
+        print("  Nothing else happened there shortly before.")
+    for each in story.around:
+        fields = ", ".join(f"{n}={v}" for n, v in _fields(each).items())
+        print(f"  {_time(each)}  {printable(each.message)}: {printable(fields)}")
+
+
+def _fields(line: Line) -> dict:
+    return {
+        name: value
+        for name, value in line.fields.items()
+        if name not in COMMON_FIELDS and value not in (None, "", [])
+    }
+
+
+def _time(line: Line) -> str:
+    at = datetime.datetime.fromtimestamp(line.at_s, tz=datetime.UTC)
+    return at.strftime("%H:%M:%S.%f")[:-3]
