An upstream that leaves is not excused at an entry that the store turns away

Cause: each failed read of its own made the entry take the store as away for all, and what others told as its return, so a dropped upstream stayed in use. Found by a driven test of what an entry remembers. The store counts as away from the age of what is known.

--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -163,8 +163,7 @@
 def step_upstreams(context, count):
     context.world = World(entries=count, feed="upstreams")
     for name in ("a", "b"):
-        record = {"service": "s", "address": "127.0.0.1:1", "state": "ready"}
-        context.world.append(UPSTREAMS_TOPIC, name, record)
+        register(context.world, name)
 
 
 @step("the entries follow it for {seconds:d} s")
@@ -273,6 +272,63 @@
     world.forgotten_before = len(world.topics[UPSTREAMS_TOPIC])
 
 
+def register(world: World, name: str) -> None:
+    record = {"service": "s", "address": "127.0.0.1:1", "state": "ready"}
+    world.append(UPSTREAMS_TOPIC, name, record)
+
+
+@when(
+    "the store is away for {away:d} s, drops both, and has them again "
+    "{again:d} s after its return"
+)
+def step_away(context, away, again):
+    world = context.world
+    world.turned_away = set(world.entries)
+    context.known = []
+
+    def run(seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            world.run(STEP_S)
+            context.known += [len(e.upstreams) for e in world.entries.values()]
+
+    run(away)
+    for name in ("a", "b"):
+        world.append(UPSTREAMS_TOPIC, name, None)
+    world.turned_away = set()
+    run(again)
+    for name in ("a", "b"):
+        register(world, name)
+    run(3.0)
+
+
+@then("all entries knew a and b all the while")
+def step_knew(context):
+    assert set(context.known) == {2}, sorted(set(context.known))
+
+
+@when("the store turns one that reads away, and upstream a is dropped")
+def step_away_and_dropped(context):
+    # One of those that read: the others would not notice.
+    context.world.turned_away = {"entry-0"}
+    context.world.run(3.0)
+    context.world.append(UPSTREAMS_TOPIC, "a", None)
+
+
+@when(
+    "{count:d} other upstreams come and go, upstream a too, while one entry is cut off"
+)
+def step_many_dropped(context, count):
+    world = context.world
+    world.cut_off = {"entry-5"}
+    for number in range(count):
+        register(world, f"other-{number}")
+        world.append(UPSTREAMS_TOPIC, f"other-{number}", None)
+    world.append(UPSTREAMS_TOPIC, "a", None)
+    world.run(5.0)
+    # It hears the others again, but the store still turns it away.
+    world.cut_off, world.turned_away = set(), {"entry-5"}
+
+
 @then("within {seconds:d} s all entries know only b")
 def step_only_b(context, seconds):
     context.world.run(seconds)
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -52,3 +52,27 @@
     And the entries follow it for 20 s
     When upstream a is dropped, and the store forgets everything up to now
     Then within 3 s all entries know only b
+
+  Scenario: Records lapse while the store is away for all
+    Upstreams can't renew their records, and all look gone at the store's return.
+    They live, and write themselves in again a second later; callers notice nothing.
+    Given 6 entries before a store with upstreams a and b
+    And the entries follow it for 20 s
+    When the store is away for 4 s, drops both, and has them again 1 s after its return
+    Then all entries knew a and b all the while
+
+  Scenario: An upstream leaves while the store turns an entry away
+    The others tell the entry that the record went. The store is not away, so nothing
+    excuses the upstream, and the entry must not send there any more.
+    Given 6 entries before a store with upstreams a and b
+    And the entries follow it for 20 s
+    When the store turns one that reads away, and upstream a is dropped
+    Then within 4 s all entries know only b
+
+  Scenario: More keys are dropped than an entry remembers
+    Who asks from before what is remembered can't be told which keys went. It gets
+    all that are left, and drops the others by itself.
+    Given 6 entries before a store with upstreams a and b
+    And the entries follow it for 20 s
+    When 1100 other upstreams come and go, upstream a too, while one entry is cut off
+    Then within 3 s all entries know only b
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -120,9 +120,12 @@
         if self._relies_on_others():
             self._relay.ask_reader(self.topic)
             return self.ask_s
+        if self._failing:
+            # The store may turn this entry away and serve others; their answers
+            # come while its own read waits for its time to run out.
+            self._relay.ask_anyone(self.topic)
         if self.poll():
             return self._period_s()
-        # The store may turn this entry away and serve others.
         self._relay.ask_anyone(self.topic)
         return max(RETRY_PAUSE_S, self._period_s())
 
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -45,6 +45,10 @@
 UPSTREAMS_SHARED_PART = 0.3
 UPSTREAMS_ASK_PART = 0.2
 UPSTREAMS_STALE_PART = 0.75
+# Age of what is known, in seconds, from which the store counts as away for all:
+# above the age that answers of other entries have, below the 2.4 s after which the
+# first records of upstreams lapse, which heartbeat each 1.2 s and may miss two.
+AWAY_S = 2.0
 # Time between two reads of the entries' records, in seconds: they change only
 # when an entry starts, and one that starts makes itself known to the others.
 ENTRIES_PERIOD_S = 8.0
@@ -144,7 +148,11 @@
         return self._drain_s * part
 
     def failed(self) -> None:
-        self._registry.store_failed()
+        # One that the store turns away hears of it through others. Taken as gone,
+        # the store would excuse every upstream that is missing, and one that has
+        # left would stay in use for as long as this entry is turned away.
+        if self.shelf.age_s(self._clock.monotonic_s()) > AWAY_S:
+            self._registry.store_failed()
 
     def _tell(self, now_s: float) -> None:
         upstreams = self._registry.upstreams(now_s)
