--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -19,7 +19,7 @@
     ConfigurationFeed,
     UpstreamsFeed,
 )
-from standins.platformdeployment import configuration
+from standins.platformdeployment import configuration, route
 
 KEY_AGE_MAX_S = 4.6
 DRAIN_S = 2.0
@@ -37,6 +37,7 @@
         self.turned_away: set[str] = set()
         self.cut_off: set[str] = set()
         self.calls: dict[str, int] = {}
+        self.largest_bytes = 0
         self.entries = {}
         self._events: list = []
         self._numbers = itertools.count()
@@ -66,6 +67,9 @@
         records.append(KeyedRecord(key=key, value=data, offset=len(records)))
 
     def send(self, sender: str, name: str, message) -> None:
+        if isinstance(message, RecordsTold):
+            size = sum(len(value or b"") for _, value, _ in message.records)
+            self.largest_bytes = max(self.largest_bytes, size)
         if not {sender, name} & self.cut_off:
             who = InstanceId(name=sender, incarnation="1")
             self.entries[name].relay.heard(who, message)
@@ -195,6 +199,28 @@
     context.world.run(seconds)
 
 
+@when(
+    "the operator writes version {version:d} with {count:d} routes, "
+    "and {seconds:g} s pass"
+)
+def step_large(context, version, count, seconds):
+    routes = [route(f"r{n}", "idempotent", "desk") for n in range(count)]
+    content = configuration(version, routes=routes)
+    context.world.append(CONFIGURATION_TOPIC, "config", content)
+    context.world.run(seconds)
+
+
+@then("no entry sent another more than {kilobytes:d} KB")
+def step_largest(context, kilobytes):
+    assert context.world.largest_bytes <= kilobytes * 1024
+
+
+@then("the entries that asked called the store at most {most:d} times each")
+def step_asked_calls(context, most):
+    calls = context.world.calls
+    assert all(calls[f"entry-{n}"] <= most for n in range(2, 6)), calls
+
+
 @then("version {version:d} is in force at all")
 def step_version_all(context, version):
     for entry in context.world.entries.values():
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -16,6 +16,23 @@
     And the operator writes version 2, and 1.5 s pass
     Then version 2 is in force at all
 
+  Scenario: A configuration of hundreds of routes
+    Passed on by an entry with a small link it would hold up all its requests. Those
+    that ask are told that it is large, and read it themselves, once each.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the operator writes version 2 with 300 routes, and 1.5 s pass
+    Then version 2 is in force at all
+    And no entry sent another more than 9 KB
+    And the entries that asked called the store at most 4 times each
+
+  Scenario: A large configuration at an entry that the store turns away
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the store turns away the first 1 entries for 1 s
+    And the operator writes version 2 with 300 routes, and 3 s pass
+    Then version 2 is in force at all
+
   Scenario: The store turns away both entries that read
     The others notice that the readers' knowledge gets old and read themselves; the
     readers then go on with what these know. Nobody stops honouring keys.
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -39,6 +39,7 @@
         self._relay = relay
         self._from_newest = True
         self._failing = False
+        self._read_next = False
         # Own reads and other entries' answers are taken in on different threads.
         self._taking = threading.Lock()
         self._stopping = threading.Event()
@@ -63,6 +64,7 @@
 
     def poll(self) -> bool:
         """Read once and pass on what came; return whether that was of use."""
+        self._read_next = False
         sent_s = self._clock.monotonic_s()
         whole = self._from_newest
         if whole:
@@ -87,6 +89,10 @@
         """Take in what another entry told; from the thread that hears it."""
         self._take(content, whole=whole, sent_s=sent_s)
 
+    def read_soon(self) -> None:
+        """Read the store in place of the next question to another entry."""
+        self._read_next = True
+
     def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
         """Take records in; `whole` when they are the newest of every key.
 
@@ -130,7 +136,7 @@
         return max(RETRY_PAUSE_S, self._period_s())
 
     def _relies_on_others(self) -> bool:
-        if self._from_newest or not self._relay.follows():
+        if self._from_newest or self._read_next or not self._relay.follows():
             return False
         return self.shelf.age_s(self._clock.monotonic_s()) < self.stale_s
 
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -26,6 +26,10 @@
 # Entries that read the store while others ask them: one more than is needed, so
 # that the loss of one costs nothing.
 READERS = 2
+# Records that are passed on to an entry that can read the store, in bytes. A
+# configuration of hundreds of routes has a hundred kilobytes; a dozen entries that
+# ask for it at once would fill the link of a small instance, 5 Mbit/s, for seconds.
+TOLD_BYTES_MAX = 8 * 1024
 # Dropped keys that are remembered; who asks for older offsets gets all keys.
 DROPPED_MAX = 1000
 
@@ -82,6 +86,10 @@
             if whole:
                 records = [r for r in self._newest.values() if r.value is not None]
             records.sort(key=lambda record: record.offset)
+            size_bytes = sum(len(r.value or b"") for r in records)
+            too_large = size_bytes > TOLD_BYTES_MAX and not asked.in_full
+            if too_large:
+                records = []
             return RecordsTold(
                 topic=asked.topic,
                 asked_s=asked.asked_s,
@@ -89,6 +97,7 @@
                 next_offset=self._next_offset,
                 whole=whole,
                 records=tuple((r.key, r.value, r.offset) for r in records),
+                too_large=too_large,
             )
 
     def _forget_dropped(self) -> None:
@@ -109,6 +118,9 @@
     def learn(self, content: Records, *, whole: bool, sent_s: float) -> None:
         """Take in what another entry told."""
 
+    def read_soon(self) -> None:
+        """Read the store in place of the next question."""
+
 
 @attrs.frozen(kw_only=True)
 class Peering:
@@ -151,13 +163,13 @@
 
     def ask_reader(self, topic: str) -> None:
         """Ask one of the entries that read; its answer comes to the feed, if any."""
-        self._ask(topic, self._readers())
+        self._ask(topic, self._readers(), in_full=False)
 
     def ask_anyone(self, topic: str) -> None:
         """Ask any entry: the store may turn those away that usually read."""
-        self._ask(topic, self._peering.heard())
+        self._ask(topic, self._peering.heard(), in_full=True)
 
-    def _ask(self, topic: str, names: list[str]) -> None:
+    def _ask(self, topic: str, names: list[str], *, in_full: bool) -> None:
         others = [name for name in names if name != self._peering.name]
         if not others:
             return
@@ -166,6 +178,7 @@
             topic=topic,
             from_offset=-1 if offset is None else offset,
             asked_s=self._clock.monotonic_s(),
+            in_full=in_full,
         )
         self._peering.tell(self._random.choice(others), asked)
 
@@ -186,6 +199,9 @@
         if known is not None and told.next_offset < known:
             # It knows less than this entry: an older version must not come back.
             return
+        if told.too_large:
+            feed.read_soon()
+            return
         records = tuple(
             KeyedRecord(key=key, value=value, offset=offset)
             for key, value, offset in told.records
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -380,12 +380,14 @@
     """An entry asks another what that knows of a topic of the platform's log.
 
     `from_offset` is where the asker would read on, -1 when it knows nothing yet.
-    `asked_s` is on the asker's clock and comes back with the answer.
+    `asked_s` is on the asker's clock and comes back with the answer. `in_full` asks
+    for records of any size, since the asker can't read the log.
     """
 
     topic: str
     from_offset: int
     asked_s: float
+    in_full: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -395,7 +397,8 @@
     `age_s` is the time since the log was asked for what this says; the asker counts
     it back from `asked_s`, since the answer was put together after that. Records
     are rows of key, value and offset, in order; the value is None where the key was
-    dropped. With `whole` these are all keys there are.
+    dropped. With `whole` these are all keys there are. With `too_large` there are
+    records that the asker had better read from the log itself.
     """
 
     topic: str
@@ -404,6 +407,7 @@
     next_offset: int
     whole: bool
     records: tuple[tuple[str, bytes | None, int], ...] = ()
+    too_large: bool = False
 
 
 Message = (
