--- a/lavenderspoke/direct/inforce.py
+++ b/lavenderspoke/direct/inforce.py
@@ -44,6 +44,7 @@
             version=catalog.version,
             routes=len(catalog.routes),
             customers=len(catalog.customers),
+            keys=sum(len(customer.keys) for customer in catalog.customers),
         )
         return True
 
