--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -148,9 +148,10 @@
         return self._drain_s * part
 
     def failed(self) -> None:
-        # One that the store turns away hears of it through others. Taken as gone,
-        # the store would excuse every upstream that is missing, and one that has
-        # left would stay in use for as long as this entry is turned away.
+        # An entry that the store turns away still hears of changes through others.
+        # If its own failed reads alone meant that the store is away for all, every
+        # missing upstream would be taken to come back, and one that has left would
+        # stay in use for as long as the entry is turned away.
         if self.shelf.age_s(self._clock.monotonic_s()) > AWAY_S:
             self._registry.store_failed()
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,9 +30,14 @@
 RECOVERY_S = 12.0
 # Calm at the end, in seconds, so that late runs and answers are seen.
 SETTLE_S = 2.0
+# Time after SIGTERM in which an entry must have ended, in seconds: the grace time of
+# its settings and one more.
 STOP_S = 9.0
-EVENT_S = 0.03
+# Reads from before this offset fail: no topic here ever gets so long.
 BEYOND_ALL_OFFSETS = 10**9
+# Streams of 5 events last 0.15 s and plain answers 0.05 s, so that some are always
+# under way when a fault begins.
+EVENT_S = 0.03
 HEALTHY = {
     "wrong_id": False,
     "truncate": False,
