--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -78,3 +78,10 @@
     Given a line before 1 upstream of 1 place
     When 60 requests with 1.5 s left come at once
     Then each refusal names between 0.3 s and 0.5 s
+
+  Scenario: Requests without a key come beside those of customers
+    Nobody vouches for them. Ranked before all customers, a trickle of them would make
+    the customers' most urgent requests second, and those would be refused once late.
+    Given customers of the ranks 1 and 3
+    Then a request without a key ranks as 3, and a customer's as its own
+    And with no customers at all it ranks as 0
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -7,6 +7,7 @@
 import attrs
 from behave import given, then, when
 
+from lavenderspoke.direct.catalog import Catalog, Customer
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.scheduler import (
     Dispatch,
@@ -345,3 +346,36 @@
     assert early
     for each in early:
         assert least_s <= each.retry_after_s <= most_s, each
+
+
+def catalog_of(*ranks: int) -> Catalog:
+    customers = tuple(
+        Customer(
+            name=f"customer-{rank}",
+            keys=(),
+            rank=rank,
+            per_s=0.0,
+            burst=0.0,
+            counts_tokens=True,
+            plain_tokens=1,
+        )
+        for rank in ranks
+    )
+    return Catalog(version=1, routes=(), services={}, customers=customers)
+
+
+@given("customers of the ranks {first:d} and {second:d}")
+def step_customers(context, first, second):
+    context.catalog = catalog_of(first, second)
+
+
+@then("a request without a key ranks as {rank:d}, and a customer's as its own")
+def step_rank_without_key(context, rank):
+    assert context.catalog.rank_of(None) == rank
+    for customer in context.catalog.customers:
+        assert context.catalog.rank_of(customer) == customer.rank
+
+
+@then("with no customers at all it ranks as {rank:d}")
+def step_rank_alone(context, rank):
+    assert catalog_of().rank_of(None) == rank
