--- a/soak/run.py
+++ b/soak/run.py
@@ -112,7 +112,7 @@
             self._links[name] = self._stage.link(proxy, name, standin.address)
             platform.reached_at[name] = self._links[name].address
             platform.register(name, "model" if name in MODELS else "desk")
-        self._publish()
+        self.publish()
         for name in ENTRIES:
             link = store_link(name)
             self._links[link] = self._stage.link(proxy, link, platform.store.address)
@@ -204,7 +204,8 @@
     def _version(self) -> int:
         return max(self._versions_s)
 
-    def _publish(self) -> None:
+    def publish(self) -> None:
+        """Publish a version with a route that only it has."""
         version = max(self._versions_s, default=0) + 1
         content = configuration(version)
         only_here = route(f"version-{version}", "idempotent", "desk")
@@ -326,12 +327,9 @@
 
         return undo
 
-    def publish(self) -> None:
-        self._publish()
-
     def revoke(self) -> None:
         self._keys.remove(REVOKED_KEY)
-        self._publish()
+        self.publish()
         self._revoked_s = time.monotonic()
 
 
