--- a/bench/points.py
+++ b/bench/points.py
@@ -17,8 +17,9 @@
 from lavenderspoke import messages
 from lavenderspoke.affinity import PrefixSketch
 from lavenderspoke.agentevents import DocumentInForce, RunBody, RunEnded, RunHead
-from lavenderspoke.codec import decode, encode
-from lavenderspoke.messages import Envelope, Piece
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.messagecodec import CODEC
+from lavenderspoke.messages import Piece
 from lavenderspoke.model import Head
 from lavenderspoke.roster import Join, Roster, encode as encode_roster
 from lavenderspoke.service import parse_service
@@ -286,7 +287,7 @@
 def _encoded(action, sender) -> bytes:
     if not hasattr(action, "message"):
         return b""
-    return encode(
+    return CODEC.encode(
         Envelope(sender=sender, recipient=action.recipient, message=action.message)
     )
 
@@ -548,7 +549,7 @@
 
     def work():
         for _ in range(size):
-            decode(encode(envelope)).unwrap()
+            CODEC.decode(CODEC.encode(envelope)).unwrap()
 
     return work
 
@@ -601,9 +602,13 @@
 def _sent(message: messages.Message, size: int, batch: int = 64):
     arrived = threading.Semaphore(0)
     receiver = Transport(
-        listen_address=ANY_PORT, on_message=lambda envelope: arrived.release()
+        codec=CODEC,
+        listen_address=ANY_PORT,
+        on_message=lambda envelope: arrived.release(),
+    )
+    sender = Transport(
+        codec=CODEC, listen_address=ANY_PORT, on_message=lambda envelope: None
     )
-    sender = Transport(listen_address=ANY_PORT, on_message=lambda envelope: None)
     for each in (receiver, sender):
         each.start()
     envelope = Envelope(
@@ -642,12 +647,16 @@
 @slope("a peer that was sent to", Unit.MEMORY_BYTES, (25, 50, 100, 200))
 def transport_peer_memory(size: int):
     receivers = [
-        Transport(listen_address=ANY_PORT, on_message=lambda envelope: None)
+        Transport(
+            codec=CODEC, listen_address=ANY_PORT, on_message=lambda envelope: None
+        )
         for _ in range(size)
     ]
     for each in receivers:
         each.start()
-    sender = Transport(listen_address=ANY_PORT, on_message=lambda envelope: None)
+    sender = Transport(
+        codec=CODEC, listen_address=ANY_PORT, on_message=lambda envelope: None
+    )
     sender.start()
     envelope = Envelope(
         sender=driven.ENTRY,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,8 +23,8 @@
 from bench import driven, points
 from bench.fit import fit_line
 from bench.points import SLOPES, Slope, Unit
-from lavenderspoke.codec import encode
-from lavenderspoke.messages import Envelope
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.messagecodec import CODEC
 
 OUT = pathlib.Path("out")
 REPEATS = 5
@@ -102,7 +102,7 @@
     }
     return {
         name: len(
-            encode(
+            CODEC.encode(
                 Envelope(
                     sender=driven.ENTRY, recipient=driven.agent_id(1), message=message
                 )
--- a/features/corebag.py
+++ b/features/corebag.py
@@ -21,10 +21,10 @@
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
+from lavenderspoke.envelope import Envelope
 from lavenderspoke.following import FollowingTimes
 from lavenderspoke.gateway import Arrival, Sending
 from lavenderspoke.joining import Joining
-from lavenderspoke.messages import Envelope
 from lavenderspoke.model import Call, Head, InstanceId
 from lavenderspoke.platformlog import LogUnavailable
 from lavenderspoke.rosterfeed import RosterFeed
--- /dev/null
+++ b/features/direct_start.feature
@@ -0,0 +1,34 @@
+Feature: The first moments of an entry that dispatches directly
+  After a fault that ends all entries at once, callers stand at the ports of all of
+  them while they start.
+
+  Scenario: A caller connects while the entry still loads its libraries
+    Nothing but the port is there yet. Refused, the caller would have used its only
+    retry by the time that the entry serves, half a second later.
+    Given a port that is listened on before a server is there
+    When a caller sends a request, and a server takes the port over 0.3 s later
+    Then the caller gets its answer
+
+  Scenario: A settings file that can't be read
+    Then nothing is listened on, and the daemon says what is wrong
+
+  Scenario: A request comes before the first configuration
+    Given an entry that has just started
+    When a request comes and the entry knows enough 0.2 s later
+    Then the request was held for 0.2 s, and the next one isn't held at all
+
+  Scenario: The store doesn't answer at the start
+    Its caller is told soon that nothing is known here, not after seconds.
+    Given an entry that has just started
+    When a request comes and the entry never knows enough
+    Then the request was held for 0.8 s, and the next one isn't held at all
+
+  Scenario: One customer's requests wait at all entries while these start
+    The pattern: five entries without power for a second come back together, and each
+    finds a dozen requests of the customer with the most traffic at its port. Nothing
+    is known of the window before, so only what is tolerated beyond the limit may pass,
+    in all; entries that hear each other at once haven't heard yet what each let through.
+    Given 5 entries that start together, a limit of 1000 a second and 2000 tolerated
+    When 12 requests of 100 come to each in the first instant
+    Then at most 2000 pass in all, and at least 1000
+    And after 1.2 s an entry may give out what is left of the limit alone
--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as some
 
 from features.helper import fuzz
-from lavenderspoke.codec import MESSAGE_BYTES_MAX, decode, encode
+from lavenderspoke.codec import MESSAGE_BYTES_MAX, Codec
+from lavenderspoke.direct.messages import DirectMessage
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.messagecodec import CODEC
 from lavenderspoke.messages import (
     CrashEvidence,
-    Envelope,
     Floor,
     KeyRecord,
     LedgerHandover,
@@ -21,9 +23,7 @@
 ANYONE = InstanceId(name="entry-1", incarnation="a1")
 some.register_type_strategy(float, some.floats(allow_nan=False, allow_infinity=False))
 some.register_type_strategy(int, some.integers(-(2**63), 2**63 - 1))
-ENVELOPES = some.builds(
-    Envelope, message=some.one_of([some.builds(each) for each in Message.__args__])
-)
+FAMILIES = {Message: CODEC, DirectMessage: Codec(messages=DirectMessage)}
 VALUES = some.recursive(
     some.none() | some.booleans() | some.integers(-9, 9) | some.text() | some.binary(),
     lambda inner: some.lists(inner) | some.dictionaries(some.text(), inner),
@@ -31,20 +31,31 @@
 )
 
 
+def envelopes(family):
+    """Return a strategy for envelopes with every class of a family of messages."""
+    messages = some.one_of([some.builds(each) for each in family.__args__])
+    return some.builds(Envelope, message=messages)
+
+
 def envelope(message):
     return Envelope(sender=ANYONE, recipient=ANYONE, message=message)
 
 
 def packed(message) -> dict:
-    return msgpack.unpackb(encode(envelope(message)), strict_map_key=False)
+    return msgpack.unpackb(CODEC.encode(envelope(message)), strict_map_key=False)
 
 
 @then("every message that hypothesis builds decodes to itself")
 def step_round_trip(context):
-    def check(message):
-        assert decode(encode(message)).unwrap() == message
+    for family, codec in FAMILIES.items():
+        fuzz(envelopes(family), round_trip(codec))
+
+
+def round_trip(codec: Codec):
+    def check(sent):
+        assert codec.decode(codec.encode(sent)).unwrap() == sent
 
-    fuzz(ENVELOPES, check)
+    return check
 
 
 @then("a handed-over key with its answer decodes to itself")
@@ -58,27 +69,27 @@
         pieces=(piece, Piece(request_id="r1", number=1, count=2)),
     )
     sent = envelope(LedgerHandover(part=0, parts=1, keys=(record,)))
-    assert decode(encode(sent)).unwrap() == sent
+    assert CODEC.decode(CODEC.encode(sent)).unwrap() == sent
 
 
 def decode_damaged(data):
     """Decode a message cut off, with a byte changed, and with a field replaced."""
-    message = data.draw(ENVELOPES)
-    good = bytearray(encode(message))
+    message = data.draw(envelopes(Message))
+    good = bytearray(CODEC.encode(message))
     place = data.draw(some.integers(0, len(good) - 1))
-    decode(bytes(good[:place]))
+    CODEC.decode(bytes(good[:place]))
     good[place] = data.draw(some.integers(0, 255))
-    decode(bytes(good))
-    fields = msgpack.unpackb(encode(message), strict_map_key=False)
+    CODEC.decode(bytes(good))
+    fields = msgpack.unpackb(CODEC.encode(message), strict_map_key=False)
     name = data.draw(some.sampled_from(sorted(fields["message"])))
     fields["message"][name] = data.draw(VALUES)
-    decode(msgpack.packb(fields))
+    CODEC.decode(msgpack.packb(fields))
 
 
 @then("bytes, changed messages and made-up maps decode without raising")
 def step_fuzz(context):
     def check_junk(data):
-        assert decode(data).is_err()
+        assert CODEC.decode(data).is_err()
 
     fuzz(some.binary(), check_junk)
     fuzz(some.data(), decode_damaged)
@@ -87,9 +98,9 @@
 @then("a Piece whose {field} is {value} is refused")
 def step_wrong_type(context, field, value):
     fields = packed(Pieces(pieces=(Piece(request_id="r1", number=1),)))
-    assert decode(msgpack.packb(fields)).is_ok()
+    assert CODEC.decode(msgpack.packb(fields)).is_ok()
     fields["message"]["pieces"][0][field] = json.loads(value)
-    assert decode(msgpack.packb(fields)).is_err()
+    assert CODEC.decode(msgpack.packb(fields)).is_err()
 
 
 @then("a floor whose lease is not a finite number is refused")
@@ -97,7 +108,7 @@
     fields = packed(Floor(service="s", tier=1, round=1, lease_s=1.0))
     for wrong in (float("nan"), float("inf"), "1", True):
         fields["message"]["lease_s"] = wrong
-        assert decode(msgpack.packb(fields)).is_err(), wrong
+        assert CODEC.decode(msgpack.packb(fields)).is_err(), wrong
 
 
 @then("crash evidence whose fingerprints are one string is refused")
@@ -106,13 +117,13 @@
         service="s", upstream="u", crash_id="c", fingerprints=("ab",)
     )
     fields = packed(evidence)
-    assert decode(msgpack.packb(fields)).is_ok()
+    assert CODEC.decode(msgpack.packb(fields)).is_ok()
     for wrong in ("ab", {"a": 1}):
         fields["message"]["fingerprints"] = wrong
-        assert decode(msgpack.packb(fields)).is_err()
+        assert CODEC.decode(msgpack.packb(fields)).is_err()
 
 
 @then("bytes above the limit are refused unread")
 def step_too_large(context):
-    error = decode(b"\0" * (MESSAGE_BYTES_MAX + 1)).unwrap_err()
+    error = CODEC.decode(b"\0" * (MESSAGE_BYTES_MAX + 1)).unwrap_err()
     assert "too large" in error.detail
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -4,8 +4,7 @@
 
 from lavenderspoke.direct.catalog import Customer
 from lavenderspoke.direct.quota import SharedQuota, Tolerance
-from lavenderspoke.retrybudget import TIME_CONSTANT_S, RetryAllowance
-from lavenderspoke.service import RetryBudget
+from lavenderspoke.retrybudget import TIME_CONSTANT_S, RetryAllowance, RetryBudget
 
 WINDOW_S = 8.0
 TOLD_EVERY_S = 0.1
--- /dev/null
+++ b/features/steps/direct_start_steps.py
@@ -0,0 +1,198 @@
+"""Steps about the first moments of an entry that dispatches directly."""
+
+import pathlib
+import socket
+import tempfile
+import threading
+import time
+from random import Random
+
+from behave import given, then, when
+
+from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.catalog import Catalog, Customer
+from lavenderspoke.direct.messages import SharedState
+from lavenderspoke.direct.office import Office
+from lavenderspoke.direct.opening import Opening
+from lavenderspoke.direct.quota import Tolerance
+from lavenderspoke.direct.settings import Bounds
+from lavenderspoke.httpserver import HttpServer
+from lavenderspoke.metrics import Metrics
+from lavenderspoke.model import InstanceId
+from lavenderspoke.platform import early
+from standins.processes import HOST, free_port
+
+ANSWER_WAIT_S = 5.0
+
+
+def settings_file(context, text: str) -> str:
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    path = pathlib.Path(directory.name) / "node.conf"
+    path.write_text(text)
+    return str(path)
+
+
+@given("a port that is listened on before a server is there")
+def step_port(context):
+    context.port = free_port()
+    path = settings_file(context, f"listen.frontend={HOST}:{context.port}\n")
+    context.listener = early.listen(path)
+    assert context.listener is not None
+
+
+def answer_hello(environ, start_response):
+    start_response("200 OK", [("Content-Length", "5")])
+    return [b"hello"]
+
+
+@when("a caller sends a request, and a server takes the port over {seconds:g} s later")
+def step_take_over(context, seconds):
+    caller = socket.create_connection((HOST, context.port), timeout=ANSWER_WAIT_S)
+    context.add_cleanup(caller.close)
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    time.sleep(seconds)
+    server = HttpServer(
+        host=HOST,
+        port=context.port,
+        app=answer_hello,
+        threads=2,
+        listener=context.listener,
+    )
+    server.prepare()
+    context.add_cleanup(server.stop)
+    threading.Thread(target=server.serve, daemon=True).start()
+    context.answer = b""
+    while not context.answer.endswith(b"hello"):
+        data = caller.recv(4096)
+        assert data, context.answer
+        context.answer += data
+
+
+@then("the caller gets its answer")
+def step_got(context):
+    assert context.answer.startswith(b"HTTP/1.1 200 OK"), context.answer
+
+
+@then("nothing is listened on, and the daemon says what is wrong")
+def step_unreadable(context):
+    assert early.listen("/nonexistent") is None
+    for text in ("", "listen.frontend=here\n", f"listen.frontend={HOST}:x\n"):
+        assert early.listen(settings_file(context, text)) is None, text
+
+
+class StepClock(ManualClock):
+    """A clock on which each look takes a millisecond."""
+
+    def monotonic_s(self) -> float:
+        self.advance(0.001)
+        return super().monotonic_s()
+
+
+@given("an entry that has just started")
+def step_started(context):
+    context.clock = StepClock()
+    context.known_from_s = float("inf")
+    context.opening = Opening(
+        known=lambda: context.clock.monotonic_s() >= context.known_from_s,
+        clock=context.clock,
+    )
+
+
+def held_s(context) -> float:
+    before_s = context.clock.monotonic_s()
+    context.opening.wait()
+    return context.clock.monotonic_s() - before_s
+
+
+@when("a request comes and the entry knows enough {seconds:g} s later")
+def step_knows(context, seconds):
+    context.known_from_s = context.clock.monotonic_s() + seconds
+    context.held_s = held_s(context)
+
+
+@when("a request comes and the entry never knows enough")
+def step_never(context):
+    context.held_s = held_s(context)
+
+
+@then("the request was held for {seconds:g} s, and the next one isn't held at all")
+def step_held(context, seconds):
+    assert abs(context.held_s - seconds) < 0.02, context.held_s
+    assert held_s(context) < 0.02
+
+
+@given(
+    "{count:d} entries that start together, a limit of {per_s:d} a second "
+    "and {tolerated:d} tolerated"
+)
+def step_offices(context, count, per_s, tolerated):
+    context.clock = ManualClock(start_s=100.0)
+    context.customer = Customer(
+        name="tours",
+        keys=(),
+        rank=0,
+        per_s=float(per_s),
+        burst=0.0,
+        counts_tokens=True,
+        plain_tokens=1,
+    )
+    tolerance = Tolerance(tokens=float(tolerated))
+    context.offices = {
+        f"entry-{number}": Office(
+            name=f"entry-{number}",
+            address=f"tcp://10.0.0.{number}:1",
+            bounds=Bounds(quota_tolerance=tolerance),
+            clock=context.clock,
+            random=Random(number),
+            metrics=Metrics(),
+        )
+        for number in range(count)
+    }
+    catalog = Catalog(version=1, routes=(), services={}, customers=(context.customer,))
+    addresses = {name: f"tcp://{name}" for name in context.offices}
+    for office in context.offices.values():
+        office.catalog_changed(catalog)
+        office.peers_listed(addresses)
+    tell_each_other(context)
+
+
+def tell_each_other(context) -> None:
+    """Have all hear that the others are there, and nothing of what they spent."""
+    for name, office in context.offices.items():
+        for peer in context.offices:
+            if peer != name:
+                sender = InstanceId(name=peer, incarnation="1")
+                office.heard(sender, SharedState(address=f"tcp://{peer}"))
+        office.tick()
+
+
+def passes(context, office: Office, cost: float) -> bool:
+    now_s = context.clock.monotonic_s()
+    return office._quota.spend(context.customer, cost, now_s=now_s)
+
+
+@when("{count:d} requests of {cost:d} come to each in the first instant")
+def step_instant(context, count, cost):
+    context.passed = sum(
+        cost
+        for office in context.offices.values()
+        for _ in range(count)
+        if passes(context, office, float(cost))
+    )
+
+
+@then("at most {most:d} pass in all, and at least {least:d}")
+def step_passed(context, most, least):
+    assert least <= context.passed <= most, context.passed
+
+
+@then("after {seconds:g} s an entry may give out what is left of the limit alone")
+def step_alone(context, seconds):
+    context.clock.advance(seconds)
+    tell_each_other(context)
+    office = context.offices["entry-0"]
+    given_out = 0
+    while passes(context, office, 50.0):
+        given_out += 50
+    assert given_out >= 1000, given_out
--- a/features/steps/pacing_steps.py
+++ b/features/steps/pacing_steps.py
@@ -2,8 +2,7 @@
 
 from lavenderspoke.concurrency import WINDOW, ConcurrencyLimit
 from lavenderspoke.learnedlimit import LearnedLimit
-from lavenderspoke.retrybudget import RetryAllowance
-from lavenderspoke.service import RetryBudget
+from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
 from lavenderspoke.straggler import PullCaution, StragglerDetector
 
 
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -2,9 +2,7 @@
 
 from behave import given, then, when
 
-from lavenderspoke.messages import CrashEvidence, Quarantined
-from lavenderspoke.poison import CrashLedger
-from lavenderspoke.service import Poison
+from lavenderspoke.poison import CrashEvidence, CrashLedger, Poison, Quarantined
 
 NAMES = ("bad", "twin", "popular", "b1", "b2", "b3", "b4")
 
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -9,9 +9,9 @@
 from result import Err, Ok
 
 from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.messages import RecordsAsked, RecordsTold
 from lavenderspoke.direct.records import Forgotten, KeyedRecord, Records, StoreError
 from lavenderspoke.direct.relay import Peering, Relay
-from lavenderspoke.messages import RecordsAsked, RecordsTold
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
 from lavenderspoke.platform.feeds import (
--- a/features/steps/transport_steps.py
+++ b/features/steps/transport_steps.py
@@ -2,7 +2,9 @@
 from behave import given, then, when
 
 from features.rawhttp import wait_for
-from lavenderspoke.messages import AnswerTaken, Envelope
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.messagecodec import CODEC
+from lavenderspoke.messages import AnswerTaken
 from lavenderspoke.model import InstanceId
 from lavenderspoke.transport import Transport
 
@@ -17,7 +19,10 @@
 
 def start_transport(context, on_message=lambda envelope: None, *, at=None, **more):
     transport = Transport(
-        listen_address=at or "tcp://127.0.0.1:0", on_message=on_message, **more
+        codec=CODEC,
+        listen_address=at or "tcp://127.0.0.1:0",
+        on_message=on_message,
+        **more,
     )
     transport.start()
     context.add_cleanup(transport.close)
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -12,9 +12,10 @@
 from features.helper import JSON, fuzz
 from features.steps.direct_exchange_steps import RawUpstream
 from lavenderspoke.clock import ManualClock, SystemClock
-from lavenderspoke.codec import decode as decode_message
+from lavenderspoke.codec import Codec
 from lavenderspoke.direct.exchange import Sending
 from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.messages import DirectMessage
 from lavenderspoke.direct.office import RESTART_SETTLED_S, Office
 from lavenderspoke.direct.pool import Demand
 from lavenderspoke.direct.records import KeyedRecord, Records
@@ -267,8 +268,9 @@
             feed.take(records, whole=False, sent_s=0.0)
 
     fuzz(strategies.tuples(keys, contents), take)
+    codec = Codec(messages=DirectMessage)
 
     def hear(data: bytes) -> None:
-        decode_message(data)
+        codec.decode(data)
 
     fuzz(strategies.binary(max_size=80), hear)
--- a/lavenderspoke/answerstream.py
+++ b/lavenderspoke/answerstream.py
@@ -6,6 +6,7 @@
 
 from lavenderspoke import callerheaders, problempage
 from lavenderspoke.callerheaders import REQUEST_ID
+from lavenderspoke.callerrequest import StartResponse
 from lavenderspoke.gateway import (
     Answer,
     AnswerBody,
@@ -23,8 +24,6 @@
 BROKEN = "broken"
 WHOLE = "whole"
 
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 
 @attrs.define(kw_only=True)
 class Gathered:
--- a/lavenderspoke/arrivals.py
+++ b/lavenderspoke/arrivals.py
@@ -14,8 +14,8 @@
 
 from lavenderspoke import callerheaders, modelrequest
 from lavenderspoke.callerheaders import CallerHeaders
+from lavenderspoke.callerrequest import CallerRequest
 from lavenderspoke.gateway import Arrival, Gateway
-from lavenderspoke.hopbyhop import Headers
 from lavenderspoke.model import Call, Ran
 from lavenderspoke.prefix import prefix_hashes
 from lavenderspoke.problems import Problem, Reason
@@ -25,18 +25,6 @@
 NO_DOCUMENT_RETRY_S = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class CallerRequest:
-    """A request as the HTTP server received it, without its body.
-
-    `target` is the request's path and query exactly as sent.
-    """
-
-    method: str
-    target: str
-    headers: Headers
-
-
 @attrs.frozen(kw_only=True)
 class Admission:
     """A request that is admitted as far as its head can tell."""
--- a/lavenderspoke/callerapp.py
+++ b/lavenderspoke/callerapp.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterable
 
 from lavenderspoke import arrivals, problempage
-from lavenderspoke.answerstream import AnswerStream, StartResponse
-from lavenderspoke.arrivals import Admission, ArrivalBuilder, CallerRequest, refusal
+from lavenderspoke.answerstream import AnswerStream
+from lavenderspoke.arrivals import Admission, ArrivalBuilder, refusal
+from lavenderspoke.callerrequest import StartResponse, caller_request
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Answer, Arrival, Gateway
@@ -158,18 +159,6 @@
         return Problem(reason=Reason.CALLER_GONE, ran=Ran.UNKNOWN)
 
 
-def caller_request(http_request: CallerHttpRequest) -> CallerRequest:
-    """Return the request as sent, with its path and query untouched."""
-    return CallerRequest(
-        method=http_request.method.decode("latin-1"),
-        target=http_request.uri.decode("latin-1"),
-        headers=tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in http_request.inheaders.items()
-        ),
-    )
-
-
 def has_unread_body(http_request: CallerHttpRequest) -> bool:
     """Return whether some of the request's body is still to be read."""
     if http_request.chunked_read:
--- a/lavenderspoke/callers.py
+++ b/lavenderspoke/callers.py
@@ -8,9 +8,9 @@
 import attrs
 
 from lavenderspoke import problempage
-from lavenderspoke.answerstream import StartResponse
 from lavenderspoke.arrivals import ArrivalBuilder
 from lavenderspoke.callerapp import BODY_BYTES_MAX, CallerApp
+from lavenderspoke.callerrequest import StartResponse
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Gateway
--- a/lavenderspoke/codec.py
+++ b/lavenderspoke/codec.py
@@ -6,6 +6,7 @@
 it checks every type and never raises.
 """
 
+import types
 import typing
 from collections.abc import Callable
 
@@ -15,7 +16,8 @@
 from cattrs.strategies import configure_tagged_union
 from result import Err, Ok, Result
 
-from lavenderspoke.messages import Envelope, Message
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.model import InstanceId
 from lavenderspoke.strict import strict
 
 MESSAGE_BYTES_MAX = 8 * 1024 * 1024
@@ -64,36 +66,53 @@
     return structure_fixed
 
 
-def _make_converter() -> MsgpackConverter:
-    """Return a converter with its hooks generated once, not for each message."""
-    converter = strict(make_converter(omit_if_default=True, detailed_validation=False))
-    converter.register_structure_hook_factory(_is_tuple)(_tuple_hook)
-    configure_tagged_union(Message, converter, tag_name="type")
-    return converter
+class Codec:
+    """Bytes for one family of messages, the ones in the union `messages`.
 
-
-_converter = _make_converter()
-_structure = _converter.get_structure_hook(Envelope)
-_unstructure = _converter.get_unstructure_hook(Envelope)
-
-
-def encode(envelope: Envelope) -> bytes:
-    """Return the envelope as bytes."""
-    return msgpack.packb(_unstructure(envelope))
-
-
-def decode(data: bytes) -> Result[Envelope, CodecError]:
-    """Return the envelope in these bytes, or what is wrong with them.
-
-    >>> decode(b"junk").is_err()
-    True
+    A daemon builds the codec of the family that it speaks: building one takes about
+    a millisecond for each class, which counts while a daemon starts.
     """
-    if len(data) > MESSAGE_BYTES_MAX:
-        return Err(CodecError(detail=f"{len(data)} bytes is too large"))
-    try:
-        return Ok(_structure(msgpack.unpackb(data, strict_map_key=False), Envelope))
-    except Exception as error:
-        # Bytes from outside reach msgpack, cattrs and the generated hooks, and
-        # each fails in its own way. A broken message must cost its sender the
-        # message and not this daemon its receiving thread.
-        return Err(CodecError(detail=f"{type(error).__name__}: {error}"[:200]))
+
+    def __init__(self, *, messages: types.UnionType):
+        # Its hooks are generated once, not for each message.
+        converter = strict(
+            make_converter(omit_if_default=True, detailed_validation=False)
+        )
+        converter.register_structure_hook_factory(_is_tuple)(_tuple_hook)
+        configure_tagged_union(messages, converter, tag_name="type")
+        self._messages = messages
+        self._structure = converter.get_structure_hook(messages)
+        self._unstructure = converter.get_unstructure_hook(messages)
+        self._structure_instance = converter.get_structure_hook(InstanceId)
+        self._unstructure_instance = converter.get_unstructure_hook(InstanceId)
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Return the envelope as bytes."""
+        return msgpack.packb(
+            {
+                "sender": self._unstructure_instance(envelope.sender),
+                "recipient": self._unstructure_instance(envelope.recipient),
+                "message": self._unstructure(envelope.message),
+            }
+        )
+
+    def decode(self, data: bytes) -> Result[Envelope, CodecError]:
+        """Return the envelope in these bytes, or what is wrong with them."""
+        if len(data) > MESSAGE_BYTES_MAX:
+            return Err(CodecError(detail=f"{len(data)} bytes is too large"))
+        try:
+            content = msgpack.unpackb(data, strict_map_key=False)
+            return Ok(
+                Envelope(
+                    sender=self._structure_instance(content["sender"], InstanceId),
+                    recipient=self._structure_instance(
+                        content["recipient"], InstanceId
+                    ),
+                    message=self._structure(content["message"], self._messages),
+                )
+            )
+        except Exception as error:
+            # Bytes from outside reach msgpack, cattrs and the generated hooks, and
+            # each fails in its own way. A broken message must cost its sender the
+            # message and not this daemon its receiving thread.
+            return Err(CodecError(detail=f"{type(error).__name__}: {error}"[:200]))
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -17,7 +17,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from lavenderspoke import schema, yamlnodes
+from lavenderspoke import fieldrules, schema, yamlnodes
 from lavenderspoke.dispatching import Dispatching
 from lavenderspoke.service import Kind
 from lavenderspoke.util import Mistake, UserError, is_http_url
@@ -26,14 +26,14 @@
 HOUR_S = 3600.0
 GIB = 1024**3
 
-_SECONDS = schema.above(0, HOUR_S)
+_SECONDS = fieldrules.above(0, HOUR_S)
 # One lost announcement mustn't make a peer look gone.
-_SILENCE = _SECONDS | schema.not_below("heartbeat_s", times=2)
-_SECONDS_OR_DAYS = schema.above(0, 30 * 24 * HOUR_S)
-_BYTES = schema.between(1, GIB)
-_PORT = schema.between(0, 65535)
-_HTTP_URL = schema.rule(is_http_url, "a URL of http or https")
-_PEER_ADDRESS = schema.matching(
+_SILENCE = _SECONDS | fieldrules.not_below("heartbeat_s", times=2)
+_SECONDS_OR_DAYS = fieldrules.above(0, 30 * 24 * HOUR_S)
+_BYTES = fieldrules.between(1, GIB)
+_PORT = fieldrules.between(0, 65535)
+_HTTP_URL = fieldrules.rule(is_http_url, "a URL of http or https")
+_PEER_ADDRESS = fieldrules.matching(
     r"tcp://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}",
     "tcp://<IP number>:<port>",
 )
@@ -62,12 +62,12 @@
 class CallersSettings:
     """The port for callers and what one caller may cost."""
 
-    host: str = attrs.field(metadata=schema.ip_address())
+    host: str = attrs.field(metadata=fieldrules.ip_address())
     port: int = attrs.field(metadata=_PORT)
-    threads: int = attrs.field(metadata=schema.between(1, 10_000))
+    threads: int = attrs.field(metadata=fieldrules.between(1, 10_000))
     body_timeout_s: float = attrs.field(metadata=_SECONDS)
     body_bytes_max: int = attrs.field(metadata=_BYTES)
-    header_bytes_max: int = attrs.field(metadata=schema.between(1024, 1024**2))
+    header_bytes_max: int = attrs.field(metadata=fieldrules.between(1024, 1024**2))
     tls: TlsSettings | None = None
 
 
@@ -79,7 +79,7 @@
     itself, because a proxy or address translation stands between.
     """
 
-    host: str = attrs.field(metadata=schema.ip_address())
+    host: str = attrs.field(metadata=fieldrules.ip_address())
     port: int = attrs.field(metadata=_PORT)
     advertised_address: str | None = attrs.field(metadata=_PEER_ADDRESS)
 
@@ -99,7 +99,7 @@
 class StatusSettings:
     """The port for health, readiness, metrics and the status page."""
 
-    host: str = attrs.field(metadata=schema.ip_address())
+    host: str = attrs.field(metadata=fieldrules.ip_address())
     port: int = attrs.field(metadata=_PORT)
 
 
@@ -119,7 +119,7 @@
 class UpstreamSettings:
     """The upstream that an agent stands beside."""
 
-    name: str = attrs.field(metadata=schema.name())
+    name: str = attrs.field(metadata=fieldrules.name())
     base_url: str = attrs.field(metadata=_HTTP_URL)
     kind: Kind
     connect_timeout_s: float = attrs.field(metadata=_SECONDS)
@@ -142,8 +142,8 @@
 class EntrySettings:
     """The settings of one entry."""
 
-    name: str = attrs.field(metadata=schema.name())
-    data_centre: str = attrs.field(metadata=schema.name())
+    name: str = attrs.field(metadata=fieldrules.name())
+    data_centre: str = attrs.field(metadata=fieldrules.name())
     log_level: LogLevel
     callers: CallersSettings
     peers: PeersSettings
@@ -166,10 +166,10 @@
     same listening address is the successor of the one before.
     """
 
-    name: str = attrs.field(metadata=schema.name())
-    data_centre: str = attrs.field(metadata=schema.name())
-    service: str = attrs.field(metadata=schema.name())
-    label: str = attrs.field(metadata=schema.name())
+    name: str = attrs.field(metadata=fieldrules.name())
+    data_centre: str = attrs.field(metadata=fieldrules.name())
+    service: str = attrs.field(metadata=fieldrules.name())
+    label: str = attrs.field(metadata=fieldrules.name())
     log_level: LogLevel
     upstream: UpstreamSettings
     peers: PeersSettings
@@ -177,8 +177,8 @@
     platform: PlatformSettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
     silence_s: float = attrs.field(metadata=_SILENCE)
-    entries_max: int = attrs.field(metadata=schema.between(1, 1000))
-    slots_max: int = attrs.field(metadata=schema.between(1, 10_000))
+    entries_max: int = attrs.field(metadata=fieldrules.between(1, 1000))
+    slots_max: int = attrs.field(metadata=fieldrules.between(1, 10_000))
     pull_ttl_s: float = attrs.field(metadata=_SECONDS)
     accepts_pushed: bool
     learns_limit: bool
--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -19,14 +19,15 @@
 from lavenderspoke.directory import Directory
 from lavenderspoke.documentfeed import DocumentFeed
 from lavenderspoke.documents import DocumentFold
+from lavenderspoke.envelope import Envelope
 from lavenderspoke.loop import Core, CoreLoop
 from lavenderspoke.memberlist import HttpMemberList
+from lavenderspoke.messagecodec import CODEC
 from lavenderspoke.messages import (
     Announce,
     DocumentRelay,
     DocumentWanted,
     EntryAnnounce,
-    Envelope,
 )
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
@@ -63,6 +64,7 @@
             base_url=platform.members_url, timeout_s=platform.timeout_s
         )
         self.transport = Transport(
+            codec=CODEC,
             listen_address=settings.peers.listen_address,
             on_message=self.on_message,
             on_bad_message=self.on_bad_message,
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -13,8 +13,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke import problempage
-from lavenderspoke.answerstream import StartResponse
-from lavenderspoke.callerapp import caller_request
+from lavenderspoke.callerrequest import StartResponse, caller_request
 from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog, Customer, Route
@@ -24,6 +23,7 @@
 from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.office import Office
+from lavenderspoke.direct.opening import Opening
 from lavenderspoke.hopbyhop import Headers, end_to_end
 from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, CutOff
 from lavenderspoke.metrics import Metrics
@@ -75,6 +75,7 @@
     def __init__(
         self,
         *,
+        opening: Opening,
         in_force: InForce,
         office: Office,
         dialect: Dialect,
@@ -84,6 +85,7 @@
     ):
         self.draining = False
         self.refusing = False
+        self._opening = opening
         self._in_force = in_force
         self._office = office
         self._dialect = dialect
@@ -206,6 +208,7 @@
             return Err(_not_run(Reason.BAD_REQUEST, read.err_value.detail))
         head = read.ok_value
         journey.request_id = head.request_id
+        self._opening.wait()
         catalog = self._in_force.catalog
         if catalog is None:
             detail = "no configuration has been read yet"
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -2,9 +2,7 @@
 
 import attrs
 
-from lavenderspoke.messages import CrashEvidence
-from lavenderspoke.poison import CrashLedger
-from lavenderspoke.service import Poison
+from lavenderspoke.poison import CrashEvidence, CrashLedger, Poison
 
 # Answers that broke within this time, in seconds, before an upstream was found
 # dead, broke because it died.
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import threading
 import uuid
 from collections.abc import Callable
@@ -17,9 +18,10 @@
 from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.gossip import Gossip
 from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.messages import RecordsMessage
 from lavenderspoke.direct.office import Office
+from lavenderspoke.direct.opening import Opening
 from lavenderspoke.direct.readiness import ReadinessServer
-from lavenderspoke.direct.relay import RecordsMessage
 from lavenderspoke.direct.server import CallerPart
 from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
 from lavenderspoke.metrics import Metrics
@@ -53,8 +55,8 @@
 class DirectEntry:
     """One entry.
 
-    `flush` is called before the process ends by itself, to get the last log lines
-    out.
+    `listener` is a socket at which callers may be waiting already. `flush` is called
+    before the process ends by itself, to get the last log lines out.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         settings: DirectSettings,
         dialect: Dialect,
         clock: Clock,
+        listener: socket.socket | None = None,
         flush: Callable[[], None] = lambda: None,
     ):
         self.settings = settings
@@ -85,6 +88,7 @@
         )
         self._watch = CallerWatch()
         self._app = DirectApp(
+            opening=Opening(known=self._knows_enough, clock=clock),
             in_force=self.in_force,
             office=self.office,
             dialect=dialect,
@@ -92,7 +96,7 @@
             metrics=self.metrics,
             clock=clock,
         )
-        self._callers = CallerPart(settings=settings, app=self._app)
+        self._callers = CallerPart(settings=settings, app=self._app, listener=listener)
         self._readiness = ReadinessServer(
             address=settings.readiness, ready=self.ready, metrics=self.metrics
         )
@@ -115,6 +119,14 @@
             and self.office.has_upstreams()
         )
 
+    def _knows_enough(self) -> bool:
+        """Return whether requests can be decided on, and limits shared."""
+        return (
+            self.in_force.catalog is not None
+            and self.office.has_upstreams()
+            and self.office.knows_peers()
+        )
+
     def catalog_changed(self, catalog: Catalog) -> None:
         """Take over a catalog that has come into force."""
         self.office.catalog_changed(catalog)
@@ -141,9 +153,9 @@
             parts=[
                 ("readiness", self._readiness),
                 ("watch", self._watch),
-                ("callers", self._callers),
                 ("gossip", self._gossip),
                 *feeds.parts(),
+                ("callers", self._callers),
             ],
             clock=self.clock,
         )
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -6,13 +6,14 @@
 import logbook
 import pynng
 
-from lavenderspoke.codec import CodecError
+from lavenderspoke.codec import Codec, CodecError
+from lavenderspoke.direct.messages import DirectMessage, RecordsMessage, SharedState
 from lavenderspoke.direct.office import Office
-from lavenderspoke.direct.relay import RecordsMessage
 from lavenderspoke.direct.settings import Address
-from lavenderspoke.messages import CrashEvidence, Envelope, SharedState
+from lavenderspoke.envelope import Envelope
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.poison import CrashEvidence
 from lavenderspoke.transport import Transport
 
 # Time between two looks at the lines, in seconds: how late a request learns that
@@ -44,6 +45,7 @@
         self._office = office
         self._metrics = metrics
         self._transport = Transport(
+            codec=Codec(messages=DirectMessage),
             listen_address=f"tcp://{listen.host}:{listen.port}",
             on_message=self._on_message,
             on_bad_message=self._on_bad_message,
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -17,6 +17,7 @@
 from lavenderspoke.direct.desk import Accepted, Outcome
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.scheduler import (
     RETRY_AFTER_MIN_S,
@@ -27,12 +28,11 @@
 )
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns
-from lavenderspoke.messages import CrashEvidence, SharedState
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId, Ran
+from lavenderspoke.poison import CrashEvidence
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.retrybudget import RetryAllowance
-from lavenderspoke.service import RetryBudget
+from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
 
 # The longest that a customer over its limit is told to wait, in seconds.
 LIMIT_WAIT_MAX_S = 3.0
@@ -40,6 +40,11 @@
 # that only of what changed, which with 16 customers saves a third of the bytes. A
 # peer that missed a message is wrong for so long at most.
 ALL_SPENT_EVERY_S = 1.0
+# How long an entry keeps to its own part of customers' limits after its start, in
+# seconds. Requests that waited while all entries started come to all in the same
+# instant, and each would give out what the others give out too: with five entries and
+# 0.8 of the tolerance for each, four times what is tolerated.
+ALONE_S = 1.0
 # Time in seconds from which on all requests at an upstream's earlier start have been
 # broken off: their threads only have to wake up.
 RESTART_SETTLED_S = 0.2
@@ -87,6 +92,8 @@
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
         self._known = 1
+        self._peers_listed = False
+        self._alone_until_s = clock.monotonic_s() + ALONE_S
         self._connections: dict[str, ConnectionPool] = {}
         self._listed: dict[str, Upstream] = {}
         self._restarted: list[_Restarted] = []
@@ -252,7 +259,14 @@
     def peers_listed(self, addresses: dict[str, str]) -> None:
         """Take over the entries that the platform's store names."""
         with self._lock:
-            self._peers.listed(addresses, self._now_s())
+            now_s = self._now_s()
+            self._peers_listed = True
+            self._peers.listed(addresses, now_s)
+            self._share(now_s)
+
+    def knows_peers(self) -> bool:
+        """Return whether the platform's store has named the other entries."""
+        return self._peers_listed
 
     def heard(self, sender: InstanceId, message: SharedState | CrashEvidence) -> None:
         """Take in another entry's message."""
@@ -271,11 +285,7 @@
         """Serve the lines again and follow what the peers said."""
         with self._lock:
             now_s = self._now_s()
-            heard, known = self._peers.heard_and_known(now_s)
-            self._quota.share(heard=heard, known=known)
-            if known != self._known:
-                self._known = known
-                self._share_retries()
+            self._share(now_s)
             self._note_crashes(now_s)
             self._scheduler.tick(now_s)
 
@@ -319,6 +329,15 @@
 
     # Inside
 
+    def _share(self, now_s: float) -> None:
+        """Keep to the part of limits and budgets that is this entry's now."""
+        heard, known = self._peers.heard_and_known(now_s)
+        alone = now_s < self._alone_until_s
+        self._quota.share(heard=1 if alone else heard, known=known)
+        if known != self._known:
+            self._known = known
+            self._share_retries()
+
     def _spent_news(self) -> dict[str, float]:
         """Return what customers used in all, of those for which it changed."""
         now_s, before = self._now_s(), self._told_spent
--- a/lavenderspoke/direct/readiness.py
+++ b/lavenderspoke/direct/readiness.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from lavenderspoke.answerstream import StartResponse
+from lavenderspoke.callerrequest import StartResponse
 from lavenderspoke.direct.server import ServerPart
 from lavenderspoke.direct.settings import Address
 from lavenderspoke.httpserver import HttpServer
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -22,8 +22,13 @@
 import logbook
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.messages import (
+    RecordsAsked,
+    RecordsMessage,
+    RecordsNews,
+    RecordsTold,
+)
 from lavenderspoke.direct.records import KeyedRecord, Records
-from lavenderspoke.messages import RecordsAsked, RecordsNews, RecordsTold
 from lavenderspoke.model import InstanceId
 
 # Entries that read the store while others ask them: one more than is needed, so
@@ -38,8 +43,6 @@
 
 log = logbook.Logger(__name__)
 
-RecordsMessage = RecordsAsked | RecordsTold | RecordsNews
-
 
 class Shelf:
     """The newest record of each key of one topic, and how old this knowledge is.
--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -1,5 +1,6 @@
 """HTTP servers as parts of an entry that dispatches directly."""
 
+import socket
 import threading
 
 from lavenderspoke.direct.app import DirectApp
@@ -55,15 +56,25 @@
 
     name = "callers"
 
-    def __init__(self, *, settings: DirectSettings, app: DirectApp):
+    def __init__(
+        self,
+        *,
+        settings: DirectSettings,
+        app: DirectApp,
+        listener: socket.socket | None = None,
+    ):
         super().__init__()
+        self._listener = listener
         self._settings = settings
         self._app = app
         self._limits = Limits()
 
     def make(self) -> HttpServer:
         address = self._settings.callers
+        # Used once: a server that is made again after a fault opens its own.
+        listener, self._listener = self._listener, None
         server = HttpServer(
+            listener=listener,
             host=address.host,
             port=address.port,
             app=self._app,
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -5,9 +5,9 @@
 
 import attrs
 
+from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.pool import Running
 from lavenderspoke.direct.scheduler import PeersShare, Rank
-from lavenderspoke.messages import SharedState
 from lavenderspoke.model import InstanceId
 
 # An entry not heard for so long, in seconds, counts as silent: ten of the
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/httpserver.py
@@ -269,7 +269,10 @@
 
 
 class HttpServer(wsgi.Server):
-    """A WSGI server that soon refuses what it has no thread for."""
+    """A WSGI server that soon refuses what it has no thread for.
+
+    With a `listener`, it serves the connections that come there.
+    """
 
     ConnectionClass = CallerConnection
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
@@ -285,7 +288,9 @@
         request_read_s: float = REQUEST_READ_S,
         header_bytes_max: int = HEADER_BYTES_MAX,
         on_problem=lambda problem: None,
+        listener: socket.socket | None = None,
     ):
+        self._listener = listener
         super().__init__(
             (host, port),
             app,
@@ -304,6 +309,13 @@
         if tls is not None:
             self.ssl_adapter = LazyTlsAdapter(tls.certificate_file, tls.key_file)
 
+    def bind(self, family, type, proto=0) -> socket.socket:
+        if self._listener is None:
+            return super().bind(family, type, proto)
+        self.socket = self._listener
+        self.bind_addr = self.resolve_real_bind_addr(self.socket)
+        return self.socket
+
     def process_conn(self, conn) -> None:
         if self._has_thread():
             super().process_conn(conn)
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -1,14 +1,13 @@
 """The messages that entries and agents send each other.
 
 Every message is one way and may be lost, late, doubled or out of order: the
-state machines at both ends are written for that. An envelope names the exact
-incarnation that sent it and the one it is meant for; a receiver drops what was
-meant for an earlier life of its instance.
+state machines at both ends are written for that.
 """
 
 import attrs
 
-from lavenderspoke.model import Call, Head, InstanceId, Standing
+from lavenderspoke.model import Call, Head, Standing
+from lavenderspoke.poison import CrashEvidence, Quarantined
 
 
 @attrs.frozen(kw_only=True)
@@ -285,29 +284,6 @@
     record: bytes
 
 
-@attrs.frozen(kw_only=True)
-class CrashEvidence:
-    """An agent tells that its upstream crashed and what ran in it.
-
-    `upstream` names the crashed upstream; the fingerprints cover content only,
-    so that a re-send under a new key is recognised.
-    """
-
-    service: str
-    upstream: str
-    crash_id: str
-    fingerprints: tuple[str, ...]
-
-
-@attrs.frozen(kw_only=True)
-class Quarantined:
-    """A fingerprint is refused everywhere for `ttl_s` from now."""
-
-    service: str
-    fingerprint: str
-    ttl_s: float
-
-
 @attrs.frozen(kw_only=True)
 class PrefixHeld:
     """An agent tells which prompt prefixes its upstream holds.
@@ -347,27 +323,6 @@
     keys: tuple[KeyRecord, ...] = ()
 
 
-@attrs.frozen(kw_only=True)
-class SharedState:
-    """An entry that dispatches directly tells the others what they share.
-
-    `running` maps upstream to the requests it has running there and their
-    unread prompt tokens; `waiting` and `held` map service to rows of customer
-    rank, route rank and count, of requests in line and at upstreams; `spent`
-    maps customer to what it let through since it started, without those for which
-    that is known. `refused` are the fingerprints of requests refused since the
-    last message, whose callers may come back anywhere.
-    """
-
-    address: str
-    running: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
-    held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
-    spent: dict[str, float] = attrs.field(factory=dict)
-    refused: tuple[str, ...] = ()
-    leaving: bool = False
-
-
 @attrs.frozen(kw_only=True)
 class LedgerTaken:
     """An agent has taken one part of a leaving agent's ledger."""
@@ -375,52 +330,6 @@
     part: int
 
 
-@attrs.frozen(kw_only=True)
-class RecordsAsked:
-    """An entry asks another what that knows of a topic of the platform's log.
-
-    `from_offset` is where the asker would read on, -1 when it knows nothing yet.
-    `asked_s` is on the asker's clock and comes back with the answer. `in_full` asks
-    for records of any size, since the asker can't read the log.
-    """
-
-    topic: str
-    from_offset: int
-    asked_s: float
-    in_full: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class RecordsTold:
-    """An entry's answer: the newest record of each key since the offset asked for.
-
-    `age_s` is the time since the log was asked for what this says; the asker counts
-    it back from `asked_s`, since the answer was put together after that. Records
-    are rows of key, value and offset, in order; the value is None where the key was
-    dropped. With `whole` these are all keys there are. With `too_large` there are
-    records that the asker had better read from the log itself.
-    """
-
-    topic: str
-    asked_s: float
-    age_s: float
-    next_offset: int
-    whole: bool
-    records: tuple[tuple[str, bytes | None, int], ...] = ()
-    too_large: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class RecordsNews:
-    """An entry tells that it has read records of a topic up to an offset.
-
-    Who knows less asks for them, which spares those that know them the bytes.
-    """
-
-    topic: str
-    next_offset: int
-
-
 Message = (
     Announce
     | EntryAnnounce
@@ -449,21 +358,4 @@
     | PrefixHeld
     | LedgerHandover
     | LedgerTaken
-    | SharedState
-    | RecordsAsked
-    | RecordsTold
-    | RecordsNews
 )
-
-
-@attrs.frozen(kw_only=True)
-class Envelope:
-    """A message with the incarnation that sent it and the one it is for.
-
-    `recipient` has an empty incarnation only in announcements, which are how
-    two daemons learn each other's.
-    """
-
-    sender: InstanceId
-    recipient: InstanceId
-    message: Message
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -3,10 +3,15 @@
 With `--check FILE...` it names every mistake in such settings files instead.
 """
 
-import argparse
+import os
 import signal
 import sys
 
+from lavenderspoke.platform import early
+
+SETTINGS_VARIABLE = "LAVENDERSPOKE_CONFIG"
+SETTINGS_DEFAULT = "/etc/lavenderspoke/node.conf"
+
 
 def main() -> int:
     """Run the entry, or check files; return the exit status."""
@@ -14,16 +19,24 @@
     # it: imports alone take some 0.2 s. The settings are read after this, so
     # there is nothing to reload yet. The daemon sets its own handler later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", nargs="+", metavar="FILE", help="settings files")
-    options = parser.parse_args()
-    if options.check:
-        from lavenderspoke.platform import settingsfile
-
-        return settingsfile.check(options.check)
+    if len(sys.argv) > 1:
+        return _check()
+    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_DEFAULT)
+    listener = early.listen(path)
+    # Loaded only now: callers can connect meanwhile.
     from lavenderspoke.platform import daemon
 
-    return daemon.main()
+    return daemon.run(path, listener)
+
+
+def _check() -> int:
+    import argparse
+
+    from lavenderspoke.platform import settingsfile
+
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", nargs="+", metavar="FILE", help="settings files")
+    return settingsfile.check(parser.parse_args().check or [])
 
 
 if __name__ == "__main__":
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -1,7 +1,7 @@
 """An entry on the platform: its settings, its feeds and its log, put together."""
 
-import os
 import signal
+import socket
 import sys
 import threading
 from random import Random
@@ -11,7 +11,8 @@
 
 from lavenderspoke.clock import BootClock, Clock
 from lavenderspoke.direct.daemon import DirectEntry
-from lavenderspoke.direct.relay import Peering, RecordsMessage, Relay
+from lavenderspoke.direct.messages import RecordsMessage
+from lavenderspoke.direct.relay import Peering, Relay
 from lavenderspoke.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.model import InstanceId
 from lavenderspoke.periodic import Periodic
@@ -23,8 +24,6 @@
 from lavenderspoke.supervisor import Part
 from lavenderspoke.util import UserError
 
-SETTINGS_VARIABLE = "LAVENDERSPOKE_CONFIG"
-SETTINGS_DEFAULT = "/etc/lavenderspoke/node.conf"
 # A thread's stack in bytes: with the standard eight megabytes, a hundred threads
 # count for far more than they use.
 STACK_BYTES = 512 * 1024
@@ -129,10 +128,12 @@
         self._entries.leave()
 
 
-def main() -> int:
-    """Run the entry and return its exit status."""
+def run(path: str, listener: socket.socket | None) -> int:
+    """Run the entry by the settings file at `path`; return its exit status.
+
+    Callers' connections may be waiting at `listener` already.
+    """
     threading.stack_size(STACK_BYTES)
-    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_DEFAULT)
     try:
         platform = read_settings(path)
     except UserError as error:
@@ -144,6 +145,7 @@
         clock = BootClock()
         entry = DirectEntry(
             settings=platform.direct,
+            listener=listener,
             dialect=PlatformDialect(),
             clock=clock,
             flush=lambda: stream.drain(LOG_DRAIN_S),
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -248,8 +248,7 @@
                 log.warning("entry's record skipped", key=record.key, error="address")
             else:
                 addresses[record.key] = decoded.ok_value.address
-        if addresses:
-            self._on_change(addresses)
+        self._on_change(addresses)
         return True
 
     def leave(self) -> None:
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -5,6 +5,7 @@
 
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
+from lavenderspoke.platform.settingslines import lines_of
 
 MS_PER_S = 1000.0
 
@@ -66,12 +67,7 @@
 
     Names that are not known are left alone: the platform adds some at times.
     """
-    values = {}
-    for line in text.splitlines():
-        name, separator, value = line.partition("=")
-        if separator and not line.lstrip().startswith("#"):
-            values[name.strip()] = value.strip()
-    reader = _Reader(values)
+    reader = _Reader(lines_of(text))
     settings = _settings(reader)
     if reader.mistakes:
         return Err(SettingsError(mistakes=tuple(reader.mistakes)))
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -12,9 +12,9 @@
 
 import attrs
 
-from lavenderspoke.messages import CrashEvidence, Quarantined
-from lavenderspoke.service import Poison
+from lavenderspoke import fieldrules
 
+DAY_S = 24 * 60 * 60.0
 CRASHES_MAX = 256
 ANSWERED_MAX = 4096
 # Crashes beyond the threshold after which content that can't be told apart is
@@ -22,6 +22,41 @@
 AMBIGUOUS_EXTRA = 2
 
 
+@attrs.frozen(kw_only=True)
+class Poison:
+    """After how many distinct crashed upstreams a request is refused."""
+
+    upstreams_threshold: int = attrs.field(
+        default=2, metadata=fieldrules.between(1, 100)
+    )
+    quarantine_s: float = attrs.field(
+        default=600.0, metadata=fieldrules.above(0, DAY_S)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class CrashEvidence:
+    """An agent tells that its upstream crashed and what ran in it.
+
+    `upstream` names the crashed upstream; the fingerprints cover content only,
+    so that a re-send under a new key is recognised.
+    """
+
+    service: str
+    upstream: str
+    crash_id: str
+    fingerprints: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Quarantined:
+    """A fingerprint is refused everywhere for `ttl_s` from now."""
+
+    service: str
+    fingerprint: str
+    ttl_s: float
+
+
 @attrs.frozen(kw_only=True)
 class _Crash:
     upstream: str
--- a/lavenderspoke/retrybudget.py
+++ b/lavenderspoke/retrybudget.py
@@ -6,12 +6,22 @@
 
 import math
 
-from lavenderspoke.service import RetryBudget
+import attrs
+
+from lavenderspoke import fieldrules
 
 # First tries count towards the budget for about this long.
 TIME_CONSTANT_S = 10.0
 
 
+@attrs.frozen(kw_only=True)
+class RetryBudget:
+    """Retries allowed as a ratio of first tries, and a floor a second."""
+
+    ratio: float = attrs.field(default=0.1, metadata=fieldrules.between(0, 10))
+    per_s_min: float = attrs.field(default=1.0, metadata=fieldrules.between(0, 10_000))
+
+
 class RetryAllowance:
     """The retries that one daemon may still spend for one service.
 
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -5,7 +5,9 @@
 import attrs
 from result import Result
 
-from lavenderspoke import schema, yamlnodes
+from lavenderspoke import fieldrules, schema, yamlnodes
+from lavenderspoke.poison import Poison
+from lavenderspoke.retrybudget import RetryBudget
 from lavenderspoke.upstream import OrderAction
 from lavenderspoke.util import Mistake
 
@@ -27,12 +29,12 @@
     `worth` is what one answer within its deadline is worth against others.
     """
 
-    name: str = attrs.field(metadata=schema.name() | schema.UNIQUE)
-    rank: int = attrs.field(metadata=schema.between(0, 1000) | schema.UNIQUE)
-    worth: float = attrs.field(default=1.0, metadata=schema.between(0, 1_000_000))
+    name: str = attrs.field(metadata=fieldrules.name() | fieldrules.UNIQUE)
+    rank: int = attrs.field(metadata=fieldrules.between(0, 1000) | fieldrules.UNIQUE)
+    worth: float = attrs.field(default=1.0, metadata=fieldrules.between(0, 1_000_000))
     deadline_s: float = attrs.field(
         default=30.0,
-        metadata=schema.above(0, DAY_S) | schema.not_above("deadline_max_s"),
+        metadata=fieldrules.above(0, DAY_S) | fieldrules.not_above("deadline_max_s"),
     )
 
 
@@ -44,20 +46,26 @@
     document holds no secret. `tiers` names the tiers it may use.
     """
 
-    name: str = attrs.field(metadata=schema.name() | schema.UNIQUE)
+    name: str = attrs.field(metadata=fieldrules.name() | fieldrules.UNIQUE)
     credential_sha256: str = attrs.field(
-        metadata=schema.matching("[0-9a-f]{64}", "64 hex digits, lower case, in quotes")
-        | schema.UNIQUE
+        metadata=fieldrules.matching(
+            "[0-9a-f]{64}", "64 hex digits, lower case, in quotes"
+        )
+        | fieldrules.UNIQUE
     )
     tiers: tuple[str, ...] = attrs.field(
-        metadata=schema.refers_to("tiers[].name") | schema.UNIQUE | schema.NOT_EMPTY
+        metadata=fieldrules.refers_to("tiers[].name")
+        | fieldrules.UNIQUE
+        | fieldrules.NOT_EMPTY
     )
-    weight: float = attrs.field(default=1.0, metadata=schema.above(0, 1_000_000))
+    weight: float = attrs.field(default=1.0, metadata=fieldrules.above(0, 1_000_000))
     requests_per_s: float | None = attrs.field(
-        default=None, metadata=schema.above(0, 1_000_000)
+        default=None, metadata=fieldrules.above(0, 1_000_000)
+    )
+    burst: int = attrs.field(default=100, metadata=fieldrules.between(1, 1_000_000))
+    waiting_max: int = attrs.field(
+        default=1000, metadata=fieldrules.between(1, 1_000_000)
     )
-    burst: int = attrs.field(default=100, metadata=schema.between(1, 1_000_000))
-    waiting_max: int = attrs.field(default=1000, metadata=schema.between(1, 1_000_000))
 
 
 @attrs.frozen(kw_only=True)
@@ -70,10 +78,11 @@
 
     kind: Kind
     labels: tuple[str, ...] = attrs.field(
-        metadata=schema.name() | schema.UNIQUE | schema.NOT_EMPTY
+        metadata=fieldrules.name() | fieldrules.UNIQUE | fieldrules.NOT_EMPTY
     )
     checks_fencing: tuple[str, ...] = attrs.field(
-        default=(), metadata=schema.refers_to("upstreams.labels[]") | schema.UNIQUE
+        default=(),
+        metadata=fieldrules.refers_to("upstreams.labels[]") | fieldrules.UNIQUE,
     )
 
 
@@ -85,7 +94,7 @@
     as its fencing number, until the upstream says that it is in force.
     """
 
-    label: str = attrs.field(metadata=schema.refers_to("upstreams.labels[]"))
+    label: str = attrs.field(metadata=fieldrules.refers_to("upstreams.labels[]"))
     action: OrderAction
     name: str
     version: str = ""
@@ -98,39 +107,25 @@
     # A re-send's claims must outlast an earlier attempt that still waits.
     lifetime_s: float = attrs.field(
         default=600.0,
-        metadata=schema.above(0, DAY_S) | schema.not_below("deadline_max_s"),
+        metadata=fieldrules.above(0, DAY_S) | fieldrules.not_below("deadline_max_s"),
     )
     bytes_max: int = attrs.field(
-        default=16 * 1024 * 1024, metadata=schema.between(0, GIB)
+        default=16 * 1024 * 1024, metadata=fieldrules.between(0, GIB)
     )
 
 
-@attrs.frozen(kw_only=True)
-class RetryBudget:
-    """Retries allowed as a ratio of first tries, and a floor a second."""
-
-    ratio: float = attrs.field(default=0.1, metadata=schema.between(0, 10))
-    per_s_min: float = attrs.field(default=1.0, metadata=schema.between(0, 10_000))
-
-
-@attrs.frozen(kw_only=True)
-class Poison:
-    """After how many distinct crashed upstreams a request is refused."""
-
-    upstreams_threshold: int = attrs.field(default=2, metadata=schema.between(1, 100))
-    quarantine_s: float = attrs.field(default=600.0, metadata=schema.above(0, DAY_S))
-
-
 @attrs.frozen(kw_only=True)
 class Waiting:
     """How much may wait in one entry for the service."""
 
-    requests_max: int = attrs.field(default=1000, metadata=schema.between(1, 1_000_000))
+    requests_max: int = attrs.field(
+        default=1000, metadata=fieldrules.between(1, 1_000_000)
+    )
     bytes_max: int = attrs.field(
-        default=32 * 1024 * 1024, metadata=schema.between(1, GIB)
+        default=32 * 1024 * 1024, metadata=fieldrules.between(1, GIB)
     )
     body_bytes_max: int = attrs.field(
-        default=1024 * 1024, metadata=schema.between(1, GIB)
+        default=1024 * 1024, metadata=fieldrules.between(1, GIB)
     )
 
 
@@ -142,22 +137,24 @@
     a warm upstream by the time that the saved prefill would take.
     """
 
-    block_tokens: int = attrs.field(default=16, metadata=schema.between(1, 4096))
+    block_tokens: int = attrs.field(default=16, metadata=fieldrules.between(1, 4096))
     prefill_tokens_per_s: float = attrs.field(
-        default=4000.0, metadata=schema.above(0, 10_000_000)
+        default=4000.0, metadata=fieldrules.above(0, 10_000_000)
     )
-    wait_max_s: float = attrs.field(default=0.5, metadata=schema.between(0, 60))
+    wait_max_s: float = attrs.field(default=0.5, metadata=fieldrules.between(0, 60))
 
 
 @attrs.frozen(kw_only=True)
 class Service:
     """One service, as its document says."""
 
-    name: str = attrs.field(metadata=schema.name())
+    name: str = attrs.field(metadata=fieldrules.name())
     upstreams: Upstreams
-    tiers: tuple[Tier, ...] = attrs.field(metadata=schema.NOT_EMPTY)
-    customers: tuple[Customer, ...] = attrs.field(metadata=schema.NOT_EMPTY)
-    deadline_max_s: float = attrs.field(default=300.0, metadata=schema.above(0, DAY_S))
+    tiers: tuple[Tier, ...] = attrs.field(metadata=fieldrules.NOT_EMPTY)
+    customers: tuple[Customer, ...] = attrs.field(metadata=fieldrules.NOT_EMPTY)
+    deadline_max_s: float = attrs.field(
+        default=300.0, metadata=fieldrules.above(0, DAY_S)
+    )
     keys: Keys = attrs.field(factory=Keys)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
     poison: Poison = attrs.field(factory=Poison)
--- a/lavenderspoke/transport.py
+++ b/lavenderspoke/transport.py
@@ -14,8 +14,8 @@
 import logbook
 import pynng
 
-from lavenderspoke.codec import MESSAGE_BYTES_MAX, CodecError, decode, encode
-from lavenderspoke.messages import Envelope
+from lavenderspoke.codec import MESSAGE_BYTES_MAX, Codec, CodecError
+from lavenderspoke.envelope import Envelope
 
 SEND_BUFFER_MESSAGES = 128
 RECEIVE_BUFFER_MESSAGES = 1024
@@ -61,12 +61,14 @@
         self,
         *,
         listen_address: str,
+        codec: Codec,
         on_message: Callable[[Envelope], None],
         on_bad_message: Callable[[CodecError], None] = lambda error: None,
         send_buffer_messages: int = SEND_BUFFER_MESSAGES,
     ):
         self.counters = TransportCounters()
         self._listen_address = listen_address
+        self._codec = codec
         self._on_message = on_message
         self._on_bad_message = on_bad_message
         self._send_buffer_messages = send_buffer_messages
@@ -106,7 +108,7 @@
         connection stands is kept. Later, with the peer away, messages are
         dropped at once: by the time it is back they would be stale.
         """
-        data = encode(envelope)
+        data = self._codec.encode(envelope)
         if len(data) > MESSAGE_BYTES_MAX:
             self.counters.dropped_large += 1
             return False
@@ -175,7 +177,7 @@
             self._deliver(data)
 
     def _deliver(self, data: bytes) -> None:
-        decoded = decode(data)
+        decoded = self._codec.decode(data)
         try:
             if decoded.is_err():
                 self.counters.bad += 1
