Keep limits when all entries are killed, and give what is left of them to the highest ranks

Cause: entries took a customer's window before their start as used evenly. It isn't: a customer that comes with all its load uses its whole window in a second. Ruled out: requests counted twice; entries that don't hear each other (all did).

Change: beside the window a bucket spreads the use, so at most its depth and the mean rate lie behind a start. What is tolerated beyond a limit is shared out: 0.2 all the time, 0.3 the bucket, 0.35 after a start. Each entry counts by rank; ranks below others get what these don't ask for, and a tenth in any case. What is given back is taken off the newest rows (subtracted as a row of its own, it allowed as much too much later). The last request before a limit may pass it by a fifth of the tolerated tokens.

--- a/features/direct_start.feature
+++ b/features/direct_start.feature
@@ -30,5 +30,5 @@
     in all; entries that hear each other at once haven't heard yet what each let through.
     Given 5 entries that start together, a limit of 1000 a second and 2000 tolerated
     When 12 requests of 100 come to each in the first instant
-    Then at most 2000 pass in all, and at least 1000
-    And after 1.2 s an entry may give out what is left of the limit alone
+    Then at most 2000 pass in all, and at least 500
+    And after 1.2 s an entry may give out a whole bucket alone
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -12,19 +12,20 @@
 class SharedState:
     """An entry that dispatches directly tells the others what they share.
 
-    `running` maps upstream to the requests it has running there and their
-    unread prompt tokens; `waiting` and `held` map service to rows of customer
-    rank, route rank and count, of requests in line and at upstreams; `spent`
-    maps customer to what it let through since it started, without those for which
-    that is known. `refused` are the fingerprints of requests refused since the
-    last message, whose callers may come back anywhere.
+    `running` maps upstream to the requests it has running there and their unread
+    prompt tokens; `waiting` and `held` map service to rows of customer rank, route
+    rank and count, of requests in line and at upstreams; `spent` maps customer to
+    rows of route rank, what the entry let through since it started and what was asked
+    for, without those customers for which that is known. `refused` are the
+    fingerprints of requests refused since the last message, whose callers may come
+    back anywhere.
     """
 
     address: str
     running: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
-    spent: dict[str, float] = attrs.field(factory=dict)
+    spent: dict[str, tuple[tuple[int, float, float], ...]] = attrs.field(factory=dict)
     refused: tuple[str, ...] = ()
     leaving: bool = False
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -18,7 +18,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
-from lavenderspoke.direct.quota import SharedQuota
+from lavenderspoke.direct.quota import Rows, SharedQuota
 from lavenderspoke.direct.scheduler import (
     RETRY_AFTER_MIN_S,
     RETURN_PART,
@@ -42,9 +42,9 @@
 ALL_SPENT_EVERY_S = 1.0
 # How long an entry keeps to its own part of customers' limits after its start, in
 # seconds. Requests that waited while all entries started come to all in the same
-# instant, and each would give out what the others give out too: with five entries and
-# 0.8 of the tolerance for each, four times what is tolerated.
-ALONE_S = 1.0
+# instant, and each would give out what the others give out too, before the messages of
+# the first 0.1 s say so.
+ALONE_S = 0.4
 # Time in seconds from which on all requests at an upstream's earlier start have been
 # broken off: their threads only have to wake up.
 RESTART_SETTLED_S = 0.2
@@ -88,7 +88,7 @@
         )
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
-        self._told_spent: dict[str, float] = {}
+        self._told_spent: dict[str, Rows] = {}
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
         self._known = 1
@@ -122,7 +122,7 @@
             if self._crashes.quarantined(service, fingerprint, now_s):
                 return Err(_not_run(Reason.CRASHES_UPSTREAMS, None))
             first_s = self._returns.take(fingerprint, now_s)
-            refused = self._spend(accepted, now_s)
+            refused = self._spend(accepted, now_s, returned=first_s is not None)
             if refused is not None:
                 # It is told when to come back, so it counts as one that did.
                 self._returns.refused(fingerprint, first_s or accepted.first_s)
@@ -131,17 +131,20 @@
             return Ok(accepted)
         return Ok(attrs.evolve(accepted, returned=True, first_s=first_s))
 
-    def _spend(self, accepted: Accepted, now_s: float) -> Problem | None:
+    def _spend(
+        self, accepted: Accepted, now_s: float, *, returned: bool
+    ) -> Problem | None:
         customer = accepted.customer
         if customer is None:
             return None
         cost = customer.cost(accepted.head.tokens)
-        if self._quota.spend(customer, cost, now_s=now_s):
+        rank = accepted.route.rank
+        if self._quota.spend(customer, cost, rank=rank, now_s=now_s, returned=returned):
             return None
-        wait_s = self._quota.wait_s(customer, cost, now_s=now_s)
+        wait_s = self._quota.wait_s(customer, cost, rank=rank, now_s=now_s)
         latest_s = max(0.0, (accepted.until_s - now_s) * RETURN_PART)
         after_s = min(max(RETRY_AFTER_MIN_S, wait_s), LIMIT_WAIT_MAX_S, latest_s)
-        detail = self._quota.explain(customer, cost, now_s=now_s)
+        detail = self._quota.explain(customer, cost, rank=rank, now_s=now_s)
         return _not_run(Reason.CUSTOMER_LIMIT, after_s, detail)
 
     def refused(self, accepted: Accepted, *, ran: Ran) -> None:
@@ -151,7 +154,8 @@
             customer = accepted.customer
             if ran is Ran.NO and customer is not None:
                 cost = customer.cost(accepted.head.tokens)
-                self._quota.refund(customer, cost, now_s=self._now_s())
+                rank, now_s = accepted.route.rank, self._now_s()
+                self._quota.refund(customer, cost, rank=rank, now_s=now_s)
 
     # Desk
 
@@ -338,7 +342,7 @@
             self._known = known
             self._share_retries()
 
-    def _spent_news(self) -> dict[str, float]:
+    def _spent_news(self) -> dict[str, Rows]:
         """Return what customers used in all, of those for which it changed."""
         now_s, before = self._now_s(), self._told_spent
         spent = self._told_spent = self._quota.spent()
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -1,32 +1,51 @@
 """Customers' limits, shared by all entries without a call for each request.
 
 A limit counts over a sliding window: in any `window_s`, a customer may use what
-its rate gives in that time and its burst. Every entry counts its own requests
-at once, and those of the other entries when they tell of them, several times a
-second.
+its rate gives in that time and its burst, and a part of what the platform tolerates
+beyond that. Every entry counts its own requests at once, and those of the other
+entries when they tell of them, several times a second.
+
+Two things are added to the window. Use is spread: beside the window there is a bucket
+as deep as the burst or less, which empties at the window's mean rate. A customer that
+uses its whole window in the first second gets nothing for the seven after it; and an
+entry that starts can't know whether that second lies just behind it. And what is left
+of a limit goes to the highest ranks first, as places at upstreams do: spent in order of
+arrival, cheap requests of low ranks use up what the highest is then refused.
 
 An entry that doesn't hear some peers can't know what they let through. Each
 side then keeps to its part of the limit, so that the sum over all entries stays
 within it, however they are cut off from each other.
 
-An entry that has just started knows nothing of the window before, in which a
-customer may have used all of its limit, burst included. It takes the limit as
-used evenly and gives out the part that has come free since its start, or most of
-what the platform tolerates beyond the limit, if that is more. Giving out the whole
-burst at once, after a restart of all entries, let a customer have 1.3 times its
-limit in one window; giving out nothing at first refuses customers that are well
-within it.
+An entry that has just started knows nothing of the window before. Since use is
+spread, at most the bucket and the mean rate's part of it lie behind the start, so
+what comes free may be given out, and beyond it a part of what the platform tolerates.
 """
 
-from collections import deque
-
 import attrs
 
 from lavenderspoke.direct.catalog import Customer
-
-# The part of what the platform tolerates that an entry gives out after its start;
-# the rest is for what peers let through before they tell of it.
-TOLERATED_PART = 0.8
+from lavenderspoke.direct.usage import Usage
+
+# What the platform tolerates beyond a limit is shared out so that all entries may be
+# killed at any moment: what they give out all the time, what the bucket's depth may
+# have let through just before, and what they give out after the start. The rest is for
+# what they let through before they hear of each other's.
+STEADY_PART = 0.2
+DEPTH_PART = 0.3
+START_PART = 0.35
+# Entries tell each other less often the more they are: with so many more, what they
+# let through unknown to each other doubles, and the part above halves.
+STEADY_ENTRIES = 6
+# The least depth of the bucket, in seconds of the customer's rate.
+DEPTH_MIN_S = 0.5
+# The part of a limit that ranks below others have in any case, so that none starves.
+LOWER_PART = 0.1
+# How far ranks below others may fill the bucket: the highest must find room in it.
+LOWER_DEPTH = 0.5
+# The part of the tolerated tokens by which the last request before the limit may pass
+# it: without that, requests near a limit that is used up pass by their size, and the
+# largest of them never.
+LAST_PART = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -38,25 +57,15 @@
 
     def of(self, customer: Customer, limit: float) -> float:
         """Return what is tolerated beyond a customer's limit."""
-        return limit * self.part + (self.tokens if customer.counts_tokens else 0.0)
-
+        return limit * self.part + self.of_tokens(customer)
 
-@attrs.define(kw_only=True)
-class _Window:
-    """What a customer used lately: rows of time and amount, and their sum."""
+    def of_tokens(self, customer: Customer) -> float:
+        """Return the tokens tolerated, 0 where the limit counts requests."""
+        return self.tokens if customer.counts_tokens else 0.0
 
-    since_s: float
-    spent: float = 0.0
-    used: float = 0.0
-    rows: deque = attrs.field(factory=deque)
 
-    def add(self, amount: float, now_s: float) -> None:
-        self.rows.append((now_s, amount))
-        self.used += amount
-
-    def forget(self, before_s: float) -> None:
-        while self.rows and self.rows[0][0] <= before_s:
-            self.used -= self.rows.popleft()[1]
+Rows = tuple[tuple[int, float, float], ...]
+"""Rank, what an entry let through of it and what was asked for, since its start."""
 
 
 class SharedQuota:
@@ -66,18 +75,19 @@
     >>> customer = Customer(name="c", keys=(), rank=0, per_s=2.0, burst=3.0,
     ...     counts_tokens=False, plain_tokens=0)
     >>> quota.reconfigure((customer,), now_s=0.0)
-    >>> [quota.spend(customer, 1.0, now_s=5.0) for _ in range(6)][-2:]
-    [True, False]
-    >>> quota.spend(customer, 1.0, now_s=6.5)
+    >>> [quota.spend(customer, 1.0, rank=0, now_s=5.0) for _ in range(4)]
+    [True, True, True, False]
+    >>> quota.spend(customer, 1.0, rank=0, now_s=6.5)
     True
     """
 
     def __init__(self, *, window_s: float, tolerance: Tolerance = Tolerance()):
         self._window_s = window_s
         self._tolerance = tolerance
-        self._windows: dict[str, _Window] = {}
+        self._usages: dict[str, Usage] = {}
         self._part = 1.0
-        self._heard: dict[tuple[str, str], dict[str, float]] = {}
+        self._entries = 1
+        self._heard: dict[tuple[str, str], dict[str, Rows]] = {}
 
     def reconfigure(self, customers: tuple[Customer, ...], *, now_s: float) -> None:
         """Count for each customer, also for those not seen here yet.
@@ -87,7 +97,7 @@
         """
         for customer in customers:
             if customer.per_s > 0.0:
-                self._window(customer, now_s)
+                self._usage(customer, now_s)
 
     def count_over(self, window_s: float, tolerance: Tolerance) -> None:
         """Count limits over windows of another length from now on."""
@@ -96,92 +106,147 @@
 
     def share(self, *, heard: int, known: int) -> None:
         """Set how many of the known entries, this one included, are heard."""
-        self._part = heard / max(1, known)
-
-    def spend(self, customer: Customer, cost: float, *, now_s: float) -> bool:
-        """Count a request, or return False when it exceeds the limit."""
+        self._entries = max(1, known)
+        self._part = heard / self._entries
+
+    def spend(
+        self,
+        customer: Customer,
+        cost: float,
+        *,
+        rank: int,
+        now_s: float,
+        returned: bool = False,
+    ) -> bool:
+        """Count a request, or return False when it exceeds the limit.
+
+        One that was refused and has `returned` asks for what it asked for before.
+        """
         if customer.per_s <= 0.0:
             return True
-        window = self._window(customer, now_s)
-        if window.used + cost > self._limit(customer, window, now_s):
+        usage = self._usage(customer, now_s)
+        if not returned:
+            usage.ask(rank, cost, now_s)
+        if self._over(customer, usage, cost, rank, now_s) > 0.0:
+            return False
+        if self._is_full_up(customer, usage, rank):
             return False
-        window.add(cost, now_s)
-        window.spent += cost
+        usage.spend(rank, cost, now_s)
         return True
 
-    def refund(self, customer: Customer, cost: float, *, now_s: float) -> None:
+    def refund(
+        self, customer: Customer, cost: float, *, rank: int, now_s: float
+    ) -> None:
         """Give back the cost of a request that never ran."""
-        if customer.per_s > 0.0 and customer.name in self._windows:
-            window = self._windows[customer.name]
-            window.add(-cost, now_s)
-            window.spent -= cost
+        if customer.per_s > 0.0 and customer.name in self._usages:
+            self._usage(customer, now_s).refund(rank, cost)
 
-    def wait_s(self, customer: Customer, cost: float, *, now_s: float) -> float:
+    def wait_s(
+        self, customer: Customer, cost: float, *, rank: int, now_s: float
+    ) -> float:
         """Return in how many seconds a request of that cost could pass."""
         if customer.per_s <= 0.0:
             return 0.0
-        window = self._window(customer, now_s)
-        over = window.used + cost - self._limit(customer, window, now_s)
-        if over <= 0.0:
-            return 0.0
-        for at_s, amount in window.rows:
-            over -= amount
-            if over <= 0.0:
-                return max(0.0, at_s + self._window_s - now_s)
-        return self._window_s
-
-    def explain(self, customer: Customer, cost: float, *, now_s: float) -> str:
+        usage = self._usage(customer, now_s)
+        over = self._over(customer, usage, cost, rank, now_s)
+        wait_s = usage.frees_s(over, now_s, self._window_s)
+        if self._is_full_up(customer, usage, rank):
+            excess = usage.level - self._depth(customer, usage, rank)
+            wait_s = max(wait_s, excess / self._mean_per_s(customer))
+        return min(wait_s, self._window_s)
+
+    def explain(
+        self, customer: Customer, cost: float, *, rank: int, now_s: float
+    ) -> str:
         """Return why a request exceeds the limit, for the log."""
-        window = self._window(customer, now_s)
-        limit = self._limit(customer, window, now_s)
+        usage = self._usage(customer, now_s)
+        limit = self._limit(customer, usage, now_s)
         return (
-            f"{window.used:.0f} used in {self._window_s:g} s and {cost:.0f} asked, "
-            f"of {limit:.0f}; {self._part:.2f} of the entries are heard"
+            f"{usage.used():.0f} used in {self._window_s:g} s and {cost:.0f} asked, "
+            f"of {limit:.0f}, {usage.asked_above(rank):.0f} by ranks above; "
+            f"{usage.level:.0f} at once of {self._depth(customer, usage, rank):.0f}; "
+            f"{self._part:.2f} of the entries are heard"
         )
 
-    def spent(self) -> dict[str, float]:
-        """Return what this entry has let through since it started."""
-        return {name: window.spent for name, window in self._windows.items()}
+    def spent(self) -> dict[str, Rows]:
+        """Return what this entry has let through since it started, by customer."""
+        return {name: usage.totals() for name, usage in self._usages.items()}
 
     def peer_spent(
-        self, name: str, incarnation: str, spent: dict[str, float], *, now_s: float
+        self, name: str, incarnation: str, spent: dict[str, Rows], *, now_s: float
     ) -> None:
         """Take in what a peer has let through since its incarnation started.
 
         Customers that a message leaves out have used nothing since the one before.
         """
         before = self._heard.get((name, incarnation))
-        for customer, total in spent.items():
-            window = self._windows.get(customer)
-            if window is None:
+        for customer, rows in spent.items():
+            usage = self._usages.get(customer)
+            if usage is None:
                 continue
-            if before is None and not self._is_full(window, now_s):
+            usage.pass_time(now_s, self._window_s)
+            if before is None and not usage.is_full(now_s, self._window_s):
                 # What a peer let through before this entry knew of it is in the
                 # part of the window that counts as used. Added up as if all of it
                 # had just passed, hours of use would close the limit for a window
                 # at every entry that starts.
                 continue
-            added = total - (before or {}).get(customer, 0.0)
-            if added:
-                window.add(added, now_s)
+            usage.add_peer((before or {}).get(customer, ()), rows, now_s)
         for key in [each for each in self._heard if each[0] == name]:
             del self._heard[key]
         self._heard[name, incarnation] = (before or {}) | spent
 
-    def _window(self, customer: Customer, now_s: float) -> _Window:
-        window = self._windows.get(customer.name)
-        if window is None:
-            window = self._windows[customer.name] = _Window(since_s=now_s)
-        window.forget(now_s - self._window_s)
-        return window
-
-    def _is_full(self, window: _Window, now_s: float) -> bool:
-        return now_s - window.since_s >= self._window_s
-
-    def _limit(self, customer: Customer, window: _Window, now_s: float) -> float:
-        limit = customer.per_s * self._window_s + customer.burst
-        if not self._is_full(window, now_s):
-            free = limit * (now_s - window.since_s) / self._window_s
-            tolerated = self._tolerance.of(customer, limit) * TOLERATED_PART
-            limit = min(limit, max(free, tolerated))
+    def _usage(self, customer: Customer, now_s: float) -> Usage:
+        usage = self._usages.get(customer.name)
+        if usage is None:
+            usage = self._usages[customer.name] = Usage(since_s=now_s, at_s=now_s)
+        usage.empties_per_s = self._mean_per_s(customer) * self._part
+        usage.pass_time(now_s, self._window_s)
+        return usage
+
+    def _over(
+        self, customer: Customer, usage: Usage, cost: float, rank: int, now_s: float
+    ) -> float:
+        """Return by how much a request exceeds what its rank may use."""
+        limit = self._limit(customer, usage, now_s)
+        allowed = max(limit - usage.asked_above(rank), limit * LOWER_PART)
+        over = max(usage.used() - limit, usage.used_from(rank) - allowed) + cost
+        return over - min(cost, self._tolerance.of_tokens(customer) * LAST_PART)
+
+    def _is_full_up(self, customer: Customer, usage: Usage, rank: int) -> bool:
+        return usage.level >= max(1e-9, self._depth(customer, usage, rank))
+
+    def _depth(self, customer: Customer, usage: Usage, rank: int) -> float:
+        depth = self._whole_depth(customer) * self._part
+        has_its_part = (
+            usage.used_from(rank) > self._whole(customer) * LOWER_PART * self._part
+        )
+        if usage.asked_above(rank) > 0.0 and has_its_part:
+            return depth * LOWER_DEPTH
+        return depth
+
+    def _whole_depth(self, customer: Customer) -> float:
+        tolerated = self._tolerance.of(customer, self._whole(customer))
+        depth = min(customer.burst, tolerated * DEPTH_PART)
+        return max(depth, customer.per_s * DEPTH_MIN_S)
+
+    def _limit(self, customer: Customer, usage: Usage, now_s: float) -> float:
+        limit = self._steady(customer)
+        if not usage.is_full(now_s, self._window_s):
+            free = limit * (now_s - usage.since_s) / self._window_s
+            tolerated = self._tolerance.of(customer, self._whole(customer))
+            limit = min(limit, free + tolerated * START_PART)
         return limit * self._part
+
+    def _whole(self, customer: Customer) -> float:
+        return customer.per_s * self._window_s + customer.burst
+
+    def _steady(self, customer: Customer) -> float:
+        """Return what a window may hold with a part of what is tolerated."""
+        whole = self._whole(customer)
+        tolerated = self._tolerance.of(customer, whole)
+        part = STEADY_PART / (1 + self._entries // STEADY_ENTRIES)
+        return whole + tolerated * part
+
+    def _mean_per_s(self, customer: Customer) -> float:
+        return self._steady(customer) / self._window_s
