--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -524,7 +524,7 @@
 
         context.streams = [send("entry-1", number) for number in range(count)]
         wait_until(lambda: len(platform.runs()) == count, WAIT_S, "streams run")
-        wait_until(lambda: heard(platform, "entry-2"), WAIT_S, "entries hear")
+        wait_until(lambda: hears(platform, "entry-2", count), WAIT_S, "entries hear")
         context.streams += [send("entry-2", count + number) for number in range(more)]
         while not all(each.done() for each in context.streams):
             runs = [r for r in platform.runs() if r["end"] == "broken"]
@@ -539,8 +539,8 @@
     assert context.most == 4, context.most
 
 
-def heard(platform: PlatformDeployment, name: str) -> bool:
-    """Return whether an entry has been told of the running streams for a while."""
-    time.sleep(0.2)
+def hears(platform: PlatformDeployment, name: str, count: int) -> bool:
+    """Return whether an entry knows that so many streams run at the other."""
     url = f"http://{HOST}:{platform.entries[name].readiness}/metrics"
-    return b'gossip_total{reason="sent"}' in urllib3.request("GET", url).data
+    page = urllib3.request("GET", url).data.decode()
+    return f"lavenderspoke_direct_peers_running {count}\n" in page
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -43,13 +43,14 @@
 # How long an entry keeps to its own part of customers' limits after its start, in
 # seconds. Requests that waited while all entries started come to all in the same
 # instant, and each would give out what the others give out too, before the messages of
-# the first 0.1 s say so.
-ALONE_S = 0.4
+# the first 0.1 s say so. Longer, it refuses customers whose callers come unevenly.
+ALONE_S = 0.2
 # Time in seconds from which on all requests at an upstream's earlier start have been
 # broken off: their threads only have to wake up.
 RESTART_SETTLED_S = 0.2
 ATTEMPTS = "direct_attempts"
 RETRIES = "direct_retries"
+PEERS_RUNNING = "direct_peers_running"
 
 log = logbook.Logger(__name__)
 
@@ -292,6 +293,9 @@
             self._share(now_s)
             self._note_crashes(now_s)
             self._scheduler.tick(now_s)
+            lines = self._scheduler.lines().values()
+            running = sum(line.pool.peers_running() for line in lines)
+        self._metrics.gauge(PEERS_RUNNING, running)
 
     def peer_addresses(self) -> dict[str, str]:
         """Return where the other entries listen, by name."""
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -138,6 +138,10 @@
         """Return how many requests run, this entry's own and its peers'."""
         return sum(len(s.own) + s.peers.requests for s in self._seats.values())
 
+    def peers_running(self) -> int:
+        """Return how many requests of the other entries run, as far as they said."""
+        return sum(seat.peers.requests for seat in self._seats.values())
+
     def running(self) -> dict[str, Running]:
         """Return this entry's own requests by upstream."""
         return {key: seat.running() for key, seat in self._seats.items() if seat.own}
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -6,11 +6,11 @@
 entries when they tell of them, several times a second.
 
 Two things are added to the window. Use is spread: beside the window there is a bucket
-as deep as the burst or less, which empties at the window's mean rate. A customer that
-uses its whole window in the first second gets nothing for the seven after it; and an
-entry that starts can't know whether that second lies just behind it. And what is left
-of a limit goes to the highest ranks first, as places at upstreams do: spent in order of
-arrival, cheap requests of low ranks use up what the highest is then refused.
+that empties at the window's mean rate. A customer that uses its whole window in the
+first second gets nothing for the seven after it; and an entry that starts can't know
+whether that second lies just behind it. And what is left of a limit goes to the highest
+ranks first, as places at upstreams do: spent in order of arrival, cheap requests of low
+ranks use up what the highest is then refused.
 
 An entry that doesn't hear some peers can't know what they let through. Each
 side then keeps to its part of the limit, so that the sum over all entries stays
@@ -227,8 +227,7 @@
 
     def _whole_depth(self, customer: Customer) -> float:
         tolerated = self._tolerance.of(customer, self._whole(customer))
-        depth = min(customer.burst, tolerated * DEPTH_PART)
-        return max(depth, customer.per_s * DEPTH_MIN_S)
+        return max(tolerated * DEPTH_PART, customer.per_s * DEPTH_MIN_S)
 
     def _limit(self, customer: Customer, usage: Usage, now_s: float) -> float:
         limit = self._steady(customer)
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -34,6 +34,9 @@
 # Entries that read the store while others ask them: one more than is needed, so
 # that the loss of one costs nothing.
 READERS = 2
+# How long others count as relying on this entry after they asked, in seconds: longer
+# than an entry that the store turns away takes between two questions.
+ASKED_FOR_S = 5.0
 # Records that are passed on to an entry that can read the store, in bytes. A
 # configuration of hundreds of routes has a hundred kilobytes; a dozen entries that
 # ask for it at once would fill the link of a small instance, 5 Mbit/s, for seconds.
@@ -153,6 +156,7 @@
         self._random = random
         self._feeds: dict[str, Follower] = {}
         self._was_following = False
+        self._asked_s = float("-inf")
 
     def serve(self, feed: Follower) -> None:
         """Answer for a feed's topic, and pass answers on to it."""
@@ -167,7 +171,12 @@
         return following
 
     def is_asked(self) -> bool:
-        """Return whether others rely on what this entry reads."""
+        """Return whether others rely on what this entry reads.
+
+        Also one that reads itself asks, once the store turns it away.
+        """
+        if self._clock.monotonic_s() < self._asked_s + ASKED_FOR_S:
+            return True
         return len(self._peering.heard()) >= READERS and not self.follows()
 
     def ask_reader(self, topic: str) -> None:
@@ -212,6 +221,7 @@
             if message.next_offset > (feed.shelf.next_offset or 0):
                 self._ask(feed.topic, [sender.name], in_full=False)
         elif isinstance(message, RecordsAsked):
+            self._asked_s = self._clock.monotonic_s()
             told = feed.shelf.told(message, self._clock.monotonic_s())
             if told is not None:
                 self._peering.tell(sender.name, told)
