Keep reads often enough for keys where a configuration may take long; two mends of restarts

Cause: found by reading. Waits followed from the time in which a configuration must be in force alone: at 30 s, reads would wait 22 s, and keys are honoured for 4.6 s. Connections that a request opened to an upstream after it had left the list were kept for good. A port of ten digits whose first six are small passed as a port.

Change: the waits follow from the lesser of that time and 0.4 of the keys' time; all connections of upstreams that aren't listed go; a port has five digits at most (a row of the scenario on other writers' records). No change where the figures are 2 s and 5 s.

--- a/features/upstream_restarts.feature
+++ b/features/upstream_restarts.feature
@@ -54,6 +54,7 @@
       | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":999999,"state":"ready"}   |
       | {"service":"s","address":"10.0.0.9:0","zone":"z","slots":4,"state":"ready"}         |
       | {"service":"s","address":"10.0.0.9:99999","zone":"z","slots":4,"state":"ready"}     |
+      | {"service":"s","address":"10.0.0.9:0000099999","zone":"z","slots":4,"state":"ready"} |
       | {"service":"s","address":"10.0.0.9:-1","zone":"z","slots":4,"state":"ready"}        |
       | {"service":"s","address":"engine-9:80","zone":"z","slots":4,"state":"ready"}        |
       | {"service":"s","address":"0.0.0.0:80","zone":"z","slots":4,"state":"ready"}         |
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -225,17 +225,17 @@
             self._scheduler.reconfigure(upstreams, now_s)
             listed = {each.upstream_id: each for each in upstreams}
             names = {each.name for each in upstreams}
-            left = [each for key, each in self._listed.items() if key not in listed]
-            restarted = [each for each in left if each.name in names]
+            restarted = [
+                each
+                for key, each in self._listed.items()
+                if key not in listed and each.name in names
+            ]
             self._listed = listed
             self._restarted += [
                 _Restarted(upstream=each, at_s=now_s) for each in restarted
             ]
-            pools = {
-                each.upstream_id: self._connections.pop(each.upstream_id)
-                for each in left
-                if each.upstream_id in self._connections
-            }
+            left = [each for each in self._connections if each not in listed]
+            pools = {each: self._connections.pop(each) for each in left}
         for pool in pools.values():
             pool.close()
         for upstream in restarted:
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -13,6 +13,7 @@
 from lavenderspoke.direct.daemon import DirectEntry
 from lavenderspoke.direct.messages import RecordsMessage
 from lavenderspoke.direct.relay import Peering, Relay
+from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.model import InstanceId
 from lavenderspoke.periodic import Periodic
@@ -30,6 +31,8 @@
 # Time between two looks at the settings file, in seconds: it may change without
 # a signal, and nothing in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
+# The part of the time for which keys may go on that one wait for news is taken from.
+KEYS_PART = 0.4
 # How long the last lines may take to be written at the stop, in seconds.
 LOG_DRAIN_S = 0.3
 
@@ -64,6 +67,15 @@
         log.info("settings reloaded", bounds=attrs.asdict(changed.direct.bounds))
 
 
+def _apply_s(bounds: Bounds) -> float:
+    """Return how long a configuration may take to be in force, in seconds.
+
+    Where the platform allows long, reads must still come often enough for keys: two
+    waits, each up to 0.75 of this, and a lost answer fit into what they last.
+    """
+    return min(bounds.apply_s, bounds.revoke_s * KEYS_PART)
+
+
 class PlatformFeeds:
     """Follows the platform's store for one entry."""
 
@@ -89,7 +101,7 @@
             store=Store(address=settings.store),
             clock=clock,
             relay=self._relay,
-            apply_s=settings.direct.bounds.apply_s,
+            apply_s=_apply_s(settings.direct.bounds),
             in_force=entry.in_force,
             on_change=entry.catalog_changed,
         )
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -108,7 +108,8 @@
 
 
 def _is_port(text: str) -> bool:
-    return text.isascii() and text.isdigit() and 1 <= int(text[:6]) <= PORT_MAX
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(PORT_MAX))
+    return is_number and 1 <= int(text) <= PORT_MAX
 
 
 def _skip(reason: Skipped, detail: str) -> Err[SkippedRecord]:
