Let a burst pass at once where requests are counted

Cause: found by reading (the example in the class's doc failed): the bucket's depth follows from what is tolerated, which for limits in requests is next to nothing, so a burst of three passed one by one. Limits in tokens are unchanged.

Change: there the bucket is as deep as the burst.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -76,6 +76,13 @@
     When an entry that let 90 a second through for 60 s is heard by one that starts
     Then 2 s after its start a request of 100 passes there
 
+  Scenario: A burst where requests are counted
+    A customer may send 2 requests a second and 3 at once; its callers do so after a
+    pause. Nothing is tolerated beyond that, and the burst must pass all the same.
+    Given entries that share a limit of 2 requests a second and a burst of 3
+    When 5 requests come at once, 8 s after the start
+    Then 3 of them pass
+
   Scenario: What never ran is given back
     Given entries that share a limit of 100 a second and a burst of 300
     When a request of 250 passes and is given back
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import attrs
 from behave import given, then, when
 
 from lavenderspoke.direct.catalog import Customer
@@ -34,6 +35,28 @@
     context.tolerance = Tolerance()
 
 
+@given(
+    "entries that share a limit of {per_s:d} requests a second and a burst of {burst:d}"
+)
+def step_request_limit(context, per_s, burst):
+    step_limit(context, per_s, burst)
+    context.customer = attrs.evolve(context.customer, counts_tokens=False)
+
+
+@when("{count:d} requests come at once, {seconds:d} s after the start")
+def step_requests_at_once(context, count, seconds):
+    quota = new_quota(context, 0.0)
+    context.passed_at_once = sum(
+        quota.spend(context.customer, 1.0, rank=0, now_s=float(seconds))
+        for _ in range(count)
+    )
+
+
+@then("{count:d} of them pass")
+def step_of_them(context, count):
+    assert context.passed_at_once == count, context.passed_at_once
+
+
 @given("the platform tolerates a tenth and {tokens:d} more")
 def step_tolerance(context, tokens):
     context.tolerance = Tolerance(part=0.1, tokens=float(tokens))
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -231,7 +231,10 @@
 
     def _whole_depth(self, customer: Customer) -> float:
         tolerated = self._tolerance.of(customer, self._whole(customer))
-        return max(tolerated * DEPTH_PART, customer.per_s * DEPTH_MIN_S)
+        depth = max(tolerated * DEPTH_PART, customer.per_s * DEPTH_MIN_S)
+        # Where requests are counted next to nothing is tolerated, and a bucket that
+        # follows from it would refuse the burst which the operators allow at once.
+        return depth if customer.counts_tokens else max(depth, customer.burst)
 
     def _limit(self, customer: Customer, usage: Usage, now_s: float) -> float:
         limit = self._steady(customer)
