Keep one copy of the longest time of a field, of the rows of use and of the callers' address name

Cause: found by reading the whole change. DAY_S stood in two modules, the type of a customer's rows in three, and the settings' name of the callers' address in two; one comment gave 0.2 s for loading, another 0.4 s.

Change: each stands once, in fieldrules, usage and settingslines.

--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from lavenderspoke.direct.usage import Rows
 from lavenderspoke.poison import CrashEvidence
 
 
@@ -25,7 +26,7 @@
     running: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
-    spent: dict[str, tuple[tuple[int, float, float], ...]] = attrs.field(factory=dict)
+    spent: dict[str, Rows] = attrs.field(factory=dict)
     refused: tuple[str, ...] = ()
     leaving: bool = False
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -18,7 +18,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
-from lavenderspoke.direct.quota import Rows, SharedQuota
+from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.scheduler import (
     RETRY_AFTER_MIN_S,
     RETURN_PART,
@@ -28,6 +28,7 @@
 )
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns
+from lavenderspoke.direct.usage import Rows
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.poison import CrashEvidence
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -28,7 +28,7 @@
 import attrs
 
 from lavenderspoke.direct.catalog import Customer
-from lavenderspoke.direct.usage import Usage
+from lavenderspoke.direct.usage import Rows, Usage
 
 # What the platform tolerates beyond a limit is shared out so that all entries may be
 # killed at any moment: what they give out all the time, what the bucket's depth may
@@ -68,10 +68,6 @@
         return self.tokens if customer.counts_tokens else 0.0
 
 
-Rows = tuple[tuple[int, float, float], ...]
-"""Rank, what an entry let through of it and what was asked for, since its start."""
-
-
 class SharedQuota:
     """The limits as one entry counts them; times are seconds.
 
--- a/lavenderspoke/direct/usage.py
+++ b/lavenderspoke/direct/usage.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+Rows = tuple[tuple[int, float, float], ...]
+"""Rank, what an entry let through of it and what was asked for, since its start."""
+
 
 @attrs.define(kw_only=True)
 class _Window:
@@ -99,12 +102,12 @@
         self._own_used[rank] -= cost
         self.level = max(0.0, self.level - cost)
 
-    def totals(self) -> tuple[tuple[int, float, float], ...]:
+    def totals(self) -> Rows:
         """Return rank, used and asked for of this entry, since its start."""
         ranks = sorted({*self._own_used, *self._own_asked})
         return tuple((r, self._own_used[r], self._own_asked[r]) for r in ranks)
 
-    def add_peer(self, before: tuple, after: tuple, now_s: float) -> None:
+    def add_peer(self, before: Rows, after: Rows, now_s: float) -> None:
         """Add what a peer's totals have grown by."""
         known = {rank: (used, asked) for rank, used, asked in before}
         for rank, used, asked in after:
--- a/lavenderspoke/fieldrules.py
+++ b/lavenderspoke/fieldrules.py
@@ -16,6 +16,9 @@
 
 NAME = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
 
+DAY_S = 24 * 60 * 60.0
+"""The longest time that a field may name, in seconds."""
+
 UNIQUE = {"unique": True}
 NOT_EMPTY = {"not_empty": True}
 
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -17,7 +17,7 @@
 def main() -> int:
     """Run the entry, or check files; return the exit status."""
     # The platform may send SIGHUP while the process still starts, and would end
-    # it: imports alone take some 0.2 s. The settings are read after this, so
+    # it: loading takes some 0.4 s. The settings are read after this, so
     # there is nothing to reload yet. The daemon sets its own handler later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(sys.argv) > 1:
--- a/lavenderspoke/platform/early.py
+++ b/lavenderspoke/platform/early.py
@@ -9,9 +9,8 @@
 
 import socket
 
-from lavenderspoke.platform.settingslines import lines_of
+from lavenderspoke.platform.settingslines import CALLERS_ADDRESS, lines_of
 
-CALLERS = "listen.frontend"
 # Connections that may wait. One instance gets some hundred a second at most.
 BACKLOG_CONNECTIONS = 512
 
@@ -24,7 +23,7 @@
     try:
         with open(path) as file:
             values = lines_of(file.read())
-        host, _, port = values.get(CALLERS, "").rpartition(":")
+        host, _, port = values.get(CALLERS_ADDRESS, "").rpartition(":")
         return socket.create_server((host, int(port)), backlog=BACKLOG_CONNECTIONS)
     except (OSError, ValueError):
         return None
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -5,7 +5,7 @@
 
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
-from lavenderspoke.platform.settingslines import lines_of
+from lavenderspoke.platform.settingslines import CALLERS_ADDRESS, lines_of
 
 MS_PER_S = 1000.0
 
@@ -94,7 +94,7 @@
     direct = DirectSettings(
         name=reader.text("node-name"),
         data_centre=reader.text("zone"),
-        callers=reader.address("listen.frontend"),
+        callers=reader.address(CALLERS_ADDRESS),
         readiness=reader.address("listen.readiness"),
         peers=Address(host=reader.text("ip"), port=ports[0]),
         bounds=bounds,
--- a/lavenderspoke/platform/settingslines.py
+++ b/lavenderspoke/platform/settingslines.py
@@ -1,5 +1,7 @@
 """The lines of the platform's settings file, taken apart."""
 
+CALLERS_ADDRESS = "listen.frontend"
+
 
 def lines_of(text: str) -> dict[str, str]:
     """Return the values by name; comments and lines without a value are left out.
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -14,7 +14,6 @@
 
 from lavenderspoke import fieldrules
 
-DAY_S = 24 * 60 * 60.0
 CRASHES_MAX = 256
 ANSWERED_MAX = 4096
 # Crashes beyond the threshold after which content that can't be told apart is
@@ -30,7 +29,7 @@
         default=2, metadata=fieldrules.between(1, 100)
     )
     quarantine_s: float = attrs.field(
-        default=600.0, metadata=fieldrules.above(0, DAY_S)
+        default=600.0, metadata=fieldrules.above(0, fieldrules.DAY_S)
     )
 
 
--- a/lavenderspoke/service.py
+++ b/lavenderspoke/service.py
@@ -11,7 +11,6 @@
 from lavenderspoke.upstream import OrderAction
 from lavenderspoke.util import Mistake
 
-DAY_S = 24 * 60 * 60.0
 GIB = 1024**3
 
 
@@ -34,7 +33,8 @@
     worth: float = attrs.field(default=1.0, metadata=fieldrules.between(0, 1_000_000))
     deadline_s: float = attrs.field(
         default=30.0,
-        metadata=fieldrules.above(0, DAY_S) | fieldrules.not_above("deadline_max_s"),
+        metadata=fieldrules.above(0, fieldrules.DAY_S)
+        | fieldrules.not_above("deadline_max_s"),
     )
 
 
@@ -107,7 +107,8 @@
     # A re-send's claims must outlast an earlier attempt that still waits.
     lifetime_s: float = attrs.field(
         default=600.0,
-        metadata=fieldrules.above(0, DAY_S) | fieldrules.not_below("deadline_max_s"),
+        metadata=fieldrules.above(0, fieldrules.DAY_S)
+        | fieldrules.not_below("deadline_max_s"),
     )
     bytes_max: int = attrs.field(
         default=16 * 1024 * 1024, metadata=fieldrules.between(0, GIB)
@@ -153,7 +154,7 @@
     tiers: tuple[Tier, ...] = attrs.field(metadata=fieldrules.NOT_EMPTY)
     customers: tuple[Customer, ...] = attrs.field(metadata=fieldrules.NOT_EMPTY)
     deadline_max_s: float = attrs.field(
-        default=300.0, metadata=fieldrules.above(0, DAY_S)
+        default=300.0, metadata=fieldrules.above(0, fieldrules.DAY_S)
     )
     keys: Keys = attrs.field(factory=Keys)
     retry_budget: RetryBudget = attrs.field(factory=RetryBudget)
