Load the link to other entries beside the first requests; be ready once others know of the entry

Cause: the link's libraries (pynng, and asyncio with it) take a sixth of what is loaded at a start, and callers that wait at the port after a fault of all entries wait for them too. An entry that doesn't hear others keeps to its own part of limits, so it may serve without the link.

Driven tests: the link's part (late, stopped meanwhile, failing at first), and readiness.

--- a/features/steps/direct_start_steps.py
+++ b/features/steps/direct_start_steps.py
@@ -18,6 +18,7 @@
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.opening import Opening
+from lavenderspoke.direct.peerlink import PeerLink
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.httpserver import HttpServer
@@ -48,6 +49,94 @@
     return str(path)
 
 
+class SlowLink:
+    """A link that is loaded when it is let go, and notes what it is asked."""
+
+    def __init__(self, *, failures: int = 0):
+        self.go = threading.Event()
+        self.starts = 0
+        self.told: list[str] = []
+        self._failures = failures
+        self._running = False
+
+    def load(self) -> "SlowLink":
+        assert self.go.wait(ANSWER_WAIT_S)
+        return self
+
+    def start(self) -> None:
+        if self._failures:
+            self._failures -= 1
+            raise OSError("the address is taken")
+        self.starts += 1
+        self._running = True
+
+    def stop(self) -> None:
+        self._running = False
+
+    def alive(self) -> bool:
+        return self._running
+
+    def tell(self, name, message) -> None:
+        self.told.append(name)
+
+
+@given("a link to the other entries that takes a while to load")
+def step_slow_link(context):
+    context.link = SlowLink()
+    context.part = PeerLink(load=context.link.load)
+
+
+@given("a link to the other entries that fails at first")
+def step_failing_link(context):
+    context.link = SlowLink(failures=1)
+    context.part = PeerLink(load=context.link.load)
+
+
+@when("its part is started")
+def step_start_link(context):
+    context.part.start()
+
+
+@when("the link has been loaded")
+def step_link_loaded(context):
+    context.link.go.set()
+    context.part.loaded(ANSWER_WAIT_S)
+
+
+@when("its part is stopped, and the link has been loaded")
+def step_stop_link(context):
+    context.part.stop()
+    step_link_loaded(context)
+
+
+@then("the part is alive at once, and what is told meanwhile is dropped")
+def step_alive_at_once(context):
+    assert context.part.alive()
+    context.part.tell("entry-2", None)
+    assert context.link.told == []
+
+
+@then("it was started once, and what is told then is sent")
+def step_started_once(context):
+    context.part.tell("entry-2", None)
+    assert context.link.starts == 1 and context.link.told == ["entry-2"]
+    context.part.stop()
+    assert not context.part.alive()
+
+
+@then("the link was never started")
+def step_never_started(context):
+    assert context.link.starts == 0 and not context.part.alive()
+
+
+@then("the part is dead, and alive when it is started once more")
+def step_once_more(context):
+    assert not context.part.alive()
+    context.part.start()
+    context.part.loaded(ANSWER_WAIT_S)
+    assert context.part.alive() and context.link.starts == 1
+
+
 @when("the daemon is loaded without the machine's packages")
 def step_load(context):
     libraries = sysconfig.get_path("platlib")
@@ -147,6 +236,17 @@
     return context.clock.monotonic_s() - before_s
 
 
+@then("it isn't ready until it knows enough, or has had {seconds:g} s for that")
+def step_is_over(context, seconds):
+    assert not context.opening.is_over()
+    context.known_from_s = context.clock.monotonic_s()
+    assert context.opening.is_over()
+    context.known_from_s = float("inf")
+    assert not context.opening.is_over()
+    context.clock.advance(seconds)
+    assert context.opening.is_over()
+
+
 @when("a request comes and the entry knows enough {seconds:g} s later")
 def step_knows(context, seconds):
     context.known_from_s = context.clock.monotonic_s() + seconds
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -268,7 +268,9 @@
 def step_both_serve(context, seconds):
     while time.monotonic() < context.turned_away_s + seconds:
         for entry in ("entry-1", "entry-2"):
-            assert look(context, entry) == 200, entry
+            status = look(context, entry)
+            said = context.platform.entries[entry].process.output()
+            assert status == 200, f"{entry}: {status}\n{said}"
         time.sleep(0.1)
     assert context.platform.entries["entry-2"].ready()
 
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -16,11 +16,11 @@
 from lavenderspoke.direct.app import DirectApp
 from lavenderspoke.direct.catalog import Catalog
 from lavenderspoke.direct.dialect import Dialect
-from lavenderspoke.direct.gossip import Gossip
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.messages import RecordsMessage
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.opening import Opening
+from lavenderspoke.direct.peerlink import Link, PeerLink
 from lavenderspoke.direct.readiness import ReadinessServer
 from lavenderspoke.direct.server import CallerPart
 from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
@@ -87,8 +87,9 @@
             metrics=self.metrics,
         )
         self._watch = CallerWatch()
+        self._opening = Opening(known=self._knows_enough, clock=clock)
         self._app = DirectApp(
-            opening=Opening(known=self._knows_enough, clock=clock),
+            opening=self._opening,
             in_force=self.in_force,
             office=self.office,
             dialect=dialect,
@@ -100,20 +101,21 @@
         self._readiness = ReadinessServer(
             address=settings.readiness, ready=self.ready, metrics=self.metrics
         )
-        self._gossip = Gossip(
-            me=self.me,
-            listen=settings.peers,
-            office=self.office,
-            metrics=self.metrics,
-            on_records=self._on_records,
-        )
+        self._peers = PeerLink(load=self._load_gossip)
         self._feeds: Feeds | None = None
         self._supervisor: Supervisor | None = None
 
     def ready(self) -> bool:
-        """Return whether callers may be sent here."""
+        """Return whether callers may be sent here.
+
+        An entry that is ready before the others know of it can't be told what they
+        read: turned away by the store right then, it would refuse all keys as soon
+        as its only read is too old. The platform's list of entries takes some 10 ms
+        more; where it doesn't come, the entry serves without it.
+        """
         return (
             not self._app.draining
+            and self._opening.is_over()
             and self.in_force.catalog is not None
             and self.in_force.fresh()
             and self.office.has_upstreams()
@@ -139,7 +141,19 @@
 
     def tell(self, name: str, message: RecordsMessage) -> None:
         """Send another entry a message about records, if it can be reached."""
-        self._gossip.tell(name, message)
+        self._peers.tell(name, message)
+
+    def _load_gossip(self) -> Link:
+        # Imported only here: see `PeerLink`.
+        from lavenderspoke.direct.gossip import Gossip
+
+        return Gossip(
+            me=self.me,
+            listen=self.settings.peers,
+            office=self.office,
+            metrics=self.metrics,
+            on_records=self._on_records,
+        )
 
     def _on_records(self, sender: InstanceId, message: RecordsMessage) -> None:
         if self._feeds is not None:
@@ -153,9 +167,9 @@
             parts=[
                 ("readiness", self._readiness),
                 ("watch", self._watch),
-                ("gossip", self._gossip),
                 *feeds.parts(),
                 ("callers", self._callers),
+                ("peers", self._peers),
             ],
             clock=self.clock,
         )
@@ -187,7 +201,7 @@
             if self._app.refusing and not self._app.in_flight():
                 break
             pause.wait(DRAIN_POLL_S)
-        self._gossip.stop()
+        self._peers.stop()
         log.info("stopped", cut_off=self._app.in_flight())
         # What is left are threads that wait on sockets. Joining them takes up to
         # a second for each server, and the process would be killed meanwhile.
--- a/lavenderspoke/direct/opening.py
+++ b/lavenderspoke/direct/opening.py
@@ -23,10 +23,17 @@
     def __init__(self, *, known: Callable[[], bool], clock: Clock):
         self._known = known
         self._clock = clock
+        self._created_s = clock.monotonic_s()
         self._until_s: float | None = None
         self._open = False
         self._pause = threading.Event()
 
+    def is_over(self) -> bool:
+        """Return whether the entry knows enough, or has had the time to."""
+        if self._open or self._known():
+            return True
+        return self._clock.monotonic_s() >= self._created_s + HOLD_S
+
     def wait(self) -> None:
         """Return once the entry knows enough, or has waited for long enough."""
         if self._open:
