Name the signals of a stop once, and end the entries' feed as any feed ends

Cause: found by reading. SIGTERM and SIGINT stood in three modules; the feed of entries set what its stop sets and left its pause to run out.

Behaviour unchanged; direct_start, graceful and store_relay pass.

--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -33,6 +33,7 @@
 from lavenderspoke.model import InstanceId
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platformlog import HttpLog
+from lavenderspoke.stopsignals import STOP_SIGNALS
 from lavenderspoke.supervisor import Part, Supervisor
 from lavenderspoke.transport import Transport
 
@@ -114,8 +115,8 @@
     def run(self) -> int:
         """Run until told to stop; return the process's exit status."""
         self.supervisor = self.make_supervisor()
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
+        for stop in STOP_SIGNALS:
+            signal.signal(stop, self._on_signal)
         log.info("starting", role=self.role, incarnation=self.me.incarnation)
         status = self.supervisor.run()
         log.info("stopped", role=self.role, status=status)
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -26,6 +26,7 @@
 from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
 from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.stopsignals import STOP_SIGNALS
 from lavenderspoke.supervisor import Part, Supervisor
 
 # Requests are taken for so long after the signal to stop, in seconds. The balancer
@@ -174,7 +175,7 @@
             clock=self.clock,
         )
         log.info("starting", entry=self.me.name, incarnation=self.me.incarnation)
-        for stop in (signal.SIGTERM, signal.SIGINT):
+        for stop in STOP_SIGNALS:
             signal.signal(stop, self._on_stop)
             # One that came while the process was loaded is delivered now.
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {stop})
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -10,8 +10,8 @@
 from types import ModuleType
 
 from lavenderspoke.platform import early
+from lavenderspoke.stopsignals import STOP_SIGNALS
 
-STOPS = (signal.SIGTERM, signal.SIGINT)
 SETTINGS_VARIABLE = "LAVENDERSPOKE_CONFIG"
 SETTINGS_DEFAULT = "/etc/lavenderspoke/node.conf"
 
@@ -26,7 +26,7 @@
         return _check()
     # A stop waits until the daemon has its handler. It would end the process with
     # callers in the queue of the port, and these would find their connection reset.
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOPS)
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_DEFAULT)
     listener = early.listen(path)
     # Loaded only now: callers can connect meanwhile.
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -254,7 +254,7 @@
 
     def leave(self) -> None:
         """Drop this entry's record; when that fails, its silence tells the others."""
-        self._stopping.set()
+        self.stop()
         left = self._store.append(self.topic, self._name, None)
         if isinstance(left, Err):
             log.info("record not dropped", error=left.err_value.detail)
