--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -24,10 +24,10 @@
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.opening import Opening
+from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.hopbyhop import Headers, end_to_end
 from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, CutOff
 from lavenderspoke.metrics import Metrics
-from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.requestbody import BodyBroken, BodyTooLarge, read_body
 
@@ -201,22 +201,22 @@
         self, http_request: CallerHttpRequest, journey: _Journey
     ) -> Result[Accepted, Problem]:
         if self.refusing:
-            return Err(_not_run(Reason.DRAINING, "try another instance", SOON_S))
+            return Err(not_run(Reason.DRAINING, "try another instance", SOON_S))
         request = caller_request(http_request)
         read = self._dialect.read(request.method, request.target, request.headers)
         if isinstance(read, Err):
-            return Err(_not_run(Reason.BAD_REQUEST, read.err_value.detail))
+            return Err(not_run(Reason.BAD_REQUEST, read.err_value.detail))
         head = read.ok_value
         journey.request_id = head.request_id
         self._opening.wait()
         catalog = self._in_force.catalog
         if catalog is None:
             detail = "no configuration has been read yet"
-            return Err(_not_run(Reason.NO_DOCUMENT, detail, SOON_S))
+            return Err(not_run(Reason.NO_DOCUMENT, detail, SOON_S))
         journey.version = catalog.version
         route = catalog.route_for(head.host, head.path)
         if route is None:
-            return Err(_not_run(Reason.NO_ROUTE, "no route leads there"))
+            return Err(not_run(Reason.NO_ROUTE, "no route leads there"))
         journey.route = route.name
         customer = self._customer(catalog, route, head)
         if isinstance(customer, Err):
@@ -239,10 +239,10 @@
             return Ok(None)
         if not self._in_force.fresh():
             detail = "the keys were read too long ago"
-            return Err(_not_run(Reason.KEYS_STALE, detail, SOON_S))
+            return Err(not_run(Reason.KEYS_STALE, detail, SOON_S))
         customer = catalog.customer_for(head.key) if head.key else None
         if customer is None:
-            return Err(_not_run(Reason.UNAUTHORIZED, "the key is missing or unknown"))
+            return Err(not_run(Reason.UNAUTHORIZED, "the key is missing or unknown"))
         return Ok(customer)
 
     @staticmethod
@@ -252,11 +252,11 @@
         try:
             return Ok(read_body(http_request, catalog.limits.body_bytes_max))
         except BodyTooLarge:
-            return Err(_not_run(Reason.BODY_TOO_LARGE, "the body is too long"))
+            return Err(not_run(Reason.BODY_TOO_LARGE, "the body is too long"))
         except TimeoutError:
-            return Err(_not_run(Reason.BODY_TIMEOUT, "the body came too slowly"))
+            return Err(not_run(Reason.BODY_TIMEOUT, "the body came too slowly"))
         except BodyBroken as error:
-            return Err(_not_run(Reason.BAD_REQUEST, str(error)))
+            return Err(not_run(Reason.BAD_REQUEST, str(error)))
 
     def _weigh(
         self,
@@ -332,10 +332,6 @@
     return None if at_s is None else round(at_s - start_s, 4)
 
 
-def _not_run(reason: Reason, detail: str, after_s: float | None = None) -> Problem:
-    return Problem(reason=reason, ran=Ran.NO, detail=detail, retry_after_s=after_s)
-
-
 def _unread(http_request: CallerHttpRequest) -> bool:
     if http_request.chunked_read:
         return not http_request.rfile.closed
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -30,16 +30,10 @@
     Unanswered,
 )
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import (
-    Decision,
-    Dispatch,
-    Refusal,
-    Refuse,
-    Ticket,
-)
+from lavenderspoke.direct.refusals import out_of_time, turned_down, unanswered
+from lavenderspoke.direct.scheduler import Decision, Dispatch, Ticket
 from lavenderspoke.eventstream import Events, EventSplitter, EventTooLong
-from lavenderspoke.model import Ran
-from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.problems import Problem
 
 # An upstream that is silent for so long, in seconds, is given up where another
 # may run the request; well under the two seconds after which callers leave.
@@ -49,17 +43,9 @@
 SLOW_PREFILL_TOKENS_PER_S = 8000.0
 # The least time in seconds that is worth an attempt.
 ATTEMPT_MIN_S = 0.1
-# What callers are told to wait, in seconds, where the cause passes soon.
-SOON_S = 0.4
 # How long the body of a short answer may take once its head has come, seconds.
 DRAIN_BODY_S = 0.3
 
-REASONS = {
-    Refusal.CROWDED: Reason.NO_ROOM,
-    Refusal.WAITED_TOO_LONG: Reason.NO_ROOM,
-    Refusal.NO_UPSTREAM: Reason.NO_UPSTREAM,
-}
-
 log = logbook.Logger(__name__)
 
 
@@ -146,7 +132,7 @@
         self._wait(ticket)
         decision = self._decision
         if not isinstance(decision, Dispatch):
-            return self._refused(decision)
+            return turned_down(decision, may_have_run=self._may_have_run)
         attempt = _Attempt(upstream=decision.upstream, ticket=ticket, sending=Sending())
         self._current = attempt
         with self._lock:
@@ -156,7 +142,7 @@
         left_s = self._left_s()
         if gone or left_s < ATTEMPT_MIN_S:
             self._end(attempt, Outcome.LEFT)
-            return self._problem(Reason.DEADLINE_EXPIRED, "time ran out in line")
+            return out_of_time("time ran out in line", may_have_run=self._may_have_run)
         self._send(attempt, left_s)
         return attempt
 
@@ -418,31 +404,7 @@
     def _left_s(self) -> float:
         return self.accepted.until_s - self._clock.monotonic_s()
 
-    # Refusals
-
-    def _refused(self, decision: Refuse | None) -> Problem:
-        if decision is None:
-            return self._problem(Reason.DEADLINE_EXPIRED, "time ran out in line")
-        reason = REASONS[decision.reason]
-        return self._problem(reason, "try again later", decision.retry_after_s)
-
     def _failure(self, attempt: _Attempt) -> Problem:
         if attempt.outcome is Outcome.LEFT or self._left_s() < ATTEMPT_MIN_S:
-            return self._problem(Reason.DEADLINE_EXPIRED, attempt.detail)
-        if not self._may_have_run:
-            return self._problem(Reason.NO_ROOM, attempt.detail, SOON_S)
-        return self._problem(Reason.ANSWER_INCOMPLETE, attempt.detail)
-
-    def _problem(
-        self, reason: Reason, detail: str, retry_after_s: float | None = None
-    ) -> Problem:
-        """Return a refusal that says "not run" only where that is known."""
-        if not self._may_have_run:
-            if reason is Reason.DEADLINE_EXPIRED:
-                reason, retry_after_s = Reason.DEADLINE_UNREACHABLE, SOON_S
-            return Problem(
-                reason=reason, ran=Ran.NO, detail=detail, retry_after_s=retry_after_s
-            )
-        if reason is not Reason.DEADLINE_EXPIRED:
-            reason = Reason.ANSWER_INCOMPLETE
-        return Problem(reason=reason, ran=Ran.UNKNOWN, detail=detail)
+            return out_of_time(attempt.detail, may_have_run=self._may_have_run)
+        return unanswered(attempt.detail, may_have_run=self._may_have_run)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -19,6 +19,7 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.quota import SharedQuota
+from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.scheduler import (
     RETRY_AFTER_MIN_S,
     RETURN_PART,
@@ -124,7 +125,7 @@
             service, fingerprint = accepted.service, accepted.fingerprint
             self._allowance(service).first_try(now_s)
             if self._crashes.quarantined(service, fingerprint, now_s):
-                return Err(_not_run(Reason.CRASHES_UPSTREAMS, None))
+                return Err(not_run(Reason.CRASHES_UPSTREAMS))
             first_s = self._returns.take(fingerprint, now_s)
             refused = self._spend(accepted, now_s, returned=first_s is not None)
             if refused is not None:
@@ -149,7 +150,7 @@
         latest_s = max(0.0, (accepted.until_s - now_s) * RETURN_PART)
         after_s = min(max(RETRY_AFTER_MIN_S, wait_s), LIMIT_WAIT_MAX_S, latest_s)
         detail = self._quota.explain(customer, cost, rank=rank, now_s=now_s)
-        return _not_run(Reason.CUSTOMER_LIMIT, after_s, detail)
+        return not_run(Reason.CUSTOMER_LIMIT, detail, after_s)
 
     def refused(self, accepted: Accepted, *, ran: Ran) -> None:
         """Note a request that got no answer from an upstream."""
@@ -431,7 +432,3 @@
 
 def _rows(counts: dict[Rank, int]) -> tuple[tuple[int, int, int], ...]:
     return tuple((*rank, count) for rank, count in counts.items())
-
-
-def _not_run(reason: Reason, after_s: float | None, detail: str = "") -> Problem:
-    return Problem(reason=reason, ran=Ran.NO, retry_after_s=after_s, detail=detail)
