Let lower ranks fill the whole bucket of a customer that is far from its limit

Half of the bucket is kept for the highest rank so that it finds room at its limit; far from the limit it finds room in any case.

Ruled out: a deeper bucket from a smaller part of the tolerance for the steady use or the start: both would loosen what existing scenarios promise.

Change: the half applies from 0.6 of the limit on. What all entries may let through in a window is as before, since the bucket's whole depth is. The new scenario failed before.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -60,6 +60,15 @@
     Then at least 98 in 100 of rank 0 pass
     And at least 5 in 100 of rank 3 pass
 
+  Scenario: A clump of large requests of a customer that is far from its limit
+    The pattern: three write-ups of the highest rank come at once, and their customer's
+    short requests of lower ranks with them; it uses a quarter of its limit. They needn't
+    make room for a highest rank that finds enough.
+    Given entries that share a limit of 100 a second and a burst of 300
+    And the platform tolerates a tenth and 290 more
+    When a customer uses 15 of rank 0 and 15 of rank 2 a second, and then 75 of rank 0 at once
+    Then 20 requests of 1 of rank 2 pass right after it
+
   Scenario: Large requests near a limit pass as often as small ones
     The pattern: a customer at its limit whose requests differ by thirty times in size.
     What comes free is taken by small ones each time, before it is enough for a large one.
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -133,6 +133,29 @@
                 context.let_through[rank] += cost
 
 
+@when(
+    "a customer uses {first:d} of rank 0 and {lower:d} of rank 2 a second, "
+    "and then {clump:d} of rank 0 at once"
+)
+def step_clump(context, first, lower, clump):
+    context.quota = new_quota(context, 0.0)
+    context.now_s = 12.0
+    for tick in range(round(context.now_s / TICK_S)):
+        for rank, per_s in ((0, first), (2, lower)):
+            assert context.quota.spend(
+                context.customer, per_s * TICK_S, rank=rank, now_s=tick * TICK_S
+            )
+    assert context.quota.spend(
+        context.customer, float(clump), rank=0, now_s=context.now_s
+    )
+
+
+@then("{count:d} requests of 1 of rank 2 pass right after it")
+def step_pass_after(context, count):
+    for _ in range(count):
+        assert context.quota.spend(context.customer, 1.0, rank=2, now_s=context.now_s)
+
+
 @then("at least {part:d} in 100 of rank {rank:d} pass")
 def step_rank_passes(context, part, rank):
     passed = context.let_through[rank] / context.asked[rank]
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -44,8 +44,14 @@
 DEPTH_MIN_S = 0.5
 # The part of a limit that ranks below others have in any case, so that none starves.
 LOWER_PART = 0.1
-# How far ranks below others may fill the bucket: the highest must find room in it.
+# How far ranks below others may fill the bucket of a customer that is near its limit:
+# the highest must find room in it.
 LOWER_DEPTH = 0.5
+# The part of its limit from which on a customer counts as near it. Further away the
+# highest rank loses nothing by a full bucket, which is soon empty again; kept out of
+# half of it, callers of the lower ranks were refused for a second after every clump of
+# long prompts, at a fifth of their customer's limit.
+NEAR_LIMIT_PART = 0.6
 # The part of the tolerated tokens by which the last request before the limit may pass
 # it: without that, requests near a limit that is used up pass by their size, and the
 # largest of them never.
@@ -218,10 +224,10 @@
 
     def _depth(self, customer: Customer, usage: Usage, rank: int) -> float:
         depth = self._whole_depth(customer) * self._part
-        has_its_part = (
-            usage.used_from(rank) > self._whole(customer) * LOWER_PART * self._part
-        )
-        if usage.asked_above(rank) > 0.0 and has_its_part:
+        own_limit = self._whole(customer) * self._part
+        is_near = usage.used() > own_limit * NEAR_LIMIT_PART
+        has_its_part = usage.used_from(rank) > own_limit * LOWER_PART
+        if is_near and has_its_part and usage.asked_above(rank) > 0.0:
             return depth * LOWER_DEPTH
         return depth
 
