Soak: an upstream that leaves twice at once is ready after the last leave

Two leaves of desk-1 overlap (6.88 to 7.95 s, 7.25 to 9.66 s); the end of the first registered it as ready, and the requests after 9.25 s count against the second. The entries' logs show the record ready at 7.95 s, so the product did as it should.

Change: the last of an upstream's leaves registers it again.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,7 @@
       | 2    | faults of every kind beside planned work                          |
       | 6    | an entry is stopped while it starts                               |
       | 23   | SIGHUP reaches an entry that has just been started, and ended it  |
+      | 106  | an upstream leaves twice at once; one end took both leaves back   |
 
   Scenario Outline: Each check notices what it is for
     A record of one request that was kept, changed in one way, must be told apart.
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -74,6 +75,7 @@
         self._disturbed: list[Span] = []
         self._stops: list[Span] = []
         self._leaving: list[Span] = []
+        self._leaves: Counter[str] = Counter()
         self._stopping: dict[str, float] = {}
         self._killed: set[str] = set()
         self._ended: list[str] = []
@@ -316,14 +318,22 @@
         return undo
 
     def leave(self, name: str) -> Callable[[], None]:
+        """Have an upstream say that it leaves, until all of its leaves have ended.
+
+        Two may overlap. Registered as ready by the end of one, the upstream would get
+        requests while the record has it leaving by the other.
+        """
         service = "model" if name in MODELS else "desk"
+        self._leaves[name] += 1
         self._platform.register(name, service, state="draining")
         from_s = time.monotonic()
 
         def undo() -> None:
             span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
             self._leaving.append(span)
-            self._platform.register(name, service)
+            self._leaves[name] -= 1
+            if not self._leaves[name]:
+                self._platform.register(name, service)
 
         return undo
 
