--- /dev/null
+++ b/features/steps/platform_stop_steps.py
@@ -0,0 +1,186 @@
+"""Steps about stops, starts, signals and settings of entries on the platform."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from features.helper import stage_of
+from features.platformstage import deploy, expected_stream, start_upstreams
+from standins.platformdeployment import WAIT_S
+from standins.processes import HOST, ROOT, wait_until
+
+
+@when("the entry gets SIGTERM while {count:d} streams run")
+def step_sigterm(context, count):
+    platform = context.platform
+    context.pool = ThreadPoolExecutor(count)
+    context.streams = [
+        context.pool.submit(platform.send, "entry-1", "/stream/1", body=b"%d" % n)
+        for n in range(count)
+    ]
+    wait_until(lambda: len(platform.runs()) == count, WAIT_S, "streams run")
+    platform.entries["entry-1"].process.terminate()
+    context.stopped_s = time.monotonic()
+
+
+@then("it is not ready, and still serves a request that comes a second later")
+def step_draining(context):
+    entry = context.platform.entries["entry-1"]
+    wait_until(lambda: not entry.ready(), 1.0, "not ready")
+    time.sleep(max(0.0, context.stopped_s + 1.0 - time.monotonic()))
+    answer = context.platform.send("entry-1", "/look/1", method="GET")
+    assert answer.status == 200, answer
+    assert answer.headers["connection"] == "close", answer
+
+
+@then("all streams come whole and it ends by itself within {seconds:d} s")
+def step_all_whole(context, seconds):
+    for each in context.streams:
+        answer = each.result(WAIT_S)
+        assert answer.whole and answer.body == expected_stream(10), answer
+    context.pool.shutdown()
+    assert context.platform.entries["entry-1"].process.wait(WAIT_S) == 0
+    assert time.monotonic() - context.stopped_s < seconds
+
+
+@then("its log names no part that died")
+def step_no_part_died(context):
+    output = context.platform.entries["entry-1"].process.output()
+    assert "stopping" in output and "part died" not in output, output
+
+
+def signal_state(pid: int, field: str) -> bool:
+    """Return whether SIGHUP is in one of the masks of a process's status."""
+    with open(f"/proc/{pid}/status") as status:
+        masks = dict(line.split(":", 1) for line in status)
+    return bool(int(masks[field], 16) >> (signal.SIGHUP - 1) & 1)
+
+
+@when("the entry is started again, and gets SIGHUP during its imports")
+def step_early_sighup(context):
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    process = platform.start_again("entry-1").process
+    # The imports have not ended as long as the daemon's handler isn't set.
+    wait_until(lambda: signal_state(process.pid, "SigIgn"), WAIT_S, "ignored")
+    os.kill(process.pid, signal.SIGHUP)
+
+
+@then("it lives, is ready and serves")
+def step_lives(context):
+    entry = context.platform.entries["entry-1"]
+    wait_until(lambda: entry.ready() or not entry.process.alive(), WAIT_S, "ready")
+    assert entry.process.alive(), entry.process.output()
+    step_serves(context)
+
+
+def check_settings(context, path) -> None:
+    context.done = subprocess.run(
+        [sys.executable, "-m", "lavenderspoke.platform", "--check", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+    )
+
+
+@when("a settings file without an address, and with a word for a time, is checked")
+def step_check_mistakes(context):
+    path = stage_of(context).directory / "node.conf"
+    path.write_text("node-name=entry-1\nzone=here\nbounds.grace-s=soon\n")
+    check_settings(context, path)
+
+
+@then("both mistakes are named, and the status says that there are some")
+def step_mistakes_named(context):
+    assert context.done.returncode == 1, context.done
+    for mistake in ("listen.frontend: found ''", "bounds.grace-s: found 'soon'"):
+        assert mistake in context.done.stderr, context.done
+
+
+@when("the settings file of a running entry is checked")
+def step_check_running(context):
+    platform = deploy(context)
+    start_upstreams(platform)
+    check_settings(context, platform.entry("entry-1").settings_path)
+
+
+@then("it is in order")
+def step_in_order(context):
+    assert context.done.returncode == 0, context.done
+    assert "in order" in context.done.stdout, context.done
+
+
+@when("the entry is started again, and a caller's request waits when SIGTERM comes")
+def step_early_stop(context):
+    platform = context.platform
+    platform.entries["entry-1"].process.terminate()
+    platform.entries["entry-1"].process.wait()
+    entry = platform.start_again("entry-1")
+    wait_until(lambda: connects(entry.callers), WAIT_S, "the port is open")
+    with ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(platform.send, "entry-1", "/look/1", method="GET")
+        # The request is on its way; what loads takes ten times as long.
+        time.sleep(0.03)
+        entry.process.terminate()
+        context.answer = waiting.result(WAIT_S)
+    context.ended = entry.process
+
+
+def connects(port: int) -> bool:
+    """Return whether something listens there."""
+    try:
+        socket.create_connection((HOST, port), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+@then("the caller gets its answer, and the entry ends by itself with status 0")
+def step_early_stopped(context):
+    assert context.answer.status == 200, context.answer
+    assert context.ended.wait() == 0
+
+
+@when("its settings change to keys of {ms:d} ms and it gets SIGHUP")
+def step_sighup(context, ms):
+    entry = context.platform.entries["entry-1"]
+    with open(entry.settings_path) as settings:
+        text = settings.read()
+    with open(entry.settings_path, "w") as settings:
+        settings.write(text.replace("revoke-ms=5000", f"revoke-ms={ms}"))
+    os.kill(entry.process.pid, signal.SIGHUP)
+    wait_until(
+        lambda: "settings reloaded" in entry.process.output(), WAIT_S, "reloaded"
+    )
+    context.platform.store.set_faults(mode="silent")
+    context.silent_s = time.monotonic()
+
+
+@then("it lives, and honours keys for no longer than that")
+def step_sighup_lives(context):
+    def refused() -> bool:
+        answer = context.platform.send("entry-1", "/look/1", method="GET")
+        return answer.status == 503
+
+    wait_until(refused, WAIT_S, "refused")
+    assert time.monotonic() - context.silent_s < 1.5
+    assert context.platform.entries["entry-1"].process.alive()
+
+
+@when("the entry is killed and started again")
+def step_killed(context):
+    context.platform.entries["entry-1"].process.kill()
+    context.platform.restart("entry-1")
+
+
+@then("it is ready and serves")
+def step_serves(context):
+    answer = context.platform.send("entry-1", "/look/1", method="GET")
+    assert answer.status == 200, answer
