Name the checks on answers' lengths once, and drop a constant that nothing uses

Cause: found by reading the change. The steps about answers' lengths repeated the check of the steps about ranks, and the split of the platform's steps carried an unused tuple of statuses into two modules.

Change: one assertion and one selection serve both; the tuple goes. No assertion is loosened.

--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -186,6 +186,10 @@
     context.drive.run(seconds + 20.0)
 
 
+def of_length(context, tokens: int) -> list[Request]:
+    return [each for each in context.drive.requests if each.answer_tokens == tokens]
+
+
 def of_rank(context, rank: str) -> list[Request]:
     return [each for each in context.drive.requests if each.rank == rank]
 
@@ -197,13 +201,15 @@
 
 @then("of answers of {tokens:d} tokens at least {part:d} in 100 begin within target")
 def step_length_on_time(context, tokens, part):
-    requests = [r for r in context.drive.requests if r.answer_tokens == tokens]
-    assert_on_time(requests, part)
+    assert_on_time(of_length(context, tokens), part)
 
 
 @then("of answers of {tokens:d} tokens at least {part:d} in 100 are served")
 def step_length_served(context, tokens, part):
-    requests = [r for r in context.drive.requests if r.answer_tokens == tokens]
+    assert_served(of_length(context, tokens), part)
+
+
+def assert_served(requests: list[Request], part: int) -> None:
     served = [each for each in requests if each.began_s is not None]
     assert 100 * len(served) >= part * len(requests), (len(served), len(requests))
 
@@ -219,9 +225,7 @@
 
 @then("at least {part:d} in 100 of the {rank} rank are served")
 def step_served(context, part, rank):
-    requests = of_rank(context, rank)
-    served = [each for each in requests if each.began_s is not None]
-    assert 100 * len(served) >= part * len(requests), (len(served), len(requests))
+    assert_served(of_rank(context, rank), part)
 
 
 @then("who is refused has waited no longer than {part:d} in 100 of its target")
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -11,8 +11,6 @@
 from standins.platformdeployment import HOST_HEADER, KEY, WAIT_S, PlatformDeployment
 from standins.processes import HOST, wait_until
 
-NOT_RUN = (408, 421, 429, 503)
-
 
 @given("a platform with an entry, two model upstreams and two desk upstreams")
 def step_platform(context):
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -8,8 +8,6 @@
 from standins.platformdeployment import WAIT_S, configuration, route
 from standins.processes import wait_until
 
-NOT_RUN = (408, 421, 429, 503)
-
 
 @given("a platform with two entries, one of them reaching the store by a proxy")
 def step_platform_proxied(context):
