Leave a silent upstream alone until another one has a place

Cause: a stream whose upstream said nothing for 1.4 s was broken off before it was known whether another upstream could take it. The last upstream that a request's attempts allow was given up the same way, with nobody to follow it.

Ruled out: a shorter wait in line for the second place, since any wait can end in a refusal.

Change: on silence the entry takes a retry and a place elsewhere first, without waiting, and gives the upstream up only with both in hand; it looks again each 0.3 s. How long a silence may last follows from the expected time to the first byte at that upstream, no more from one customer's engines.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -18,3 +18,36 @@
     Given a request at an upstream that streams "id: 4\ndata: a\n\nid: 2\ndata: b\n\n" and waits
     When its stream is read
     Then its caller is told that it can't be completed, and its place was given back once
+
+  Scenario: An upstream pauses in the middle of a stream, and no other has a place
+    The caller saw a stream that broke off. The engine reads a long prompt beside the
+    stream, or has put the stream aside for want of memory, and says nothing for 1.9 s.
+    It was given up for another engine, where all places were taken, and would have gone
+    on. It has to be left alone until another one has a place.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And no other upstream has a place
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+
+  Scenario: An upstream pauses in the middle of a stream, and another has a place
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream has a place
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 2 upstreams
+    And the first upstream was given up before the other was asked
+
+  Scenario: An upstream pauses in the middle of a stream, and no retry is left
+    A place elsewhere is of no use then, and stays free for others.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream has a place, and no retry is left
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And no place is held
+
+  Scenario: The last upstream that may run a request begins late
+    Of two upstreams that may run the request the first has broken off. Nobody else may
+    run it after the second, so nothing is won by giving that up before the deadline.
+    Given a resumable request whose first upstream breaks off after its first event
+    And another upstream has a place, and says nothing for 1.9 s
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 2 upstreams
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -1,5 +1,6 @@
 """Steps about the life of one request, with the scheduler's part played here."""
 
+import socket
 import time
 
 from behave import given, then, when
@@ -12,7 +13,7 @@
 from lavenderspoke.direct.exchange import AnswerCut, ConnectionPool
 from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import Dispatch
+from lavenderspoke.direct.scheduler import Dispatch, Refusal, Refuse
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Reason
 from standins.processes import HOST
@@ -65,37 +66,113 @@
         return True
 
 
-@given('a request at an upstream that streams "{events}" and waits')
-def step_request(context, events):
-    body = events.encode().decode("unicode_escape").encode("latin-1")
-    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body
-    raw = RawUpstream(answer=answer, then="keeps")
-    context.add_cleanup(raw.close)
-    upstream = Upstream(
-        upstream_id="u",
+class StepwiseUpstream(RawUpstream):
+    """Sends its parts in turn, with a pause before each but the first."""
+
+    def __init__(self, *, parts: list[bytes], pause_s: float, then: str):
+        self._parts = parts
+        self._pause_s = pause_s
+        super().__init__(answer=b"", then=then)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(65536)
+            for number, part in enumerate(self._parts):
+                if number and self._closes_within(connection, self._pause_s):
+                    return
+                connection.sendall(part)
+            if self._then == "keeps":
+                self._closes_within(connection, TIMEOUT_S)
+
+    def _closes_within(self, connection: socket.socket, pause_s: float) -> bool:
+        connection.settimeout(pause_s)
+        try:
+            connection.recv(1)
+        except TimeoutError:
+            return False
+        return True
+
+
+class FewPlacesDesk(OneUpstreamDesk):
+    """Has one place at each upstream, and gives them out in turn."""
+
+    def __init__(self, *, upstreams: list[Upstream]):
+        super().__init__(upstream=upstreams[0])
+        self.retries = 1
+        self.held: list[Upstream] = []
+        # The ends of earlier attempts, as known when each upstream was asked.
+        self.ended_before: list[tuple[Outcome, ...]] = []
+        self._free = upstreams
+
+    def submit(self, ticket) -> None:
+        if not self._free:
+            refuse = Refuse(reason=Refusal.CROWDED, retry_after_s=1.0)
+            ticket.decided(refuse)
+            return
+        upstream = self._free.pop(0)
+        self.held.append(upstream)
+        ticket.decided(Dispatch(upstream=upstream))
+
+    def ended(self, ticket, upstream, accepted, outcome) -> None:
+        super().ended(ticket, upstream, accepted, outcome)
+        self.held.remove(upstream)
+
+    def connections(self, upstream) -> ConnectionPool:
+        self.ended_before.append(tuple(self.outcomes))
+        return ConnectionPool(
+            host=upstream.host, port=upstream.port, clock=SystemClock()
+        )
+
+    def may_retry(self, service) -> bool:
+        self.retries -= 1
+        return self.retries >= 0
+
+    def retry_unused(self, service) -> None:
+        self.retries += 1
+
+    def written(self, ticket, steps) -> None:
+        pass
+
+
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+STREAM_END = b"0\r\n\r\n"
+
+
+def chunk(number: int) -> bytes:
+    """Return one event of a stream, as a chunk."""
+    event = f"id: {number}\ndata: a\n\n".encode()
+    return b"%x\r\n%s\r\n" % (len(event), event)
+
+
+def upstream_at(port: int, *, name: str = "u") -> Upstream:
+    return Upstream(
+        upstream_id=name,
         service="s",
         host=HOST,
-        port=raw.port,
+        port=port,
         data_centre="here",
         slots=1,
     )
+
+
+def accepted_request(*, resumable: bool, attempts_max: int) -> Accepted:
     route = Route(
         name="r",
         host="h",
         path_prefix="/",
         repeat=Repeat.ONCE,
         stream=True,
-        resumable=False,
+        resumable=resumable,
         timeout_s=TIMEOUT_S,
         target_s=1.0,
         patience_s=TIMEOUT_S,
         rank=0,
         shares=(Share(service="s", weight=1.0),),
-        attempts_max=1,
+        attempts_max=attempts_max,
     )
     now_s = time.monotonic()
     head = CallerHead(request_id="a", method="GET", target="/", host="h", headers=())
-    accepted = Accepted(
+    return Accepted(
         head=head,
         body=b"",
         route=route,
@@ -109,15 +186,104 @@
         until_s=now_s + TIMEOUT_S,
         version=1,
     )
-    context.desk = OneUpstreamDesk(upstream=upstream)
-    context.handling = Handling(
-        accepted=accepted,
-        desk=context.desk,
-        dialect=PlainDialect(),
-        clock=SystemClock(),
+
+
+def handling_of(accepted: Accepted, desk: OneUpstreamDesk) -> Handling:
+    return Handling(
+        accepted=accepted, desk=desk, dialect=PlainDialect(), clock=SystemClock()
     )
 
 
+@given('a request at an upstream that streams "{events}" and waits')
+def step_request(context, events):
+    body = events.encode().decode("unicode_escape").encode("latin-1")
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body
+    raw = RawUpstream(answer=answer, then="keeps")
+    context.add_cleanup(raw.close)
+    context.desk = OneUpstreamDesk(upstream=upstream_at(raw.port))
+    accepted = accepted_request(resumable=False, attempts_max=1)
+    context.handling = handling_of(accepted, context.desk)
+
+
+def start_upstream(context, parts: list[bytes], pause_s: float, then: str):
+    raw = StepwiseUpstream(parts=parts, pause_s=pause_s, then=then)
+    context.add_cleanup(raw.close)
+    return raw
+
+
+@given(
+    "a resumable request at an upstream that pauses for {pause_s:g} s after its "
+    "first event"
+)
+def step_pausing(context, pause_s):
+    parts = [STREAM_HEAD + chunk(0), chunk(1) + STREAM_END]
+    context.first = start_upstream(context, parts, pause_s, "keeps")
+
+
+@given("a resumable request whose first upstream breaks off after its first event")
+def step_breaking(context):
+    context.first = start_upstream(context, [STREAM_HEAD + chunk(0)], 0.0, "ends")
+
+
+def begin(context, others: list[StepwiseUpstream], *, retries: int = 1) -> None:
+    upstreams = [
+        upstream_at(raw.port, name=f"u{number}")
+        for number, raw in enumerate([context.first, *others])
+    ]
+    context.desk = FewPlacesDesk(upstreams=upstreams)
+    context.desk.retries = retries
+    accepted = accepted_request(resumable=True, attempts_max=2)
+    context.handling = handling_of(accepted, context.desk)
+
+
+@given("no other upstream has a place")
+def step_no_other(context):
+    begin(context, [])
+
+
+@given("another upstream has a place")
+def step_other(context):
+    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    begin(context, [start_upstream(context, rest, 0.0, "keeps")])
+
+
+@given("another upstream has a place, and no retry is left")
+def step_no_retry(context):
+    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    begin(context, [start_upstream(context, rest, 0.0, "keeps")], retries=0)
+
+
+@given("another upstream has a place, and says nothing for {pause_s:g} s")
+def step_silent_other(context, pause_s):
+    parts = [b"", STREAM_HEAD + chunk(1) + STREAM_END]
+    begin(context, [start_upstream(context, parts, pause_s, "keeps")])
+
+
+@when("its stream is read to the end")
+def step_read_to_the_end(context):
+    answer = context.handling.first()
+    context.events = b"".join(answer.bodies)
+    context.handling.close()
+
+
+@then("its caller has events 0 and 1, and it ran at {count:d} upstream")
+@then("its caller has events 0 and 1, and it ran at {count:d} upstreams")
+def step_whole(context, count):
+    assert context.events == b"id: 0\ndata: a\n\nid: 1\ndata: a\n\n", context.events
+    assert context.handling.runs == count, context.handling.trail
+
+
+@then("the first upstream was given up before the other was asked")
+def step_given_up_first(context):
+    ended_before = context.desk.ended_before
+    assert ended_before == [(), (Outcome.SILENT,)], ended_before
+
+
+@then("no place is held")
+def step_none_held(context):
+    assert context.desk.held == [], context.desk.held
+
+
 @when("its first event has come and the request is closed unread")
 def step_closed(context):
     context.handling.first()
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -94,6 +94,9 @@
     def may_retry(self, service: str) -> bool:
         """Take one retry from the service's budget."""
 
+    def retry_unused(self, service: str) -> None:
+        """Give a retry back that was taken and not sent."""
+
     def written(self, ticket: Ticket, steps: int) -> None:
         """Note of how many steps a whole stream was, its first event counted."""
 
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -6,11 +6,12 @@
 """
 
 import errno
+import functools
 import http.client
 import io
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import logbook
@@ -49,9 +50,21 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
 
+Patience = Callable[[], float]
+"""Says for how many seconds more an upstream may be silent; 0 gives it up.
+
+Asked on the reading thread, each time that the upstream has said nothing for as
+long as it was given.
+"""
+
 log = logbook.Logger(__name__)
 
 
+def no_patience() -> float:
+    """Give a silent upstream up at once."""
+    return 0.0
+
+
 @attrs.frozen(kw_only=True)
 class NotSent:
     """No connection was made, so the request has not run."""
@@ -76,21 +89,39 @@
 
 
 class _Raw(socket.SocketIO):
-    """A socket's reader that stops reading once the answer has ended."""
+    """A socket's reader that stops reading once the answer has ended.
+
+    Waiting on after a silence has to happen down here: a timeout that reaches the
+    buffered reader above loses what that has taken of an unfinished line.
+    """
 
     ended = False
 
+    def __init__(self, sock: socket.socket, patience: Patience):
+        super().__init__(sock, "rb")
+        self._patience = patience
+
     def readinto(self, buffer):
-        return None if self.ended else super().readinto(buffer)
+        if self.ended:
+            return None
+        self._checkClosed()
+        while True:
+            try:
+                return self._sock.recv_into(buffer)
+            except TimeoutError:
+                more_s = self._patience()
+                if more_s <= 0.0:
+                    raise
+                self._sock.settimeout(more_s)
 
 
 class _Response(http.client.HTTPResponse):
     """A response that notices bytes behind its end."""
 
-    def __init__(self, sock, *args, **kwargs):
+    def __init__(self, sock, *args, patience: Patience = no_patience, **kwargs):
         super().__init__(sock, *args, **kwargs)
         self.fp.close()
-        self._raw = _Raw(sock, "rb")
+        self._raw = _Raw(sock, patience)
         sock._io_refs += 1
         self.fp = io.BufferedReader(self._raw)
         self.followed = False
@@ -104,7 +135,7 @@
 
 
 class _Connection(urllib3.connection.HTTPConnection):
-    response_class = _Response
+    """A connection whose `response_class` is set for each request."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -116,7 +147,8 @@
 class Exchange:
     """An answer whose head has come.
 
-    `read` returns the next bytes as they come and nothing at its whole end.
+    `read` returns the next bytes as they come and nothing at its whole end. A silence
+    that is longer than its timeout lasts as long as the request's patience says.
     """
 
     def __init__(self, *, connection: _Connection, response, pool: "ConnectionPool"):
@@ -239,8 +271,12 @@
         headers: Mapping[str, str],
         body: bytes,
         head_timeout_s: float,
+        patience: Patience = no_patience,
     ) -> Result[Exchange, NotSent | Unanswered]:
-        """Send a request and wait for the head of its answer."""
+        """Send a request and wait for the head of its answer.
+
+        `patience` also speaks for the silences of the answer's body.
+        """
         connection = self._idle_connection()
         if connection is None:
             opened = self._open()
@@ -252,6 +288,7 @@
         if not sending.holds(connection, None):
             self.discard(connection)
             return Err(NotSent(detail="the caller has gone"))
+        connection.response_class = functools.partial(_Response, patience=patience)
         sent = self._exchange(connection, method, target, headers, body, head_timeout_s)
         if sent.is_err():
             self.discard(connection)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -35,12 +35,14 @@
 from lavenderspoke.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.problems import Problem
 
-# An upstream that is silent for so long, in seconds, is given up where another
-# may run the request; well under the two seconds after which callers leave.
+# An upstream that is silent for so long, in seconds, is given up where another one
+# has a place for the request; well under the two seconds after which callers leave.
 SILENCE_MIN_S = 1.4
-# Prompt tokens that a slow upstream reads in a second while it reads others too: a
-# long prompt is not taken for silence.
-SLOW_PREFILL_TOKENS_PER_S = 8000.0
+# The same in expected times to the first byte: a long prompt that is being read, once
+# more after the upstream ran out of memory, is not taken for silence.
+SILENCE_TIMES = 3.0
+# Time between two looks for a place elsewhere, in seconds, while an upstream is silent.
+SILENCE_AGAIN_S = 0.3
 # The least time in seconds that is worth an attempt.
 ATTEMPT_MIN_S = 0.1
 # How long the body of a short answer may take once its head has come, seconds.
@@ -61,6 +63,14 @@
     detail: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class _Place:
+    """A place at an upstream that the request holds."""
+
+    upstream: Upstream
+    ticket: Ticket
+
+
 class Handling:
     """One request's way through the entry."""
 
@@ -79,6 +89,8 @@
         self._ticket: Ticket | None = None
         self._sending: Sending | None = None
         self._current: _Attempt | None = None
+        # Held while the upstream before it is being given up.
+        self._next_place: _Place | None = None
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
@@ -106,6 +118,7 @@
         """
         if self._current is not None:
             self._end(self._current, Outcome.LEFT)
+        self._give_back_next()
 
     @property
     def gone(self) -> bool:
@@ -128,12 +141,12 @@
 
     def _attempt(self) -> _Attempt | Problem:
         """Wait for a place and send; return the attempt or why there is none."""
-        ticket = self._line_up()
-        self._wait(ticket)
-        decision = self._decision
-        if not isinstance(decision, Dispatch):
-            return turned_down(decision, may_have_run=self._may_have_run)
-        attempt = _Attempt(upstream=decision.upstream, ticket=ticket, sending=Sending())
+        place = self._take_next() or self._wait_for_place(may_wait=True)
+        if place is None:
+            return turned_down(self._decision, may_have_run=self._may_have_run)
+        attempt = _Attempt(
+            upstream=place.upstream, ticket=place.ticket, sending=Sending()
+        )
         self._current = attempt
         with self._lock:
             self._sending = attempt.sending
@@ -146,7 +159,14 @@
         self._send(attempt, left_s)
         return attempt
 
-    def _line_up(self) -> Ticket:
+    def _wait_for_place(self, *, may_wait: bool) -> _Place | None:
+        ticket = self._line_up(may_wait)
+        self._wait(ticket)
+        if not isinstance(self._decision, Dispatch):
+            return None
+        return _Place(upstream=self._decision.upstream, ticket=ticket)
+
+    def _line_up(self, may_wait: bool) -> Ticket:
         accepted = self.accepted
         ticket = Ticket(
             request_id=f"{accepted.head.request_id}.{len(self.trail)}",
@@ -162,6 +182,7 @@
             returned=accepted.returned or self._may_have_run or bool(self._tried),
             decided=self._decide,
             excluded=set(self._tried),
+            may_wait=may_wait,
         )
         with self._lock:
             self._decided.clear()
@@ -184,6 +205,7 @@
 
     def _send(self, attempt: _Attempt, left_s: float) -> None:
         accepted, upstream = self.accepted, attempt.upstream
+        self._tried.add(upstream.upstream_id)
         headers = self._dialect.upstream_headers(
             head=accepted.head,
             upstream=upstream,
@@ -198,8 +220,8 @@
             headers=headers,
             body=accepted.body,
             head_timeout_s=self._silence_s(),
+            patience=self._patience_s,
         )
-        self._tried.add(upstream.upstream_id)
         if isinstance(sent, Err):
             self._not_answered(attempt, sent.err_value)
             return
@@ -387,19 +409,65 @@
         return route.repeatable and self.runs < route.attempts_max
 
     def _can_retry(self) -> bool:
+        if self._next_place is not None:
+            # The retry was taken from the budget with the place.
+            return True
         return self._desk.may_retry(self.accepted.service)
 
+    # Silence
+
     def _silence_s(self) -> float:
         """Return for how long an upstream may say nothing, in seconds.
 
         An answer that only this upstream can give is waited for to the end.
         """
         left_s = max(0.0, self._left_s())
-        route = self.accepted.route
-        if not route.repeatable or self.runs + 1 > route.attempts_max:
+        if not self._may_move():
             return left_s
-        prompt_s = (self.accepted.head.prompt_tokens or 0) / SLOW_PREFILL_TOKENS_PER_S
-        return min(left_s, max(SILENCE_MIN_S, route.target_s) + prompt_s)
+        first_s = self._current.ticket.expected_first_s * SILENCE_TIMES
+        return min(left_s, max(SILENCE_MIN_S, self.accepted.route.target_s, first_s))
+
+    def _patience_s(self) -> float:
+        """Return for how many seconds more a silent upstream may say nothing.
+
+        An upstream that is silent may be at work. Given up before another one has a
+        place for the request, its answer is lost where all places are taken: the
+        caller sees a stream that breaks off, and the upstream would have gone on.
+        """
+        left_s = max(0.0, self._left_s())
+        if self._gone:
+            return 0.0
+        if not self._may_move():
+            return left_s
+        if self._hold_place_elsewhere():
+            return 0.0
+        return min(left_s, SILENCE_AGAIN_S)
+
+    def _may_move(self) -> bool:
+        """Return whether one more upstream may run what this one has."""
+        not_counted = 1 if self._current.exchange is None else 0
+        route = self.accepted.route
+        return route.repeatable and self.runs + not_counted < route.attempts_max
+
+    def _hold_place_elsewhere(self) -> bool:
+        """Take a retry and a place at another upstream, if there are both now."""
+        service = self.accepted.service
+        if not self._desk.may_retry(service):
+            return False
+        self._next_place = self._wait_for_place(may_wait=False)
+        if self._next_place is None:
+            self._desk.retry_unused(service)
+            return False
+        return True
+
+    def _take_next(self) -> _Place | None:
+        place, self._next_place = self._next_place, None
+        return place
+
+    def _give_back_next(self) -> None:
+        place = self._take_next()
+        if place is not None:
+            self._desk.ended(place.ticket, place.upstream, self.accepted, Outcome.LEFT)
 
     def _left_s(self) -> float:
         return self.accepted.until_s - self._clock.monotonic_s()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -206,6 +206,11 @@
         self._metrics.count(RETRIES, "sent" if may else "budget_spent")
         return may
 
+    def retry_unused(self, service: str) -> None:
+        with self._lock:
+            self._allowance(service).give_back()
+        self._metrics.count(RETRIES, "unused")
+
     def written(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
             pool = self._scheduler.line(ticket.service).pool
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -117,9 +117,10 @@
 
     `target_s` counts from `first_s`, when its caller asked for the first time, and
     `patience_s` from `arrived_s`: after it a caller that has seen no byte leaves.
-    `excluded` holds upstreams it was sent to before, `outlook` is what it met where
-    it was sent last. `decided` is called once with
-    the decision, under the scheduler's lock: it must not block.
+    `excluded` holds upstreams it was sent to before. One that may not wait is decided
+    on before `submit` returns. Once it was sent, `outlook` is what it met there and
+    `expected_first_s` the time to its first byte. `decided` is called once with the
+    decision, under the scheduler's lock: it must not block.
     """
 
     request_id: str
@@ -135,11 +136,13 @@
     returned: bool
     decided: Callable[[Decision], None]
     excluded: set[str] = attrs.field(factory=set)
+    may_wait: bool = True
     number: int = 0
     late: bool = False
     leaves_line_s: float = 0.0
     started_s: float = 0.0
     outlook: Outlook | None = None
+    expected_first_s: float = 0.0
 
     @property
     def on_time_until_s(self) -> float:
@@ -206,6 +209,8 @@
         self._waiting.add(ticket)
         self._ranks[ticket.rank] += 1
         self.serve(now_s)
+        if not ticket.may_wait and self.withdraw(ticket):
+            ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take a request out whose caller has gone; False if it wasn't waiting."""
@@ -308,6 +313,8 @@
         self._remove(ticket)
         ticket.started_s = now_s
         ticket.outlook = outlook_at(seat, ticket.prompt_tokens)
+        tokens_per_step = self.pool.reading.tokens_per_step
+        ticket.expected_first_s = ticket.outlook.first_s(tokens_per_step)
         seat.own[ticket.request_id] = ticket.prompt_tokens
         self._held[ticket.rank] += 1
         ticket.decided(Dispatch(upstream=seat.upstream))
@@ -321,6 +328,8 @@
 
     def _patience_s(self, ticket: Ticket, now_s: float) -> float:
         """Return how long a request may wait from now on."""
+        if not ticket.may_wait:
+            return 0.0
         leaves_s = min(ticket.deadline_s, ticket.arrived_s + ticket.patience_s)
         left_s = leaves_s - now_s - SERVICE_MARGIN_S
         if ticket.returned:
--- a/lavenderspoke/retrybudget.py
+++ b/lavenderspoke/retrybudget.py
@@ -63,6 +63,10 @@
         self._balance -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Count back one retry that was taken and not sent."""
+        self._balance += 1.0
+
     def _fade(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._at_s)
         kept = math.exp(-elapsed_s / TIME_CONSTANT_S)
