Send nothing to upstreams that started again as others, and count no retry for what never arrived

Cause: engines that crash come back at their addresses as new starts two seconds later, while the records of the old ones last three heartbeats. What answers there turns each request away as not meant for it. That changed nothing in the entries' choice: with nothing running, the old starts looked best to every request.

Ruled out: places taken twice by entries that don't know of each other. Turned-away requests came at 10 to 14 s only, at the six crashed engines only, while all engines' places were short from 4 to 20 s.

Change: an upstream at whose address another one answers is left alone for 5 s, at all entries (told with the next message), and its death is noted. Three upstreams in a row that can't be reached take no retry from the budget: a request that nobody got is no repeat.

Before: 4 new scenarios fail; after: all pass.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -51,3 +51,21 @@
     And another upstream has a place, and says nothing for 1.9 s
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 2 upstreams
+
+  Scenario: Another upstream answers at the address
+    The upstream crashed and started again as another one. It says that it is not the
+    one that was asked, so the request has not run, and goes elsewhere.
+    Given a request at an upstream in whose place another one answers
+    And another upstream streams its answer
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And the first attempt ended as "misdirected"
+
+  Scenario: Two upstreams can't be reached, and no retry is left
+    The pattern: a quarter of the upstreams crashed at once, and what was cut off there
+    has used up the retries. A request that no upstream has got yet is no repeat; its
+    caller was refused although others had room.
+    Given a request at 2 upstreams that can't be reached
+    And another upstream streams its answer, and no retry is left
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -110,3 +110,14 @@
     Given customers of the ranks 1 and 3
     Then a request without a key ranks as 3, and a customer's as its own
     And with no customers at all it ranks as 0
+
+  Scenario: Upstreams crash and start again as others at their addresses
+    The pattern: six of 24 upstreams crash. For three seconds their records stay, and
+    what answers at their addresses turns every request away. Nothing runs there, so
+    they look like the best choice to every request.
+    Given a line before 24 upstreams of 9 places
+    When other upstreams are found at the addresses of 6 of them
+    And 100 requests come, one each 10 ms
+    Then none is sent to these 6
+    When 5 s have passed, and 100 requests come, one each 10 ms
+    Then some are sent to these 6
--- a/features/direct_spreading.feature
+++ b/features/direct_spreading.feature
@@ -67,3 +67,10 @@
     When they run for 2 s, and one refuses a request each 10 ms for 1 s
     And they run for 0.5 s
     Then each entry expects all that were refused back
+
+  Scenario: One entry finds that an upstream is gone
+    Each of the others would have a request turned away before it knows.
+    Given 24 entries in 3 data centres
+    When they run for 2 s, and one finds another upstream at the address of one
+    And they run for 0.25 s
+    Then none of the entries sends a request there
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.scheduler import Dispatch, Refusal, Refuse
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Reason
-from standins.processes import HOST
+from standins.processes import HOST, free_port
 
 TIMEOUT_S = 5.0
 
@@ -62,6 +62,9 @@
     def never_ran(self, exchange) -> bool:
         return False
 
+    def misdirected(self, exchange) -> bool:
+        return exchange.status == 421
+
     def answers(self, exchange, head) -> bool:
         return True
 
@@ -279,6 +282,39 @@
     assert ended_before == [(), (Outcome.SILENT,)], ended_before
 
 
+@given("a request at an upstream in whose place another one answers")
+def step_misdirected(context):
+    head = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+    context.first = start_upstream(context, [head], 0.0, "keeps")
+
+
+@given("a request at {count:d} upstreams that can't be reached")
+def step_unreachable(context, count):
+    context.unreachable = [upstream_at(free_port(), name=f"x{n}") for n in range(count)]
+
+
+@given("another upstream streams its answer, and no retry is left")
+def step_streams_without_retry(context):
+    stream = [STREAM_HEAD + chunk(0) + chunk(1) + STREAM_END]
+    other = start_upstream(context, stream, 0.0, "keeps")
+    upstreams = [*context.unreachable, upstream_at(other.port)]
+    context.desk = FewPlacesDesk(upstreams=upstreams)
+    context.desk.retries = 0
+    accepted = accepted_request(resumable=True, attempts_max=2)
+    context.handling = handling_of(accepted, context.desk)
+
+
+@given("another upstream streams its answer")
+def step_streams(context):
+    stream = [STREAM_HEAD + chunk(0) + chunk(1) + STREAM_END]
+    begin(context, [start_upstream(context, stream, 0.0, "keeps")])
+
+
+@then('the first attempt ended as "{outcome}"')
+def step_first_ended(context, outcome):
+    assert context.desk.outcomes[0] is Outcome(outcome), context.desk.outcomes
+
+
 @then("no place is held")
 def step_none_held(context):
     assert context.desk.held == [], context.desk.held
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -433,3 +433,39 @@
 @then("with no customers at all it ranks as {rank:d}")
 def step_rank_alone(context, rank):
     assert catalog_of().rank_of(None) == rank
+
+
+@when("other upstreams are found at the addresses of {count:d} of them")
+def step_found_others(context, count):
+    context.gone = {f"u{n}" for n in range(count)}
+    for upstream_id in context.gone:
+        context.drive.line.pool.gone(upstream_id, context.drive.now_s)
+
+
+@when("{count:d} requests come, one each {every_ms:d} ms")
+def step_come_evenly(context, count, every_ms):
+    context.sent_to = set()
+    for _ in range(count):
+        ticket, (decision,) = context.drive.ticket()
+        upstream_id = decision.upstream.upstream_id
+        context.sent_to.add(upstream_id)
+        context.drive.run(every_ms / 1000.0)
+        context.drive.line.ended(ticket, upstream_id, context.drive.now_s)
+
+
+@when(
+    "{seconds:d} s have passed, and {count:d} requests come, one each {every_ms:d} ms"
+)
+def step_later(context, seconds, count, every_ms):
+    context.drive.run(float(seconds))
+    step_come_evenly(context, count, every_ms)
+
+
+@then("none is sent to these {count:d}")
+def step_none_to_these(context, count):
+    assert not context.sent_to & context.gone, context.sent_to
+
+
+@then("some are sent to these {count:d}")
+def step_some_to_these(context, count):
+    assert context.sent_to & context.gone, context.sent_to
--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -7,8 +7,10 @@
 
 from behave import given, then, when
 
+from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.catalog import Customer
+from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
 from lavenderspoke.direct.office import Office
@@ -34,6 +36,9 @@
 )
 
 
+REQUEST = accepted_request(resumable=False, attempts_max=1)
+
+
 class Entry:
     """An entry's decisions, with its part in the talk."""
 
@@ -260,6 +265,23 @@
         fleet.run(0.01)
 
 
+@when(
+    "they run for {seconds:g} s, and one finds another upstream at the address of one"
+)
+def step_finds(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    office = fleet.entries["entry-5"].office
+    office._judge(UPSTREAM, REQUEST, Outcome.MISDIRECTED, fleet.now_s)
+
+
+@then("none of the entries sends a request there")
+def step_none_sends(context):
+    for entry in context.fleet.entries.values():
+        begin_request(entry, 1)
+        assert not entry.office._scheduler.line(SERVICE).pool.in_flight()
+
+
 @given("an entry that hears another one's second life")
 def step_second_life(context):
     context.clock = ManualClock()
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -68,6 +68,7 @@
     SILENT = "silent"  # nothing came in time; it may have run
     UNREACHABLE = "unreachable"  # no connection; it has not run
     NOT_RUN = "not_run"  # the upstream says that it did not run it
+    MISDIRECTED = "misdirected"  # another start answers there; it has not run
     LEFT = "left"  # given up by this side: the caller has gone, or time is up
 
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -87,5 +87,11 @@
     def never_ran(self, exchange: Exchange) -> bool:
         """Return whether the upstream says that it did not run the request."""
 
+    def misdirected(self, exchange: Exchange) -> bool:
+        """Return whether another upstream answers there than was asked.
+
+        It did not run the request; the one that was asked is no longer there.
+        """
+
     def answers(self, exchange: Exchange, head: CallerHead) -> bool:
         """Return whether this is the upstream's own answer to that request."""
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -43,11 +43,17 @@
 SILENCE_TIMES = 3.0
 # Time between two looks for a place elsewhere, in seconds, while an upstream is silent.
 SILENCE_AGAIN_S = 0.3
+# Upstreams in a row that can't be reached before the next one takes a retry from the
+# budget: each may take up to the time in which a connection must stand.
+UNREACHED_MAX = 3
 # The least time in seconds that is worth an attempt.
 ATTEMPT_MIN_S = 0.1
 # How long the body of a short answer may take once its head has come, seconds.
 DRAIN_BODY_S = 0.3
 
+# Outcomes that prove that an attempt did not run.
+NEVER_RAN = (Outcome.UNREACHABLE, Outcome.NOT_RUN, Outcome.MISDIRECTED)
+
 log = logbook.Logger(__name__)
 
 
@@ -94,6 +100,7 @@
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
+        self._unreached = 0
         self._may_have_run = False
         self._last_event = accepted.head.after_event
         # An upstream's own failure, for the case that no other one does better.
@@ -238,7 +245,9 @@
 
     def _check_head(self, attempt: _Attempt) -> None:
         exchange = attempt.exchange
-        if self._dialect.never_ran(exchange):
+        if self._dialect.misdirected(exchange):
+            self._end(attempt, Outcome.MISDIRECTED)
+        elif self._dialect.never_ran(exchange):
             self._drain(exchange)
             self._end(attempt, Outcome.NOT_RUN)
         elif not self._dialect.answers(exchange, self.accepted.head):
@@ -374,7 +383,9 @@
                 bodies = self._resumed(error)
 
     def _resumed(self, error: AnswerCut) -> Iterator[bytes]:
-        if self._gone or not self._may_run_again() or not self._can_retry():
+        if self._gone or not self._may_run_again():
+            raise error
+        if not self._can_retry(self._current):
             raise error
         attempt = self._attempt()
         if isinstance(attempt, Problem):
@@ -398,20 +409,30 @@
         """Return whether to try another upstream after a failed attempt."""
         if self._gone or self._left_s() < ATTEMPT_MIN_S:
             return False
-        if attempt.outcome in (Outcome.UNREACHABLE, Outcome.NOT_RUN):
+        if attempt.outcome in NEVER_RAN:
             may = not self._may_have_run or self._may_run_again()
         else:
             may = self._may_run_again()
-        return may and self._can_retry()
+        return may and self._can_retry(attempt)
 
     def _may_run_again(self) -> bool:
         route = self.accepted.route
         return route.repeatable and self.runs < route.attempts_max
 
-    def _can_retry(self) -> bool:
+    def _can_retry(self, attempt: _Attempt) -> bool:
+        """Return whether the retry budget allows another attempt.
+
+        One that no upstream has got so far is no repeat: counted as one, the crash of a
+        few upstreams uses up the budget, and callers are refused for whom others have
+        room.
+        """
         if self._next_place is not None:
             # The retry was taken from the budget with the place.
             return True
+        if attempt.outcome is Outcome.UNREACHABLE:
+            self._unreached += 1
+            if self._unreached <= UNREACHED_MAX:
+                return True
         return self._desk.may_retry(self.accepted.service)
 
     # Silence
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -20,7 +20,8 @@
     rows of route rank, what the entry let through since it started and what was asked
     for, without those customers for which that is known. `refused` are the
     fingerprints of requests refused since the last message, whose callers may come
-    back anywhere. `number` counts the messages of one life of the entry: a state may
+    back anywhere; `gone` are upstreams at whose address another one was found since
+    then. `number` counts the messages of one life of the entry: a state may
     come by several ways, and the older one must not replace the newer.
     """
 
@@ -32,6 +33,7 @@
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     spent: dict[str, Rows] = attrs.field(factory=dict)
     refused: tuple[str, ...] = ()
+    gone: tuple[str, ...] = ()
     leaving: bool = False
 
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -93,6 +93,7 @@
         )
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
+        self._gone_news: list[str] = []
         self._told_spent: dict[str, Rows] = {}
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
@@ -358,8 +359,10 @@
                 held=held,
                 spent=self._spent_news(),
                 refused=self._returns.news(),
+                gone=tuple(self._gone_news),
                 leaving=leaving,
             )
+            self._gone_news.clear()
             evidence, self._evidence = self._evidence, []
         return [state, *evidence]
 
@@ -371,6 +374,8 @@
         if not self._peers.heard(sender, state, now_s, age_s=age_s):
             return False
         self._returns.heard(state.refused, now_s)
+        for upstream_id in state.gone:
+            self._note_gone(upstream_id, now_s)
         self._quota.peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
@@ -405,6 +410,10 @@
             self._crashes.broke(upstream.upstream_id, fingerprint, now_s)
         elif outcome is Outcome.UNREACHABLE:
             self._died(upstream, now_s)
+        elif outcome is Outcome.MISDIRECTED:
+            self._died(upstream, now_s)
+            self._note_gone(upstream.upstream_id, now_s)
+            self._gone_news.append(upstream.upstream_id)
         if seat is None:
             return
         if outcome is Outcome.ANSWERED:
@@ -416,6 +425,10 @@
         elif outcome in (Outcome.SILENT, Outcome.UNREACHABLE):
             seat.health.unreachable(now_s)
 
+    def _note_gone(self, upstream_id: str, now_s: float) -> None:
+        for line in self._scheduler.lines().values():
+            line.pool.gone(upstream_id, now_s)
+
     def _note_crashes(self, now_s: float) -> None:
         """Take a new start as the crash of the one before, once all of it broke."""
         settled = [e for e in self._restarted if now_s >= e.at_s + RESTART_SETTLED_S]
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -25,6 +25,10 @@
 SPREAD = 0.3
 # What a certain failure would cost, in seconds: about one wasted attempt.
 FAILURE_S = 0.6
+# How long an upstream is left alone at whose address another one answers, in seconds:
+# longer than its record outlives it, which is three heartbeats of 1.2 s. Should it live
+# all the same, it is taken again after that.
+GONE_S = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +68,7 @@
     health: Health = attrs.field(factory=Health)
     own: dict[str, int] = attrs.field(factory=dict)
     peers: Running = IDLE
+    gone_until_s: float | None = None
 
     def room(self) -> int:
         """Return how many more requests fit into the upstream's slots."""
@@ -156,6 +161,23 @@
         for upstream_id, seat in self._seats.items():
             seat.peers = running.get(upstream_id, IDLE)
 
+    def gone(self, upstream_id: str, now_s: float) -> None:
+        """Send nothing more to an upstream that is no longer at its address.
+
+        It crashed and started again as another one. Nothing runs there any more, so its
+        record, which lasts for seconds, would draw requests from all entries; each is
+        turned away, and takes a retry that others need.
+        """
+        seat = self._seats.get(upstream_id)
+        if seat is not None:
+            seat.gone_until_s = now_s + GONE_S
+
+    def come_back(self, now_s: float) -> None:
+        """Take upstreams again that have been left alone for long enough."""
+        for seat in self._seats.values():
+            if seat.gone_until_s is not None and now_s >= seat.gone_until_s:
+                seat.gone_until_s = None
+
     def slots(self) -> int:
         """Return the slots of all upstreams that take new requests."""
         return sum(s.upstream.slots for s in self._open())
@@ -210,7 +232,11 @@
         return seats[min(costs)[1]]
 
     def _open(self) -> list[Seat]:
-        return [seat for seat in self._seats.values() if not seat.upstream.leaving]
+        return [
+            seat
+            for seat in self._seats.values()
+            if not seat.upstream.leaving and seat.gone_until_s is None
+        ]
 
     def _is_in_time(self, seat: Seat, demand: Demand) -> bool:
         return self._first_s(seat, demand) <= demand.first_in_s
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -432,5 +432,6 @@
         running = self._peers_running()
         for service, line in self._lines.items():
             line.pool.refresh_peers(running)
+            line.pool.come_back(now_s)
             line.peers = self._peers_share(service)
             line.serve(now_s)
--- a/lavenderspoke/direct/talk.py
+++ b/lavenderspoke/direct/talk.py
@@ -189,6 +189,7 @@
         after,
         spent=before.spent | after.spent,
         refused=before.refused + after.refused,
+        gone=before.gone + after.gone,
     )
 
 
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -112,6 +112,10 @@
         """Return whether the upstream says that it did not run the request."""
         return exchange.status == MISDIRECTED or bool(exchange.header(NEVER_RAN))
 
+    def misdirected(self, exchange: Exchange) -> bool:
+        """Return whether another upstream answers there than was asked."""
+        return exchange.status == MISDIRECTED
+
     def answers(self, exchange: Exchange, head: CallerHead) -> bool:
         """Return whether this is the upstream's own answer to that request.
 
