Move HTTP and what daemons tell of themselves into rooms of their own

lavenderspoke/http: server, client, callerrequest, callerwatch, requestbody, hopbyhop, eventstream, problempage. lavenderspoke/observing: logs, metrics, explaining.

--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -22,9 +22,9 @@
 from lavenderspoke.callers import CallerServer, StatusServer
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.gateway import AnswerBody, AnswerEnd, Sending
-from lavenderspoke.httpserver import Tls
-from lavenderspoke.logs import JsonLinesHandler
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http.server import Tls
+from lavenderspoke.observing.logs import JsonLinesHandler
+from lavenderspoke.observing.metrics import Metrics
 
 THREADS = 4
 AUTHORIZED = (("Authorization", f"Bearer {CREDENTIAL}"), ("Connection", "close"))
--- a/features/steps/callerwatch_steps.py
+++ b/features/steps/callerwatch_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from lavenderspoke.callerwatch import CallerWatch
+from lavenderspoke.http.callerwatch import CallerWatch
 
 WAIT_S = 10.0
 
--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -18,8 +18,8 @@
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import SILENT_S, Whereabouts
 from lavenderspoke.direct.talk import Talk
-from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 
 TICK_S = 0.02
 DELAYS_S = (0.001, 0.003)
--- a/features/steps/direct_start_steps.py
+++ b/features/steps/direct_start_steps.py
@@ -22,9 +22,9 @@
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import Whereabouts
-from lavenderspoke.httpserver import HttpServer
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http.server import HttpServer
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import early
 from standins.processes import HOST, free_port
 
--- a/features/steps/httpupstream_steps.py
+++ b/features/steps/httpupstream_steps.py
@@ -12,7 +12,7 @@
     model_call,
     stream_text,
 )
-from lavenderspoke.eventstream import EventSplitter
+from lavenderspoke.http.eventstream import EventSplitter
 from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
 from lavenderspoke.model import Call
 from lavenderspoke.upstream import (
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -6,7 +6,7 @@
 import logbook
 from behave import then, when
 
-from lavenderspoke.logs import BoundedStream, JsonLinesHandler
+from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 
 SECRET = "open-sesame"
 HEADER = ("Authorization", f"Bearer {SECRET}")
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then
 
-from lavenderspoke.metrics import OTHER, LatencyKey, Metrics
+from lavenderspoke.observing.metrics import OTHER, LatencyKey, Metrics
 
 
 @given('metrics with 3 refusals for "{reason}" and latencies of 10, 20 and 30 ms')
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -6,7 +6,7 @@
 from features.helper import stage_of
 from lavenderspoke.documents import InForce
 from lavenderspoke.httpupstream import ModelUpstream
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.ordering import Ordering
 from lavenderspoke.service import (
     Kind,
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -11,7 +11,7 @@
 from lavenderspoke.documents import DocumentFold
 from lavenderspoke.edits import encode_edit, new_edit
 from lavenderspoke.history import DocumentHistory
-from lavenderspoke.httpclient import ANSWER_BYTES_MAX
+from lavenderspoke.http.client import ANSWER_BYTES_MAX
 from lavenderspoke.platformlog import (
     SERVICES_STREAM,
     HttpLog,
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -12,8 +12,8 @@
 from lavenderspoke.direct.messages import RecordsAsked, RecordsTold
 from lavenderspoke.direct.records import Forgotten, KeyedRecord, Records, StoreError
 from lavenderspoke.direct.relay import Peering, Relay
-from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.feeds import (
     CONFIGURATION_TOPIC,
     UPSTREAMS_TOPIC,
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -22,7 +22,7 @@
 from lavenderspoke.direct.relay import Peering, Relay
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import Whereabouts
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.feeds import (
     ConfigurationFeed,
     EntriesFeed,
--- a/lavenderspoke/answerstream.py
+++ b/lavenderspoke/answerstream.py
@@ -4,9 +4,8 @@
 
 import attrs
 
-from lavenderspoke import callerheaders, problempage
+from lavenderspoke import callerheaders
 from lavenderspoke.callerheaders import REQUEST_ID
-from lavenderspoke.callerrequest import StartResponse
 from lavenderspoke.gateway import (
     Answer,
     AnswerBody,
@@ -14,7 +13,9 @@
     AnswerEnd,
     BodyWriter,
 )
-from lavenderspoke.httpserver import CutOff
+from lavenderspoke.http import problempage
+from lavenderspoke.http.callerrequest import StartResponse
+from lavenderspoke.http.server import CutOff
 from lavenderspoke.model import Head, Ran
 from lavenderspoke.problems import Problem, Reason
 
--- a/lavenderspoke/arrivals.py
+++ b/lavenderspoke/arrivals.py
@@ -14,8 +14,8 @@
 
 from lavenderspoke import callerheaders, modelrequest
 from lavenderspoke.callerheaders import CallerHeaders
-from lavenderspoke.callerrequest import CallerRequest
 from lavenderspoke.gateway import Arrival, Gateway
+from lavenderspoke.http.callerrequest import CallerRequest
 from lavenderspoke.model import Call, Ran
 from lavenderspoke.prefix import prefix_hashes
 from lavenderspoke.problems import Problem, Reason
--- a/lavenderspoke/callerapp.py
+++ b/lavenderspoke/callerapp.py
@@ -3,18 +3,19 @@
 import threading
 from collections.abc import Iterable
 
-from lavenderspoke import arrivals, problempage
+from lavenderspoke import arrivals
 from lavenderspoke.answerstream import AnswerStream
 from lavenderspoke.arrivals import Admission, ArrivalBuilder, refusal
-from lavenderspoke.callerrequest import StartResponse, caller_request
-from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Answer, Arrival, Gateway
-from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, chunk_writer
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http import problempage
+from lavenderspoke.http.callerrequest import StartResponse, caller_request
+from lavenderspoke.http.callerwatch import CallerWatch
+from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
+from lavenderspoke.http.server import REQUEST_KEY, CallerHttpRequest, chunk_writer
 from lavenderspoke.model import Ran
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.requestbody import BodyBroken, BodyTooLarge, read_body
 
 BODY_BYTES_MAX = 8 * 1024 * 1024
 DRAIN_RETRY_S = 1.0
--- a/lavenderspoke/callerheaders.py
+++ b/lavenderspoke/callerheaders.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.gateway import Sending
-from lavenderspoke.hopbyhop import Headers, end_to_end
+from lavenderspoke.http.hopbyhop import Headers, end_to_end
 
 PREFIX = "lavenderspoke-"
 AUTHORIZATION = "authorization"
--- a/lavenderspoke/callers.py
+++ b/lavenderspoke/callers.py
@@ -7,20 +7,20 @@
 
 import attrs
 
-from lavenderspoke import problempage
 from lavenderspoke.arrivals import ArrivalBuilder
 from lavenderspoke.callerapp import BODY_BYTES_MAX, CallerApp
-from lavenderspoke.callerrequest import StartResponse
-from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Gateway
-from lavenderspoke.httpserver import (
+from lavenderspoke.http import problempage
+from lavenderspoke.http.callerrequest import StartResponse
+from lavenderspoke.http.callerwatch import CallerWatch
+from lavenderspoke.http.server import (
     HEADER_BYTES_MAX,
     REQUEST_READ_S,
     HttpServer,
     Tls,
 )
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.observing.metrics import Metrics
 
 CALLER_THREADS = 256
 STATUS_THREADS = 4
--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -29,8 +29,8 @@
     DocumentWanted,
     EntryAnnounce,
 )
-from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platformlog import HttpLog
 from lavenderspoke.stopsignals import STOP_SIGNALS
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -12,9 +12,6 @@
 import logbook
 from result import Err, Ok, Result
 
-from lavenderspoke import problempage
-from lavenderspoke.callerrequest import StartResponse, caller_request
-from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog, Customer, Route
 from lavenderspoke.direct.desk import Accepted, StreamAnswer, WholeAnswer
@@ -25,11 +22,14 @@
 from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.opening import Opening
 from lavenderspoke.direct.refusals import not_run
-from lavenderspoke.hopbyhop import Headers, end_to_end
-from lavenderspoke.httpserver import REQUEST_KEY, CallerHttpRequest, CutOff
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http import problempage
+from lavenderspoke.http.callerrequest import StartResponse, caller_request
+from lavenderspoke.http.callerwatch import CallerWatch
+from lavenderspoke.http.hopbyhop import Headers, end_to_end
+from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
+from lavenderspoke.http.server import REQUEST_KEY, CallerHttpRequest, CutOff
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.requestbody import BodyBroken, BodyTooLarge, read_body
 
 # What callers are told to wait, in seconds, for what ends within a second or two.
 SOON_S = 0.5
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -11,7 +11,6 @@
 
 import logbook
 
-from lavenderspoke.callerwatch import CallerWatch
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.app import DirectApp
 from lavenderspoke.direct.catalog import Catalog
@@ -25,8 +24,9 @@
 from lavenderspoke.direct.server import CallerPart
 from lavenderspoke.direct.settings import KEY_MARGIN_S, Bounds, DirectSettings
 from lavenderspoke.direct.sharing import Whereabouts
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http.callerwatch import CallerWatch
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.stopsignals import STOP_SIGNALS
 from lavenderspoke.supervisor import Part, Supervisor
 
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -11,7 +11,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.scheduler import Rank, Ticket
-from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.problems import Problem
 
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -7,7 +7,7 @@
 
 from lavenderspoke.direct.exchange import Exchange
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.http.hopbyhop import Headers
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -21,7 +21,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.hopbyhop import Headers
+from lavenderspoke.http.hopbyhop import Headers
 
 # A handshake takes a few milliseconds inside a data centre and some ten between
 # them; in seconds, short enough that another upstream can still be tried.
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -17,8 +17,8 @@
 from lavenderspoke.direct.settings import Address
 from lavenderspoke.direct.talk import Letter, Talk
 from lavenderspoke.envelope import Envelope
-from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
 from lavenderspoke.transport import Transport
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -32,7 +32,7 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import out_of_time, turned_down, unanswered
 from lavenderspoke.direct.scheduler import Decision, Dispatch, Ticket
-from lavenderspoke.eventstream import Events, EventSplitter, EventTooLong
+from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.problems import Problem
 
 # An upstream that is silent for so long, in seconds, is given up where another one
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -30,8 +30,8 @@
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns, Whereabouts
 from lavenderspoke.direct.usage import Rows
-from lavenderspoke.metrics import Metrics
 from lavenderspoke.model import InstanceId, Ran
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
--- a/lavenderspoke/direct/readiness.py
+++ b/lavenderspoke/direct/readiness.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Iterable
 
-from lavenderspoke.callerrequest import StartResponse
 from lavenderspoke.direct.server import ServerPart
 from lavenderspoke.direct.settings import Address
-from lavenderspoke.httpserver import HttpServer
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.http.callerrequest import StartResponse
+from lavenderspoke.http.server import HttpServer
+from lavenderspoke.observing.metrics import Metrics
 
 THREADS = 2
 METRICS_PATH = "/metrics"
--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -6,7 +6,7 @@
 from lavenderspoke.direct.app import DirectApp
 from lavenderspoke.direct.catalog import Limits
 from lavenderspoke.direct.settings import DirectSettings
-from lavenderspoke.httpserver import HttpServer
+from lavenderspoke.http.server import HttpServer
 
 # Connections may idle for this much longer, in seconds, than callers are told:
 # a request that crosses a close is lost to its caller.
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -11,7 +11,7 @@
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
 from lavenderspoke.entrygateway import EntryGateway
 from lavenderspoke.following import FollowingTimes
-from lavenderspoke.httpserver import Tls
+from lavenderspoke.http.server import Tls
 from lavenderspoke.memberlist import Role
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import entry_report
--- a/lavenderspoke/callerrequest.py
+++ b/lavenderspoke/http/callerrequest.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lavenderspoke.hopbyhop import Headers
-from lavenderspoke.httpserver import CallerHttpRequest
+from lavenderspoke.http.hopbyhop import Headers
+from lavenderspoke.http.server import CallerHttpRequest
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
--- a/lavenderspoke/requestbody.py
+++ b/lavenderspoke/http/requestbody.py
@@ -4,7 +4,7 @@
 
 from cheroot import errors
 
-from lavenderspoke.httpserver import CallerHttpRequest
+from lavenderspoke.http.server import CallerHttpRequest
 
 
 class BodyTooLarge(Exception):
--- a/lavenderspoke/httpserver.py
+++ b/lavenderspoke/http/server.py
@@ -18,7 +18,7 @@
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
-from lavenderspoke import problempage
+from lavenderspoke.http import problempage
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 
--- a/lavenderspoke/httprun.py
+++ b/lavenderspoke/httprun.py
@@ -7,9 +7,9 @@
 from result import Err, Result
 from urllib3.exceptions import HTTPError
 
-from lavenderspoke.eventstream import EventSplitter, EventTooLong
-from lavenderspoke.hopbyhop import end_to_end
-from lavenderspoke.httpclient import READ_BYTES, AnswerLost, NotSent
+from lavenderspoke.http.client import READ_BYTES, AnswerLost, NotSent
+from lavenderspoke.http.eventstream import EventSplitter, EventTooLong
+from lavenderspoke.http.hopbyhop import end_to_end
 from lavenderspoke.upstream import (
     RunEvent,
     UpstreamBody,
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/httpupstream.py
@@ -8,8 +8,8 @@
 import urllib3
 from result import Err, Ok, Result
 
-from lavenderspoke.hopbyhop import HOP_BY_HOP
-from lavenderspoke.httpclient import HttpClient, Reply
+from lavenderspoke.http.client import HttpClient, Reply
+from lavenderspoke.http.hopbyhop import HOP_BY_HOP
 from lavenderspoke.httprun import HttpRun, run_error
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
--- a/lavenderspoke/memberlist.py
+++ b/lavenderspoke/memberlist.py
@@ -6,7 +6,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.httpclient import HttpClient
+from lavenderspoke.http.client import HttpClient
 from lavenderspoke.jsoncodec import decode
 
 MEMBERS_PATH = "/members"
--- /dev/null
+++ b/lavenderspoke/observing/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons tell of themselves: logs, metrics, a request's story."""
--- a/lavenderspoke/ordering.py
+++ b/lavenderspoke/ordering.py
@@ -7,7 +7,7 @@
 
 from lavenderspoke.documentfeed import DocumentFeed
 from lavenderspoke.documents import InForce
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.orders import NextOrder, next_order
 from lavenderspoke.upstream import OrderFenced, Upstream
 
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -14,8 +14,8 @@
 from lavenderspoke.direct.messages import RecordsMessage
 from lavenderspoke.direct.relay import Peering, Relay
 from lavenderspoke.direct.settings import Bounds
-from lavenderspoke.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.settings import PlatformSettings
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.records import Records
 from lavenderspoke.direct.relay import Relay
 from lavenderspoke.direct.sharing import Whereabouts
-from lavenderspoke.metrics import Metrics
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.decoding import parse_as
 from lavenderspoke.platform.registry import Registry
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -7,7 +7,7 @@
 from lavenderspoke.direct.dialect import BadHead, CallerHead
 from lavenderspoke.direct.exchange import Exchange
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.hopbyhop import Headers, end_to_end
+from lavenderspoke.http.hopbyhop import Headers, end_to_end
 
 # Names the caller's one try, and not the request over all its tries.
 ATTEMPT_ID = "X-Attempt-Id"
--- a/lavenderspoke/platformlog.py
+++ b/lavenderspoke/platformlog.py
@@ -15,7 +15,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.httpclient import AnswerLost, HttpClient, NotSent, Reply
+from lavenderspoke.http.client import AnswerLost, HttpClient, NotSent, Reply
 from lavenderspoke.jsoncodec import decode
 
 SERVICES_STREAM = "services"
--- a/lavenderspoke/sender.py
+++ b/lavenderspoke/sender.py
@@ -24,8 +24,8 @@
     TIER,
 )
 from lavenderspoke.gateway import Sending
+from lavenderspoke.http.problempage import CONTENT_TYPE, ERROR_EVENT_START, TYPE_PREFIX
 from lavenderspoke.model import Ran
-from lavenderspoke.problempage import CONTENT_TYPE, ERROR_EVENT_START, TYPE_PREFIX
 
 CONNECT_TIMEOUT_S = 5.0
 READ_MARGIN_S = 10.0
--- a/lavenderspoke/statuspages.py
+++ b/lavenderspoke/statuspages.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.httpclient import HttpClient
+from lavenderspoke.http.client import HttpClient
 from lavenderspoke.jsoncodec import decode
 from lavenderspoke.memberlist import Member, MemberList
 
--- a/lavenderspoke/ui/daemons.py
+++ b/lavenderspoke/ui/daemons.py
@@ -9,7 +9,7 @@
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.config import load_agent_settings, load_entry_settings
 from lavenderspoke.entry import EntryDaemon
-from lavenderspoke.logs import JsonLinesHandler
+from lavenderspoke.observing.logs import JsonLinesHandler
 
 SettingsFile = Annotated[
     str, typer.Option("--settings", help="The YAML file with this daemon's settings.")
--- a/lavenderspoke/ui/explain.py
+++ b/lavenderspoke/ui/explain.py
@@ -8,8 +8,8 @@
 import attrs
 import typer
 
-from lavenderspoke import explaining
-from lavenderspoke.explaining import Line, Story
+from lavenderspoke.observing import explaining
+from lavenderspoke.observing.explaining import Line, Story
 from lavenderspoke.ui.common import printable
 from lavenderspoke.util import UserError
 
