--- a/lavenderspoke/direct/opening.py
+++ b/lavenderspoke/direct/opening.py
@@ -16,8 +16,7 @@
     """The first moments of an entry.
 
     Without it, requests that wait at the port while the entry starts are all refused
-    in the milliseconds before the first configuration is read: 16 to 20 of them, on a
-    day on which five entries come back at once.
+    in the milliseconds before the first configuration is read.
     """
 
     def __init__(self, *, known: Callable[[], bool], clock: Clock):
--- a/lavenderspoke/direct/peertotals.py
+++ b/lavenderspoke/direct/peertotals.py
@@ -1,8 +1,8 @@
 """Sums of what the other entries have running, waiting and held.
 
 Folded as each message comes, so that a message costs what it says and not what all
-entries say. Summed up anew fifty times a second, the tables of 68 entries took 2.3 % of
-a core, those of 300 took 10.6 %.
+entries say: summed up anew at each look, the tables of some hundred entries take more
+processor time than their requests.
 """
 
 from collections import Counter, defaultdict
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -10,11 +10,7 @@
 first second gets nothing for the seven after it; and an entry that starts can't know
 whether that second lies just behind it. And what is left of a limit goes to the highest
 ranks first, as places at upstreams do: spent in order of arrival, cheap requests of low
-ranks use up what the highest is then refused. Together they were worth 0.02 to 0.08 of
-what callers could have had, on days with a customer whose limit is lowered to a fifth
-(three seeds without processor time, against spending in order of arrival; one play with
-it earned 0.02 to 0.05 less). On days on which all entries are killed under a customer
-at its limit they were worth 0.03 to 0.05 (three seeds).
+ranks use up what the highest is then refused.
 
 An entry that doesn't hear some peers can't know what they let through. Each
 side then keeps to its part of the limit, so that the sum over all entries stays
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -12,10 +12,7 @@
 came back go ahead of newcomers, and then those whose callers expect a short
 answer go ahead of long ones: a tenth of the answers take half of all the time at
 the engines, and one of them holds the place in which ten others could be answered
-on time. In a driven model of such a load that is worth 0.047 of what callers could
-have had (sixteen seeds, standard error 0.005); of short answers that came beside
-long ones, 0.91 began within their target, 0.58 in order of arrival, and as many long
-ones were served.
+on time.
 
 A request is refused as soon as its turn can't come in time. Held longer it would
 only keep its caller from asking again; refused at once with a time to come back,
@@ -54,9 +51,7 @@
 LONG_S = 1.0
 # The part of all places that is guaranteed to the ranks below the highest, shared
 # among them. Just enough that each is served: every place beyond that is taken from
-# the highest rank when it is short. A tenth in place of three tenths was worth 0.036 of
-# what callers could have had on the days with most load (six pairs, standard error
-# 0.016), and 0.027 in a driven model (sixteen seeds, 0.006).
+# the highest rank when it is short.
 GUARANTEED = 0.1
 # The part of its target that a request waits at most, so that its first byte
 # can still come on time.
--- a/lavenderspoke/platform/early.py
+++ b/lavenderspoke/platform/early.py
@@ -3,8 +3,7 @@
 Loading takes some 0.4 s of processor time, most of it in libraries. Connections
 that come meanwhile would be refused, and a caller's one retry with them. They wait
 in the queue of the listening socket instead, and are served once the server takes
-it over: worth 0.012 of what callers could have had on days on which all entries come
-back at once (mean of six pairs). This module therefore imports nothing that takes long.
+it over. This module therefore imports nothing that takes long.
 """
 
 import socket
