Leave an upstream alone that two entries of different data centres couldn't reach

Cause: an engine that lost its power answers nobody. Each entry found that out with requests of its own, each of which waited 0.4 s for its connection, and again after each pause: with 68 entries and 15 such engines some thousand requests in four seconds. A caller that left while its connection was made counted against the upstream too.

Ruled out: believing one report (its entry may be cut off itself), or several of one data centre (the way between two may be cut).

Change: a failed connection is told with the next message; two reports of different data centres within 2.5 s keep the others away for 2.2 s. Those that found out try again after their own pauses. What a caller's leaving breaks off counts as left.

Before: the new scenarios fail (steps of the messages missing); after: all pass.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -61,6 +61,14 @@
     Then its caller has events 0 and 1, and it ran at 1 upstream
     And the first attempt ended as "misdirected"
 
+  Scenario: The caller leaves before the request is sent
+    The upstream was not asked, so it must not count as one that can't be reached: all
+    entries would leave it alone.
+    Given a request at 1 upstreams that can't be reached
+    And another upstream streams its answer, and no retry is left
+    When its caller leaves while a connection is made
+    Then the first attempt ended as "left"
+
   Scenario: Two upstreams can't be reached, and no retry is left
     The pattern: a quarter of the upstreams crashed at once, and what was cut off there
     has used up the retries. A request that no upstream has got yet is no repeat; its
--- a/features/direct_spreading.feature
+++ b/features/direct_spreading.feature
@@ -74,3 +74,27 @@
     When they run for 2 s, and one finds another upstream at the address of one
     And they run for 0.25 s
     Then none of the entries sends a request there
+
+  Scenario: Two entries can't reach an upstream
+    The pattern: engines lose their power. A connection there fails only after 0.4 s.
+    Each entry would have a request wait for that, and another one after each pause.
+    Given 24 entries in 3 data centres
+    When they run for 2 s, and entries 1 and 2 can't reach the upstream
+    And they run for 0.2 s
+    Then none of the entries sends a request there
+    When they run for 2.5 s
+    Then each of the entries sends a request there
+
+  Scenario: One entry alone can't reach an upstream
+    It may be cut off itself. The others go on sending there.
+    Given 24 entries in 3 data centres
+    When they run for 2 s, and entries 1 and 1 can't reach the upstream
+    And they run for 0.2 s
+    Then all but entry 1 send a request there
+
+  Scenario: Two entries of one data centre can't reach an upstream
+    The way between two data centres may be cut. The others go on sending there.
+    Given 24 entries in 3 data centres
+    When they run for 2 s, and entries 1 and 4 can't reach the upstream
+    And they run for 0.2 s
+    Then all but entries 1 and 4 send a request there
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -310,6 +310,19 @@
     begin(context, [start_upstream(context, stream, 0.0, "keeps")])
 
 
+@when("its caller leaves while a connection is made")
+def step_leaves_early(context):
+    connections = context.desk.connections
+
+    def leave_then_connect(upstream):
+        context.handling.abandon()
+        return connections(upstream)
+
+    context.desk.connections = leave_then_connect
+    context.handling.first()
+    context.handling.close()
+
+
 @then('the first attempt ended as "{outcome}"')
 def step_first_ended(context, outcome):
     assert context.desk.outcomes[0] is Outcome(outcome), context.desk.outcomes
--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -277,9 +277,41 @@
 
 @then("none of the entries sends a request there")
 def step_none_sends(context):
-    for entry in context.fleet.entries.values():
+    assert not senders(context)
+
+
+@when(
+    "they run for {seconds:g} s, and entries {first:d} and {second:d} can't reach the "
+    "upstream"
+)
+def step_unreached(context, seconds, first, second):
+    fleet = context.fleet
+    fleet.run(seconds)
+    for number in {first, second}:
+        office = fleet.entries[f"entry-{number}"].office
+        office._judge(UPSTREAM, REQUEST, Outcome.UNREACHABLE, fleet.now_s)
+
+
+def senders(context) -> set[str]:
+    """Have each entry ask for a place; return those that got one."""
+    sending = set()
+    for name, entry in context.fleet.entries.items():
         begin_request(entry, 1)
-        assert not entry.office._scheduler.line(SERVICE).pool.in_flight()
+        if entry.office._scheduler.line(SERVICE).pool.running():
+            sending.add(name)
+    return sending
+
+
+@then("each of the entries sends a request there")
+def step_each_sends(context):
+    assert senders(context) == set(context.fleet.entries)
+
+
+@then("all but entry {first:d} send a request there")
+@then("all but entries {first:d} and {second:d} send a request there")
+def step_all_but(context, first, second=None):
+    without = {f"entry-{first}", f"entry-{second}"}
+    assert senders(context) == set(context.fleet.entries) - without
 
 
 @given("an entry that hears another one's second life")
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -238,7 +238,9 @@
     def _not_answered(self, attempt: _Attempt, error: NotSent | Unanswered) -> None:
         attempt.detail = error.detail
         if isinstance(error, NotSent):
-            self._end(attempt, Outcome.UNREACHABLE)
+            # Broken off for a caller that left, it says nothing of the upstream.
+            outcome = Outcome.LEFT if self._gone else Outcome.UNREACHABLE
+            self._end(attempt, outcome)
             return
         self._ran()
         self._end(attempt, Outcome.SILENT if error.timed_out else Outcome.BROKEN)
--- a/lavenderspoke/direct/health.py
+++ b/lavenderspoke/direct/health.py
@@ -14,6 +14,9 @@
 SUSPEND_MIN_S = 0.25
 # The longest suspension in seconds: a crashed engine is back after some seconds.
 SUSPEND_MAX_S = 2.0
+# How long an upstream is left alone that others couldn't reach, in seconds: longer than
+# the longest suspension, after which one of those that found it away tries again.
+TOLD_S = 2.2
 # Weight of the newest outcome in the failure share: some ten requests count.
 OUTCOME_WEIGHT = 0.1
 # Weights of the newest step in the pace, where it is faster than what is known and
@@ -35,11 +38,13 @@
     pace_s: float | None = None
     failures_in_row: int = 0
     suspended_until_s: float = 0.0
+    told_until_s: float = 0.0
 
     def succeeded(self) -> None:
         """Count an answer that came whole and was no failure."""
         self.failure_share -= self.failure_share * OUTCOME_WEIGHT
         self.failures_in_row = 0
+        self.told_until_s = 0.0
 
     def failed(self) -> None:
         """Count an answer that was a failure: the upstream lives."""
@@ -56,6 +61,14 @@
         self.failures_in_row += 1
         self.suspended_until_s = now_s + min(pause_s, SUSPEND_MAX_S)
 
+    def told_unreachable(self, now_s: float) -> None:
+        """Leave it alone for a while, since others couldn't reach it.
+
+        Those that found out by themselves try it again after their own pauses, and the
+        others needn't.
+        """
+        self.told_until_s = now_s + TOLD_S
+
     def stepped(self, step_s: float) -> None:
         """Count one measured step."""
         if self.pace_s is None:
@@ -70,4 +83,6 @@
         """
         if now_s < self.suspended_until_s:
             return False
-        return self.failures_in_row == 0 or running == 0
+        if self.failures_in_row:
+            return running == 0
+        return now_s >= self.told_until_s
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -18,11 +18,14 @@
     prompt tokens; `waiting` and `held` map service to rows of customer rank, route
     rank and count, of requests in line and at upstreams; `spent` maps customer to
     rows of route rank, what the entry let through since it started and what was asked
-    for, without those customers for which that is known. `refused` are the
-    fingerprints of requests refused since the last message, whose callers may come
-    back anywhere; `gone` are upstreams at whose address another one was found since
-    then. `number` counts the messages of one life of the entry: a state may
-    come by several ways, and the older one must not replace the newer.
+    for, without those customers for which that is known.
+
+    What has happened since the last message: `refused` are the fingerprints of requests
+    refused, whose callers may come back anywhere; `gone` are upstreams at whose address
+    another one was found; `unreached` are those to which a connection failed.
+
+    `number` counts the messages of one life of the entry: a state may come by several
+    ways, and the older one must not replace the newer.
     """
 
     address: str
@@ -34,6 +37,7 @@
     spent: dict[str, Rows] = attrs.field(factory=dict)
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
+    unreached: tuple[str, ...] = ()
     leaving: bool = False
 
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -29,6 +29,7 @@
 )
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns, Whereabouts
+from lavenderspoke.direct.suspicions import Suspicions
 from lavenderspoke.direct.usage import Rows
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.observing.metrics import Metrics
@@ -94,6 +95,8 @@
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
         self._gone_news: list[str] = []
+        self._unreached_news: set[str] = set()
+        self._suspicions = Suspicions()
         self._told_spent: dict[str, Rows] = {}
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
@@ -244,6 +247,7 @@
                 if key not in listed and each.name in names
             ]
             self._listed = listed
+            self._suspicions.keep(set(listed))
             self._restarted += [
                 _Restarted(upstream=each, at_s=now_s) for each in restarted
             ]
@@ -360,9 +364,11 @@
                 spent=self._spent_news(),
                 refused=self._returns.news(),
                 gone=tuple(self._gone_news),
+                unreached=tuple(self._unreached_news),
                 leaving=leaving,
             )
             self._gone_news.clear()
+            self._unreached_news.clear()
             evidence, self._evidence = self._evidence, []
         return [state, *evidence]
 
@@ -376,6 +382,8 @@
         self._returns.heard(state.refused, now_s)
         for upstream_id in state.gone:
             self._note_gone(upstream_id, now_s)
+        for upstream_id in state.unreached:
+            self._suspect(upstream_id, sender.name, state.data_centre, now_s)
         self._quota.peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
@@ -410,6 +418,7 @@
             self._crashes.broke(upstream.upstream_id, fingerprint, now_s)
         elif outcome is Outcome.UNREACHABLE:
             self._died(upstream, now_s)
+            self._unreached_news.add(upstream.upstream_id)
         elif outcome is Outcome.MISDIRECTED:
             self._died(upstream, now_s)
             self._note_gone(upstream.upstream_id, now_s)
@@ -429,6 +438,19 @@
         for line in self._scheduler.lines().values():
             line.pool.gone(upstream_id, now_s)
 
+    def _suspect(
+        self, upstream_id: str, by: str, data_centre: str, now_s: float
+    ) -> None:
+        is_away = self._suspicions.told(
+            upstream_id, by=by, data_centre=data_centre, now_s=now_s
+        )
+        if not is_away:
+            return
+        for line in self._scheduler.lines().values():
+            seat = line.pool.seat(upstream_id)
+            if seat is not None:
+                seat.health.told_unreachable(now_s)
+
     def _note_crashes(self, now_s: float) -> None:
         """Take a new start as the crash of the one before, once all of it broke."""
         settled = [e for e in self._restarted if now_s >= e.at_s + RESTART_SETTLED_S]
--- a/lavenderspoke/direct/talk.py
+++ b/lavenderspoke/direct/talk.py
@@ -190,6 +190,7 @@
         spent=before.spent | after.spent,
         refused=before.refused + after.refused,
         gone=before.gone + after.gone,
+        unreached=before.unreached + after.unreached,
     )
 
 
