--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -20,6 +20,22 @@
     And who is refused has waited no longer than 90 in 100 of its target
     And no more run at an upstream than it has places
 
+  Scenario: Customers of two ranks, and room for all
+    The pattern: two ranks of customers with three ranks of routes each, and six places
+    in ten taken. With an eighth kept free for each rank above, the lowest of six ranks
+    would need six places in ten free, and its callers are refused in a calm hour.
+    Given a line before 5 upstreams of 9 places
+    When for 40 s there come each second
+      | rank              | requests | hold s | target s | deadline s |
+      | highest           | 10       | 0.25   | 0.8      | 5          |
+      | middle            | 10       | 0.25   | 1.2      | 3          |
+      | lowest            | 1        | 2.0    | 1.2      | 15         |
+      | highest of others | 20       | 0.25   | 0.8      | 5          |
+      | middle of others  | 20       | 0.25   | 1.2      | 3          |
+      | lowest of others  | 5        | 2.0    | 1.2      | 15         |
+    Then at least 99 in 100 of the highest rank begin within their target
+    And at least 95 in 100 of the lowest of others rank begin within their target
+
   Scenario: All requests of one rank, more than can be carried
     The pattern: one kind of request, twice what the upstreams carry, for ten
     seconds. Served oldest first, all of them would be late after a second.
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -18,7 +18,14 @@
     Ticket,
 )
 
-RANKS = {"highest": (0, 0), "middle": (0, 1), "lowest": (0, 2)}
+RANKS = {
+    "highest": (0, 0),
+    "middle": (0, 1),
+    "lowest": (0, 2),
+    "highest of others": (1, 0),
+    "middle of others": (1, 1),
+    "lowest of others": (1, 2),
+}
 ANSWER_TOKENS = 50
 TICK_S = 0.02
 SERVICE = "narrative"
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -46,6 +46,10 @@
 # rarely waits for one of them to end. Short ones give their place back in time
 # and leave less free.
 RESERVED = 0.12
+# The most that stays free, for however many ranks above. Ranks are customers' times
+# routes', and each place kept free beyond what the highest ones need in a burst is one
+# in which a caller of the lowest could be served.
+RESERVED_MAX = 0.24
 # Time that a place is held, in seconds, from which on a rank is in the way: a
 # request of the highest rank that waits for it misses its target.
 LONG_S = 1.0
@@ -290,7 +294,8 @@
         """Return how many places stay free for the ranks above this one."""
         above = sum(1 for each in present if each < rank)
         length = min(1.0, self._rate(rank).hold_s / LONG_S)
-        return above * RESERVED * length * self.pool.slots()
+        part = min(RESERVED_MAX, above * RESERVED)
+        return part * length * self.pool.slots()
 
     def _below_guarantee(self, rank: Rank, present: list[Rank], slots: int) -> bool:
         if rank == present[0]:
