--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -137,3 +137,17 @@
     Then none is sent to these 6
     When 5 s have passed, and 100 requests come, one each 10 ms
     Then some are sent to these 6
+
+  Scenario: Many entries choose before they hear of each other
+    The pattern: 60 entries send a request each within the time that a message takes. All
+    see the same upstream as the best; the last of 59 prompts read there would be late.
+    Given a line before 59 upstreams of 5 places
+    And one of them is faster than all others
+    When 60 entries that hear of each other 0.1 s late send a request each
+    Then no upstream gets more of them than it has places
+
+  Scenario: One entry chooses alone
+    Given a line before 59 upstreams of 5 places
+    And one of them is faster than all others
+    When requests come one by one, each after the end of the one before
+    Then all go to the fastest
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections import Counter
 from random import Random
 
 import attrs
@@ -476,3 +477,41 @@
 @then("some are sent to these {count:d}")
 def step_some_to_these(context, count):
     assert context.sent_to & context.gone, context.sent_to
+
+
+@given("one of them is faster than all others")
+def step_one_faster(context):
+    for number, upstream in enumerate(context.drive.upstreams):
+        seat = context.drive.line.pool.seat(upstream.upstream_id)
+        seat.health.stepped(0.005 if number == 7 else 0.02)
+
+
+@when("{count:d} entries that hear of each other {age_s:g} s late send a request each")
+def step_entries_choose(context, count, age_s):
+    context.drive.peers = PeersShare(entries=count - 1, age_s=age_s)
+    context.drive.scheduler.tick(0.0)
+    context.chosen = Counter()
+    for _ in range(count):
+        # Each entry has had ten requests in the last second, and knows nothing of
+        # what the others send now.
+        ticket, (decision,) = context.drive.ticket()
+        context.chosen[decision.upstream.upstream_id] += 1
+        upstream_id = decision.upstream.upstream_id
+        context.drive.line.ended(ticket, upstream_id, context.drive.now_s)
+
+
+@then("no upstream gets more of them than it has places")
+def step_spread_out(context):
+    most = max(context.chosen.values())
+    assert most <= context.places, context.chosen.most_common(3)
+
+
+@when("requests come one by one, each after the end of the one before")
+def step_one_by_one(context):
+    step_entries_choose(context, 1, 0.0)
+    step_come_evenly(context, 20, 100)
+
+
+@then("all go to the fastest")
+def step_all_fastest(context):
+    assert context.sent_to == {"u7"}, context.sent_to
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -1,5 +1,6 @@
 """The upstreams of one service as an entry sees them, and which to take next."""
 
+import math
 from collections.abc import Iterable, Mapping
 from random import Random
 
@@ -23,6 +24,8 @@
 # Choices that cost about the same are spread over this range: entries that all see
 # the same best upstream would otherwise send to it in the same instant.
 SPREAD = 0.3
+# The fewest upstreams that a request is compared at.
+DRAWN_MIN = 2
 # What a certain failure would cost, in seconds: about one wasted attempt.
 FAILURE_S = 0.6
 # How long an upstream is left alone at whose address another one answers, in seconds:
@@ -199,11 +202,16 @@
         """Return this entry's own requests by upstream."""
         return {key: seat.running() for key, seat in self._seats.items() if seat.own}
 
-    def choose(self, demand: Demand, *, now_s: float) -> Choice:
+    def choose(self, demand: Demand, *, now_s: float, rivals: float = 0.0) -> Choice:
         """Return the upstream with room that should answer soonest.
 
-        One at which the first byte would come too late is passed over while
-        another one, whose places are all taken now, would still be in time.
+        `rivals` is how many requests other entries have sent that aren't known here
+        yet. Were each to take the upstream that looks best, all would meet there; so
+        each takes the best of some that it draws, the fewer the more rivals there are,
+        and of two at least.
+
+        One at which the first byte would come too late is passed over while another
+        one, whose places are all taken now, would still be in time.
         """
         able = [
             seat
@@ -214,14 +222,17 @@
         free = [seat for seat in able if seat.room() > 0]
         in_time = [seat for seat in free if self._is_in_time(seat, demand)]
         if in_time:
-            return Choice(seat=self._best(in_time, demand))
+            return Choice(seat=self._best(in_time, demand, rivals))
         if not free:
             return Choice(seat=None, worth_waiting=bool(demand.excluded))
         if any(self._is_in_time(seat, demand) for seat in able):
             return Choice(seat=None, worth_waiting=True)
-        return Choice(seat=self._best(free, demand))
+        return Choice(seat=self._best(free, demand, rivals))
 
-    def _best(self, seats: list[Seat], demand: Demand) -> Seat:
+    def _best(self, seats: list[Seat], demand: Demand, rivals: float) -> Seat:
+        drawn = max(DRAWN_MIN, math.ceil(len(seats) / (1.0 + rivals)))
+        if drawn < len(seats):
+            seats = self._random.sample(seats, drawn)
         costs = [
             (
                 self._cost_s(seat, demand) * self._random.uniform(1.0, 1.0 + SPREAD),
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -161,11 +161,15 @@
 
 @attrs.frozen(kw_only=True)
 class PeersShare:
-    """What the other entries said last of one service, and how many they are."""
+    """What the other entries said last of one service, and how many they are.
+
+    `age_s` is how old that is on average.
+    """
 
     waiting: dict[Rank, int] = attrs.field(factory=dict)
     held: dict[Rank, int] = attrs.field(factory=dict)
     entries: int = 0
+    age_s: float = 0.0
 
 
 class Line:
@@ -246,8 +250,11 @@
         """Hand out what room there is, and refuse those whose time is up."""
         self._sort_out(now_s)
         passed: set[int] = set()
+        rivals = self._rivals(now_s)
         while ticket := self._next(passed, now_s):
-            choice = self.pool.choose(_demand(ticket, now_s), now_s=now_s)
+            choice = self.pool.choose(
+                _demand(ticket, now_s), now_s=now_s, rivals=rivals
+            )
             if choice.seat is not None:
                 self._dispatch(ticket, choice.seat, now_s)
             elif choice.worth_waiting:
@@ -326,6 +333,14 @@
     def _rate(self, rank: Rank) -> RankRates:
         return self._rates.setdefault(rank, RankRates())
 
+    def _rivals(self, now_s: float) -> float:
+        """Return how many requests of other entries aren't known here yet.
+
+        Callers are spread over all entries, so the others get what this one gets.
+        """
+        per_s = sum(rates.arrivals_per_s(now_s) for rates in self._rates.values())
+        return per_s * self.peers.entries * self.peers.age_s
+
     def _patience_s(self, ticket: Ticket, now_s: float) -> float:
         """Return how long a request may wait from now on."""
         if not ticket.may_wait:
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -19,6 +19,10 @@
 # An entry silent for so long is taken as gone, in seconds. It is long, since
 # one that is only cut off may still let requests through.
 GONE_S = 20.0
+# How old a state is when the next one replaces it, in seconds, before any was replaced.
+REPLACED_INITIAL_S = 0.1
+# Weight of the newest state in the mean of that.
+REPLACED_WEIGHT = 0.01
 # For how long, in seconds, what others pass on of an entry's earlier life is turned
 # away: longer than a message takes by way of two entries, one of which is slow.
 ENDED_S = 3.0
@@ -62,6 +66,7 @@
         self._own_name = own_name
         self._peers: dict[str, _Peer] = {}
         self._totals = PeerTotals()
+        self._replaced_s = REPLACED_INITIAL_S
         # Earlier lives, by when they ended.
         self._ended: OrderedDict[InstanceId, float] = OrderedDict()
 
@@ -102,6 +107,9 @@
             self._peers.pop(sender.name, None)
             self._totals.drop(sender.name)
             return True
+        if peer is not None and self._fresh(peer, now_s):
+            replaced_s = now_s - peer.heard_s
+            self._replaced_s += (replaced_s - self._replaced_s) * REPLACED_WEIGHT
         told_s = peer.told_s if peer is not None else None
         if peer is not None and peer.incarnation not in ("", sender.incarnation):
             self._end(attrs.evolve(sender, incarnation=peer.incarnation), now_s)
@@ -154,7 +162,9 @@
     def share(self, service: str, now_s: float) -> PeersShare:
         """Return what the entries that are heard have of a service."""
         self._drop_silent(now_s)
-        return self._totals.share(service)
+        share = self._totals.share(service)
+        # A state's age goes from nothing to that at which it is replaced.
+        return attrs.evolve(share, age_s=self._replaced_s / 2.0)
 
     def heard_and_known(self, now_s: float) -> tuple[int, int]:
         """Return how many entries are heard and how many there may be.
