--- /dev/null
+++ b/features/rooms.feature
@@ -0,0 +1,17 @@
+Feature: Rooms import only what lies below them
+  Arrows go one way, from the shells to what they use. A room that imports one above it
+  can't be read, tested or loaded without that; an entry's start pays for each module.
+
+  Scenario Outline: What a room imports
+    Then "lavenderspoke/<room>" imports nothing of the project but "<below>"
+
+    Examples:
+      | room      | below                                                                  |
+      | http      | http model problems                                                    |
+      | observing | problems                                                               |
+      | direct    | direct http observing clock codec envelope model poison problems retrybudget stopsignals supervisor transport |
+      | platform  | platform direct http observing clock model periodic stopsignals strict supervisor util |
+
+  Scenario: The adapter to the platform is at the edge
+    Nothing but the command that starts it knows of it.
+    Then no other room imports "platform"
