--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/installed
 SOURCES := lavenderspoke standins features bench spec soak
 
-.PHONY: run test lint format model behave falsify measure slopes ablation soak clean
+.PHONY: run test lint format model behave falsify measure slopes ablation fleet soak clean
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -53,6 +53,10 @@
 ablation: $(STAMP)
 	$(BIN)/python -m bench.ablation
 
+# What choosing among fewer upstreams is worth with many entries, in a driven model.
+fleet: $(STAMP)
+	$(BIN)/python -m bench.fleet
+
 # Fifty seeds of faults on real processes; a seed's logs stay in out/soak.
 soak: $(STAMP)
 	$(BIN)/python -m soak
--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -202,8 +202,8 @@
             at_s += self._random.expovariate(kind.per_s * times / CLUMP)
 
     def _call(self, kind: Kind, at_s: float) -> Call:
-        prompt_tokens = _spread(self._random, kind.prompt_tokens, PROMPT_SPREAD)
-        events = max(1, round(_spread(self._random, kind.events, ANSWER_SPREAD)))
+        prompt_tokens = spread_length(self._random, kind.prompt_tokens, PROMPT_SPREAD)
+        events = max(1, round(spread_length(self._random, kind.events, ANSWER_SPREAD)))
         error = self._random.lognormvariate(0.0, EXPECTED_SPREAD)
         return Call(
             kind=kind,
@@ -277,7 +277,7 @@
         self._at(end_s, ended)
 
 
-def _spread(random: Random, mean: float, sigma: float) -> float:
+def spread_length(random: Random, mean: float, sigma: float) -> float:
     """Return a length with that mean, before the longest are cut."""
     length = random.lognormvariate(math.log(mean) - sigma * sigma / 2.0, sigma)
     return min(length, mean * LENGTH_MAX_TIMES)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,391 @@
+"""How many entries choose among many engines, in a driven model.
+
+Each entry has the daemon's scheduler and sees what the others have running, waiting
+and held as of the last time that all told it, some 0.1 s ago. No network, no threads, a
+clock of its own. An engine that is sent more than it has places lets the rest wait.
+
+Shapes and figures are those of a customer's sheet: engines of which a third is nearly
+three times slower than the others, prompts of 2,950, 1,860 and 600 tokens, and for four
+seconds twice the traffic with a fifth of the engines lost. Worth is what answers on time
+and late earned, of what all answers on time would have earned, less a part of what came
+back and was refused once more; a request is worth the more the longer its prompt.
+"""
+
+import collections
+import heapq
+import itertools
+import statistics
+from collections import Counter
+from random import Random
+from unittest import mock
+
+import attrs
+
+from bench.ablation import (
+    ANSWER_SPREAD,
+    EXPECTED_SPREAD,
+    REFUSED_AGAIN_PART,
+    SERVICE,
+    TICK_S,
+    Kind,
+    spread_length,
+)
+from lavenderspoke.direct import scheduler
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.pool import Running
+from lavenderspoke.direct.scheduler import Dispatch, PeersShare, Scheduler, Ticket
+
+DAY_S = 12.0
+BURST_S = (4.0, 8.0)
+BURST_TIMES = 2.0
+LOST_PART = 0.2
+PLACES = 5
+EVENT_TOKENS = 4
+EVENT_S = 0.01736
+NEIGHBOUR_PART = 0.035
+TOKENS_READ_PER_S = 36_700.0
+FIRST_S = 0.022
+SLOWNESS = (1 / 0.6, 1 / 1.7, 1 / 1.7)
+PROMPT_SPREAD = 1.0
+# How long a message takes, in seconds, beside the time between two.
+MESSAGE_S = 0.02
+# A request is worth this part of its kind's worth, and the rest by its prompt's length
+# against the mean, up to so many times the kind's worth.
+BASE_PART = 0.3
+WORTH_MAX_TIMES = 4.0
+
+# Requests a second are for one engine.
+KINDS = (
+    Kind(
+        rank=0,
+        per_s=2.24,
+        prompt_tokens=2950,
+        events=13,
+        target_s=0.8,
+        deadline_s=5.0,
+        on_time_worth=7.0,
+        late_worth=2.0,
+    ),
+    Kind(
+        rank=1,
+        per_s=2.39,
+        prompt_tokens=1860,
+        events=6,
+        target_s=1.2,
+        deadline_s=3.0,
+        on_time_worth=1.1,
+        late_worth=0.33,
+    ),
+    Kind(
+        rank=2,
+        per_s=1.25,
+        prompt_tokens=603,
+        events=70,
+        target_s=1.2,
+        deadline_s=15.0,
+        on_time_worth=0.54,
+        late_worth=0.16,
+    ),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """So many entries and engines; `told_every_s` is the time between two messages."""
+
+    entries: int
+    engines: int
+    told_every_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """One request: its kind, its own lengths, and when its caller asked first."""
+
+    kind: Kind
+    first_s: float
+    prompt_tokens: int
+    events: int
+    expected_tokens: int
+
+    @property
+    def worth_times(self) -> float:
+        """Its worth against the mean of its kind."""
+        length = self.prompt_tokens / self.kind.prompt_tokens
+        return min(WORTH_MAX_TIMES, BASE_PART + (1.0 - BASE_PART) * length)
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Sent:
+    """A request at an engine, with the entry's line that sent it."""
+
+    call: Call
+    ticket: Ticket
+    line: scheduler.Line
+
+
+@attrs.define(kw_only=True)
+class Engine:
+    """A model engine: prompts are read in turn, answers written side by side."""
+
+    upstream: Upstream
+    slowness: float
+    running: int = 0
+    stalled_s: float = 0.0
+    reads_until_s: float = 0.0
+    waiting: collections.deque = attrs.field(factory=collections.deque)
+
+    def first_event_s(self, prompt_tokens: int, now_s: float) -> float:
+        """Return when the first event comes of a prompt that is begun now."""
+        reading_s = prompt_tokens / TOKENS_READ_PER_S * self.slowness
+        self.stalled_s += reading_s
+        self.reads_until_s = max(self.reads_until_s, now_s) + reading_s
+        return self.reads_until_s + FIRST_S * self.slowness
+
+    def step_s(self) -> float:
+        """Return the time between two events as things stand."""
+        return EVENT_S * self.slowness * (1.0 + NEIGHBOUR_PART * self.running)
+
+
+@attrs.define(kw_only=True)
+class Told:
+    """What all entries told last, added up, and what each of them had said."""
+
+    running: dict[str, Running] = attrs.field(factory=dict)
+    waiting: Counter = attrs.field(factory=Counter)
+    held: Counter = attrs.field(factory=Counter)
+    own: list = attrs.field(factory=list)
+
+
+class FleetDay:
+    """One day of arrivals at many entries; `worth()` is what came of it."""
+
+    def __init__(self, *, fleet: Fleet, seed: int):
+        self.now_s = 0.0
+        self.late = self.refused_twice = 0
+        self._fleet = fleet
+        self._random = Random(seed)
+        self._events: list = []
+        self._numbers = itertools.count()
+        self._earned = self._owed = 0.0
+        self._told = Told()
+        self._engines = {
+            f"u{number}": Engine(
+                upstream=_upstream(number), slowness=self._random.choice(SLOWNESS)
+            )
+            for number in range(fleet.engines)
+        }
+        self._schedulers = [self._scheduler(n, seed) for n in range(fleet.entries)]
+        self._list(fleet.engines)
+        left = fleet.engines - max(1, round(fleet.engines * LOST_PART))
+        self._at(BURST_S[0], lambda: self._list(left))
+        self._at(BURST_S[1], lambda: self._list(fleet.engines))
+        self._at(fleet.told_every_s, self._tell)
+        for each in self._schedulers:
+            begin_s = self._random.uniform(0.0, TICK_S)
+            self._at(begin_s, lambda each=each: self._tick(each))
+        for kind in KINDS:
+            self._plan(kind)
+
+    def worth(self) -> float:
+        """Play the day and return the part of what was owed that was earned."""
+        while self._events and self._events[0][0] < DAY_S + 6.0:
+            self.now_s, _, work = heapq.heappop(self._events)
+            work()
+        return self._earned / self._owed
+
+    def _at(self, at_s: float, work) -> None:
+        heapq.heappush(self._events, (at_s, next(self._numbers), work))
+
+    # Entries
+
+    def _scheduler(self, number: int, seed: int) -> Scheduler:
+        return Scheduler(
+            random=Random(seed * 1000 + number),
+            peers_running=lambda: self._peers_running(number),
+            peers_share=lambda service: self._peers_share(number),
+        )
+
+    def _peers_running(self, number: int) -> dict[str, Running]:
+        own = self._told.own[number][0] if self._told.own else {}
+        return {
+            upstream_id: Running(
+                requests=each.requests - own.get(upstream_id, Running()).requests,
+                prefill_tokens=each.prefill_tokens
+                - own.get(upstream_id, Running()).prefill_tokens,
+            )
+            for upstream_id, each in self._told.running.items()
+        }
+
+    def _peers_share(self, number: int) -> PeersShare:
+        _, waiting, held = self._told.own[number] if self._told.own else ({}, {}, {})
+        return PeersShare(
+            waiting=self._told.waiting - Counter(waiting),
+            held=self._told.held - Counter(held),
+            entries=self._fleet.entries - 1,
+            age_s=self._fleet.told_every_s / 2.0 + MESSAGE_S,
+        )
+
+    def _tell(self) -> None:
+        self._at(self.now_s + self._fleet.told_every_s, self._tell)
+        told = Told()
+        for each in self._schedulers:
+            line = each.line(SERVICE)
+            said = line.pool.running(), line.waiting(), line.held()
+            told.own.append(said)
+            told.waiting.update(said[1])
+            told.held.update(said[2])
+            for upstream_id, own in said[0].items():
+                before = told.running.get(upstream_id, Running())
+                told.running[upstream_id] = Running(
+                    requests=before.requests + own.requests,
+                    prefill_tokens=before.prefill_tokens + own.prefill_tokens,
+                )
+        self._at(self.now_s + MESSAGE_S, lambda: setattr(self, "_told", told))
+
+    def _tick(self, each: Scheduler) -> None:
+        each.tick(self.now_s)
+        self._at(self.now_s + TICK_S, lambda: self._tick(each))
+
+    def _list(self, count: int) -> None:
+        listed = tuple(each.upstream for each in self._engines.values())[:count]
+        for each in self._schedulers:
+            each.reconfigure(listed, self.now_s)
+
+    # Callers
+
+    def _plan(self, kind: Kind) -> None:
+        at_s = 0.0
+        while True:
+            times = BURST_TIMES if BURST_S[0] <= at_s < BURST_S[1] else 1.0
+            per_s = kind.per_s * self._fleet.engines * times
+            at_s += self._random.expovariate(per_s)
+            if at_s >= DAY_S:
+                return
+            call = self._call(kind, at_s)
+            self._owed += kind.on_time_worth * call.worth_times
+            self._at(at_s, lambda call=call: self._come(call, tries=1))
+
+    def _call(self, kind: Kind, at_s: float) -> Call:
+        prompt_tokens = spread_length(self._random, kind.prompt_tokens, PROMPT_SPREAD)
+        events = max(1, round(spread_length(self._random, kind.events, ANSWER_SPREAD)))
+        error = self._random.lognormvariate(0.0, EXPECTED_SPREAD)
+        return Call(
+            kind=kind,
+            first_s=at_s,
+            prompt_tokens=round(prompt_tokens),
+            events=events,
+            expected_tokens=max(1, round(events * EVENT_TOKENS * error)),
+        )
+
+    def _come(self, call: Call, *, tries: int) -> None:
+        kind, line = call.kind, self._random.choice(self._schedulers).line(SERVICE)
+        ticket = Ticket(
+            request_id=f"r{next(self._numbers)}",
+            service=SERVICE,
+            rank=(0, kind.rank),
+            prompt_tokens=call.prompt_tokens,
+            answer_tokens=call.expected_tokens,
+            first_s=call.first_s,
+            arrived_s=self.now_s,
+            deadline_s=call.first_s + kind.deadline_s,
+            target_s=kind.target_s,
+            patience_s=max(2.0, 4.0 * kind.target_s),
+            returned=tries > 1,
+            decided=lambda decision: None,
+        )
+        sent = Sent(call=call, ticket=ticket, line=line)
+        ticket.decided = lambda decision: self._decided(sent, tries, decision)
+        line.submit(ticket, self.now_s)
+
+    def _decided(self, sent: Sent, tries: int, decision) -> None:
+        if isinstance(decision, Dispatch):
+            self._arrives(self._engines[decision.upstream.upstream_id], sent)
+        elif tries == 1:
+            back_s = self.now_s + decision.retry_after_s
+            self._at(back_s, lambda: self._come(sent.call, tries=2))
+        else:
+            self.refused_twice += 1
+            worth = sent.call.kind.on_time_worth * sent.call.worth_times
+            self._earned -= worth * REFUSED_AGAIN_PART
+
+    # Engines
+
+    def _arrives(self, engine: Engine, sent: Sent) -> None:
+        if engine.running >= PLACES:
+            engine.waiting.append(sent)
+            return
+        engine.running += 1
+        first_s = engine.first_event_s(sent.call.prompt_tokens, self.now_s)
+        self._at(first_s, lambda: self._began(engine, sent))
+
+    def _began(self, engine: Engine, sent: Sent) -> None:
+        call, upstream_id = sent.call, engine.upstream.upstream_id
+        sent.line.began(sent.ticket, upstream_id, self.now_s)
+        step_s = engine.step_s()
+        seat = sent.line.pool.seat(upstream_id)
+        if seat is not None:
+            seat.health.stepped(step_s)
+        on_time = self.now_s <= call.first_s + call.kind.target_s
+        worth = call.kind.on_time_worth if on_time else call.kind.late_worth
+        self._earned += worth * call.worth_times
+        self.late += not on_time
+        self._ends(engine, sent, self.now_s + step_s * (call.events - 1))
+
+    def _ends(self, engine: Engine, sent: Sent, end_s: float) -> None:
+        """End an answer, later by the prompts that are read meanwhile."""
+        stalled_s = engine.stalled_s
+
+        def ended() -> None:
+            more_s = engine.stalled_s - stalled_s
+            if more_s > 0.0:
+                self._ends(engine, sent, self.now_s + more_s)
+                return
+            engine.running -= 1
+            call, upstream_id = sent.call, engine.upstream.upstream_id
+            sent.line.pool.writing.wrote(tokens=call.expected_tokens, steps=call.events)
+            sent.line.ended(sent.ticket, upstream_id, self.now_s)
+            if engine.waiting and engine.running < PLACES:
+                self._arrives(engine, engine.waiting.popleft())
+
+        self._at(end_s, ended)
+
+
+def _upstream(number: int) -> Upstream:
+    return Upstream(
+        upstream_id=f"u{number}",
+        service=SERVICE,
+        host="127.0.0.1",
+        port=1 + number,
+        data_centre="here",
+        slots=PLACES,
+    )
+
+
+FLEETS = {
+    Fleet(entries=5, engines=5, told_every_s=0.02): range(1, 9),
+    Fleet(entries=24, engines=23, told_every_s=0.08): range(1, 7),
+    Fleet(entries=68, engines=59, told_every_s=0.1): range(1, 4),
+}
+
+
+def main() -> None:
+    """Print what choosing among fewer upstreams is worth, by the size of the fleet."""
+    print("| entries, engines | best of all | best of some | gain | standard error |")
+    print("| --- | ---: | ---: | ---: | ---: |")
+    for fleet, seeds in FLEETS.items():
+        with mock.patch.object(scheduler.Line, "_rivals", lambda line, now_s: 0.0):
+            before = [FleetDay(fleet=fleet, seed=seed).worth() for seed in seeds]
+        after = [FleetDay(fleet=fleet, seed=seed).worth() for seed in seeds]
+        gains = [new - old for old, new in zip(before, after)]
+        error = statistics.stdev(gains) / len(gains) ** 0.5
+        print(
+            f"| {fleet.entries}, {fleet.engines} | {statistics.mean(before):.3f} "
+            f"| {statistics.mean(after):.3f} | {statistics.mean(gains):+.3f} "
+            f"| {error:.3f} |",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -230,9 +230,10 @@
         return Choice(seat=self._best(free, demand, rivals))
 
     def _best(self, seats: list[Seat], demand: Demand, rivals: float) -> Seat:
-        drawn = max(DRAWN_MIN, math.ceil(len(seats) / (1.0 + rivals)))
-        if drawn < len(seats):
-            seats = self._random.sample(seats, drawn)
+        # Drawn among all, the longest answers would come to slow upstreams by chance
+        # and be cut off at their deadlines.
+        whole = [seat for seat in seats if self._is_whole_in_time(seat, demand)]
+        seats = self._draw(whole or seats, rivals)
         costs = [
             (
                 self._cost_s(seat, demand) * self._random.uniform(1.0, 1.0 + SPREAD),
@@ -242,6 +243,13 @@
         ]
         return seats[min(costs)[1]]
 
+    def _draw(self, seats: list[Seat], rivals: float) -> list[Seat]:
+        """Return those to compare: all with less than one rival, then ever fewer."""
+        drawn = max(DRAWN_MIN, math.ceil(len(seats) / max(1.0, rivals)))
+        if drawn >= len(seats):
+            return seats
+        return self._random.sample(seats, drawn)
+
     def _open(self) -> list[Seat]:
         return [
             seat
@@ -252,6 +260,14 @@
     def _is_in_time(self, seat: Seat, demand: Demand) -> bool:
         return self._first_s(seat, demand) <= demand.first_in_s
 
+    def _is_whole_in_time(self, seat: Seat, demand: Demand) -> bool:
+        whole_s = self._first_s(seat, demand) + self._answer_s(seat, demand)
+        return whole_s <= demand.left_s
+
+    def _answer_s(self, seat: Seat, demand: Demand) -> float:
+        """Return the time from the first byte to the last, in seconds."""
+        return seat.pace_s() * demand.answer_tokens / self.writing.tokens_per_step
+
     def _first_s(self, seat: Seat, demand: Demand) -> float:
         """Return the expected time to the first byte, in seconds."""
         outlook = outlook_at(seat, demand.prompt_tokens)
@@ -259,10 +275,9 @@
 
     def _cost_s(self, seat: Seat, demand: Demand) -> float:
         """Return the expected time to the first byte, in seconds, with penalties."""
-        first_s = self._first_s(seat, demand)
-        answer_s = seat.pace_s() * demand.answer_tokens / self.writing.tokens_per_step
-        cost_s = first_s + answer_s * FINISH_PART
-        if first_s + answer_s > demand.left_s:
+        answer_s = self._answer_s(seat, demand)
+        cost_s = self._first_s(seat, demand) + answer_s * FINISH_PART
+        if not self._is_whole_in_time(seat, demand):
             cost_s += MISSED_S
         return cost_s + seat.health.failure_share * FAILURE_S
 
