--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,10 +5,11 @@
 clock of its own. An engine that is sent more than it has places lets the rest wait.
 
 Shapes and figures are those of a customer's sheet: engines of which a third is nearly
-three times slower than the others, prompts of 2,950, 1,860 and 600 tokens, and for four
-seconds twice the traffic with a fifth of the engines lost. Worth is what answers on time
-and late earned, of what all answers on time would have earned, less a part of what came
-back and was refused once more; a request is worth the more the longer its prompt.
+three times slower than the others, prompts of 2,950, 1,860 and 600 tokens, and for
+four seconds twice the traffic with a fifth of the engines lost. Worth is what answers
+on time and late earned, of what all answers on time would have earned, less a part of
+what came back and was refused once more; a request is worth the more the longer its
+prompt.
 """
 
 import collections
