--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -118,6 +118,20 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class EngineFigures:
+    """How fast engines of one kind read and write.
+
+    `first_s` is the time from a prompt's last token to the first event, and each
+    request beside makes a step longer by `neighbour_part`.
+    """
+
+    tokens_read_per_s: float = TOKENS_READ_PER_S
+    first_s: float = FIRST_S
+    event_s: float = EVENT_S
+    neighbour_part: float = NEIGHBOUR_PART
+
+
 @attrs.define(kw_only=True)
 class Engine:
     """A model engine: prompts are read in turn, answers written side by side.
@@ -127,20 +141,22 @@
 
     upstream: Upstream
     slowness: float
+    figures: EngineFigures = EngineFigures()
     running: int = 0
     stalled_s: float = 0.0
     reads_until_s: float = 0.0
 
     def first_event_s(self, prompt_tokens: int, now_s: float) -> float:
         """Return when the first event comes of a prompt sent now."""
-        reading_s = prompt_tokens / TOKENS_READ_PER_S * self.slowness
+        reading_s = prompt_tokens / self.figures.tokens_read_per_s * self.slowness
         self.stalled_s += reading_s
         self.reads_until_s = max(self.reads_until_s, now_s) + reading_s
-        return self.reads_until_s + FIRST_S * self.slowness
+        return self.reads_until_s + self.figures.first_s * self.slowness
 
     def step_s(self) -> float:
         """Return the time between two events as things stand."""
-        return EVENT_S * self.slowness * (1.0 + NEIGHBOUR_PART * self.running)
+        longer = 1.0 + self.figures.neighbour_part * self.running
+        return self.figures.event_s * self.slowness * longer
 
 
 class Day:
@@ -195,24 +211,12 @@
         at_s = 0.0
         while at_s < DAY_S:
             for _ in range(CLUMP):
-                call = self._call(kind, at_s)
+                call = draw_call(self._random, kind, at_s)
                 self._owed += kind.on_time_worth
                 self._at(at_s, lambda call=call: self._come(call, tries=1))
             times = BURST_TIMES if BURST_S[0] <= at_s < BURST_S[1] else 1.0
             at_s += self._random.expovariate(kind.per_s * times / CLUMP)
 
-    def _call(self, kind: Kind, at_s: float) -> Call:
-        prompt_tokens = spread_length(self._random, kind.prompt_tokens, PROMPT_SPREAD)
-        events = max(1, round(spread_length(self._random, kind.events, ANSWER_SPREAD)))
-        error = self._random.lognormvariate(0.0, EXPECTED_SPREAD)
-        return Call(
-            kind=kind,
-            first_s=at_s,
-            prompt_tokens=round(prompt_tokens),
-            events=events,
-            expected_tokens=max(1, round(events * EVENT_TOKENS * error)),
-        )
-
     def _come(self, call: Call, *, tries: int) -> None:
         kind = call.kind
         ticket = Ticket(
@@ -277,6 +281,27 @@
         self._at(end_s, ended)
 
 
+def draw_call(
+    random: Random,
+    kind: Kind,
+    at_s: float,
+    *,
+    event_tokens: int = EVENT_TOKENS,
+    prompt_spread: float = PROMPT_SPREAD,
+) -> Call:
+    """Return a request of that kind with lengths of its own."""
+    prompt_tokens = spread_length(random, kind.prompt_tokens, prompt_spread)
+    events = max(1, round(spread_length(random, kind.events, ANSWER_SPREAD)))
+    error = random.lognormvariate(0.0, EXPECTED_SPREAD)
+    return Call(
+        kind=kind,
+        first_s=at_s,
+        prompt_tokens=round(prompt_tokens),
+        events=events,
+        expected_tokens=max(1, round(events * event_tokens * error)),
+    )
+
+
 def spread_length(random: Random, mean: float, sigma: float) -> float:
     """Return a length with that mean, before the longest are cut."""
     length = random.lognormvariate(math.log(mean) - sigma * sigma / 2.0, sigma)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,13 +23,14 @@
 import attrs
 
 from bench.ablation import (
-    ANSWER_SPREAD,
-    EXPECTED_SPREAD,
     REFUSED_AGAIN_PART,
     SERVICE,
     TICK_S,
+    Call,
+    Engine,
+    EngineFigures,
     Kind,
-    spread_length,
+    draw_call,
 )
 from lavenderspoke.direct import scheduler
 from lavenderspoke.direct.instances import Upstream
@@ -42,10 +43,12 @@
 LOST_PART = 0.2
 PLACES = 5
 EVENT_TOKENS = 4
-EVENT_S = 0.01736
-NEIGHBOUR_PART = 0.035
-TOKENS_READ_PER_S = 36_700.0
-FIRST_S = 0.022
+FIGURES = EngineFigures(
+    tokens_read_per_s=36_700.0,
+    first_s=0.022,
+    event_s=0.01736,
+    neighbour_part=0.035,
+)
 SLOWNESS = (1 / 0.6, 1 / 1.7, 1 / 1.7)
 PROMPT_SPREAD = 1.0
 # How long a message takes, in seconds, beside the time between two.
@@ -99,23 +102,6 @@
     told_every_s: float
 
 
-@attrs.frozen(kw_only=True)
-class Call:
-    """One request: its kind, its own lengths, and when its caller asked first."""
-
-    kind: Kind
-    first_s: float
-    prompt_tokens: int
-    events: int
-    expected_tokens: int
-
-    @property
-    def worth_times(self) -> float:
-        """Its worth against the mean of its kind."""
-        length = self.prompt_tokens / self.kind.prompt_tokens
-        return min(WORTH_MAX_TIMES, BASE_PART + (1.0 - BASE_PART) * length)
-
-
 @attrs.frozen(kw_only=True, eq=False)
 class Sent:
     """A request at an engine, with the entry's line that sent it."""
@@ -126,26 +112,10 @@
 
 
 @attrs.define(kw_only=True)
-class Engine:
-    """A model engine: prompts are read in turn, answers written side by side."""
-
-    upstream: Upstream
-    slowness: float
-    running: int = 0
-    stalled_s: float = 0.0
-    reads_until_s: float = 0.0
-    waiting: collections.deque = attrs.field(factory=collections.deque)
+class QueueingEngine(Engine):
+    """An engine that lets requests wait beyond its places."""
 
-    def first_event_s(self, prompt_tokens: int, now_s: float) -> float:
-        """Return when the first event comes of a prompt that is begun now."""
-        reading_s = prompt_tokens / TOKENS_READ_PER_S * self.slowness
-        self.stalled_s += reading_s
-        self.reads_until_s = max(self.reads_until_s, now_s) + reading_s
-        return self.reads_until_s + FIRST_S * self.slowness
-
-    def step_s(self) -> float:
-        """Return the time between two events as things stand."""
-        return EVENT_S * self.slowness * (1.0 + NEIGHBOUR_PART * self.running)
+    waiting: collections.deque = attrs.field(factory=collections.deque)
 
 
 @attrs.define(kw_only=True)
@@ -171,8 +141,10 @@
         self._earned = self._owed = 0.0
         self._told = Told()
         self._engines = {
-            f"u{number}": Engine(
-                upstream=_upstream(number), slowness=self._random.choice(SLOWNESS)
+            f"u{number}": QueueingEngine(
+                upstream=_upstream(number),
+                slowness=self._random.choice(SLOWNESS),
+                figures=FIGURES,
             )
             for number in range(fleet.engines)
         }
@@ -263,22 +235,16 @@
             at_s += self._random.expovariate(per_s)
             if at_s >= DAY_S:
                 return
-            call = self._call(kind, at_s)
-            self._owed += kind.on_time_worth * call.worth_times
+            call = draw_call(
+                self._random,
+                kind,
+                at_s,
+                event_tokens=EVENT_TOKENS,
+                prompt_spread=PROMPT_SPREAD,
+            )
+            self._owed += kind.on_time_worth * _worth_times(call)
             self._at(at_s, lambda call=call: self._come(call, tries=1))
 
-    def _call(self, kind: Kind, at_s: float) -> Call:
-        prompt_tokens = spread_length(self._random, kind.prompt_tokens, PROMPT_SPREAD)
-        events = max(1, round(spread_length(self._random, kind.events, ANSWER_SPREAD)))
-        error = self._random.lognormvariate(0.0, EXPECTED_SPREAD)
-        return Call(
-            kind=kind,
-            first_s=at_s,
-            prompt_tokens=round(prompt_tokens),
-            events=events,
-            expected_tokens=max(1, round(events * EVENT_TOKENS * error)),
-        )
-
     def _come(self, call: Call, *, tries: int) -> None:
         kind, line = call.kind, self._random.choice(self._schedulers).line(SERVICE)
         ticket = Ticket(
@@ -307,12 +273,12 @@
             self._at(back_s, lambda: self._come(sent.call, tries=2))
         else:
             self.refused_twice += 1
-            worth = sent.call.kind.on_time_worth * sent.call.worth_times
+            worth = sent.call.kind.on_time_worth * _worth_times(sent.call)
             self._earned -= worth * REFUSED_AGAIN_PART
 
     # Engines
 
-    def _arrives(self, engine: Engine, sent: Sent) -> None:
+    def _arrives(self, engine: QueueingEngine, sent: Sent) -> None:
         if engine.running >= PLACES:
             engine.waiting.append(sent)
             return
@@ -320,7 +286,7 @@
         first_s = engine.first_event_s(sent.call.prompt_tokens, self.now_s)
         self._at(first_s, lambda: self._began(engine, sent))
 
-    def _began(self, engine: Engine, sent: Sent) -> None:
+    def _began(self, engine: QueueingEngine, sent: Sent) -> None:
         call, upstream_id = sent.call, engine.upstream.upstream_id
         sent.line.began(sent.ticket, upstream_id, self.now_s)
         step_s = engine.step_s()
@@ -329,11 +295,11 @@
             seat.health.stepped(step_s)
         on_time = self.now_s <= call.first_s + call.kind.target_s
         worth = call.kind.on_time_worth if on_time else call.kind.late_worth
-        self._earned += worth * call.worth_times
+        self._earned += worth * _worth_times(call)
         self.late += not on_time
         self._ends(engine, sent, self.now_s + step_s * (call.events - 1))
 
-    def _ends(self, engine: Engine, sent: Sent, end_s: float) -> None:
+    def _ends(self, engine: QueueingEngine, sent: Sent, end_s: float) -> None:
         """End an answer, later by the prompts that are read meanwhile."""
         stalled_s = engine.stalled_s
 
@@ -352,6 +318,12 @@
         self._at(end_s, ended)
 
 
+def _worth_times(call: Call) -> float:
+    """Return what a request is worth against the mean of its kind."""
+    length = call.prompt_tokens / call.kind.prompt_tokens
+    return min(WORTH_MAX_TIMES, BASE_PART + (1.0 - BASE_PART) * length)
+
+
 def _upstream(number: int) -> Upstream:
     return Upstream(
         upstream_id=f"u{number}",
