Work out what a request may expect of an upstream once a choice

Cause: a choice worked out the time to the first byte of each upstream up to four times: to keep those in time, to keep those that finish, and twice for the cost; and it did so for all upstreams also when none had room. How many rivals there are was worked out at each serving of a line, also when nobody waited.

Change: one estimate for each upstream with room, from which the three follow; those without room are looked at only when they decide.

--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -127,6 +127,22 @@
     worth_waiting: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class _Prospect:
+    """What a request may expect of one upstream.
+
+    `first_s` is the time to the first byte, `answer_s` that from there to the last.
+    """
+
+    seat: Seat
+    first_s: float
+    answer_s: float
+
+    @property
+    def whole_s(self) -> float:
+        return self.first_s + self.answer_s
+
+
 class Pool:
     """The upstreams of one service."""
 
@@ -219,36 +235,37 @@
             if seat.upstream.upstream_id not in demand.excluded
             and seat.health.usable(len(seat.own), now_s)
         ]
-        free = [seat for seat in able if seat.room() > 0]
-        in_time = [seat for seat in free if self._is_in_time(seat, demand)]
-        if in_time:
-            return Choice(seat=self._best(in_time, demand, rivals))
+        free = [self._prospect(seat, demand) for seat in able if seat.room() > 0]
         if not free:
             return Choice(seat=None, worth_waiting=bool(demand.excluded))
-        if any(self._is_in_time(seat, demand) for seat in able):
+        in_time = [each for each in free if each.first_s <= demand.first_in_s]
+        if in_time:
+            return Choice(seat=self._best(in_time, demand, rivals))
+        taken = (self._prospect(seat, demand) for seat in able if seat.room() <= 0)
+        if any(each.first_s <= demand.first_in_s for each in taken):
             return Choice(seat=None, worth_waiting=True)
         return Choice(seat=self._best(free, demand, rivals))
 
-    def _best(self, seats: list[Seat], demand: Demand, rivals: float) -> Seat:
+    def _best(self, prospects: list[_Prospect], demand: Demand, rivals: float) -> Seat:
         # Drawn among all, the longest answers would come to slow upstreams by chance
         # and be cut off at their deadlines.
-        whole = [seat for seat in seats if self._is_whole_in_time(seat, demand)]
-        seats = self._draw(whole or seats, rivals)
+        whole = [each for each in prospects if each.whole_s <= demand.left_s]
+        drawn = self._draw(whole or prospects, rivals)
         costs = [
             (
-                self._cost_s(seat, demand) * self._random.uniform(1.0, 1.0 + SPREAD),
+                _cost_s(each, demand) * self._random.uniform(1.0, 1.0 + SPREAD),
                 number,
             )
-            for number, seat in enumerate(seats)
+            for number, each in enumerate(drawn)
         ]
-        return seats[min(costs)[1]]
+        return drawn[min(costs)[1]].seat
 
-    def _draw(self, seats: list[Seat], rivals: float) -> list[Seat]:
+    def _draw(self, prospects: list[_Prospect], rivals: float) -> list[_Prospect]:
         """Return those to compare: all with less than one rival, then ever fewer."""
-        drawn = max(DRAWN_MIN, math.ceil(len(seats) / max(1.0, rivals)))
-        if drawn >= len(seats):
-            return seats
-        return self._random.sample(seats, drawn)
+        drawn = max(DRAWN_MIN, math.ceil(len(prospects) / max(1.0, rivals)))
+        if drawn >= len(prospects):
+            return prospects
+        return self._random.sample(prospects, drawn)
 
     def _open(self) -> list[Seat]:
         return [
@@ -257,29 +274,22 @@
             if not seat.upstream.leaving and seat.gone_until_s is None
         ]
 
-    def _is_in_time(self, seat: Seat, demand: Demand) -> bool:
-        return self._first_s(seat, demand) <= demand.first_in_s
-
-    def _is_whole_in_time(self, seat: Seat, demand: Demand) -> bool:
-        whole_s = self._first_s(seat, demand) + self._answer_s(seat, demand)
-        return whole_s <= demand.left_s
-
-    def _answer_s(self, seat: Seat, demand: Demand) -> float:
-        """Return the time from the first byte to the last, in seconds."""
-        return seat.pace_s() * demand.answer_tokens / self.writing.tokens_per_step
-
-    def _first_s(self, seat: Seat, demand: Demand) -> float:
-        """Return the expected time to the first byte, in seconds."""
+    def _prospect(self, seat: Seat, demand: Demand) -> _Prospect:
         outlook = outlook_at(seat, demand.prompt_tokens)
-        return outlook.first_s(self.reading.tokens_per_step)
-
-    def _cost_s(self, seat: Seat, demand: Demand) -> float:
-        """Return the expected time to the first byte, in seconds, with penalties."""
-        answer_s = self._answer_s(seat, demand)
-        cost_s = self._first_s(seat, demand) + answer_s * FINISH_PART
-        if not self._is_whole_in_time(seat, demand):
-            cost_s += MISSED_S
-        return cost_s + seat.health.failure_share * FAILURE_S
+        steps = demand.answer_tokens / self.writing.tokens_per_step
+        return _Prospect(
+            seat=seat,
+            first_s=outlook.first_s(self.reading.tokens_per_step),
+            answer_s=seat.pace_s() * steps,
+        )
+
+
+def _cost_s(prospect: _Prospect, demand: Demand) -> float:
+    """Return the expected time to the first byte, in seconds, with penalties."""
+    cost_s = prospect.first_s + prospect.answer_s * FINISH_PART
+    if prospect.whole_s > demand.left_s:
+        cost_s += MISSED_S
+    return cost_s + prospect.seat.health.failure_share * FAILURE_S
 
 
 def outlook_at(seat: Seat, prompt_tokens: int) -> Outlook:
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -250,10 +250,9 @@
         """Hand out what room there is, and refuse those whose time is up."""
         self._sort_out(now_s)
         passed: set[int] = set()
-        rivals = self._rivals(now_s)
         while ticket := self._next(passed, now_s):
             choice = self.pool.choose(
-                _demand(ticket, now_s), now_s=now_s, rivals=rivals
+                _demand(ticket, now_s), now_s=now_s, rivals=self._rivals(now_s)
             )
             if choice.seat is not None:
                 self._dispatch(ticket, choice.seat, now_s)
