Look for silent entries once a tick, and say once who may live

Cause: each tick looked through all peers for silent ones once for the upstreams and once more for each service; who may still live was written out in three places, and a filter of zeros stood behind sums that hold none.

Change: the office drops silent entries before it serves the lines. What is told of gone upstreams is a set, as for those not reached. Behaviour is the same; scenarios of sharing, limits after a start and the relay pass.

--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -94,7 +94,7 @@
         )
         self._crashes = CrashWatch(own_name=name)
         self._evidence: list[CrashEvidence] = []
-        self._gone_news: list[str] = []
+        self._gone_news: set[str] = set()
         self._unreached_news: set[str] = set()
         self._suspicions = Suspicions()
         self._told_spent: dict[str, Rows] = {}
@@ -109,8 +109,8 @@
         self._services: frozenset[str] = frozenset()
         self._scheduler = Scheduler(
             random=random,
-            peers_running=lambda: self._peers.running(self._now_s()),
-            peers_share=lambda service: self._peers.share(service, self._now_s()),
+            peers_running=self._peers.running,
+            peers_share=self._peers.share,
         )
 
     # Arrival
@@ -319,6 +319,7 @@
             now_s = self._now_s()
             self._share(now_s)
             self._note_crashes(now_s)
+            self._peers.drop_silent(now_s)
             self._scheduler.tick(now_s)
             lines = self._scheduler.lines().values()
             running = sum(line.pool.peers_running() for line in lines)
@@ -422,7 +423,7 @@
         elif outcome is Outcome.MISDIRECTED:
             self._died(upstream, now_s)
             self._note_gone(upstream.upstream_id, now_s)
-            self._gone_news.append(upstream.upstream_id)
+            self._gone_news.add(upstream.upstream_id)
         if seat is None:
             return
         if outcome is Outcome.ANSWERED:
--- a/lavenderspoke/direct/peertotals.py
+++ b/lavenderspoke/direct/peertotals.py
@@ -60,16 +60,16 @@
                     requests=count, prefill_tokens=self._prefill_tokens[upstream_id]
                 )
                 for upstream_id, count in self._requests.items()
-                if count
             }
         return self._running
 
-    def share(self, service: str) -> PeersShare:
-        """Return what the entries have of one service."""
+    def share(self, service: str, *, age_s: float) -> PeersShare:
+        """Return what the entries have of one service, as old as the caller says."""
         return PeersShare(
             waiting=_counts(self._waiting.get(service)),
             held=_counts(self._held.get(service)),
             entries=len(self._states),
+            age_s=age_s,
         )
 
     def _add(self, state: SharedState, sign: int) -> None:
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -132,7 +132,7 @@
         return {
             name: peer.whereabouts
             for name, peer in self._peers.items()
-            if now_s < peer.seen_s + GONE_S
+            if self._may_live(peer, now_s)
         }
 
     def heard_names(self, now_s: float) -> list[str]:
@@ -149,30 +149,32 @@
 
     def gone(self, now_s: float) -> list[str]:
         """Forget those that are gone for good and return their addresses."""
-        names = [n for n, p in self._peers.items() if now_s >= p.seen_s + GONE_S]
+        names = [n for n, p in self._peers.items() if not self._may_live(p, now_s)]
         for name in names:
             self._totals.drop(name)
         return [self._peers.pop(name).whereabouts.address for name in names]
 
-    def running(self, now_s: float) -> dict[str, Running]:
+    def drop_silent(self, now_s: float) -> None:
+        """Leave out of `running` and `share` what those said that aren't heard."""
+        for name in self._totals.names():
+            if not self._fresh(self._peers[name], now_s):
+                self._totals.drop(name)
+
+    def running(self) -> dict[str, Running]:
         """Return what the entries that are heard have running, by upstream."""
-        self._drop_silent(now_s)
         return self._totals.running()
 
-    def share(self, service: str, now_s: float) -> PeersShare:
+    def share(self, service: str) -> PeersShare:
         """Return what the entries that are heard have of a service."""
-        self._drop_silent(now_s)
-        share = self._totals.share(service)
         # A state's age goes from nothing to that at which it is replaced.
-        return attrs.evolve(share, age_s=self._replaced_s / 2.0)
+        return self._totals.share(service, age_s=self._replaced_s / 2.0)
 
     def heard_and_known(self, now_s: float) -> tuple[int, int]:
         """Return how many entries are heard and how many there may be.
 
         Both count this entry.
         """
-        known = sum(1 for p in self._peers.values() if now_s < p.seen_s + GONE_S)
-        return 1 + len(self.heard_names(now_s)), 1 + known
+        return 1 + len(self.heard_names(now_s)), 1 + len(self.known(now_s))
 
     def _is_old(
         self, sender: InstanceId, state: SharedState, age_s: float | None, now_s: float
@@ -188,10 +190,9 @@
         while self._ended and next(iter(self._ended.values())) + ENDED_S <= now_s:
             self._ended.popitem(last=False)
 
-    def _drop_silent(self, now_s: float) -> None:
-        for name in self._totals.names():
-            if not self._fresh(self._peers[name], now_s):
-                self._totals.drop(name)
+    @staticmethod
+    def _may_live(peer: _Peer, now_s: float) -> bool:
+        return now_s < peer.seen_s + GONE_S
 
     @staticmethod
     def _fresh(peer: _Peer, now_s: float) -> bool:
