Read an entry's record as its whereabouts; drop an empty connection class and a twin check

Cause: the record of an entry had a class with the fields of `Whereabouts`, which is what is written there; a connection class had lost its only attribute; whether one more upstream may run a request was written twice.

Change: one class, the library's connection, one check that may count a run under way. Behaviour is the same; the fuzzed records and the exchange's and handling's scenarios pass.

--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -15,8 +15,8 @@
 
 import attrs
 import logbook
-import urllib3.connection
 from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util.connection import is_connection_dropped
 
@@ -134,13 +134,9 @@
         super()._close_conn()
 
 
-class _Connection(urllib3.connection.HTTPConnection):
-    """A connection whose `response_class` is set for each request."""
-
-
 @attrs.define(kw_only=True, eq=False)
 class _Idle:
-    connection: _Connection
+    connection: HTTPConnection
     until_s: float
 
 
@@ -151,7 +147,7 @@
     that is longer than its timeout lasts as long as the request's patience says.
     """
 
-    def __init__(self, *, connection: _Connection, response, pool: "ConnectionPool"):
+    def __init__(self, *, connection: HTTPConnection, response, pool: "ConnectionPool"):
         self.status: int = response.status
         self.headers: Headers = tuple(response.headers.items())
         self._connection = connection
@@ -222,7 +218,7 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._connection: _Connection | None = None
+        self._connection: HTTPConnection | None = None
         self._exchange: Exchange | None = None
         self.cancelled = False
 
@@ -243,7 +239,9 @@
         """
         self.holds(None, None)
 
-    def holds(self, connection: _Connection | None, exchange: Exchange | None) -> bool:
+    def holds(
+        self, connection: HTTPConnection | None, exchange: Exchange | None
+    ) -> bool:
         """Note what is under way; return False if it was broken off before."""
         with self._lock:
             self._connection = connection
@@ -259,7 +257,7 @@
         self._port = port
         self._clock = clock
         self._idle: list[_Idle] = []
-        self._busy: set[_Connection] = set()
+        self._busy: set[HTTPConnection] = set()
         self._lock = threading.Lock()
 
     def send(
@@ -299,7 +297,7 @@
             exchange.cancel()
         return sent
 
-    def give_back(self, connection: _Connection, keep_alive: str) -> None:
+    def give_back(self, connection: HTTPConnection, keep_alive: str) -> None:
         """Keep a connection whose last answer came whole."""
         idle_s = _keep_alive_s(keep_alive) - IDLE_MARGIN_S
         if idle_s <= 0.0:
@@ -310,7 +308,7 @@
             self._busy.discard(connection)
             self._idle.append(_Idle(connection=connection, until_s=until_s))
 
-    def discard(self, connection: _Connection) -> None:
+    def discard(self, connection: HTTPConnection) -> None:
         """Close a connection."""
         with self._lock:
             self._busy.discard(connection)
@@ -330,7 +328,7 @@
         for sock in sockets:
             _shut(sock)
 
-    def _idle_connection(self) -> _Connection | None:
+    def _idle_connection(self) -> HTTPConnection | None:
         now_s = self._clock.monotonic_s()
         while True:
             with self._lock:
@@ -343,8 +341,8 @@
                 return connection
             connection.close()
 
-    def _open(self) -> Result[_Connection, NotSent]:
-        connection = _Connection(
+    def _open(self) -> Result[HTTPConnection, NotSent]:
+        connection = HTTPConnection(
             self._host,
             self._port,
             timeout=CONNECT_TIMEOUT_S,
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -417,9 +417,10 @@
             may = self._may_run_again()
         return may and self._can_retry(attempt)
 
-    def _may_run_again(self) -> bool:
+    def _may_run_again(self, uncounted: int = 0) -> bool:
+        """Return whether one more upstream may run it; some runs aren't counted yet."""
         route = self.accepted.route
-        return route.repeatable and self.runs < route.attempts_max
+        return route.repeatable and self.runs + uncounted < route.attempts_max
 
     def _can_retry(self, attempt: _Attempt) -> bool:
         """Return whether the retry budget allows another attempt.
@@ -468,9 +469,7 @@
 
     def _may_move(self) -> bool:
         """Return whether one more upstream may run what this one has."""
-        not_counted = 1 if self._current.exchange is None else 0
-        route = self.accepted.route
-        return route.repeatable and self.runs + not_counted < route.attempts_max
+        return self._may_run_again(uncounted=1 if self._current.exchange is None else 0)
 
     def _hold_place_elsewhere(self) -> bool:
         """Take a retry and a place at another upstream, if there are both now."""
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -190,20 +190,13 @@
         self._on_change(upstreams)
 
 
-@attrs.frozen(kw_only=True)
-class _EntryRecord:
-    """What an entry writes of itself: where the others reach it, and where it runs.
+class EntriesFeed(Feed):
+    """Makes this entry known to the others, and them to it.
 
-    Entries of a release before this one don't say the latter.
+    An entry writes its whereabouts; one of an earlier release leaves out its data
+    centre.
     """
 
-    address: str
-    data_centre: str = ""
-
-
-class EntriesFeed(Feed):
-    """Makes this entry known to the others, and them to it."""
-
     topic = ENTRIES_TOPIC
     stale_s = ENTRIES_STALE_S
     ask_s = ENTRIES_ASK_S
@@ -246,17 +239,14 @@
         for record in content.records:
             if record.value is None:
                 continue
-            decoded = parse_as(record.value, _EntryRecord)
+            decoded = parse_as(record.value, Whereabouts)
             if isinstance(decoded, Err):
                 error = decoded.err_value
                 log.warning("entry's record skipped", key=record.key, error=error)
             elif not PEER_ADDRESS.fullmatch(decoded.ok_value.address):
                 log.warning("entry's record skipped", key=record.key, error="address")
             else:
-                entries[record.key] = Whereabouts(
-                    address=decoded.ok_value.address,
-                    data_centre=decoded.ok_value.data_centre,
-                )
+                entries[record.key] = decoded.ok_value
         self._on_change(entries)
         return True
 
