--- a/lavenderspoke/direct/peerlink.py
+++ b/lavenderspoke/direct/peerlink.py
@@ -30,10 +30,10 @@
 class PeerLink:
     """The part of an entry that loads its link to the others and runs it.
 
-    The link's libraries take a sixth of all that is loaded at a start, 0.06 s of
-    processor time, and callers that wait at the port after a fault of all entries wait
-    for that too. An entry that doesn't hear the others yet keeps to its own part of
-    limits, so it may serve before it has the link. `load` imports and returns it.
+    The link's libraries are a good part of all that is loaded at a start, and callers
+    that wait at the port after a fault of all entries wait for that too. An entry that
+    doesn't hear the others yet keeps to its own part of limits, so it may serve before
+    it has the link. `load` imports and returns it.
     """
 
     def __init__(self, *, load: Callable[[], Link]):
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -38,8 +38,8 @@
     """Import the daemon with the collector of garbage at rest.
 
     What is loaded stays until the end, so looking through it again and again while it
-    grows finds nothing: 0.05 s of 0.4 s of processor time, during which all callers of
-    this instance wait. Frozen, it is left out of later rounds too.
+    grows finds nothing, and all callers of this instance wait meanwhile. Frozen, it is
+    left out of later rounds too.
     """
     gc.disable()
     from lavenderspoke.platform import daemon
