Keep callers and engines of the two driven models in one module

Cause: the model of many entries repeated the model of one: requests, engines, arrivals, refusals and ends of answers stood twice, with small variations.

Change: bench/engineday.py has what both share; entries, arrivals and worth are theirs.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,9 +12,7 @@
 prompt.
 """
 
-import collections
 import heapq
-import itertools
 import statistics
 from collections import Counter
 from random import Random
@@ -22,37 +20,30 @@
 
 import attrs
 
-from bench.ablation import (
-    REFUSED_AGAIN_PART,
-    SERVICE,
-    TICK_S,
-    Call,
-    Engine,
-    EngineFigures,
-    Kind,
-    draw_call,
-)
+from bench.engineday import SERVICE, TICK_S, Call, EngineDay, EngineFigures, Kind
 from lavenderspoke.direct import scheduler
-from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.pool import Running
-from lavenderspoke.direct.scheduler import Dispatch, PeersShare, Scheduler, Ticket
+from lavenderspoke.direct.scheduler import Line, PeersShare, Scheduler
 
 DAY_S = 12.0
 BURST_S = (4.0, 8.0)
 BURST_TIMES = 2.0
 LOST_PART = 0.2
-PLACES = 5
-EVENT_TOKENS = 4
 FIGURES = EngineFigures(
+    places=5,
     tokens_read_per_s=36_700.0,
     first_s=0.022,
     event_s=0.01736,
+    event_tokens=4,
     neighbour_part=0.035,
 )
 SLOWNESS = (1 / 0.6, 1 / 1.7, 1 / 1.7)
 PROMPT_SPREAD = 1.0
 # How long a message takes, in seconds, beside the time between two.
 MESSAGE_S = 0.02
+# Callers wait for the first byte for so many targets, and so many seconds at least.
+PATIENCE_TARGETS = 4.0
+PATIENCE_MIN_S = 2.0
 # A request is worth this part of its kind's worth, and the rest by its prompt's length
 # against the mean, up to so many times the kind's worth.
 BASE_PART = 0.3
@@ -102,22 +93,6 @@
     told_every_s: float
 
 
-@attrs.frozen(kw_only=True, eq=False)
-class Sent:
-    """A request at an engine, with the entry's line that sent it."""
-
-    call: Call
-    ticket: Ticket
-    line: scheduler.Line
-
-
-@attrs.define(kw_only=True)
-class QueueingEngine(Engine):
-    """An engine that lets requests wait beyond its places."""
-
-    waiting: collections.deque = attrs.field(factory=collections.deque)
-
-
 @attrs.define(kw_only=True)
 class Told:
     """What all entries told last, added up, and what each of them had said."""
@@ -128,26 +103,15 @@
     own: list = attrs.field(factory=list)
 
 
-class FleetDay:
+class FleetDay(EngineDay):
     """One day of arrivals at many entries; `worth()` is what came of it."""
 
     def __init__(self, *, fleet: Fleet, seed: int):
-        self.now_s = 0.0
-        self.late = self.refused_twice = 0
+        super().__init__(seed=seed, figures=FIGURES)
         self._fleet = fleet
-        self._random = Random(seed)
-        self._events: list = []
-        self._numbers = itertools.count()
-        self._earned = self._owed = 0.0
         self._told = Told()
-        self._engines = {
-            f"u{number}": QueueingEngine(
-                upstream=_upstream(number),
-                slowness=self._random.choice(SLOWNESS),
-                figures=FIGURES,
-            )
-            for number in range(fleet.engines)
-        }
+        for number in range(fleet.engines):
+            self._add_engine(number, self._random.choice(SLOWNESS))
         self._schedulers = [self._scheduler(n, seed) for n in range(fleet.entries)]
         self._list(fleet.engines)
         left = fleet.engines - max(1, round(fleet.engines * LOST_PART))
@@ -167,8 +131,15 @@
             work()
         return self._earned / self._owed
 
-    def _at(self, at_s: float, work) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), work))
+    def line(self) -> Line:
+        return self._random.choice(self._schedulers).line(SERVICE)
+
+    def patience_s(self, kind: Kind) -> float:
+        return max(PATIENCE_MIN_S, PATIENCE_TARGETS * kind.target_s)
+
+    def worth_times(self, call: Call) -> float:
+        length = call.prompt_tokens / call.kind.prompt_tokens
+        return min(WORTH_MAX_TIMES, BASE_PART + (1.0 - BASE_PART) * length)
 
     # Entries
 
@@ -221,11 +192,8 @@
         self._at(self.now_s + TICK_S, lambda: self._tick(each))
 
     def _list(self, count: int) -> None:
-        listed = tuple(each.upstream for each in self._engines.values())[:count]
         for each in self._schedulers:
-            each.reconfigure(listed, self.now_s)
-
-    # Callers
+            each.reconfigure(self._upstreams(count), self.now_s)
 
     def _plan(self, kind: Kind) -> None:
         at_s = 0.0
@@ -235,104 +203,7 @@
             at_s += self._random.expovariate(per_s)
             if at_s >= DAY_S:
                 return
-            call = draw_call(
-                self._random,
-                kind,
-                at_s,
-                event_tokens=EVENT_TOKENS,
-                prompt_spread=PROMPT_SPREAD,
-            )
-            self._owed += kind.on_time_worth * _worth_times(call)
-            self._at(at_s, lambda call=call: self._come(call, tries=1))
-
-    def _come(self, call: Call, *, tries: int) -> None:
-        kind, line = call.kind, self._random.choice(self._schedulers).line(SERVICE)
-        ticket = Ticket(
-            request_id=f"r{next(self._numbers)}",
-            service=SERVICE,
-            rank=(0, kind.rank),
-            prompt_tokens=call.prompt_tokens,
-            answer_tokens=call.expected_tokens,
-            first_s=call.first_s,
-            arrived_s=self.now_s,
-            deadline_s=call.first_s + kind.deadline_s,
-            target_s=kind.target_s,
-            patience_s=max(2.0, 4.0 * kind.target_s),
-            returned=tries > 1,
-            decided=lambda decision: None,
-        )
-        sent = Sent(call=call, ticket=ticket, line=line)
-        ticket.decided = lambda decision: self._decided(sent, tries, decision)
-        line.submit(ticket, self.now_s)
-
-    def _decided(self, sent: Sent, tries: int, decision) -> None:
-        if isinstance(decision, Dispatch):
-            self._arrives(self._engines[decision.upstream.upstream_id], sent)
-        elif tries == 1:
-            back_s = self.now_s + decision.retry_after_s
-            self._at(back_s, lambda: self._come(sent.call, tries=2))
-        else:
-            self.refused_twice += 1
-            worth = sent.call.kind.on_time_worth * _worth_times(sent.call)
-            self._earned -= worth * REFUSED_AGAIN_PART
-
-    # Engines
-
-    def _arrives(self, engine: QueueingEngine, sent: Sent) -> None:
-        if engine.running >= PLACES:
-            engine.waiting.append(sent)
-            return
-        engine.running += 1
-        first_s = engine.first_event_s(sent.call.prompt_tokens, self.now_s)
-        self._at(first_s, lambda: self._began(engine, sent))
-
-    def _began(self, engine: QueueingEngine, sent: Sent) -> None:
-        call, upstream_id = sent.call, engine.upstream.upstream_id
-        sent.line.began(sent.ticket, upstream_id, self.now_s)
-        step_s = engine.step_s()
-        seat = sent.line.pool.seat(upstream_id)
-        if seat is not None:
-            seat.health.stepped(step_s)
-        on_time = self.now_s <= call.first_s + call.kind.target_s
-        worth = call.kind.on_time_worth if on_time else call.kind.late_worth
-        self._earned += worth * _worth_times(call)
-        self.late += not on_time
-        self._ends(engine, sent, self.now_s + step_s * (call.events - 1))
-
-    def _ends(self, engine: QueueingEngine, sent: Sent, end_s: float) -> None:
-        """End an answer, later by the prompts that are read meanwhile."""
-        stalled_s = engine.stalled_s
-
-        def ended() -> None:
-            more_s = engine.stalled_s - stalled_s
-            if more_s > 0.0:
-                self._ends(engine, sent, self.now_s + more_s)
-                return
-            engine.running -= 1
-            call, upstream_id = sent.call, engine.upstream.upstream_id
-            sent.line.pool.writing.wrote(tokens=call.expected_tokens, steps=call.events)
-            sent.line.ended(sent.ticket, upstream_id, self.now_s)
-            if engine.waiting and engine.running < PLACES:
-                self._arrives(engine, engine.waiting.popleft())
-
-        self._at(end_s, ended)
-
-
-def _worth_times(call: Call) -> float:
-    """Return what a request is worth against the mean of its kind."""
-    length = call.prompt_tokens / call.kind.prompt_tokens
-    return min(WORTH_MAX_TIMES, BASE_PART + (1.0 - BASE_PART) * length)
-
-
-def _upstream(number: int) -> Upstream:
-    return Upstream(
-        upstream_id=f"u{number}",
-        service=SERVICE,
-        host="127.0.0.1",
-        port=1 + number,
-        data_centre="here",
-        slots=PLACES,
-    )
+            self._plan_call(self._draw(kind, at_s, PROMPT_SPREAD))
 
 
 FLEETS = {
