--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -1,181 +1,29 @@
 """Steps about what many entries tell each other, without a network."""
 
-import heapq
-import itertools
-from collections import Counter
-from random import Random
-
 from behave import given, then, when
 
+from features.entryfleet import (
+    LOOK_EVERY_S,
+    SERVICE,
+    TICK_S,
+    UPSTREAM,
+    Entry,
+    Fleet,
+    begin_request,
+    known_within_s,
+)
 from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.catalog import Customer
 from lavenderspoke.direct.desk import Outcome
-from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
-from lavenderspoke.direct.office import Office
-from lavenderspoke.direct.scheduler import Ticket
-from lavenderspoke.direct.settings import Bounds
-from lavenderspoke.direct.sharing import SILENT_S, Whereabouts
-from lavenderspoke.direct.talk import Talk
 from lavenderspoke.model import InstanceId
-from lavenderspoke.observing.metrics import Metrics
 
-TICK_S = 0.02
-DELAYS_S = (0.001, 0.003)
-LOOK_EVERY_S = 0.1
+# How late what an entry told before it left is passed on, in seconds.
 LATE_S = 0.25
-SERVICE = "narrative"
-UPSTREAM = Upstream(
-    upstream_id="u",
-    service=SERVICE,
-    host="127.0.0.1",
-    port=1,
-    data_centre="dc-0",
-    slots=1000,
-)
-
-
 REQUEST = accepted_request(resumable=False, attempts_max=1)
 
 
-class Entry:
-    """An entry's decisions, with its part in the talk."""
-
-    def __init__(self, *, name: str, data_centre: str, clock: ManualClock, seed: int):
-        self.me = InstanceId(name=name, incarnation="1")
-        self.whereabouts = Whereabouts(
-            address=f"tcp://{name}:1", data_centre=data_centre
-        )
-        self.office = Office(
-            name=name,
-            whereabouts=self.whereabouts,
-            bounds=Bounds(),
-            clock=clock,
-            random=Random(seed),
-            metrics=Metrics(),
-        )
-        self.office.upstreams_changed((UPSTREAM,))
-        self.talk = Talk(me=self.me, office=self.office, clock=clock)
-        self.is_down = False
-
-
-class Fleet:
-    """Entries whose messages take a moment."""
-
-    def __init__(self, *, entries: int, data_centres: int, start_s: float = 0.0):
-        self.clock = ManualClock()
-        self.sent: Counter[str] = Counter()
-        self.passing_on: set[str] = set()
-        # Whether all heard all, by the time of each look.
-        self.looks: list[tuple[float, list[tuple[str, str]]]] = []
-        self._events: list = []
-        self._numbers = itertools.count()
-        self._random = Random(11)
-        self.entries: dict[str, Entry] = {}
-        for number in range(entries):
-            entry = Entry(
-                name=f"entry-{number}",
-                data_centre=f"dc-{number % data_centres}",
-                clock=self.clock,
-                seed=number,
-            )
-            self.entries[entry.me.name] = entry
-            begin_s = start_s * number / entries
-            self._at(begin_s, lambda entry=entry: self._start(entry, start_s > 0.0))
-        self._at(LOOK_EVERY_S, self._look)
-
-    @property
-    def now_s(self) -> float:
-        return self.clock.monotonic_s()
-
-    def run(self, seconds: float) -> None:
-        end_s = self.now_s + seconds
-        while self._events and self._events[0][0] <= end_s:
-            at_s, _, work = heapq.heappop(self._events)
-            self.clock.advance(at_s - self.now_s)
-            work()
-        self.clock.advance(end_s - self.now_s)
-
-    def unheard(self) -> list[tuple[str, str]]:
-        """Return pairs of living entries of which one doesn't hear the other."""
-        living = {n: e for n, e in self.entries.items() if not e.is_down}
-        return [
-            (name, missing)
-            for name, entry in living.items()
-            for missing in living.keys() - {name} - set(entry.office.heard_names())
-        ]
-
-    def send(self, sender: Entry, letter, delay_s: float | None = None) -> None:
-        self.sent[sender.me.name] += 1
-        if getattr(letter.message, "to_neighbours", False):
-            self.passing_on.add(sender.me.name)
-        delay_s = delay_s or self._random.uniform(*DELAYS_S)
-        self._at(self.now_s + delay_s, lambda: self._deliver(sender, letter))
-
-    def _at(self, at_s: float, work) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), work))
-
-    def _start(self, entry: Entry, only_earlier: bool) -> None:
-        listed = {}
-        for name, other in self.entries.items():
-            if name == entry.me.name and only_earlier:
-                break
-            listed[name] = other.whereabouts
-        entry.office.peers_listed(listed)
-        self._at(
-            self.now_s + self._random.uniform(0.0, TICK_S), lambda: self._tick(entry)
-        )
-
-    def _tick(self, entry: Entry) -> None:
-        self._at(self.now_s + TICK_S, lambda: self._tick(entry))
-        if not entry.is_down:
-            for letter in entry.talk.tick():
-                self.send(entry, letter)
-
-    def _deliver(self, sender: Entry, letter) -> None:
-        entry = self.entries[letter.name]
-        if entry.is_down or letter.address != entry.whereabouts.address:
-            return
-        for further in entry.talk.heard(sender.me, letter.message):
-            self.send(entry, further)
-
-    def _look(self) -> None:
-        self._at(self.now_s + LOOK_EVERY_S, self._look)
-        self.looks.append((self.now_s, self.unheard()))
-
-
-def begin_request(entry: Entry, number: int = 0) -> None:
-    now_s = entry.office._now_s()
-    ticket = Ticket(
-        request_id=f"r{number}",
-        service=SERVICE,
-        rank=(0, 0),
-        prompt_tokens=100,
-        answer_tokens=10,
-        first_s=now_s,
-        arrived_s=now_s,
-        deadline_s=now_s + 60.0,
-        target_s=1.0,
-        patience_s=60.0,
-        returned=False,
-        decided=lambda decision: None,
-    )
-    entry.office.submit(ticket)
-
-
-def known_within_s(fleet: Fleet) -> float:
-    """Return how long it takes until all know of a request that begins to run."""
-    asker, *others = fleet.entries.values()
-    begin_request(asker)
-    begun_s = fleet.now_s
-    line = {e.me.name: e.office._scheduler.line(SERVICE) for e in others}
-    while any(line[e.me.name].pool.peers_running() == 0 for e in others):
-        assert fleet.now_s < begun_s + SILENT_S, "not known to all"
-        fleet.run(0.005)
-    return fleet.now_s - begun_s
-
-
 @given("{entries:d} entries in {data_centres:d} data centres")
 def step_fleet(context, entries, data_centres):
     context.fleet = Fleet(entries=entries, data_centres=data_centres)
