Tell in a request's line and a counter what looks for a place elsewhere found

Of a stream that broke off the log said 'silent for too long' both where its time had run out and where its upstream was given up early, and nothing told whether the entry had looked for another place, and what it lacked: a retry, a place, or an upstream that took the stream. The hypotheses on the incident of cut streams could not be told apart by it, nor could a look that never finds anything be told from upstreams that are never silent.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -77,3 +77,10 @@
     And another upstream streams its answer, and no retry is left
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 1 upstream
+
+  Scenario: An upstream is silent until the time for its stream has run out
+    Guards against a log that doesn't tell a deadline from an upstream given up early.
+    Given a resumable request at an upstream that pauses for 6 s after its first event
+    And no other upstream has a place
+    When its stream is read until it breaks off
+    Then the cut is told as "the time for it ran out", after looks that found "no_place"
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -52,6 +52,9 @@
     def stepped(self, upstream, step_s) -> None:
         pass
 
+    def looked(self, look) -> None:
+        pass
+
 
 class PlainDialect:
     """Takes every answer for the right one."""
@@ -269,6 +272,23 @@
     context.handling.close()
 
 
+@when("its stream is read until it breaks off")
+def step_read_until_cut(context):
+    answer = context.handling.first()
+    try:
+        for _ in answer.bodies:
+            pass
+    except AnswerCut as error:
+        context.cut = str(error)
+    context.handling.close()
+
+
+@then('the cut is told as "{text}", after looks that found "{look}"')
+def step_cut_told(context, text, look):
+    assert context.cut == text, context.cut
+    assert set(context.handling.looks) == {look}, context.handling.looks
+
+
 @then("its caller has events 0 and 1, and it ran at {count:d} upstream")
 @then("its caller has events 0 and 1, and it ran at {count:d} upstreams")
 def step_whole(context, count):
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -72,6 +72,14 @@
     LEFT = "left"  # given up by this side: the caller has gone, or time is up
 
 
+class Look(enum.Enum):
+    """What a look for a place elsewhere found, while an upstream was silent."""
+
+    FOUND = "found"
+    NO_RETRY = "no_retry"
+    NO_PLACE = "no_place"
+
+
 class Desk(Protocol):
     """What a request asks of its entry; safe for threads."""
 
@@ -98,6 +106,9 @@
     def retry_unused(self, service: str) -> None:
         """Give a retry back that was taken and not sent."""
 
+    def looked(self, look: Look) -> None:
+        """Count a look for a place elsewhere."""
+
     def written(self, ticket: Ticket, steps: int) -> None:
         """Note of how many steps a whole stream was, its first event counted."""
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -6,6 +6,7 @@
 """
 
 import threading
+from collections import Counter
 from collections.abc import Iterator
 
 import attrs
@@ -17,6 +18,7 @@
     Accepted,
     Desk,
     FirstAnswer,
+    Look,
     Outcome,
     StreamAnswer,
     WholeAnswer,
@@ -87,6 +89,7 @@
         self.trail: list[str] = []
         self.runs = 0
         self.waited_s = 0.0
+        self.looks: Counter[str] = Counter()
         self._desk = desk
         self._dialect = dialect
         self._clock = clock
@@ -353,8 +356,7 @@
             self._end(attempt, Outcome.FAILED)
             raise AnswerCut("an event without end") from error
         except AnswerCut as error:
-            self._cut(attempt, error)
-            raise
+            raise self._cut(attempt, error) from error
         finally:
             self._end(attempt, Outcome.LEFT)
 
@@ -397,13 +399,16 @@
         self._end(attempt, Outcome.FAILED)
         return self._resumed(error)
 
-    def _cut(self, attempt: _Attempt, error: AnswerCut) -> None:
-        attempt.detail = str(error)
+    def _cut(self, attempt: _Attempt, error: AnswerCut) -> AnswerCut:
+        """End an attempt whose answer was cut; return the cut with its reason."""
+        outcome = Outcome.SILENT if error.timed_out else Outcome.BROKEN
         if self._gone or self._left_s() <= 0.0:
             outcome = Outcome.LEFT
-        else:
-            outcome = Outcome.SILENT if error.timed_out else Outcome.BROKEN
+            if error.timed_out and not self._gone:
+                error = AnswerCut("the time for it ran out", timed_out=True)
+        attempt.detail = str(error)
         self._end(attempt, outcome)
+        return error
 
     # What next
 
@@ -463,24 +468,25 @@
             return 0.0
         if not self._may_move():
             return left_s
-        if self._hold_place_elsewhere():
-            return 0.0
-        return min(left_s, SILENCE_AGAIN_S)
+        look = self._look_elsewhere()
+        self.looks[look.value] += 1
+        self._desk.looked(look)
+        return 0.0 if look is Look.FOUND else min(left_s, SILENCE_AGAIN_S)
 
     def _may_move(self) -> bool:
         """Return whether one more upstream may run what this one has."""
         return self._may_run_again(uncounted=1 if self._current.exchange is None else 0)
 
-    def _hold_place_elsewhere(self) -> bool:
+    def _look_elsewhere(self) -> Look:
         """Take a retry and a place at another upstream, if there are both now."""
         service = self.accepted.service
         if not self._desk.may_retry(service):
-            return False
+            return Look.NO_RETRY
         self._next_place = self._wait_for_place(may_wait=False)
         if self._next_place is None:
             self._desk.retry_unused(service)
-            return False
-        return True
+            return Look.NO_PLACE
+        return Look.FOUND
 
     def _take_next(self) -> _Place | None:
         place, self._next_place = self._next_place, None
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -14,7 +14,7 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.crashes import CrashWatch
-from lavenderspoke.direct.desk import Accepted, Outcome
+from lavenderspoke.direct.desk import Accepted, Look, Outcome
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
@@ -53,6 +53,7 @@
 RESTART_SETTLED_S = 0.2
 ATTEMPTS = "direct_attempts"
 RETRIES = "direct_retries"
+LOOKS = "direct_silence_looks"
 FIRST_LATER = "direct_first_event_later_s"
 FIRST_EARLIER = "direct_first_event_earlier_s"
 PEERS_RUNNING = "direct_peers_running"
@@ -215,6 +216,9 @@
             self._allowance(service).give_back()
         self._metrics.count(RETRIES, "unused")
 
+    def looked(self, look: Look) -> None:
+        self._metrics.count(LOOKS, look.value)
+
     def written(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
             pool = self._scheduler.line(ticket.service).pool
