Show that silence still cuts streams, and that looks elsewhere find nothing: four failing tests

What callers see: a stream is cut though its upstream goes on (the class of the incident), or is left at a dead upstream while others are idle.

A look for a free place (a ticket that may not wait) is refused in the call that submits it, whatever is free: its time in line is over before the line is served. The place elsewhere is one that the entry presumes. Where the next upstream turns the request away or can't be reached, the first one has been given up already and the caller's stream breaks off.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -44,6 +44,29 @@
     Then its caller has events 0 and 1, and it ran at 1 upstream
     And no place is held
 
+  Scenario: An upstream pauses in the middle of a stream, and the next has no room
+    Guards against a stream that is broken off for an upstream that turns it away.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream that turns requests away
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And no place is held
+
+  Scenario: An upstream pauses in the middle of a stream, and the next is unreachable
+    Guards against a stream that is broken off for an upstream that isn't there.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream that can't be reached
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And no place is held
+
+  Scenario: An upstream falls silent in the middle of a stream, and another is idle
+    Guards against a stream that is left at a dead upstream while others are idle.
+    Given a resumable request at an upstream that falls silent after its first event
+    And the entry's own dispatcher, and another upstream that is idle
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 2 upstreams
+
   Scenario: The last upstream that may run a request begins late
     Of two upstreams that may run the request the first has broken off. Nobody else may
     run it after the second, so nothing is won by giving that up before the deadline.
--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -103,6 +103,14 @@
     Then a prompt of 6610 tokens is expected to be read within 5 in 100 of that pace
     And with the second taken, a prompt of 20000 tokens goes to the first at once
 
+  Scenario: A request that may not wait comes, and a place is free
+    Guards against a look for a free place that is refused whatever is free.
+    Given a line before 1 upstream of 1 place
+    When a request comes that may not wait
+    Then it goes to the first
+    When a request comes that may not wait
+    Then it is refused at once
+
   Scenario: An upstream that leaves gets nothing new
     Given a line before 1 upstream of 4 places
     When the upstream is leaving and a request comes
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -2,6 +2,8 @@
 
 import socket
 import time
+from collections.abc import Sequence
+from random import Random
 
 from behave import given, then, when
 
@@ -13,8 +15,12 @@
 from lavenderspoke.direct.exchange import AnswerCut, ConnectionPool
 from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.scheduler import Dispatch, Refusal, Refuse
+from lavenderspoke.direct.settings import Bounds
+from lavenderspoke.direct.sharing import Whereabouts
 from lavenderspoke.model import Ran
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.problems import Reason
 from standins.processes import HOST, free_port
 
@@ -63,7 +69,7 @@
         return {"Host": "test"}
 
     def never_ran(self, exchange) -> bool:
-        return False
+        return exchange.status == 503
 
     def misdirected(self, exchange) -> bool:
         return exchange.status == 421
@@ -231,11 +237,18 @@
     context.first = start_upstream(context, [STREAM_HEAD + chunk(0)], 0.0, "ends")
 
 
-def begin(context, others: list[StepwiseUpstream], *, retries: int = 1) -> None:
+def begin(
+    context,
+    others: list[StepwiseUpstream],
+    *,
+    retries: int = 1,
+    more: Sequence[Upstream] = (),
+) -> None:
     upstreams = [
         upstream_at(raw.port, name=f"u{number}")
         for number, raw in enumerate([context.first, *others])
     ]
+    upstreams += more
     context.desk = FewPlacesDesk(upstreams=upstreams)
     context.desk.retries = retries
     accepted = accepted_request(resumable=True, attempts_max=2)
@@ -253,6 +266,42 @@
     begin(context, [start_upstream(context, rest, 0.0, "keeps")])
 
 
+@given("another upstream that turns requests away")
+def step_turned_away(context):
+    head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+    begin(context, [start_upstream(context, [head], 0.0, "keeps")])
+
+
+@given("another upstream that can't be reached")
+def step_other_unreachable(context):
+    begin(context, [], more=[upstream_at(free_port(), name="x")])
+
+
+@given("a resumable request at an upstream that falls silent after its first event")
+def step_silent(context):
+    context.first = start_upstream(context, [STREAM_HEAD + chunk(0)], 0.0, "keeps")
+
+
+@given("the entry's own dispatcher, and another upstream that is idle")
+def step_own_dispatcher(context):
+    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    other = start_upstream(context, rest, 0.0, "keeps")
+    first = upstream_at(context.first.port, name="first")
+    office = Office(
+        name="entry-1",
+        whereabouts=Whereabouts(address="tcp://127.0.0.1:1"),
+        bounds=Bounds(),
+        clock=SystemClock(),
+        random=Random(1),
+        metrics=Metrics(),
+    )
+    office.upstreams_changed((first,))
+    accepted = accepted_request(resumable=True, attempts_max=2)
+    context.handling = handling_of(accepted, office)
+    context.begun = context.handling.first()
+    office.upstreams_changed((first, upstream_at(other.port, name="other")))
+
+
 @given("another upstream has a place, and no retry is left")
 def step_no_retry(context):
     rest = [STREAM_HEAD + chunk(1) + STREAM_END]
@@ -267,7 +316,7 @@
 
 @when("its stream is read to the end")
 def step_read_to_the_end(context):
-    answer = context.handling.first()
+    answer = getattr(context, "begun", None) or context.handling.first()
     context.events = b"".join(answer.bodies)
     context.handling.close()
 
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -7,7 +7,7 @@
 
 from features.linedrive import RANKS, Drive, Request
 from lavenderspoke.direct.catalog import Catalog, Customer
-from lavenderspoke.direct.scheduler import PeersShare, Refusal, Refuse
+from lavenderspoke.direct.scheduler import Dispatch, PeersShare, Refusal, Refuse
 
 
 @given("a line before {upstreams:d} upstreams of {places:d} places")
@@ -125,6 +125,24 @@
     _, context.decisions = context.drive.ticket(excluded={"u0"})
 
 
+@when("a request comes that may not wait")
+def step_may_not_wait(context):
+    _, context.decisions = context.drive.ticket(may_wait=False)
+
+
+@then("it is refused at once")
+def step_refused_at_once(context):
+    (decision,) = context.decisions
+    assert isinstance(decision, Refuse), decision
+
+
+@then("it goes to the first")
+def step_first(context):
+    (decision,) = context.decisions
+    assert isinstance(decision, Dispatch), decision
+    assert decision.upstream.upstream_id == "u0"
+
+
 @then("it goes to the second")
 def step_second(context):
     (decision,) = context.decisions
