Count a caller's patience from its last event once its stream has begun

What callers saw: streams that broke off although other upstreams were idle. A stream whose upstream crashed, or was given up, was refused another place at once when it was older than callers wait for a first byte.

Cause: the time in line of any try ended at the request's arrival plus its caller's patience. That patience is for a silence; a stream of 6 s whose caller got an event 20 ms ago counted as one whose caller had left. With less than nothing left, the line refuses in the same call.

Found by a review of the trace.

Ruled out: a longer patience as such; callers that got nothing do leave.

It uses the entry's own dispatcher; the doubles of the other scenarios grant places whatever the age of a stream.

--- a/bench/engineday.py
+++ b/bench/engineday.py
@@ -181,7 +181,7 @@
             prompt_tokens=call.prompt_tokens,
             answer_tokens=call.expected_tokens,
             first_s=call.first_s,
-            arrived_s=self.now_s,
+            quiet_since_s=self.now_s,
             deadline_s=call.first_s + kind.deadline_s,
             target_s=kind.target_s,
             patience_s=self.patience_s(kind),
--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -67,6 +67,14 @@
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 2 upstreams
 
+  Scenario: An upstream breaks off a stream that is older than callers wait in silence
+    Guards against a stream that isn't resumed since its caller is taken to have left.
+    Given a resumable request at an upstream that ends after events of 1.5 s
+    And callers that wait for 1 s in silence
+    And the entry's own dispatcher, and another upstream that is idle
+    When its stream is read to the end
+    Then its caller has events 0 to 3, and it ran at 2 upstreams
+
   Scenario: The last upstream that may run a request begins late
     Of two upstreams that may run the request the first has broken off. Nobody else may
     run it after the second, so nothing is won by giving that up before the deadline.
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -167,7 +167,9 @@
     )
 
 
-def accepted_request(*, resumable: bool, attempts_max: int) -> Accepted:
+def accepted_request(
+    *, resumable: bool, attempts_max: int, patience_s: float = TIMEOUT_S
+) -> Accepted:
     route = Route(
         name="r",
         host="h",
@@ -177,7 +179,7 @@
         resumable=resumable,
         timeout_s=TIMEOUT_S,
         target_s=1.0,
-        patience_s=TIMEOUT_S,
+        patience_s=patience_s,
         rank=0,
         shares=(Share(service="s", weight=1.0),),
         attempts_max=attempts_max,
@@ -282,9 +284,21 @@
     context.first = start_upstream(context, [STREAM_HEAD + chunk(0)], 0.0, "keeps")
 
 
+@given("a resumable request at an upstream that ends after events of 1.5 s")
+def step_ending(context):
+    parts = [STREAM_HEAD + chunk(0), chunk(1), chunk(2), b""]
+    context.first = start_upstream(context, parts, 0.5, "ends")
+    context.next_event = 3
+
+
+@given("callers that wait for {patience_s:g} s in silence")
+def step_patience(context, patience_s):
+    context.patience_s = patience_s
+
+
 @given("the entry's own dispatcher, and another upstream that is idle")
 def step_own_dispatcher(context):
-    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    rest = [STREAM_HEAD + chunk(getattr(context, "next_event", 1)) + STREAM_END]
     other = start_upstream(context, rest, 0.0, "keeps")
     first = upstream_at(context.first.port, name="first")
     office = Office(
@@ -296,7 +310,8 @@
         metrics=Metrics(),
     )
     office.upstreams_changed((first,))
-    accepted = accepted_request(resumable=True, attempts_max=2)
+    patience_s = getattr(context, "patience_s", TIMEOUT_S)
+    accepted = accepted_request(resumable=True, attempts_max=2, patience_s=patience_s)
     context.handling = handling_of(accepted, office)
     context.begun = context.handling.first()
     office.upstreams_changed((first, upstream_at(other.port, name="other")))
@@ -341,7 +356,13 @@
 @then("its caller has events 0 and 1, and it ran at {count:d} upstream")
 @then("its caller has events 0 and 1, and it ran at {count:d} upstreams")
 def step_whole(context, count):
-    assert context.events == b"id: 0\ndata: a\n\nid: 1\ndata: a\n\n", context.events
+    step_whole_to(context, 1, count)
+
+
+@then("its caller has events 0 to {last:d}, and it ran at {count:d} upstreams")
+def step_whole_to(context, last, count):
+    events = b"".join(b"id: %d\ndata: a\n\n" % n for n in range(last + 1))
+    assert context.events == events, context.events
     assert context.handling.runs == count, context.handling.trail
 
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -106,6 +106,7 @@
         self._unreached = 0
         self._may_have_run = False
         self._last_event = accepted.head.after_event
+        self._quiet_since_s = accepted.arrived_s
         # An upstream's own failure, for the case that no other one does better.
         self._own_failure: WholeAnswer | None = None
 
@@ -185,7 +186,7 @@
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
             first_s=accepted.first_s,
-            arrived_s=accepted.arrived_s,
+            quiet_since_s=self._quiet_since_s,
             deadline_s=accepted.until_s,
             target_s=accepted.route.target_s,
             patience_s=accepted.route.patience_s,
@@ -344,7 +345,7 @@
                 now_s = self._clock.monotonic_s()
                 if before_s is not None:
                     self._desk.stepped(attempt.upstream, now_s - before_s)
-                before_s = now_s
+                before_s = self._quiet_since_s = now_s
                 count += 1
                 self._note_events(events)
                 yield events.body
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -115,7 +115,8 @@
     """A request's place in line.
 
     `target_s` counts from `first_s`, when its caller asked for the first time, and
-    `patience_s` from `arrived_s`: after it a caller that has seen no byte leaves.
+    `patience_s` from `quiet_since_s`, when it arrived or got the last event of its
+    stream: after so long without another one its caller leaves.
     `excluded` holds upstreams it was sent to before. One that may not wait is decided
     on before `submit` returns. Once it was sent, `outlook` is what it met there and
     `expected_first_s` the time to its first byte. `decided` is called once with the
@@ -128,7 +129,7 @@
     prompt_tokens: int
     answer_tokens: int
     first_s: float
-    arrived_s: float
+    quiet_since_s: float
     deadline_s: float
     target_s: float
     patience_s: float
@@ -344,7 +345,7 @@
         """Return how long a request may wait from now on."""
         if not ticket.may_wait:
             return 0.0
-        leaves_s = min(ticket.deadline_s, ticket.arrived_s + ticket.patience_s)
+        leaves_s = min(ticket.deadline_s, ticket.quiet_since_s + ticket.patience_s)
         left_s = leaves_s - now_s - SERVICE_MARGIN_S
         if ticket.returned:
             return left_s * RETURNED_PART
