Have an upstream reserve a place before a silent one is given up for it

What callers saw: a stream that broke off although its upstream was at work, status 200 and no end. The class of the incident: something that works is ended before it is certain what goes on in its place.

Cause: the place elsewhere was one that the entry presumed from what it and the others had sent. The next upstream may be full, gone, or out of reach all the same; by then the first one had been closed, and the caller's stream ended with it.

Change: the next upstream is asked to reserve the place first. Refused, the presumed place and the retry are given back and the first upstream is left alone; the same if it speaks meanwhile. A begun stream stays where it is where upstreams reserve nothing. A place to which nothing was sent no longer counts as one that was held for no time, and its retry is given back.

Evidence: both scenarios of an upstream that turns the stream away, or isn't there, failed before and pass; that the first is given up before the other runs anything is checked as before, and now also that the reservation goes along.

Ruled out: sending to the next one beside the first for a while, since both would run; never giving up a silent stream, since callers leave after 2.4 s and a dead upstream's connection takes longer to show it.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -35,6 +35,7 @@
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 2 upstreams
     And the first upstream was given up before the other was asked
+    And the other was asked with the place that it had reserved
 
   Scenario: An upstream pauses in the middle of a stream, and no retry is left
     A place elsewhere is of no use then, and stays free for others.
--- a/features/platform_words.feature
+++ b/features/platform_words.feature
@@ -33,6 +33,12 @@
     And an expected length beyond the longest counts as the longest
     And no header of a length raises, and those without sense say nothing
 
+  Scenario: A place is reserved for a request that moves
+    Guards against an answer that is taken for a reserved place, or ends the request.
+    Then a place is asked for with the upstream's name, and room for the whole answer
+    And none is asked for a request that says nothing of its tokens
+    And what an upstream answers is a reserved place only if it names one
+
   Scenario: Keys are honoured by the age of the last read
     Then a read counts from when it was sent
     And a suspension of the machine counts
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -11,7 +11,7 @@
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.direct.catalog import Repeat, Route, Share
 from lavenderspoke.direct.desk import Accepted, Outcome
-from lavenderspoke.direct.dialect import CallerHead
+from lavenderspoke.direct.dialect import CallerHead, UpstreamCall
 from lavenderspoke.direct.exchange import AnswerCut, ConnectionPool
 from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.instances import Upstream
@@ -62,11 +62,15 @@
         pass
 
 
+RESERVE = b"POST /reserve"
+RESERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1"
+
+
 class PlainDialect:
-    """Takes every answer for the right one."""
+    """Takes every answer for the right one, and each 200 for a reservation."""
 
-    def upstream_headers(self, **said) -> dict[str, str]:
-        return {"Host": "test"}
+    def upstream_headers(self, *, reservation, **said) -> dict[str, str]:
+        return {"Host": "test", "Reserved": reservation or "nothing"}
 
     def never_ran(self, exchange) -> bool:
         return exchange.status == 503
@@ -77,18 +81,35 @@
     def answers(self, exchange, head) -> bool:
         return True
 
+    def reservation_call(self, *, head, upstream) -> UpstreamCall:
+        return UpstreamCall(method="POST", target="/reserve", headers={"Host": "test"})
+
+    def reservation(self, exchange, body) -> str | None:
+        return body.decode() if exchange.status == 200 else None
+
 
 class StepwiseUpstream(RawUpstream):
-    """Sends its parts in turn, with a pause before each but the first."""
+    """Sends its parts in turn, with a pause before each but the first.
+
+    Unless it `reserves` nothing, it first reserves a place for who asks for one.
+    """
 
-    def __init__(self, *, parts: list[bytes], pause_s: float, then: str):
+    def __init__(
+        self, *, parts: list[bytes], pause_s: float, then: str, reserves: bool = True
+    ):
+        self.heads: list[bytes] = []
         self._parts = parts
         self._pause_s = pause_s
+        self._reserves = reserves
         super().__init__(answer=b"", then=then)
 
     def _serve(self, connection: socket.socket) -> None:
         with connection:
-            connection.recv(65536)
+            head = connection.recv(65536)
+            self.heads.append(head)
+            if self._reserves and head.startswith(RESERVE):
+                connection.sendall(RESERVED)
+                return
             for number, part in enumerate(self._parts):
                 if number and self._closes_within(connection, self._pause_s):
                     return
@@ -129,6 +150,10 @@
         super().ended(ticket, upstream, accepted, outcome)
         self.held.remove(upstream)
 
+    def give_back(self, ticket, upstream) -> None:
+        self.held.remove(upstream)
+        self._free.insert(0, upstream)
+
     def connections(self, upstream) -> ConnectionPool:
         self.ended_before.append(tuple(self.outcomes))
         return ConnectionPool(
@@ -219,8 +244,8 @@
     context.handling = handling_of(accepted, context.desk)
 
 
-def start_upstream(context, parts: list[bytes], pause_s: float, then: str):
-    raw = StepwiseUpstream(parts=parts, pause_s=pause_s, then=then)
+def start_upstream(context, parts: list[bytes], pause_s: float, then: str, **more):
+    raw = StepwiseUpstream(parts=parts, pause_s=pause_s, then=then, **more)
     context.add_cleanup(raw.close)
     return raw
 
@@ -265,13 +290,14 @@
 @given("another upstream has a place")
 def step_other(context):
     rest = [STREAM_HEAD + chunk(1) + STREAM_END]
-    begin(context, [start_upstream(context, rest, 0.0, "keeps")])
+    context.other = start_upstream(context, rest, 0.0, "keeps")
+    begin(context, [context.other])
 
 
 @given("another upstream that turns requests away")
 def step_turned_away(context):
     head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
-    begin(context, [start_upstream(context, [head], 0.0, "keeps")])
+    begin(context, [start_upstream(context, [head], 0.0, "keeps", reserves=False)])
 
 
 @given("another upstream that can't be reached")
@@ -368,8 +394,16 @@
 
 @then("the first upstream was given up before the other was asked")
 def step_given_up_first(context):
+    # Each is asked for the request once, and the other for a place before that.
     ended_before = context.desk.ended_before
-    assert ended_before == [(), (Outcome.SILENT,)], ended_before
+    assert ended_before == [(), (), (Outcome.SILENT,)], ended_before
+
+
+@then("the other was asked with the place that it had reserved")
+def step_with_reservation(context):
+    asked_place, asked = context.other.heads
+    assert asked_place.startswith(RESERVE), asked_place
+    assert b"\r\nReserved: r1\r\n" in asked, asked
 
 
 @given("a request at an upstream in whose place another one answers")
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -6,6 +6,7 @@
 import struct
 import tomllib
 
+import attrs
 from behave import then
 from hypothesis import strategies
 from result import Err
@@ -15,6 +16,7 @@
 from lavenderspoke.direct.catalog import Repeat
 from lavenderspoke.direct.dialect import CallerHead
 from lavenderspoke.direct.inforce import InForce
+from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.records import KeyedRecord
 from lavenderspoke.platform import configuration, settings, store
 from lavenderspoke.platform.registry import BACK_WITHIN_S, Registry
@@ -43,6 +45,8 @@
     "X-Not-Executed",
     "X-Response-Signature",
     "X-Tenant",
+    "X-Kv-Retention",
+    "hold-take",
     "path-prefix",
     "api-keys",
     "keyed.",
@@ -262,6 +266,62 @@
     return force
 
 
+def caller_head(**said) -> CallerHead:
+    return CallerHead(
+        request_id="a1", method="POST", target="/", host="h", headers=(), **said
+    )
+
+
+def reservation_call(**said):
+    upstream = Upstream(
+        upstream_id="i-1@5",
+        name="i-1",
+        service="s",
+        host="10.0.0.1",
+        port=1,
+        data_centre="here",
+        slots=1,
+    )
+    head = caller_head(**said)
+    return PlatformDialect().reservation_call(head=head, upstream=upstream)
+
+
+@then("a place is asked for with the upstream's name, and room for the whole answer")
+def step_reservation_call(context):
+    call = reservation_call(prompt_tokens=700, output_tokens=90, expected_tokens=30)
+    assert (call.method, call.target) == ("POST", "/v1/hold-take"), call
+    assert call.headers["X-Expect-Instance"] == "i-1", call
+    assert json.loads(call.body) == {"token-count": 730, "ttl-ms": 500}, call
+
+
+@then("none is asked for a request that says nothing of its tokens")
+def step_no_reservation_call(context):
+    assert reservation_call() is None
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """As much of an exchange as a reservation is read from."""
+
+    status: int
+
+
+@then("what an upstream answers is a reserved place only if it names one")
+def step_reservation(context):
+    dialect = PlatformDialect()
+
+    def reserved(status: int, body: bytes) -> str | None:
+        return dialect.reservation(Status(status=status), body)
+
+    assert reserved(200, b'{"retention": "4029723f9713"}') == "4029723f9713"
+    assert reserved(503, b"") is None
+    assert reserved(503, b'{"retention": "4029723f9713"}') is None
+    for body in (b"", b"{}", b'{"retention": 7}', b'{"retention": ""}'):
+        assert reserved(200, body) is None, body
+    assert reserved(200, b'{"retention": "a\\r\\nX-Tenant: b"}') is None
+    takes_anything(strategies.binary(), lambda body: reserved(200, body))
+
+
 @then("a read counts from when it was sent")
 def step_sent(context):
     clock = ManualClock(start_s=10.0)
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -78,6 +78,8 @@
     FOUND = "found"
     NO_RETRY = "no_retry"
     NO_PLACE = "no_place"
+    NOT_RESERVED = "not_reserved"  # the upstream didn't confirm the place
+    SPOKE = "spoke"  # the silent upstream spoke meanwhile
 
 
 class Desk(Protocol):
@@ -97,6 +99,9 @@
     ) -> None:
         """Give its place at an upstream back, and note what became of it."""
 
+    def give_back(self, ticket: Ticket, upstream: Upstream) -> None:
+        """Give a place back to which nothing was sent."""
+
     def connections(self, upstream: Upstream) -> ConnectionPool:
         """Return the connections of an upstream."""
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -1,5 +1,6 @@
 """What direct dispatch needs to know of a platform's way of speaking HTTP."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -65,6 +66,16 @@
     detail: str
 
 
+@attrs.frozen(kw_only=True)
+class UpstreamCall:
+    """A call to an upstream that isn't a caller's request."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes = b""
+
+
 class Dialect(Protocol):
     """How callers and upstreams of a platform spell things."""
 
@@ -81,8 +92,20 @@
         customer: str | None,
         left_s: float,
         after_event: str | None,
+        reservation: str | None = None,
     ) -> dict[str, str]:
-        """Return the headers for an upstream."""
+        """Return the headers for an upstream, where a place may be reserved."""
+
+    def reservation_call(
+        self, *, head: CallerHead, upstream: Upstream
+    ) -> UpstreamCall | None:
+        """Return the call that reserves a place for a request that follows at once.
+
+        None where the upstream has none to reserve.
+        """
+
+    def reservation(self, exchange: Exchange, body: bytes) -> str | None:
+        """Return what names the reserved place, or None where there is no room."""
 
     def never_ran(self, exchange: Exchange) -> bool:
         """Return whether the upstream says that it did not run the request."""
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -9,6 +9,7 @@
 import functools
 import http.client
 import io
+import select
 import socket
 import threading
 from collections.abc import Callable, Mapping
@@ -183,6 +184,12 @@
             parts.append(data)
         return b"".join(parts)
 
+    def has_news(self) -> bool:
+        """Return whether anything has come that wasn't read, also an end."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
         _shut(self._socket)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -11,7 +11,7 @@
 
 import attrs
 import logbook
-from result import Err
+from result import Err, Ok
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.desk import (
@@ -33,6 +33,7 @@
 )
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import out_of_time, turned_down, unanswered
+from lavenderspoke.direct.reserving import reserve
 from lavenderspoke.direct.scheduler import Decision, Dispatch, Ticket
 from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.problems import Problem
@@ -59,24 +60,35 @@
 log = logbook.Logger(__name__)
 
 
+@attrs.frozen(kw_only=True)
+class _Place:
+    """A place at an upstream that the request holds.
+
+    `reservation` names it there, where the upstream has confirmed it.
+    """
+
+    upstream: Upstream
+    ticket: Ticket
+    reservation: str | None = None
+
+
 @attrs.define(kw_only=True)
 class _Attempt:
     """One attempt at one upstream and what came of it so far."""
 
-    upstream: Upstream
-    ticket: Ticket
+    place: _Place
     sending: Sending
     exchange: Exchange | None = None
     outcome: Outcome | None = None
     detail: str = ""
 
+    @property
+    def upstream(self) -> Upstream:
+        return self.place.upstream
 
-@attrs.frozen(kw_only=True)
-class _Place:
-    """A place at an upstream that the request holds."""
-
-    upstream: Upstream
-    ticket: Ticket
+    @property
+    def ticket(self) -> Ticket:
+        return self.place.ticket
 
 
 class Handling:
@@ -100,6 +112,8 @@
         self._current: _Attempt | None = None
         # Held while the upstream before it is being given up.
         self._next_place: _Place | None = None
+        # The caller has a part of the answer, so the rest can't be refused any more.
+        self._begun = False
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
@@ -155,9 +169,7 @@
         place = self._take_next() or self._wait_for_place(may_wait=True)
         if place is None:
             return turned_down(self._decision, may_have_run=self._may_have_run)
-        attempt = _Attempt(
-            upstream=place.upstream, ticket=place.ticket, sending=Sending()
-        )
+        attempt = _Attempt(place=place, sending=Sending())
         self._current = attempt
         with self._lock:
             self._sending = attempt.sending
@@ -223,6 +235,7 @@
             customer=accepted.customer.name if accepted.customer else None,
             left_s=left_s,
             after_event=self._last_event,
+            reservation=attempt.place.reservation,
         )
         sent = self._desk.connections(upstream).send(
             sending=attempt.sending,
@@ -379,6 +392,7 @@
         The first upstream has been told to stop by then: its connection is
         closed before the next one is asked.
         """
+        self._begun = True
         yield first
         while True:
             try:
@@ -460,12 +474,12 @@
     def _patience_s(self) -> float:
         """Return for how many seconds more a silent upstream may say nothing.
 
-        An upstream that is silent may be at work. Given up before another one has a
-        place for the request, its answer is lost where all places are taken: the
-        caller sees a stream that breaks off, and the upstream would have gone on.
+        An upstream that is silent may be at work. Given up before it is certain that
+        another one goes on, its answer may be lost: the caller sees a stream that
+        breaks off, and the upstream would have gone on.
         """
         left_s = max(0.0, self._left_s())
-        if self._gone:
+        if self._gone or left_s == 0.0:
             return 0.0
         if not self._may_move():
             return left_s
@@ -480,14 +494,54 @@
 
     def _look_elsewhere(self) -> Look:
         """Take a retry and a place at another upstream, if there are both now."""
-        service = self.accepted.service
-        if not self._desk.may_retry(service):
+        if not self._desk.may_retry(self.accepted.service):
             return Look.NO_RETRY
-        self._next_place = self._wait_for_place(may_wait=False)
-        if self._next_place is None:
-            self._desk.retry_unused(service)
-            return Look.NO_PLACE
-        return Look.FOUND
+        place = self._wait_for_place(may_wait=False)
+        if place is None:
+            look = Look.NO_PLACE
+        else:
+            self._next_place = self._confirmed(place)
+            look = Look.FOUND if self._next_place else Look.NOT_RESERVED
+        if look is Look.FOUND and self._has_news():
+            self._desk.give_back(place.ticket, place.upstream)
+            self._next_place = None
+            look = Look.SPOKE
+        if look is not Look.FOUND:
+            self._desk.retry_unused(self.accepted.service)
+        return look
+
+    def _confirmed(self, place: _Place) -> _Place | None:
+        """Return the place once its upstream has reserved it, or give it back.
+
+        Where upstreams reserve nothing, what this entry knows has to do for an answer
+        of which the caller has nothing yet.
+        """
+        call = self._dialect.reservation_call(
+            head=self.accepted.head, upstream=place.upstream
+        )
+        if call is None and not self._begun:
+            return place
+        if call is None:
+            self._desk.give_back(place.ticket, place.upstream)
+            return None
+        reserved = reserve(
+            call=call,
+            connections=self._desk.connections(place.upstream),
+            dialect=self._dialect,
+            clock=self._clock,
+        )
+        if isinstance(reserved, Ok):
+            return attrs.evolve(place, reservation=reserved.ok_value)
+        outcome = reserved.err_value.outcome
+        if outcome is Outcome.NOT_RUN:
+            self._desk.give_back(place.ticket, place.upstream)
+        else:
+            self._desk.ended(place.ticket, place.upstream, self.accepted, outcome)
+        return None
+
+    def _has_news(self) -> bool:
+        exchange = self._current.exchange
+        return exchange is not None and exchange.has_news()
 
     def _take_next(self) -> _Place | None:
         place, self._next_place = self._next_place, None
@@ -496,7 +550,8 @@
     def _give_back_next(self) -> None:
         place = self._take_next()
         if place is not None:
-            self._desk.ended(place.ticket, place.upstream, self.accepted, Outcome.LEFT)
+            self._desk.give_back(place.ticket, place.upstream)
+            self._desk.retry_unused(self.accepted.service)
 
     def _left_s(self) -> float:
         return self.accepted.until_s - self._clock.monotonic_s()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -195,6 +195,11 @@
             line = self._scheduler.line(ticket.service)
             line.ended(ticket, upstream.upstream_id, now_s)
 
+    def give_back(self, ticket: Ticket, upstream: Upstream) -> None:
+        with self._lock:
+            line = self._scheduler.line(ticket.service)
+            line.give_back(ticket, upstream.upstream_id, self._now_s())
+
     def connections(self, upstream: Upstream) -> ConnectionPool:
         with self._lock:
             pool = self._connections.get(upstream.upstream_id)
--- /dev/null
+++ b/lavenderspoke/direct/reserving.py
@@ -0,0 +1,66 @@
+"""Asks an upstream for a place before a request is taken away from another one.
+
+What an entry knows of the places at upstreams is what it and the others have sent. The
+upstream may be full, gone or out of reach all the same, and then a stream that is moved
+there breaks off although the one before would have gone on.
+"""
+
+import attrs
+import logbook
+from result import Err, Ok, Result
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.desk import Outcome
+from lavenderspoke.direct.dialect import Dialect, UpstreamCall
+from lavenderspoke.direct.exchange import AnswerCut, ConnectionPool, NotSent, Sending
+
+# How long an upstream may take to answer, in seconds. Its caller waits meanwhile for a
+# stream that is late already.
+ANSWER_S = 0.2
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class NotReserved:
+    """No place was reserved; `outcome` is what became of the call."""
+
+    outcome: Outcome
+    detail: str
+
+
+def reserve(
+    *, call: UpstreamCall, connections: ConnectionPool, dialect: Dialect, clock: Clock
+) -> Result[str, NotReserved]:
+    """Reserve a place at an upstream; return what names it there."""
+    sent = connections.send(
+        sending=Sending(),
+        method=call.method,
+        target=call.target,
+        headers=call.headers,
+        body=call.body,
+        head_timeout_s=ANSWER_S,
+    )
+    if isinstance(sent, Err):
+        error = sent.err_value
+        is_silent = not isinstance(error, NotSent) and error.timed_out
+        outcome = Outcome.SILENT if is_silent else Outcome.UNREACHABLE
+        return _not_reserved(outcome, error.detail)
+    exchange = sent.ok_value
+    try:
+        body = exchange.read_whole(clock.monotonic_s() + ANSWER_S, clock)
+    except AnswerCut as error:
+        exchange.close(keep=False)
+        return _not_reserved(Outcome.NOT_RUN, str(error))
+    exchange.close(keep=True)
+    if dialect.misdirected(exchange):
+        return _not_reserved(Outcome.MISDIRECTED, "another upstream answers there")
+    name = dialect.reservation(exchange, body)
+    if name is None:
+        return _not_reserved(Outcome.NOT_RUN, f"status {exchange.status}")
+    return Ok(name)
+
+
+def _not_reserved(outcome: Outcome, detail: str) -> Err[NotReserved]:
+    log.debug("no place reserved", outcome=outcome.value, detail=detail)
+    return Err(NotReserved(outcome=outcome, detail=detail))
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -225,11 +225,15 @@
 
     def ended(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the place that a request held at an upstream."""
+        self._rate(ticket.rank).held(now_s - ticket.started_s)
+        self.give_back(ticket, upstream_id, now_s)
+
+    def give_back(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
+        """Free a place to which nothing was sent."""
         seat = self.pool.seat(upstream_id)
         if seat is not None:
             seat.own.pop(ticket.request_id, None)
         self._held[ticket.rank] -= 1
-        self._rate(ticket.rank).held(now_s - ticket.started_s)
         self.serve(now_s)
 
     def began(self, ticket: Ticket, upstream_id: str, now_s: float) -> float:
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -1,13 +1,17 @@
 """The headers that callers and upstreams of the platform send and expect."""
 
+import json
 import math
 
+import attrs
+import logbook
 from result import Err, Ok, Result
 
-from lavenderspoke.direct.dialect import BadHead, CallerHead
+from lavenderspoke.direct.dialect import BadHead, CallerHead, UpstreamCall
 from lavenderspoke.direct.exchange import Exchange
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.http.hopbyhop import Headers, end_to_end
+from lavenderspoke.platform.decoding import parse_as
 
 # Names the caller's one try, and not the request over all its tries.
 ATTEMPT_ID = "X-Attempt-Id"
@@ -23,6 +27,11 @@
 EXPECTED_UPSTREAM = "X-Expect-Instance"
 # Says that the upstream did not run the request.
 NEVER_RAN = "X-Not-Executed"
+# Reserves a place, for so long in milliseconds: the request follows at once.
+RESERVE = "/v1/hold-take"
+RESERVED_MS = 500
+# Names the reserved place.
+RESERVATION = "X-Kv-Retention"
 # Marks an answer as the upstream's own.
 SIGNATURE = "X-Response-Signature"
 CONTENT_ENCODING = "Content-Encoding"
@@ -41,7 +50,7 @@
         EXPECTED_UPSTREAM,
         LAST_EVENT,
         "X-Expect-Version",
-        "X-Kv-Retention",
+        RESERVATION,
         "X-Pin-Ms",
         "X-Kv-Backup",
         "Kv-From",
@@ -51,6 +60,15 @@
     )
 )
 
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class _Reserved:
+    """What an upstream answers that has reserved a place."""
+
+    retention: str
+
 
 class PlatformDialect:
     """The platform's way of speaking HTTP."""
@@ -97,6 +115,7 @@
         customer: str | None,
         left_s: float,
         after_event: str | None,
+        reservation: str | None = None,
     ) -> dict[str, str]:
         """Return the headers for an upstream, with the time that is left."""
         headers = dict(head.headers)
@@ -106,8 +125,42 @@
             headers[CUSTOMER] = customer
         if after_event is not None:
             headers[LAST_EVENT] = after_event
+        if reservation is not None:
+            headers[RESERVATION] = reservation
         return headers
 
+    def reservation_call(
+        self, *, head: CallerHead, upstream: Upstream
+    ) -> UpstreamCall | None:
+        """Return the call that reserves a place; only model engines have such."""
+        if head.prompt_tokens is None:
+            return None
+        asked = {
+            "token-count": head.prompt_tokens + head.answer_tokens,
+            "ttl-ms": RESERVED_MS,
+        }
+        return UpstreamCall(
+            method="POST",
+            target=RESERVE,
+            headers={
+                "Host": head.host,
+                "Content-Type": "application/json",
+                EXPECTED_UPSTREAM: upstream.name,
+            },
+            body=json.dumps(asked).encode(),
+        )
+
+    def reservation(self, exchange: Exchange, body: bytes) -> str | None:
+        """Return what names the reserved place, or None where there is no room."""
+        if exchange.status != 200:
+            return None
+        parsed = parse_as(body, _Reserved)
+        if isinstance(parsed, Err):
+            log.warning("reservation not understood", error=parsed.err_value)
+            return None
+        name = parsed.ok_value.retention
+        return name if name.isascii() and name.isalnum() else None
+
     def never_ran(self, exchange: Exchange) -> bool:
         """Return whether the upstream says that it did not run the request."""
         return exchange.status == MISDIRECTED or bool(exchange.header(NEVER_RAN))
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -4,11 +4,14 @@
 each attempt, signs its answers, and refuses what names another incarnation.
 `GET /control/runs` tells which attempts ran and how they ended.
 
+`POST /v1/hold-take` reserves one of the slots for `ttl-ms`.
 `POST /stream/...` answers with `events` events of server-sent events; any other
 path answers with a short body.
 """
 
 import argparse
+import itertools
+import json
 import threading
 import time
 
@@ -68,6 +71,8 @@
         self._slots = threading.Semaphore(options.slots)
         self._lock = threading.Lock()
         self._runs: list[_Run] = []
+        self._reserved: set[str] = set()
+        self._numbers = itertools.count(1)
 
     def handle(self, request: Request) -> Reply | None:
         """Answer one request."""
@@ -81,11 +86,32 @@
             raise Cut
         if request.headers.get(EXPECTED) != self._upstream_id:
             return json_reply({}, 421)
+        if request.path == "/v1/hold-take":
+            return self._reserve(request)
         if faults.full:
             return self._refuse(request)
+        # The slot of a reservation is free again at once, and taken by its request.
+        self._release(request.headers.get("x-kv-retention", ""))
         with self._slots:
             return self._run(request)
 
+    def _reserve(self, request: Request) -> Reply:
+        if self._faults.now.full or not self._slots.acquire(blocking=False):
+            return json_reply({}, 503)
+        name = f"r{next(self._numbers)}"
+        with self._lock:
+            self._reserved.add(name)
+        ttl_s = json.loads(request.body)["ttl-ms"] / 1000
+        threading.Timer(ttl_s, self._release, [name]).start()
+        return json_reply({"retention": name})
+
+    def _release(self, name: str) -> None:
+        with self._lock:
+            if name not in self._reserved:
+                return
+            self._reserved.remove(name)
+        self._slots.release()
+
     def _refuse(self, request: Request) -> None:
         self._start(request, 503, ("X-Not-Executed", "1"), length=0)
 
