Grant a free place to a request that may not wait

What callers saw: a stream at an upstream that fell silent and stays so was left there until its caller gave up, while others were idle.

Cause: a request that may not wait was given no time in line, and serving the line first refuses those whose time is over; so each look for a free place was refused in the call that made it. The tests of that look played the line's part themselves.

Change: it stays in line for this one call and is then taken out. It isn't counted as an arrival, since a silent stream asks again each 0.3 s; counted, each would raise what is expected of its rank and refuse the ranks below.

Evidence: both scenarios failed before and pass, one of them with the entry's own dispatcher.

--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -22,6 +22,7 @@
 """
 
 import enum
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from random import Random
@@ -201,6 +202,9 @@
         ticket.number = self._numbers
         ticket.late = now_s >= ticket.on_time_until_s
         self._seen_s[ticket.rank] = now_s
+        if not ticket.may_wait:
+            self._decide_now(ticket, now_s)
+            return
         self._rate(ticket.rank).arrived(now_s)
         patience_s = self._patience_s(ticket, now_s)
         ticket.leaves_line_s = now_s + max(0.0, patience_s)
@@ -210,10 +214,18 @@
         if self._wait_s(ticket, now_s) > patience_s * DOUBT:
             ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
             return
-        self._waiting.add(ticket)
-        self._ranks[ticket.rank] += 1
+        self._add(ticket)
         self.serve(now_s)
-        if not ticket.may_wait and self.withdraw(ticket):
+
+    def _decide_now(self, ticket: Ticket, now_s: float) -> None:
+        """Give a request a place that is free for it, or refuse it.
+
+        It isn't an arrival: a request that runs already may ask again and again.
+        """
+        ticket.leaves_line_s = math.inf
+        self._add(ticket)
+        self.serve(now_s)
+        if self.withdraw(ticket):
             ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
 
     def withdraw(self, ticket: Ticket) -> bool:
@@ -330,6 +342,10 @@
         self._held[ticket.rank] += 1
         ticket.decided(Dispatch(upstream=seat.upstream))
 
+    def _add(self, ticket: Ticket) -> None:
+        self._waiting.add(ticket)
+        self._ranks[ticket.rank] += 1
+
     def _remove(self, ticket: Ticket) -> None:
         self._waiting.remove(ticket)
         self._ranks[ticket.rank] -= 1
@@ -347,8 +363,6 @@
 
     def _patience_s(self, ticket: Ticket, now_s: float) -> float:
         """Return how long a request may wait from now on."""
-        if not ticket.may_wait:
-            return 0.0
         leaves_s = min(ticket.deadline_s, ticket.quiet_since_s + ticket.patience_s)
         left_s = leaves_s - now_s - SERVICE_MARGIN_S
         if ticket.returned:
