Keep to a silent upstream that speaks while another one reserves, and judge by what a call shows

What callers could see, by a review of the mend: an answer whose head came while the next upstream was asked for a place was thrown away, and the request ran twice; a request at a plain service that is at work for longer than 1.4 s was given up for a place that nobody had confirmed; an upstream that broke a kept connection, or was slow to answer the call, was told to all entries as one that can't be reached.

Cause: whether the silent one spoke was asked of the answer, which isn't there before its head; a failed call for a place was judged as a failed request; where nothing can be reserved, the presumed place was taken for an answer not begun.

Change: whether anything has come is asked of the connection, also before the head; only a connection that can't be made, or another upstream at the address, says something of the upstream; where nothing can be reserved a request stays where it is. Who declined is not asked again until the silent one speaks. No look with less than 0.8 s left, since one may take that long. The place has room for the longest answer, as the estimate is often far off. A caller that leaves before the head no longer counts against the upstream. Looks live in a module of their own (relocation), which handling had grown too long for.

Three new scenarios: two that the upstream speaks meanwhile, which the review's probe saw run twice before, and one of an upstream that doesn't answer the call.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -52,6 +52,7 @@
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 1 upstream
     And no place is held
+    And its retry is left
 
   Scenario: An upstream pauses in the middle of a stream, and the next is unreachable
     Guards against a stream that is broken off for an upstream that isn't there.
@@ -60,6 +61,34 @@
     When its stream is read to the end
     Then its caller has events 0 and 1, and it ran at 1 upstream
     And no place is held
+    And its retry is left
+
+  Scenario: An upstream pauses in the middle of a stream, and the next answers late
+    Guards against a stream that waits long for an upstream to reserve a place.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream that is asked for a place and doesn't answer
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And it took less than 2.5 s
+    And its retry is left
+
+  Scenario: An upstream goes on while another one reserves a place
+    Guards against a stream that is given up after it has gone on.
+    Given a resumable request at an upstream that pauses for 4 s after its first event
+    And another upstream that reserves a place once the first has gone on
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And a look found "spoke"
+    And no place is held
+    And its retry is left
+
+  Scenario: An upstream begins to answer while another one reserves a place
+    Guards against an answer that is given up after its head has come.
+    Given a resumable request at an upstream that begins to answer after 4 s
+    And another upstream that reserves a place once the first has gone on
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And a look found "spoke"
 
   Scenario: An upstream falls silent in the middle of a stream, and another is idle
     Guards against a stream that is left at a dead upstream while others are idle.
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -1,8 +1,9 @@
 """Steps about the life of one request, with the scheduler's part played here."""
 
 import socket
+import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from behave import given, then, when
@@ -81,6 +82,9 @@
     def answers(self, exchange, head) -> bool:
         return True
 
+    def reserves(self, head) -> bool:
+        return True
+
     def reservation_call(self, *, head, upstream) -> UpstreamCall:
         return UpstreamCall(method="POST", target="/reserve", headers={"Host": "test"})
 
@@ -91,31 +95,58 @@
 class StepwiseUpstream(RawUpstream):
     """Sends its parts in turn, with a pause before each but the first.
 
-    Unless it `reserves` nothing, it first reserves a place for who asks for one.
+    Unless it `reserves` nothing, it first reserves a place for who asks for one, after
+    `before_reserving` has returned. `go_on` ends a pause, and returns once the next
+    part is sent.
     """
 
     def __init__(
-        self, *, parts: list[bytes], pause_s: float, then: str, reserves: bool = True
+        self,
+        *,
+        parts: list[bytes],
+        pause_s: float,
+        then: str,
+        reserves: bool = True,
+        before_reserving: Callable[[], object] = lambda: None,
     ):
         self.heads: list[bytes] = []
         self._parts = parts
         self._pause_s = pause_s
         self._reserves = reserves
+        self._before_reserving = before_reserving
+        self._goes_on = threading.Event()
+        self._went_on = threading.Event()
         super().__init__(answer=b"", then=then)
 
+    def go_on(self) -> None:
+        self._goes_on.set()
+        assert self._went_on.wait(TIMEOUT_S)
+
     def _serve(self, connection: socket.socket) -> None:
         with connection:
-            head = connection.recv(65536)
-            self.heads.append(head)
-            if self._reserves and head.startswith(RESERVE):
+            while head := connection.recv(65536):
+                self.heads.append(head)
+                if not self._reserves or not head.startswith(RESERVE):
+                    self._send_parts(connection)
+                    return
+                self._before_reserving()
                 connection.sendall(RESERVED)
+
+    def _send_parts(self, connection: socket.socket) -> None:
+        for number, part in enumerate(self._parts):
+            if number and self._is_closed_in_pause(connection):
                 return
-            for number, part in enumerate(self._parts):
-                if number and self._closes_within(connection, self._pause_s):
-                    return
-                connection.sendall(part)
-            if self._then == "keeps":
-                self._closes_within(connection, TIMEOUT_S)
+            connection.sendall(part)
+        self._went_on.set()
+        if self._then == "keeps":
+            self._closes_within(connection, TIMEOUT_S)
+
+    def _is_closed_in_pause(self, connection: socket.socket) -> bool:
+        until_s = time.monotonic() + self._pause_s
+        while time.monotonic() < until_s and not self._goes_on.is_set():
+            if self._closes_within(connection, 0.01):
+                return True
+        return False
 
     def _closes_within(self, connection: socket.socket, pause_s: float) -> bool:
         connection.settimeout(pause_s)
@@ -300,6 +331,30 @@
     begin(context, [start_upstream(context, [head], 0.0, "keeps", reserves=False)])
 
 
+@given("another upstream that reserves a place once the first has gone on")
+def step_goes_on(context):
+    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    other = start_upstream(
+        context, rest, 0.0, "keeps", before_reserving=context.first.go_on
+    )
+    begin(context, [other])
+
+
+@given("another upstream that is asked for a place and doesn't answer")
+def step_no_answer(context):
+    rest = [STREAM_HEAD + chunk(1) + STREAM_END]
+    stopped = threading.Event()
+    context.add_cleanup(stopped.set)
+    other = start_upstream(context, rest, 0.0, "keeps", before_reserving=stopped.wait)
+    begin(context, [other])
+
+
+@given("a resumable request at an upstream that begins to answer after {pause_s:g} s")
+def step_begins_late(context, pause_s):
+    parts = [b"", STREAM_HEAD + chunk(0) + chunk(1) + STREAM_END]
+    context.first = start_upstream(context, parts, pause_s, "keeps")
+
+
 @given("another upstream that can't be reached")
 def step_other_unreachable(context):
     begin(context, [], more=[upstream_at(free_port(), name="x")])
@@ -357,9 +412,11 @@
 
 @when("its stream is read to the end")
 def step_read_to_the_end(context):
+    began_s = time.monotonic()
     answer = getattr(context, "begun", None) or context.handling.first()
     context.events = b"".join(answer.bodies)
     context.handling.close()
+    context.took_s = time.monotonic() - began_s
 
 
 @when("its stream is read until it breaks off")
@@ -376,7 +433,9 @@
 @then('the cut is told as "{text}", after looks that found "{look}"')
 def step_cut_told(context, text, look):
     assert context.cut == text, context.cut
-    assert set(context.handling.looks) == {look}, context.handling.looks
+    assert set(context.handling.relocation.looks) == {
+        look
+    }, context.handling.relocation.looks
 
 
 @then("its caller has events 0 and 1, and it ran at {count:d} upstream")
@@ -457,6 +516,21 @@
     assert context.desk.held == [], context.desk.held
 
 
+@then("it took less than {limit_s:g} s")
+def step_took(context, limit_s):
+    assert context.took_s < limit_s, context.took_s
+
+
+@then("its retry is left")
+def step_retry_left(context):
+    assert context.desk.retries == 1, context.desk.retries
+
+
+@then('a look found "{look}"')
+def step_look_found(context, look):
+    assert look in context.handling.relocation.looks, context.handling.relocation.looks
+
+
 @when("its first event has come and the request is closed unread")
 def step_closed(context):
     context.handling.first()
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -291,12 +291,13 @@
     call = reservation_call(prompt_tokens=700, output_tokens=90, expected_tokens=30)
     assert (call.method, call.target) == ("POST", "/v1/hold-take"), call
     assert call.headers["X-Expect-Instance"] == "i-1", call
-    assert json.loads(call.body) == {"token-count": 730, "ttl-ms": 500}, call
+    assert json.loads(call.body) == {"token-count": 790, "ttl-ms": 500}, call
 
 
 @then("none is asked for a request that says nothing of its tokens")
 def step_no_reservation_call(context):
-    assert reservation_call() is None
+    assert PlatformDialect().reserves(caller_head(prompt_tokens=700))
+    assert not PlatformDialect().reserves(caller_head())
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -322,7 +322,7 @@
             trail=handling.trail if handling else [],
             retry_after_s=journey.retry_after_s,
             detail=journey.detail,
-            silence_looks=dict(handling.looks) if handling else {},
+            silence_looks=dict(handling.relocation.looks) if handling else {},
             waited_s=round(handling.waited_s, 4) if handling else None,
             first_s=_since(journey.first_s, journey.arrived_s),
             whole_s=_since(now_s, journey.arrived_s),
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -96,13 +96,11 @@
     ) -> dict[str, str]:
         """Return the headers for an upstream, where a place may be reserved."""
 
-    def reservation_call(
-        self, *, head: CallerHead, upstream: Upstream
-    ) -> UpstreamCall | None:
-        """Return the call that reserves a place for a request that follows at once.
+    def reserves(self, head: CallerHead) -> bool:
+        """Return whether upstreams reserve places for such a request."""
 
-        None where the upstream has none to reserve.
-        """
+    def reservation_call(self, *, head: CallerHead, upstream: Upstream) -> UpstreamCall:
+        """Return the call that reserves a place for a request that follows at once."""
 
     def reservation(self, exchange: Exchange, body: bytes) -> str | None:
         """Return what names the reserved place, or None where there is no room."""
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -184,11 +184,9 @@
             parts.append(data)
         return b"".join(parts)
 
-    def has_news(self) -> bool:
+    def has_unread_data(self) -> bool:
         """Return whether anything has come that wasn't read, also an end."""
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        return bool(poll.poll(0))
+        return _has_unread_data(self._socket)
 
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
@@ -238,6 +236,14 @@
             elif self._connection is not None and self._connection.sock is not None:
                 _shut(self._connection.sock)
 
+    def has_unread_data(self) -> bool:
+        """Return whether anything of the answer has come that wasn't read."""
+        with self._lock:
+            if self._exchange is not None:
+                return self._exchange.has_unread_data()
+            sock = self._connection.sock if self._connection is not None else None
+            return sock is not None and _has_unread_data(sock)
+
     def ended(self) -> None:
         """Let go: the connection may be another request's from now on.
 
@@ -407,6 +413,12 @@
     return IDLE_DEFAULT_S
 
 
+def _has_unread_data(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _shut(sock: socket.socket) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -6,19 +6,17 @@
 """
 
 import threading
-from collections import Counter
 from collections.abc import Iterator
 
 import attrs
 import logbook
-from result import Err, Ok
+from result import Err
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.desk import (
     Accepted,
     Desk,
     FirstAnswer,
-    Look,
     Outcome,
     StreamAnswer,
     WholeAnswer,
@@ -33,7 +31,7 @@
 )
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import out_of_time, turned_down, unanswered
-from lavenderspoke.direct.reserving import reserve
+from lavenderspoke.direct.relocation import Place, Relocation
 from lavenderspoke.direct.scheduler import Decision, Dispatch, Ticket
 from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.problems import Problem
@@ -46,6 +44,9 @@
 SILENCE_TIMES = 3.0
 # Time between two looks for a place elsewhere, in seconds, while an upstream is silent.
 SILENCE_AGAIN_S = 0.3
+# Time in seconds that a look and what follows it take at most; with less left, the
+# silent upstream is waited for.
+LOOK_MIN_S = 0.8
 # Upstreams in a row that can't be reached before the next one takes a retry from the
 # budget: each may take up to the time in which a connection must stand.
 UNREACHED_MAX = 3
@@ -60,23 +61,11 @@
 log = logbook.Logger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class _Place:
-    """A place at an upstream that the request holds.
-
-    `reservation` names it there, where the upstream has confirmed it.
-    """
-
-    upstream: Upstream
-    ticket: Ticket
-    reservation: str | None = None
-
-
 @attrs.define(kw_only=True)
 class _Attempt:
     """One attempt at one upstream and what came of it so far."""
 
-    place: _Place
+    place: Place
     sending: Sending
     exchange: Exchange | None = None
     outcome: Outcome | None = None
@@ -101,7 +90,6 @@
         self.trail: list[str] = []
         self.runs = 0
         self.waited_s = 0.0
-        self.looks: Counter[str] = Counter()
         self._desk = desk
         self._dialect = dialect
         self._clock = clock
@@ -110,10 +98,6 @@
         self._ticket: Ticket | None = None
         self._sending: Sending | None = None
         self._current: _Attempt | None = None
-        # Held while the upstream before it is being given up.
-        self._next_place: _Place | None = None
-        # The caller has a part of the answer, so the rest can't be refused any more.
-        self._begun = False
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
@@ -121,6 +105,13 @@
         self._may_have_run = False
         self._last_event = accepted.head.after_event
         self._quiet_since_s = accepted.arrived_s
+        self.relocation = Relocation(
+            accepted=accepted,
+            desk=desk,
+            dialect=dialect,
+            clock=clock,
+            free_place=lambda: self._wait_for_place(may_wait=False),
+        )
         # An upstream's own failure, for the case that no other one does better.
         self._own_failure: WholeAnswer | None = None
 
@@ -143,7 +134,7 @@
         """
         if self._current is not None:
             self._end(self._current, Outcome.LEFT)
-        self._give_back_next()
+        self.relocation.give_back()
 
     @property
     def gone(self) -> bool:
@@ -166,7 +157,7 @@
 
     def _attempt(self) -> _Attempt | Problem:
         """Wait for a place and send; return the attempt or why there is none."""
-        place = self._take_next() or self._wait_for_place(may_wait=True)
+        place = self.relocation.take() or self._wait_for_place(may_wait=True)
         if place is None:
             return turned_down(self._decision, may_have_run=self._may_have_run)
         attempt = _Attempt(place=place, sending=Sending())
@@ -182,12 +173,12 @@
         self._send(attempt, left_s)
         return attempt
 
-    def _wait_for_place(self, *, may_wait: bool) -> _Place | None:
+    def _wait_for_place(self, *, may_wait: bool) -> Place | None:
         ticket = self._line_up(may_wait)
         self._wait(ticket)
         if not isinstance(self._decision, Dispatch):
             return None
-        return _Place(upstream=self._decision.upstream, ticket=ticket)
+        return Place(upstream=self._decision.upstream, ticket=ticket)
 
     def _line_up(self, may_wait: bool) -> Ticket:
         accepted = self.accepted
@@ -204,7 +195,7 @@
             patience_s=accepted.route.patience_s,
             returned=accepted.returned or self._may_have_run or bool(self._tried),
             decided=self._decide,
-            excluded=set(self._tried),
+            excluded=self._tried | self.relocation.declined,
             may_wait=may_wait,
         )
         with self._lock:
@@ -260,7 +251,8 @@
             self._end(attempt, outcome)
             return
         self._ran()
-        self._end(attempt, Outcome.SILENT if error.timed_out else Outcome.BROKEN)
+        outcome = Outcome.SILENT if error.timed_out else Outcome.BROKEN
+        self._end(attempt, Outcome.LEFT if self._gone else outcome)
 
     def _check_head(self, attempt: _Attempt) -> None:
         exchange = attempt.exchange
@@ -359,6 +351,7 @@
                 if before_s is not None:
                     self._desk.stepped(attempt.upstream, now_s - before_s)
                 before_s = self._quiet_since_s = now_s
+                self.relocation.heard()
                 count += 1
                 self._note_events(events)
                 yield events.body
@@ -392,7 +385,6 @@
         The first upstream has been told to stop by then: its connection is
         closed before the next one is asked.
         """
-        self._begun = True
         yield first
         while True:
             try:
@@ -449,7 +441,7 @@
         few upstreams uses up the budget, and callers are refused for whom others have
         room.
         """
-        if self._next_place is not None:
+        if self.relocation.is_prepared:
             # The retry was taken from the budget with the place.
             return True
         if attempt.outcome is Outcome.UNREACHABLE:
@@ -472,86 +464,20 @@
         return min(left_s, max(SILENCE_MIN_S, self.accepted.route.target_s, first_s))
 
     def _patience_s(self) -> float:
-        """Return for how many seconds more a silent upstream may say nothing.
-
-        An upstream that is silent may be at work. Given up before it is certain that
-        another one goes on, its answer may be lost: the caller sees a stream that
-        breaks off, and the upstream would have gone on.
-        """
+        """Return for how many seconds more a silent upstream may say nothing."""
         left_s = max(0.0, self._left_s())
-        if self._gone or left_s == 0.0:
+        if self._gone:
             return 0.0
-        if not self._may_move():
+        if left_s < LOOK_MIN_S or not self._may_move():
             return left_s
-        look = self._look_elsewhere()
-        self.looks[look.value] += 1
-        self._desk.looked(look)
-        return 0.0 if look is Look.FOUND else min(left_s, SILENCE_AGAIN_S)
+        if self.relocation.prepare(self._current.sending):
+            return 0.0
+        return min(left_s, SILENCE_AGAIN_S)
 
     def _may_move(self) -> bool:
         """Return whether one more upstream may run what this one has."""
-        return self._may_run_again(uncounted=1 if self._current.exchange is None else 0)
-
-    def _look_elsewhere(self) -> Look:
-        """Take a retry and a place at another upstream, if there are both now."""
-        if not self._desk.may_retry(self.accepted.service):
-            return Look.NO_RETRY
-        place = self._wait_for_place(may_wait=False)
-        if place is None:
-            look = Look.NO_PLACE
-        else:
-            self._next_place = self._confirmed(place)
-            look = Look.FOUND if self._next_place else Look.NOT_RESERVED
-        if look is Look.FOUND and self._has_news():
-            self._desk.give_back(place.ticket, place.upstream)
-            self._next_place = None
-            look = Look.SPOKE
-        if look is not Look.FOUND:
-            self._desk.retry_unused(self.accepted.service)
-        return look
-
-    def _confirmed(self, place: _Place) -> _Place | None:
-        """Return the place once its upstream has reserved it, or give it back.
-
-        Where upstreams reserve nothing, what this entry knows has to do for an answer
-        of which the caller has nothing yet.
-        """
-        call = self._dialect.reservation_call(
-            head=self.accepted.head, upstream=place.upstream
-        )
-        if call is None and not self._begun:
-            return place
-        if call is None:
-            self._desk.give_back(place.ticket, place.upstream)
-            return None
-        reserved = reserve(
-            call=call,
-            connections=self._desk.connections(place.upstream),
-            dialect=self._dialect,
-            clock=self._clock,
-        )
-        if isinstance(reserved, Ok):
-            return attrs.evolve(place, reservation=reserved.ok_value)
-        outcome = reserved.err_value.outcome
-        if outcome is Outcome.NOT_RUN:
-            self._desk.give_back(place.ticket, place.upstream)
-        else:
-            self._desk.ended(place.ticket, place.upstream, self.accepted, outcome)
-        return None
-
-    def _has_news(self) -> bool:
-        exchange = self._current.exchange
-        return exchange is not None and exchange.has_news()
-
-    def _take_next(self) -> _Place | None:
-        place, self._next_place = self._next_place, None
-        return place
-
-    def _give_back_next(self) -> None:
-        place = self._take_next()
-        if place is not None:
-            self._desk.give_back(place.ticket, place.upstream)
-            self._desk.retry_unused(self.accepted.service)
+        uncounted = 1 if self._current.exchange is None else 0
+        return self._may_run_again(uncounted) and self.relocation.is_possible()
 
     def _left_s(self) -> float:
         return self.accepted.until_s - self._clock.monotonic_s()
--- a/lavenderspoke/direct/reserving.py
+++ b/lavenderspoke/direct/reserving.py
@@ -23,7 +23,7 @@
 
 @attrs.frozen(kw_only=True)
 class NotReserved:
-    """No place was reserved; `outcome` is what became of the call."""
+    """No place was reserved; `outcome` is what this says of the upstream."""
 
     outcome: Outcome
     detail: str
@@ -42,18 +42,20 @@
         head_timeout_s=ANSWER_S,
     )
     if isinstance(sent, Err):
-        error = sent.err_value
-        is_silent = not isinstance(error, NotSent) and error.timed_out
-        outcome = Outcome.SILENT if is_silent else Outcome.UNREACHABLE
-        return _not_reserved(outcome, error.detail)
+        # A kept connection that breaks or an answer that is late says nothing of the
+        # requests that run there.
+        is_away = isinstance(sent.err_value, NotSent)
+        outcome = Outcome.UNREACHABLE if is_away else Outcome.NOT_RUN
+        return _not_reserved(outcome, sent.err_value.detail)
     exchange = sent.ok_value
     try:
         body = exchange.read_whole(clock.monotonic_s() + ANSWER_S, clock)
     except AnswerCut as error:
         exchange.close(keep=False)
         return _not_reserved(Outcome.NOT_RUN, str(error))
-    exchange.close(keep=True)
-    if dialect.misdirected(exchange):
+    is_misdirected = dialect.misdirected(exchange)
+    exchange.close(keep=not is_misdirected)
+    if is_misdirected:
         return _not_reserved(Outcome.MISDIRECTED, "another upstream answers there")
     name = dialect.reservation(exchange, body)
     if name is None:
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -129,16 +129,13 @@
             headers[RESERVATION] = reservation
         return headers
 
-    def reservation_call(
-        self, *, head: CallerHead, upstream: Upstream
-    ) -> UpstreamCall | None:
-        """Return the call that reserves a place; only model engines have such."""
-        if head.prompt_tokens is None:
-            return None
-        asked = {
-            "token-count": head.prompt_tokens + head.answer_tokens,
-            "ttl-ms": RESERVED_MS,
-        }
+    def reserves(self, head: CallerHead) -> bool:
+        """Return whether it goes to a model engine, which plain services aren't."""
+        return head.tokens is not None
+
+    def reservation_call(self, *, head: CallerHead, upstream: Upstream) -> UpstreamCall:
+        """Return the call that reserves a place with room for the longest answer."""
+        asked = {"token-count": head.tokens, "ttl-ms": RESERVED_MS}
         return UpstreamCall(
             method="POST",
             target=RESERVE,
