Count the ranks of those that wait as present

What callers saw: an answer that ended in an internal error, and one in line that was not served though a place was free.

Cause: which ranks are in use was taken from what had arrived in the last 5 s and from what peers say. A request of the only rank may wait for longer: then no rank was in use, and who looked for the highest one found an empty list (IndexError in the thread whose answer had just ended).

Found by a review.

--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -111,6 +111,12 @@
     When a request comes that may not wait
     Then it is refused at once
 
+  Scenario: A request waits while nobody else comes
+    Guards against a place that comes free and is given to nobody.
+    Given a line before 1 upstream of 1 place
+    When one runs for 6 s, and another one waits meanwhile
+    Then the one that waited runs
+
   Scenario: An upstream that leaves gets nothing new
     Given a line before 1 upstream of 4 places
     When the upstream is leaving and a request comes
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -130,6 +130,26 @@
     _, context.decisions = context.drive.ticket(may_wait=False)
 
 
+@when("a request comes whose caller has seen nothing for as long as it waits")
+def step_caller_waited(context):
+    drive = context.drive
+    quiet_since_s = drive.now_s - 2.0
+    _, context.decisions = drive.ticket(quiet_since_s=quiet_since_s, patience_s=2.0)
+
+
+@when("one runs for {seconds:g} s, and another one waits meanwhile")
+def step_long_wait(context, seconds):
+    drive = context.drive
+    running, _ = drive.ticket()
+    _, context.decisions = drive.ticket(deadline_s=60.0, patience_s=60.0)
+    drive.line.ended(running, "u0", drive.now_s + seconds)
+
+
+@then("the one that waited runs")
+def step_waited_runs(context):
+    step_first(context)
+
+
 @then("it is refused at once")
 def step_refused_at_once(context):
     (decision,) = context.decisions
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -330,7 +330,7 @@
     def _present(self, now_s: float) -> list[Rank]:
         """Return the ranks that are in use, the highest first."""
         own = [r for r, at_s in self._seen_s.items() if now_s < at_s + PRESENT_S]
-        return sorted({*own, *self.peers.waiting, *self.peers.held})
+        return sorted({*own, *self.waiting(), *self.peers.waiting, *self.peers.held})
 
     def _dispatch(self, ticket: Ticket, seat: Seat, now_s: float) -> None:
         self._remove(ticket)
