Give a request a free place also when its caller may have left by the clock

What callers saw: a refusal as crowded beside idle upstreams, for a stream that broke off shortly before its caller would leave, or a first try of a lower rank whose body took longer than seven tenths of its target.

Cause: without any time to wait, an expected wait of nothing counted as too long. Whether the caller has left is known from its connection.

Change: without time to wait, a request gets what is free now or is refused.

Found by a review. The scenario failed before (CROWDED with one of one place free), and passes; direct_line.feature and direct_start.feature pass.

--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -111,6 +111,12 @@
     When a request comes that may not wait
     Then it is refused at once
 
+  Scenario: A request comes whose caller may have left, and a place is free
+    Guards against a refusal beside free places, by the clock alone.
+    Given a line before 1 upstream of 1 place
+    When a request comes whose caller has seen nothing for as long as it waits
+    Then it goes to the first
+
   Scenario: A request waits while nobody else comes
     Guards against a place that comes free and is given to nobody.
     Given a line before 1 upstream of 1 place
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -202,26 +202,24 @@
         ticket.number = self._numbers
         ticket.late = now_s >= ticket.on_time_until_s
         self._seen_s[ticket.rank] = now_s
-        if not ticket.may_wait:
-            self._decide_now(ticket, now_s)
-            return
-        self._rate(ticket.rank).arrived(now_s)
-        patience_s = self._patience_s(ticket, now_s)
-        ticket.leaves_line_s = now_s + max(0.0, patience_s)
+        patience_s = 0.0
+        # One that may not wait runs already, and may ask again and again.
+        if ticket.may_wait:
+            self._rate(ticket.rank).arrived(now_s)
+            patience_s = self._patience_s(ticket, now_s)
         if not self.pool.slots():
             ticket.decided(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
-            return
-        if self._wait_s(ticket, now_s) > patience_s * DOUBT:
+        elif patience_s <= 0.0:
+            self._decide_now(ticket, now_s)
+        elif self._wait_s(ticket, now_s) > patience_s * DOUBT:
             ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
-            return
-        self._add(ticket)
-        self.serve(now_s)
+        else:
+            ticket.leaves_line_s = now_s + patience_s
+            self._add(ticket)
+            self.serve(now_s)
 
     def _decide_now(self, ticket: Ticket, now_s: float) -> None:
-        """Give a request a place that is free for it, or refuse it.
-
-        It isn't an arrival: a request that runs already may ask again and again.
-        """
+        """Give a request a place that is free for it, or refuse it."""
         ticket.leaves_line_s = math.inf
         self._add(ticket)
         self.serve(now_s)
