Check that no stream is given up while its upstream is at work

Callers saw two streams end in the middle (status 200, no end) while their engine worked.

Gap: the soak asked for whole streams only of requests that came within 2 s of a stop's signal, and it didn't know a request's deadline.

Change: `whole_streams`: no stream breaks off, or is answered 502 or 504 after it ran, unless its deadline was reached or less than a sixth of the grace time was left. The record of "a stream breaks off after a foreign piece" broke the new promise too, since it ended long before its deadline; it ends at its deadline now, and the step is as strict.

Shown: on records made by hand. Without `whole_streams` 5 of the scenarios fail, with the owed part of the grace time at a half 2, without the excuse in `graceful_stops` 2; all 25 on records pass.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -30,6 +30,39 @@
       | an upstream that leaves got a new request | drained        |
       | a stop cut a request off                  | graceful_stops |
 
+  Scenario Outline: A stream cut off while its upstream is at work is noticed
+    Guards against a check that takes an upstream's silence for an excuse.
+    Given a soak's record in which every promise is kept
+    When a silent upstream's stream <end>
+    Then the check "<check>" finds one breach, and no other does
+
+    Examples:
+      | end                                             | check          |
+      | was cut                                         | whole_streams  |
+      | was given up before its first event             | whole_streams  |
+      | was given up in a stop before its first event   | whole_streams  |
+      | was cut a little before its deadline            | whole_streams  |
+      | was cut by a stop                               | graceful_stops |
+      | was cut in the fifth sixth of the grace time    | graceful_stops |
+      | came late in a stop and was cut                 | whole_streams  |
+      | reached its deadline in a stop, with no silence | graceful_stops |
+
+  Scenario Outline: A stream that is whole or whose time was up is no breach
+    Guards against a check that blames entries for deadlines and the end of a stop.
+    Given a soak's record in which every promise is kept
+    When a silent upstream's stream <end>
+    Then no check finds a breach
+
+    Examples:
+      | end                                               |
+      | came whole                                        |
+      | came whole in a stop                              |
+      | was cut at its deadline                           |
+      | was given up at its deadline                      |
+      | was cut at its deadline in a stop                 |
+      | was cut in the last sixth of the grace time       |
+      | came late and was cut in the last sixth of a stop |
+
   Scenario: A disturbed entry owes no time bounds
     Given a soak's record in which every promise is kept
     When it is changed: a new version was unknown for too long
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -42,6 +42,7 @@
         kind=KINDS["pay"],
         key=KEY,
         sent_s=at_s,
+        deadline_s=5.0,
         ended_s=at_s + 0.5,
         answer=answer,
         connected=True,
@@ -60,6 +61,7 @@
         runs=(run("plain", 10.1),),
         disturbed=(),
         stops=(),
+        silences=(),
         published=Published(
             versions_s={1: 0.0, 2: 20.0},
             versions_sent_s={1: 0.0, 2: 20.0},
@@ -91,7 +93,9 @@
         case "a whole answer lacks an event":
             return [answered(stream, body=STREAM[:-20])], [run("more", 30.1)], []
         case "a stream breaks off after a foreign piece":
-            foreign = answered(stream, body=b"id: 7\ndata: x\n\n", whole=False)
+            # Broken off at its deadline, so that only the piece is wrong.
+            late = attrs.evolve(stream, ended_s=stream.sent_s + stream.deadline_s)
+            foreign = answered(late, body=b"id: 7\ndata: x\n\n", whole=False)
             return [foreign], [run("more", 30.1)], []
         case "a revoked key's request ran late":
             return [sent("more", at_s=26.0, key=REVOKED_KEY)], [run("more", 26.1)], []
@@ -120,6 +124,81 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class StreamEnd:
+    """How a stream that was sent at 30 s ended, and what overlapped it.
+
+    Times are in seconds on the record's clock; without `stop_s` there was no stop.
+    """
+
+    ended_s: float
+    deadline_s: float = 5.0
+    stop_s: float | None = None
+    whole: bool = False
+    status: int = 200
+    silence: bool = True
+
+
+# A stop at 29 s has its grace time until 37 s, and the last sixth begins at 35.67 s.
+STREAM_ENDS = {
+    "came whole": StreamEnd(ended_s=32.9, whole=True),
+    "came whole in a stop": StreamEnd(ended_s=32.9, stop_s=30.2, whole=True),
+    "was cut": StreamEnd(ended_s=31.6),
+    "was given up before its first event": StreamEnd(
+        ended_s=31.4, whole=True, status=502
+    ),
+    "was given up in a stop before its first event": StreamEnd(
+        ended_s=31.4, whole=True, status=502, stop_s=30.2
+    ),
+    "was given up at its deadline": StreamEnd(ended_s=35.01, whole=True, status=504),
+    "was cut a little before its deadline": StreamEnd(ended_s=34.9),
+    "was cut at its deadline": StreamEnd(ended_s=35.01),
+    "was cut by a stop": StreamEnd(ended_s=31.6, stop_s=30.2),
+    "was cut at its deadline in a stop": StreamEnd(ended_s=35.01, stop_s=30.2),
+    "reached its deadline in a stop, with no silence": StreamEnd(
+        ended_s=35.01, stop_s=30.2, silence=False
+    ),
+    "was cut in the fifth sixth of the grace time": StreamEnd(
+        ended_s=35.6, deadline_s=9.0, stop_s=29.0
+    ),
+    "was cut in the last sixth of the grace time": StreamEnd(
+        ended_s=35.7, deadline_s=9.0, stop_s=29.0
+    ),
+    "came late in a stop and was cut": StreamEnd(ended_s=31.6, stop_s=27.5),
+    "came late and was cut in the last sixth of a stop": StreamEnd(
+        ended_s=34.2, stop_s=27.5
+    ),
+}
+
+
+@when("a silent upstream's stream {end}")
+def step_stream_end(context, end):
+    wanted = STREAM_ENDS[end]
+    stream = sent(
+        "more",
+        at_s=30.0,
+        kind=KINDS["stream"],
+        deadline_s=wanted.deadline_s,
+        ended_s=wanted.ended_s,
+    )
+    body = STREAM if wanted.whole else STREAM[:23]
+    ended = answered(stream, body=body, whole=wanted.whole, status=wanted.status)
+    silences = [Span(subject="model-2", from_s=30.2, to_s=32.8)]
+    stops = [
+        Span(subject="entry-1", from_s=since_s, to_s=since_s + 8.0)
+        for since_s in (wanted.stop_s,)
+        if since_s is not None
+    ]
+    record = context.record
+    context.record = attrs.evolve(
+        record,
+        sent=(*record.sent, ended),
+        runs=(*record.runs, run("more", 30.1, "model-2")),
+        silences=tuple(silences if wanted.silence else ()),
+        stops=tuple(stops),
+    )
+
+
 @when("its entry was paused meanwhile")
 def step_paused(context):
     pause = Span(subject="entry-1", from_s=21.0, to_s=22.0)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -49,6 +49,7 @@
     `answer` is None when no answer's head came, `connected` tells whether the
     entry can have read the request. `version` is that of the route
     that only one version of the configuration has, where the request used one.
+    `deadline_s` counts from when it was sent.
     """
 
     attempt_id: str
@@ -57,6 +58,7 @@
     kind: Kind
     key: str
     sent_s: float
+    deadline_s: float
     ended_s: float
     answer: Answer | None
     connected: bool
@@ -118,11 +120,12 @@
             path = version_path(version)
         attempt_id = f"soak-{self._seed}-{name}"
         entry = random.choice(ENTRIES)
+        deadline_ms = random.choice(DEADLINES_MS)
         pid = self._platform.entries[entry].process.pid
         sent_s = time.monotonic()
         answer, connected = None, True
         try:
-            answer = self._answer(attempt_id, entry, kind, path, key, random, http)
+            answer = self._answer(attempt_id, entry, kind, path, key, deadline_ms, http)
         except NewConnectionError:
             connected = False
         except HTTPError:
@@ -135,20 +138,21 @@
             kind=kind,
             key=key,
             sent_s=sent_s,
+            deadline_s=deadline_ms / 1000,
             ended_s=time.monotonic(),
             answer=answer,
             connected=connected,
             version=version,
         )
 
-    def _answer(self, attempt_id, entry, kind, path, key, random, http) -> Answer:
+    def _answer(self, attempt_id, entry, kind, path, key, deadline_ms, http) -> Answer:
         return self._platform.send(
             entry,
             f"{path}{attempt_id}",
             method=kind.method,
             body=b"" if kind.method == "GET" else b"prompt",
             key=key,
-            deadline_ms=random.choice(DEADLINES_MS),
+            deadline_ms=deadline_ms,
             headers={"X-Attempt-Id": attempt_id},
             http=http,
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,6 +12,8 @@
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
+# Statuses of a request that may have run and whose answer won't come.
+GIVEN_UP = (502, 504)
 # How long after a disturbance an entry's time bounds hold again, in seconds.
 CALM_AFTER_S = 3.0
 # Time in which a version must be in force, and in which an upstream that leaves
@@ -22,6 +24,10 @@
 REVOKE_S = 5.0
 # How much of a stop is open to new requests, in seconds: later ones may be long.
 STOP_OPEN_S = 2.0
+# Time between a stop's signal and the kill, in seconds, and the part of it in which
+# a stream that is under way must not break off.
+GRACE_S = 8.0
+GRACE_OWED = 5 / 6
 EVENTS = 5
 
 
@@ -66,6 +72,7 @@
     runs: tuple[Run, ...]
     disturbed: tuple[Span, ...]
     stops: tuple[Span, ...]
+    silences: tuple[Span, ...]
     published: Published
 
     def calm(self, subjects: tuple[str, ...], from_s: float, to_s: float) -> bool:
@@ -193,20 +200,83 @@
 
 def graceful_stops(record: Record) -> list[str]:
     """A stop cuts off no request that came before callers were turned away."""
-    breaches = []
-    for stop in record.stops:
-        for sent in record.sent:
-            if sent.entry != stop.subject or sent.ended_s < stop.from_s:
-                continue
-            if not sent.connected:
-                continue
-            if sent.sent_s > min(stop.from_s + STOP_OPEN_S, stop.to_s):
-                continue
-            cut = sent.answer is None or not sent.answer.whole
-            everything = tuple({span.subject for span in record.disturbed})
-            if cut and record.calm(everything, sent.sent_s, sent.ended_s):
-                breaches.append(f"{sent.attempt_id} was cut off by a stop")
-    return breaches
+    return [
+        f"{sent.attempt_id} was cut off by a stop"
+        for stop in record.stops
+        for sent in record.sent
+        if (sent.answer is None or _broke_off(sent))
+        and _stop_owes(stop, sent)
+        and _undisturbed(record, sent)
+        and not _held_too_long(record, sent)
+    ]
+
+
+def whole_streams(record: Record) -> list[str]:
+    """No stream is given up while its upstream is at work, unless its time is up.
+
+    Those that a stop cut off are with `graceful_stops`.
+    """
+    runs = record.runs_of()
+    return [
+        f"{sent.attempt_id}, status {sent.answer.status}, ended after "
+        f"{sent.ended_s - sent.sent_s:.2f} s of {sent.deadline_s:.2f} s"
+        for sent in record.sent
+        if sent.kind.is_stream
+        and runs[sent.attempt_id]
+        and (_given_up(sent) or _cut_without_stop(record, sent))
+        and _undisturbed(record, sent)
+        and not _time_up(record, sent)
+    ]
+
+
+def _broke_off(sent: Sent) -> bool:
+    return sent.answer is not None and not sent.answer.whole
+
+
+def _given_up(sent: Sent) -> bool:
+    answer = sent.answer
+    return answer is not None and answer.whole and answer.status in GIVEN_UP
+
+
+def _cut_without_stop(record: Record, sent: Sent) -> bool:
+    return _broke_off(sent) and not any(_stop_owes(stop, sent) for stop in record.stops)
+
+
+def _stop_owes(stop: Span, sent: Sent) -> bool:
+    """Return whether a stop must let this request come to its end."""
+    return (
+        sent.entry == stop.subject
+        and sent.connected
+        and stop.from_s <= sent.ended_s
+        and sent.sent_s <= min(stop.from_s + STOP_OPEN_S, stop.to_s)
+    )
+
+
+def _undisturbed(record: Record, sent: Sent) -> bool:
+    everything = tuple({span.subject for span in record.disturbed})
+    return record.calm(everything, sent.sent_s, sent.ended_s)
+
+
+def _held_too_long(record: Record, sent: Sent) -> bool:
+    """Return whether a silence of upstreams held a stream until its time was up."""
+    return (
+        sent.kind.is_stream
+        and _time_up(record, sent)
+        and any(
+            span.from_s < sent.ended_s and sent.sent_s < span.to_s
+            for span in record.silences
+        )
+    )
+
+
+def _time_up(record: Record, sent: Sent) -> bool:
+    """Return whether the deadline was reached or the grace time almost over."""
+    return sent.ended_s >= sent.sent_s + sent.deadline_s or any(
+        sent.entry == stop.subject
+        and sent.sent_s < stop.to_s
+        and sent.ended_s > stop.from_s + GRACE_S * GRACE_OWED
+        for stop in record.stops
+    )
 
 
 CHECKS = (
@@ -217,6 +287,7 @@
     versions,
     drained,
     graceful_stops,
+    whole_streams,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from soak import schedule
 from soak.actions import begin
 from soak.callers import REVOKED_KEY, Callers, version_path
-from soak.checks import Published, Record, Run, Span, breaches, summary
+from soak.checks import GRACE_S, Published, Record, Run, Span, breaches, summary
 from soak.schedule import ENTRIES, MODELS, UPSTREAMS, Event, store_link
 from standins.platformdeployment import (
     KEY,
@@ -33,7 +33,7 @@
 SETTLE_S = 2.0
 # Time after SIGTERM in which an entry must have ended, in seconds: the grace time of
 # its settings and one more.
-STOP_S = 9.0
+STOP_S = GRACE_S + 1.0
 # Reads from before this offset fail: no topic here ever gets so long.
 BEYOND_ALL_OFFSETS = 10**9
 # Streams of 5 events last 0.15 s and plain answers 0.05 s, so that some are always
@@ -74,6 +74,7 @@
         self._revoked_s = float("inf")
         self._disturbed: list[Span] = []
         self._stops: list[Span] = []
+        self._silences: list[Span] = []
         self._leaving: list[Span] = []
         self._leaves: Counter[str] = Counter()
         self._stopping: dict[str, float] = {}
@@ -118,7 +119,8 @@
         for name in ENTRIES:
             link = store_link(name)
             self._links[link] = self._stage.link(proxy, link, platform.store.address)
-            platform.entry(name, store_address=self._links[link].address)
+            store_address = self._links[link].address
+            platform.entry(name, grace_s=GRACE_S, store_address=store_address)
         self._callers = Callers(
             platform=platform, seed=self._seed, newest_version=self._version
         )
@@ -147,6 +149,7 @@
             runs=runs,
             disturbed=tuple(self._disturbed),
             stops=tuple(self._stops),
+            silences=tuple(self._silences),
             published=Published(
                 versions_s=self._versions_s,
                 versions_sent_s=self._versions_sent_s,
