Let upstreams at work fall silent in the soak while entries stop

Callers saw two streams end in the middle (status 200, no end): their engine was at work and said nothing for 1.6 s and more, and the entries, told to stop shortly before, gave it up.

Gap: no upstream of the soak that was at work ever fell silent; a mute one is a failure, which the third of the seeds with planned work alone doesn't hold.

Change: each seed ends with one or two silences. A model's stand-in holds its streams for 1.5 s to 3 s, takes requests meanwhile and goes on afterwards, and two or three entries are stopped in a series around it. They are drawn by a random of their own and come after the other events, so the seeds that ever failed keep theirs; a fault that used to heal at 10 s lasts as long as it was drawn.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -63,6 +63,10 @@
       | was cut in the last sixth of the grace time       |
       | came late and was cut in the last sixth of a stop |
 
+  Scenario: Schedules hold silences that stops overlap
+    Guards against a soak in which no upstream at work ever falls silent.
+    Then each of the seeds 1 to 60 has entries stopped around a silence
+
   Scenario: A disturbed entry owes no time bounds
     Given a soak's record in which every promise is kept
     When it is changed: a new version was unknown for too long
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,7 +6,7 @@
 import attrs
 from behave import given, then, when
 
-from soak import checks
+from soak import checks, schedule
 from soak.callers import KINDS, REVOKED_KEY, Sent
 from soak.checks import Published, Record, Run, Span
 from soak.run import Soak
@@ -199,6 +199,27 @@
     )
 
 
+@then("each of the seeds {first:d} to {last:d} has entries stopped around a silence")
+def step_silences(context, first, last):
+    for seed in range(first, last + 1):
+        events = schedule.draw(seed)
+        spans = [
+            (event.at_s, event.at_s + event.length_s)
+            for event in events
+            if isinstance(event.action, schedule.UpstreamSilent)
+        ]
+        stops = [
+            event.at_s
+            for event in events
+            if isinstance(event.action, schedule.EntryStopped)
+        ]
+        assert spans, events
+        for from_s, to_s in spans:
+            assert 1.5 <= to_s - from_s <= 3.0, events
+            around = [at_s for at_s in stops if from_s - 1.0 <= at_s <= to_s]
+            assert len(around) > 1, events
+
+
 @when("its entry was paused meanwhile")
 def step_paused(context):
     pause = Span(subject="entry-1", from_s=21.0, to_s=22.0)
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -57,6 +57,11 @@
     return soak.fail_upstream(action.upstream, faults)
 
 
+@begin.register(schedule.UpstreamSilent)
+def _(action, soak):
+    return soak.silence(action.upstream)
+
+
 @begin.register(schedule.UpstreamLeaves)
 def _(action, soak):
     return soak.leave(action.upstream)
--- a/soak/run.py
+++ b/soak/run.py
@@ -165,9 +165,7 @@
         for event in events:
             self._at(began_s + event.at_s, functools.partial(self._begin, event))
         self._do_due(began_s + schedule.FAULTS_S, wait=lambda: True)
-        # What is still broken heals now, in order.
-        while self._due:
-            self._next_due()
+        self._do_due(float("inf"), wait=lambda: bool(self._due))
 
     def _at(self, at_s: float, work: Callable[[], None]) -> None:
         heapq.heappush(self._due, (at_s, next(self._numbers), work))
@@ -320,6 +318,18 @@
 
         return undo
 
+    def silence(self, name: str) -> Callable[[], None]:
+        """Have an upstream hold its streams; it is at work, so nothing is disturbed."""
+        from_s = time.monotonic()
+        self._platform.upstreams[name].set_faults(silent=True)
+
+        def undo() -> None:
+            self._platform.upstreams[name].set_faults(silent=False)
+            span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
+            self._silences.append(span)
+
+        return undo
+
     def leave(self, name: str) -> Callable[[], None]:
         """Have an upstream say that it leaves, until all of its leaves have ended.
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -18,6 +18,17 @@
 FAULTY_PART = 2 / 3
 # The most a fault lasts, in seconds.
 LENGTH_MAX_S = 3.0
+# Silences of upstreams at work: how many, when, and for how long, in seconds. They
+# come after the other events, and so do their stops of entries: the seeds that ever
+# failed keep what they failed on.
+SILENCES = (1, 2)
+SILENCE_AT_S = (FAULTS_S, FAULTS_S + 1.5)
+SILENCE_LENGTH_S = (1.5, LENGTH_MAX_S)
+# Entries that are told to stop in a series, and the time between two, in seconds.
+STOPS = (2, len(ENTRIES))
+STOP_GAP_S = (0.3, 1.0)
+# The most by which the first of them is told before the silence, in seconds.
+STOP_BEFORE_S = 1.0
 
 STORE_MODES = ("down", "reset", "silent", "lose")
 LINK_FAULTS = {
@@ -95,6 +106,13 @@
     fault: str
 
 
+@attrs.frozen(kw_only=True)
+class UpstreamSilent:
+    """An upstream at work holds its streams, as while it reads a long prompt."""
+
+    upstream: str
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamLeaves:
     """An upstream announces that it leaves, and comes back as ready."""
@@ -121,6 +139,7 @@
     | StoreForgets
     | LinkFails
     | UpstreamFails
+    | UpstreamSilent
     | UpstreamLeaves
     | VersionPublished
     | KeyRevoked
@@ -203,4 +222,32 @@
         length_s=0.0,
         action=KeyRevoked(),
     )
-    return sorted([*events, revoked], key=lambda event: event.at_s)
+    every = [*events, revoked, *_silences(Random(f"{seed}/silences"))]
+    return sorted(every, key=lambda event: event.at_s)
+
+
+def _silences(random: Random) -> list[Event]:
+    """Return silences of different upstreams, each with a series of stops.
+
+    A silence is no failure, so schedules of planned work alone hold them too.
+    """
+    events = []
+    for upstream in random.sample(MODELS, random.randint(*SILENCES)):
+        silence = Event(
+            at_s=round(random.uniform(*SILENCE_AT_S), 2),
+            length_s=round(random.uniform(*SILENCE_LENGTH_S), 2),
+            action=UpstreamSilent(upstream=upstream),
+        )
+        events += [silence, *_stops(silence, random)]
+    return events
+
+
+def _stops(silence: Event, random: Random) -> list[Event]:
+    """Return stops of entries in a series, of which some overlap the silence."""
+    at_s = silence.at_s + random.uniform(-STOP_BEFORE_S, silence.length_s / 3)
+    events = []
+    for entry in random.sample(ENTRIES, random.randint(*STOPS)):
+        stop = EntryStopped(entry=entry)
+        events.append(Event(at_s=round(at_s, 2), length_s=0.0, action=stop))
+        at_s += random.uniform(*STOP_GAP_S)
+    return events
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -30,7 +30,8 @@
     that was resumed.
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
-    `mute` runs and never answers. `crash` refuses everything, as if it had died.
+    `mute` runs and never answers. `silent` holds all runs where they are, and lets
+    them go on when it ends. `crash` refuses everything, as if it had died.
     """
 
     event_s: float = 0.01
@@ -41,6 +42,7 @@
     truncate: bool = False
     unsigned: bool = False
     mute: bool = False
+    silent: bool = False
     crash: bool = False
     full: bool = False
     status: int = 200
@@ -140,7 +142,7 @@
     def _work(self, request: Request, run: _Run, work_s: float) -> bool:
         """Work for so long; return False when the caller has gone."""
         until_s = time.monotonic() + work_s
-        while time.monotonic() < until_s:
+        while time.monotonic() < until_s or self._faults.now.silent:
             if server.caller_gone(request):
                 run.end = "cancelled"
                 return False
