Move a stream from a silent upstream in the end-to-end suite and in the soak

The move was tested with doubles and with the entry's own dispatcher, and never with the platform's words and processes. A scenario has a stand-in engine fall silent for good under a stream: it comes whole from the other one, with the place that one had reserved. The soak's requests now state their tokens, as requests to model engines do; without them no place is reserved, and no stream would move.

--- a/features/platform_entry.feature
+++ b/features/platform_entry.feature
@@ -24,6 +24,13 @@
     When a stream is asked for through the entry
     Then it comes whole and in order, from two upstreams
 
+  Scenario: An upstream falls silent while it runs a stream
+    Guards against a stream that is left at a silent upstream, or cut for an unsure place.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    And model upstreams that send an event every 100 ms
+    When a stream is asked for, and its upstream falls silent for good
+    Then it comes whole from the other upstream, which had reserved a place
+
   Scenario: A stream that may not be resumed breaks visibly
     Given a platform with an entry, two model upstreams and two desk upstreams
     And every model upstream cuts its first stream after 3 events
--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -59,6 +59,33 @@
     context.answer = context.platform.send("entry-1", "/stream/1", body=b"prompt")
 
 
+@when("a stream is asked for, and its upstream falls silent for good")
+def step_stream_silent(context):
+    platform = context.platform
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(
+            platform.send,
+            "entry-1",
+            "/stream/1",
+            body=b"prompt",
+            headers={"X-Token-Usage": "100,20"},
+        )
+        wait_until(platform.runs, WAIT_S, "the stream runs")
+        (silent,) = (name for name in platform.upstreams if platform.runs(name))
+        platform.upstreams[silent].set_faults(silent=True)
+        context.answer = asked.result()
+
+
+@then("it comes whole from the other upstream, which had reserved a place")
+def step_moved(context):
+    assert context.answer.whole, context.answer
+    assert context.answer.body == expected_stream(10), context.answer
+    runs = context.platform.runs()
+    assert {run["end"] for run in runs} == {"cancelled", "whole"}, runs
+    moved = next(run for run in runs if run["end"] == "whole")
+    assert moved["headers"]["x-kv-retention"] == "r1", moved
+
+
 @when("a stream that may run once is asked for through the entry")
 def step_stream_once(context):
     context.answer = context.platform.send("entry-1", "/stream-once/1", body=b"prompt")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,8 @@
 # open ones, also of an entry that is stopping.
 RECONNECT_EVERY = 25
 # Callers give up after this long, in milliseconds.
+# Prompt and answer, as requests to model engines state them.
+TOKENS = "100,20"
 DEADLINES_MS = (800, 3000, 5000)
 
 
@@ -153,7 +155,7 @@
             body=b"" if kind.method == "GET" else b"prompt",
             key=key,
             deadline_ms=deadline_ms,
-            headers={"X-Attempt-Id": attempt_id},
+            headers={"X-Attempt-Id": attempt_id, "X-Token-Usage": TOKENS},
             http=http,
         )
 
