--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,9 +21,9 @@
 # open ones, also of an entry that is stopping.
 RECONNECT_EVERY = 25
 # Callers give up after this long, in milliseconds.
+DEADLINES_MS = (800, 3000, 5000)
 # Prompt and answer, as requests to model engines state them.
 TOKENS = "100,20"
-DEADLINES_MS = (800, 3000, 5000)
 
 
 @attrs.frozen(kw_only=True)
