Take a connection that the kernel gave up for gone, and never its rest for a whole answer

What callers saw: half an answer without a length as a whole one, where the upstream's machine had gone in the middle of it (a lost machine, or one that took nothing more). Where the length was known, the answer was cut, after a needless look for a place elsewhere, and told as a broken connection: the upstream wasn't left alone, and the request counted as one that may have crashed it.

Cause: TCP_USER_TIMEOUT and keepalive end a connection with ETIMEDOUT, which Python raises as TimeoutError, like the socket's own timeout. `_Raw.readinto` took it for mere silence, asked for patience and read the socket again; the kernel tells its error once, and says end of file from then on.

Ruled out: the socket's own timeout has no errno (`error.errno` is None), so silences go on to be waited out as before; the scenarios of direct_handling about pauses show it. The write of a request raises ETIMEDOUT too, which the code told as silent already (read, not run).

Now such an end is raised at once, from the head as `Unanswered(timed_out=True)` and from the body as `AnswerCut(timed_out=True)`. Both become SILENT, after which `Office._judge` leaves the upstream alone, unlike BROKEN, which says that it lives and may have been crashed. That is enough since every reader ends the attempt at the first error and reads no more.

Evidence: an upstream with a small buffer answers and takes no more of a long request, so the kernel really gives the connection up, after 1.5 to 2 s.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -25,6 +25,19 @@
     When a request is sent to it
     Then its outcome is "not sent"
 
+  Scenario Outline: The kernel gives a connection up before its answer is whole
+    Guards against an upstream that is gone and yet waited for, or taken for done.
+    Given an upstream that sends "<bytes>" and takes nothing more
+    When a long request is sent to it, with patience for its silences
+    Then its outcome is "<outcome>", and no patience was asked for
+
+    Examples:
+      | bytes                                                                | outcome                |
+      | HTTP/1.1 200 OK\r\n\r\nwhole                                         | cut, silent            |
+      | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole                    | cut, silent            |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n  | cut, silent            |
+      |                                                                      | unanswered for so long |
+
   Scenario: A kept connection is used again
     Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" and then "keeps"
     When a request is sent to it, twice
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -18,16 +18,23 @@
 from standins.processes import HOST, free_port
 
 HEAD_TIMEOUT_S = 0.6
+# More than the buffers of an upstream hold that takes nothing.
+STUCK_BODY_BYTES = 100_000
+STUCK_BUFFER_BYTES = 2048
+# Longer than the kernel takes to give a connection up.
+GIVEN_UP_WITHIN_S = 10.0
 
 
 class RawUpstream:
     """Sends the same bytes for each request it reads."""
 
-    def __init__(self, *, answer: bytes, then: str):
+    def __init__(self, *, answer: bytes, then: str, buffer_bytes: int | None = None):
         self.connections = 0
         self._answer = answer
         self._then = then
         self._listener = socket.create_server((HOST, 0))
+        if buffer_bytes is not None:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -57,6 +64,24 @@
                     return
 
 
+class StuckUpstream(RawUpstream):
+    """Answers a request of which it has read the beginning, and reads no more."""
+
+    def __init__(self, *, answer: bytes):
+        self._over = threading.Event()
+        super().__init__(answer=answer, then="keeps", buffer_bytes=STUCK_BUFFER_BYTES)
+
+    def close(self) -> None:
+        self._over.set()
+        super().close()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(16)
+            connection.sendall(self._answer)
+            self._over.wait()
+
+
 def send(context, sending: Sending | None = None):
     sent = context.connections.send(
         sending=sending or Sending(),
@@ -69,7 +94,7 @@
     return sent
 
 
-def outcome(sent) -> str:
+def outcome(sent, within_s: float = HEAD_TIMEOUT_S) -> str:
     if isinstance(sent, Err):
         error = sent.err_value
         if isinstance(error, NotSent):
@@ -77,10 +102,10 @@
         return "unanswered for so long" if error.timed_out else "unanswered"
     exchange = sent.ok_value
     try:
-        body = exchange.read_whole(time.monotonic() + HEAD_TIMEOUT_S, SystemClock())
-    except AnswerCut:
+        body = exchange.read_whole(time.monotonic() + within_s, SystemClock())
+    except AnswerCut as error:
         exchange.close(keep=False)
-        return "cut"
+        return "cut, silent" if error.timed_out else "cut"
     exchange.close(keep=True)
     assert body == b"whole", body
     return "whole"
@@ -140,6 +165,49 @@
     context.outcomes = [outcome(second)]
 
 
+@given('an upstream that sends "{text}" and takes nothing more')
+def step_stuck(context, text):
+    answer = text.encode().decode("unicode_escape").encode("latin-1")
+    context.raw = StuckUpstream(answer=answer)
+    context.add_cleanup(context.raw.close)
+    context.connections = ConnectionPool(
+        host=HOST, port=context.raw.port, clock=SystemClock()
+    )
+
+
+@given('an upstream that sends "" and takes nothing more')
+def step_silent_stuck(context):
+    step_stuck(context, "")
+
+
+@when("a long request is sent to it, with patience for its silences")
+def step_send_patiently(context):
+    context.asked = 0
+
+    def patience() -> float:
+        context.asked += 1
+        return GIVEN_UP_WITHIN_S
+
+    sent = context.connections.send(
+        sending=Sending(),
+        method="POST",
+        target="/",
+        headers={"Host": "test"},
+        body=bytes(STUCK_BODY_BYTES),
+        head_timeout_s=GIVEN_UP_WITHIN_S,
+        patience=patience,
+    )
+    context.outcomes = [outcome(sent, GIVEN_UP_WITHIN_S)]
+
+
+@then('its outcome is "{wanted}", and no patience was asked for')
+def step_outcome_without_patience(context, wanted):
+    assert (context.outcomes, context.asked) == ([wanted], 0), (
+        context.outcomes,
+        context.asked,
+    )
+
+
 @then('its outcome is "{wanted}"')
 def step_outcome(context, wanted):
     assert context.outcomes == [wanted], context.outcomes
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -109,7 +109,9 @@
         while True:
             try:
                 return self._sock.recv_into(buffer)
-            except TimeoutError:
+            except TimeoutError as error:
+                if _given_up(error):
+                    raise
                 more_s = self._patience()
                 if more_s <= 0.0:
                     raise
@@ -170,7 +172,8 @@
             self._socket.settimeout(max(0.001, timeout_s))
             data = self._raw_response().read1(READ_BYTES)
         except TimeoutError as error:
-            raise AnswerCut("silent for too long", timed_out=True) from error
+            detail = str(error) if _given_up(error) else "silent for too long"
+            raise AnswerCut(detail, timed_out=True) from error
         except (http.client.HTTPException, OSError, ValueError) as error:
             raise AnswerCut(f"{type(error).__name__}: {error}") from error
         if not data:
@@ -419,6 +422,15 @@
     return bool(poll.poll(0))
 
 
+def _given_up(error: TimeoutError) -> bool:
+    """Return whether the kernel gave the connection up, and not just this wait.
+
+    The socket says so once. Read again, it seems to have come to the end of what was
+    sent, and half an answer of unknown length would pass for a whole one.
+    """
+    return error.errno == errno.ETIMEDOUT
+
+
 def _shut(sock: socket.socket) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
