--- /dev/null
+++ b/features/steps/direct_drain_steps.py
@@ -0,0 +1,44 @@
+"""Steps about the rest of an upstream's refusal."""
+
+from behave import given, then, when
+
+from features.steps.direct_handling_steps import (
+    STREAM_END,
+    STREAM_HEAD,
+    FewPlacesDesk,
+    accepted_request,
+    chunk,
+    handling_of,
+    start_upstream,
+    upstream_at,
+)
+from lavenderspoke.direct.desk import Outcome, StreamAnswer
+
+
+@given("a request at an upstream whose refusal stalls, and another one with a place")
+def step_stalls(context):
+    refusal = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\nhalf"
+    stream = STREAM_HEAD + chunk(0) + STREAM_END
+    upstreams = [
+        upstream_at(start_upstream(context, [part], 0.0, "keeps").port, name=name)
+        for name, part in (("refusing", refusal), ("other", stream))
+    ]
+    context.desk = FewPlacesDesk(upstreams=upstreams)
+    # It mustn't run twice, so an upstream that has it is waited for to the end.
+    accepted = accepted_request(resumable=False, attempts_max=2)
+    context.handling = handling_of(accepted, context.desk)
+
+
+@when("it has its first answer")
+def step_first(context):
+    context.answer = context.handling.first()
+
+
+@then(
+    "that is the other upstream's stream, and the first attempt ended as " '"{outcome}"'
+)
+def step_other_stream(context, outcome):
+    assert isinstance(context.answer, StreamAnswer), context.answer
+    assert b"".join(context.answer.bodies) == b"id: 0\ndata: a\n\n"
+    assert context.desk.outcomes[0] is Outcome(outcome), context.desk.outcomes
+    context.handling.close()
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -100,7 +100,7 @@
 
     def __init__(self, sock: socket.socket, patience: Patience):
         super().__init__(sock, "rb")
-        self._patience = patience
+        self.patience = patience
 
     def readinto(self, buffer):
         if self.ended:
@@ -112,7 +112,7 @@
             except TimeoutError as error:
                 if _given_up(error):
                     raise
-                more_s = self._patience()
+                more_s = self.patience()
                 if more_s <= 0.0:
                     raise
                 self._sock.settimeout(more_s)
@@ -191,6 +191,10 @@
         """Return whether anything has come that wasn't read, also an end."""
         return _has_unread_data(self._socket)
 
+    def drop_patience(self) -> None:
+        """Have silences from now on last no longer than their reads' timeouts."""
+        self._raw_response()._raw.patience = no_patience
+
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
         _shut(self._socket)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -272,6 +272,7 @@
 
     def _drain(self, exchange: Exchange) -> None:
         """Read a short answer to its end, so that its connection can be kept."""
+        exchange.drop_patience()
         until_s = self._clock.monotonic_s() + DRAIN_BODY_S
         try:
             exchange.read_whole(until_s, self._clock)
