Count a request as in flight on the server, until its last byte is written

What callers saw, on a busy machine: a whole stream without its end, where the entry was stopped just as the stream had ended; or no answer, where a request waited for a thread.

Cause: `DirectEntry._drain` ends the process once no request is in flight, and `DirectApp` counted a request from the first call of its generator to the generator's end. Cheroot writes the last chunk after that, and a connection that waits for a thread (for up to 1 s) has not reached the application yet. The process could end in between.

Ruled out: counting all connections that have a thread, since one that says nothing holds a thread too, and a stop would wait for it to the end of the grace time (the third scenario); the sizes of the server's queues, since a connection that waits for a thread is taken out of its queue first.

Now the server knows the connections that it handed to a thread, or that wait for one. Asked by the drain, it counts those of which a request's first line was read, or whose socket or buffer holds bytes. `communicate` returns after the last chunk has been given to the kernel, and only then the connection is taken off. A caller that has sent a part of a request now counts too, until its time to send it is over or the stop's latest time has come.

Evidence: the new feature holds the server after the application's end, and a connection before its thread.

--- /dev/null
+++ b/features/steps/direct_stop_steps.py
@@ -0,0 +1,174 @@
+"""Steps about the stop of an entry, whose server is held at a chosen point."""
+
+import signal
+import socket
+import threading
+from unittest import mock
+
+from behave import given, then, when
+
+from features.rawhttp import WAIT_S, wait_for
+from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.daemon import TURNED_AWAY_S, DirectEntry
+from lavenderspoke.direct.settings import Address, DirectSettings
+from lavenderspoke.platform.wire import PlatformDialect
+from standins.processes import HOST, free_port
+
+# A drain that looks at the clock so often more has found a request each time.
+LOOKS = 4
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class CountedClock(ManualClock):
+    """A clock that counts how often it is read."""
+
+    looks = 0
+
+    def monotonic_s(self) -> float:
+        self.looks += 1
+        return super().monotonic_s()
+
+
+class StoppingEntry:
+    """An entry that answers each request with a short stream, and can't exit."""
+
+    def __init__(self, context):
+        self.clock = CountedClock(start_s=100.0)
+        self.held = threading.Event()
+        self.go = threading.Event()
+        self.ended = threading.Event()
+        settings = DirectSettings(
+            name="entry-1",
+            data_centre="here",
+            callers=Address(host=HOST, port=free_port()),
+            readiness=Address(host=HOST, port=free_port()),
+            peers=Address(host=HOST, port=free_port()),
+            threads=2,
+        )
+        self.entry = DirectEntry(
+            settings=settings, dialect=PlatformDialect(), clock=self.clock
+        )
+        self.entry._feeds = mock.Mock()
+        self.entry._app._handle = self._stream
+        exits = mock.patch(
+            "lavenderspoke.direct.daemon.os._exit", lambda status: self.ended.set()
+        )
+        exits.start()
+        context.add_cleanup(exits.stop)
+        self.entry._callers.start()
+        context.add_cleanup(self.entry._callers.stop)
+        context.add_cleanup(self.go.set)
+        self.server = self.entry._callers.server
+        wait_for(lambda: self.server.ready, "the server serves")
+
+    def connect(self, context) -> None:
+        """Have a caller connect that says nothing yet."""
+        address = (HOST, self.entry.settings.callers.port)
+        self.caller = socket.create_connection(address, timeout=WAIT_S)
+        context.add_cleanup(self.caller.close)
+
+    def hold_last_chunk(self) -> None:
+        """Hold each request once its application has ended."""
+        holding = self
+
+        class HeldGateway(self.server.gateway):
+            def respond(self):
+                super().respond()
+                holding.held.set()
+                holding.go.wait()
+
+        self.server.gateway = HeldGateway
+
+    def hold_threads(self) -> None:
+        """Let all threads seem taken, and none come free."""
+
+        def waited(connection) -> bool:
+            self.held.set()
+            return self.go.wait()
+
+        self.server._has_thread = lambda: False
+        self.server._waited_for_thread = waited
+
+    def stop(self) -> None:
+        """Tell it to stop, and let the time pass in which it takes requests."""
+        self.entry._on_stop(signal.SIGTERM, None)
+        looks = self.clock.looks
+        wait_for(lambda: self.clock.looks > looks + 1, "the drain has begun")
+        self.clock.advance(TURNED_AWAY_S)
+
+    def stays(self) -> bool:
+        """Return whether it stays for some more looks at what is in flight."""
+        wait_for(lambda: self.ended.is_set() or self.entry._app.refusing, "refusing")
+        looks = self.clock.looks
+        wait_for(
+            lambda: self.ended.is_set() or self.clock.looks > looks + LOOKS, "looks"
+        )
+        return not self.ended.is_set()
+
+    @staticmethod
+    def _stream(http_request, start_response, journey):
+        start_response("200 OK", [])
+        yield b"whole"
+
+
+@given("an entry whose server is held before the last chunk of a stream")
+def step_held_chunk(context):
+    context.stopping = StoppingEntry(context)
+    context.stopping.hold_last_chunk()
+    context.stopping.connect(context)
+
+
+@given("an entry whose server has no thread free")
+def step_held_threads(context):
+    context.stopping = StoppingEntry(context)
+    context.stopping.hold_threads()
+    context.stopping.connect(context)
+
+
+@given("an entry with a caller that has said nothing")
+def step_nothing_said(context):
+    context.stopping = StoppingEntry(context)
+    context.stopping.connect(context)
+    wait_for(
+        lambda: any(each.conn for each in context.stopping.server.requests._threads),
+        "the caller has a thread",
+    )
+
+
+@when("a caller sends a request, and the entry is told to stop")
+def step_stop(context):
+    context.stopping.caller.sendall(REQUEST)
+    assert context.stopping.held.wait(WAIT_S)
+    context.stopping.stop()
+
+
+@when("the entry is told to stop, and its time to turn callers away has passed")
+def step_stop_idle(context):
+    context.stopping.stop()
+
+
+@then("the entry is still there when its time to turn callers away has passed")
+def step_stays(context):
+    assert context.stopping.stays(), "it has ended"
+
+
+@when("its server goes on")
+def step_go(context):
+    context.stopping.go.set()
+
+
+@then("the caller gets its whole stream, and the entry ends")
+def step_whole_and_ended(context):
+    answer = b""
+    while not answer.endswith(LAST_CHUNK):
+        data = context.stopping.caller.recv(4096)
+        assert data, answer
+        answer += data
+    assert b"\r\n5\r\nwhole\r\n" in answer, answer
+    assert context.stopping.ended.wait(WAIT_S)
+
+
+@then("the entry ends")
+def step_ends(context):
+    assert context.stopping.ended.wait(WAIT_S)
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -5,7 +5,6 @@
 """
 
 import hashlib
-import threading
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -92,23 +91,13 @@
         self._watch = watch
         self._metrics = metrics
         self._clock = clock
-        self._in_flight: set[int] = set()
-        self._lock = threading.Lock()
-
-    def in_flight(self) -> int:
-        """Return the number of requests that are being handled."""
-        with self._lock:
-            return len(self._in_flight)
 
     def count_problem(self, problem: Problem) -> None:
         """Count a refusal that the server made itself."""
         self._metrics.count(ANSWERS, problem.reason.value)
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
-        http_request = environ[REQUEST_KEY]
-        with self._lock:
-            self._in_flight.add(id(http_request))
-        return self._answer(http_request, start_response)
+        return self._answer(environ[REQUEST_KEY], start_response)
 
     def _answer(
         self, http_request: CallerHttpRequest, start_response: StartResponse
@@ -117,8 +106,6 @@
         try:
             yield from self._handle(http_request, start_response, journey)
         finally:
-            with self._lock:
-                self._in_flight.discard(id(http_request))
             self._record(journey)
 
     def _handle(
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -201,16 +201,16 @@
         started_s = self.clock.monotonic_s()
         turned_away_s = started_s + TURNED_AWAY_S
         latest_s = started_s + self.office.bounds.grace_s - STOP_MARGIN_S
-        log.info("stopping", in_flight=self._app.in_flight())
+        log.info("stopping", in_flight=self._callers.in_flight())
         self._feeds.leave()
         pause = threading.Event()
         while (now_s := self.clock.monotonic_s()) < latest_s:
             self._app.refusing = now_s >= turned_away_s
-            if self._app.refusing and not self._app.in_flight():
+            if self._app.refusing and not self._callers.in_flight():
                 break
             pause.wait(DRAIN_POLL_S)
         self._peers.stop()
-        log.info("stopped", cut_off=self._app.in_flight())
+        log.info("stopped", cut_off=self._callers.in_flight())
         # What is left are threads that wait on sockets. Joining them takes up to
         # a second for each server, and the process would be killed meanwhile.
         self._flush()
--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -84,6 +84,10 @@
         _limit(server, self._limits)
         return server
 
+    def in_flight(self) -> int:
+        """Return the number of requests that have come and aren't answered whole."""
+        return self.server.in_flight() if self.server is not None else 0
+
     def limit(self, limits: Limits) -> None:
         """Put other limits in force, for requests and connections from now on."""
         self._limits = limits
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -7,8 +7,10 @@
 
 import errno
 import os
+import select
 import socket
 import ssl
+import threading
 import time
 
 import attrs
@@ -126,6 +128,10 @@
         super().__init__(*args, **kwargs)
         self.inheaders = _FramingHeaders()
 
+    def read_request_line(self) -> bool:
+        self.conn.asked = super().read_request_line()
+        return self.conn.asked
+
     def read_request_headers(self) -> bool:
         if not super().read_request_headers():
             return False
@@ -166,17 +172,35 @@
 
     RequestHandlerClass = CallerHttpRequest
     linger_on_close = False
+    # Whether the first line of a request was read that isn't answered whole.
+    asked = False
     thread_wanted_until_s = 0.0
 
     def __init__(self, server, sock, makefile):
         super().__init__(server, sock, makefile)
         self.rfile = _Reader(sock, server.timeout)
 
-    def communicate(self) -> bool:
-        if not self._shake_hands():
+    def has_request(self) -> bool:
+        """Return whether a request has come that isn't answered whole; any thread."""
+        if self.asked or self.rfile.has_data():
+            return True
+        poll = select.poll()
+        try:
+            poll.register(self.socket, select.POLLIN)
+        except ValueError:
+            # It has just been closed.
             return False
-        self.rfile.allow(self.server.request_read_s)
-        return super().communicate()
+        return bool(poll.poll(0))
+
+    def communicate(self) -> bool:
+        try:
+            if not self._shake_hands():
+                return False
+            self.rfile.allow(self.server.request_read_s)
+            return super().communicate()
+        finally:
+            self.asked = False
+            self.server.handed_back(self)
 
     def _shake_hands(self) -> bool:
         """Finish the TLS handshake, if there is one; return whether it went well."""
@@ -291,6 +315,9 @@
         listener: socket.socket | None = None,
     ):
         self._listener = listener
+        # Connections that have a thread or wait for one.
+        self._handed: set[CallerConnection] = set()
+        self._handed_lock = threading.Lock()
         super().__init__(
             (host, port),
             app,
@@ -316,13 +343,32 @@
         self.bind_addr = self.resolve_real_bind_addr(self.socket)
         return self.socket
 
+    def in_flight(self) -> int:
+        """Return the number of requests that have come and aren't answered whole.
+
+        An application ends before the last chunk of its answer is written, and begins
+        after a thread was waited for: a process that ended by its count would cut
+        answers off. A caller that has said nothing isn't counted.
+        """
+        with self._handed_lock:
+            handed = list(self._handed)
+        return sum(conn.has_request() for conn in handed)
+
+    def handed_back(self, conn: CallerConnection) -> None:
+        """Note that a connection's request was answered, or won't be."""
+        with self._handed_lock:
+            self._handed.discard(conn)
+
     def process_conn(self, conn) -> None:
+        with self._handed_lock:
+            self._handed.add(conn)
         if self._has_thread():
             super().process_conn(conn)
         elif self._unservicable_conns.qsize() < REFUSING_QUEUE_CONNECTIONS:
             conn.thread_wanted_until_s = time.monotonic() + THREAD_WAIT_S
             self._unservicable_conns.put(conn)
         else:
+            self.handed_back(conn)
             conn.close()
 
     def _has_thread(self) -> bool:
@@ -367,6 +413,7 @@
             conn.close()
         except OSError:
             pass
+        self.handed_back(conn)
 
     def error_log(self, msg="", level=20, traceback=False) -> None:
         if traceback:
