Refuse a last event's number that int() wouldn't read

What callers saw: a request with a Last-Event-Id such as "²" began to run, and ended with an internal error at its first event that has an id.

Cause: `str.isdigit` is true of raised digits, which `int` refuses in `Handling._note_events` (ValueError: invalid literal for int()). Numbers of thousands of digits fail there too.

Ruled out: `_count` as it is, since its 12 digits are meant for tokens; a stream's ids have up to 18 digits, and a caller that goes on after one of 13 would have been refused. And `_count` alone, since it strips: what is around the number would be passed on to the upstream.

Now the number is checked by `_count`, for ASCII digits alone and as many as `EventSplitter` reads, before the request is taken in. All that passes can be read by int().

--- a/features/platform_words.feature
+++ b/features/platform_words.feature
@@ -39,6 +39,10 @@
     And none is asked for a request that says nothing of its tokens
     And what an upstream answers is a reserved place only if it names one
 
+  Scenario: The last event that a caller has
+    Guards against a number that ends its request with an error once that has begun to run.
+    Then it is read if it is a number that a stream's events may have, and refused otherwise
+
   Scenario: Keys are honoured by the age of the last read
     Then a read counts from when it was sent
     And a suspension of the machine counts
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -375,6 +375,24 @@
         assert head_of("6610,3840", text).answer_tokens == 3840
 
 
+def last_event(text: str):
+    headers = (("X-Attempt-Id", "a"), ("Last-Event-Id", text))
+    return PlatformDialect().read("GET", "/a/", headers)
+
+
+@then(
+    "it is read if it is a number that a stream's events may have, and refused "
+    "otherwise"
+)
+def step_last_event(context):
+    for text in ("0", "17", "007", "9" * 18):
+        assert last_event(text).unwrap().after_event == text, text
+    for text in ("", "-1", "1.5", "\u00b2", "\u0663", "9" * 5000, "9" * 19, "many"):
+        assert isinstance(last_event(text), Err), text
+    for text in (" 17", "\u00a017", "17\u2003"):
+        assert isinstance(last_event(text), Err), text
+
+
 def imported_modules(path: pathlib.Path) -> list[str]:
     modules = []
     for node in ast.walk(ast.parse(path.read_text())):
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -39,6 +39,8 @@
 MS_PER_S = 1000.0
 # No number of tokens has more digits; longer ones are taken for no number.
 COUNT_DIGITS_MAX = 12
+# Events of streams have ids of up to so many digits, as `EventSplitter` reads them.
+EVENT_DIGITS_MAX = 18
 
 # What only the system may tell an upstream, and what concerns one connection.
 NOT_PASSED_ON = frozenset(
@@ -89,7 +91,7 @@
                 return Err(BadHead(detail=f"{DEADLINE} is no time"))
         tokens = _tokens(values.get(TOKENS.lower()))
         after_event = values.get(LAST_EVENT.lower())
-        if after_event is not None and not after_event.isdigit():
+        if after_event is not None and not _is_event(after_event):
             return Err(BadHead(detail=f"{LAST_EVENT} is no number"))
         return Ok(
             CallerHead(
@@ -202,7 +204,12 @@
     return prompt_tokens, output_tokens
 
 
-def _count(value: str) -> int | None:
+def _is_event(value: str) -> bool:
+    """Return whether a stream's event may have that id, with nothing around it."""
+    return _count(value, EVENT_DIGITS_MAX) is not None and value == value.strip()
+
+
+def _count(value: str, digits_max: int = COUNT_DIGITS_MAX) -> int | None:
     """Return a whole number, or None for anything else.
 
     Python counts digits of other scripts and raised ones as digits too, which `int`
@@ -212,7 +219,7 @@
     (80, None, None)
     """
     digits = value.strip()
-    if not digits.isascii() or not digits.isdigit() or len(digits) > COUNT_DIGITS_MAX:
+    if not digits.isascii() or not digits.isdigit() or len(digits) > digits_max:
         return None
     return int(digits)
 
