Tell the dispatcher of the first event also where a stream goes on elsewhere

What callers saw: nothing directly. The scheduler counted the prompt of a stream that goes on at a second upstream as unread there until the stream had ended, and so held that upstream for slower than it was.

Cause: `desk.began` was called in `_begin_stream`, which only the first upstream's stream passes; `_resumed` reads the second one's events at once.

Ruled out: a second call in `_resumed`, which would come before the first event has.

Now `_events`, through which all streams go, calls it at the first event. A stream in which no whole event comes isn't told as begun any more; its end is told, as before.

--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -330,7 +330,6 @@
             first = next(bodies, b"")
         except AnswerCut:
             return None
-        self._desk.began(attempt.ticket, attempt.upstream)
         exchange = attempt.exchange
         return StreamAnswer(
             status=exchange.status,
@@ -351,6 +350,8 @@
                 now_s = self._clock.monotonic_s()
                 if before_s is not None:
                     self._desk.stepped(attempt.upstream, now_s - before_s)
+                else:
+                    self._desk.began(attempt.ticket, attempt.upstream)
                 before_s = self._quiet_since_s = now_s
                 self.relocation.heard()
                 count += 1
