--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -100,7 +100,7 @@
 
     def __init__(self, sock: socket.socket, patience: Patience):
         super().__init__(sock, "rb")
-        self._patience = patience
+        self.patience = patience
 
     def readinto(self, buffer):
         if self.ended:
@@ -109,8 +109,10 @@
         while True:
             try:
                 return self._sock.recv_into(buffer)
-            except TimeoutError:
-                more_s = self._patience()
+            except TimeoutError as error:
+                if _given_up(error):
+                    raise
+                more_s = self.patience()
                 if more_s <= 0.0:
                     raise
                 self._sock.settimeout(more_s)
@@ -170,7 +172,8 @@
             self._socket.settimeout(max(0.001, timeout_s))
             data = self._raw_response().read1(READ_BYTES)
         except TimeoutError as error:
-            raise AnswerCut("silent for too long", timed_out=True) from error
+            detail = str(error) if _given_up(error) else "silent for too long"
+            raise AnswerCut(detail, timed_out=True) from error
         except (http.client.HTTPException, OSError, ValueError) as error:
             raise AnswerCut(f"{type(error).__name__}: {error}") from error
         if not data:
@@ -188,6 +191,10 @@
         """Return whether anything has come that wasn't read, also an end."""
         return _has_unread_data(self._socket)
 
+    def drop_patience(self) -> None:
+        """Have silences from now on last no longer than their reads' timeouts."""
+        self._raw_response()._raw.patience = no_patience
+
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
         _shut(self._socket)
@@ -419,6 +426,15 @@
     return bool(poll.poll(0))
 
 
+def _given_up(error: TimeoutError) -> bool:
+    """Return whether the kernel gave the connection up, and not just this wait.
+
+    The socket says so once. Read again, it seems to have come to the end of what was
+    sent, and half an answer of unknown length would pass for a whole one.
+    """
+    return error.errno == errno.ETIMEDOUT
+
+
 def _shut(sock: socket.socket) -> None:
     try:
         sock.shutdown(socket.SHUT_RDWR)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -272,6 +272,7 @@
 
     def _drain(self, exchange: Exchange) -> None:
         """Read a short answer to its end, so that its connection can be kept."""
+        exchange.drop_patience()
         until_s = self._clock.monotonic_s() + DRAIN_BODY_S
         try:
             exchange.read_whole(until_s, self._clock)
@@ -329,7 +330,6 @@
             first = next(bodies, b"")
         except AnswerCut:
             return None
-        self._desk.began(attempt.ticket, attempt.upstream)
         exchange = attempt.exchange
         return StreamAnswer(
             status=exchange.status,
@@ -350,6 +350,8 @@
                 now_s = self._clock.monotonic_s()
                 if before_s is not None:
                     self._desk.stepped(attempt.upstream, now_s - before_s)
+                else:
+                    self._desk.began(attempt.ticket, attempt.upstream)
                 before_s = self._quiet_since_s = now_s
                 self.relocation.heard()
                 count += 1
