Name what is asked in a silence apart from a caller's patience

Patience meant an upstream's silence in the exchange and a caller's in the line, and a place was a sort key in one module and a slot at an upstream in another; both stopped a reader.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -28,8 +28,8 @@
   Scenario Outline: The kernel gives a connection up before its answer is whole
     Guards against an upstream that is gone and yet waited for, or taken for done.
     Given an upstream that sends "<bytes>" and takes nothing more
-    When a long request is sent to it, with patience for its silences
-    Then its outcome is "<outcome>", and no patience was asked for
+    When a long request is sent to it, and its silences may last
+    Then its outcome is "<outcome>", and no silence was asked about
 
     Examples:
       | bytes                                                                | outcome                |
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -180,11 +180,11 @@
     step_stuck(context, "")
 
 
-@when("a long request is sent to it, with patience for its silences")
+@when("a long request is sent to it, and its silences may last")
 def step_send_patiently(context):
     context.asked = 0
 
-    def patience() -> float:
+    def on_silence() -> float:
         context.asked += 1
         return GIVEN_UP_WITHIN_S
 
@@ -195,13 +195,13 @@
         headers={"Host": "test"},
         body=bytes(STUCK_BODY_BYTES),
         head_timeout_s=GIVEN_UP_WITHIN_S,
-        patience=patience,
+        on_silence=on_silence,
     )
     context.outcomes = [outcome(sent, GIVEN_UP_WITHIN_S)]
 
 
-@then('its outcome is "{wanted}", and no patience was asked for')
-def step_outcome_without_patience(context, wanted):
+@then('its outcome is "{wanted}", and no silence was asked about')
+def step_outcome_without_silence(context, wanted):
     assert (context.outcomes, context.asked) == ([wanted], 0), (
         context.outcomes,
         context.asked,
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -51,8 +51,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
 
-Patience = Callable[[], float]
-"""Says for how many seconds more an upstream may be silent; 0 gives it up.
+OnSilence = Callable[[], float]
+"""Returns for how many seconds more a silent upstream is waited for; 0 gives it up.
 
 Asked on the reading thread, each time that the upstream has said nothing for as
 long as it was given.
@@ -61,7 +61,7 @@
 log = logbook.Logger(__name__)
 
 
-def no_patience() -> float:
+def give_up() -> float:
     """Give a silent upstream up at once."""
     return 0.0
 
@@ -98,9 +98,9 @@
 
     ended = False
 
-    def __init__(self, sock: socket.socket, patience: Patience):
+    def __init__(self, sock: socket.socket, on_silence: OnSilence):
         super().__init__(sock, "rb")
-        self.patience = patience
+        self.on_silence = on_silence
 
     def readinto(self, buffer):
         if self.ended:
@@ -112,7 +112,7 @@
             except TimeoutError as error:
                 if _given_up(error):
                     raise
-                more_s = self.patience()
+                more_s = self.on_silence()
                 if more_s <= 0.0:
                     raise
                 self._sock.settimeout(more_s)
@@ -121,10 +121,10 @@
 class _Response(http.client.HTTPResponse):
     """A response that notices bytes behind its end."""
 
-    def __init__(self, sock, *args, patience: Patience = no_patience, **kwargs):
+    def __init__(self, sock, *args, on_silence: OnSilence = give_up, **kwargs):
         super().__init__(sock, *args, **kwargs)
         self.fp.close()
-        self._raw = _Raw(sock, patience)
+        self._raw = _Raw(sock, on_silence)
         sock._io_refs += 1
         self.fp = io.BufferedReader(self._raw)
         self.followed = False
@@ -147,7 +147,7 @@
     """An answer whose head has come.
 
     `read` returns the next bytes as they come and nothing at its whole end. A silence
-    that is longer than its timeout lasts as long as the request's patience says.
+    that is longer than its timeout lasts as long as `on_silence` says.
     """
 
     def __init__(self, *, connection: HTTPConnection, response, pool: "ConnectionPool"):
@@ -191,9 +191,9 @@
         """Return whether anything has come that wasn't read, also an end."""
         return _has_unread_data(self._socket)
 
-    def drop_patience(self) -> None:
+    def end_at_silence(self) -> None:
         """Have silences from now on last no longer than their reads' timeouts."""
-        self._raw_response()._raw.patience = no_patience
+        self._raw_response()._raw.on_silence = give_up
 
     def cancel(self) -> None:
         """Break the exchange off, from any thread; its reader gets AnswerCut."""
@@ -289,11 +289,11 @@
         headers: Mapping[str, str],
         body: bytes,
         head_timeout_s: float,
-        patience: Patience = no_patience,
+        on_silence: OnSilence = give_up,
     ) -> Result[Exchange, NotSent | Unanswered]:
         """Send a request and wait for the head of its answer.
 
-        `patience` also speaks for the silences of the answer's body.
+        `on_silence` is also asked in the silences of the answer's body.
         """
         connection = self._idle_connection()
         if connection is None:
@@ -306,7 +306,7 @@
         if not sending.holds(connection, None):
             self.discard(connection)
             return Err(NotSent(detail="the caller has gone"))
-        connection.response_class = functools.partial(_Response, patience=patience)
+        connection.response_class = functools.partial(_Response, on_silence=on_silence)
         sent = self._exchange(connection, method, target, headers, body, head_timeout_s)
         if sent.is_err():
             self.discard(connection)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -235,7 +235,7 @@
             headers=headers,
             body=accepted.body,
             head_timeout_s=self._silence_s(),
-            patience=self._patience_s,
+            on_silence=self._on_silence,
         )
         if isinstance(sent, Err):
             self._not_answered(attempt, sent.err_value)
@@ -272,7 +272,7 @@
 
     def _drain(self, exchange: Exchange) -> None:
         """Read a short answer to its end, so that its connection can be kept."""
-        exchange.drop_patience()
+        exchange.end_at_silence()
         until_s = self._clock.monotonic_s() + DRAIN_BODY_S
         try:
             exchange.read_whole(until_s, self._clock)
@@ -465,8 +465,8 @@
         first_s = self._current.ticket.expected_first_s * SILENCE_TIMES
         return min(left_s, max(SILENCE_MIN_S, self.accepted.route.target_s, first_s))
 
-    def _patience_s(self) -> float:
-        """Return for how many seconds more a silent upstream may say nothing."""
+    def _on_silence(self) -> float:
+        """Return for how many seconds more a silent upstream is waited for."""
         left_s = max(0.0, self._left_s())
         if self._gone:
             return 0.0
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -151,7 +151,7 @@
         return self.first_s + self.target_s * ON_TIME_PART
 
 
-def _place(ticket: Ticket) -> tuple:
+def _turn(ticket: Ticket) -> tuple:
     return (
         ticket.rank,
         ticket.late,
@@ -181,7 +181,7 @@
         self.pool = pool
         self.peers = PeersShare()
         self._random = random
-        self._waiting: SortedKeyList = SortedKeyList(key=_place)
+        self._waiting: SortedKeyList = SortedKeyList(key=_turn)
         self._ranks: Counter[Rank] = Counter()
         self._held: Counter[Rank] = Counter()
         self._rates: dict[Rank, RankRates] = {}
@@ -377,7 +377,7 @@
         that its rank is guaranteed.
         """
         rank, slots = ticket.rank, max(1, self.pool.slots())
-        own = sum(1 for t in self._waiting if _place(t) < _place(ticket))
+        own = sum(1 for t in self._waiting if _turn(t) < _turn(ticket))
         peers = sum(n for r, n in self.peers.waiting.items() if r <= rank)
         present = self._present(now_s)
         reserved = self._reserved(rank, present)
