Have a native crash of an entry print its threads' stacks

Python's fault handler is on from the first line of main now, before the port is opened. The process ends by the signal all the same.

--- /dev/null
+++ b/features/refused_resources.feature
@@ -0,0 +1,14 @@
+Feature: What ends an entry that the system lets down
+  Crashes in native code, and threads and memory that the system refuses.
+
+  Scenario: A native crash says where it was
+    An entry ended by a signal of its own left nothing that tells where it died.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    When the entry gets SIGILL
+    Then it ends by that signal, and standard error has the stacks of its threads
+
+  Scenario: An entry starts without standard error
+    Turning the crash text on raises without a place for it, and ended the start.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    When the entry is started again with standard error closed
+    Then it lives, is ready and serves
--- a/lavenderspoke/platform/__main__.py
+++ b/lavenderspoke/platform/__main__.py
@@ -3,6 +3,7 @@
 With `--check FILE...` it names every mistake in such settings files instead.
 """
 
+import faulthandler
 import gc
 import os
 import signal
@@ -18,6 +19,7 @@
 
 def main() -> int:
     """Run the entry, or check files; return the exit status."""
+    _show_native_crashes()
     # The platform may send SIGHUP while the process still starts, and would end
     # it: loading takes some 0.4 s. The settings are read after this, so
     # there is nothing to reload yet. The daemon sets its own handler later.
@@ -34,6 +36,17 @@
     return daemon.run(path, listener)
 
 
+def _show_native_crashes() -> None:
+    """Have a crash in native code print the threads' stacks to standard error.
+
+    It works in the handler of the deadly signal alone. The process ends by the signal
+    all the same.
+    """
+    # Without standard error there is no place for the text, and enabling it raises.
+    if sys.stderr is not None:
+        faulthandler.enable()
+
+
 def _load() -> ModuleType:
     """Import the daemon with the collector of garbage at rest.
 
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -204,17 +204,31 @@
         wait_until(entry.ready, WAIT_S, f"{name} is ready again")
         return entry
 
-    def start_again(self, name: str) -> Entry:
-        """Start an ended entry again without waiting for it."""
+    def start_again(self, name: str, *, before: tuple[str, ...] = ()) -> Entry:
+        """Start an ended entry again without waiting for it.
+
+        `before` are words that come before its command line, and run it.
+        """
         old = self.entries[name]
-        return self._start(name, old.callers, old.readiness, old.settings_path)
+        return self._start(
+            name, old.callers, old.readiness, old.settings_path, before=before
+        )
 
-    def _start(self, name: str, callers: int, readiness: int, path: str) -> Entry:
+    def _start(
+        self,
+        name: str,
+        callers: int,
+        readiness: int,
+        path: str,
+        *,
+        before: tuple[str, ...] = (),
+    ) -> Entry:
         # The daemon's own command line takes no settings file: the platform
         # names it in the environment.
         argv = [
             "/usr/bin/env",
             f"LAVENDERSPOKE_CONFIG={path}",
+            *before,
             os.sys.executable,
             "-m",
             "lavenderspoke.platform",
