Have an entry go on without its link to the others for as long as it must

What callers saw: streams cut off, and connections refused, some five seconds after a start on which the system gave the link's library no threads or memory.

Cause: the link was tried six times, then the supervisor gave up, stopped all parts and the entry ended with status 1. Giving up shows the platform a process that does nothing; an entry without its link serves, and keeps to its own part of limits.

Change: the supervisor can be told of parts that the rest can do without. They are restarted for as long as it takes, with the same growing delay, which is now bounded before it doubles past a float. The link's log has each cause once, and a line when it runs again.

Ruled out: that the library itself ends the process.

The test starts a real entry whose own threads have small stacks while a library's would need all of the address space. Before, its streams ended with "Connection refused".

--- a/features/refused_resources.feature
+++ b/features/refused_resources.feature
@@ -12,3 +12,10 @@
     Given a platform with an entry, two model upstreams and two desk upstreams
     When the entry is started again with standard error closed
     Then it lives, is ready and serves
+
+  Scenario: The system refuses the threads of the link to the other entries
+    An entry that serves and streams ended, with all that it streamed, for its link.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    When the entry is started again where the link's library gets no thread
+    Then streams through it come whole until the link was tried 8 times
+    And it lives, and its log says the cause once
--- a/features/steps/refused_resources_steps.py
+++ b/features/steps/refused_resources_steps.py
@@ -2,10 +2,23 @@
 
 import os
 import signal
+import time
 
 from behave import then, when
 
+from features.platformstage import expected_stream
 from standins.platformdeployment import WAIT_S
+from standins.processes import wait_until
+
+# A library's own threads take the system's stack, which is all of the address space
+# here; the entry's have a small one.
+SPACE_BYTES = 4 * 1024**3
+NO_NATIVE_THREADS = (
+    "MALLOC_ARENA_MAX=1",
+    "prlimit",
+    f"--stack={SPACE_BYTES}",
+    f"--as={SPACE_BYTES}",
+)
 
 
 @when("the entry gets SIGILL")
@@ -34,3 +47,30 @@
     platform = context.platform
     platform.entries["entry-1"].process.kill()
     platform.start_again("entry-1", before=("sh", "-c", 'exec "$@" 2>&-', "sh"))
+
+
+@when("the entry is started again where the link's library gets no thread")
+def step_no_link_threads(context):
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    context.entry = platform.start_again("entry-1", before=NO_NATIVE_THREADS)
+    wait_until(context.entry.ready, WAIT_S, "ready without a link")
+
+
+@then("streams through it come whole until the link was tried {count:d} times")
+def step_streams_without_link(context, count):
+    process = context.entry.process
+    give_up_s = time.monotonic() + 2 * WAIT_S
+    while process.output().count('"part died"') < count:
+        assert process.alive(), process.output()
+        answer = context.platform.send("entry-1", "/stream/1", body=b"prompt")
+        assert answer.whole and answer.body == expected_stream(), answer
+        assert time.monotonic() < give_up_s, process.output()
+
+
+@then("it lives, and its log says the cause once")
+def step_cause_once(context):
+    process = context.entry.process
+    assert process.alive(), process.output()
+    lines = [line for line in process.output().splitlines() if "NoMemory" in line]
+    assert len(lines) == 1, process.output()
--- a/features/steps/supervisor_steps.py
+++ b/features/steps/supervisor_steps.py
@@ -57,6 +57,14 @@
     context.supervisor.start_parts()
 
 
+@given('a supervisor that can do without the part "{name}" has started')
+def step_dispensable(context, name):
+    context.supervisor = make_supervisor(
+        context, list(context.parts.items()), dispensable=frozenset({name})
+    )
+    context.supervisor.start_parts()
+
+
 @given("the supervisor has started under another one")
 def step_nested(context):
     context.above = make_supervisor(context, [("below", context.supervisor)])
@@ -115,6 +123,16 @@
     assert context.journal.count(f"start {name}") == count, context.journal
 
 
+@then("the supervisor hasn't given up, and the others still run")
+def step_not_given_up(context):
+    assert not context.supervisor.gave_up and context.supervisor.alive()
+    started = [each for each in context.journal if each == "start core"]
+    # More than doublings that a float holds.
+    assert len(started) > 1100, len(started)
+    assert "stop callers" not in context.journal, "others were stopped"
+    assert context.parts["callers"].running
+
+
 @then("the supervisor has given up")
 def step_given_up(context):
     assert context.supervisor.gave_up
--- a/features/supervisor.feature
+++ b/features/supervisor.feature
@@ -35,6 +35,12 @@
     And every part is stopped
     And a daemon run by such a supervisor exits with 1
 
+  Scenario: A part that the rest can do without keeps dying
+    Giving up because of it would end parts that do their work.
+    Given a supervisor that can do without the part "core" has started
+    When the part "core" dies 6000 times
+    Then the supervisor hasn't given up, and the others still run
+
   Scenario: A supervisor restarts the one below that gave up
     Given the supervisor has started under another one
     When the part "core" dies 4 times
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -180,6 +180,9 @@
                 ("peers", self._peers),
             ],
             clock=self.clock,
+            # Without its link an entry keeps to its own part of limits; ended, it would
+            # cut off all that it streams.
+            dispensable=frozenset({"peers"}),
         )
         log.info("starting", entry=self.me.name, incarnation=self.me.incarnation)
         for stop in STOP_SIGNALS:
--- a/lavenderspoke/direct/peerlink.py
+++ b/lavenderspoke/direct/peerlink.py
@@ -42,6 +42,8 @@
         self._stopped = False
         self._lock = threading.Lock()
         self._loader: threading.Thread | None = None
+        # Why the link doesn't run; empty when it does.
+        self._cause = ""
 
     def start(self) -> None:
         """Begin to load the link, or start it again."""
@@ -81,6 +83,20 @@
                     return
                 link.start()
                 self._link = link
-        except Exception:
-            # Not alive from here on: the supervisor starts the part once more.
+        except Exception as error:
+            self._failed(error)
+            return
+        if self._cause:
+            log.info("the link to the other entries started")
+        self._cause = ""
+
+    def _failed(self, error: Exception) -> None:
+        """Say why, once for each cause.
+
+        The part isn't alive from here on, and the supervisor starts it once more,
+        every few seconds for as long as the cause lasts.
+        """
+        cause = repr(error)
+        if cause != self._cause:
             log.exception("the link to the other entries didn't start")
+        self._cause = cause
--- a/lavenderspoke/supervisor.py
+++ b/lavenderspoke/supervisor.py
@@ -4,7 +4,8 @@
 parts in order, watches them, restarts the one that died after a delay that
 doubles, and stops them in reverse order. A supervisor is itself a part, so
 supervisors nest. One whose parts die too often stops them all and is no longer
-alive; the one above restarts it, and at the top the daemon exits non-zero.
+alive; the one above restarts it, and at the top the daemon exits non-zero. Parts
+that the rest can do without never count as dying too often.
 """
 
 import threading
@@ -17,6 +18,9 @@
 
 from lavenderspoke.clock import Clock
 
+# The longest delay is reached long before.
+DOUBLINGS_MAX = 32
+
 log = logbook.Logger(__name__)
 
 
@@ -60,6 +64,8 @@
 class Supervisor:
     """A supervisor of named parts, in the order in which they start.
 
+    The parts named in `dispensable` are restarted for as long as it takes.
+
     `wait(seconds)` waits until the time has passed or the supervisor stops,
     and is passed in so that a test needs no real time.
     """
@@ -71,6 +77,7 @@
         parts: list[tuple[str, Part]],
         clock: Clock,
         policy: RestartPolicy = RestartPolicy(),
+        dispensable: frozenset[str] = frozenset(),
         wait: Callable[[float], object] | None = None,
     ):
         self.name = name
@@ -78,6 +85,7 @@
         self._children = [_Child(name=each, part=part) for each, part in parts]
         self._clock = clock
         self._policy = policy
+        self._dispensable = dispensable
         self._stopping = threading.Event()
         self._wait = wait or self._stopping.wait
         self._restarts_s: deque[float] = deque()
@@ -170,19 +178,28 @@
             self._restart(child, now_s)
 
     def _plan_restart(self, child: _Child, now_s: float) -> None:
-        self._restarts_s.append(now_s)
-        while self._restarts_s[0] < now_s - self._policy.window_s:
-            self._restarts_s.popleft()
-        if len(self._restarts_s) > self._policy.restarts_max:
+        if child.name not in self._dispensable and self._died_too_often(now_s):
             log.error("giving up", supervisor=self.name, part=child.name)
             self.gave_up = True
             self._stop_parts()
             return
-        delay_s = self._policy.backoff_min_s * 2**child.failures
+        child.restart_at_s = now_s + self._delay_s(child)
         child.failures += 1
-        child.restart_at_s = now_s + min(delay_s, self._policy.backoff_max_s)
         log.warning("part died", supervisor=self.name, part=child.name)
 
+    def _died_too_often(self, now_s: float) -> bool:
+        self._restarts_s.append(now_s)
+        while self._restarts_s[0] < now_s - self._policy.window_s:
+            self._restarts_s.popleft()
+        return len(self._restarts_s) > self._policy.restarts_max
+
+    def _delay_s(self, child: _Child) -> float:
+        # A part that is restarted for days would double past what a float holds.
+        doublings = min(child.failures, DOUBLINGS_MAX)
+        return min(
+            self._policy.backoff_min_s * 2**doublings, self._policy.backoff_max_s
+        )
+
     def _restart(self, child: _Child, now_s: float) -> None:
         self._stop_one(child)
         try:
