Wait for the last log lines without a thread of its own

A process that ends by itself waits until its last lines are written. The wait started a thread to join the queue; refused by the system ("can't start new thread"), it raised, and the process's end after it didn't come: a stop stayed until the platform killed it.

The queue's own condition is waited on with the time limit instead. The scenario makes starts of threads fail; before, the wait raised RuntimeError.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -22,3 +22,8 @@
     the log says how many when there is room again.
     When a daemon logs 6,000 lines to a pipe that nobody reads
     Then each took less than 100 ms, and the pipe's reader learns how many are missing
+
+  Scenario: The last lines are waited for when the system grants no thread
+    The wait failed, and the process that was to end after it stayed.
+    When a daemon that gets no more threads logs a line, and waits for it
+    Then the line was written, and the next wait ends although its reader stalls
--- a/features/steps/logs_steps.py
+++ b/features/steps/logs_steps.py
@@ -2,6 +2,7 @@
 import json
 import os
 import time
+from unittest import mock
 
 import logbook
 from behave import then, when
@@ -107,3 +108,23 @@
         if numbers > 6000:
             break
     assert left_out is not None and 0 < left_out < 6000, left_out
+
+
+@when("a daemon that gets no more threads logs a line, and waits for it")
+def step_drain_without_thread(context):
+    reader, writer = os.pipe()
+    context.add_cleanup(os.close, reader)
+    context.stream = BoundedStream(os.fdopen(writer, "w"))
+    refused = RuntimeError("can't start new thread")
+    with mock.patch("threading._start_new_thread", side_effect=refused):
+        context.stream.write("last line\n")
+        context.stream.drain(10.0)
+        context.read = os.read(reader, 100)
+        # More than a pipe holds.
+        context.stream.write("x" * 200_000)
+        context.stream.drain(0.1)
+
+
+@then("the line was written, and the next wait ends although its reader stalls")
+def step_drained(context):
+    assert context.read == b"last line\n", context.read
--- a/lavenderspoke/observing/logs.py
+++ b/lavenderspoke/observing/logs.py
@@ -101,11 +101,12 @@
 
     def drain(self, timeout_s: float) -> None:
         """Wait until what is queued has been written, but no longer."""
-        done = threading.Event()
-        threading.Thread(
-            target=lambda: (self._lines.join(), done.set()), daemon=True
-        ).start()
-        done.wait(timeout_s)
+        # `Queue.join` with a time limit. A thread that joins could be refused by the
+        # system, and the process waits for this before it ends.
+        with self._lines.all_tasks_done:
+            self._lines.all_tasks_done.wait_for(
+                lambda: not self._lines.unfinished_tasks, timeout_s
+            )
 
     def _run(self) -> None:
         while True:
