Start the thread of the stop before it is needed

What callers saw, or would: streams cut off when an entry that gets no more threads is told to stop. The signal's handler started the thread that drains; refused, the error ended the main thread instead, and the process stayed, without supervisor or drain, until it is killed.

Change: the thread starts with the entry and waits to be told. It is one more sleeping thread, with a stack of half a megabyte that isn't touched.

The test runs a real entry through a stand-in that has Python refuse threads beyond a number that may change, since the system's own limit counts a user's other processes and doesn't bind the superuser.

--- a/features/refused_resources.feature
+++ b/features/refused_resources.feature
@@ -19,3 +19,11 @@
     When the entry is started again where the link's library gets no thread
     Then streams through it come whole until the link was tried 8 times
     And it lives, and its log says the cause once
+
+  Scenario: The system refuses a thread when the entry is told to stop
+    The stop was lost with its thread, and the streams with the main one.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    And model upstreams that send an event every 200 ms
+    And the entry was started again, and gets no more threads from here on
+    When the entry gets SIGTERM while 4 streams run
+    Then all streams come whole and it ends by itself within 8 s
--- a/features/steps/refused_resources_steps.py
+++ b/features/steps/refused_resources_steps.py
@@ -2,9 +2,11 @@
 
 import os
 import signal
+import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 
 from features.platformstage import expected_stream
 from standins.platformdeployment import WAIT_S
@@ -78,3 +80,59 @@
     assert process.alive(), process.output()
     lines = [line for line in process.output().splitlines() if "NoMemory" in line]
     assert len(lines) == 1, process.output()
+
+
+def start_with_threads(context, count: int) -> None:
+    """Start the entry again with so many threads granted."""
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    context.threads = platform.stage.directory / "threads"
+    context.threads.write_text(str(count))
+    words = (sys.executable, "-m", "standins.fewthreads", str(context.threads))
+    context.entry = platform.start_again("entry-1", before=words)
+
+
+@when("the entry is started again with {count:d} threads granted")
+def step_few_threads(context, count):
+    start_with_threads(context, count)
+
+
+@given("the entry was started again, and gets no more threads from here on")
+def step_no_more_threads(context):
+    start_with_threads(context, 1000)
+    wait_until(context.entry.ready, WAIT_S, "ready")
+    # Served without a run: its threads are there.
+    assert context.platform.send("entry-1", "/no-route").status == 404
+    context.threads.write_text("0")
+
+
+@then("its log says once that threads were refused")
+def step_refused_once(context):
+    output = context.entry.process.output()
+    lines = [each for each in output.splitlines() if '"threads refused"' in each]
+    assert len(lines) == 1 and "can't start new thread" in lines[0], output
+
+
+@when("{count:d} threads more are granted, and {streams:d} streams are asked for")
+def step_more_threads(context, count, streams):
+    platform = context.platform
+    context.threads.write_text(str(int(context.threads.read_text()) + count))
+    with ThreadPoolExecutor(streams) as pool:
+        sent = [
+            pool.submit(platform.send, "entry-1", "/stream/1", body=b"%d" % number)
+            for number in range(streams)
+        ]
+    context.answers = [each.result() for each in sent]
+
+
+@then("all of them come whole")
+def step_all_come(context):
+    for answer in context.answers:
+        assert answer.whole and answer.body == expected_stream(10), answer
+
+
+@then("it ends with status 1, and its log says the refusal")
+def step_ends_refused(context):
+    process = context.entry.process
+    assert process.wait(WAIT_S) == 1, process.output()
+    assert "can't start new thread" in process.output(), process.output()
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -108,6 +108,7 @@
         )
         self._peers = PeerLink(load=self._load_gossip)
         self._feeds: Feeds | None = None
+        self._told_to_stop = threading.Event()
         self._supervisor: Supervisor | None = None
 
     def ready(self) -> bool:
@@ -185,6 +186,9 @@
             dispensable=frozenset({"peers"}),
         )
         log.info("starting", entry=self.me.name, incarnation=self.me.incarnation)
+        # Started before it is needed: the system may refuse a thread by then, and the
+        # stop would be lost with it.
+        threading.Thread(target=self._drain, name="drain", daemon=True).start()
         for stop in STOP_SIGNALS:
             signal.signal(stop, self._on_stop)
             # One that came while the process was loaded is delivered now.
@@ -197,10 +201,11 @@
         # A signal handler must return at once.
         if not self._app.draining:
             self._app.draining = True
-            threading.Thread(target=self._drain, name="drain", daemon=True).start()
+            self._told_to_stop.set()
 
     def _drain(self) -> None:
-        """Finish what came before the balancer turned away, then stop."""
+        """Once told to, finish what came before the balancer turned away, and stop."""
+        self._told_to_stop.wait()
         started_s = self.clock.monotonic_s()
         turned_away_s = started_s + TURNED_AWAY_S
         latest_s = started_s + self.office.bounds.grace_s - STOP_MARGIN_S
