Serve with the threads that the system grants

What callers saw, or would: an entry that is ready by its own word, takes connections, and answers none, for good.

Cause: a server of which the system refuses one thread keeps those that it has started to itself. The error ended the start, the supervisor and the main thread; the orphaned threads kept the process, its port, and the readiness server, whose feeds went on as well.

Change: the pool takes as many threads as there are, leaves eight to the rest of the process, and says the cause once. What it has no thread for is refused as before, after a second; while such a caller waits, the pool tries for eight more, at most once a second after another refusal.

The test's entry has 24 threads granted. Before, its request ran into the time limit of 20 s although it said that it was ready. Without the later tries it ends in a 503.

--- a/features/refused_resources.feature
+++ b/features/refused_resources.feature
@@ -20,6 +20,16 @@
     Then streams through it come whole until the link was tried 8 times
     And it lives, and its log says the cause once
 
+  Scenario: The system refuses most threads of an entry that starts
+    It stayed with its port open, said that it was ready, and served nobody.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    And model upstreams that send an event every 200 ms
+    When the entry is started again with 24 threads granted
+    Then it lives, is ready and serves
+    And its log says once that threads were refused
+    When 1000 threads more are granted, and 8 streams are asked for
+    Then all of them come whole
+
   Scenario: The system refuses a thread when the entry is told to stop
     The stop was lost with its thread, and the streams with the main one.
     Given a platform with an entry, two model upstreams and two desk upstreams
--- a/features/steps/refused_resources_steps.py
+++ b/features/steps/refused_resources_steps.py
@@ -128,7 +128,8 @@
 @then("all of them come whole")
 def step_all_come(context):
     for answer in context.answers:
-        assert answer.whole and answer.body == expected_stream(10), answer
+        output = context.entry.process.output()
+        assert answer.whole and answer.body == expected_stream(10), (answer, output)
 
 
 @then("it ends with status 1, and its log says the refusal")
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -19,6 +19,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from lavenderspoke.http import problempage
+from lavenderspoke.http.workers import WorkerPool
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 
@@ -294,11 +295,14 @@
         super().__init__(
             (host, port),
             app,
-            numthreads=threads,
-            max=threads,
             server_name="lavenderspoke",
             request_queue_size=BACKLOG_CONNECTIONS,
             timeout=SOCKET_TIMEOUT_S,
+        )
+        self.requests = WorkerPool(
+            self,
+            min=threads,
+            max=threads,
             accepted_queue_size=ACCEPTED_QUEUE_CONNECTIONS,
             accepted_queue_timeout=0,
         )
@@ -351,6 +355,7 @@
         while not self._has_thread():
             if not self.ready or time.monotonic() >= conn.thread_wanted_until_s:
                 return False
+            self.requests.grow_back()
             time.sleep(THREAD_POLL_S)
         return True
 
