--- /dev/null
+++ b/features/steps/refused_resources_steps.py
@@ -0,0 +1,139 @@
+"""Steps about native crashes, and about threads and memory that are refused."""
+
+import os
+import signal
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from features.platformstage import expected_stream
+from standins.platformdeployment import WAIT_S
+from standins.processes import wait_until
+
+# An entry that has started has more.
+THREADS_ALL = 120
+# A library's own threads take the system's stack, which is all of the address space
+# here; the entry's have a small one.
+SPACE_BYTES = 4 * 1024**3
+NO_NATIVE_THREADS = (
+    "MALLOC_ARENA_MAX=1",
+    "prlimit",
+    f"--stack={SPACE_BYTES}",
+    f"--as={SPACE_BYTES}",
+)
+
+
+@when("the entry gets SIGILL")
+def step_sigill(context):
+    context.entry = context.platform.entries["entry-1"]
+    pid = context.entry.process.pid
+    wait_until(lambda: threads_of(pid) > THREADS_ALL, WAIT_S, "all threads run")
+    os.kill(pid, signal.SIGILL)
+
+
+def threads_of(pid: int) -> int:
+    """Return how many threads a process has."""
+    return len(os.listdir(f"/proc/{pid}/task"))
+
+
+@then("it ends by that signal, and standard error has the stack of its thread")
+def step_stack(context):
+    process = context.entry.process
+    assert process.wait(WAIT_S) == -signal.SIGILL, process.output()
+    output = process.output()
+    assert "Fatal Python error: Illegal instruction" in output, output
+    for line in ("(most recent call first)", "/supervisor.py", "/direct/daemon.py"):
+        assert line in output, output
+
+
+@when("the entry is started again with standard error closed")
+def step_no_stderr(context):
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    platform.start_again("entry-1", before=("sh", "-c", 'exec "$@" 2>&-', "sh"))
+
+
+@when("the entry is started again where the link's library gets no thread")
+def step_no_link_threads(context):
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    context.entry = platform.start_again("entry-1", before=NO_NATIVE_THREADS)
+    wait_until(context.entry.ready, WAIT_S, "ready without a link")
+
+
+@then("streams through it come whole until the link was tried {count:d} times")
+def step_streams_without_link(context, count):
+    process = context.entry.process
+    give_up_s = time.monotonic() + 2 * WAIT_S
+    while process.output().count('"part died"') < count:
+        assert process.alive(), process.output()
+        answer = context.platform.send("entry-1", "/stream/1", body=b"prompt")
+        assert answer.whole and answer.body == expected_stream(), answer
+        assert time.monotonic() < give_up_s, process.output()
+
+
+@then("it lives, and its log says the cause once")
+def step_cause_once(context):
+    process = context.entry.process
+    assert process.alive(), process.output()
+    lines = [line for line in process.output().splitlines() if "NoMemory" in line]
+    assert len(lines) == 1, process.output()
+
+
+def start_with_threads(context, count: int) -> None:
+    """Start the entry again with so many threads granted."""
+    platform = context.platform
+    platform.entries["entry-1"].process.kill()
+    context.threads = platform.stage.directory / "threads"
+    context.threads.write_text(str(count))
+    words = (sys.executable, "-m", "standins.fewthreads", str(context.threads))
+    context.entry = platform.start_again("entry-1", before=words)
+
+
+@when("the entry is started again with {count:d} threads granted")
+def step_few_threads(context, count):
+    start_with_threads(context, count)
+
+
+@given("the entry was started again, and gets no more threads from here on")
+def step_no_more_threads(context):
+    start_with_threads(context, 1000)
+    wait_until(context.entry.ready, WAIT_S, "ready")
+    # Served without a run: its threads are there.
+    assert context.platform.send("entry-1", "/no-route").status == 404
+    context.threads.write_text("0")
+
+
+@then("its log says once that threads were refused")
+def step_refused_once(context):
+    output = context.entry.process.output()
+    lines = [each for each in output.splitlines() if '"threads refused"' in each]
+    assert len(lines) == 1 and "can't start new thread" in lines[0], output
+
+
+@when("{count:d} threads more are granted, and {streams:d} streams are asked for")
+def step_more_threads(context, count, streams):
+    platform = context.platform
+    context.threads.write_text(str(int(context.threads.read_text()) + count))
+    with ThreadPoolExecutor(streams) as pool:
+        sent = [
+            pool.submit(platform.send, "entry-1", "/stream/1", body=b"%d" % number)
+            for number in range(streams)
+        ]
+    context.answers = [each.result() for each in sent]
+
+
+@then("all of them come whole")
+def step_all_come(context):
+    for answer in context.answers:
+        output = context.entry.process.output()
+        assert answer.whole and answer.body == expected_stream(10), (answer, output)
+
+
+@then("it ends with status 1, and its log says the refusal")
+def step_ends_refused(context):
+    process = context.entry.process
+    assert process.wait(WAIT_S) == 1, process.output()
+    assert "can't start new thread" in process.output(), process.output()
