Start the drain in the test of the stop, as an entry's run does

The drain's thread now starts with the entry and waits to be told; the test calls the signal's handler without running the entry, so it starts that thread itself.

--- a/features/steps/direct_stop_steps.py
+++ b/features/steps/direct_stop_steps.py
@@ -92,6 +92,7 @@
 
     def stop(self) -> None:
         """Tell it to stop, and let the time pass in which it takes requests."""
+        threading.Thread(target=self.entry._drain, daemon=True).start()
         self.entry._on_stop(signal.SIGTERM, None)
         looks = self.clock.looks
         wait_for(lambda: self.clock.looks > looks + 1, "the drain has begun")
