End an entry that can't go on, so that it is started again

What callers saw, or would: an entry whose start failed for want of a thread stayed, with its port open and nobody behind it. Callers ran into their time limits instead of going elsewhere.

Cause: the error went through the main thread, and the interpreter waits at its end for the servers' threads, which wait for callers.

Change: the cause goes into the log, the last lines are written, and the process ends with status 1 at once. At a start nothing streams yet; later only a fault of the supervisor itself comes here.

The test's entries get 4, 5 and 13 threads, where a part other than the callers' pool is refused.

--- a/features/refused_resources.feature
+++ b/features/refused_resources.feature
@@ -30,6 +30,18 @@
     When 1000 threads more are granted, and 8 streams are asked for
     Then all of them come whole
 
+  Scenario Outline: The system refuses threads that an entry can't do without
+    Its servers' threads kept the process from ending, and its port from the next.
+    Given a platform with an entry, two model upstreams and two desk upstreams
+    When the entry is started again with <count> threads granted
+    Then it ends with status 1, and its log says the refusal
+
+    Examples:
+      | count |
+      | 4     |
+      | 5     |
+      | 13    |
+
   Scenario: The system refuses a thread when the entry is told to stop
     The stop was lost with its thread, and the streams with the main one.
     Given a platform with an entry, two model upstreams and two desk upstreams
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -193,10 +193,20 @@
             signal.signal(stop, self._on_stop)
             # One that came while the process was loaded is delivered now.
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {stop})
-        status = self._supervisor.run()
+        status = self._supervise()
         log.info("stopped", entry=self.me.name, status=status)
         return status
 
+    def _supervise(self) -> int:
+        try:
+            return self._supervisor.run()
+        except Exception:
+            # Returning would wait for threads of the servers, which wait for callers:
+            # the process would stay, and hold its port without serving it.
+            log.exception("the entry can't go on")
+            self._flush()
+            os._exit(1)
+
     def _on_stop(self, number: int, frame: object) -> None:
         # A signal handler must return at once.
         if not self._app.draining:
