Close what a link has opened when the system refuses its thread

The link to the other entries listens before it starts its two threads. Refused one, it raised with the socket open, which held the address until the interpreter happened to collect the garbage: each try until then failed, for another reason than the first.

It closes the socket now. In the test the next link's start failed with AddressInUse before, for either thread.

--- a/features/refused_resources.feature
+++ b/features/refused_resources.feature
@@ -49,3 +49,14 @@
     And the entry was started again, and gets no more threads from here on
     When the entry gets SIGTERM while 4 streams run
     Then all streams come whole and it ends by itself within 8 s
+
+  Scenario Outline: The system refuses a thread of the link to the other entries
+    What had been opened stayed open, so that the next try found its address taken.
+    Given a link to the other entries whose thread <number> is refused
+    When it fails to start
+    Then another one starts on its address
+
+    Examples:
+      | number |
+      | 1      |
+      | 2      |
--- a/features/steps/refused_resources_steps.py
+++ b/features/steps/refused_resources_steps.py
@@ -1,16 +1,23 @@
 """Steps about native crashes, and about threads and memory that are refused."""
 
+import itertools
 import os
 import signal
 import sys
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
 from behave import given, then, when
 
 from features.platformstage import expected_stream
+from lavenderspoke.direct.gossip import Gossip
+from lavenderspoke.direct.settings import Address
+from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
 from standins.platformdeployment import WAIT_S
-from standins.processes import wait_until
+from standins.processes import HOST, free_port, wait_until
 
 # An entry that has started has more.
 THREADS_ALL = 120
@@ -137,3 +144,49 @@
     process = context.entry.process
     assert process.wait(WAIT_S) == 1, process.output()
     assert "can't start new thread" in process.output(), process.output()
+
+
+def make_link(port: int) -> Gossip:
+    """Return a link to the other entries that has nothing to tell."""
+    return Gossip(
+        me=InstanceId(name="entry-1", incarnation="a1"),
+        listen=Address(host=HOST, port=port),
+        office=mock.Mock(gone_peers=list),
+        talk=mock.Mock(tick=list, farewell=list),
+        metrics=Metrics(),
+        on_records=lambda sender, message: None,
+    )
+
+
+@given("a link to the other entries whose thread {number:d} is refused")
+def step_link_refused(context, number):
+    context.port = free_port()
+    context.link = make_link(context.port)
+    granted = threading._start_new_thread
+    starts = itertools.count(1)
+
+    def start(*arguments):
+        if next(starts) == number:
+            raise RuntimeError("can't start new thread")
+        return granted(*arguments)
+
+    context.refusing = mock.patch("threading._start_new_thread", start)
+
+
+@when("it fails to start")
+def step_link_fails(context):
+    with context.refusing:
+        try:
+            context.link.start()
+        except RuntimeError as error:
+            assert "can't start new thread" in str(error), error
+        else:
+            raise AssertionError("it started")
+
+
+@then("another one starts on its address")
+def step_link_starts(context):
+    link = make_link(context.port)
+    link.start()
+    context.add_cleanup(link.stop)
+    assert link.alive()
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -60,8 +60,14 @@
         """Listen, and begin to tell."""
         self._stopping.clear()
         self._transport.start()
-        self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
-        self._thread.start()
+        thread = threading.Thread(target=self._run, name="gossip", daemon=True)
+        try:
+            thread.start()
+        except RuntimeError:
+            # Left open, it would hold the address against the next try.
+            self._transport.close()
+            raise
+        self._thread = thread
 
     def stop(self) -> None:
         """Tell the others that this entry leaves, and hang up."""
--- a/lavenderspoke/transport.py
+++ b/lavenderspoke/transport.py
@@ -79,18 +79,22 @@
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
-        """Listen, and receive on a thread; raises pynng.NNGException."""
+        """Listen, and receive on a thread.
+
+        Raises pynng.NNGException, and RuntimeError when the system refuses the thread.
+        """
         self._pull = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
         self._pull.recv_max_size = MESSAGE_BYTES_MAX
         try:
             self._pull.listen(self._listen_address)
-        except pynng.NNGException:
+            thread = threading.Thread(
+                target=self._receive, name="transport", daemon=True
+            )
+            thread.start()
+        except (pynng.NNGException, RuntimeError):
             self._pull.close()
             raise
-        self._thread = threading.Thread(
-            target=self._receive, name="transport", daemon=True
-        )
-        self._thread.start()
+        self._thread = thread
 
     @property
     def address(self) -> str:
