Move service documents into a room of their own

Moved to lavenderspoke/documents: documents (now fold, as it folds the stream), edits, history, publisher, service, carrying.

--- a/bench/driven.py
+++ b/bench/driven.py
@@ -7,11 +7,18 @@
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.agentevents import DocumentInForce, Joined
 from lavenderspoke.core import Received, Tick
+from lavenderspoke.documents.service import (
+    Customer,
+    Kind,
+    Service,
+    Tier,
+    Upstreams,
+    Waiting,
+)
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
 from lavenderspoke.entryevents import Arrived
 from lavenderspoke.gateway import Arrival, Sending
 from lavenderspoke.model import Call, InstanceId
-from lavenderspoke.service import Customer, Kind, Service, Tier, Upstreams, Waiting
 from lavenderspoke.slots import FixedLimit
 
 TIERS = (1, 2, 3)
--- a/bench/points.py
+++ b/bench/points.py
@@ -17,12 +17,12 @@
 from lavenderspoke import messages
 from lavenderspoke.affinity import PrefixSketch
 from lavenderspoke.agentevents import DocumentInForce, RunBody, RunEnded, RunHead
+from lavenderspoke.documents.service import parse_service
 from lavenderspoke.envelope import Envelope
 from lavenderspoke.messagecodec import CODEC
 from lavenderspoke.messages import Piece
 from lavenderspoke.model import Head
 from lavenderspoke.roster import Join, Roster, encode as encode_roster
-from lavenderspoke.service import parse_service
 from lavenderspoke.transport import Transport
 from lavenderspoke.waiting import WaitingQueue, WaitingRequest
 
--- a/features/calls.py
+++ b/features/calls.py
@@ -1,7 +1,14 @@
 """Documents and requests for scenarios that drive the policy by hand."""
 
+from lavenderspoke.documents.service import (
+    Customer,
+    Kind,
+    Prefixes,
+    Service,
+    Tier,
+    Upstreams,
+)
 from lavenderspoke.model import Call
-from lavenderspoke.service import Customer, Kind, Prefixes, Service, Tier, Upstreams
 from lavenderspoke.waiting import WaitingRequest
 
 TIERS = {"report": 1, "position": 2, "alert": 3}
--- a/features/corebag.py
+++ b/features/corebag.py
@@ -20,15 +20,7 @@
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
-from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
-from lavenderspoke.envelope import Envelope
-from lavenderspoke.following import FollowingTimes
-from lavenderspoke.gateway import Arrival, Sending
-from lavenderspoke.joining import Joining
-from lavenderspoke.model import Call, Head, InstanceId
-from lavenderspoke.platformlog import LogUnavailable
-from lavenderspoke.rosterfeed import RosterFeed
-from lavenderspoke.service import (
+from lavenderspoke.documents.service import (
     Customer,
     Keys,
     Kind,
@@ -38,6 +30,14 @@
     Upstreams,
     Waiting,
 )
+from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
+from lavenderspoke.envelope import Envelope
+from lavenderspoke.following import FollowingTimes
+from lavenderspoke.gateway import Arrival, Sending
+from lavenderspoke.joining import Joining
+from lavenderspoke.model import Call, Head, InstanceId
+from lavenderspoke.platformlog import LogUnavailable
+from lavenderspoke.rosterfeed import RosterFeed
 from lavenderspoke.slots import FixedLimit
 
 SERVICE = "narrative"
--- a/features/fakegateway.py
+++ b/features/fakegateway.py
@@ -3,10 +3,17 @@
 import hashlib
 
 from lavenderspoke.answers import AnswerQueue
+from lavenderspoke.documents.service import (
+    Customer,
+    Kind,
+    Service,
+    Tier,
+    Upstreams,
+    Waiting,
+)
 from lavenderspoke.gateway import AnswerBody, AnswerBroken, AnswerEnd
 from lavenderspoke.model import Head, Ran
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.service import Customer, Kind, Service, Tier, Upstreams, Waiting
 
 CREDENTIAL = "open-sesame"
 BODY_BYTES_MAX = 20_000
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -6,13 +6,13 @@
 
 from features.helper import fuzz
 from features.memorylog import MemoryLog, document
-from lavenderspoke.documents import DocumentFold
-from lavenderspoke.edits import (
+from lavenderspoke.documents.edits import (
     DocumentRecord,
     DocumentSnapshot,
     encode_edit,
     encode_snapshot,
 )
+from lavenderspoke.documents.fold import DocumentFold
 
 STREAM = "services"
 
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -4,17 +4,17 @@
 from result import Err
 
 from features.helper import stage_of
-from lavenderspoke.documents import InForce
-from lavenderspoke.httpupstream import ModelUpstream
-from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.ordering import Ordering
-from lavenderspoke.service import (
+from lavenderspoke.documents.fold import InForce
+from lavenderspoke.documents.service import (
     Kind,
     LabelOrder,
     Service,
     Tier,
     Upstreams,
 )
+from lavenderspoke.httpupstream import ModelUpstream
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.ordering import Ordering
 from lavenderspoke.upstream import OrderAction, UpstreamBroken
 from standins.processes import get_json
 
--- a/features/steps/properties_steps.py
+++ b/features/steps/properties_steps.py
@@ -7,10 +7,10 @@
 from features.corebag import SERVICE, BagSettings, CoreBag
 from features.helper import fuzz
 from lavenderspoke.core import Received
+from lavenderspoke.documents.service import Kind
 from lavenderspoke.messages import Floor, Grant, Refused
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Reason
-from lavenderspoke.service import Kind
 
 COMMON = {
     "flow": 8,
--- a/features/steps/publisher_steps.py
+++ b/features/steps/publisher_steps.py
@@ -1,10 +1,10 @@
 from behave import given, then, when
 
 from features.memorylog import MemoryLog, document
-from lavenderspoke import publisher
 from lavenderspoke.clock import ManualClock
-from lavenderspoke.history import DocumentHistory
-from lavenderspoke.publisher import Published, Publisher, begin
+from lavenderspoke.documents import publisher
+from lavenderspoke.documents.history import DocumentHistory
+from lavenderspoke.documents.publisher import Published, Publisher, begin
 
 
 def publish(context, author, text, base):
--- a/features/steps/reference_steps.py
+++ b/features/steps/reference_steps.py
@@ -6,8 +6,8 @@
 
 from lavenderspoke import callerheaders
 from lavenderspoke.config import AgentSettings, EntrySettings
+from lavenderspoke.documents.service import Service
 from lavenderspoke.problems import STATUS, Reason
-from lavenderspoke.service import Service
 from standins.processes import ROOT
 
 
--- a/features/steps/retention_steps.py
+++ b/features/steps/retention_steps.py
@@ -8,9 +8,10 @@
 from features.helper import JSON, fuzz
 from features.memorylog import MemoryLog, document
 from lavenderspoke.clock import SystemClock
-from lavenderspoke.documents import DocumentFold
-from lavenderspoke.edits import encode_edit, new_edit
-from lavenderspoke.history import DocumentHistory
+from lavenderspoke.documents.edits import encode_edit, new_edit
+from lavenderspoke.documents.fold import DocumentFold
+from lavenderspoke.documents.history import DocumentHistory
+from lavenderspoke.documents.publisher import PublishConflict, Publisher
 from lavenderspoke.http.client import ANSWER_BYTES_MAX
 from lavenderspoke.platformlog import (
     SERVICES_STREAM,
@@ -18,7 +19,6 @@
     LogRecord,
     LogUnavailable,
 )
-from lavenderspoke.publisher import PublishConflict, Publisher
 from standins.deployment import Deployment
 from standins.processes import ROOT, wait_until
 
--- a/features/steps/service_steps.py
+++ b/features/steps/service_steps.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from features.helper import fuzz
-from lavenderspoke.service import parse_service
+from lavenderspoke.documents.service import parse_service
 
 TEXTS = {
     "empty": "",
--- a/lavenderspoke/admission.py
+++ b/lavenderspoke/admission.py
@@ -4,10 +4,10 @@
 
 import attrs
 
+from lavenderspoke.documents.service import Customer, Service
 from lavenderspoke.drain import DrainRate
 from lavenderspoke.model import Call, Ran
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.service import Customer, Service
 from lavenderspoke.waiting import WaitingQueue
 
 RETRY_AFTER_MIN_S = 1.0
--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -9,12 +9,12 @@
 from lavenderspoke.agentruns import AgentRuns
 from lavenderspoke.core import Count, Received, Send, Tick
 from lavenderspoke.dispatching import PUSHED
+from lavenderspoke.documents.service import Service
 from lavenderspoke.leaving import Leaving
 from lavenderspoke.ledger import Ledger, Run, Verdict
 from lavenderspoke.model import InstanceId, Standing
 from lavenderspoke.outbox import Outbox, split
 from lavenderspoke.pulling import Puller
-from lavenderspoke.service import Service
 from lavenderspoke.slots import FixedLimit, Limit
 from lavenderspoke.straggler import PullCaution
 
--- a/lavenderspoke/agentevents.py
+++ b/lavenderspoke/agentevents.py
@@ -2,9 +2,9 @@
 
 import attrs
 
+from lavenderspoke.documents.service import Service
 from lavenderspoke.model import Call, Head, InstanceId
 from lavenderspoke.roster import RosterRecord
-from lavenderspoke.service import Service
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/arrivals.py
+++ b/lavenderspoke/arrivals.py
@@ -14,12 +14,12 @@
 
 from lavenderspoke import callerheaders, modelrequest
 from lavenderspoke.callerheaders import CallerHeaders
+from lavenderspoke.documents.service import Customer, Kind, Service, Tier
 from lavenderspoke.gateway import Arrival, Gateway
 from lavenderspoke.http.callerrequest import CallerRequest
 from lavenderspoke.model import Call, Ran
 from lavenderspoke.prefix import prefix_hashes
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.service import Customer, Kind, Service, Tier
 
 BYTES_PER_TOKEN = 4
 NO_DOCUMENT_RETRY_S = 1.0
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -19,7 +19,7 @@
 
 from lavenderspoke import fieldrules, schema, yamlnodes
 from lavenderspoke.dispatching import Dispatching
-from lavenderspoke.service import Kind
+from lavenderspoke.documents.service import Kind
 from lavenderspoke.util import Mistake, UserError, is_http_url
 
 DEFAULTS_FILE = "config_default.yaml"
--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -18,7 +18,7 @@
 from lavenderspoke.core import Count, Observe, Received, Send
 from lavenderspoke.directory import Directory
 from lavenderspoke.documentfeed import DocumentFeed
-from lavenderspoke.documents import DocumentFold
+from lavenderspoke.documents.fold import DocumentFold
 from lavenderspoke.envelope import Envelope
 from lavenderspoke.loop import Core, CoreLoop
 from lavenderspoke.memberlist import HttpMemberList
--- a/lavenderspoke/documentfeed.py
+++ b/lavenderspoke/documentfeed.py
@@ -9,11 +9,11 @@
 
 from lavenderspoke.agentevents import DocumentInForce
 from lavenderspoke.clock import Clock
-from lavenderspoke.documents import DocumentChange, DocumentFold, InForce
-from lavenderspoke.edits import READ_LIMIT
+from lavenderspoke.documents.edits import READ_LIMIT
+from lavenderspoke.documents.fold import DocumentChange, DocumentFold, InForce
+from lavenderspoke.documents.service import Service
 from lavenderspoke.messages import DocumentRelay
 from lavenderspoke.platformlog import SERVICES_STREAM, Log
-from lavenderspoke.service import Service
 
 log = logbook.Logger(__name__)
 
--- a/lavenderspoke/edits.py
+++ b/lavenderspoke/documents/edits.py
@@ -10,8 +10,8 @@
 import attrs
 from result import Err, Ok, Result
 
+from lavenderspoke.documents.service import Service, parse_service
 from lavenderspoke.jsoncodec import decode, encode
-from lavenderspoke.service import Service, parse_service
 
 DOCUMENT_BYTES_MAX = 256 * 1024
 NO_VERSION = 0
--- a/lavenderspoke/documents.py
+++ b/lavenderspoke/documents/fold.py
@@ -28,8 +28,8 @@
 
 import attrs
 
-from lavenderspoke.carrying import CarryTimer
-from lavenderspoke.edits import (
+from lavenderspoke.documents.carrying import CarryTimer
+from lavenderspoke.documents.edits import (
     NO_VERSION,
     AcceptedDocument,
     DocumentRecord,
@@ -39,8 +39,8 @@
     encode_snapshot,
     read_document,
 )
+from lavenderspoke.documents.service import Service
 from lavenderspoke.platformlog import FIRST_OFFSET, LogPage, LogRecord
-from lavenderspoke.service import Service
 
 CONFLICTS_KEPT = 100
 RECORD_IDS_KEPT = 1000
--- a/lavenderspoke/history.py
+++ b/lavenderspoke/documents/history.py
@@ -7,8 +7,8 @@
 import attrs
 from result import Err, Ok, Result
 
-from lavenderspoke.documents import Conflict, DocumentFold, InForce
-from lavenderspoke.edits import READ_LIMIT
+from lavenderspoke.documents.edits import READ_LIMIT
+from lavenderspoke.documents.fold import Conflict, DocumentFold, InForce
 from lavenderspoke.platformlog import SERVICES_STREAM, Log, LogError
 
 
--- a/lavenderspoke/publisher.py
+++ b/lavenderspoke/documents/publisher.py
@@ -13,8 +13,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.documents import InForce
-from lavenderspoke.edits import (
+from lavenderspoke.documents.edits import (
     DOCUMENT_BYTES_MAX,
     NO_VERSION,
     DocumentRecord,
@@ -23,14 +22,15 @@
     encode_snapshot,
     new_edit,
 )
-from lavenderspoke.history import DocumentHistory
+from lavenderspoke.documents.fold import InForce
+from lavenderspoke.documents.history import DocumentHistory
+from lavenderspoke.documents.service import parse_service
 from lavenderspoke.platformlog import (
     SERVICES_STREAM,
     Log,
     LogOutcomeUnknown,
     LogUnavailable,
 )
-from lavenderspoke.service import parse_service
 from lavenderspoke.util import Mistake
 
 ATTEMPTS_MAX = 4
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -10,6 +10,7 @@
 from lavenderspoke.agentevents import DocumentInForce, Exit
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
 from lavenderspoke.dispatching import PUSHED, Dispatching, EntryPolicy, choose
+from lavenderspoke.documents.service import Kind, Service
 from lavenderspoke.following import Following, FollowingTimes
 from lavenderspoke.gateway import AnswerBroken, Sending
 from lavenderspoke.intake import Intake
@@ -18,7 +19,6 @@
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.roster import Roster
-from lavenderspoke.service import Kind, Service
 from lavenderspoke.servicemessages import ServiceMessages
 from lavenderspoke.servicestate import ServiceState
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
--- a/lavenderspoke/entrygateway.py
+++ b/lavenderspoke/entrygateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from lavenderspoke.answers import AnswerQueue
+from lavenderspoke.documents.service import Service
 from lavenderspoke.entryevents import Arrived, CallerGone
 from lavenderspoke.gateway import (
     AnswerBroken,
@@ -12,7 +13,6 @@
     Arrival,
 )
 from lavenderspoke.problems import Problem
-from lavenderspoke.service import Service
 
 LAST_PARTS = (AnswerEnd, AnswerBroken, Problem)
 
--- a/lavenderspoke/fairness.py
+++ b/lavenderspoke/fairness.py
@@ -18,7 +18,7 @@
 import attrs
 from sortedcontainers import SortedKeyList, SortedList
 
-from lavenderspoke.service import Prefixes
+from lavenderspoke.documents.service import Prefixes
 
 # A request of this many tokens may be overtaken by those that arrive up to a
 # second after it.
--- a/lavenderspoke/gateway.py
+++ b/lavenderspoke/gateway.py
@@ -5,9 +5,9 @@
 
 import attrs
 
+from lavenderspoke.documents.service import Service
 from lavenderspoke.model import Call, Head
 from lavenderspoke.problems import Problem
-from lavenderspoke.service import Service
 
 
 class Sending(enum.Enum):
--- a/lavenderspoke/keyclaims.py
+++ b/lavenderspoke/keyclaims.py
@@ -5,13 +5,13 @@
 import attrs
 
 from lavenderspoke.core import Count
+from lavenderspoke.documents.service import Service
 from lavenderspoke.entryevents import Finish, ReadRoster
 from lavenderspoke.gateway import Sending
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.resend import Claims, Outcome, ResendRound
 from lavenderspoke.roster import Roster
-from lavenderspoke.service import Service
 from lavenderspoke.tracked import Phase, Tracked
 
 # A first send whose round could not be finished waits on after this long; at
--- a/lavenderspoke/ordering.py
+++ b/lavenderspoke/ordering.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from lavenderspoke.documentfeed import DocumentFeed
-from lavenderspoke.documents import InForce
+from lavenderspoke.documents.fold import InForce
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.orders import NextOrder, next_order
 from lavenderspoke.upstream import OrderFenced, Upstream
--- a/lavenderspoke/orders.py
+++ b/lavenderspoke/orders.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from lavenderspoke.service import Service
+from lavenderspoke.documents.service import Service
 from lavenderspoke.upstream import Order, OrderState
 
 
--- a/lavenderspoke/reports.py
+++ b/lavenderspoke/reports.py
@@ -3,8 +3,8 @@
 from collections import Counter
 
 from lavenderspoke.agentcore import AgentCore
+from lavenderspoke.documents.service import Service
 from lavenderspoke.entrycore import EntryCore
-from lavenderspoke.service import Service
 from lavenderspoke.tracked import Phase
 
 
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -6,12 +6,12 @@
 from lavenderspoke.affinity import PrefixSketch
 from lavenderspoke.demand import DemandTeller
 from lavenderspoke.dispatching import EntryPolicy
+from lavenderspoke.documents.service import Service
 from lavenderspoke.drain import DrainRate
 from lavenderspoke.messages import Grant, Pull, PullDone
 from lavenderspoke.model import InstanceId
 from lavenderspoke.poison import CrashLedger
 from lavenderspoke.retrybudget import RetryAllowance
-from lavenderspoke.service import Service
 from lavenderspoke.shedding import FloorKeeper
 from lavenderspoke.tracked import Tracked
 from lavenderspoke.views import AgentView
--- a/lavenderspoke/shedding.py
+++ b/lavenderspoke/shedding.py
@@ -26,9 +26,9 @@
 import attrs
 
 from lavenderspoke.core import Send
+from lavenderspoke.documents.service import Service
 from lavenderspoke.messages import Floor, FloorHeld
 from lavenderspoke.model import InstanceId
-from lavenderspoke.service import Service
 
 LEASE_S = 2.0
 # The part of the lease that the holder uses; it renews after RENEW_PART.
--- a/lavenderspoke/ui/services.py
+++ b/lavenderspoke/ui/services.py
@@ -10,15 +10,15 @@
 
 import typer
 
-from lavenderspoke import publisher
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.config import read_text
-from lavenderspoke.documents import InForce
-from lavenderspoke.edits import NO_VERSION
-from lavenderspoke.history import DocumentHistory
+from lavenderspoke.documents import publisher
+from lavenderspoke.documents.edits import NO_VERSION
+from lavenderspoke.documents.fold import InForce
+from lavenderspoke.documents.history import DocumentHistory
+from lavenderspoke.documents.publisher import Publisher
+from lavenderspoke.documents.service import parse_service
 from lavenderspoke.platformlog import HttpLog
-from lavenderspoke.publisher import Publisher
-from lavenderspoke.service import parse_service
 from lavenderspoke.statuspages import spread_of
 from lavenderspoke.ui.common import (
     EXIT_CODES,
--- a/lavenderspoke/upstreamruns.py
+++ b/lavenderspoke/upstreamruns.py
@@ -15,9 +15,9 @@
 from result import Err
 
 from lavenderspoke import agentevents as events
+from lavenderspoke.documents.service import Kind
 from lavenderspoke.model import Call, Head
 from lavenderspoke.runselector import RunSelector
-from lavenderspoke.service import Kind
 from lavenderspoke.upstream import (
     Run,
     RunEvent,
--- a/lavenderspoke/waiting.py
+++ b/lavenderspoke/waiting.py
@@ -11,9 +11,9 @@
 import attrs
 from sortedcontainers import SortedList
 
+from lavenderspoke.documents.service import Service
 from lavenderspoke.fairness import Item, TierQueue, order_s
 from lavenderspoke.model import Call
-from lavenderspoke.service import Service
 
 ANYONE = ""
 ANY_TIER = 0
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -14,7 +14,7 @@
 import urllib3
 import yaml
 
-from lavenderspoke.edits import encode_edit, new_edit
+from lavenderspoke.documents.edits import encode_edit, new_edit
 from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
 from standins.processes import (
     HOST,
--- a/standins/statuspage.py
+++ b/standins/statuspage.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lavenderspoke.documents import DocumentFold
+from lavenderspoke.documents.fold import DocumentFold
 from lavenderspoke.platformlog import SERVICES_STREAM, HttpLog
 from standins import server
 from standins.server import Reply, Request, json_reply
