Test that no arrow leads back to a room, and name the documents' room on the pages

The test of rooms looked at direct imports alone: a module below that imports the room again, itself or by way of others, went unseen. Each room's example now asks that too, and the documents' room has an example. The contributors' guide named schema.py for the metadata that lies in fieldrules.py, and the package's comment called it flat.

As trials, util importing documents.service fails it ("documents -> util -> documents"), and so does edits importing messages.

--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -4,11 +4,13 @@
 
   Scenario Outline: What a room imports
     Then "lavenderspoke/<room>" imports nothing of the project but "<below>"
+    And nothing that "lavenderspoke/<room>" imports leads back to it
 
     Examples:
       | room      | below                                                                  |
       | http      | http model problems                                                    |
       | observing | problems                                                               |
+      | documents | documents clock fieldrules jsoncodec platformlog poison retrybudget schema upstream util yamlnodes |
       | direct    | direct http observing clock codec envelope model poison problems retrybudget stopsignals supervisor transport |
       | platform  | platform direct http observing clock model periodic stopsignals strict supervisor util |
 
--- a/features/steps/rooms_steps.py
+++ b/features/steps/rooms_steps.py
@@ -37,6 +37,28 @@
     assert not wrong, wrong
 
 
+def imported_below(name: str) -> set[str]:
+    """Return what a room or module right below the package imports of others."""
+    room = ROOT / PACKAGE / name
+    paths = room.glob("*.py") if room.is_dir() else [room.with_suffix(".py")]
+    names = set().union(*(imported(path) for path in paths if path.exists()))
+    return names - {name}
+
+
+@then('nothing that "{room}" imports leads back to it')
+def step_no_way_back(context, room):
+    name = pathlib.PurePath(room).name
+    assert any((ROOT / room).glob("*.py")), f"no room {room}"
+    ways = {below: [below] for below in imported_below(name)}
+    due = list(ways)
+    while due:
+        at = due.pop()
+        assert at != name, " -> ".join([name, *ways[at]])
+        for below in imported_below(at) - ways.keys():
+            ways[below] = [*ways[at], below]
+            due.append(below)
+
+
 @then('no other room imports "{room}"')
 def step_edge(context, room):
     importing = [
