Move the checker of YAML into a room of its own

Moved to lavenderspoke/checking: fieldrules, scalars, schema, yamlnodes. The room imports util alone, and has its example in the test of rooms.

--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -10,7 +10,8 @@
       | room      | below                                                                  |
       | http      | http model problems                                                    |
       | observing | problems                                                               |
-      | documents | documents clock fieldrules jsoncodec platformlog poison retrybudget schema upstream util yamlnodes |
+      | checking  | checking util                                                          |
+      | documents | documents checking clock jsoncodec platformlog poison retrybudget upstream util |
       | direct    | direct http observing clock codec envelope model poison problems retrybudget stopsignals supervisor transport |
       | platform  | platform direct http observing clock model periodic stopsignals strict supervisor util |
 
--- a/lavenderspoke/scalars.py
+++ b/lavenderspoke/checking/scalars.py
@@ -8,7 +8,7 @@
 import attrs
 import yaml
 
-from lavenderspoke.yamlnodes import TAG
+from lavenderspoke.checking.yamlnodes import TAG
 
 MISSING = object()
 
--- a/lavenderspoke/schema.py
+++ b/lavenderspoke/checking/schema.py
@@ -19,9 +19,9 @@
 import yaml
 from result import Err, Ok, Result
 
-from lavenderspoke.scalars import MISSING, allowed_for, read_scalar
+from lavenderspoke.checking.scalars import MISSING, allowed_for, read_scalar
+from lavenderspoke.checking.yamlnodes import TAG, describe, key_of
 from lavenderspoke.util import Mistake
-from lavenderspoke.yamlnodes import TAG, describe, key_of
 
 
 def read(node: yaml.Node, cls: type, path: str = "") -> Result[typing.Any, list]:
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -17,7 +17,7 @@
 import yaml
 from result import Err, Ok, Result
 
-from lavenderspoke import fieldrules, schema, yamlnodes
+from lavenderspoke.checking import fieldrules, schema, yamlnodes
 from lavenderspoke.dispatching import Dispatching
 from lavenderspoke.documents.service import Kind
 from lavenderspoke.util import Mistake, UserError, is_http_url
--- a/lavenderspoke/documents/service.py
+++ b/lavenderspoke/documents/service.py
@@ -5,7 +5,7 @@
 import attrs
 from result import Result
 
-from lavenderspoke import fieldrules, schema, yamlnodes
+from lavenderspoke.checking import fieldrules, schema, yamlnodes
 from lavenderspoke.poison import Poison
 from lavenderspoke.retrybudget import RetryBudget
 from lavenderspoke.upstream import OrderAction
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lavenderspoke import fieldrules
+from lavenderspoke.checking import fieldrules
 
 CRASHES_MAX = 256
 ANSWERED_MAX = 4096
--- a/lavenderspoke/retrybudget.py
+++ b/lavenderspoke/retrybudget.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lavenderspoke import fieldrules
+from lavenderspoke.checking import fieldrules
 
 # First tries count towards the budget for about this long.
 TIME_CONSTANT_S = 10.0
