Count the store's calls by topic and reason

Change: `store_calls` counts each read and append by topic and reason. A page of the newest records beyond the first isn't counted by itself.

--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -8,6 +8,7 @@
 from behave import given, step, then, when
 from result import Err, Ok
 
+from lavenderspoke.direct.feed import CALLS, CallReason
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.messages import RecordsAsked, RecordsTold
 from lavenderspoke.direct.records import Forgotten, KeyedRecord, Records, StoreError
@@ -116,6 +117,7 @@
         self.name = name
         self.upstreams: tuple = ()
         self.in_force = InForce(clock=world, key_age_max_s=KEY_AGE_MAX_S)
+        self.metrics = Metrics()
         self._world = world
         self.relay = Relay(
             peering=Peering(
@@ -136,6 +138,7 @@
                 store=store,
                 clock=world,
                 relay=self.relay,
+                metrics=self.metrics,
                 apply_s=APPLY_S,
                 in_force=self.in_force,
                 on_change=lambda catalog: None,
@@ -146,7 +149,7 @@
                 clock=world,
                 relay=self.relay,
                 drain_s=DRAIN_S,
-                metrics=Metrics(),
+                metrics=self.metrics,
                 on_change=self._on_upstreams,
             )
 
@@ -206,6 +209,21 @@
     context.world.run(seconds)
 
 
+@then("each entry counted all its calls of the store, and why: {reasons}")
+def step_counted(context, reasons):
+    seen = set()
+    for name, entry in context.world.entries.items():
+        counts = {
+            reason.value: entry.metrics.counter(
+                CALLS, f"{entry.feed.topic}:{reason.value}"
+            )
+            for reason in CallReason
+        }
+        assert sum(counts.values()) == context.world.calls[name], (name, counts)
+        seen |= {reason for reason, count in counts.items() if count}
+    assert seen == set(reasons.split(", ")), seen
+
+
 @when("the reads of the first {count:d} entries get stuck")
 def step_stuck(context, count):
     context.world.stuck = set(list(context.world.entries)[:count])
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -233,12 +233,12 @@
         clock=SystemClock(),
         random=Random(1),
     )
-    common = dict(store=NoStore(), clock=SystemClock(), relay=relay)
+    common = dict(
+        store=NoStore(), clock=SystemClock(), relay=relay, metrics=Metrics()
+    )
     in_force = InForce(clock=SystemClock(), key_age_max_s=4.0)
     return [
-        UpstreamsFeed(
-            drain_s=2.0, metrics=Metrics(), on_change=lambda new: None, **common
-        ),
+        UpstreamsFeed(drain_s=2.0, on_change=lambda new: None, **common),
         EntriesFeed(
             name="e",
             whereabouts=Whereabouts(address="tcp://127.0.0.1:1"),
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -50,6 +50,14 @@
     And no entry sent another more than 9 KB
     And the entries that asked called the store at most 4 times each
 
+  Scenario: Calls of the store are counted by their reason
+    Guards against calls that the price shows and nothing in an entry explains.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the operator writes version 2 with 300 routes, and 1.5 s pass
+    And the store turns away the first 2 entries for 3 s
+    Then each entry counted all its calls of the store, and why: first, reader, too_large, retry, stale
+
   Scenario: A large configuration at an entry that the store turns away
     Given 6 entries before a store with a configuration
     And the entries follow it for 20 s
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -6,6 +6,7 @@
 """
 
 import threading
+from enum import Enum
 
 import logbook
 from result import Err
@@ -13,13 +14,28 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.records import Forgotten, Records, RecordStore, StoreError
 from lavenderspoke.direct.relay import Relay, Shelf
+from lavenderspoke.observing.metrics import Metrics
 
 # Pause after a call that failed, in seconds.
 RETRY_PAUSE_S = 0.2
+CALLS = "store_calls"
 
 log = logbook.Logger(__name__)
 
 
+class CallReason(Enum):
+    """Why an entry calls the store in place of asking another entry."""
+
+    FIRST = "first"
+    FORGOTTEN = "forgotten"
+    RETRY = "retry"
+    ALONE = "alone"
+    READER = "reader"
+    TOO_LARGE = "too_large"
+    STALE = "stale"
+    OWN_RECORD = "own_record"
+
+
 class Feed:
     """A feed follows one topic on a thread of its own.
 
@@ -33,11 +49,14 @@
     stale_s = 0.0
     ask_s = 0.0
 
-    def __init__(self, *, store: RecordStore, clock: Clock, relay: Relay):
+    def __init__(
+        self, *, store: RecordStore, clock: Clock, relay: Relay, metrics: Metrics
+    ):
         self.shelf = Shelf()
         self._store = store
         self._clock = clock
         self._relay = relay
+        self._metrics = metrics
         self._from_newest = True
         self._failing = False
         self._read_next = False
@@ -68,6 +87,7 @@
 
     def poll(self) -> bool:
         """Read once and pass on what came; return whether that was of use."""
+        self._count_call(self._read_reason())
         self._read_next = False
         sent_s = self._clock.monotonic_s()
         whole = self._from_newest
@@ -151,6 +171,21 @@
             return False
         return self._fresh_for_s() > 0.0
 
+    def _read_reason(self) -> CallReason:
+        if self._failing:
+            return CallReason.RETRY
+        if self._from_newest:
+            known = self.shelf.next_offset is not None
+            return CallReason.FORGOTTEN if known else CallReason.FIRST
+        if self._relay.is_alone():
+            return CallReason.ALONE
+        if not self._relay.follows():
+            return CallReason.READER
+        return CallReason.TOO_LARGE if self._read_next else CallReason.STALE
+
+    def _count_call(self, reason: CallReason) -> None:
+        self._metrics.count(CALLS, f"{self.topic}:{reason.value}")
+
     def _fresh_for_s(self) -> float:
         """Return how long what is known may still be relied on, in seconds."""
         return self.stale_s - self.shelf.age_s(self._clock.monotonic_s())
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -170,6 +170,10 @@
             log.info("store is read", by="other entries" if following else "itself")
         return following
 
+    def is_alone(self) -> bool:
+        """Return whether no other entry was heard just now."""
+        return not self._peering.heard()
+
     def is_asked(self) -> bool:
         """Return whether others rely on what this entry reads.
 
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -10,7 +10,7 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog
-from lavenderspoke.direct.feed import Feed
+from lavenderspoke.direct.feed import CallReason, Feed
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.records import Records
@@ -84,11 +84,12 @@
         store: Store,
         clock: Clock,
         relay: Relay,
+        metrics: Metrics,
         apply_s: float,
         in_force: InForce,
         on_change: Callable[[Catalog], None],
     ):
-        super().__init__(store=store, clock=clock, relay=relay)
+        super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self.stale_s = apply_s * CONFIGURATION_STALE_PART
         self.ask_s = apply_s * CONFIGURATION_ASK_PART
         self._apply_s = apply_s
@@ -138,11 +139,11 @@
         store: Store,
         clock: Clock,
         relay: Relay,
-        drain_s: float,
         metrics: Metrics,
+        drain_s: float,
         on_change: Callable[[tuple[Upstream, ...]], None],
     ):
-        super().__init__(store=store, clock=clock, relay=relay)
+        super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self.stale_s = drain_s * UPSTREAMS_STALE_PART
         self.ask_s = drain_s * UPSTREAMS_ASK_PART
         self._drain_s = drain_s
@@ -207,11 +208,12 @@
         store: Store,
         clock: Clock,
         relay: Relay,
+        metrics: Metrics,
         name: str,
         whereabouts: Whereabouts,
         on_change: Callable[[dict[str, Whereabouts]], None],
     ):
-        super().__init__(store=store, clock=clock, relay=relay)
+        super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self._name = name
         self._whereabouts = whereabouts
         self._on_change = on_change
@@ -221,6 +223,7 @@
         """Write this entry's record until that has worked, then read on."""
         if not self._known:
             value = json.dumps(attrs.asdict(self._whereabouts)).encode()
+            self._count_call(CallReason.OWN_RECORD)
             appended = self._store.append(self.topic, self._name, value)
             if isinstance(appended, Err):
                 self._failed(appended.err_value)
@@ -253,6 +256,7 @@
     def leave(self) -> None:
         """Drop this entry's record; when that fails, its silence tells the others."""
         self.stop()
+        self._count_call(CallReason.OWN_RECORD)
         left = self._store.append(self.topic, self._name, None)
         if isinstance(left, Err):
             log.info("record not dropped", error=left.err_value.detail)
