Read several large configurations at once when they come in quick succession

Cause: an entry that was told "too large" read the store at once, for each version.

Change: it reads once the read that brought it the last version is 0.3 of the bound old (0.6 s), so a single version is still read at once. While it waits it asks nobody.

Why it keeps the bounds: what an entry knows rests on a read from before any version that it misses, so that is in force 0.6 s and one read later; the age from which knowledge counts as stale (0.7) holds as before, and so do the ages of keys. An entry that the store turns away takes the versions in full from another one, as before; while the answers of others bring none it tries each 0.2 s. Upstreams and entries' records are read as before.

Ruled out: a wait of 0.65 of the bound, with which an entry that gets no answer has a version in force after 2.05 s in the driven test. Not tried: passing large configurations on in full, by the relay's own comment on small links, or compressed.

Tests: three scenarios. Two failed before (60 calls by each entry that asks; 11 to 16 now). The third holds the bound where the store doesn't answer (1.0 s at most seen; it passed before too, and fails at 0.65). The fake store now ends a waiting read when there is news, a driven entry's pause ends when the feed is woken, and a read without an answer takes its time: without these the fake hid the reads.

Left: the retries.

--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -21,6 +21,7 @@
     ConfigurationFeed,
     UpstreamsFeed,
 )
+from lavenderspoke.platform.store import ANSWER_S
 from standins.platformdeployment import configuration, route
 
 KEY_AGE_MAX_S = 4.6
@@ -39,6 +40,7 @@
         self.forgotten_before = 0
         self.turned_away: set[str] = set()
         self.cut_off: set[str] = set()
+        self.unanswered: set[str] = set()
         self.stuck: set[str] = set()
         self.calls: dict[str, int] = {}
         self.largest_bytes = 0
@@ -69,6 +71,8 @@
         records = self.topics.setdefault(topic, [])
         data = None if value is None else json.dumps(value).encode()
         records.append(KeyedRecord(key=key, value=data, offset=len(records)))
+        for entry in self.entries.values():
+            entry.end_wait()
 
     def send(self, sender: str, name: str, message) -> None:
         if isinstance(message, RecordsTold):
@@ -77,6 +81,7 @@
         if not {sender, name} & self.cut_off:
             who = InstanceId(name=sender, incarnation="1")
             self.entries[name].relay.heard(who, message)
+            self.entries[name].end_pause()
 
 
 class FakeStore:
@@ -119,6 +124,9 @@
         self.in_force = InForce(clock=world, key_age_max_s=KEY_AGE_MAX_S)
         self.metrics = Metrics()
         self._world = world
+        self._turning = False
+        self._turns = 0
+        self._held = False
         self.relay = Relay(
             peering=Peering(
                 name=name,
@@ -156,15 +164,49 @@
     def _on_upstreams(self, upstreams) -> None:
         self.upstreams = upstreams
 
+    def end_pause(self) -> None:
+        """Take the next turn at once if the feed's thread would be woken."""
+        if self._turning or not self.feed._wake.is_set():
+            return
+        self.feed._wake.clear()
+        self._turn_in(CALL_S)
+
+    def end_wait(self) -> None:
+        """Read again at once if the store holds a read back: there is news."""
+        if self._held:
+            self._turn_in(CALL_S)
+
+    def _turn_in(self, seconds: float) -> None:
+        self._turns += 1
+        number = self._turns
+        self._world.at(
+            self._world.now_s + seconds,
+            lambda: self.turn() if number == self._turns else None,
+        )
+
     def turn(self) -> None:
         if self.name in self._world.stuck:
             return
         calls = self._world.calls[self.name]
+        self._turning = True
         pause_s = self.feed.turn()
         read = self._world.calls[self.name] > calls
         # The fake answers at once where the store would hold a read back.
         held_s = self.feed._wait_s() if read else 0.0
-        self._world.at(self._world.now_s + max(CALL_S, pause_s + held_s), self.turn)
+        self._held = held_s > 0.0
+        if read and self.name in self._world.unanswered:
+            self._world.at(
+                self._world.now_s + ANSWER_S, lambda: self._end_turn(pause_s)
+            )
+        else:
+            self._end_turn(pause_s + held_s)
+
+    def _end_turn(self, pause_s: float) -> None:
+        self._turning = False
+        if self.feed._wake.is_set():
+            self.feed._wake.clear()
+            pause_s = 0.0
+        self._turn_in(max(CALL_S, pause_s))
 
 
 @given("{count:d} entries before a store with a configuration")
@@ -231,12 +273,25 @@
 
 @when("the operator writes a version each {gap_s:g} s from {first:d} to {last:d}")
 def step_succession(context, gap_s, first, last):
+    succession(context, gap_s, first, last)
+
+
+@when(
+    "the operator writes a version with {count:d} routes each {gap_s:g} s "
+    "from {first:d} to {last:d}"
+)
+def step_large_succession(context, count, gap_s, first, last):
+    routes = [route(f"r{n}", "idempotent", "desk") for n in range(count)]
+    succession(context, gap_s, first, last, routes)
+
+
+def succession(context, gap_s, first, last, routes=None) -> None:
     world = context.world
     context.written_s, context.in_force_s = {}, {}
     for version in range(first, last + 1):
         world.at(
             world.now_s + (version - first) * gap_s,
-            lambda version=version: write_version(context, version),
+            lambda version=version: write_version(context, version, routes),
         )
     for _ in range(round(((last - first) * gap_s + 3.0) / STEP_S)):
         world.run(STEP_S)
@@ -246,9 +301,9 @@
                 context.in_force_s.setdefault((name, version), world.now_s)
 
 
-def write_version(context, version: int) -> None:
+def write_version(context, version: int, routes: list | None = None) -> None:
     context.written_s[version] = context.world.now_s
-    content = configuration(version)
+    content = configuration(version, routes=routes)
     context.world.append(CONFIGURATION_TOPIC, "config", content)
 
 
@@ -300,6 +355,17 @@
         context.stale |= {n for n, e in world.entries.items() if not e.in_force.fresh()}
 
 
+@when("the store turns away the last {count:d} entries from now on")
+def step_turned_away_on(context, count):
+    context.world.turned_away = set(list(context.world.entries)[-count:])
+
+
+@when("the store gives the last {count:d} entries no answer from now on")
+def step_unanswered(context, count):
+    step_turned_away_on(context, count)
+    context.world.unanswered = context.world.turned_away
+
+
 @then("all may honour keys all the while")
 def step_never_stale(context):
     assert not context.stale, context.stale
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -50,6 +50,31 @@
     And no entry sent another more than 9 KB
     And the entries that asked called the store at most 4 times each
 
+  Scenario: Large configurations come in quick succession
+    Guards against every entry reading every version because none can be passed on.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the operator writes a version with 300 routes each 0.1 s from 2 to 61
+    Then each was in force within 1.7 s at all 6 entries
+    And the entries that asked called the store at most 20 times each
+
+  Scenario: Large configurations in quick succession while the store turns some away
+    Guards against entries that call a store that turns them away for every version.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the store turns away the last 2 entries from now on
+    And the operator writes a version with 300 routes each 0.1 s from 2 to 61
+    Then each was in force within 1.7 s at all 6 entries
+    And the entries that asked called the store at most 30 times each
+
+  Scenario: Large configurations in quick succession without answers for some
+    Guards against versions that come too late because a read waits for its answer.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When the store gives the last 2 entries no answer from now on
+    And the operator writes a version with 300 routes each 0.1 s from 2 to 61
+    Then each was in force within 1.9 s at all 6 entries
+
   Scenario: Calls of the store are counted by their reason
     Guards against calls that the price shows and nothing in an entry explains.
     Given 6 entries before a store with a configuration
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -41,13 +41,16 @@
 
     `stale_s` is how old its knowledge may get, in seconds, before it reads the
     store although other entries do; `ask_s` is the time between two questions to
-    them. The others are told of `urgent` news at once.
+    them. The others are told of `urgent` news at once. `reread_s` is how old the
+    last news may get, in seconds, before it reads those that are too large to be
+    passed on.
     """
 
     topic = ""
     urgent = False
     stale_s = 0.0
     ask_s = 0.0
+    reread_s = 0.0
 
     def __init__(
         self, *, store: RecordStore, clock: Clock, relay: Relay, metrics: Metrics
@@ -60,6 +63,8 @@
         self._from_newest = True
         self._failing = False
         self._read_next = False
+        # When the read was sent that brought the last records.
+        self._news_s = float("-inf")
         # Own reads and other entries' answers are taken in on different threads.
         self._taking = threading.Lock()
         self._stopping = threading.Event()
@@ -119,9 +124,13 @@
         self._take(content, whole=whole, sent_s=sent_s)
 
     def read_soon(self) -> None:
-        """Read the store now, in place of the next question to another entry."""
-        self._read_next = True
-        self._wake.set()
+        """Read the store once `reread_s` allows it, in place of the next question.
+
+        In a quick succession of large versions, one read brings several of them.
+        """
+        if not self._read_next:
+            self._read_next = True
+            self._wake.set()
 
     def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
         """Take records in; `whole` when they are the newest of every key.
@@ -138,6 +147,8 @@
             if not self.take(content, whole=whole, sent_s=sent_s):
                 return False
             self.shelf.put(content, whole=whole, sent_s=sent_s)
+            if content.records:
+                self._news_s = max(self._news_s, sent_s)
             self._from_newest = False
             return True
 
@@ -155,8 +166,9 @@
     def turn(self) -> float:
         """Learn what is new and return the pause after it in seconds."""
         if self._relies_on_others():
-            self._relay.ask_reader(self.topic)
-            return min(self.ask_s, self._fresh_for_s())
+            if not self._read_next:
+                self._relay.ask_reader(self.topic)
+            return min(self.ask_s, self._relies_for_s())
         if self._failing:
             # The store may turn this entry away and serve others; their answers
             # come while its own read waits for its time to run out.
@@ -167,9 +179,16 @@
         return max(RETRY_PAUSE_S, self._period_s())
 
     def _relies_on_others(self) -> bool:
-        if self._from_newest or self._read_next or not self._relay.follows():
+        if self._from_newest or not self._relay.follows():
             return False
-        return self._fresh_for_s() > 0.0
+        return self._relies_for_s() > 0.0
+
+    def _relies_for_s(self) -> float:
+        """Return how long it may go on without a read of its own, in seconds."""
+        if not self._read_next:
+            return self._fresh_for_s()
+        news_age_s = self._clock.monotonic_s() - self._news_s
+        return min(self._fresh_for_s(), self.reread_s - news_age_s)
 
     def _read_reason(self) -> CallReason:
         if self._failing:
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -41,6 +41,11 @@
 # rests on a read from before any news that it misses, so these are in force by then
 # and one read of its own, whatever the entries do that it asked.
 CONFIGURATION_STALE_PART = 0.7
+# Age of the last version from which a follower reads one that is too large to be
+# passed on, as a part of the same time: what it knows rests on a read from before that
+# one, so it is in force by then and one read. Below what others may rely on, since an
+# entry that the store turns away gets it from one that has read it.
+CONFIGURATION_REREAD_PART = 0.3
 # Time between two reads of the upstreams, as a part of the time in which one that
 # leaves must get its last request: one read, its answer and a request under way
 # fit in. A read that waits would return at each heartbeat of each upstream, and
@@ -92,6 +97,7 @@
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self.stale_s = apply_s * CONFIGURATION_STALE_PART
         self.ask_s = apply_s * CONFIGURATION_ASK_PART
+        self.reread_s = apply_s * CONFIGURATION_REREAD_PART
         self._apply_s = apply_s
         self._in_force = in_force
         self._on_change = on_change
