--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -233,9 +233,7 @@
         clock=SystemClock(),
         random=Random(1),
     )
-    common = dict(
-        store=NoStore(), clock=SystemClock(), relay=relay, metrics=Metrics()
-    )
+    common = dict(store=NoStore(), clock=SystemClock(), relay=relay, metrics=Metrics())
     in_force = InForce(clock=SystemClock(), key_age_max_s=4.0)
     return [
         UpstreamsFeed(drain_s=2.0, on_change=lambda new: None, **common),
