--- a/features/suite.py
+++ b/features/suite.py
@@ -85,20 +85,6 @@
     ]
 
 
-def failures(report: list[dict]) -> list[str]:
-    """Return what the failed steps of a report said; the progress format drops it."""
-    said = []
-    for feature in report:
-        for element in feature.get("elements", []):
-            for step in element.get("steps", []):
-                result = step.get("result", {})
-                if result.get("status") in ("failed", "error"):
-                    message = result.get("error_message", "")
-                    text = message if isinstance(message, str) else "\n".join(message)
-                    said.append(f"{element['name']}: {step['name']}\n{text}")
-    return said
-
-
 def weight(feature: pathlib.Path) -> int:
     """Return how long a feature takes, roughly: its scenarios and outlines' rows."""
     lines = feature.read_text().splitlines()
@@ -112,7 +98,8 @@
         formats = ["--format", "json", "--outfile", report.name]
         done = subprocess.run(
             [sys.executable, "-m", "behave", *formats]
-            + ["--format", "progress", str(feature.relative_to(ROOT))],
+            # Unlike the report, this one tells why a step ended in an error.
+            + ["--format", "progress3", str(feature.relative_to(ROOT))],
             cwd=ROOT,
             capture_output=True,
             text=True,
@@ -120,10 +107,7 @@
         text = pathlib.Path(report.name).read_text()
     # Printed in one piece, so that features that run side by side don't mix.
     print(done.stdout + done.stderr, flush=True)
-    content = json.loads(text) if text.strip() else []
-    for said in failures(content):
-        print(said, flush=True)
-    found = scenarios(content)
+    found = scenarios(json.loads(text) if text.strip() else [])
     return found, done.returncode == 0
 
 
