--- /dev/null
+++ b/lavenderspoke/rollouts/places.py
@@ -0,0 +1,25 @@
+"""The places of a service's upstreams by version."""
+
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Places:
+    """The places of a service's upstreams by version: in all, and taken."""
+
+    slots: Mapping[str, int] = attrs.field(factory=dict)
+    held: Mapping[str, int] = attrs.field(factory=dict)
+
+    def target_slots(self, target: str) -> int:
+        """Return the places at a roll-out's target."""
+        return self.slots.get(target, 0)
+
+    def other_slots(self, target: str) -> int:
+        """Return the places at all other versions."""
+        return sum(count for each, count in self.slots.items() if each != target)
+
+    def other_held(self, target: str) -> int:
+        """Return the places that are taken at all other versions."""
+        return sum(count for each, count in self.held.items() if each != target)
