--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -32,7 +32,15 @@
 class Entry:
     """An entry's decisions, with its part in the talk."""
 
-    def __init__(self, *, name: str, data_centre: str, clock: ManualClock, seed: int):
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        clock: ManualClock,
+        seed: int,
+        upstreams: tuple[Upstream, ...] = (UPSTREAM,),
+    ):
         self.me = InstanceId(name=name, incarnation="1")
         self.whereabouts = Whereabouts(
             address=f"tcp://{name}:1", data_centre=data_centre
@@ -45,7 +53,7 @@
             random=Random(seed),
             metrics=Metrics(),
         )
-        self.office.upstreams_changed((UPSTREAM,))
+        self.office.upstreams_changed(upstreams)
         self.talk = Talk(me=self.me, office=self.office, clock=clock)
         self.is_down = False
 
@@ -72,8 +80,8 @@
             )
             self.entries[entry.me.name] = entry
             begin_s = start_s * number / entries
-            self._at(begin_s, lambda entry=entry: self._start(entry, start_s > 0.0))
-        self._at(LOOK_EVERY_S, self._look)
+            self.at(begin_s, lambda entry=entry: self._start(entry, start_s > 0.0))
+        self.at(LOOK_EVERY_S, self._look)
 
     @property
     def now_s(self) -> float:
@@ -87,6 +95,22 @@
             work()
         self.clock.advance(end_s - self.now_s)
 
+    def restart(self, name: str) -> Entry:
+        """Start an entry anew; it has to learn everything."""
+        before = self.entries[name]
+        before.is_down = True
+        entry = Entry(
+            name=name,
+            data_centre=before.whereabouts.data_centre,
+            clock=self.clock,
+            seed=self._random.randrange(1000),
+        )
+        entry.me = InstanceId(name=name, incarnation=f"{before.me.incarnation}+")
+        entry.talk = Talk(me=entry.me, office=entry.office, clock=self.clock)
+        self.entries[name] = entry
+        self._start(entry, only_earlier=False)
+        return entry
+
     def unheard(self) -> list[tuple[str, str]]:
         """Return pairs of living entries of which one doesn't hear the other."""
         living = {n: e for n, e in self.entries.items() if not e.is_down}
@@ -101,9 +125,9 @@
         if getattr(letter.message, "to_neighbours", False):
             self.passing_on.add(sender.me.name)
         delay_s = delay_s or self._random.uniform(*DELAYS_S)
-        self._at(self.now_s + delay_s, lambda: self._deliver(sender, letter))
+        self.at(self.now_s + delay_s, lambda: self._deliver(sender, letter))
 
-    def _at(self, at_s: float, work) -> None:
+    def at(self, at_s: float, work) -> None:
         heapq.heappush(self._events, (at_s, next(self._numbers), work))
 
     def _start(self, entry: Entry, only_earlier: bool) -> None:
@@ -113,12 +137,14 @@
                 break
             listed[name] = other.whereabouts
         entry.office.peers_listed(listed)
-        self._at(
+        self.at(
             self.now_s + self._random.uniform(0.0, TICK_S), lambda: self._tick(entry)
         )
 
     def _tick(self, entry: Entry) -> None:
-        self._at(self.now_s + TICK_S, lambda: self._tick(entry))
+        if self.entries[entry.me.name] is not entry:
+            return
+        self.at(self.now_s + TICK_S, lambda: self._tick(entry))
         if not entry.is_down:
             for letter in entry.talk.tick():
                 self.send(entry, letter)
@@ -131,7 +157,7 @@
             self.send(entry, further)
 
     def _look(self) -> None:
-        self._at(self.now_s + LOOK_EVERY_S, self._look)
+        self.at(self.now_s + LOOK_EVERY_S, self._look)
         self.looks.append((self.now_s, self.unheard()))
 
 
--- /dev/null
+++ b/features/rolloutdrive.py
@@ -0,0 +1,309 @@
+"""A roll-out over many entries, driven without a network.
+
+Entries decide, tell each other and write records as in the daemon; callers, upstreams
+of two versions and the platform's store are played here.
+"""
+
+import json
+from collections import Counter
+from random import Random
+
+import attrs
+from result import Err, Ok
+
+from features.entryfleet import SERVICE, Entry, Fleet
+from lavenderspoke.direct.catalog import Repeat, Route, Share
+from lavenderspoke.direct.desk import Outcome
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.records import KeyedRecord, Records, StoreError
+from lavenderspoke.direct.scheduler import Dispatch, Ticket
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.platform.rollouts import STATUS_TOPIC, StatusWriter
+from lavenderspoke.platform.store import Conflict
+from lavenderspoke.rollouts.orders import Order
+
+OLD, NEW = "v1", "v2"
+LOOK_EVERY_S = 0.2
+ORDERS_READ_EVERY_S = 0.4
+EVENT_S = 0.02
+# Requests a second by route, and the events of an answer.
+ROUTES = {"briefing": (50.0, 10), "summary": (100.0, 5), "comment": (30.0, 50)}
+SLOTS = 5
+
+
+@attrs.frozen(kw_only=True)
+class Quality:
+    """How a version answers.
+
+    `bad` of its answers fail, or take `slow_times` as long, from `after_s` on, on
+    `route` alone if one is named, and only on upstreams that run `busy_from` requests
+    or more.
+    """
+
+    bad: float = 0.0
+    slow_times: float = 0.0
+    after_s: float = 0.0
+    route: str = ""
+    busy_from: int = 0
+
+
+QUALITIES = {
+    "good": Quality(),
+    "failing in part": Quality(bad=0.3),
+    "slow in part": Quality(bad=0.4, slow_times=6.0),
+    "bad later": Quality(bad=0.4, after_s=4.0),
+    "bad under load": Quality(bad=0.5, busy_from=3),
+    "bad on one route": Quality(bad=0.5, route="comment"),
+}
+
+
+class SharedStore:
+    """The records of one topic, which some entries may not reach."""
+
+    def __init__(self):
+        self.records: list[KeyedRecord] = []
+        self.turned_away: set[str] = set()
+
+    def newest(self) -> Records:
+        newest = {record.key: record for record in self.records}
+        return Records(records=tuple(newest.values()), next_offset=len(self.records))
+
+    def append(self, key: str, value: bytes, end_offset: int | None):
+        if end_offset is not None and end_offset != len(self.records):
+            return Err(Conflict())
+        record = KeyedRecord(key=key, value=value, offset=len(self.records))
+        self.records.append(record)
+        return Ok(None)
+
+
+class StoreOf:
+    """The store as one entry reaches it."""
+
+    def __init__(self, *, shared: SharedStore, name: str):
+        self._shared = shared
+        self._name = name
+
+    def newest(self, topic: str):
+        assert topic == STATUS_TOPIC
+        if self._name in self._shared.turned_away:
+            return Err(StoreError(detail="turned away"))
+        return Ok(self._shared.newest())
+
+    def append(self, topic: str, key: str, value: bytes, *, end_offset=None):
+        assert topic == STATUS_TOPIC
+        if self._name in self._shared.turned_away:
+            return Err(StoreError(detail="turned away"))
+        return self._shared.append(key, value, end_offset)
+
+
+class RolloutDrive:
+    """Plays one roll-out and counts what the new version got."""
+
+    def __init__(self, *, entries: int, quality: Quality, seed: int, load: float = 1.0):
+        self.random = Random(seed)
+        self.quality = quality
+        self.load = load
+        self.store = SharedStore()
+        self.fleet = Fleet(entries=entries, data_centres=min(4, entries))
+        self.requests_sent = 0
+        self.new_sent: list[float] = []
+        self.bad_answers_s: list[float] = []
+        self.running: Counter[str] = Counter()
+        self.ended_at_old_s = 0.0
+        self.order: Order | None = None
+        self.ordered_s = 0.0
+        self.upstreams = [upstream_of(f"old-{n}", OLD) for n in range(29)]
+        self.routes = {name: _route(name) for name in ROUTES}
+        for entry in self.fleet.entries.values():
+            entry.office.upstreams_changed(tuple(self.upstreams))
+            self._follow(entry)
+        for name in ROUTES:
+            self._arrive(name)
+
+    @property
+    def now_s(self) -> float:
+        return self.fleet.now_s
+
+    def state(self) -> str:
+        """Return what operators read."""
+        if not self.store.records:
+            return ""
+        return json.loads(self.store.records[-1].value)["state"]
+
+    def start_new(self) -> None:
+        """Start upstreams of the new version beside the others."""
+        self.upstreams += [upstream_of(f"new-{n}", NEW) for n in range(29)]
+        for entry in self.fleet.entries.values():
+            entry.office.upstreams_changed(tuple(self.upstreams))
+
+    def give_order(self, duration_s: float) -> None:
+        """Give the order, which entries read at different moments."""
+        self.order = Order(service=SERVICE, target=NEW, duration_s=duration_s, number=7)
+        self.ordered_s = self.now_s
+        for entry in self.fleet.entries.values():
+            delay_s = self.random.uniform(0.0, 0.6)
+            self.fleet.at(
+                self.now_s + delay_s,
+                lambda each=entry: each.office.ordered(self.order),
+            )
+
+    def run(self, seconds: float) -> None:
+        self.fleet.run(seconds)
+
+    def new_until(self, at_s: float) -> int:
+        """Return how many requests the new version got until then."""
+        return sum(1 for each in self.new_sent if each <= at_s)
+
+    def after_bad(self, count: int, within_s: float) -> int:
+        """Return the requests that the new version got so long after a bad answer."""
+        if len(self.bad_answers_s) < count:
+            return 0
+        limit_s = self.bad_answers_s[count - 1] + within_s
+        return sum(1 for each in self.new_sent if each > limit_s)
+
+    def restart(self, name: str) -> None:
+        """Start an entry anew that knows nothing; what it ran has been broken off."""
+        old = self.fleet.entries[name]
+        entry = self.fleet.restart(name)
+        entry.office.upstreams_changed(tuple(self.upstreams))
+        old.is_down = True
+        if self.order is not None:
+            entry.office.ordered(self.order)
+        self._follow(entry)
+
+    def _follow(self, entry: Entry) -> None:
+        writer = StatusWriter(
+            store=StoreOf(shared=self.store, name=entry.me.name),
+            clock=self.fleet.clock,
+            metrics=Metrics(),
+            wishes=entry.office.rollout_wishes,
+            stored=entry.office.rollout_stored,
+        )
+        self._look(entry, writer)
+        self._read_orders(entry)
+
+    def _look(self, entry: Entry, writer: StatusWriter) -> None:
+        if not entry.is_down:
+            writer.look()
+        delay_s = LOOK_EVERY_S * self.random.uniform(0.9, 1.1)
+        if self.fleet.entries[entry.me.name] is entry:
+            self.fleet.at(self.now_s + delay_s, lambda: self._look(entry, writer))
+
+    def _read_orders(self, entry: Entry) -> None:
+        if not entry.is_down and entry.me.name not in self.store.turned_away:
+            entry.office.orders_read(self.now_s)
+        if self.fleet.entries[entry.me.name] is entry:
+            self.fleet.at(
+                self.now_s + ORDERS_READ_EVERY_S, lambda: self._read_orders(entry)
+            )
+
+    def _arrive(self, route: str) -> None:
+        per_s, _ = ROUTES[route]
+        gap_s = self.random.expovariate(per_s * self.load)
+        self.fleet.at(self.now_s + gap_s, lambda: self._arrive(route))
+        alive = [each for each in self.fleet.entries.values() if not each.is_down]
+        if self.now_s > 0.0 and alive:
+            self._ask(self.random.choice(alive), route)
+
+    def _ask(self, entry: Entry, route: str) -> None:
+        ticket = Ticket(
+            request_id=f"r{self.random.random()}",
+            service=SERVICE,
+            route=route,
+            rank=(0, 0),
+            prompt_tokens=1000,
+            answer_tokens=ROUTES[route][1],
+            first_s=self.now_s,
+            quiet_since_s=self.now_s,
+            deadline_s=self.now_s + 10.0,
+            target_s=1.0,
+            patience_s=10.0,
+            returned=False,
+            decided=lambda decision: self._decided(entry, ticket, decision),
+        )
+        entry.office.submit(ticket)
+
+    def _decided(self, entry: Entry, ticket: Ticket, decision) -> None:
+        if not isinstance(decision, Dispatch):
+            return
+        upstream = decision.upstream
+        self.running[upstream.upstream_id] += 1
+        if self.order is not None:
+            self.requests_sent += 1
+        if upstream.version == NEW:
+            self.new_sent.append(self.now_s)
+        is_bad = self._is_bad(upstream, ticket.route)
+        times = self.quality.slow_times if is_bad and self.quality.slow_times else 1.0
+        first_s = 0.15 * times * self.random.uniform(0.7, 1.4)
+        whole_s = first_s + ROUTES[ticket.route][1] * EVENT_S * times
+        self.fleet.at(
+            self.now_s + first_s, lambda: self._begin(entry, ticket, upstream)
+        )
+        self.fleet.at(
+            self.now_s + whole_s, lambda: self._end(entry, ticket, upstream, is_bad)
+        )
+
+    def _is_bad(self, upstream: Upstream, route: str) -> bool:
+        quality = self.quality
+        if upstream.version != NEW or self.now_s < self.ordered_s + quality.after_s:
+            return False
+        if quality.route and route != quality.route:
+            return False
+        if self.running[upstream.upstream_id] < quality.busy_from:
+            return False
+        return self.random.random() < quality.bad
+
+    def _begin(self, entry: Entry, ticket: Ticket, upstream: Upstream) -> None:
+        if not entry.is_down:
+            entry.office.began(ticket, upstream)
+
+    def _end(
+        self, entry: Entry, ticket: Ticket, upstream: Upstream, is_bad: bool
+    ) -> None:
+        self.running[upstream.upstream_id] -= 1
+        if upstream.version == OLD:
+            self.ended_at_old_s = self.now_s
+        if is_bad:
+            self.bad_answers_s.append(self.now_s)
+        if entry.is_down:
+            return
+        entry.office.written(ticket, ROUTES[ticket.route][1])
+        failed = is_bad and not self.quality.slow_times
+        outcome = Outcome.FAILED if failed else Outcome.ANSWERED
+        accepted = _Accepted(route=self.routes[ticket.route])
+        entry.office.ended(ticket, upstream, accepted, outcome)
+
+
+@attrs.frozen(kw_only=True)
+class _Accepted:
+    route: Route
+    fingerprint: str = "f"
+
+
+def upstream_of(name: str, version: str) -> Upstream:
+    return Upstream(
+        upstream_id=name,
+        service=SERVICE,
+        host="127.0.0.1",
+        port=1,
+        data_centre="dc-0",
+        slots=SLOTS,
+        version=version,
+    )
+
+
+def _route(name: str) -> Route:
+    return Route(
+        name=name,
+        host="h",
+        path_prefix=f"/{name}/",
+        repeat=Repeat.ONCE,
+        stream=True,
+        resumable=True,
+        timeout_s=10.0,
+        target_s=1.0,
+        patience_s=10.0,
+        rank=0,
+        shares=(Share(service=SERVICE, weight=1.0),),
+        attempts_max=2,
+    )
--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -12,8 +12,9 @@
       | observing | problems                                                               |
       | checking  | checking util                                                          |
       | documents | documents checking clock jsoncodec platformlog poison retrybudget upstream util |
-      | direct    | direct http observing clock codec envelope model poison problems retrybudget stopsignals supervisor transport |
-      | platform  | platform direct http observing clock model periodic stopsignals strict supervisor util |
+      | rollouts  | rollouts                                                               |
+      | direct    | direct http observing clock codec envelope model poison problems retrybudget rollouts stopsignals supervisor transport |
+      | platform  | platform direct http observing clock model periodic rollouts stopsignals strict supervisor util |
 
   Scenario: The adapter to the platform is at the edge
     Nothing but the command that starts it knows of it.
--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -21,6 +21,7 @@
     ConfigurationFeed,
     UpstreamsFeed,
 )
+from lavenderspoke.platform.rollouts import Orders
 from lavenderspoke.platform.store import ANSWER_S
 from standins.platformdeployment import configuration, route
 
@@ -141,6 +142,7 @@
             random=Random(name),
         )
         store = FakeStore(world=world, name=name)
+        self.orders = []
         if feed == "configuration":
             self.feed = ConfigurationFeed(
                 store=store,
@@ -149,7 +151,13 @@
                 metrics=self.metrics,
                 apply_s=APPLY_S,
                 in_force=self.in_force,
+                orders=Orders(
+                    on_order=self.orders.append,
+                    on_withdrawn=lambda service, number: None,
+                    metrics=self.metrics,
+                ),
                 on_change=lambda catalog: None,
+                on_read=lambda sent_s: None,
             )
         else:
             self.feed = UpstreamsFeed(
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -29,6 +29,7 @@
     UpstreamsFeed,
 )
 from lavenderspoke.platform.registry import Registry
+from lavenderspoke.platform.rollouts import Orders
 from standins.processes import HOST
 
 SERVICE = "s"
@@ -244,7 +245,16 @@
             **common,
         ),
         ConfigurationFeed(
-            apply_s=2.0, in_force=in_force, on_change=lambda new: None, **common
+            apply_s=2.0,
+            in_force=in_force,
+            orders=Orders(
+                on_order=lambda order: None,
+                on_withdrawn=lambda service, number: None,
+                metrics=Metrics(),
+            ),
+            on_change=lambda new: None,
+            on_read=lambda sent_s: None,
+            **common,
         ),
     ]
 
@@ -252,7 +262,7 @@
 @then("no bytes given as an upstream's, an entry's or a peer's message raise")
 def step_fuzz(context):
     targets = feeds()
-    keys = strategies.sampled_from(["a", "config"])
+    keys = strategies.sampled_from(["a", "config", "rollout/a"])
     shaped = strategies.dictionaries(
         strategies.sampled_from((*FIELDS, "address")), JSON, max_size=7
     ).map(lambda content: json.dumps(content).encode())
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -185,6 +185,7 @@
         ticket = Ticket(
             request_id=f"{accepted.head.request_id}.{len(self.trail)}",
             service=accepted.service,
+            route=accepted.route.name,
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -10,6 +10,25 @@
 from lavenderspoke.poison import CrashEvidence
 
 
+@attrs.frozen(kw_only=True)
+class RolloutNews:
+    """What an entry saw of a service's roll-out, in all since it started.
+
+    `number` names the order and `stage` how far the entry knows it to be; it has known
+    of it for `elapsed_s`. It sent `requests` to the service, `to_target` of them to the
+    target. `routes` are rows of route, answers of the target and how many of them were
+    bad, and the same of the other versions.
+    """
+
+    service: str
+    number: int
+    stage: int
+    elapsed_s: float = 0.0
+    requests: int = 0
+    to_target: int = 0
+    routes: tuple[tuple[str, int, int, int, int], ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class SharedState:
     """An entry that dispatches directly tells the others what they share.
@@ -18,7 +37,8 @@
     prompt tokens; `waiting` and `held` map service to rows of customer rank, route
     rank and count, of requests in line and at upstreams; `spent` maps customer to
     rows of route rank, what the entry let through since it started and what was asked
-    for, without those customers for which that is known.
+    for, without those customers for which that is known; `rollouts` tells of the
+    services whose version changes.
 
     What has happened since the last message: `refused` are the fingerprints of requests
     refused, whose callers may come back anywhere; `gone` are upstreams at whose address
@@ -35,6 +55,7 @@
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     spent: dict[str, Rows] = attrs.field(factory=dict)
+    rollouts: tuple[RolloutNews, ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.answers import answer_of
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.crashes import CrashWatch
 from lavenderspoke.direct.desk import Accepted, Look, Outcome
@@ -20,6 +21,7 @@
 from lavenderspoke.direct.messages import PassedOn, SharedState
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
+from lavenderspoke.direct.rolling import Rollouts, Wish
 from lavenderspoke.direct.scheduler import (
     RETRY_AFTER_MIN_S,
     RETURN_PART,
@@ -29,6 +31,7 @@
 )
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns, Whereabouts
+from lavenderspoke.direct.surroundings import Surroundings
 from lavenderspoke.direct.suspicions import Suspicions
 from lavenderspoke.direct.usage import Rows
 from lavenderspoke.model import InstanceId, Ran
@@ -36,6 +39,7 @@
 from lavenderspoke.poison import CrashEvidence
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
+from lavenderspoke.rollouts.orders import Order, Stage
 
 # The longest that a customer over its limit is told to wait, in seconds.
 LIMIT_WAIT_MAX_S = 3.0
@@ -84,6 +88,7 @@
     ):
         self.whereabouts = whereabouts
         self.bounds = bounds
+        self._name = name
         self._clock = clock
         self._random = random
         self._metrics = metrics
@@ -108,10 +113,14 @@
         self._listed: dict[str, Upstream] = {}
         self._restarted: list[_Restarted] = []
         self._services: frozenset[str] = frozenset()
+        self._orders_read_s = float("-inf")
+        self._rollouts = Rollouts(random=random, metrics=metrics)
         self._scheduler = Scheduler(
             random=random,
             peers_running=self._peers.running,
             peers_share=self._peers.share,
+            access=self._rollouts.access,
+            canary=self._rollouts.canary,
         )
 
     # Arrival
@@ -192,6 +201,9 @@
         with self._lock:
             now_s = self._now_s()
             self._judge(upstream, accepted, outcome, now_s)
+            answer = answer_of(ticket, accepted.route, outcome, now_s)
+            if answer is not None:
+                self._rollouts.answered(upstream, answer)
             line = self._scheduler.line(ticket.service)
             line.ended(ticket, upstream.upstream_id, now_s)
 
@@ -226,6 +238,7 @@
 
     def written(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
+            ticket.events = steps
             pool = self._scheduler.line(ticket.service).pool
             pool.writing.wrote(tokens=ticket.answer_tokens, steps=steps)
 
@@ -247,6 +260,7 @@
         """
         with self._lock:
             now_s = self._now_s()
+            self._rollouts.listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
             listed = {each.upstream_id: each for each in upstreams}
             names = {each.name for each in upstreams}
@@ -290,6 +304,41 @@
             lines = self._scheduler.lines()
             return any(lines[name].pool.slots() for name in self._services & set(lines))
 
+    # Roll-outs
+
+    def ordered(self, order: Order) -> None:
+        """Take over an operator's order to move a service to another version."""
+        with self._lock:
+            self._rollouts.ordered(order, self._now_s())
+            self._scheduler.rolled()
+
+    def order_withdrawn(self, service: str, number: int) -> None:
+        """Stop the roll-out that was ordered before record `number`."""
+        with self._lock:
+            self._rollouts.withdrawn(service, number, self._now_s())
+            self._scheduler.rolled()
+
+    def orders_read(self, sent_s: float) -> None:
+        """Note that a read sent then has shown all orders."""
+        with self._lock:
+            self._orders_read_s = max(self._orders_read_s, sent_s)
+            if self._rollouts.orders_read(sent_s):
+                self._scheduler.rolled()
+
+    def rollout_stored(self, order: Order, stage: Stage, elapsed_s: float) -> None:
+        """Take over what the store says of a roll-out that was ordered so long ago."""
+        with self._lock:
+            self._rollouts.stored(order, stage, elapsed_s, self._now_s())
+            self._scheduler.rolled()
+
+    def rollout_wishes(self) -> list[Wish]:
+        """Return the roll-outs whose record is for this entry to write."""
+        with self._lock:
+            if not self._rollouts.is_any_running:
+                return []
+            now_s = self._now_s()
+            return self._rollouts.wishes(self._surroundings(now_s), now_s)
+
     # Peers
 
     def peers_listed(self, entries: dict[str, Whereabouts]) -> None:
@@ -330,6 +379,7 @@
             self._note_crashes(now_s)
             self._peers.drop_silent(now_s)
             self._scheduler.tick(now_s)
+            self._roll(now_s)
             lines = self._scheduler.lines().values()
             running = sum(line.pool.peers_running() for line in lines)
         self._metrics.gauge(PEERS_RUNNING, running)
@@ -372,6 +422,7 @@
                 waiting=waiting,
                 held=held,
                 spent=self._spent_news(),
+                rollouts=self._rollouts.news(self._now_s()),
                 refused=self._returns.news(),
                 gone=tuple(self._gone_news),
                 unreached=tuple(self._unreached_news),
@@ -390,6 +441,7 @@
         if not self._peers.heard(sender, state, now_s, age_s=age_s):
             return False
         self._returns.heard(state.refused, now_s)
+        self._rollouts.heard(sender, state.rollouts, now_s)
         for upstream_id in state.gone:
             self._note_gone(upstream_id, now_s)
         for upstream_id in state.unreached:
@@ -399,6 +451,27 @@
         )
         return True
 
+    def _roll(self, now_s: float) -> None:
+        """Go on with roll-outs where it is time."""
+        if not self._rollouts.is_any_running:
+            return
+        places = {
+            service: line.pool.places()
+            for service, line in self._scheduler.lines().items()
+            if self._rollouts.canary(service) is not None
+        }
+        if self._rollouts.tick(places, self._surroundings(now_s), now_s):
+            self._scheduler.rolled()
+
+    def _surroundings(self, now_s: float) -> Surroundings:
+        return Surroundings(
+            name=self._name,
+            heard=tuple(self._peers.heard_names(now_s)),
+            known=1 + len(self._peers.known(now_s)),
+            orders_age_s=now_s - self._orders_read_s,
+            bounds=self.bounds.rollout,
+        )
+
     def _share(self, now_s: float) -> None:
         """Keep to the part of limits and budgets that is this entry's now."""
         heard, known = self._peers.heard_and_known(now_s)
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -1,7 +1,8 @@
 """The upstreams of one service as an entry sees them, and which to take next."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import attrs
@@ -10,6 +11,8 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.reading import ReadingPace
 from lavenderspoke.direct.writing import WritingPace
+from lavenderspoke.rollouts.orders import Access
+from lavenderspoke.rollouts.places import Places
 
 # Time between two events of a stream, in seconds, at an upstream not yet measured.
 PACE_DEFAULT_S = 0.02
@@ -26,6 +29,8 @@
 SPREAD = 0.3
 # The fewest upstreams that a request is compared at.
 DRAWN_MIN = 2
+# The part of a canary's requests that goes to as few upstreams as have room for it.
+CANARY_PACKED_PART = 0.5
 # What a certain failure would cost, in seconds: about one wasted attempt.
 FAILURE_S = 0.6
 # How long an upstream is left alone at whose address another one answers, in seconds:
@@ -65,9 +70,13 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Seat:
-    """One upstream with what runs there: this entry's own and its peers'."""
+    """One upstream with what runs there: this entry's own and its peers'.
+
+    `access` says which requests it may get.
+    """
 
     upstream: Upstream
+    access: Access = Access.OPEN
     health: Health = attrs.field(factory=Health)
     own: dict[str, int] = attrs.field(factory=dict)
     peers: Running = IDLE
@@ -105,10 +114,14 @@
     neighbours: int
     pace_s: float
 
+    def first_steps(self, tokens_per_step: float) -> float:
+        """Return the expected steps of the upstream until the first byte."""
+        steps = self.prefill_tokens / tokens_per_step
+        return steps + self.neighbours * NEIGHBOUR_PACES
+
     def first_s(self, tokens_per_step: float) -> float:
         """Return the expected time to the first byte."""
-        steps = self.prefill_tokens / tokens_per_step
-        return self.pace_s * (steps + self.neighbours * NEIGHBOUR_PACES)
+        return self.pace_s * self.first_steps(tokens_per_step)
 
     def reading_steps(self, first_s: float) -> float:
         """Return the steps that reading took, of a first byte after `first_s`."""
@@ -144,10 +157,19 @@
 
 
 class Pool:
-    """The upstreams of one service."""
+    """The upstreams of one service.
 
-    def __init__(self, *, random: Random):
+    `access(upstream)` says which requests one may get.
+    """
+
+    def __init__(
+        self,
+        *,
+        random: Random,
+        access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
+    ):
         self._random = random
+        self._access = access
         self._seats: dict[str, Seat] = {}
         self.reading = ReadingPace()
         self.writing = WritingPace()
@@ -170,6 +192,12 @@
             seat.upstream = attrs.evolve(seat.upstream, leaving=True)
             if not seat.own:
                 del self._seats[upstream_id]
+        self.refresh_access()
+
+    def refresh_access(self) -> None:
+        """Ask anew which requests each upstream may get."""
+        for seat in self._seats.values():
+            seat.access = self._access(seat.upstream)
 
     def seat(self, upstream_id: str) -> Seat | None:
         """Return an upstream's seat, also of one that is leaving."""
@@ -206,6 +234,17 @@
         usable = (s for s in self._open() if s.health.usable(len(s.own), now_s))
         return sum(max(0, seat.room()) for seat in usable)
 
+    def places(self) -> Places:
+        """Return the places by version, in all and taken."""
+        slots: Counter[str] = Counter()
+        held: Counter[str] = Counter()
+        for seat in self._seats.values():
+            version = seat.upstream.version
+            held[version] += seat.requests()
+            if not seat.upstream.leaving and seat.gone_until_s is None:
+                slots[version] += seat.upstream.slots
+        return Places(slots=slots, held=held)
+
     def in_flight(self) -> int:
         """Return how many requests run, this entry's own and its peers'."""
         return sum(seat.requests() for seat in self._seats.values())
@@ -235,6 +274,26 @@
             if seat.upstream.upstream_id not in demand.excluded
             and seat.health.usable(len(seat.own), now_s)
         ]
+        return self._choose(able, demand, rivals)
+
+    def choose_canary(
+        self, demand: Demand, *, now_s: float, rivals: float = 0.0
+    ) -> Seat | None:
+        """Return an upstream of a roll-out's target that has room, if there is one.
+
+        Every second time it is the one that has most to do: a small share that is
+        spread over all of them would never show a version that is bad under load.
+        """
+        able = [
+            seat
+            for seat in self._with(Access.CANARY)
+            if seat.health.usable(len(seat.own), now_s)
+        ]
+        if self._random.random() < CANARY_PACKED_PART:
+            able = sorted((s for s in able if s.room() > 0), key=_most_to_do)[:1]
+        return self._choose(able, demand, rivals).seat
+
+    def _choose(self, able: list[Seat], demand: Demand, rivals: float) -> Choice:
         free = [self._prospect(seat, demand) for seat in able if seat.room() > 0]
         if not free:
             return Choice(seat=None, worth_waiting=bool(demand.excluded))
@@ -268,10 +327,15 @@
         return self._random.sample(prospects, drawn)
 
     def _open(self) -> list[Seat]:
+        return self._with(Access.OPEN)
+
+    def _with(self, access: Access) -> list[Seat]:
         return [
             seat
             for seat in self._seats.values()
-            if not seat.upstream.leaving and seat.gone_until_s is None
+            if seat.access is access
+            and not seat.upstream.leaving
+            and seat.gone_until_s is None
         ]
 
     def _prospect(self, seat: Seat, demand: Demand) -> _Prospect:
@@ -284,6 +348,11 @@
         )
 
 
+def _most_to_do(seat: Seat) -> tuple[int, str]:
+    # The same one for all entries, where several have as much to do.
+    return -seat.requests(), seat.upstream.upstream_id
+
+
 def _cost_s(prospect: _Prospect, demand: Demand) -> float:
     """Return the expected time to the first byte, in seconds, with penalties."""
     cost_s = prospect.first_s + prospect.answer_s * FINISH_PART
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -40,6 +40,8 @@
     outlook_at,
 )
 from lavenderspoke.direct.rankrates import RankRates
+from lavenderspoke.rollouts.orders import Access
+from lavenderspoke.rollouts.share import CanaryShare
 
 # The part of all places that stays free for the ranks above, for each rank that
 # is above, towards requests that hold a place for `LONG_S` and longer. Answers of
@@ -119,13 +121,16 @@
     `patience_s` from `quiet_since_s`, when it arrived or got the last event of its
     stream: after so long without another one its caller leaves.
     `excluded` holds upstreams it was sent to before. One that may not wait is decided
-    on before `submit` returns. Once it was sent, `outlook` is what it met there and
-    `expected_first_s` the time to its first byte. `decided` is called once with the
+    on before `submit` returns. Once it was sent, `outlook` is what it met there,
+    `expected_first_s` the time to its first byte and `expected_first_steps` the
+    upstream's steps until then; its first event came at `began_s`, and a whole stream
+    was of `events`. `decided` is called once with the
     decision, under the scheduler's lock: it must not block.
     """
 
     request_id: str
     service: str
+    route: str = ""
     rank: Rank
     prompt_tokens: int
     answer_tokens: int
@@ -144,6 +149,9 @@
     started_s: float = 0.0
     outlook: Outlook | None = None
     expected_first_s: float = 0.0
+    expected_first_steps: float = 0.0
+    began_s: float | None = None
+    events: int = 0
 
     @property
     def on_time_until_s(self) -> float:
@@ -180,6 +188,7 @@
     def __init__(self, *, pool: Pool, random: Random):
         self.pool = pool
         self.peers = PeersShare()
+        self.canary: CanaryShare | None = None
         self._random = random
         self._waiting: SortedKeyList = SortedKeyList(key=_turn)
         self._ranks: Counter[Rank] = Counter()
@@ -207,6 +216,8 @@
         if ticket.may_wait:
             self._rate(ticket.rank).arrived(now_s)
             patience_s = self._patience_s(ticket, now_s)
+        if self._sent_to_canary(ticket, now_s):
+            return
         if not self.pool.slots():
             ticket.decided(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
         elif patience_s <= 0.0:
@@ -218,6 +229,20 @@
             self._add(ticket)
             self.serve(now_s)
 
+    def _sent_to_canary(self, ticket: Ticket, now_s: float) -> bool:
+        """Send a request to a roll-out's target if it should and can go there now."""
+        if self.canary is None or not ticket.may_wait or ticket.excluded:
+            return False
+        if not self.canary.wants(ticket.route):
+            return False
+        seat = self.pool.choose_canary(
+            _demand(ticket, now_s), now_s=now_s, rivals=self._rivals(now_s)
+        )
+        if seat is None:
+            return False
+        self._send(ticket, seat, now_s)
+        return True
+
     def _decide_now(self, ticket: Ticket, now_s: float) -> None:
         """Give a request a place that is free for it, or refuse it."""
         ticket.leaves_line_s = math.inf
@@ -255,6 +280,7 @@
         if seat is not None and ticket.request_id in seat.own:
             seat.own[ticket.request_id] = 0
         reading, outlook = self.pool.reading, ticket.outlook
+        ticket.began_s = now_s
         first_s = now_s - ticket.started_s
         late_s = first_s - outlook.first_s(reading.tokens_per_step)
         steps = outlook.reading_steps(first_s)
@@ -332,10 +358,17 @@
 
     def _dispatch(self, ticket: Ticket, seat: Seat, now_s: float) -> None:
         self._remove(ticket)
+        self._send(ticket, seat, now_s)
+
+    def _send(self, ticket: Ticket, seat: Seat, now_s: float) -> None:
+        if self.canary is not None:
+            is_canary = seat.access is Access.CANARY
+            self.canary.sent(ticket.route, to_target=is_canary)
         ticket.started_s = now_s
         ticket.outlook = outlook_at(seat, ticket.prompt_tokens)
         tokens_per_step = self.pool.reading.tokens_per_step
         ticket.expected_first_s = ticket.outlook.first_s(tokens_per_step)
+        ticket.expected_first_steps = ticket.outlook.first_steps(tokens_per_step)
         seat.own[ticket.request_id] = ticket.prompt_tokens
         self._held[ticket.rank] += 1
         ticket.decided(Dispatch(upstream=seat.upstream))
@@ -422,7 +455,9 @@
     """The lines of all services.
 
     Not safe for threads: its owner holds a lock. `peers_running()`, by upstream,
-    and `peers_share(service)` return what the other entries said last.
+    and `peers_share(service)` return what the other entries said last. `access` says
+    which requests an upstream may get, and `canary(service)` which go to the target of
+    a roll-out.
     """
 
     def __init__(
@@ -431,16 +466,20 @@
         random: Random,
         peers_running: Callable[[], Mapping[str, Running]] = dict,
         peers_share: Callable[[str], PeersShare] = lambda service: PeersShare(),
+        access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
+        canary: Callable[[str], CanaryShare | None] = lambda service: None,
     ):
         self._random = random
         self._peers_running = peers_running
         self._peers_share = peers_share
+        self._access = access
+        self._canary = canary
         self._lines: dict[str, Line] = {}
 
     def line(self, service: str) -> Line:
         """Return a service's line."""
         if service not in self._lines:
-            pool = Pool(random=self._random)
+            pool = Pool(random=self._random, access=self._access)
             self._lines[service] = Line(pool=pool, random=self._random)
         return self._lines[service]
 
@@ -458,6 +497,12 @@
             line.pool.reconfigure(listed)
             line.serve(now_s)
 
+    def rolled(self) -> None:
+        """Take over how far roll-outs have come."""
+        for service, line in self._lines.items():
+            line.canary = self._canary(service)
+            line.pool.refresh_access()
+
     def tick(self, now_s: float) -> None:
         """Refuse those whose time is up, and use what peers no longer need."""
         running = self._peers_running()
--- a/lavenderspoke/direct/settings.py
+++ b/lavenderspoke/direct/settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from lavenderspoke.direct.quota import Tolerance
+from lavenderspoke.rollouts.judging import Bounds as RolloutBounds
 
 # The part of the platform's retry budget that entries use: the platform counts
 # over a sliding window, in which a full balance and what is added meanwhile can
@@ -29,7 +30,8 @@
     bound retries in any `retry_window_s`, over all entries; customers' limits
     count in any `quota_window_s`, which may exceed them by `quota_tolerance`; an
     upstream that leaves gets its last request within `drain_s` of saying so; a
-    configuration is in force `apply_s` after the store has taken it.
+    configuration is in force `apply_s` after the store has taken it; `rollout` bounds
+    what a bad version may get.
     """
 
     grace_s: float = 8.0
@@ -41,6 +43,7 @@
     quota_tolerance: Tolerance = Tolerance()
     drain_s: float = 2.0
     apply_s: float = 2.0
+    rollout: RolloutBounds = RolloutBounds()
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -18,6 +18,7 @@
 from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
+from lavenderspoke.platform.rollouts import Orders, StatusWriter
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.platform.settingsfile import read_settings
 from lavenderspoke.platform.store import Store
@@ -104,7 +105,20 @@
             metrics=entry.metrics,
             apply_s=_apply_s(settings.direct.bounds),
             in_force=entry.in_force,
+            orders=Orders(
+                on_order=entry.office.ordered,
+                on_withdrawn=entry.office.order_withdrawn,
+                metrics=entry.metrics,
+            ),
             on_change=entry.catalog_changed,
+            on_read=entry.office.orders_read,
+        )
+        self._rollouts = StatusWriter(
+            store=Store(address=settings.store),
+            clock=clock,
+            metrics=entry.metrics,
+            wishes=entry.office.rollout_wishes,
+            stored=entry.office.rollout_stored,
         )
         self._upstreams = UpstreamsFeed(
             store=Store(address=settings.store),
@@ -131,6 +145,7 @@
             ("configuration", self._configuration),
             ("upstreams", self._upstreams),
             ("entries", self._entries),
+            ("rollouts", self._rollouts.part),
         ]
 
     def heard(self, sender: InstanceId, message: RecordsMessage) -> None:
--- a/lavenderspoke/platform/decoding.py
+++ b/lavenderspoke/platform/decoding.py
@@ -31,7 +31,7 @@
     """Return the object in these bytes as one of that class.
 
     Fields that the class doesn't name are ignored; a missing one, or one of
-    another type, is an error.
+    another type, is an error. Names are written with dashes there.
     """
     return parse(data).and_then(lambda value: _structured(value, kind))
 
@@ -40,6 +40,7 @@
     if not isinstance(value, dict):
         return Err(f"{type(value).__name__} where an object belongs")
     try:
-        return Ok(_converter.structure(value, kind))
+        fields = {name.replace("-", "_"): each for name, each in value.items()}
+        return Ok(_converter.structure(fields, kind))
     except (cattrs.BaseValidationError, LookupError, TypeError, ValueError) as error:
         return Err(f"{type(error).__name__}: {error}")
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -20,6 +20,7 @@
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.decoding import parse_as
 from lavenderspoke.platform.registry import Registry
+from lavenderspoke.platform.rollouts import Orders
 from lavenderspoke.platform.store import Store
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -78,7 +79,10 @@
 
 
 class ConfigurationFeed(Feed):
-    """Follows the operators' configuration."""
+    """Follows the operators' configuration, and their orders beside it.
+
+    `on_read(sent_s)` is told of each read that was taken in.
+    """
 
     topic = CONFIGURATION_TOPIC
     urgent = True
@@ -92,7 +96,9 @@
         metrics: Metrics,
         apply_s: float,
         in_force: InForce,
+        orders: Orders,
         on_change: Callable[[Catalog], None],
+        on_read: Callable[[float], None],
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self.stale_s = apply_s * CONFIGURATION_STALE_PART
@@ -100,9 +106,20 @@
         self.reread_s = apply_s * CONFIGURATION_REREAD_PART
         self._apply_s = apply_s
         self._in_force = in_force
+        self._orders = orders
         self._on_change = on_change
+        self._on_read = on_read
 
     def take(self, content: Records, *, whole: bool, sent_s: float) -> bool:
+        self._orders.take(content, whole=whole)
+        if not self._take_configuration(content, whole=whole, sent_s=sent_s):
+            return False
+        self._on_read(sent_s)
+        return True
+
+    def _take_configuration(
+        self, content: Records, *, whole: bool, sent_s: float
+    ) -> bool:
         values = [r.value for r in content.records if r.key == CONFIGURATION_KEY]
         if not values:
             if self._in_force.catalog is not None and not whole:
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -48,9 +48,10 @@
 class _Record:
     """What an upstream writes of itself, under the platform's names.
 
-    `address` is an IPv4 address and a port; `zone` is a data centre. `born` is the
-    Unix time of its start in milliseconds: an upstream may start again under the
-    name that it had.
+    `address` is an IPv4 address and a port; `zone` is a data centre; `version` is that
+    of its software. `warmup_left_ms` is for how much longer it is slow after its start.
+    `born` is the Unix time of its start in milliseconds: an upstream may start again
+    under the name that it had.
     """
 
     service: str
@@ -58,6 +59,8 @@
     zone: str
     slots: int
     state: str
+    version: str = ""
+    warmup_left_ms: float = 0.0
     born: int | None = None
 
 
@@ -94,6 +97,8 @@
         port=int(port),
         data_centre=record.zone,
         slots=record.slots,
+        version=record.version,
+        is_warm=record.warmup_left_ms <= 0.0,
         leaving=record.state != READY,
     )
     return Ok(Registration(upstream=upstream, born_ms=record.born))
--- /dev/null
+++ b/lavenderspoke/platform/rollouts.py
@@ -0,0 +1,263 @@
+"""Operators' orders to roll a version out, and the records that tell how far it is.
+
+An order is a record beside the configuration. What operators read is a record of
+another topic, which any entry may write: a write counts only if nothing was written
+there since it was read, so that an entry that slept can't put an old state over a new
+one.
+"""
+
+import datetime
+import json
+import math
+from collections.abc import Callable
+
+import attrs
+import logbook
+from result import Err, Ok, Result
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.records import KeyedRecord, Records, StoreError
+from lavenderspoke.direct.rolling import Wish
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.periodic import Periodic
+from lavenderspoke.platform.decoding import parse_as
+from lavenderspoke.platform.store import Conflict, Store
+from lavenderspoke.rollouts.orders import Order, Stage
+
+KEY_PREFIX = "rollout/"
+STATUS_TOPIC = "keyed.status"
+# Longer than any roll-out lasts, in seconds.
+DURATION_MAX_S = 30 * 86_400.0
+# Time between two looks at what should be written, in seconds.
+LOOK_EVERY_S = 0.2
+ORDERS = "rollout_orders"
+RECORDS = "rollout_records"
+
+# What operators read, and the stages that it stands for.
+STATES = {
+    "in_progress": Stage.CANARY,
+    "completed": Stage.COMPLETED,
+    "rolled_back": Stage.ROLLED_BACK,
+}
+# What the record should say once a roll-out has come so far.
+STATE_AT = {
+    Stage.ORDERED: "in_progress",
+    Stage.MOVING: "completed",
+    Stage.STOPPED: "rolled_back",
+}
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class _Order:
+    """An order as the operator writes it; `target` is a version."""
+
+    service: str
+    target: str
+    duration_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """A record of how far a roll-out is; `order` is the number of its order.
+
+    `ordered_unix_s` is when the entry that began it saw the order.
+    """
+
+    service: str
+    target: str
+    state: str
+    order: int = -1
+    ordered_unix_s: float = 0.0
+
+    @property
+    def stage(self) -> Stage | None:
+        """The stage that the state stands for, if it is a known one."""
+        return STATES.get(self.state)
+
+
+def is_order(record: KeyedRecord) -> bool:
+    """Return whether a record beside the configuration is an order."""
+    return record.key.startswith(KEY_PREFIX)
+
+
+def decode_order(record: KeyedRecord) -> Result[Order, str]:
+    """Return the order in a record, or what is wrong with it.
+
+    >>> value = b'{"service": "s", "target": "v2", "duration-s": 12}'
+    >>> record = KeyedRecord(key="rollout/s", value=value, offset=3)
+    >>> decode_order(record).ok_value.duration_s
+    12.0
+    >>> decode_order(attrs.evolve(record, key="rollout/t")).err_value
+    "for 's' under the name of 't'"
+    """
+    parsed = parse_as(record.value or b"", _Order)
+    if isinstance(parsed, Err):
+        return parsed
+    content = parsed.ok_value
+    named = record.key.removeprefix(KEY_PREFIX)
+    if content.service != named:
+        return Err(f"for {content.service!r} under the name of {named!r}")
+    if not content.target:
+        return Err("target: empty")
+    duration_s = content.duration_s
+    if not (math.isfinite(duration_s) and 0.0 < duration_s <= DURATION_MAX_S):
+        return Err(f"duration: {duration_s} s")
+    return Ok(
+        Order(
+            service=content.service,
+            target=content.target,
+            duration_s=float(duration_s),
+            number=record.offset,
+        )
+    )
+
+
+class Orders:
+    """The orders as records tell them; each record counts once.
+
+    `on_order(order)` gets each new one, and `on_withdrawn(service, number)` the record
+    number at which one was taken back.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_order: Callable[[Order], None],
+        on_withdrawn: Callable[[str, int], None],
+        metrics: Metrics,
+    ):
+        self._on_order = on_order
+        self._on_withdrawn = on_withdrawn
+        self._metrics = metrics
+        self._seen: dict[str, int] = {}
+
+    def take(self, content: Records, *, whole: bool) -> None:
+        """Take in what a read brought; `whole` when it shows every key there is."""
+        orders = [each for each in content.records if is_order(each)]
+        for record in orders:
+            if record.offset > self._seen.get(record.key, -1):
+                self._seen[record.key] = record.offset
+                self._take(record)
+        if whole:
+            self._drop_missing({each.key for each in orders}, content.next_offset)
+
+    def _take(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._withdraw(record.key, record.offset)
+            return
+        decoded = decode_order(record)
+        if isinstance(decoded, Err):
+            self._metrics.count(ORDERS, "malformed")
+            error = decoded.err_value
+            log.error("roll-out order not understood", key=record.key, error=error)
+            return
+        self._metrics.count(ORDERS, "taken")
+        self._on_order(decoded.ok_value)
+
+    def _drop_missing(self, present: set[str], next_offset: int) -> None:
+        for key, offset in list(self._seen.items()):
+            if key not in present and offset < next_offset:
+                self._withdraw(key, next_offset)
+
+    def _withdraw(self, key: str, number: int) -> None:
+        self._metrics.count(ORDERS, "withdrawn")
+        service = key.removeprefix(KEY_PREFIX)
+        log.warning("roll-out order withdrawn", service=service, record=number)
+        self._on_withdrawn(service, number)
+
+
+class StatusWriter:
+    """Writes the records that tell how far roll-outs are.
+
+    `wishes()` returns what should be written by this entry, and `stored(order, stage)`
+    is told what the store says.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+        wishes: Callable[[], list[Wish]],
+        stored: Callable[[Order, Stage, float], None],
+    ):
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._wishes = wishes
+        self._stored = stored
+        self.part = Periodic(name="rollouts", period_s=LOOK_EVERY_S, work=self.look)
+
+    def look(self) -> None:
+        """Write what should be written now."""
+        for wish in self._wishes():
+            self._carry_out(wish)
+
+    def _carry_out(self, wish: Wish) -> None:
+        read = self._store.newest(STATUS_TOPIC)
+        if isinstance(read, Err):
+            self._failed("read", read.err_value)
+            return
+        known = _status_of(wish.order, read.ok_value)
+        if known is not None and known.stage is not None:
+            since_s = self._clock.now().timestamp() - known.ordered_unix_s
+            elapsed_s = min(max(0.0, since_s), wish.order.duration_s)
+            self._stored(wish.order, known.stage, elapsed_s)
+            if known.stage.is_final or STATES[STATE_AT[wish.stage]] is known.stage:
+                return
+        self._write(wish, known, read.ok_value.next_offset)
+
+    def _write(self, wish: Wish, known: Status | None, end_offset: int) -> None:
+        order = wish.order
+        now_s = self._clock.now().timestamp()
+        status = Status(
+            service=order.service,
+            target=order.target,
+            state=STATE_AT[wish.stage],
+            order=order.number,
+            ordered_unix_s=known.ordered_unix_s if known else now_s - wish.elapsed_s,
+        )
+        fields = attrs.asdict(status).items()
+        value = json.dumps({name.replace("_", "-"): each for name, each in fields})
+        key = KEY_PREFIX + order.service
+        written = self._store.append(
+            STATUS_TOPIC, key, value.encode(), end_offset=end_offset
+        )
+        if isinstance(written, Ok):
+            self._metrics.count(RECORDS, status.state)
+            at = datetime.datetime.fromtimestamp(status.ordered_unix_s, datetime.UTC)
+            log.info(
+                "roll-out record written",
+                service=order.service,
+                order=order.number,
+                state=status.state,
+                ordered=at.isoformat(),
+            )
+            self._stored(order, status.stage, wish.elapsed_s)
+        elif isinstance(written.err_value, Conflict):
+            # Another entry wrote first; the next look reads what.
+            self._metrics.count(RECORDS, "conflict")
+        else:
+            self._failed("write", written.err_value)
+
+    def _failed(self, call: str, error: StoreError) -> None:
+        self._metrics.count(RECORDS, f"{call}_failed")
+        log.warning("roll-out record", call=call, error=error.detail)
+
+
+def _status_of(order: Order, content: Records) -> Status | None:
+    """Return the record of an order, if there is one that makes sense."""
+    key = KEY_PREFIX + order.service
+    values = [each.value for each in content.records if each.key == key]
+    if not values or values[-1] is None:
+        return None
+    parsed = parse_as(values[-1], Status)
+    if isinstance(parsed, Err):
+        log.error("roll-out record not understood", key=key, error=parsed.err_value)
+        return None
+    status = parsed.ok_value
+    is_same = status.order == order.number and status.target == order.target
+    return status if is_same else None
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -6,6 +6,7 @@
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
 from lavenderspoke.platform.settingslines import CALLERS_ADDRESS, lines_of
+from lavenderspoke.rollouts.judging import Bounds as RolloutBounds
 
 MS_PER_S = 1000.0
 
@@ -90,6 +91,12 @@
         ),
         drain_s=reader.number("bounds.drain-ms", 2000.0) / MS_PER_S,
         apply_s=reader.number("bounds.config-apply-ms", 2000.0) / MS_PER_S,
+        rollout=RolloutBounds(
+            share=reader.number("bounds.canary-share", RolloutBounds().share),
+            tolerance=reader.number(
+                "bounds.canary-tolerance", RolloutBounds().tolerance
+            ),
+        ),
     )
     direct = DirectSettings(
         name=reader.text("node-name"),
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -23,6 +23,11 @@
 PAGES_MAX = 1000
 
 
+@attrs.frozen(kw_only=True)
+class Conflict:
+    """A write that was not made, since others had written first."""
+
+
 class Store:
     """A client with one kept connection; used by one thread."""
 
@@ -72,18 +77,31 @@
         return decode_records(reply.data, from_offset)
 
     def append(
-        self, topic: str, key: str, value: bytes | None
-    ) -> Result[None, StoreError]:
-        """Put the newest value of a key, or drop the key."""
+        self,
+        topic: str,
+        key: str,
+        value: bytes | None,
+        *,
+        end_offset: int | None = None,
+    ) -> Result[None, StoreError | Conflict]:
+        """Put the newest value of a key, or drop the key.
+
+        With `end_offset`, only if nothing was written behind that offset.
+        """
         name = key.encode()
         content = bytes([len(name)]) + name + (value or b"")
-        query = urlencode({"topic": topic, "part": 0})
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        if end_offset is not None:
+            # The platform's name for the offset at which the topic must end.
+            query["timestamp"] = end_offset
         sent = self._call(
             "POST",
-            f"/v1/log-append?{query}",
+            f"/v1/log-append?{urlencode(query)}",
             body=LENGTH.pack(len(content)) + content,
             wait_s=0.0,
         )
+        if isinstance(sent, Ok) and sent.ok_value.status == 412:
+            return Err(Conflict())
         return sent.and_then(_expect_ok)
 
     def _get(
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -1,5 +1,6 @@
 """A small deployment on the users' platform: store, upstreams and entries."""
 
+import base64
 import json
 import os
 import struct
@@ -140,10 +141,12 @@
         """Put a configuration in force."""
         self.put("keyed.op", "config", content)
 
-    def upstream(self, name: str, service: str, *options: str) -> StandIn:
+    def upstream(
+        self, name: str, service: str, *options: str, version: str = "v1"
+    ) -> StandIn:
         """Start an upstream and register it."""
         standin = self.start_upstream(name, *options)
-        self.register(name, service)
+        self.register(name, service, version=version)
         return standin
 
     def start_upstream(self, name: str, *options: str) -> StandIn:
@@ -154,17 +157,32 @@
         self.upstreams[name] = standin
         return standin
 
-    def register(self, name: str, service: str, *, state: str = "ready") -> None:
+    def register(
+        self, name: str, service: str, *, state: str = "ready", version: str = "v1"
+    ) -> None:
         """Write an upstream's record."""
         record = {
             "service": service,
             "address": self.reached_at.get(name, self.upstreams[name].address),
             "zone": "here",
             "slots": 4,
+            "version": version,
             "state": state,
         }
         self.put("keyed.servers", name, record)
 
+    def rollout_state(self, service: str) -> str:
+        """Return what the system says of a service's roll-out, empty if nothing."""
+        http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
+        page = http.request(
+            "GET",
+            f"http://{self.store.address}/v1/log-newest?topic=keyed.status&part=0",
+            headers={"X-Operator": "1"},
+        )
+        items = {each["key"]: each["value"] for each in page.json()["items"]}
+        value = items.get(f"rollout/{service}")
+        return json.loads(base64.b64decode(value))["state"] if value else ""
+
     def unregister(self, name: str) -> None:
         """Drop an upstream's record."""
         self.put("keyed.servers", name, None)
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -1,9 +1,9 @@
 """A stand-in for the users' platform's store: a log with keyed topics, in memory.
 
-It serves reads that wait, newest records, appends, and what goes wrong with
-them. Modes: `up`; `down` answers 503; `reset` cuts; `silent` answers nothing;
-`lose` carries out and then cuts. `forgotten_before` makes older reads fail as
-if the records had been dropped.
+It serves reads that wait, newest records, appends (also those that name the offset they
+expect), and what goes wrong with them. Modes: `up`; `down` answers 503; `reset` cuts;
+`silent` answers nothing; `lose` carries out and then cuts. `forgotten_before` makes
+older reads fail as if the records had been dropped.
 """
 
 import base64
@@ -74,14 +74,15 @@
         if request.path == "/v1/log-append":
             if topic in OPERATOR_TOPICS and not is_operator:
                 return json_reply({"reason": "forbidden"}, 403)
-            return self._append(topic, request.body)
+            end_offset = request.number("timestamp", -1)
+            return self._append(topic, request.body, end_offset)
         if request.path == "/v1/log-read":
             return self._read(topic, request)
         if request.path == "/v1/log-newest":
             return self._newest(topic)
         return json_reply({"reason": "unknown call"}, 404)
 
-    def _append(self, topic: str, body: bytes) -> Reply:
+    def _append(self, topic: str, body: bytes, end_offset: int) -> Reply:
         records, at = [], 0
         while at < len(body):
             (length,) = LENGTH.unpack_from(body, at)
@@ -90,6 +91,8 @@
         with self._lock:
             held = self._topics.setdefault(topic, [])
             offset = len(held)
+            if end_offset not in (-1, offset):
+                return json_reply({"end-offset": offset}, 412)
             held += records
             return json_reply({"offset": offset, "end-offset": len(held)})
 
