Free an attempt's place before its answer is counted

Cause: counting what a caller had left raised, since the answer lacked a field, so the place at the upstream stayed taken for good.

The field has a default, and the place is freed first, so that no fault in counting can keep it. Scenarios for every outcome; 'left' fails without the change.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -67,6 +67,23 @@
     When the orders are read 1.5 s later, and there is none for them
     Then they get requests as the others do
 
+  Scenario Outline: An attempt ends in any way
+    Guards against places that stay taken because an answer can't be counted.
+    Given an entry that knows upstreams of one version
+    When a request ends there as <outcome>
+    Then no place is taken
+
+    Examples:
+      | outcome     |
+      | answered    |
+      | failed      |
+      | broken      |
+      | silent      |
+      | unreachable |
+      | not_run     |
+      | misdirected |
+      | left        |
+
   Scenario: A service is seen for the first time
     Guards against a new service that nobody may use.
     Given an entry that knows no upstreams
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -10,7 +10,9 @@
     RolloutDrive,
     upstream_of,
 )
+from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.records import KeyedRecord
 from lavenderspoke.direct.scheduler import Dispatch, Ticket
 from lavenderspoke.direct.sharing import Whereabouts
@@ -204,28 +206,32 @@
     office.rollout_stored(order, Stage.CANARY, 0.0)
 
 
+def request(context, name: str, decided) -> Ticket:
+    now_s = context.clock.monotonic_s()
+    return Ticket(
+        request_id=name,
+        service=SERVICE,
+        route="r",
+        rank=(0, 0),
+        prompt_tokens=10,
+        answer_tokens=10,
+        first_s=now_s,
+        quiet_since_s=now_s,
+        deadline_s=now_s + 5.0,
+        target_s=1.0,
+        patience_s=5.0,
+        returned=False,
+        decided=decided,
+    )
+
+
 def versions_sent_to(context, count: int) -> list[str]:
     """Send requests one after the other; return the versions that got them."""
     office = context.entry.office
-    now_s = context.clock.monotonic_s()
     versions = []
     for number in range(count):
         decisions = []
-        ticket = Ticket(
-            request_id=f"r{number}",
-            service=SERVICE,
-            route="r",
-            rank=(0, 0),
-            prompt_tokens=10,
-            answer_tokens=10,
-            first_s=now_s,
-            quiet_since_s=now_s,
-            deadline_s=now_s + 5.0,
-            target_s=1.0,
-            patience_s=5.0,
-            returned=False,
-            decided=decisions.append,
-        )
+        ticket = request(context, f"r{number}", decisions.append)
         office.submit(ticket)
         (decision,) = decisions
         assert isinstance(decision, Dispatch), decision
@@ -258,6 +264,22 @@
         assert set(versions_sent_to(context, 10)) == {OLD}
 
 
+@when("a request ends there as {outcome}")
+def step_ends_as(context, outcome):
+    office, decisions = context.entry.office, []
+    ticket = request(context, "r0", decisions.append)
+    office.submit(ticket)
+    upstream = decisions[0].upstream
+    accepted = accepted_request(resumable=False, attempts_max=1)
+    office.ended(ticket, upstream, accepted, Outcome(outcome))
+
+
+@then("no place is taken")
+def step_no_place(context):
+    pool = context.entry.office._scheduler.line(SERVICE).pool
+    assert pool.in_flight() == 0, pool.running()
+
+
 @when('a record says "{record}"')
 def step_record(context, record):
     key = KeyedRecord(key="rollout/s", value=record.encode(), offset=1)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -201,11 +201,11 @@
         with self._lock:
             now_s = self._now_s()
             self._judge(upstream, accepted, outcome, now_s)
+            line = self._scheduler.line(ticket.service)
+            line.ended(ticket, upstream.upstream_id, now_s)
             answer = answer_of(ticket, accepted.route, outcome, now_s)
             if answer is not None:
                 self._rollouts.answered(upstream, answer)
-            line = self._scheduler.line(ticket.service)
-            line.ended(ticket, upstream.upstream_id, now_s)
 
     def give_back(self, ticket: Ticket, upstream: Upstream) -> None:
         with self._lock:
--- a/lavenderspoke/direct/rolling.py
+++ b/lavenderspoke/direct/rolling.py
@@ -54,7 +54,7 @@
     """
 
     route: str
-    is_bad: bool
+    is_bad: bool = False
     durations_s: dict[Measure, float] = attrs.field(factory=dict)
     whole_s: float = 0.0
     is_given_up: bool = False
