--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -9,7 +9,7 @@
     Examples:
       | room      | below                                                                  |
       | http      | http model problems                                                    |
-      | observing | problems                                                               |
+      | observing | observing problems                                                     |
       | checking  | checking util                                                          |
       | documents | documents checking clock jsoncodec platformlog poison retrybudget upstream util |
       | rollouts  | rollouts                                                               |
--- a/lavenderspoke/ui/__init__.py
+++ b/lavenderspoke/ui/__init__.py
@@ -8,7 +8,15 @@
 
 import typer
 
-from lavenderspoke.ui import daemons, explain, send, services, settings, status
+from lavenderspoke.ui import (
+    daemons,
+    explain,
+    rollouts,
+    send,
+    services,
+    settings,
+    status,
+)
 from lavenderspoke.ui.common import EXIT_CODES
 from lavenderspoke.util import UserError
 
@@ -27,6 +35,7 @@
 app.command("status", epilog=EXIT_CODES)(status.status)
 app.command("send", epilog=send.SEND_EXIT_CODES)(send.send)
 app.command("explain", epilog=explain.EXIT_CODES)(explain.explain)
+app.command("rollouts", epilog=explain.EXIT_CODES)(rollouts.rollouts)
 
 
 def main() -> None:
--- a/lavenderspoke/ui/explain.py
+++ b/lavenderspoke/ui/explain.py
@@ -27,7 +27,7 @@
 
 def explain(request_id: RequestId, files: LogFiles, as_json: AsJson = False) -> None:
     """Tell what became of a request and what may explain it."""
-    lines = explaining.parse(text for path in files for text in _read(path))
+    lines = explaining.parse(text for path in files for text in read(path))
     stories = explaining.stories(lines, request_id)
     if not stories:
         raise UserError(f"{request_id}: in none of {len(lines.lines)} log lines")
@@ -41,7 +41,8 @@
         print(f"{lines.skipped} lines that are no log records were left out")
 
 
-def _read(path: pathlib.Path) -> list[str]:
+def read(path: pathlib.Path) -> list[str]:
+    """Return the lines of a log file."""
     try:
         return path.read_text(errors="replace").splitlines()
     except OSError as error:
@@ -57,7 +58,7 @@
         print("  Nothing else happened there shortly before.")
     for each in story.around:
         fields = ", ".join(f"{n}={v}" for n, v in _fields(each).items())
-        print(f"  {_time(each)}  {printable(each.message)}: {printable(fields)}")
+        print(f"  {time_of(each.at_s)}  {printable(each.message)}: {printable(fields)}")
 
 
 def _fields(line: Line) -> dict:
@@ -68,6 +69,7 @@
     }
 
 
-def _time(line: Line) -> str:
-    at = datetime.datetime.fromtimestamp(line.at_s, tz=datetime.UTC)
+def time_of(at_s: float) -> str:
+    """Return a time of day, in UTC, to the millisecond."""
+    at = datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC)
     return at.strftime("%H:%M:%S.%f")[:-3]
