--- a/bench/driven.py
+++ b/bench/driven.py
@@ -6,6 +6,7 @@
 from lavenderspoke import messages
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.agentevents import DocumentInForce, Joined
+from lavenderspoke.capacity.slots import FixedLimit
 from lavenderspoke.core import Received, Tick
 from lavenderspoke.documents.service import (
     Customer,
@@ -19,7 +20,6 @@
 from lavenderspoke.entryevents import Arrived
 from lavenderspoke.gateway import Arrival, Sending
 from lavenderspoke.model import Call, InstanceId
-from lavenderspoke.slots import FixedLimit
 
 TIERS = (1, 2, 3)
 BODY = b'{"prompt": "' + b"word " * 300 + b'"}'
--- a/features/corebag.py
+++ b/features/corebag.py
@@ -18,6 +18,7 @@
 from features.memorylog import MemoryLog
 from lavenderspoke import agentevents, entryevents
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
+from lavenderspoke.capacity.slots import FixedLimit
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.core import Count, Observe, Received, Send, Tick
 from lavenderspoke.documents.service import (
@@ -38,7 +39,6 @@
 from lavenderspoke.model import Call, Head, InstanceId
 from lavenderspoke.platformlog import LogUnavailable
 from lavenderspoke.rosterfeed import RosterFeed
-from lavenderspoke.slots import FixedLimit
 
 SERVICE = "narrative"
 RANKS = (1, 2, 3)
--- a/features/modeltraces.py
+++ b/features/modeltraces.py
@@ -9,13 +9,13 @@
 from lavenderspoke import messages
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.agentevents import Dispatch, DocumentInForce, Joined
+from lavenderspoke.capacity.slots import FixedLimit
 from lavenderspoke.core import Received, Send, Tick
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
 from lavenderspoke.entryevents import Arrived, Reply, RosterReached, RosterRecord
 from lavenderspoke.gateway import Arrival, Sending
 from lavenderspoke.model import InstanceId
 from lavenderspoke.roster import Join, encode
-from lavenderspoke.slots import FixedLimit
 
 SERVICE = make_service()
 ENTRY = InstanceId(name="entry", incarnation="e")
--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -10,6 +10,7 @@
       | room      | below                                                                  |
       | http      | http model problems                                                    |
       | observing | observing problems                                                     |
+      | capacity  | capacity                                                               |
       | checking  | checking util                                                          |
       | documents | documents checking clock jsoncodec platformlog poison retrybudget upstream util |
       | rollouts  | rollouts                                                               |
--- a/features/steps/pacing_steps.py
+++ b/features/steps/pacing_steps.py
@@ -1,9 +1,9 @@
 from behave import given, then, when
 
-from lavenderspoke.concurrency import WINDOW, ConcurrencyLimit
-from lavenderspoke.learnedlimit import LearnedLimit
+from lavenderspoke.capacity.concurrency import WINDOW, ConcurrencyLimit
+from lavenderspoke.capacity.learnedlimit import LearnedLimit
+from lavenderspoke.capacity.straggler import PullCaution, StragglerDetector
 from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
-from lavenderspoke.straggler import PullCaution, StragglerDetector
 
 
 @given("a concurrency limit of at most {slots:d} slots")
--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -7,6 +7,8 @@
 
 from lavenderspoke import agentevents as events, messages
 from lavenderspoke.agentruns import AgentRuns
+from lavenderspoke.capacity.slots import FixedLimit, Limit
+from lavenderspoke.capacity.straggler import PullCaution
 from lavenderspoke.core import Count, Received, Send, Tick
 from lavenderspoke.dispatching import PUSHED
 from lavenderspoke.documents.service import Service
@@ -15,8 +17,6 @@
 from lavenderspoke.model import InstanceId, Standing
 from lavenderspoke.outbox import Outbox, split
 from lavenderspoke.pulling import Puller
-from lavenderspoke.slots import FixedLimit, Limit
-from lavenderspoke.straggler import PullCaution
 
 # Timers are looked at no more often than this.
 HOUSEKEEPING_S = 1.0
--- a/lavenderspoke/agentruns.py
+++ b/lavenderspoke/agentruns.py
@@ -6,13 +6,13 @@
 import attrs
 
 from lavenderspoke import agentevents as events, messages
+from lavenderspoke.capacity.slots import Limit
 from lavenderspoke.core import Count, Send
 from lavenderspoke.ledger import Ledger, Run
 from lavenderspoke.messages import Piece
 from lavenderspoke.model import Head, Standing
 from lavenderspoke.outbox import Outbox
 from lavenderspoke.pulling import Puller
-from lavenderspoke.slots import Limit
 
 # How often a broken stream is taken up again before its answer ends visibly.
 RESUMES_MAX = 5
--- a/lavenderspoke/learnedlimit.py
+++ b/lavenderspoke/capacity/learnedlimit.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from lavenderspoke.concurrency import ConcurrencyLimit
-from lavenderspoke.straggler import StragglerDetector
+from lavenderspoke.capacity.concurrency import ConcurrencyLimit
+from lavenderspoke.capacity.straggler import StragglerDetector
 
 
 @attrs.define(kw_only=True)
