Leave an upstream alone that fails while the others of its service answer

Cause: an upstream that fails each request at once is never busy, and while the others are full it draws all that waits; its share of failures only made it less attractive, and each entry learned that alone.

It is now judged against the others of its service, as outlier detection by success rate does: after 5 failures in a row, or seven tenths of its answers, and a share 0.2 above their mean, it is left alone for 1 to 4 s and then tried by one request that may be repeated. Entries are told; two of different data centres must say it, and who is served well there doesn't believe it.

The scenario fails before. Not tried: a verdict by data centre for one that is grey for one of them alone; the two-data-centre rule only keeps it from spreading.

--- /dev/null
+++ b/features/steps/outliers_steps.py
@@ -0,0 +1,227 @@
+"""Steps about upstreams that fail more than the others of their service."""
+
+import heapq
+import itertools
+from random import Random
+
+import attrs
+from behave import given, then, when
+
+from features.entryfleet import SERVICE, Entry
+from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.messages import SharedState
+from lavenderspoke.direct.scheduler import Dispatch, Line, Scheduler, Ticket
+from lavenderspoke.model import InstanceId
+
+TICK_S = 0.02
+FAILS_AFTER_S = 0.002
+# When the failing upstream answers again, in seconds.
+SOUND_AGAIN_S = 7.0
+
+
+@attrs.define(kw_only=True)
+class Failures:
+    """Plays requests at upstreams that fail a part of what they get."""
+
+    upstreams: int
+    places: int
+    fails: dict[str, float]
+    now_s: float = 0.0
+    sent: int = 0
+    failed: int = 0
+    refused: int = 0
+    sent_late: set[str] = attrs.field(factory=set)
+    scheduler: Scheduler = attrs.field(init=False)
+    line: Line = attrs.field(init=False)
+    _events: list = attrs.field(factory=list)
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
+    _random: Random = attrs.field(factory=lambda: Random(5))
+
+    def __attrs_post_init__(self):
+        self.scheduler = Scheduler(random=Random(7))
+        self.scheduler.reconfigure(
+            tuple(upstream(f"u{n}", self.places) for n in range(self.upstreams)), 0.0
+        )
+        self.line = self.scheduler.line(SERVICE)
+
+    def play(self, seconds: float, per_s: float, hold_s: float) -> None:
+        at_s = 0.0
+        while (at_s := at_s + self._random.expovariate(per_s)) < seconds:
+            self._at(at_s, lambda: self._come(hold_s))
+        for tick in range(round(seconds / TICK_S)):
+            self._at(tick * TICK_S, lambda: self.scheduler.tick(self.now_s))
+        while self._events:
+            self.now_s, _, work = heapq.heappop(self._events)
+            work()
+
+    def _at(self, at_s: float, work) -> None:
+        heapq.heappush(self._events, (at_s, next(self._numbers), work))
+
+    def _come(self, hold_s: float) -> None:
+        ticket = Ticket(
+            request_id=f"r{next(self._numbers)}",
+            service=SERVICE,
+            rank=(0, 0),
+            prompt_tokens=0,
+            answer_tokens=1,
+            first_s=self.now_s,
+            quiet_since_s=self.now_s,
+            deadline_s=self.now_s + 2.0,
+            target_s=0.4,
+            patience_s=2.0,
+            returned=False,
+            repeatable=self._random.random() < 0.2,
+            decided=lambda decision: self._decided(ticket, decision, hold_s),
+        )
+        self.line.submit(ticket, self.now_s)
+
+    def _decided(self, ticket: Ticket, decision, hold_s: float) -> None:
+        if not isinstance(decision, Dispatch):
+            self.refused += 1
+            return
+        name = decision.upstream.upstream_id
+        self.sent += 1
+        if self.now_s > SOUND_AGAIN_S + 1.0:
+            self.sent_late.add(name)
+        share = self.fails.get(name, 0.0)
+        if len(self.fails) == 1 and self.now_s >= SOUND_AGAIN_S:
+            share = 0.0
+        is_failure = self._random.random() < share
+        self.failed += is_failure
+        after_s = FAILS_AFTER_S if is_failure else hold_s
+        self._at(self.now_s + after_s, lambda: self._ended(ticket, name, is_failure))
+
+    def _ended(self, ticket: Ticket, name: str, is_failure: bool) -> None:
+        seat = self.line.pool.seat(name)
+        if is_failure:
+            self.line.pool.failed(seat, self.now_s)
+        else:
+            seat.health.succeeded()
+        self.line.ended(ticket, name, self.now_s)
+
+
+def upstream(name: str, slots: int) -> Upstream:
+    return Upstream(
+        upstream_id=name,
+        service=SERVICE,
+        host="127.0.0.1",
+        port=1,
+        data_centre="dc-0",
+        slots=slots,
+    )
+
+
+@given(
+    "a line before {count:d} upstreams of {places:d} places, of which 1 fails at once"
+)
+@given("a line before {count:d} upstream of {places:d} places, which fails at once")
+def step_one_fails(context, count, places):
+    context.failures = Failures(upstreams=count, places=places, fails={"u0": 1.0})
+
+
+@given(
+    "a line before {count:d} upstreams of {places:d} places, of which each fails "
+    "{part:d} in 10"
+)
+def step_each_fails(context, count, places, part):
+    fails = {f"u{number}": part / 10 for number in range(count)}
+    context.failures = Failures(upstreams=count, places=places, fails=fails)
+
+
+@when("for {seconds:d} s there come {per_s:d} requests a second that take {ms:d} ms")
+def step_play(context, seconds, per_s, ms):
+    context.failures.play(float(seconds), float(per_s), ms / 1000)
+
+
+@then("at most {part:d} in 100 of them fail")
+def step_few_fail(context, part):
+    failures = context.failures
+    assert failures.failed * 100 <= failures.sent * part, (
+        failures.failed,
+        failures.sent,
+    )
+
+
+@then("the failing one is tried again until it answers")
+def step_tried(context):
+    assert "u0" in context.failures.sent_late, context.failures.sent_late
+
+
+@then("no request is refused")
+def step_none_refused(context):
+    assert context.failures.refused == 0, context.failures.refused
+    assert context.failures.sent > 0
+
+
+@given(
+    "{count:d} entries in {data_centres:d} data centres, each before a service of "
+    "three upstreams"
+)
+def step_entries(context, count, data_centres):
+    context.clock = ManualClock()
+    context.entries = [
+        Entry(
+            name=f"entry-{number}",
+            data_centre=f"dc-{number % data_centres}",
+            clock=context.clock,
+            seed=number,
+            upstreams=tuple(upstream(f"u{n}", 5) for n in range(3)),
+        )
+        for number in range(count)
+    ]
+
+
+def pool_of(entry: Entry):
+    return entry.office._scheduler.line(SERVICE).pool
+
+
+def tell_failing(context, *names: str) -> None:
+    """Have two entries of different data centres say that upstreams fail."""
+    for teller in context.entries[2:4]:
+        state = SharedState(
+            address=teller.whereabouts.address,
+            data_centre=teller.whereabouts.data_centre,
+            number=1,
+            failing=names,
+        )
+        for entry in context.entries[:2]:
+            sender = InstanceId(name=teller.me.name, incarnation="1")
+            entry.office.heard(sender, state)
+
+
+@when("an upstream has answered the first entry and two others say that it fails")
+def step_say_one(context):
+    health = pool_of(context.entries[0]).seat("u0").health
+    for _ in range(10):
+        health.succeeded()
+    tell_failing(context, "u0")
+
+
+@when("two others say of all upstreams that they fail")
+def step_say_all(context):
+    tell_failing(context, "u0", "u1", "u2")
+
+
+def usable(entry: Entry, now_s: float) -> list[str]:
+    return [
+        name
+        for name in ("u0", "u1", "u2")
+        if pool_of(entry).seat(name).health.usable(0, now_s)
+    ]
+
+
+@then("the first entry still uses it")
+def step_still(context):
+    assert "u0" in usable(context.entries[0], 0.0)
+
+
+@then("an entry that doesn't know it leaves it alone for a while")
+def step_leaves(context):
+    assert "u0" not in usable(context.entries[1], 0.5)
+    assert "u0" in usable(context.entries[1], 5.0)
+
+
+@then("the first entry uses at least two of them")
+def step_two(context):
+    assert len(usable(context.entries[0], 0.5)) >= 2
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -198,6 +198,7 @@
             decided=self._decide,
             excluded=self._tried | self.relocation.declined,
             may_wait=may_wait,
+            repeatable=self._may_run_again(uncounted=1),
         )
         with self._lock:
             self._decided.clear()
--- a/lavenderspoke/direct/health.py
+++ b/lavenderspoke/direct/health.py
@@ -3,8 +3,8 @@
 Health checks cost a slot and may lie in either direction, so only what became
 of real requests counts. An upstream that can't be reached or falls silent is
 left alone for a while that doubles, and then gets one trial request, not all
-that waits. One that answers but often fails is only made less attractive,
-since on some days all of them do.
+that waits. One that answers but often fails is made less attractive, and left
+alone in the same way where the others fail less.
 """
 
 import attrs
@@ -14,6 +14,14 @@
 SUSPEND_MIN_S = 0.25
 # The longest suspension in seconds: a crashed engine is back after some seconds.
 SUSPEND_MAX_S = 2.0
+# How long one is left alone that fails more than the others, at first and at most, in
+# seconds.
+FAILING_MIN_S = 1.0
+FAILING_MAX_S = 4.0
+# Answers from which on an entry believes its own of an upstream more than others' word.
+KNOWN_MIN = 5
+# The share of failures below which an upstream is sound by them.
+SOUND_SHARE = 0.1
 # How long an upstream is left alone that others couldn't reach, in seconds: longer than
 # the longest suspension, after which one of those that found it away tries again.
 TOLD_S = 2.2
@@ -31,25 +39,47 @@
     """One upstream's record.
 
     `failure_share` runs from 0 to 1. `pace_s` is the recent time between two
-    events of a stream, or of a whole plain answer; None until one was seen.
+    events of a stream, or of a whole plain answer; None until one was seen. While it
+    `is_on_trial` it is left alone, or gets one request at a time.
     """
 
     failure_share: float = 0.0
     pace_s: float | None = None
     failures_in_row: int = 0
+    failed_in_row: int = 0
+    outcomes: int = 0
+    is_on_trial: bool = False
+    trials: int = 0
     suspended_until_s: float = 0.0
     told_until_s: float = 0.0
 
     def succeeded(self) -> None:
         """Count an answer that came whole and was no failure."""
         self.failure_share -= self.failure_share * OUTCOME_WEIGHT
-        self.failures_in_row = 0
+        self.failures_in_row = self.failed_in_row = 0
+        self.outcomes += 1
+        if not self.is_on_trial:
+            self.trials = 0
+        self.is_on_trial = False
         self.told_until_s = 0.0
 
     def failed(self) -> None:
         """Count an answer that was a failure: the upstream lives."""
         self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT
         self.failures_in_row = 0
+        self.failed_in_row += 1
+        self.outcomes += 1
+
+    def leave_alone(self, now_s: float) -> None:
+        """Leave it alone for a while, and then try it by one request at a time."""
+        pause_s = min(FAILING_MIN_S * 2**self.trials, FAILING_MAX_S)
+        self.is_on_trial = True
+        self.trials += 1
+        self.suspended_until_s = max(self.suspended_until_s, now_s + pause_s)
+
+    def seems_sound(self) -> bool:
+        """Return whether this entry's own requests fare well there."""
+        return self.outcomes >= KNOWN_MIN and self.failure_share < SOUND_SHARE
 
     def unreachable(self, now_s: float) -> None:
         """Count a connection that failed, broke or fell silent."""
@@ -83,6 +113,6 @@
         """
         if now_s < self.suspended_until_s:
             return False
-        if self.failures_in_row:
+        if self.failures_in_row or self.is_on_trial:
             return running == 0
         return now_s >= self.told_until_s
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -42,7 +42,8 @@
 
     What has happened since the last message: `refused` are the fingerprints of requests
     refused, whose callers may come back anywhere; `gone` are upstreams at whose address
-    another one was found; `unreached` are those to which a connection failed.
+    another one was found; `unreached` are those to which a connection failed; `failing`
+    are those left alone because they fail more than the others of their service.
 
     `number` counts the messages of one life of the entry: a state may come by several
     ways, and the older one must not replace the newer.
@@ -59,6 +60,7 @@
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
+    failing: tuple[str, ...] = ()
     leaving: bool = False
 
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -19,6 +19,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.pool import Seat
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, Wish
@@ -61,6 +62,7 @@
 FIRST_LATER = "direct_first_event_later_s"
 FIRST_EARLIER = "direct_first_event_earlier_s"
 PEERS_RUNNING = "direct_peers_running"
+LEFT_ALONE = "upstreams_left_alone"
 
 log = logbook.Logger(__name__)
 
@@ -102,7 +104,9 @@
         self._evidence: list[CrashEvidence] = []
         self._gone_news: set[str] = set()
         self._unreached_news: set[str] = set()
+        self._failing_news: set[str] = set()
         self._suspicions = Suspicions()
+        self._failing = Suspicions()
         self._told_spent: dict[str, Rows] = {}
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
@@ -271,6 +275,7 @@
             ]
             self._listed = listed
             self._suspicions.keep(set(listed))
+            self._failing.keep(set(listed))
             self._restarted += [
                 _Restarted(upstream=each, at_s=now_s) for each in restarted
             ]
@@ -426,10 +431,12 @@
                 refused=self._returns.news(),
                 gone=tuple(self._gone_news),
                 unreached=tuple(self._unreached_news),
+                failing=tuple(self._failing_news),
                 leaving=leaving,
             )
             self._gone_news.clear()
             self._unreached_news.clear()
+            self._failing_news.clear()
             evidence, self._evidence = self._evidence, []
         return [state, *evidence]
 
@@ -446,6 +453,8 @@
             self._note_gone(upstream_id, now_s)
         for upstream_id in state.unreached:
             self._suspect(upstream_id, sender.name, state.data_centre, now_s)
+        for upstream_id in state.failing:
+            self._doubt(upstream_id, sender.name, state.data_centre, now_s)
         self._quota.peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
@@ -513,10 +522,41 @@
         elif outcome in (Outcome.FAILED, Outcome.BROKEN):
             # A broken connection alone doesn't mean that the upstream is away;
             # if it is, the next connection is refused without any harm.
-            seat.health.failed()
+            self._failed(seat, now_s)
         elif outcome in (Outcome.SILENT, Outcome.UNREACHABLE):
             seat.health.unreachable(now_s)
 
+    def _failed(self, seat: Seat, now_s: float) -> None:
+        upstream = seat.upstream
+        line = self._scheduler.line(upstream.service)
+        if line.pool.failed(seat, now_s):
+            self._failing_news.add(upstream.upstream_id)
+            self._note_left_alone(seat, "own answers")
+
+    def _doubt(self, upstream_id: str, by: str, data_centre: str, now_s: float) -> None:
+        """Take in that an upstream fails another entry's requests."""
+        is_failing = self._failing.told(
+            upstream_id, by=by, data_centre=data_centre, now_s=now_s
+        )
+        if not is_failing:
+            return
+        for line in self._scheduler.lines().values():
+            if line.pool.told_failing(upstream_id, now_s):
+                seat = line.pool.seat(upstream_id)
+                self._note_left_alone(seat, f"{by} and others")
+
+    def _note_left_alone(self, seat: Seat, by: str) -> None:
+        reason = "own" if by == "own answers" else "told"
+        self._metrics.count(LEFT_ALONE, reason)
+        log.info(
+            "upstream left alone",
+            upstream=seat.upstream.upstream_id,
+            service=seat.upstream.service,
+            by=by,
+            failure_share=round(seat.health.failure_share, 2),
+            in_row=seat.health.failed_in_row,
+        )
+
     def _note_gone(self, upstream_id: str, now_s: float) -> None:
         for line in self._scheduler.lines().values():
             line.pool.gone(upstream_id, now_s)
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -9,6 +9,7 @@
 
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.outliers import is_outlier, may_leave_alone
 from lavenderspoke.direct.reading import ReadingPace
 from lavenderspoke.direct.writing import WritingPace
 from lavenderspoke.rollouts.orders import Access
@@ -58,7 +59,8 @@
     """What a request asks of an upstream.
 
     `first_in_s` is how long its first byte may take from now on to be on time,
-    `left_s` how long all of it may. `excluded` names upstreams not to be taken.
+    `left_s` how long all of it may. `excluded` names upstreams not to be taken. One
+    that is `repeatable` may be the first that an upstream gets which failed others.
     """
 
     prompt_tokens: int
@@ -66,6 +68,7 @@
     first_in_s: float
     left_s: float
     excluded: set[str] = attrs.field(factory=set)
+    repeatable: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -219,6 +222,30 @@
         if seat is not None:
             seat.gone_until_s = now_s + GONE_S
 
+    def failed(self, seat: Seat, now_s: float) -> bool:
+        """Count a failure; return whether the upstream is left alone for it."""
+        seat.health.failed()
+        others = self._others(seat)
+        if now_s < seat.health.suspended_until_s or not is_outlier(seat.health, others):
+            return False
+        return self._leave_alone(seat, others, now_s)
+
+    def told_failing(self, upstream_id: str, now_s: float) -> bool:
+        """Leave an upstream alone that fails others, unless it serves this entry."""
+        seat = self._seats.get(upstream_id)
+        if seat is None or seat.health.is_on_trial or seat.health.seems_sound():
+            return False
+        return self._leave_alone(seat, self._others(seat), now_s)
+
+    def _leave_alone(self, seat: Seat, others: list[Health], now_s: float) -> bool:
+        if not seat.health.is_on_trial and not may_leave_alone(others):
+            return False
+        seat.health.leave_alone(now_s)
+        return True
+
+    def _others(self, seat: Seat) -> list[Health]:
+        return [each.health for each in self._open() if each is not seat]
+
     def come_back(self, now_s: float) -> None:
         """Take upstreams again that have been left alone for long enough."""
         for seat in self._seats.values():
@@ -232,7 +259,7 @@
     def room(self, now_s: float) -> int:
         """Return how many requests could be sent right now."""
         usable = (s for s in self._open() if s.health.usable(len(s.own), now_s))
-        return sum(max(0, seat.room()) for seat in usable)
+        return sum(max(0, s.room()) for s in usable if not s.health.is_on_trial)
 
     def places(self) -> Places:
         """Return the places by version, in all and taken."""
@@ -274,7 +301,11 @@
             if seat.upstream.upstream_id not in demand.excluded
             and seat.health.usable(len(seat.own), now_s)
         ]
-        return self._choose(able, demand, rivals)
+        tried = [s for s in able if s.health.is_on_trial]
+        if demand.repeatable and tried and tried[0].room() > 0:
+            return Choice(seat=tried[0])
+        sound = [s for s in able if not s.health.is_on_trial]
+        return self._choose(sound, demand, rivals)
 
     def choose_canary(
         self, demand: Demand, *, now_s: float, rivals: float = 0.0
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -121,7 +121,8 @@
     `target_s` counts from `first_s`, when its caller asked for the first time, and
     `patience_s` from `quiet_since_s`, when it arrived or got the last event of its
     stream: after so long without another one its caller leaves.
-    `excluded` holds upstreams it was sent to before. One that may not wait is decided
+    `excluded` holds upstreams it was sent to before; one that is `repeatable` may be
+    sent to another one after it failed. One that may not wait is decided
     on before `submit` returns. Once it was sent, `outlook` is what it met there,
     `expected_first_s` the time to its first byte and `expected_first_steps` the
     upstream's steps until then; its first event came at `began_s`, and a whole stream
@@ -144,6 +145,7 @@
     decided: Callable[[Decision], None]
     excluded: set[str] = attrs.field(factory=set)
     may_wait: bool = True
+    repeatable: bool = False
     number: int = 0
     late: bool = False
     leaves_line_s: float = 0.0
@@ -455,6 +457,7 @@
         first_in_s=on_time_s if on_time_s > 0.0 else left_s,
         left_s=left_s,
         excluded=ticket.excluded,
+        repeatable=ticket.repeatable,
     )
 
 
--- a/lavenderspoke/direct/talk.py
+++ b/lavenderspoke/direct/talk.py
@@ -191,6 +191,7 @@
         refused=before.refused + after.refused,
         gone=before.gone + after.gone,
         unreached=before.unreached + after.unreached,
+        failing=before.failing + after.failing,
     )
 
 
