Move what is known of upstreams from attempts out of Office

No behaviour changes; the features of restarts, crashes, spreading, outliers, limits and rooms pass.

--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -120,7 +120,7 @@
     fleet = context.fleet
     fleet.run(seconds)
     office = fleet.entries["entry-5"].office
-    office._judge(UPSTREAM, REQUEST, Outcome.MISDIRECTED, fleet.now_s)
+    office._verdicts.ended(UPSTREAM, REQUEST, Outcome.MISDIRECTED, fleet.now_s)
 
 
 @then("none of the entries sends a request there")
@@ -137,7 +137,7 @@
     fleet.run(seconds)
     for number in {first, second}:
         office = fleet.entries[f"entry-{number}"].office
-        office._judge(UPSTREAM, REQUEST, Outcome.UNREACHABLE, fleet.now_s)
+        office._verdicts.ended(UPSTREAM, REQUEST, Outcome.UNREACHABLE, fleet.now_s)
 
 
 def senders(context) -> set[str]:
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -16,12 +16,13 @@
 from lavenderspoke.direct.exchange import Sending
 from lavenderspoke.direct.inforce import InForce
 from lavenderspoke.direct.messages import DirectMessage
-from lavenderspoke.direct.office import RESTART_SETTLED_S, Office
+from lavenderspoke.direct.office import Office
 from lavenderspoke.direct.pool import Demand
 from lavenderspoke.direct.records import KeyedRecord, Records
 from lavenderspoke.direct.relay import Peering, Relay
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import Whereabouts
+from lavenderspoke.direct.verdicts import RESTART_SETTLED_S
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.feeds import (
     ConfigurationFeed,
@@ -156,7 +157,7 @@
 
 @when('content "{content}" breaks there, and the record tells of start {born:d}')
 def step_crash(context, content, born):
-    crashes = context.office._crashes
+    crashes = context.office._verdicts.crashes
     crashes.broke(upstream(context).upstream_id, content, context.clock.monotonic_s())
     tell(context, born)
     context.clock.advance(RESTART_SETTLED_S + 0.1)
@@ -166,7 +167,7 @@
 @then('content "{content}" is refused')
 def step_refused(context, content):
     now_s = context.clock.monotonic_s()
-    assert context.office._crashes.quarantined(SERVICE, content, now_s)
+    assert context.office._verdicts.crashes.quarantined(SERVICE, content, now_s)
 
 
 def starts(registry: Registry) -> list[str]:
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -14,12 +14,10 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.answers import answer_of
 from lavenderspoke.direct.catalog import Catalog, Route
-from lavenderspoke.direct.crashes import CrashWatch
 from lavenderspoke.direct.desk import Accepted, Look, Outcome
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
-from lavenderspoke.direct.pool import Seat
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, Wish
@@ -33,8 +31,8 @@
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns, Whereabouts
 from lavenderspoke.direct.surroundings import Surroundings
-from lavenderspoke.direct.suspicions import Suspicions
 from lavenderspoke.direct.usage import Rows
+from lavenderspoke.direct.verdicts import Verdicts
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
@@ -53,28 +51,16 @@
 # instant, and each would give out what the others give out too, before the messages of
 # the first 0.1 s say so. Longer, it refuses customers whose callers come unevenly.
 ALONE_S = 0.2
-# Time in seconds from which on all requests at an upstream's earlier start have been
-# broken off: their threads only have to wake up.
-RESTART_SETTLED_S = 0.2
 ATTEMPTS = "direct_attempts"
 RETRIES = "direct_retries"
 LOOKS = "direct_silence_looks"
 FIRST_LATER = "direct_first_event_later_s"
 FIRST_EARLIER = "direct_first_event_earlier_s"
 PEERS_RUNNING = "direct_peers_running"
-LEFT_ALONE = "upstreams_left_alone"
 
 log = logbook.Logger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class _Restarted:
-    """An upstream's earlier start, and when the new one was noticed."""
-
-    upstream: Upstream
-    at_s: float
-
-
 class Office:
     """The decisions of one entry, safe for threads."""
 
@@ -100,13 +86,6 @@
         self._quota = SharedQuota(
             window_s=bounds.quota_window_s, tolerance=bounds.quota_tolerance
         )
-        self._crashes = CrashWatch(own_name=name)
-        self._evidence: list[CrashEvidence] = []
-        self._gone_news: set[str] = set()
-        self._unreached_news: set[str] = set()
-        self._failing_news: set[str] = set()
-        self._suspicions = Suspicions()
-        self._failing = Suspicions()
         self._told_spent: dict[str, Rows] = {}
         self._all_spent_s = 0.0
         self._allowances: dict[str, RetryAllowance] = {}
@@ -114,8 +93,6 @@
         self._peers_listed = False
         self._alone_until_s = clock.monotonic_s() + ALONE_S
         self._connections: dict[str, ConnectionPool] = {}
-        self._listed: dict[str, Upstream] = {}
-        self._restarted: list[_Restarted] = []
         self._services: frozenset[str] = frozenset()
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
@@ -126,6 +103,9 @@
             access=self._rollouts.access,
             canary=self._rollouts.canary,
         )
+        self._verdicts = Verdicts(
+            own_name=name, scheduler=self._scheduler, metrics=metrics
+        )
 
     # Arrival
 
@@ -142,7 +122,7 @@
             now_s = self._now_s()
             service, fingerprint = accepted.service, accepted.fingerprint
             self._allowance(service).first_try(now_s)
-            if self._crashes.quarantined(service, fingerprint, now_s):
+            if self._verdicts.crashes.quarantined(service, fingerprint, now_s):
                 return Err(not_run(Reason.CRASHES_UPSTREAMS))
             first_s = self._returns.take(fingerprint, now_s)
             refused = self._spend(accepted, now_s, returned=first_s is not None)
@@ -204,7 +184,7 @@
         self._metrics.count(ATTEMPTS, outcome.value)
         with self._lock:
             now_s = self._now_s()
-            self._judge(upstream, accepted, outcome, now_s)
+            self._verdicts.ended(upstream, accepted, outcome, now_s)
             line = self._scheduler.line(ticket.service)
             line.ended(ticket, upstream.upstream_id, now_s)
             answer = answer_of(ticket, accepted.route, outcome, now_s)
@@ -266,19 +246,8 @@
             now_s = self._now_s()
             self._rollouts.listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
-            listed = {each.upstream_id: each for each in upstreams}
-            names = {each.name for each in upstreams}
-            restarted = [
-                each
-                for key, each in self._listed.items()
-                if key not in listed and each.name in names
-            ]
-            self._listed = listed
-            self._suspicions.keep(set(listed))
-            self._failing.keep(set(listed))
-            self._restarted += [
-                _Restarted(upstream=each, at_s=now_s) for each in restarted
-            ]
+            restarted = self._verdicts.listed(upstreams, now_s)
+            listed = {each.upstream_id for each in upstreams}
             left = [each for each in self._connections if each not in listed]
             pools = {each: self._connections.pop(each) for each in left}
         for pool in pools.values():
@@ -374,14 +343,14 @@
     def heard_of_crash(self, evidence: CrashEvidence) -> None:
         """Take in a crash that another entry saw."""
         with self._lock:
-            self._crashes.heard(evidence, self._now_s())
+            self._verdicts.crashes.heard(evidence, self._now_s())
 
     def tick(self) -> None:
         """Serve the lines again and follow what the peers said."""
         with self._lock:
             now_s = self._now_s()
             self._share(now_s)
-            self._note_crashes(now_s)
+            self._verdicts.tick(now_s)
             self._peers.drop_silent(now_s)
             self._scheduler.tick(now_s)
             self._roll(now_s)
@@ -420,6 +389,7 @@
                     waiting[service] = _rows(rows)
                 if rows := line.held():
                     held[service] = _rows(rows)
+            found = self._verdicts.news()
             state = SharedState(
                 address=self.whereabouts.address,
                 data_centre=self.whereabouts.data_centre,
@@ -429,15 +399,12 @@
                 spent=self._spent_news(),
                 rollouts=self._rollouts.news(self._now_s()),
                 refused=self._returns.news(),
-                gone=tuple(self._gone_news),
-                unreached=tuple(self._unreached_news),
-                failing=tuple(self._failing_news),
+                gone=found.gone,
+                unreached=found.unreached,
+                failing=found.failing,
                 leaving=leaving,
             )
-            self._gone_news.clear()
-            self._unreached_news.clear()
-            self._failing_news.clear()
-            evidence, self._evidence = self._evidence, []
+            evidence = self._verdicts.evidence()
         return [state, *evidence]
 
     # Inside
@@ -449,12 +416,7 @@
             return False
         self._returns.heard(state.refused, now_s)
         self._rollouts.heard(sender, state.rollouts, now_s)
-        for upstream_id in state.gone:
-            self._note_gone(upstream_id, now_s)
-        for upstream_id in state.unreached:
-            self._suspect(upstream_id, sender.name, state.data_centre, now_s)
-        for upstream_id in state.failing:
-            self._doubt(upstream_id, sender.name, state.data_centre, now_s)
+        self._verdicts.heard(sender.name, state, now_s)
         self._quota.peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
@@ -499,93 +461,6 @@
             return spent
         return {name: used for name, used in spent.items() if used != before.get(name)}
 
-    def _judge(
-        self, upstream: Upstream, accepted: Accepted, outcome: Outcome, now_s: float
-    ) -> None:
-        seat = self._scheduler.line(upstream.service).pool.seat(upstream.upstream_id)
-        fingerprint = accepted.fingerprint
-        if outcome is Outcome.ANSWERED:
-            self._crashes.answered(upstream.service, fingerprint)
-        elif outcome is Outcome.BROKEN:
-            self._crashes.broke(upstream.upstream_id, fingerprint, now_s)
-        elif outcome is Outcome.UNREACHABLE:
-            self._died(upstream, now_s)
-            self._unreached_news.add(upstream.upstream_id)
-        elif outcome is Outcome.MISDIRECTED:
-            self._died(upstream, now_s)
-            self._note_gone(upstream.upstream_id, now_s)
-            self._gone_news.add(upstream.upstream_id)
-        if seat is None:
-            return
-        if outcome is Outcome.ANSWERED:
-            seat.health.succeeded()
-        elif outcome in (Outcome.FAILED, Outcome.BROKEN):
-            # A broken connection alone doesn't mean that the upstream is away;
-            # if it is, the next connection is refused without any harm.
-            self._failed(seat, now_s)
-        elif outcome in (Outcome.SILENT, Outcome.UNREACHABLE):
-            seat.health.unreachable(now_s)
-
-    def _failed(self, seat: Seat, now_s: float) -> None:
-        upstream = seat.upstream
-        line = self._scheduler.line(upstream.service)
-        if line.pool.failed(seat, now_s):
-            self._failing_news.add(upstream.upstream_id)
-            self._note_left_alone(seat, "own answers")
-
-    def _doubt(self, upstream_id: str, by: str, data_centre: str, now_s: float) -> None:
-        """Take in that an upstream fails another entry's requests."""
-        is_failing = self._failing.told(
-            upstream_id, by=by, data_centre=data_centre, now_s=now_s
-        )
-        if not is_failing:
-            return
-        for line in self._scheduler.lines().values():
-            if line.pool.told_failing(upstream_id, now_s):
-                seat = line.pool.seat(upstream_id)
-                self._note_left_alone(seat, f"{by} and others")
-
-    def _note_left_alone(self, seat: Seat, by: str) -> None:
-        reason = "own" if by == "own answers" else "told"
-        self._metrics.count(LEFT_ALONE, reason)
-        log.info(
-            "upstream left alone",
-            upstream=seat.upstream.upstream_id,
-            service=seat.upstream.service,
-            by=by,
-            failure_share=round(seat.health.failure_share, 2),
-            in_row=seat.health.failed_in_row,
-        )
-
-    def _note_gone(self, upstream_id: str, now_s: float) -> None:
-        for line in self._scheduler.lines().values():
-            line.pool.gone(upstream_id, now_s)
-
-    def _suspect(
-        self, upstream_id: str, by: str, data_centre: str, now_s: float
-    ) -> None:
-        is_away = self._suspicions.told(
-            upstream_id, by=by, data_centre=data_centre, now_s=now_s
-        )
-        if not is_away:
-            return
-        for line in self._scheduler.lines().values():
-            seat = line.pool.seat(upstream_id)
-            if seat is not None:
-                seat.health.told_unreachable(now_s)
-
-    def _note_crashes(self, now_s: float) -> None:
-        """Take a new start as the crash of the one before, once all of it broke."""
-        settled = [e for e in self._restarted if now_s >= e.at_s + RESTART_SETTLED_S]
-        for each in settled:
-            self._restarted.remove(each)
-            self._died(each.upstream, now_s)
-
-    def _died(self, upstream: Upstream, now_s: float) -> None:
-        evidence = self._crashes.dead(upstream.service, upstream.upstream_id, now_s)
-        if evidence is not None:
-            self._evidence.append(evidence)
-
     def _allowance(self, service: str) -> RetryAllowance:
         if service not in self._allowances:
             self._allowances[service] = RetryAllowance(
