--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -106,6 +106,20 @@
     When it is ordered to take over within 12 s, and the order is withdrawn after 3 s
     Then the roll-out ends as rolled_back within 6 s
 
+  Scenario: Orders are read again after one was dropped
+    Guards against a withdrawal that is told at each read, and an order that comes back.
+    Given a reader of orders that knows one for "s"
+    When all records are read twice without it
+    Then it is withdrawn once
+    When the dropped record is shown once more by a read that came late
+    Then the roll-out stays stopped
+
+  Scenario: The version in use after a roll-out is the measure of the next one
+    Guards against slow answers that are judged by a version that is gone.
+    Given an entry that has completed a roll-out
+    When the new version answers 40 times within 0.1 s
+    Then an answer of 1 s counts as slow
+
   Scenario Outline: What an operator writes makes no sense
     Guards against an order that is half understood.
     When a record says "<record>"
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -1,5 +1,7 @@
 """Steps about roll-outs over many entries, without a network."""
 
+import json
+
 from behave import given, then, when
 
 from features.entryfleet import SERVICE, Entry
@@ -13,11 +15,14 @@
 from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.desk import Outcome
-from lavenderspoke.direct.records import KeyedRecord
+from lavenderspoke.direct.records import KeyedRecord, Records
+from lavenderspoke.direct.rolling import Answer
 from lavenderspoke.direct.scheduler import Dispatch, Ticket
 from lavenderspoke.direct.sharing import Whereabouts
-from lavenderspoke.platform.rollouts import decode_order
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.platform.rollouts import Orders, decode_order
 from lavenderspoke.rollouts.orders import Order, Stage
+from lavenderspoke.rollouts.typical import Measure
 
 SHARE, TOLERANCE = 0.1, 50
 FINAL = ("completed", "rolled_back")
@@ -280,6 +285,75 @@
     assert pool.in_flight() == 0, pool.running()
 
 
+ORDER_RECORD = KeyedRecord(
+    key=f"rollout/{SERVICE}",
+    value=json.dumps({"service": SERVICE, "target": NEW, "duration-s": 12}).encode(),
+    offset=3,
+)
+
+
+@given('a reader of orders that knows one for "s"')
+def step_reader(context):
+    step_entry_one(context)
+    context.withdrawn = []
+
+    def withdraw(service: str, number: int) -> None:
+        context.withdrawn.append(service)
+        context.entry.office.order_withdrawn(service, number)
+
+    context.orders = Orders(
+        on_order=context.entry.office.ordered,
+        on_withdrawn=withdraw,
+        metrics=Metrics(),
+    )
+    context.orders.take(Records(records=(ORDER_RECORD,), next_offset=4), whole=True)
+
+
+@when("all records are read twice without it")
+def step_read_without(context):
+    for next_offset in (6, 9):
+        context.orders.take(Records(records=(), next_offset=next_offset), whole=True)
+
+
+@then("it is withdrawn once")
+def step_withdrawn_once(context):
+    assert context.withdrawn == [SERVICE], context.withdrawn
+
+
+@when("the dropped record is shown once more by a read that came late")
+def step_shown_again(context):
+    context.orders.take(Records(records=(ORDER_RECORD,), next_offset=4), whole=False)
+
+
+@then("the roll-out stays stopped")
+def step_stays_stopped(context):
+    (news,) = context.entry.office.news(leaving=False)[0].rollouts
+    assert news.stage == Stage.STOPPED, news
+
+
+@given("an entry that has completed a roll-out")
+def step_completed(context):
+    step_entry_one(context)
+    list_versions(context, OLD, NEW)
+    office = context.entry.office
+    order = Order(service=SERVICE, target=NEW, duration_s=12.0, number=3)
+    office.ordered(order)
+    office.rollout_stored(order, Stage.COMPLETED, 12.0)
+
+
+@when("the new version answers {count:d} times within {seconds:g} s")
+def step_answers(context, count, seconds):
+    answer = Answer(route="r", durations_s={Measure.WHOLE: seconds}, whole_s=seconds)
+    for _ in range(count):
+        context.entry.office._rollouts.answered(upstream_of("new-0", NEW), answer)
+
+
+@then("an answer of {seconds:g} s counts as slow")
+def step_counts_as_slow(context, seconds):
+    typical = context.entry.office._rollouts._typical[SERVICE]
+    assert typical.is_slow("r", {Measure.WHOLE: seconds})
+
+
 @when('a record says "{record}"')
 def step_record(context, record):
     key = KeyedRecord(key="rollout/s", value=record.encode(), offset=1)
--- a/lavenderspoke/direct/rolling.py
+++ b/lavenderspoke/direct/rolling.py
@@ -38,7 +38,6 @@
 EARLY_MAX = 32
 
 STAGES = "rollout_stages"
-SENT = "rollout_requests"
 ANSWERS = "rollout_answers"
 HELD = "rollout_versions_held"
 
@@ -189,19 +188,19 @@
         """Count what became of an attempt."""
         service = upstream.service
         typical = self._typical.setdefault(service, Typical())
-        rollout = self._rollouts.get(service)
-        by_target = rollout is not None and upstream.version == rollout.order.target
+        by_target = upstream.version == self._target(service)
         is_bad = answer.is_bad or typical.is_slow(answer.route, answer.durations_s)
         if answer.is_given_up and not is_bad:
             return
         if not by_target and not is_bad:
             typical.learn(answer.route, answer.durations_s)
             self._note_length(service, answer.whole_s)
-        if rollout is None or rollout.stage.is_final:
-            return
         if by_target and not upstream.is_warm and not answer.is_bad:
             # Slow while it warms up, it says nothing of the version.
             return
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.stage.is_final:
+            return
         rollout.answered(answer.route, by_target=by_target, is_bad=is_bad)
         if by_target:
             self._metrics.count(ANSWERS, "bad" if is_bad else "good")
@@ -263,10 +262,6 @@
             self._access.clear()
         return changed
 
-    def forget_access(self) -> None:
-        """Decide on access anew at the next question."""
-        self._access.clear()
-
     def _look(
         self,
         rollout: Rollout,
--- a/lavenderspoke/platform/rollouts.py
+++ b/lavenderspoke/platform/rollouts.py
@@ -159,6 +159,7 @@
     def _drop_missing(self, present: set[str], next_offset: int) -> None:
         for key, offset in list(self._seen.items()):
             if key not in present and offset < next_offset:
+                del self._seen[key]
                 self._withdraw(key, next_offset)
 
     def _withdraw(self, key: str, number: int) -> None:
--- a/lavenderspoke/rollouts/typical.py
+++ b/lavenderspoke/rollouts/typical.py
@@ -11,6 +11,8 @@
 NEWEST_WEIGHT = 0.05
 # Durations from which on the mean is relied on.
 KNOWN_MIN = 5
+# Means that are kept: routes come and go for as long as an entry lives.
+MEANS_MAX = 4096
 
 
 class Measure(enum.Enum):
@@ -51,7 +53,10 @@
     def learn(self, route: str, durations_s: dict[Measure, float]) -> None:
         """Take in an answer of a version in use."""
         for measure, value_s in durations_s.items():
-            self._means.setdefault((route, measure), _Mean()).add(value_s)
+            key = (route, measure)
+            if key not in self._means and len(self._means) >= MEANS_MAX:
+                del self._means[next(iter(self._means))]
+            self._means.setdefault(key, _Mean()).add(value_s)
 
     def is_slow(self, route: str, durations_s: dict[Measure, float]) -> bool:
         """Return whether an answer took several times as long as usual.
