Try a failing upstream also where nothing may be repeated; resets are no row

Two faults of leaving failing upstreams alone, found by reading it again. One that was left alone was tried by repeatable requests only, so a service without such requests never used it again: after 4 s more any request may be the first (the scenario fails without). And five streams that a reset breaks at once counted as five failures in a row, so a sound upstream was left alone for one reset: broken connections now count in the share of failures alone, as before (the scenario fails on the code before by its rule: 5 in a row, a share of 0.41 above 0.2).

--- a/features/outliers.feature
+++ b/features/outliers.feature
@@ -9,6 +9,12 @@
     Then at most 4 in 100 of them fail
     And the failing one is tried again until it answers
 
+  Scenario: None of the requests may be repeated
+    Guards against an upstream that is never tried again.
+    Given a line before 4 upstreams of 6 places, of which 1 fails at once
+    When for 16 s there come 300 requests a second that run once and take 60 ms
+    Then the failing one is tried again until it answers
+
   Scenario: All upstreams fail a part of what they get
     Guards against a service that nobody may use on a day on which all of it fails.
     Given a line before 4 upstreams of 6 places, of which each fails 4 in 10
@@ -21,6 +27,12 @@
     When for 3 s there come 20 requests a second that take 60 ms
     Then no request is refused
 
+  Scenario: Connections to a sound upstream are reset
+    Guards against requests that broke together being taken for failures in a row.
+    Given 4 entries in 2 data centres, each before a service of three upstreams
+    When all that the first entry has running at an upstream breaks at once
+    Then the first entry still uses it
+
   Scenario: Others say that an upstream fails which serves this entry well
     Guards against a false word that takes a sound upstream out of use.
     Given 4 entries in 2 data centres, each before a service of three upstreams
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -8,7 +8,9 @@
 from behave import given, then, when
 
 from features.entryfleet import SERVICE, Entry
+from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
+from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.scheduler import Dispatch, Line, Scheduler, Ticket
@@ -31,6 +33,7 @@
     sent: int = 0
     failed: int = 0
     refused: int = 0
+    repeatable_part: float = 0.2
     sent_late: set[str] = attrs.field(factory=set)
     scheduler: Scheduler = attrs.field(init=False)
     line: Line = attrs.field(init=False)
@@ -71,7 +74,7 @@
             target_s=0.4,
             patience_s=2.0,
             returned=False,
-            repeatable=self._random.random() < 0.2,
+            repeatable=self._random.random() < self.repeatable_part,
             decided=lambda decision: self._decided(ticket, decision, hold_s),
         )
         self.line.submit(ticket, self.now_s)
@@ -95,7 +98,8 @@
     def _ended(self, ticket: Ticket, name: str, is_failure: bool) -> None:
         seat = self.line.pool.seat(name)
         if is_failure:
-            self.line.pool.failed(seat, self.now_s)
+            seat.health.failed()
+            self.line.pool.is_failing(seat, self.now_s)
         else:
             seat.health.succeeded()
         self.line.ended(ticket, name, self.now_s)
@@ -134,6 +138,15 @@
     context.failures.play(float(seconds), float(per_s), ms / 1000)
 
 
+@when(
+    "for {seconds:d} s there come {per_s:d} requests a second that run once and take "
+    "{ms:d} ms"
+)
+def step_play_once(context, seconds, per_s, ms):
+    context.failures.repeatable_part = 0.0
+    step_play(context, seconds, per_s, ms)
+
+
 @then("at most {part:d} in 100 of them fail")
 def step_few_fail(context, part):
     failures = context.failures
@@ -211,6 +224,14 @@
     ]
 
 
+@when("all that the first entry has running at an upstream breaks at once")
+def step_breaks(context):
+    office = context.entries[0].office
+    request = accepted_request(resumable=False, attempts_max=1)
+    for _ in range(5):
+        office._verdicts.ended(upstream("u0", 5), request, Outcome.BROKEN, 0.0)
+
+
 @then("the first entry still uses it")
 def step_still(context):
     assert "u0" in usable(context.entries[0], 0.0)
--- a/lavenderspoke/direct/health.py
+++ b/lavenderspoke/direct/health.py
@@ -18,6 +18,9 @@
 # seconds.
 FAILING_MIN_S = 1.0
 FAILING_MAX_S = 4.0
+# How long it then waits for a request that may be repeated, in seconds; after that any
+# may be the first, since a service may have no others.
+REPEATABLE_ONLY_S = 4.0
 # Answers from which on an entry believes its own of an upstream more than others' word.
 KNOWN_MIN = 5
 # The share of failures below which an upstream is sound by them.
@@ -63,6 +66,15 @@
         self.is_on_trial = False
         self.told_until_s = 0.0
 
+    def broke(self) -> None:
+        """Count a connection that broke: the upstream may live.
+
+        What runs there breaks together, so that it is no row of failures.
+        """
+        self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT
+        self.failures_in_row = 0
+        self.outcomes += 1
+
     def failed(self) -> None:
         """Count an answer that was a failure: the upstream lives."""
         self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT
@@ -77,6 +89,11 @@
         self.trials += 1
         self.suspended_until_s = max(self.suspended_until_s, now_s + pause_s)
 
+    def may_try(self, *, repeatable: bool, now_s: float) -> bool:
+        """Return whether such a request may be the first after it was left alone."""
+        any_from_s = self.suspended_until_s + REPEATABLE_ONLY_S
+        return self.is_on_trial and (repeatable or now_s >= any_from_s)
+
     def seems_sound(self) -> bool:
         """Return whether this entry's own requests fare well there."""
         return self.outcomes >= KNOWN_MIN and self.failure_share < SOUND_SHARE
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -222,9 +222,8 @@
         if seat is not None:
             seat.gone_until_s = now_s + GONE_S
 
-    def failed(self, seat: Seat, now_s: float) -> bool:
-        """Count a failure; return whether the upstream is left alone for it."""
-        seat.health.failed()
+    def is_failing(self, seat: Seat, now_s: float) -> bool:
+        """Return whether an upstream that failed is left alone from now on."""
         others = self._others(seat)
         if now_s < seat.health.suspended_until_s or not is_outlier(seat.health, others):
             return False
@@ -301,8 +300,12 @@
             if seat.upstream.upstream_id not in demand.excluded
             and seat.health.usable(len(seat.own), now_s)
         ]
-        tried = [s for s in able if s.health.is_on_trial]
-        if demand.repeatable and tried and tried[0].room() > 0:
+        tried = [
+            seat
+            for seat in able
+            if seat.health.may_try(repeatable=demand.repeatable, now_s=now_s)
+        ]
+        if tried and tried[0].room() > 0:
             return Choice(seat=tried[0])
         sound = [s for s in able if not s.health.is_on_trial]
         return self._choose(sound, demand, rivals)
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -95,10 +95,14 @@
             return
         if outcome is Outcome.ANSWERED:
             seat.health.succeeded()
-        elif outcome in (Outcome.FAILED, Outcome.BROKEN):
+        elif outcome is Outcome.FAILED:
+            seat.health.failed()
+            self._look_at(seat, now_s)
+        elif outcome is Outcome.BROKEN:
             # A broken connection alone doesn't mean that the upstream is away;
             # if it is, the next connection is refused without any harm.
-            self._failed(seat, now_s)
+            seat.health.broke()
+            self._look_at(seat, now_s)
         elif outcome in (Outcome.SILENT, Outcome.UNREACHABLE):
             seat.health.unreachable(now_s)
 
@@ -135,9 +139,9 @@
         evidence, self._evidence = self._evidence, []
         return evidence
 
-    def _failed(self, seat: Seat, now_s: float) -> None:
+    def _look_at(self, seat: Seat, now_s: float) -> None:
         pool = self._scheduler.line(seat.upstream.service).pool
-        if pool.failed(seat, now_s):
+        if pool.is_failing(seat, now_s):
             self._failing.add(seat.upstream.upstream_id)
             self._note_left_alone(seat, reason="own", by="own answers")
 
