--- a/features/suite.py
+++ b/features/suite.py
@@ -78,7 +78,8 @@
 def scenarios(report: list[dict]) -> list[tuple[str, str]]:
     """Return the name and status of each scenario in behave's report."""
     return [
-        (element["name"], element.get("status", "untested"))
+        # A row of an outline has a space at the end of its name.
+        (element["name"].strip(), element.get("status", "untested"))
         for feature in report
         for element in feature.get("elements", [])
         if element["type"] != "background"
