Make the tests' upstreams in one place, and describe what is known of a roll-out

Read once more: two step files and the driven roll-outs each built the upstream that the driven fleet has; one function makes them now. The description of Progress named a field that isn't there. No behaviour and no assertion changes; the features of outliers, roll-outs and spreading pass (56 scenarios), the linters too. The whole script was not run again.

--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -19,14 +19,21 @@
 DELAYS_S = (0.001, 0.003)
 LOOK_EVERY_S = 0.1
 SERVICE = "narrative"
-UPSTREAM = Upstream(
-    upstream_id="u",
-    service=SERVICE,
-    host="127.0.0.1",
-    port=1,
-    data_centre="dc-0",
-    slots=1000,
-)
+
+
+def upstream_of(name: str, *, slots: int = 5, version: str = "") -> Upstream:
+    return Upstream(
+        upstream_id=name,
+        service=SERVICE,
+        host="127.0.0.1",
+        port=1,
+        data_centre="dc-0",
+        slots=slots,
+        version=version,
+    )
+
+
+UPSTREAM = upstream_of("u", slots=1000)
 
 
 class Entry:
--- a/features/rolloutdrive.py
+++ b/features/rolloutdrive.py
@@ -11,7 +11,7 @@
 import attrs
 from result import Err, Ok
 
-from features.entryfleet import SERVICE, Entry, Fleet
+from features.entryfleet import SERVICE, Entry, Fleet, upstream_of
 from lavenderspoke.direct.catalog import Repeat, Route, Share
 from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.instances import Upstream
@@ -28,7 +28,6 @@
 EVENT_S = 0.02
 # Requests a second by route, and the events of an answer.
 ROUTES = {"briefing": (50.0, 10), "summary": (100.0, 5), "comment": (30.0, 50)}
-SLOTS = 5
 
 
 @attrs.frozen(kw_only=True)
@@ -112,7 +111,7 @@
         self.ended_at_old_s = 0.0
         self.order: Order | None = None
         self.ordered_s = 0.0
-        self.upstreams = [upstream_of(f"old-{n}", OLD) for n in range(29)]
+        self.upstreams = [upstream_of(f"old-{n}", version=OLD) for n in range(29)]
         self.routes = {name: _route(name) for name in ROUTES}
         for entry in self.fleet.entries.values():
             entry.office.upstreams_changed(tuple(self.upstreams))
@@ -132,7 +131,7 @@
 
     def start_new(self) -> None:
         """Start upstreams of the new version beside the others."""
-        self.upstreams += [upstream_of(f"new-{n}", NEW) for n in range(29)]
+        self.upstreams += [upstream_of(f"new-{n}", version=NEW) for n in range(29)]
         for entry in self.fleet.entries.values():
             entry.office.upstreams_changed(tuple(self.upstreams))
 
@@ -280,18 +279,6 @@
     fingerprint: str = "f"
 
 
-def upstream_of(name: str, version: str) -> Upstream:
-    return Upstream(
-        upstream_id=name,
-        service=SERVICE,
-        host="127.0.0.1",
-        port=1,
-        data_centre="dc-0",
-        slots=SLOTS,
-        version=version,
-    )
-
-
 def _route(name: str) -> Route:
     return Route(
         name=name,
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -7,11 +7,10 @@
 import attrs
 from behave import given, then, when
 
-from features.entryfleet import SERVICE, Entry
+from features.entryfleet import SERVICE, Entry, upstream_of
 from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.desk import Outcome
-from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.scheduler import Dispatch, Line, Scheduler, Ticket
 from lavenderspoke.model import InstanceId
@@ -44,7 +43,10 @@
     def __attrs_post_init__(self):
         self.scheduler = Scheduler(random=Random(7))
         self.scheduler.reconfigure(
-            tuple(upstream(f"u{n}", self.places) for n in range(self.upstreams)), 0.0
+            tuple(
+                upstream_of(f"u{n}", slots=self.places) for n in range(self.upstreams)
+            ),
+            0.0,
         )
         self.line = self.scheduler.line(SERVICE)
 
@@ -105,17 +107,6 @@
         self.line.ended(ticket, name, self.now_s)
 
 
-def upstream(name: str, slots: int) -> Upstream:
-    return Upstream(
-        upstream_id=name,
-        service=SERVICE,
-        host="127.0.0.1",
-        port=1,
-        data_centre="dc-0",
-        slots=slots,
-    )
-
-
 @given(
     "a line before {count:d} upstreams of {places:d} places, of which 1 fails at once"
 )
@@ -179,7 +170,7 @@
             data_centre=f"dc-{number % data_centres}",
             clock=context.clock,
             seed=number,
-            upstreams=tuple(upstream(f"u{n}", 5) for n in range(3)),
+            upstreams=tuple(upstream_of(f"u{n}") for n in range(3)),
         )
         for number in range(count)
     ]
@@ -229,7 +220,7 @@
     office = context.entries[0].office
     request = accepted_request(resumable=False, attempts_max=1)
     for _ in range(5):
-        office._verdicts.ended(upstream("u0", 5), request, Outcome.BROKEN, 0.0)
+        office._verdicts.ended(upstream_of("u0"), request, Outcome.BROKEN, 0.0)
 
 
 @then("the first entry still uses it")
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -4,13 +4,12 @@
 
 from behave import given, then, when
 
-from features.entryfleet import SERVICE, Entry
+from features.entryfleet import SERVICE, Entry, upstream_of
 from features.rolloutdrive import (
     NEW,
     OLD,
     QUALITIES,
     RolloutDrive,
-    upstream_of,
 )
 from features.steps.direct_handling_steps import accepted_request
 from lavenderspoke.clock import ManualClock
@@ -178,7 +177,7 @@
 def list_versions(context, *versions: str) -> None:
     context.entry.office.upstreams_changed(
         tuple(
-            upstream_of(f"{version}-{number}", version)
+            upstream_of(f"{version}-{number}", version=version)
             for version in versions
             for number in range(3)
         )
@@ -345,7 +344,9 @@
 def step_answers(context, count, seconds):
     answer = Answer(route="r", durations_s={Measure.WHOLE: seconds}, whole_s=seconds)
     for _ in range(count):
-        context.entry.office._rollouts.answered(upstream_of("new-0", NEW), answer)
+        context.entry.office._rollouts.answered(
+            upstream_of("new-0", version=NEW), answer
+        )
 
 
 @then("an answer of {seconds:g} s counts as slow")
--- a/lavenderspoke/rollouts/judging.py
+++ b/lavenderspoke/rollouts/judging.py
@@ -51,8 +51,8 @@
     `elapsed_s` and `stage_s` are the times since the order and since the stage began.
     `requests` reached the service since the order, `to_target` of them the target, now
     `requests_per_s`. `answer_s` is how long the longest answers take. `held` places are
-    taken at other versions than the target, `held_peers` of them by entries that aren't
-    heard and may hold more; `target_slots` and `other_slots` are there.
+    taken at other versions than the target; unless `all_heard`, entries that are silent
+    may hold more. `target_slots` and `other_slots` are there.
     """
 
     stage: Stage
