--- a/features/suite.py
+++ b/features/suite.py
@@ -39,6 +39,16 @@
     passed: int = 0
     failed: list[str] = attrs.field(factory=list)
     known_red: list[str] = attrs.field(factory=list)
+    red_outputs: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Ran:
+    """What one feature's run came to."""
+
+    scenarios: list[tuple[str, str]]
+    ended_well: bool
+    output: str
 
 
 def known_red_names() -> list[str]:
@@ -92,8 +102,8 @@
     return sum(1 for line in lines if line.strip().startswith(("Scenario", "|")))
 
 
-def run_feature(feature: pathlib.Path) -> tuple[list[tuple[str, str]], bool]:
-    """Run one feature; return its scenarios and whether behave ended well."""
+def run_feature(feature: pathlib.Path) -> Ran:
+    """Run one feature and print what behave prints."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         # The first format goes to the file, the other to standard output.
         formats = ["--format", "json", "--outfile", report.name]
@@ -107,9 +117,10 @@
         )
         text = pathlib.Path(report.name).read_text()
     # Printed in one piece, so that features that run side by side don't mix.
-    print(done.stdout + done.stderr, flush=True)
+    output = done.stdout + done.stderr
+    print(output, flush=True)
     found = scenarios(json.loads(text) if text.strip() else [])
-    return found, done.returncode == 0
+    return Ran(scenarios=found, ended_well=done.returncode == 0, output=output)
 
 
 def run_behave(tally: Tally) -> None:
@@ -118,13 +129,16 @@
     with ThreadPoolExecutor(WORKERS) as pool:
         ran = list(pool.map(run_feature, features))
     listed = known_red_names()
-    for feature, (found, ended_well) in zip(features, ran):
+    for feature, result in zip(features, ran):
+        found = result.scenarios
         red = [name for name, status in found if status != "passed"]
         tally.passed += len(found) - len(red)
         tally.known_red += [name for name in red if name in listed]
         tally.failed += [name for name in red if name not in listed]
-        if not found or (not ended_well and not red):
+        if not found or (not result.ended_well and not red):
             tally.failed.append(feature.name)
+        if red or not found or not result.ended_well:
+            tally.red_outputs.append(result.output)
 
 
 def main() -> int:
@@ -133,6 +147,9 @@
     run_checks(tally)
     run_models(tally)
     run_behave(tally)
+    # Again at the end: records of a run may keep only its last lines.
+    for output in tally.red_outputs:
+        print(output)
     for name in tally.failed:
         print(f"FAILED: {name}")
     for name in tally.known_red:
