Move what speaks to upstreams, and which daemons there are, into rooms

Seven modules of the pulling way leave the package's top, which has 73 now, 80 before: upstreams/ (what an agent speaks to its upstream: the interface, its HTTP kinds, one run, the thread that reads many runs) and membership/ (the platform's list of daemons, the roster, and which of them an agent talks to). Both import only http, jsoncodec and model below them, and the test of arrows holds them to it.

Left at the top: upstreamruns, upstreamwatch and orders, which post an agent's events or read documents; moved along, upstreams and documents would import each other. rosterfeed and directory likewise.

No behaviour changes: names of modules only. safeguards.yaml names the new paths, and each of its texts still stands once in its file. An entry of the direct way imports none of the seven. Features rooms, httpupstream, runselector, subset, httpplatform, orders, reference and model_traces pass.

--- a/bench/points.py
+++ b/bench/points.py
@@ -19,10 +19,10 @@
 from lavenderspoke.agentevents import DocumentInForce, RunBody, RunEnded, RunHead
 from lavenderspoke.documents.service import parse_service
 from lavenderspoke.envelope import Envelope
+from lavenderspoke.membership.roster import Join, Roster, encode as encode_roster
 from lavenderspoke.messagecodec import CODEC
 from lavenderspoke.messages import Piece
 from lavenderspoke.model import Head
-from lavenderspoke.roster import Join, Roster, encode as encode_roster
 from lavenderspoke.transport import Transport
 from lavenderspoke.waiting import WaitingQueue, WaitingRequest
 
--- a/features/modeltraces.py
+++ b/features/modeltraces.py
@@ -14,8 +14,8 @@
 from lavenderspoke.entrycore import EntryCore, EntryIdentity, EntryTimes
 from lavenderspoke.entryevents import Arrived, Reply, RosterReached, RosterRecord
 from lavenderspoke.gateway import Arrival, Sending
+from lavenderspoke.membership.roster import Join, encode
 from lavenderspoke.model import InstanceId
-from lavenderspoke.roster import Join, encode
 
 SERVICE = make_service()
 ENTRY = InstanceId(name="entry", incarnation="e")
--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -12,7 +12,9 @@
       | observing | observing problems                                                     |
       | capacity  | capacity                                                               |
       | checking  | checking util                                                          |
-      | documents | documents checking clock jsoncodec platformlog poison retrybudget upstream util |
+      | documents | documents checking clock jsoncodec platformlog poison retrybudget upstreams util |
+      | upstreams | upstreams http jsoncodec model                                         |
+      | membership | membership http jsoncodec model                                       |
       | rollouts  | rollouts                                                               |
       | direct    | direct http observing clock codec envelope model poison problems retrybudget rollouts stopsignals supervisor transport |
       | platform  | platform direct http observing clock model periodic rollouts stopsignals strict supervisor util |
--- a/features/steps/httpplatform_steps.py
+++ b/features/steps/httpplatform_steps.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from features.helper import JSON, fuzz, stage_of
-from lavenderspoke.memberlist import HttpMemberList, decode_members
+from lavenderspoke.membership.memberlist import HttpMemberList, decode_members
 from lavenderspoke.platformlog import HttpLog, decode_page
 from standins.processes import post_json, wait_until
 
--- a/features/steps/httpupstream_steps.py
+++ b/features/steps/httpupstream_steps.py
@@ -13,9 +13,9 @@
     stream_text,
 )
 from lavenderspoke.http.eventstream import EventSplitter
-from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
 from lavenderspoke.model import Call
-from lavenderspoke.upstream import (
+from lavenderspoke.upstreams.httpupstream import ModelUpstream, PlainUpstream
+from lavenderspoke.upstreams.upstream import (
     Order,
     OrderAction,
     UpstreamBody,
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -12,10 +12,10 @@
     Tier,
     Upstreams,
 )
-from lavenderspoke.httpupstream import ModelUpstream
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.ordering import Ordering
-from lavenderspoke.upstream import OrderAction, UpstreamBroken
+from lavenderspoke.upstreams.httpupstream import ModelUpstream
+from lavenderspoke.upstreams.upstream import OrderAction, UpstreamBroken
 from standins.processes import get_json
 
 LABEL = "a"
--- a/features/steps/runselector_steps.py
+++ b/features/steps/runselector_steps.py
@@ -9,9 +9,9 @@
     model_call,
     stream_text,
 )
-from lavenderspoke.httpupstream import ModelUpstream
-from lavenderspoke.runselector import RunSelector
-from lavenderspoke.upstream import UpstreamBody, UpstreamBroken, UpstreamEnd
+from lavenderspoke.upstreams.httpupstream import ModelUpstream
+from lavenderspoke.upstreams.runselector import RunSelector
+from lavenderspoke.upstreams.upstream import UpstreamBody, UpstreamBroken, UpstreamEnd
 from standins.batcher import answer_text
 from standins.processes import wait_until
 
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from lavenderspoke.memberlist import Member, Role
-from lavenderspoke.subset import choose
+from lavenderspoke.membership.memberlist import Member, Role
+from lavenderspoke.membership.subset import choose
 
 
 def centre(number: int, centres: int) -> str:
--- a/lavenderspoke/agent.py
+++ b/lavenderspoke/agent.py
@@ -3,22 +3,23 @@
 import functools
 import threading
 
-from lavenderspoke import agentevents as events, subset
+from lavenderspoke import agentevents as events
 from lavenderspoke.agentcore import AgentCore, AgentIdentity, AgentTimes
 from lavenderspoke.capacity.learnedlimit import LearnedLimit
 from lavenderspoke.capacity.slots import FixedLimit, Limit
 from lavenderspoke.config import AgentSettings
 from lavenderspoke.daemon import Daemon, new_id
 from lavenderspoke.documents.service import Kind
-from lavenderspoke.httpupstream import ModelUpstream, PlainUpstream
 from lavenderspoke.joining import Joining
-from lavenderspoke.memberlist import Role
+from lavenderspoke.membership import subset
+from lavenderspoke.membership.memberlist import Role
 from lavenderspoke.ordering import Ordering
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import agent_report
 from lavenderspoke.supervisor import Part
-from lavenderspoke.upstream import Upstream
 from lavenderspoke.upstreamruns import UpstreamRuns
+from lavenderspoke.upstreams.httpupstream import ModelUpstream, PlainUpstream
+from lavenderspoke.upstreams.upstream import Upstream
 from lavenderspoke.upstreamwatch import UpstreamWatch
 
 # Renewals in one lease: several may fail before keyed work has to stop.
--- a/lavenderspoke/agentevents.py
+++ b/lavenderspoke/agentevents.py
@@ -3,8 +3,8 @@
 import attrs
 
 from lavenderspoke.documents.service import Service
+from lavenderspoke.membership.roster import RosterRecord
 from lavenderspoke.model import Call, Head, InstanceId
-from lavenderspoke.roster import RosterRecord
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/daemon.py
+++ b/lavenderspoke/daemon.py
@@ -21,7 +21,7 @@
 from lavenderspoke.documents.fold import DocumentFold
 from lavenderspoke.envelope import Envelope
 from lavenderspoke.loop import Core, CoreLoop
-from lavenderspoke.memberlist import HttpMemberList
+from lavenderspoke.membership.memberlist import HttpMemberList
 from lavenderspoke.messagecodec import CODEC
 from lavenderspoke.messages import (
     Announce,
--- a/lavenderspoke/directory.py
+++ b/lavenderspoke/directory.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from lavenderspoke.memberlist import Member, Role
+from lavenderspoke.membership.memberlist import Member, Role
 from lavenderspoke.messages import Announce, EntryAnnounce, Message
 
 SCHEME = "tcp://"
--- a/lavenderspoke/documents/service.py
+++ b/lavenderspoke/documents/service.py
@@ -8,7 +8,7 @@
 from lavenderspoke.checking import fieldrules, schema, yamlnodes
 from lavenderspoke.poison import Poison
 from lavenderspoke.retrybudget import RetryBudget
-from lavenderspoke.upstream import OrderAction
+from lavenderspoke.upstreams.upstream import OrderAction
 from lavenderspoke.util import Mistake
 
 GIB = 1024**3
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -12,7 +12,7 @@
 from lavenderspoke.entrygateway import EntryGateway
 from lavenderspoke.following import FollowingTimes
 from lavenderspoke.http.server import Tls
-from lavenderspoke.memberlist import Role
+from lavenderspoke.membership.memberlist import Role
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import entry_report
 from lavenderspoke.rosterfeed import RosterFeed
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -16,9 +16,9 @@
 from lavenderspoke.intake import Intake
 from lavenderspoke.keyclaims import KeyClaims
 from lavenderspoke.makingroom import MakingRoom
+from lavenderspoke.membership.roster import Roster
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.problems import Problem, Reason
-from lavenderspoke.roster import Roster
 from lavenderspoke.servicemessages import ServiceMessages
 from lavenderspoke.servicestate import ServiceState
 from lavenderspoke.tracked import Phase, Tracked, TrackedRequests
--- a/lavenderspoke/joining.py
+++ b/lavenderspoke/joining.py
@@ -6,13 +6,13 @@
 import logbook
 from result import Err, Ok, Result
 
-from lavenderspoke import roster
 from lavenderspoke.agentcore import AgentIdentity
 from lavenderspoke.agentevents import HeirFound, Joined, LeaveAppended
 from lavenderspoke.clock import Clock
+from lavenderspoke.membership import roster
+from lavenderspoke.membership.roster import Join, Roster, RosterRecord
 from lavenderspoke.model import InstanceId
 from lavenderspoke.platformlog import FIRST_OFFSET, ROSTER_STREAM, Log
-from lavenderspoke.roster import Join, Roster, RosterRecord
 
 log = logbook.Logger(__name__)
 
--- a/lavenderspoke/keyclaims.py
+++ b/lavenderspoke/keyclaims.py
@@ -8,10 +8,10 @@
 from lavenderspoke.documents.service import Service
 from lavenderspoke.entryevents import Finish, ReadRoster
 from lavenderspoke.gateway import Sending
+from lavenderspoke.membership.roster import Roster
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.resend import Claims, Outcome, ResendRound
-from lavenderspoke.roster import Roster
 from lavenderspoke.tracked import Phase, Tracked
 
 # A first send whose round could not be finished waits on after this long; at
--- a/lavenderspoke/leaving.py
+++ b/lavenderspoke/leaving.py
@@ -12,9 +12,9 @@
 from lavenderspoke.agentevents import AppendRoster, Exit, FindHeir
 from lavenderspoke.core import Count, Send
 from lavenderspoke.ledger import Ledger
+from lavenderspoke.membership.roster import Leave
 from lavenderspoke.messages import KeyRecord, LedgerHandover
 from lavenderspoke.model import InstanceId
-from lavenderspoke.roster import Leave
 
 # How long a finished answer waits for its entry to say that it has it.
 LINGER_S = 5.0
--- /dev/null
+++ b/lavenderspoke/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons there are: the platform's list, the roster, and who talks to whom."""
--- a/lavenderspoke/subset.py
+++ b/lavenderspoke/membership/subset.py
@@ -8,7 +8,7 @@
 
 import hashlib
 
-from lavenderspoke.memberlist import Member
+from lavenderspoke.membership.memberlist import Member
 
 
 def choose(
--- a/lavenderspoke/ordering.py
+++ b/lavenderspoke/ordering.py
@@ -9,7 +9,7 @@
 from lavenderspoke.documents.fold import InForce
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.orders import NextOrder, next_order
-from lavenderspoke.upstream import OrderFenced, Upstream
+from lavenderspoke.upstreams.upstream import OrderFenced, Upstream
 
 log = logbook.Logger(__name__)
 
--- a/lavenderspoke/orders.py
+++ b/lavenderspoke/orders.py
@@ -11,7 +11,7 @@
 import attrs
 
 from lavenderspoke.documents.service import Service
-from lavenderspoke.upstream import Order, OrderState
+from lavenderspoke.upstreams.upstream import Order, OrderState
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/resend.py
+++ b/lavenderspoke/resend.py
@@ -13,9 +13,9 @@
 import attrs
 
 from lavenderspoke.core import Send
+from lavenderspoke.membership.roster import Life
 from lavenderspoke.messages import Claim, Claimed, Unclaim
 from lavenderspoke.model import InstanceId, Standing
-from lavenderspoke.roster import Life
 
 ASK_AGAIN_S = 0.25
 
--- a/lavenderspoke/statuspages.py
+++ b/lavenderspoke/statuspages.py
@@ -7,7 +7,7 @@
 
 from lavenderspoke.http.client import HttpClient
 from lavenderspoke.jsoncodec import decode
-from lavenderspoke.memberlist import Member, MemberList
+from lavenderspoke.membership.memberlist import Member, MemberList
 
 STATUS_PATH = "/-/status"
 STATUS_TIMEOUT_S = 2.0
--- a/lavenderspoke/ui/common.py
+++ b/lavenderspoke/ui/common.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from lavenderspoke.memberlist import HttpMemberList
+from lavenderspoke.membership.memberlist import HttpMemberList
 from lavenderspoke.statuspages import find_status_urls
 from lavenderspoke.util import UserError, is_http_url
 
--- a/lavenderspoke/upstreamruns.py
+++ b/lavenderspoke/upstreamruns.py
@@ -17,8 +17,8 @@
 from lavenderspoke import agentevents as events
 from lavenderspoke.documents.service import Kind
 from lavenderspoke.model import Call, Head
-from lavenderspoke.runselector import RunSelector
-from lavenderspoke.upstream import (
+from lavenderspoke.upstreams.runselector import RunSelector
+from lavenderspoke.upstreams.upstream import (
     Run,
     RunEvent,
     Upstream,
--- a/lavenderspoke/httprun.py
+++ b/lavenderspoke/upstreams/httprun.py
@@ -10,7 +10,7 @@
 from lavenderspoke.http.client import READ_BYTES, AnswerLost, NotSent
 from lavenderspoke.http.eventstream import EventSplitter, EventTooLong
 from lavenderspoke.http.hopbyhop import end_to_end
-from lavenderspoke.upstream import (
+from lavenderspoke.upstreams.upstream import (
     RunEvent,
     UpstreamBody,
     UpstreamBroken,
--- a/lavenderspoke/httpupstream.py
+++ b/lavenderspoke/upstreams/httpupstream.py
@@ -10,10 +10,10 @@
 
 from lavenderspoke.http.client import HttpClient, Reply
 from lavenderspoke.http.hopbyhop import HOP_BY_HOP
-from lavenderspoke.httprun import HttpRun, run_error
 from lavenderspoke.jsoncodec import decode, encode
 from lavenderspoke.model import Call
-from lavenderspoke.upstream import (
+from lavenderspoke.upstreams.httprun import HttpRun, run_error
+from lavenderspoke.upstreams.upstream import (
     CacheEvents,
     LoadReport,
     Order,
--- a/lavenderspoke/runselector.py
+++ b/lavenderspoke/upstreams/runselector.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lavenderspoke.upstream import Run, RunEvent, UpstreamBroken
+from lavenderspoke.upstreams.upstream import Run, RunEvent, UpstreamBroken
 
 LOOK_S = 0.5
 WAKE_BYTES = 4096
--- a/lavenderspoke/upstreamwatch.py
+++ b/lavenderspoke/upstreamwatch.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from lavenderspoke.agentevents import CacheChanged, UpstreamHealth
-from lavenderspoke.upstream import CacheEvents, Upstream
+from lavenderspoke.upstreams.upstream import CacheEvents, Upstream
 
 
 class UpstreamWatch:
