Patch the order within a rank by its name in the ablation

make ablation ended with an AttributeError at its first row: four of its rules patched scheduler._place, which has been _turn for some time, so the measurement of what each rule is worth couldn't be repeated.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -140,12 +140,12 @@
 
 RULES = {
     "nothing": [],
-    "ranks": [(scheduler, "_place", _in_order_of_arrival)],
+    "ranks": [(scheduler, "_turn", _in_order_of_arrival)],
     "places that stay free for ranks above": [(scheduler, "RESERVED", 0.0)],
     "places guaranteed to ranks below": [(scheduler, "GUARANTEED", 0.0)],
-    "on time before late": [(scheduler, "_place", _without_on_time)],
-    "returned first": [(scheduler, "_place", _without_returned)],
-    "short before long": [(scheduler, "_place", _without_short)],
+    "on time before late": [(scheduler, "_turn", _without_on_time)],
+    "returned first": [(scheduler, "_turn", _without_returned)],
+    "short before long": [(scheduler, "_turn", _without_short)],
     "refused on arrival": [(scheduler, "DOUBT", float("inf"))],
     "spread over like upstreams": [(pool, "SPREAD", 0.0)],
     "neighbours in the choice": [(pool, "NEIGHBOUR_PACES", 0.0)],
