Share the places that come free among the entries that wait for them

Callers saw: in a burst requests that an entry had sent stood in a queue at an engine while their entries believed it had a place, so that the highest rank began late behind whatever was there. In the driven model of 31 entries before 29 engines 48 to 60 requests wait at engines in the mean of a burst, beside lines in the entries that could have kept them in order.

Cause: every entry with callers in line learns of a free place at about the same time and of who took it a tenth of a second later, so several take it.

Now an entry takes a place that others of its rank wait for by chance, its part of them; what its own request gave back it gives out at once, since the others don't know that it is free; and what is decided on at once doesn't depend on chance.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP := $(VENV)/installed
 SOURCES := lavenderspoke standins features bench spec soak
 
-.PHONY: run test lint format model behave falsify measure slopes ablation fleet longanswers soak clean
+.PHONY: run test lint format model behave falsify measure slopes ablation fleet longanswers contended soak clean
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -57,6 +57,10 @@
 fleet: $(STAMP)
 	$(BIN)/python -m bench.fleet
 
+# What sharing the places that come free is worth, in a driven model.
+contended: $(STAMP)
+	$(BIN)/python -m bench.contended
+
 # What places kept free cost a burst of long answers, in a driven model.
 longanswers: $(STAMP)
 	$(BIN)/python -m bench.longanswers
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -273,7 +273,7 @@
         if seat is not None:
             seat.own.pop(ticket.request_id, None)
         self._held[ticket.rank] -= 1
-        self.serve(now_s)
+        self.serve(now_s, freed=1)
 
     def began(self, ticket: Ticket, upstream_id: str, now_s: float) -> float:
         """Note that the first event came: the prompt has been read.
@@ -296,11 +296,15 @@
         waiting = [*self.waiting(), *self.peers.waiting]
         self._kept_free.look(waiting, self._present(now_s), now_s)
 
-    def serve(self, now_s: float) -> None:
-        """Hand out what room there is, and refuse those whose time is up."""
+    def serve(self, now_s: float, *, freed: int = 0) -> None:
+        """Hand out what room there is, and refuse those whose time is up.
+
+        `freed` is how many places this entry's own requests have just given back.
+        """
         self._sort_out(now_s)
         passed: set[int] = set()
-        while ticket := self._next(passed, now_s):
+        while ticket := self._next(passed, now_s, is_own=freed > 0):
+            freed -= 1
             choice = self.pool.choose(
                 _demand(ticket, now_s), now_s=now_s, rivals=self._rivals(now_s)
             )
@@ -324,8 +328,11 @@
                 ticket.late = True
                 self._waiting.add(ticket)
 
-    def _next(self, passed: set[int], now_s: float) -> Ticket | None:
-        """Return who goes next, if anyone may."""
+    def _next(self, passed: set[int], now_s: float, *, is_own: bool) -> Ticket | None:
+        """Return who goes next, if anyone may.
+
+        `is_own` says that a place came free by a request of this entry.
+        """
         firsts: dict[Rank, Ticket] = {}
         for ticket in self._waiting:
             if ticket.number not in passed:
@@ -342,10 +349,27 @@
                 return firsts[rank]
         for rank in sorted(firsts):
             needed = sum(n for r, n in self.peers.waiting.items() if r < rank)
-            if room > self._reserved(rank, present) + needed:
-                return firsts[rank]
+            free = room - self._reserved(rank, present) - needed
+            if free > 0:
+                takes = is_own or self._takes(firsts[rank], free)
+                return firsts[rank] if takes else None
         return None
 
+    def _takes(self, ticket: Ticket, free: float) -> bool:
+        """Return whether a request takes one of the places that are free for its rank.
+
+        Other entries with requests of that rank in line see the same places free, and
+        learn only later who took one. Were each to take what it sees, several would be
+        sent to the same place, and wait at the upstream behind whatever is there. So
+        each takes its part of them, by chance. A place that this entry's own request
+        gave back the others don't know to be free yet.
+        """
+        others = self.peers.waiting.get(ticket.rank, 0)
+        # One that is decided on at once can't wait for the next chance.
+        if not others or math.isinf(ticket.leaves_line_s):
+            return True
+        return self._random.random() < free / (others + self._ranks[ticket.rank])
+
     def _reserved(self, rank: Rank, present: list[Rank]) -> float:
         """Return how many places stay free for the ranks above this one."""
         above = sum(1 for each in present if each < rank)
