Serve the longest answers of a rank three fifths as often as all of it

Cause: within a rank short answers go first, with nothing that holds against it, and a long one counts all shorter ones as ahead of it when it is refused on arrival.

Now each entry counts what came and was served of each rank, and of its longest tenth, over some fifty requests, with a threshold that follows the lengths. Where the longest were served less than 0.6 times as often, the first of them is the next of its rank.

--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -59,6 +59,16 @@
     Then of answers of 30 tokens at least 85 in 100 begin within target
     And of answers of 600 tokens at least 40 in 100 are served
 
+  Scenario: A few of a rank's answers are much longer than the others
+    Guards against callers of the longest answers who are hardly ever served.
+    Given a line before 5 upstreams of 4 places
+    When for 10 s there come each second
+      | rank    | requests | hold s | target s | deadline s | answer tokens |
+      | highest | 30       | 0.3    | 0.8      | 5          | 75            |
+      | lowest  | 60       | 0.2    | 1.2      | 15         | 50            |
+      | lowest  | 6        | 3.0    | 1.2      | 15         | 750           |
+    Then answers of 750 tokens are served at least half as often as all of the lowest rank
+
   Scenario: There is room
     Given a line before 5 upstreams of 4 places
     When for 5 s there come each second
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -58,6 +58,22 @@
     assert_served(of_length(context, tokens), part)
 
 
+def served_part(requests: list[Request]) -> float:
+    return sum(each.began_s is not None for each in requests) / len(requests)
+
+
+@then(
+    "answers of {tokens:d} tokens are served at least half as often as all of the "
+    "{rank} rank"
+)
+def step_half_as_often(context, tokens, rank):
+    long, every = of_length(context, tokens), of_rank(context, rank)
+    assert served_part(long) >= served_part(every) / 2, (
+        served_part(long),
+        served_part(every),
+    )
+
+
 def assert_served(requests: list[Request], part: int) -> None:
     served = [each for each in requests if each.began_s is not None]
     assert 100 * len(served) >= part * len(requests), (len(served), len(requests))
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -12,7 +12,8 @@
 came back go ahead of newcomers, and then those whose callers expect a short
 answer go ahead of long ones: a tenth of the answers take half of all the time at
 the engines, and one of them holds the place in which ten others could be answered
-on time.
+on time. Only where the longest of a rank are served far less often than all of it is
+one of them the next.
 
 A request is refused as soon as its turn can't come in time. Held longer it would
 only keep its caller from asking again; refused at once with a time to come back,
@@ -23,7 +24,7 @@
 
 import enum
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 from random import Random
 
@@ -32,6 +33,7 @@
 
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.keptfree import KeptFree
+from lavenderspoke.direct.lengths import Lengths
 from lavenderspoke.direct.pool import (
     Demand,
     Outlook,
@@ -197,6 +199,7 @@
         self._ranks: Counter[Rank] = Counter()
         self._held: Counter[Rank] = Counter()
         self._rates: dict[Rank, RankRates] = {}
+        self._lengths: defaultdict[Rank, Lengths] = defaultdict(Lengths)
         self._kept_free = KeptFree()
         self._seen_s: dict[Rank, float] = {}
         self._numbers = 0
@@ -219,6 +222,8 @@
         # One that may not wait runs already, and may ask again and again.
         if ticket.may_wait:
             self._rate(ticket.rank).arrived(now_s)
+            if not ticket.returned:
+                self._lengths[ticket.rank].came(ticket.answer_tokens)
             patience_s = self._patience_s(ticket, now_s)
         if self._sent_to_canary(ticket, now_s):
             return
@@ -333,10 +338,7 @@
 
         `is_own` says that a place came free by a request of this entry.
         """
-        firsts: dict[Rank, Ticket] = {}
-        for ticket in self._waiting:
-            if ticket.number not in passed:
-                firsts.setdefault(ticket.rank, ticket)
+        firsts = self._firsts(passed)
         if not firsts:
             return None
         room = self.pool.room(now_s)
@@ -355,6 +357,22 @@
                 return firsts[rank] if takes else None
         return None
 
+    def _firsts(self, passed: set[int]) -> dict[Rank, Ticket]:
+        """Return who goes first of each rank."""
+        firsts: dict[Rank, Ticket] = {}
+        long_firsts: dict[Rank, Ticket] = {}
+        for ticket in self._waiting:
+            if ticket.number not in passed:
+                firsts.setdefault(ticket.rank, ticket)
+                if self._is_owed(ticket):
+                    long_firsts.setdefault(ticket.rank, ticket)
+        return firsts | long_firsts
+
+    def _is_owed(self, ticket: Ticket) -> bool:
+        """Return whether it is one of the longest, and these are served too rarely."""
+        lengths = self._lengths[ticket.rank]
+        return lengths.is_long(ticket.answer_tokens) and lengths.owes_long()
+
     def _takes(self, ticket: Ticket, free: float) -> bool:
         """Return whether a request takes one of the places that are free for its rank.
 
@@ -397,6 +415,8 @@
         if self.canary is not None:
             is_canary = seat.access is Access.CANARY
             self.canary.sent(ticket.route, to_target=is_canary)
+        if ticket.may_wait:
+            self._lengths[ticket.rank].served(ticket.answer_tokens)
         ticket.started_s = now_s
         ticket.outlook = outlook_at(seat, ticket.prompt_tokens)
         tokens_per_step = self.pool.reading.tokens_per_step
@@ -443,7 +463,9 @@
         that its rank is guaranteed.
         """
         rank, slots = ticket.rank, max(1, self.pool.slots())
-        own = sum(1 for t in self._waiting if _turn(t) < _turn(ticket))
+        own = 0
+        if not self._is_owed(ticket):
+            own = sum(1 for t in self._waiting if _turn(t) < _turn(ticket))
         peers = sum(n for r, n in self.peers.waiting.items() if r <= rank)
         present = self._present(now_s)
         reserved = self._reserved(rank, present)
