Give a request that can't wait a free place also when its entry leaves its part

A stream whose upstream has fallen silent asks for a free place and takes no for an answer at once. Since entries take contested places by chance, such a look could be refused beside two free places because callers of the same entry stood before it in line and their chance had failed.

Now the request that is decided on at once takes the place that the first in line left.

--- a/features/contended.feature
+++ b/features/contended.feature
@@ -21,9 +21,14 @@
     When a request of one of them ends there
     Then it sends the next one at once, and only that
 
-  Scenario: One that can't wait for the next chance
+  Scenario Outline: One that can't wait for the next chance
     Guards against a stream that is given up beside a free place.
     Given 30 entries with 2 requests each in line, for 5 places
-    When one with none in line learns that 4 run there
+    When one with <own> in line learns that <running> run there
     And it has a request that may not wait
     Then that request is sent
+
+    Examples:
+      | own | running |
+      | 0   | 4       |
+      | 2   | 3       |
--- a/features/steps/contended_steps.py
+++ b/features/steps/contended_steps.py
@@ -112,9 +112,9 @@
     assert len(context.entry.sent) == 1, context.entry.sent
 
 
-@when("one with none in line learns that {running:d} run there")
-def step_none_in_line(context, running):
-    context.running = running
+@when("one with {own:d} in line learns that {running:d} run there")
+def step_one_learns(context, own, running):
+    context.own_in_line, context.running = own, running
 
 
 @when("it has a request that may not wait")
@@ -122,7 +122,9 @@
     entries, requests = context.size
     context.urgent = []
     for seed in range(TIMES):
-        entry = Waiting(entries=entries, requests=requests, seed=seed, in_line=0)
+        entry = Waiting(
+            entries=entries, requests=requests, seed=seed, in_line=context.own_in_line
+        )
         entry.hear(running=context.running)
         ticket = entry.submit("urgent", may_wait=False)
         context.urgent.append(ticket in entry.sent)
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -202,6 +202,7 @@
         self._lengths: defaultdict[Rank, Lengths] = defaultdict(Lengths)
         self._kept_free = KeptFree()
         self._seen_s: dict[Rank, float] = {}
+        self._at_once: Ticket | None = None
         self._numbers = 0
 
     def waiting(self) -> dict[Rank, int]:
@@ -256,7 +257,9 @@
         """Give a request a place that is free for it, or refuse it."""
         ticket.leaves_line_s = math.inf
         self._add(ticket)
+        self._at_once = ticket
         self.serve(now_s)
+        self._at_once = None
         if self.withdraw(ticket):
             ticket.decided(self._refusal(ticket, Refusal.CROWDED, now_s))
 
@@ -353,10 +356,18 @@
             needed = sum(n for r, n in self.peers.waiting.items() if r < rank)
             free = room - self._reserved(rank, present) - needed
             if free > 0:
-                takes = is_own or self._takes(firsts[rank], free)
-                return firsts[rank] if takes else None
+                if is_own or self._takes(firsts[rank], free):
+                    return firsts[rank]
+                return self._decided_at_once(rank, passed)
         return None
 
+    def _decided_at_once(self, rank: Rank, passed: set[int]) -> Ticket | None:
+        """Return the request of a rank that can't wait for another chance."""
+        ticket = self._at_once
+        if ticket is None or ticket.rank != rank or ticket.number in passed:
+            return None
+        return ticket if ticket in self._waiting else None
+
     def _firsts(self, passed: set[int]) -> dict[Rank, Ticket]:
         """Return who goes first of each rank."""
         firsts: dict[Rank, Ticket] = {}
@@ -383,8 +394,7 @@
         gave back the others don't know to be free yet.
         """
         others = self.peers.waiting.get(ticket.rank, 0)
-        # One that is decided on at once can't wait for the next chance.
-        if not others or math.isinf(ticket.leaves_line_s):
+        if not others:
             return True
         return self._random.random() < free / (others + self._ranks[ticket.rank])
 
