--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -23,7 +23,8 @@
 
 from bench.engineday import SERVICE, TICK_S, EngineDay, EngineFigures, Kind
 from lavenderspoke.direct import pool, scheduler
-from lavenderspoke.direct.scheduler import Line, Scheduler, Ticket
+from lavenderspoke.direct.scheduler import Line, Scheduler
+from lavenderspoke.direct.tickets import Ticket
 
 SEEDS = range(1, 13)
 DAY_S = 16.0
--- a/bench/engineday.py
+++ b/bench/engineday.py
@@ -15,7 +15,8 @@
 import attrs
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import Dispatch, Line, Ticket
+from lavenderspoke.direct.scheduler import Line
+from lavenderspoke.direct.tickets import Dispatch, Ticket
 
 SERVICE = "narrative"
 TICK_S = 0.02
--- a/bench/longanswers.py
+++ b/bench/longanswers.py
@@ -14,7 +14,7 @@
 from bench.engineday import Call, EngineFigures, Kind, Sent
 from bench.fleet import Fleet, FleetDay
 from lavenderspoke.direct import keptfree
-from lavenderspoke.direct.scheduler import Dispatch
+from lavenderspoke.direct.tickets import Dispatch
 
 FIGURES = EngineFigures(
     places=5,
--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -8,10 +8,10 @@
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.office import Office
-from lavenderspoke.direct.scheduler import Ticket
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import SILENT_S, Whereabouts
 from lavenderspoke.direct.talk import Talk
+from lavenderspoke.direct.tickets import Ticket
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
 
--- a/features/linedrive.py
+++ b/features/linedrive.py
@@ -7,13 +7,8 @@
 import attrs
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import (
-    Dispatch,
-    PeersShare,
-    Refuse,
-    Scheduler,
-    Ticket,
-)
+from lavenderspoke.direct.scheduler import PeersShare, Scheduler
+from lavenderspoke.direct.tickets import Dispatch, Refuse, Ticket
 
 RANKS = {
     "highest": (0, 0),
--- a/features/rolloutdrive.py
+++ b/features/rolloutdrive.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.records import KeyedRecord, Records, StoreError
-from lavenderspoke.direct.scheduler import Dispatch, Ticket
+from lavenderspoke.direct.tickets import Dispatch, Ticket
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.rollouts import STATUS_TOPIC, StatusWriter
 from lavenderspoke.platform.store import Conflict
--- a/features/steps/contended_steps.py
+++ b/features/steps/contended_steps.py
@@ -6,7 +6,8 @@
 
 from features.entryfleet import upstream_of
 from lavenderspoke.direct.pool import Pool, Running
-from lavenderspoke.direct.scheduler import Dispatch, Line, PeersShare, Ticket
+from lavenderspoke.direct.scheduler import Line, PeersShare
+from lavenderspoke.direct.tickets import Dispatch, Ticket
 
 RANK = (0, 0)
 PLACES = 5
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -17,9 +17,9 @@
 from lavenderspoke.direct.handling import Handling
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.office import Office
-from lavenderspoke.direct.scheduler import Dispatch, Refusal, Refuse
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import Whereabouts
+from lavenderspoke.direct.tickets import Dispatch, Refusal, Refuse
 from lavenderspoke.model import Ran
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.problems import Reason
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -7,7 +7,8 @@
 
 from features.linedrive import RANKS, Drive, Request
 from lavenderspoke.direct.catalog import Catalog, Customer
-from lavenderspoke.direct.scheduler import Dispatch, PeersShare, Refusal, Refuse
+from lavenderspoke.direct.scheduler import PeersShare
+from lavenderspoke.direct.tickets import Dispatch, Refusal, Refuse
 
 
 @given("a line before {upstreams:d} upstreams of {places:d} places")
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -12,7 +12,8 @@
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.messages import SharedState
-from lavenderspoke.direct.scheduler import Dispatch, Line, Scheduler, Ticket
+from lavenderspoke.direct.scheduler import Line, Scheduler
+from lavenderspoke.direct.tickets import Dispatch, Ticket
 from lavenderspoke.model import InstanceId
 
 TICK_S = 0.02
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -16,8 +16,8 @@
 from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.records import KeyedRecord, Records
 from lavenderspoke.direct.rolling import Answer
-from lavenderspoke.direct.scheduler import Dispatch, Ticket
 from lavenderspoke.direct.sharing import Whereabouts
+from lavenderspoke.direct.tickets import Dispatch, Ticket
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.rollouts import Orders, decode_order
 from lavenderspoke.rollouts.orders import Order, Stage
--- a/lavenderspoke/direct/answers.py
+++ b/lavenderspoke/direct/answers.py
@@ -3,7 +3,7 @@
 from lavenderspoke.direct.catalog import Route
 from lavenderspoke.direct.desk import Outcome
 from lavenderspoke.direct.rolling import Answer
-from lavenderspoke.direct.scheduler import Ticket
+from lavenderspoke.direct.tickets import Ticket
 from lavenderspoke.rollouts.typical import Measure
 
 BAD = (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT)
--- a/lavenderspoke/direct/desk.py
+++ b/lavenderspoke/direct/desk.py
@@ -10,7 +10,7 @@
 from lavenderspoke.direct.dialect import CallerHead
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import Rank, Ticket
+from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.problems import Problem
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -32,7 +32,7 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import out_of_time, turned_down, unanswered
 from lavenderspoke.direct.relocation import Place, Relocation
-from lavenderspoke.direct.scheduler import Decision, Dispatch, Ticket
+from lavenderspoke.direct.tickets import Decision, Dispatch, Ticket
 from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.problems import Problem
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -21,16 +21,11 @@
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, Wish
-from lavenderspoke.direct.scheduler import (
-    RETRY_AFTER_MIN_S,
-    RETURN_PART,
-    Rank,
-    Scheduler,
-    Ticket,
-)
+from lavenderspoke.direct.scheduler import RETRY_AFTER_MIN_S, RETURN_PART, Scheduler
 from lavenderspoke.direct.settings import RETRY_PART, Bounds
 from lavenderspoke.direct.sharing import Peers, Returns, Whereabouts
 from lavenderspoke.direct.surroundings import Surroundings
+from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import Rows
 from lavenderspoke.direct.verdicts import Verdicts
 from lavenderspoke.model import InstanceId, Ran
--- a/lavenderspoke/direct/peertotals.py
+++ b/lavenderspoke/direct/peertotals.py
@@ -9,7 +9,8 @@
 
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.pool import Running
-from lavenderspoke.direct.scheduler import PeersShare, Rank
+from lavenderspoke.direct.scheduler import PeersShare
+from lavenderspoke.direct.tickets import Rank
 
 RankRows = tuple[tuple[int, int, int], ...]
 """Customer rank, route rank and count."""
--- a/lavenderspoke/direct/refusals.py
+++ b/lavenderspoke/direct/refusals.py
@@ -4,7 +4,7 @@
 word.
 """
 
-from lavenderspoke.direct.scheduler import Refusal, Refuse
+from lavenderspoke.direct.tickets import Refusal, Refuse
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
 
--- a/lavenderspoke/direct/relocation.py
+++ b/lavenderspoke/direct/relocation.py
@@ -17,7 +17,7 @@
 from lavenderspoke.direct.exchange import Sending
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.reserving import reserve
-from lavenderspoke.direct.scheduler import Ticket
+from lavenderspoke.direct.tickets import Ticket
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -22,7 +22,6 @@
 All times are seconds on the clock that the caller of these methods passes in.
 """
 
-import enum
 import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
@@ -36,13 +35,19 @@
 from lavenderspoke.direct.lengths import Lengths
 from lavenderspoke.direct.pool import (
     Demand,
-    Outlook,
     Pool,
     Running,
     Seat,
     outlook_at,
 )
 from lavenderspoke.direct.rankrates import RankRates
+from lavenderspoke.direct.tickets import (
+    Dispatch,
+    Rank,
+    Refusal,
+    Refuse,
+    Ticket,
+)
 from lavenderspoke.rollouts.orders import Access
 from lavenderspoke.rollouts.share import CanaryShare
 
@@ -63,9 +68,6 @@
 # among them. Just enough that each is served: every place beyond that is taken from
 # the highest rank when it is short.
 GUARANTEED = 0.1
-# The part of its target that a request waits at most, so that its first byte
-# can still come on time.
-ON_TIME_PART = 0.7
 # The part of the time it has that a request of the highest rank waits, also when
 # it will be late: with nothing above it, its turn comes.
 HIGHEST_PART = 0.5
@@ -86,83 +88,6 @@
 # How long a rank counts as present after its last request, in seconds.
 PRESENT_S = 5.0
 
-Rank = tuple[int, int]
-"""The customer's rank, then the route's; the smallest goes first."""
-
-
-class Refusal(enum.Enum):
-    """Why a request is refused before it was sent to any upstream."""
-
-    CROWDED = "crowded"
-    WAITED_TOO_LONG = "waited_too_long"
-    NO_UPSTREAM = "no_upstream"
-
-
-@attrs.frozen(kw_only=True)
-class Dispatch:
-    """Send the request to this upstream now."""
-
-    upstream: Upstream
-
-
-@attrs.frozen(kw_only=True)
-class Refuse:
-    """Refuse the request; it has not run and never will."""
-
-    reason: Refusal
-    retry_after_s: float
-
-
-Decision = Dispatch | Refuse
-
-
-@attrs.define(kw_only=True, eq=False)
-class Ticket:
-    """A request's place in line.
-
-    `target_s` counts from `first_s`, when its caller asked for the first time, and
-    `patience_s` from `quiet_since_s`, when it arrived or got the last event of its
-    stream: after so long without another one its caller leaves.
-    `excluded` holds upstreams it was sent to before; one that is `repeatable` may be
-    sent to another one after it failed. One that may not wait is decided
-    on before `submit` returns. Once it was sent, `outlook` is what it met there,
-    `expected_first_s` the time to its first byte and `expected_first_steps` the
-    upstream's steps until then; its first event came at `began_s`, and a whole stream
-    was of `events`. `decided` is called once with the
-    decision, under the scheduler's lock: it must not block.
-    """
-
-    request_id: str
-    service: str
-    route: str = ""
-    rank: Rank
-    prompt_tokens: int
-    answer_tokens: int
-    first_s: float
-    quiet_since_s: float
-    deadline_s: float
-    target_s: float
-    patience_s: float
-    returned: bool
-    decided: Callable[[Decision], None]
-    excluded: set[str] = attrs.field(factory=set)
-    may_wait: bool = True
-    repeatable: bool = False
-    number: int = 0
-    late: bool = False
-    leaves_line_s: float = 0.0
-    started_s: float = 0.0
-    outlook: Outlook | None = None
-    expected_first_s: float = 0.0
-    expected_first_steps: float = 0.0
-    began_s: float | None = None
-    events: int = 0
-
-    @property
-    def on_time_until_s(self) -> float:
-        """Until when it may wait and still be answered on time."""
-        return self.first_s + self.target_s * ON_TIME_PART
-
 
 def _turn(ticket: Ticket) -> tuple:
     return (
