Count no answer as long where nothing is said of lengths

The length from which answers count as long moved below 0 where requests say nothing of theirs, so that at each tenth or so all of them were long, and the wait that is expected of one could be told as that of the first in line. Found in reading; the new scenario failed before.

--- a/features/direct_line.feature
+++ b/features/direct_line.feature
@@ -69,6 +69,11 @@
       | lowest  | 6        | 3.0    | 1.2      | 15         | 750           |
     Then answers of 750 tokens are served at least half as often as all of the lowest rank
 
+  Scenario: Requests that say nothing of their length
+    Guards against some of them counting as long by chance.
+    When 100 requests of a rank came that say nothing of their length
+    Then none of them counted as long
+
   Scenario: There is room
     Given a line before 5 upstreams of 4 places
     When for 5 s there come each second
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -7,6 +7,7 @@
 
 from features.linedrive import RANKS, Drive, Request
 from lavenderspoke.direct.catalog import Catalog, Customer
+from lavenderspoke.direct.lengths import Lengths
 from lavenderspoke.direct.scheduler import PeersShare
 from lavenderspoke.direct.tickets import Dispatch, Refusal, Refuse
 
@@ -75,6 +76,20 @@
     )
 
 
+@when("{count:d} requests of a rank came that say nothing of their length")
+def step_without_length(context, count):
+    lengths = Lengths()
+    context.counted_long = []
+    for _ in range(count):
+        context.counted_long.append(lengths.is_long(0))
+        lengths.came(0)
+
+
+@then("none of them counted as long")
+def step_none_long(context):
+    assert not any(context.counted_long), context.counted_long
+
+
 def assert_served(requests: list[Request], part: int) -> None:
     served = [each for each in requests if each.began_s is not None]
     assert 100 * len(served) >= part * len(requests), (len(served), len(requests))
--- a/lavenderspoke/direct/lengths.py
+++ b/lavenderspoke/direct/lengths.py
@@ -70,4 +70,6 @@
         if self.is_long(tokens):
             self._long_from_tokens += step_tokens * (1.0 - LONG_PART)
         else:
-            self._long_from_tokens -= step_tokens * LONG_PART
+            lower_tokens = self._long_from_tokens - step_tokens * LONG_PART
+            # Where nothing is said of lengths none is long.
+            self._long_from_tokens = max(0.0, lower_tokens)
