Split scheduler and pool into order, reserve, waiting and choice

Several new policies need to change one of these without touching the others, and all four stood in two modules of 580 lines. `waitingtickets` has the order within a rank, `rankreserve` the reserved and guaranteed slots, `waitpolicy` how long a request waits and when a refused caller comes back, `selection` the choice among upstreams, `upstreamstate` what an entry knows of one.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -22,7 +22,13 @@
 from unittest import mock
 
 from bench.engineday import SERVICE, TICK_S, EngineDay, EngineFigures, Kind
-from lavenderspoke.direct import pool, scheduler
+from lavenderspoke.direct import (
+    rankreserve,
+    selection,
+    upstreamstate,
+    waitingtickets,
+    waitpolicy,
+)
 from lavenderspoke.direct.scheduler import Scheduler, ServiceQueue
 from lavenderspoke.direct.tickets import Ticket
 
@@ -141,15 +147,15 @@
 
 RULES = {
     "nothing": [],
-    "ranks": [(scheduler, "_priority_key", _in_order_of_arrival)],
-    "places that stay free for ranks above": [(scheduler, "RESERVED_SHARE", 0.0)],
-    "places guaranteed to ranks below": [(scheduler, "GUARANTEED_SHARE", 0.0)],
-    "on time before late": [(scheduler, "_priority_key", _without_on_time)],
-    "returned first": [(scheduler, "_priority_key", _without_returned)],
-    "short before long": [(scheduler, "_priority_key", _without_short)],
-    "refused on arrival": [(scheduler, "EXPECTED_WAIT_TOLERANCE", float("inf"))],
-    "spread over like upstreams": [(pool, "COST_JITTER", 0.0)],
-    "neighbours in the choice": [(pool, "STEPS_PER_CONCURRENT_REQUEST", 0.0)],
+    "ranks": [(waitingtickets, "priority_key", _in_order_of_arrival)],
+    "places that stay free for ranks above": [(rankreserve, "RESERVED_SHARE", 0.0)],
+    "places guaranteed to ranks below": [(rankreserve, "GUARANTEED_SHARE", 0.0)],
+    "on time before late": [(waitingtickets, "priority_key", _without_on_time)],
+    "returned first": [(waitingtickets, "priority_key", _without_returned)],
+    "short before long": [(waitingtickets, "priority_key", _without_short)],
+    "refused on arrival": [(waitpolicy, "EXPECTED_WAIT_TOLERANCE", float("inf"))],
+    "spread over like upstreams": [(selection, "COST_JITTER", 0.0)],
+    "neighbours in the choice": [(upstreamstate, "STEPS_PER_CONCURRENT_REQUEST", 0.0)],
 }
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -22,8 +22,9 @@
 
 from bench.engineday import SERVICE, TICK_S, Call, EngineDay, EngineFigures, Kind
 from lavenderspoke.direct import scheduler
-from lavenderspoke.direct.pool import Load
-from lavenderspoke.direct.scheduler import PeerCounts, Scheduler, ServiceQueue
+from lavenderspoke.direct.peercounts import PeerCounts
+from lavenderspoke.direct.scheduler import Scheduler, ServiceQueue
+from lavenderspoke.direct.upstreamstate import Load
 
 DAY_S = 12.0
 BURST_S = (4.0, 8.0)
--- a/features/linedrive.py
+++ b/features/linedrive.py
@@ -7,7 +7,8 @@
 import attrs
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.scheduler import PeerCounts, Scheduler
+from lavenderspoke.direct.peercounts import PeerCounts
+from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.tickets import Dispatch, Refuse, Ticket
 
 RANKS = {
--- a/features/steps/contended_steps.py
+++ b/features/steps/contended_steps.py
@@ -6,9 +6,11 @@
 
 from features.entryfleet import upstream_of
 from lavenderspoke.direct.backpressure import Backpressure
-from lavenderspoke.direct.pool import Load, Pool
-from lavenderspoke.direct.scheduler import PeerCounts, ServiceQueue
+from lavenderspoke.direct.peercounts import PeerCounts
+from lavenderspoke.direct.pool import Pool
+from lavenderspoke.direct.scheduler import ServiceQueue
 from lavenderspoke.direct.tickets import Dispatch, Ticket
+from lavenderspoke.direct.upstreamstate import Load
 from lavenderspoke.observing.metrics import Metrics
 
 RANK = (0, 0)
--- a/features/steps/direct_line_steps.py
+++ b/features/steps/direct_line_steps.py
@@ -8,7 +8,7 @@
 from features.linedrive import RANKS, QueueSimulation, Request
 from lavenderspoke.direct.catalog import Catalog, Customer
 from lavenderspoke.direct.lengths import AnswerLengths
-from lavenderspoke.direct.scheduler import PeerCounts
+from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.tickets import Dispatch, Refusal, Refuse
 
 
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -17,9 +17,9 @@
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.messages import DirectMessage
 from lavenderspoke.direct.office import DirectDispatcher
-from lavenderspoke.direct.pool import Requirements
 from lavenderspoke.direct.records import KeyedRecord, RecordBatch
 from lavenderspoke.direct.relay import PeerAccess, Relay
+from lavenderspoke.direct.selection import Requirements
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.direct.verdicts import RESTART_SETTLED_S
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -27,16 +27,13 @@
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
-from lavenderspoke.direct.scheduler import (
-    RETRY_AFTER_MAX_SHARE,
-    RETRY_AFTER_MIN_S,
-    Scheduler,
-)
+from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
+from lavenderspoke.direct.waitpolicy import RETRY_AFTER_MAX_SHARE, RETRY_AFTER_MIN_S
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.observing.metrics import Metrics
--- a/lavenderspoke/direct/peertotals.py
+++ b/lavenderspoke/direct/peertotals.py
@@ -8,9 +8,9 @@
 from collections import Counter, defaultdict
 
 from lavenderspoke.direct.messages import SharedState
-from lavenderspoke.direct.pool import Load
-from lavenderspoke.direct.scheduler import PeerCounts
+from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.tickets import Rank
+from lavenderspoke.direct.upstreamstate import Load
 
 RankRows = tuple[tuple[int, int, int], ...]
 """Customer rank, route rank and count."""
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -8,182 +8,28 @@
 import attrs
 
 from lavenderspoke.direct.backpressure import Backpressure
-from lavenderspoke.direct.decoderate import DecodeRate
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.outliers import is_outlier, may_eject
-from lavenderspoke.direct.prefillrate import PrefillRate
+from lavenderspoke.direct.selection import (
+    NO_CONTENTION,
+    Contention,
+    Requirements,
+    Selection,
+    UpstreamSelector,
+)
+from lavenderspoke.direct.upstreamstate import NO_LOAD, Load, UpstreamState
 from lavenderspoke.rollouts.orders import Access
 from lavenderspoke.rollouts.versionload import VersionLoad
 
-# Duration of an engine step, the time between two events of a stream, before one was
-# measured.
-STEP_DEFAULT_S = 0.02
-# Steps by which each concurrent request, the new one included, delays the first byte:
-# its tokens take part in every step.
-STEPS_PER_CONCURRENT_REQUEST = 1.0
-# Share of the time after the first byte that is added to the cost: a long answer holds
-# its slot for long at a slow upstream.
-ANSWER_TIME_WEIGHT = 0.1
-# Cost of an answer that is not expected to be complete by the deadline.
-DEADLINE_PENALTY_S = 1.0
-# Costs are raised at random by up to this share: entries that all see the same best
-# upstream would otherwise send to it at the same instant.
-COST_JITTER = 0.3
-# The fewest upstreams to compare for a request.
-SAMPLE_MIN = 2
 # Share of the canary requests that go to the most loaded upstream with a free slot.
 CANARY_MOST_LOADED_SHARE = 0.5
-# Cost of a failure that is certain: about one wasted attempt.
-FAILURE_PENALTY_S = 0.6
 # How long nothing is sent to an upstream whose address another one has taken over:
 # longer than its record stays listed, which is three heartbeats of 1.2 s. If it is
 # alive after all, it gets requests again after that.
 EVICTION_S = 5.0
 
 
-@attrs.frozen(kw_only=True)
-class Load:
-    """In-flight requests of one or more entries at an upstream.
-
-    `prefill_tokens` are the prompt tokens of requests without a first event so far.
-    """
-
-    requests: int = 0
-    prefill_tokens: int = 0
-
-
-NO_LOAD = Load()
-
-
-@attrs.frozen(kw_only=True)
-class Requirements:
-    """What a request needs of an upstream.
-
-    From now on, the first byte should come within `first_byte_within_s` and the whole
-    answer within `remaining_s`. Upstreams in `excluded` are not chosen. A `retryable`
-    request may be the trial request of an ejected upstream.
-    """
-
-    prompt_tokens: int
-    answer_tokens: int
-    first_byte_within_s: float
-    remaining_s: float
-    excluded: set[str] = attrs.field(factory=set)
-    retryable: bool = False
-
-
-@attrs.define(kw_only=True, eq=False)
-class UpstreamState:
-    """One upstream with the requests in flight there.
-
-    `own_requests` maps this entry's request IDs to their unread prompt tokens;
-    `peer_load` is the other entries' load. `access` tells which requests it may get.
-    """
-
-    upstream: Upstream
-    access: Access = Access.OPEN
-    health: Health = attrs.field(factory=Health)
-    own_requests: dict[str, int] = attrs.field(factory=dict)
-    peer_load: Load = NO_LOAD
-    evicted_until_s: float | None = None
-
-    def free_slots(self) -> int:
-        """Return the free slots; negative when entries have sent too many."""
-        return self.upstream.slots - self.in_flight()
-
-    def prefill_tokens(self) -> int:
-        """Return the unread prompt tokens of all entries' requests."""
-        return self.peer_load.prefill_tokens + sum(self.own_requests.values())
-
-    def in_flight(self) -> int:
-        """Return the requests in flight of all entries."""
-        return len(self.own_requests) + self.peer_load.requests
-
-    def step_s(self) -> float:
-        """Return the measured step duration, or the default one."""
-        return self.health.step_s or STEP_DEFAULT_S
-
-    def own_load(self) -> Load:
-        """Return the load of this entry's own requests."""
-        return Load(
-            requests=len(self.own_requests),
-            prefill_tokens=sum(self.own_requests.values()),
-        )
-
-
-@attrs.frozen(kw_only=True)
-class LatencyEstimate:
-    """The load of an upstream from which a request's latency is estimated.
-
-    `prefill_tokens` and `concurrent_requests` include the request itself.
-    """
-
-    prefill_tokens: int
-    concurrent_requests: int
-    step_s: float
-
-    def first_byte_steps(self, tokens_per_step: float) -> float:
-        """Return the expected number of steps until the first byte."""
-        steps = self.prefill_tokens / tokens_per_step
-        return steps + self.concurrent_requests * STEPS_PER_CONCURRENT_REQUEST
-
-    def first_byte_s(self, tokens_per_step: float) -> float:
-        """Return the expected time to the first byte."""
-        return self.step_s * self.first_byte_steps(tokens_per_step)
-
-    def prefill_steps(self, first_byte_s: float) -> float:
-        """Return the steps spent on prefill when the first byte took `first_byte_s`."""
-        return (
-            first_byte_s / self.step_s
-            - self.concurrent_requests * STEPS_PER_CONCURRENT_REQUEST
-        )
-
-
-@attrs.frozen(kw_only=True)
-class Contention:
-    """What the other entries may send to the same upstreams meanwhile.
-
-    `unseen_requests` estimates what they have sent and not reported yet; `waiting` are
-    the requests that wait there.
-    """
-
-    unseen_requests: float = 0.0
-    waiting: int = 0
-
-
-NO_CONTENTION = Contention()
-
-
-@attrs.frozen(kw_only=True)
-class Selection:
-    """The upstream chosen for a request, if any.
-
-    Without one, `only_this_waits` tells that requests behind this one may still be
-    sent; otherwise no upstream has a free slot.
-    """
-
-    upstream_state: UpstreamState | None
-    only_this_waits: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class _Candidate:
-    """An upstream with the expected times of a request there.
-
-    `first_byte_s` is the time to the first byte, `answer_s` the time from there to the
-    last one.
-    """
-
-    state: UpstreamState
-    first_byte_s: float
-    answer_s: float
-
-    @property
-    def total_s(self) -> float:
-        return self.first_byte_s + self.answer_s
-
-
 class Pool:
     """The upstreams of one service.
 
@@ -202,8 +48,9 @@
         self._backpressure = backpressure
         self._access = access
         self._states: dict[str, UpstreamState] = {}
-        self.prefill_rate = PrefillRate()
-        self.decode_rate = DecodeRate()
+        self._selector = UpstreamSelector(random=random)
+        self.prefill_rate = self._selector.prefill_rate
+        self.decode_rate = self._selector.decode_rate
 
     def reconfigure(self, upstreams: Iterable[Upstream]) -> None:
         """Apply the platform's list of upstreams.
@@ -385,17 +232,9 @@
         now_s: float,
         contention: Contention = NO_CONTENTION,
     ) -> Selection:
-        """Choose the upstream with a free slot that should answer soonest.
-
-        An ejected upstream that is due a trial request gets it first. Deadlines and
-        failures weigh in as well.
+        """Choose an upstream with a free slot, if any.
 
-        If each entry took the upstream that looks best, all would send to the same one;
-        so each takes the best of a random sample of two or more, which is smaller the
-        more requests of other entries are unseen.
-
-        Where the first byte would be late at every upstream with a free slot, but on
-        time at one without, the request waits.
+        An ejected upstream that is due a trial request gets it first.
         """
         allowed = [
             state
@@ -411,7 +250,9 @@
         if trial_states and trial_states[0].free_slots() > 0:
             return Selection(upstream_state=trial_states[0])
         in_service = [s for s in available if not s.health.is_ejected]
-        return self._select(in_service, requirements, contention.unseen_requests)
+        return self._selector.select(
+            in_service, requirements, contention.unseen_requests
+        )
 
     def _available(
         self, states: list[UpstreamState], contention: Contention, now_s: float
@@ -457,78 +298,10 @@
             available = sorted(
                 (s for s in available if s.free_slots() > 0), key=_most_loaded_first
             )[:1]
-        return self._select(
+        return self._selector.select(
             available, requirements, contention.unseen_requests
         ).upstream_state
 
-    def _select(
-        self,
-        available: list[UpstreamState],
-        requirements: Requirements,
-        unseen_requests: float,
-    ) -> Selection:
-        free = [
-            self._estimate(state, requirements)
-            for state in available
-            if state.free_slots() > 0
-        ]
-        if not free:
-            return Selection(
-                upstream_state=None, only_this_waits=bool(requirements.excluded)
-            )
-        on_time = [
-            each
-            for each in free
-            if each.first_byte_s <= requirements.first_byte_within_s
-        ]
-        if on_time:
-            return Selection(
-                upstream_state=self._best_state(on_time, requirements, unseen_requests)
-            )
-        full = (
-            self._estimate(state, requirements)
-            for state in available
-            if state.free_slots() <= 0
-        )
-        if any(each.first_byte_s <= requirements.first_byte_within_s for each in full):
-            return Selection(upstream_state=None, only_this_waits=True)
-        return Selection(
-            upstream_state=self._best_state(free, requirements, unseen_requests)
-        )
-
-    def _best_state(
-        self,
-        candidates: list[_Candidate],
-        requirements: Requirements,
-        unseen_requests: float,
-    ) -> UpstreamState:
-        # If slow upstreams were sampled too, some would get long answers that are cut
-        # off at their deadlines.
-        in_deadline = [
-            each for each in candidates if each.total_s <= requirements.remaining_s
-        ]
-        sampled = self._sample(in_deadline or candidates, unseen_requests)
-        costs = [
-            (
-                _cost_s(each, requirements)
-                * self._random.uniform(1.0, 1.0 + COST_JITTER),
-                index,
-            )
-            for index, each in enumerate(sampled)
-        ]
-        return sampled[min(costs)[1]].state
-
-    def _sample(
-        self, candidates: list[_Candidate], unseen_requests: float
-    ) -> list[_Candidate]:
-        """Return all candidates or one in `unseen_requests`, at least `SAMPLE_MIN`."""
-        sample_size = max(
-            SAMPLE_MIN, math.ceil(len(candidates) / max(1.0, unseen_requests))
-        )
-        if sample_size >= len(candidates):
-            return candidates
-        return self._random.sample(candidates, sample_size)
-
     def _open_states(self) -> list[UpstreamState]:
         return self._states_with(Access.OPEN)
 
@@ -550,33 +323,7 @@
         )
         return not is_leaving and state.evicted_until_s is None
 
-    def _estimate(self, state: UpstreamState, requirements: Requirements) -> _Candidate:
-        estimate = estimate_latency(state, requirements.prompt_tokens)
-        steps = requirements.answer_tokens / self.decode_rate.tokens_per_step
-        return _Candidate(
-            state=state,
-            first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step),
-            answer_s=state.step_s() * steps,
-        )
-
 
 def _most_loaded_first(state: UpstreamState) -> tuple[int, str]:
     # Ties are broken by ID, so that all entries pick the same upstream.
     return -state.in_flight(), state.upstream.upstream_id
-
-
-def _cost_s(candidate: _Candidate, requirements: Requirements) -> float:
-    """Return the expected time to the first byte, with weighted extra costs."""
-    cost_s = candidate.first_byte_s + candidate.answer_s * ANSWER_TIME_WEIGHT
-    if candidate.total_s > requirements.remaining_s:
-        cost_s += DEADLINE_PENALTY_S
-    return cost_s + candidate.state.health.failure_share * FAILURE_PENALTY_S
-
-
-def estimate_latency(state: UpstreamState, prompt_tokens: int) -> LatencyEstimate:
-    """Return the estimate for a request with such a prompt."""
-    return LatencyEstimate(
-        prefill_tokens=state.prefill_tokens() + prompt_tokens,
-        concurrent_requests=state.in_flight() + 1,
-        step_s=state.step_s(),
-    )
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -1,120 +1,36 @@
 """Queueing, dispatch and early refusal of requests.
 
-Each service has one queue. Higher ranks go first in strict order, with two exceptions.
-Some slots are reserved for higher ranks, so that a request of the highest rank finds
-one free and needn't wait for a long answer of a low rank to end. And each rank below
-the highest is guaranteed a share of the slots, so that none starves.
-
-Within a rank, requests that can still be answered on time, counted from the caller's
-first attempt, go first: under sustained overload, serving the oldest first would make
-every answer late. Then requests that were refused before and resubmitted go ahead of
-new ones, and then short expected answers ahead of long ones: a tenth of the answers
-take half of all engine time, and one of them holds the slot in which ten others could
-be answered on time. A long answer goes next only while long ones are dispatched far
-less often than the answers of their rank on average.
-
-A request is refused as soon as it can't be dispatched in time. Kept longer, it would
-only delay the caller's retry; refused at once with a Retry-After, it is resubmitted
-when the burst has passed.
+Each service has one queue. The order within a rank is that of `waitingtickets`, the
+order of ranks that of `rankreserve`; `waitpolicy` tells how long a request may wait and
+when a refused one should come back, and the pool chooses the upstream.
 
 All times are in seconds on one clock; `now_s` is its current time.
 """
 
 import math
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable, Mapping
 from random import Random
 
-import attrs
-from sortedcontainers import SortedKeyList
-
-from lavenderspoke.direct.adaptivereserve import AdaptiveReserve
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.lengths import AnswerLengths
-from lavenderspoke.direct.pool import (
-    Contention,
-    Load,
-    Pool,
-    Requirements,
-    UpstreamState,
-    estimate_latency,
-)
+from lavenderspoke.direct.peercounts import PeerCounts
+from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
-from lavenderspoke.direct.tickets import (
-    Dispatch,
-    Rank,
-    Refusal,
-    Refuse,
-    Ticket,
-)
+from lavenderspoke.direct.rankreserve import RankReserve
+from lavenderspoke.direct.selection import Contention, Requirements
+from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
+from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
+from lavenderspoke.direct.waitingtickets import WaitingTickets
+from lavenderspoke.direct.waitpolicy import Backlog, WaitPolicy
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.rollouts.canarysplit import CanarySplitter
 from lavenderspoke.rollouts.orders import Access
 
-# Share of all slots that requests which hold a slot for `LONG_HOLD_S` or longer leave
-# free for each active higher rank. Answers of the lowest rank last seconds; with one
-# slot in eight free, the highest rank rarely waits for one to end. Shorter ones, which
-# release their slot in time, leave less free.
-RESERVED_SHARE = 0.12
-# Upper bound of that share for any number of higher ranks. There are as many ranks as
-# customer ranks times route ranks, and each slot reserved beyond the need of the
-# highest ones in a burst could serve a request of the lowest.
-RESERVED_SHARE_MAX = 0.24
-# Mean hold time of a rank from which the whole reserve applies to it: a request of the
-# highest rank that waits that long for a slot misses its target.
-LONG_HOLD_S = 1.0
-# Share of all slots that is guaranteed to the ranks below the highest, split evenly.
-# Just enough that each is served: when slots are short, each further one would be
-# missing for the highest rank.
-GUARANTEED_SHARE = 0.1
-# Share of its remaining time that a request of the highest rank waits at most, even if
-# it will be late: nothing ranks above it, so its turn comes.
-HIGHEST_RANK_WAIT_SHARE = 0.5
-# Share of its remaining time that a resubmitted request waits at most.
-RESUBMITTED_WAIT_SHARE = 0.25
-# A request is refused on arrival if its expected wait exceeds this multiple of the
-# longest wait allowed: the estimate is rough, and a wait that ends in time costs
-# little.
-EXPECTED_WAIT_TOLERANCE = 2.0
-# Time before the deadline that is never used for waiting: an answer that begins with
-# less left would be cut off.
-DEADLINE_MARGIN_S = 0.15
-# Retry-After is at most this share of the time until the deadline, and otherwise at
-# least `RETRY_AFTER_MIN_S`.
-RETRY_AFTER_MAX_SHARE = 1 / 3
-RETRY_AFTER_MIN_S = 0.3
-# Retry-After is the expected wait times a random factor in this range, so that
-# resubmitted requests don't arrive as the next burst.
-RETRY_AFTER_JITTER = (0.9, 1.5)
 # How long a rank counts as active after its last request.
 RANK_ACTIVE_S = 5.0
 
 
-def _priority_key(ticket: Ticket) -> tuple:
-    return (
-        ticket.rank,
-        ticket.is_late,
-        not ticket.resubmitted,
-        ticket.answer_tokens,
-        ticket.number,
-    )
-
-
-@attrs.frozen(kw_only=True)
-class PeerCounts:
-    """The other entries' last reported counts for one service.
-
-    `waiting` and `held` are the queued requests and the held slots by rank, `entries`
-    is the number of other entries, and `age_s` the mean age of the counts.
-    """
-
-    waiting: dict[Rank, int] = attrs.field(factory=dict)
-    held: dict[Rank, int] = attrs.field(factory=dict)
-    entries: int = 0
-    age_s: float = 0.0
-
-
 class ServiceQueue:
     """The waiting requests of one service, and the pool of its upstreams."""
 
@@ -123,21 +39,18 @@
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
-        self._waiting: SortedKeyList = SortedKeyList(key=_priority_key)
-        self._waiting_counts: Counter[Rank] = Counter()
+        self._waiting = WaitingTickets()
         self._held_counts: Counter[Rank] = Counter()
         self._rank_rates: dict[Rank, RankRates] = {}
-        self._answer_lengths: defaultdict[Rank, AnswerLengths] = defaultdict(
-            AnswerLengths
-        )
-        self._reserve = AdaptiveReserve()
+        self._reserve = RankReserve()
+        self._wait_policy = WaitPolicy(random=random)
         self._last_seen_s: dict[Rank, float] = {}
         self._no_wait_ticket: Ticket | None = None
         self._last_number = 0
 
     def waiting(self) -> dict[Rank, int]:
         """Return the requests waiting at this entry, by rank."""
-        return {rank: count for rank, count in self._waiting_counts.items() if count}
+        return self._waiting.counts()
 
     def held(self) -> dict[Rank, int]:
         """Return the slots held by this entry's requests, by rank."""
@@ -155,21 +68,24 @@
         if ticket.may_wait:
             self._rates_of(ticket.rank).record_arrival(now_s)
             if not ticket.resubmitted:
-                self._answer_lengths[ticket.rank].record_arrival(ticket.answer_tokens)
-            wait_max_s = self._wait_max_s(ticket, now_s)
+                self._waiting.record_arrival(ticket)
+            is_highest_rank = ticket.rank == min(self._active_ranks(now_s))
+            wait_max_s = self._wait_policy.wait_max_s(
+                ticket, now_s, is_highest_rank=is_highest_rank
+            )
         if self._try_canary(ticket, now_s):
             return
         if not self.pool.slots():
             ticket.on_decision(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
         elif wait_max_s <= 0.0:
             self._decide_immediately(ticket, now_s)
-        elif (
-            self._expected_wait_s(ticket, now_s) > wait_max_s * EXPECTED_WAIT_TOLERANCE
+        elif self._wait_policy.is_wait_too_long(
+            self._backlog(ticket, now_s), wait_max_s
         ):
             ticket.on_decision(self._refusal(ticket, Refusal.CROWDED, now_s))
         else:
             ticket.waits_until_s = now_s + wait_max_s
-            self._add(ticket)
+            self._waiting.add(ticket)
             self.dispatch_waiting(now_s)
 
     def _try_canary(self, ticket: Ticket, now_s: float) -> bool:
@@ -192,7 +108,7 @@
         """Dispatch a request if a slot is free for it, otherwise refuse it."""
         # Infinite, so that it isn't refused as expired before the refusal below.
         ticket.waits_until_s = math.inf
-        self._add(ticket)
+        self._waiting.add(ticket)
         self._no_wait_ticket = ticket
         self.dispatch_waiting(now_s)
         self._no_wait_ticket = None
@@ -203,7 +119,7 @@
         """Remove a request from the queue; return whether it was waiting."""
         if ticket not in self._waiting:
             return False
-        self._remove(ticket)
+        self._waiting.remove(ticket)
         return True
 
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
@@ -267,15 +183,13 @@
 
     def _expire_and_reorder(self, now_s: float) -> None:
         """Refuse requests that waited too long, and reorder those that became late."""
-        for ticket in list(self._waiting):
+        for ticket in self._waiting:
             if now_s >= ticket.waits_until_s:
-                self._remove(ticket)
+                self._waiting.remove(ticket)
                 reason = Refusal.WAITED_TOO_LONG
                 ticket.on_decision(self._refusal(ticket, reason, now_s))
             elif not ticket.is_late and now_s >= ticket.on_time_until_s:
-                self._waiting.remove(ticket)
-                ticket.is_late = True
-                self._waiting.add(ticket)
+                self._waiting.mark_late(ticket)
 
     def _next_ticket(
         self, skipped: set[int], now_s: float, *, freed_here: bool
@@ -285,7 +199,7 @@
         `freed_here` tells that a request of this entry has freed a slot. The other
         entries don't know that yet, so it isn't shared with them.
         """
-        firsts = self._first_by_rank(skipped)
+        firsts = self._waiting.first_by_rank(skipped)
         if not firsts:
             return None
         free_slots = self.pool.free_slots(now_s)
@@ -294,7 +208,10 @@
         slots = self.pool.slots()
         active_ranks = self._active_ranks(now_s)
         for rank in sorted(firsts, reverse=True):
-            if self._is_below_guarantee(rank, active_ranks, slots):
+            held = self._held_counts[rank] + self.peer_counts.held.get(rank, 0)
+            if self._reserve.is_below_guarantee(
+                rank, active_ranks, held=held, slots=slots
+            ):
                 return firsts[rank]
         for rank in sorted(firsts):
             needed_by_peers = sum(
@@ -318,22 +235,6 @@
             return None
         return ticket if ticket in self._waiting else None
 
-    def _first_by_rank(self, skipped: set[int]) -> dict[Rank, Ticket]:
-        """Return the first request of each rank, preferring underserved long ones."""
-        firsts: dict[Rank, Ticket] = {}
-        long_firsts: dict[Rank, Ticket] = {}
-        for ticket in self._waiting:
-            if ticket.number not in skipped:
-                firsts.setdefault(ticket.rank, ticket)
-                if self._is_underserved(ticket):
-                    long_firsts.setdefault(ticket.rank, ticket)
-        return firsts | long_firsts
-
-    def _is_underserved(self, ticket: Ticket) -> bool:
-        """Return whether a request is long, and long ones of its rank underserved."""
-        lengths = self._answer_lengths[ticket.rank]
-        return lengths.is_long(ticket.answer_tokens) and lengths.are_long_underserved()
-
     def _claims_slot(self, ticket: Ticket, free: float) -> bool:
         """Return whether a request takes one of the slots that are free for its rank.
 
@@ -346,26 +247,17 @@
         if not others:
             return True
         return self._random.random() < free / (
-            others + self._waiting_counts[ticket.rank]
+            others + self._waiting.count(ticket.rank)
         )
 
     def _reserved_slots(self, rank: Rank, active_ranks: list[Rank]) -> float:
         """Return the number of slots reserved for the ranks above this one."""
-        above = sum(1 for each in active_ranks if each < rank)
-        hold_factor = min(1.0, self._rates_of(rank).mean_hold_s / LONG_HOLD_S)
-        share = min(RESERVED_SHARE_MAX, above * RESERVED_SHARE) * self._reserve.share(
-            rank
+        return self._reserve.reserved_slots(
+            rank,
+            active_ranks,
+            mean_hold_s=self._rates_of(rank).mean_hold_s,
+            slots=self.pool.slots(),
         )
-        return share * hold_factor * self.pool.slots()
-
-    def _is_below_guarantee(
-        self, rank: Rank, active_ranks: list[Rank], slots: int
-    ) -> bool:
-        if rank == active_ranks[0]:
-            return False
-        share = GUARANTEED_SHARE / (len(active_ranks) - 1)
-        held = self._held_counts[rank] + self.peer_counts.held.get(rank, 0)
-        return held < share * slots
 
     def _active_ranks(self, now_s: float) -> list[Rank]:
         """Return the ranks that count as active at any entry, highest first."""
@@ -377,7 +269,7 @@
         )
 
     def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
-        self._remove(ticket)
+        self._waiting.remove(ticket)
         self._send(ticket, state, now_s)
 
     def _send(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
@@ -385,7 +277,7 @@
             is_canary = state.access is Access.CANARY
             self.canary.record_sent(ticket.route, to_target=is_canary)
         if ticket.may_wait:
-            self._answer_lengths[ticket.rank].record_dispatch(ticket.answer_tokens)
+            self._waiting.record_dispatch(ticket)
         ticket.sent_s = now_s
         ticket.estimate = estimate_latency(state, ticket.prompt_tokens)
         tokens_per_step = self.pool.prefill_rate.tokens_per_step
@@ -399,14 +291,6 @@
         self._held_counts[ticket.rank] += 1
         ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
 
-    def _add(self, ticket: Ticket) -> None:
-        self._waiting.add(ticket)
-        self._waiting_counts[ticket.rank] += 1
-
-    def _remove(self, ticket: Ticket) -> None:
-        self._waiting.remove(ticket)
-        self._waiting_counts[ticket.rank] -= 1
-
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
 
@@ -426,65 +310,48 @@
         waiting = 0 if is_claimed else sum(self.peer_counts.waiting.values())
         return Contention(unseen_requests=self._unseen_requests(now_s), waiting=waiting)
 
-    def _wait_max_s(self, ticket: Ticket, now_s: float) -> float:
-        """Return how long a request may wait at most from now on."""
-        latest_s = min(ticket.deadline_s, ticket.idle_since_s + ticket.patience_s)
-        remaining_s = latest_s - now_s - DEADLINE_MARGIN_S
-        if ticket.resubmitted:
-            return remaining_s * RESUBMITTED_WAIT_SHARE
-        if ticket.rank == min(self._active_ranks(now_s)):
-            return remaining_s * HIGHEST_RANK_WAIT_SHARE
-        return min(remaining_s, ticket.on_time_until_s - now_s)
-
-    def _expected_wait_s(self, ticket: Ticket, now_s: float) -> float:
-        """Return the expected wait of a request.
-
-        Slots become free at slots / mean hold time per second. Higher ranks take theirs
-        first, except the share guaranteed to this request's rank. While no upstream
-        takes a request, none is sent.
+    def _backlog(self, ticket: Ticket, now_s: float) -> Backlog:
+        """Return what a request has to wait for.
+
+        Higher ranks take their slots first, except the share guaranteed to this
+        request's rank. While no upstream takes a request, none is sent.
         """
         rank = ticket.rank
-        blocked_s = self.pool.blocked_s(now_s)
         mean_hold_s = self._rates_of(rank).mean_hold_s
         slots = self.pool.effective_slots(mean_hold_s, now_s) or 1.0
-        own_ahead = 0
-        if not self._is_underserved(ticket):
-            own_ahead = sum(
-                1 for t in self._waiting if _priority_key(t) < _priority_key(ticket)
-            )
-        peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r <= rank)
         active_ranks = self._active_ranks(now_s)
-        reserved = self._reserved_slots(rank, active_ranks)
-        ahead = own_ahead + peers_ahead - max(0, self.pool.free_slots(now_s) - reserved)
-        if ahead < 0:
-            return blocked_s
+        free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
+            rank, active_ranks
+        )
+        peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r <= rank)
+        ahead = self._waiting.count_ahead(ticket) + peers_ahead - max(0, free_slots)
+        remaining_slots = max(
+            slots - self._slots_of_higher_ranks(rank, now_s),
+            self._reserve.guaranteed_slots(active_ranks, slots),
+            min(1.0, slots),
+        )
+        return Backlog(
+            ahead=ahead,
+            slots=remaining_slots,
+            mean_hold_s=mean_hold_s,
+            blocked_s=self.pool.blocked_s(now_s),
+        )
+
+    def _slots_of_higher_ranks(self, rank: Rank, now_s: float) -> float:
+        """Return how many slots the present arrivals of the ranks above keep busy."""
         entries = self.peer_counts.entries + 1
-        arrivals = {
-            each: rates.arrivals_per_s(now_s) * entries
+        return sum(
+            rates.arrivals_per_s(now_s) * entries * rates.mean_hold_s
             for each, rates in self._rank_rates.items()
-        }
-        higher_rank_slots = sum(
-            per_s * self._rank_rates[each].mean_hold_s
-            for each, per_s in arrivals.items()
             if each < rank
         )
-        guaranteed = GUARANTEED_SHARE / max(1, len(active_ranks) - 1) * slots
-        remaining_slots = max(slots - higher_rank_slots, guaranteed, min(1.0, slots))
-        wait_s = (ahead + 1) * mean_hold_s / remaining_slots
-        return max(wait_s, blocked_s)
 
     def _refusal(self, ticket: Ticket, reason: Refusal, now_s: float) -> Refuse:
-        wait_s = self._expected_wait_s(ticket, now_s) * self._random.uniform(
-            *RETRY_AFTER_JITTER
-        )
-        retry_after_max_s = max(
-            0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE
-        )
-        retry_after_s = min(max(RETRY_AFTER_MIN_S, wait_s), retry_after_max_s)
         return Refuse(
             reason=reason,
-            # Sooner than upstreams take requests again, a retry would be in vain.
-            retry_after_s=max(retry_after_s, self.pool.blocked_s(now_s)),
+            retry_after_s=self._wait_policy.retry_after_s(
+                ticket, self._backlog(ticket, now_s), now_s
+            ),
             held_back=self.pool.held_back(now_s),
         )
 
--- a/lavenderspoke/direct/sharing.py
+++ b/lavenderspoke/direct/sharing.py
@@ -5,9 +5,9 @@
 import attrs
 
 from lavenderspoke.direct.messages import SharedState
+from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.peertotals import PeerTotals
-from lavenderspoke.direct.pool import Load
-from lavenderspoke.direct.scheduler import PeerCounts
+from lavenderspoke.direct.upstreamstate import Load
 from lavenderspoke.model import InstanceId
 
 # An entry not heard from for this long is no longer live: at least three of the
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -9,7 +9,7 @@
 import attrs
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.pool import LatencyEstimate
+from lavenderspoke.direct.upstreamstate import LatencyEstimate
 
 # Share of its target after which a waiting request counts as late: its first byte could
 # hardly be on time then.
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -13,8 +13,8 @@
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.peerreports import PeerReports
-from lavenderspoke.direct.pool import UpstreamState
 from lavenderspoke.direct.scheduler import Scheduler
+from lavenderspoke.direct.upstreamstate import UpstreamState
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
 
--- /dev/null
+++ b/lavenderspoke/direct/waitpolicy.py
@@ -0,0 +1,91 @@
+"""How long a request may wait, and when a refused one should come back.
+
+A request is refused as soon as it can't be dispatched in time. Kept longer, it would
+only delay the caller's retry; refused at once with a Retry-After, it is resubmitted
+when the burst has passed.
+"""
+
+from random import Random
+
+import attrs
+
+from lavenderspoke.direct.tickets import Ticket
+
+# Share of its remaining time that a request of the highest rank waits at most, even if
+# it will be late: nothing ranks above it, so its turn comes.
+HIGHEST_RANK_WAIT_SHARE = 0.5
+# Share of its remaining time that a resubmitted request waits at most.
+RESUBMITTED_WAIT_SHARE = 0.25
+# A request is refused on arrival if its expected wait exceeds this multiple of the
+# longest wait allowed: the estimate is rough, and a wait that ends in time costs
+# little.
+EXPECTED_WAIT_TOLERANCE = 2.0
+# Time before the deadline that is never used for waiting: an answer that begins with
+# less left would be cut off.
+DEADLINE_MARGIN_S = 0.15
+# Retry-After is at most this share of the time until the deadline, and otherwise at
+# least `RETRY_AFTER_MIN_S`.
+RETRY_AFTER_MAX_SHARE = 1 / 3
+RETRY_AFTER_MIN_S = 0.3
+# Retry-After is the expected wait times a random factor in this range, so that
+# resubmitted requests don't arrive as the next burst.
+RETRY_AFTER_JITTER = (0.9, 1.5)
+
+
+@attrs.frozen(kw_only=True)
+class Backlog:
+    """What stands between a request and its dispatch.
+
+    `ahead` requests go before it, less the slots that are free for its rank; each holds
+    one of `slots` for `mean_hold_s`. No upstream takes a request for `blocked_s`.
+    """
+
+    ahead: float
+    slots: float
+    mean_hold_s: float
+    blocked_s: float
+
+    def expected_wait_s(self) -> float:
+        """Return the expected wait: slots come free at slots / hold time per second.
+
+        >>> backlog = Backlog(ahead=9.0, slots=20.0, mean_hold_s=0.4, blocked_s=0.0)
+        >>> backlog.expected_wait_s()
+        0.2
+        """
+        if self.ahead < 0:
+            return self.blocked_s
+        wait_s = (self.ahead + 1) * self.mean_hold_s / self.slots
+        return max(wait_s, self.blocked_s)
+
+
+class WaitPolicy:
+    """Decides how long requests wait, and what refused callers are told."""
+
+    def __init__(self, *, random: Random):
+        self._random = random
+
+    @staticmethod
+    def wait_max_s(ticket: Ticket, now_s: float, *, is_highest_rank: bool) -> float:
+        """Return how long a request may wait at most from now on."""
+        latest_s = min(ticket.deadline_s, ticket.idle_since_s + ticket.patience_s)
+        remaining_s = latest_s - now_s - DEADLINE_MARGIN_S
+        if ticket.resubmitted:
+            return remaining_s * RESUBMITTED_WAIT_SHARE
+        if is_highest_rank:
+            return remaining_s * HIGHEST_RANK_WAIT_SHARE
+        return min(remaining_s, ticket.on_time_until_s - now_s)
+
+    @staticmethod
+    def is_wait_too_long(backlog: Backlog, wait_max_s: float) -> bool:
+        """Return whether a request should be refused on arrival."""
+        return backlog.expected_wait_s() > wait_max_s * EXPECTED_WAIT_TOLERANCE
+
+    def retry_after_s(self, ticket: Ticket, backlog: Backlog, now_s: float) -> float:
+        """Return when a refused caller should come back, in seconds from now."""
+        wait_s = backlog.expected_wait_s() * self._random.uniform(*RETRY_AFTER_JITTER)
+        retry_after_max_s = max(
+            0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE
+        )
+        retry_after_s = min(max(RETRY_AFTER_MIN_S, wait_s), retry_after_max_s)
+        # Sooner than upstreams take requests again, a retry would be in vain.
+        return max(retry_after_s, backlog.blocked_s)
