Add switches for the policies that share out scarce slots

Operators need to rule a policy out as the cause of what they see, and the ablation needs each off by itself. Settings name those to disable, in the platform's file or in a variable that the deploy file can set; an unknown name is an error of the settings file.

--- a/features/platform_words.feature
+++ b/features/platform_words.feature
@@ -5,6 +5,11 @@
     Then the settings file is parsed with its addresses and units
     And all errors in a settings file are reported together
 
+  Scenario: An operator disables policies
+    Guards against a misspelt name that leaves a policy on without a word.
+    Then the settings file and a variable can name policies to disable
+    And an unknown policy is reported as an error
+
   Scenario: A configuration
     Then a configuration becomes routes, services, customers and limits
     And the longest path prefix matches, among 500 routes
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -2,9 +2,12 @@
 
 import ast
 import json
+import os
 import pathlib
 import struct
+import tempfile
 import tomllib
+from unittest import mock
 
 import attrs
 from behave import then
@@ -17,8 +20,9 @@
 from lavenderspoke.direct.dialect import RequestHead
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.policies import Policies
 from lavenderspoke.direct.records import KeyedRecord
-from lavenderspoke.platform import configuration, settings, store
+from lavenderspoke.platform import configuration, settings, settingsfile, store
 from lavenderspoke.platform.registry import RECOVERY_GRACE_S, Registry
 from lavenderspoke.platform.wire import PlatformDialect
 from standins.platformdeployment import SETTINGS, configuration as example, route
@@ -110,6 +114,28 @@
     assert any(each.startswith("zone: missing") for each in mistakes)
 
 
+@then("the settings file and a variable can name policies to disable")
+def step_disable_policies(context):
+    assert settings.parse(settings_text()).unwrap().direct.policies == Policies()
+    text = settings_text() + "\ndisabled-policies=spillover, customer-shares\n"
+    policies = settings.parse(text).unwrap().direct.policies
+    assert policies == Policies(spillover=False, customer_shares=False)
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write(settings_text())
+        file.flush()
+        variable = {settingsfile.DISABLED_POLICIES_VARIABLE: "retry-bookings"}
+        with mock.patch.dict(os.environ, variable):
+            policies = settingsfile.read_settings(file.name).direct.policies
+    assert policies == Policies(retry_bookings=False)
+
+
+@then("an unknown policy is reported as an error")
+def step_unknown_policy(context):
+    text = settings_text() + "\ndisabled-policies=spill-over\n"
+    mistakes = settings.parse(text).unwrap_err().mistakes
+    assert mistakes == ("disabled-policies: unknown policy 'spill-over'",), mistakes
+
+
 def encoded(content: dict) -> bytes:
     return json.dumps(content).encode()
 
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -92,6 +92,7 @@
             clock=clock,
             random=Random(),
             metrics=self.metrics,
+            policies=settings.policies,
         )
         self._caller_watch = CallerWatch()
         self._startup_hold = StartupHold(is_ready=self._has_initial_state, clock=clock)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -24,6 +24,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
@@ -75,6 +76,7 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        policies: Policies = ALL_POLICIES,
     ):
         self.location = location
         self.bounds = bounds
@@ -106,6 +108,8 @@
             peer_counts=self._peers.counts,
             access=self._rollouts.access,
             canary=self._rollouts.canary_splitter,
+            policies=policies,
+            data_centre=location.data_centre,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -11,6 +11,7 @@
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.outliers import is_outlier, may_eject
+from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.selection import (
     NO_CONTENTION,
     Contention,
@@ -34,7 +35,7 @@
     """The upstreams of one service.
 
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
-    the upstreams said they can take.
+    the upstreams said they can take. The entry that chooses is in `data_centre`.
     """
 
     def __init__(
@@ -43,10 +44,14 @@
         random: Random,
         backpressure: Backpressure,
         access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
+        policies: Policies = ALL_POLICIES,
+        data_centre: str = "",
     ):
         self._random = random
         self._backpressure = backpressure
         self._access = access
+        self._policies = policies
+        self._data_centre = data_centre
         self._states: dict[str, UpstreamState] = {}
         self._selector = UpstreamSelector(random=random)
         self.prefill_rate = self._selector.prefill_rate
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -15,6 +15,7 @@
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
+from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
@@ -34,8 +35,11 @@
 class ServiceQueue:
     """The waiting requests of one service, and the pool of its upstreams."""
 
-    def __init__(self, *, pool: Pool, random: Random):
+    def __init__(
+        self, *, pool: Pool, random: Random, policies: Policies = ALL_POLICIES
+    ):
         self.pool = pool
+        self.policies = policies
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
@@ -379,7 +383,8 @@
     Not thread-safe: its owner holds a lock. `peer_loads()`, by upstream, and
     `peer_counts(service)` return the other entries' last reports. `access` tells which
     requests an upstream may get; `canary(service)` returns the splitter of a running
-    roll-out, or None. `backpressure` has what the upstreams said about themselves.
+    roll-out, or None. `backpressure` has what the upstreams said about themselves,
+    `policies` which optional policies are on. This entry is in `data_centre`.
     """
 
     def __init__(
@@ -391,6 +396,8 @@
         peer_counts: Callable[[str], PeerCounts] = lambda service: PeerCounts(),
         access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
+        policies: Policies = ALL_POLICIES,
+        data_centre: str = "",
     ):
         self._random = random
         self._backpressure = backpressure or Backpressure(metrics=Metrics())
@@ -398,6 +405,8 @@
         self._peer_counts = peer_counts
         self._access = access
         self._canary = canary
+        self._policies = policies
+        self._data_centre = data_centre
         self._queues: dict[str, ServiceQueue] = {}
 
     def queue(self, service: str) -> ServiceQueue:
@@ -407,8 +416,12 @@
                 random=self._random,
                 backpressure=self._backpressure,
                 access=self._access,
+                policies=self._policies,
+                data_centre=self._data_centre,
+            )
+            self._queues[service] = ServiceQueue(
+                pool=pool, random=self._random, policies=self._policies
             )
-            self._queues[service] = ServiceQueue(pool=pool, random=self._random)
         return self._queues[service]
 
     def queues(self) -> dict[str, ServiceQueue]:
--- a/lavenderspoke/direct/settings.py
+++ b/lavenderspoke/direct/settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from lavenderspoke.direct.policies import Policies
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.rollouts.transitions import Bounds as RolloutBounds
 
@@ -59,4 +60,5 @@
     readiness: Address
     peers: Address
     bounds: Bounds = Bounds()
+    policies: Policies = Policies()
     threads: int = 120
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -3,12 +3,15 @@
 import attrs
 from result import Err, Ok, Result
 
+from lavenderspoke.direct.policies import Policies, parse_disabled
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
 from lavenderspoke.platform.settingslines import CALLERS_ADDRESS_KEY, parse_lines
 from lavenderspoke.rollouts.transitions import Bounds as RolloutBounds
 
 MS_PER_S = 1000.0
+# Names policies to disable, separated by commas. The platform doesn't set it.
+DISABLED_POLICIES_KEY = "disabled-policies"
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +55,13 @@
     def ports(self, name: str) -> tuple[int, int]:
         return self._convert(name, _port_range, (0, 0), None)
 
+    def policies(self) -> Policies:
+        parsed = parse_disabled(self.values.get(DISABLED_POLICIES_KEY, ""))
+        if isinstance(parsed, Err):
+            self.mistakes.append(f"{DISABLED_POLICIES_KEY}: {parsed.err_value}")
+            return Policies()
+        return parsed.ok_value
+
     def _convert(self, name, convert, fallback, default):
         value = self.values.get(name, "")
         if not value and default is not None:
@@ -105,6 +115,7 @@
         readiness=reader.address("listen.readiness"),
         peers=Address(host=reader.text("ip"), port=ports[0]),
         bounds=bounds,
+        policies=reader.policies(),
     )
     return PlatformSettings(
         direct=direct, store=reader.address("platform.address"), ports=ports
--- a/lavenderspoke/platform/settingsfile.py
+++ b/lavenderspoke/platform/settingsfile.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file and reports its errors to the operator."""
 
+import os
 import sys
 from pathlib import Path
 
@@ -9,6 +10,10 @@
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.util import UserError
 
+# Names policies to disable. The deploy file can't add a line to the settings file that
+# the platform writes, but it can set a variable.
+DISABLED_POLICIES_VARIABLE = "LAVENDERSPOKE_DISABLED_POLICIES"
+
 
 def read_settings(path: str) -> PlatformSettings:
     """Return the settings; raises UserError with a line for each error."""
@@ -16,6 +21,9 @@
         text = Path(path).read_text()
     except OSError as error:
         raise UserError(f"{path}: {error.strerror}") from error
+    disabled = os.environ.get(DISABLED_POLICIES_VARIABLE)
+    if disabled is not None:
+        text += f"\n{settings.DISABLED_POLICIES_KEY}={disabled}\n"
     parsed = settings.parse(text)
     if isinstance(parsed, Err):
         raise UserError(*(f"{path}: {each}" for each in parsed.err_value.mistakes))
