Soak: send SIGHUP once the entry can survive it

The soak now waits until the process handles the signal and sends it at that moment, so each reload that meets a start meets its earliest survivable point.

--- a/soak/run.py
+++ b/soak/run.py
@@ -43,6 +43,9 @@
 # Time after SIGTERM in which an entry must have ended, in seconds: the grace time of
 # its settings and one more.
 STOP_S = GRACE_S + 1.0
+# Time in which a started entry handles SIGHUP, in seconds; alone it takes 0.04 s.
+SIGNAL_HANDLED_S = 2.0
+SIGNAL_POLL_S = 0.01
 # Reads from before this offset fail: no topic here ever gets so long.
 BEYOND_ALL_OFFSETS = 10**9
 # Streams of 5 events last 0.15 s and plain answers 0.05 s, so that some are always
@@ -295,7 +298,15 @@
 
     def reload(self, name: str) -> None:
         process = self._platform.entries[name].process
-        if process.alive():
+        if not process.alive():
+            return
+        # Earlier the signal ends the process whatever the program does; so it comes at
+        # the first moment at which it can be survived.
+        give_up_s = time.monotonic() + SIGNAL_HANDLED_S
+        while not process.survives(signal.SIGHUP) and time.monotonic() < give_up_s:
+            time.sleep(SIGNAL_POLL_S)
+        # One that is paused while it starts gets none.
+        if process.survives(signal.SIGHUP):
             os.kill(process.pid, signal.SIGHUP)
 
     def fail_store(self, **faults) -> Callable[[], None]:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -162,6 +162,20 @@
         if not self.alive():
             raise NotReached(f"{self.name} ended: {self.status}\n{self.output()}")
 
+    def survives(self, number: signal.Signals) -> bool:
+        """Return whether it handles or ignores a signal by now.
+
+        Until the interpreter has run a program's first line, a signal's default action
+        ends the process, and no program can prevent that.
+        """
+        try:
+            lines = pathlib.Path(f"/proc/{self.pid}/status").read_text().splitlines()
+        except FileNotFoundError:
+            return False
+        masks = dict(line.split(":", 1) for line in lines if line.startswith("Sig"))
+        kept = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(kept >> (number - 1) & 1)
+
     def pause(self) -> None:
         """Stop it in its tracks, as a machine that stalls would."""
         self._popen.send_signal(signal.SIGSTOP)
