Restart no part once the drain stops them itself

"SIGTERM comes while streams run" failed once with "part died" for the link to the other entries at the end of the stop. The drain stops that link and then writes the last log lines, while the supervisor still checks its parts: a check in between takes the link for dead, logs it, and may start it again after it has announced that the entry leaves. The new scenario fails without it; the old one passed here, and the failure itself was not brought about again on processes.

--- a/features/steps/supervisor_steps.py
+++ b/features/steps/supervisor_steps.py
@@ -94,6 +94,11 @@
     check_after(context, context.supervisor, seconds)
 
 
+@when("the supervisor stops restarting")
+def step_stops_restarting(context):
+    context.supervisor.stop_restarting()
+
+
 @when("{seconds:g} seconds more pass")
 def step_more_pass(context, seconds):
     check_after(context, context.supervisor, seconds + 0.001)
--- a/features/supervisor.feature
+++ b/features/supervisor.feature
@@ -41,6 +41,14 @@
     When the part "core" dies 6000 times
     Then the supervisor hasn't given up, and the others still run
 
+  Scenario: A part is stopped on purpose while the daemon ends
+    Guards against a part that its owner stops last, and that is then reported as dead
+    or started again.
+    Given the supervisor has started
+    When the supervisor stops restarting
+    And the part "callers" dies and 60 seconds pass
+    Then the part "callers" has started 1 times
+
   Scenario: A supervisor restarts the one below that gave up
     Given the supervisor has started under another one
     When the part "core" dies 4 times
--- a/lavenderspoke/supervisor.py
+++ b/lavenderspoke/supervisor.py
@@ -87,6 +87,7 @@
         self._policy = policy
         self._dispensable = dispensable
         self._stopping = threading.Event()
+        self._is_restarting = True
         self._wait = wait or self._stopping.wait
         self._restarts_s: deque[float] = deque()
         self._started: list[_Child] = []
@@ -110,6 +111,7 @@
         """Start the parts in order without watching them."""
         with self._lock:
             self.gave_up = False
+            self._is_restarting = True
             self._restarts_s.clear()
             for child in self._children:
                 self._start_first(child)
@@ -140,9 +142,20 @@
         """Ask `run` to return; may be called from a signal handler."""
         self._stopping.set()
 
+    def stop_restarting(self) -> None:
+        """Restart nothing from now on; `run` goes on until it is asked to stop.
+
+        For an owner that stops parts itself before it ends the process: a part stopped
+        that way would count as dead.
+        """
+        with self._lock:
+            self._is_restarting = False
+
     def check(self, now_s: float) -> None:
         """Restart what has died and is due; give up when that is too often."""
         with self._lock:
+            if not self._is_restarting:
+                return
             for child in self._children:
                 self._check_child(child, now_s)
                 if self.gave_up:
