Wait for the link of two entries before its test counts streams

"Entries share their running requests" failed twice with "not within 20 s: entries hear". The link loads beside the first requests; if that takes longer than the streams' one second, the other entry never sees three of them at once, and the test waits in vain. It now sends single streams until the other entry has heard of one, and then makes the same checks with the same bounds.

--- a/features/steps/platform_entry_steps.py
+++ b/features/steps/platform_entry_steps.py
@@ -247,8 +247,17 @@
         def send(entry: str, number: int):
             return pool.submit(platform.send, entry, "/stream/1", body=b"%d" % number)
 
+        # The link to the other entry loads beside the first requests.
+        wait_until(lambda: is_heard(platform, send), WAIT_S, "entries are linked")
+        # The stream that showed it must not count among those below.
+        wait_until(
+            lambda: knows_running_count(platform, "entry-2", 0), WAIT_S, "they ended"
+        )
+        earlier = len(platform.runs())
         context.streams = [send("entry-1", number) for number in range(count)]
-        wait_until(lambda: len(platform.runs()) == count, WAIT_S, "streams run")
+        wait_until(
+            lambda: len(platform.runs()) == earlier + count, WAIT_S, "streams run"
+        )
         wait_until(
             lambda: knows_running_count(platform, "entry-2", count),
             WAIT_S,
@@ -268,6 +277,16 @@
     assert context.most == 4, context.most
 
 
+def is_heard(platform: PlatformDeployment, send) -> bool:
+    """Send a stream through one entry; return whether the other hears that it runs."""
+    stream = send("entry-1", 100)
+    while not stream.done():
+        if knows_running_count(platform, "entry-2", 1):
+            stream.result(WAIT_S)
+            return True
+    return False
+
+
 def knows_running_count(platform: PlatformDeployment, name: str, count: int) -> bool:
     """Return whether an entry knows that `count` streams run at the other."""
     url = f"http://{HOST}:{platform.entries[name].readiness}/metrics"
