--- a/lavenderspoke/direct/policies.py
+++ b/lavenderspoke/direct/policies.py
@@ -17,6 +17,7 @@
     - `stall_avoidance`: new requests avoid upstreams that are slow at the moment.
     - `spillover`: other data centres get what their upstreams have slots to spare for.
     - `upstream_subsets`: an entry keeps connections to as few upstreams as suffice.
+    - `burst_credits`: a customer may use its limit unevenly once the store knows it.
     """
 
     customer_shares: bool = True
@@ -24,6 +25,7 @@
     stall_avoidance: bool = True
     spillover: bool = True
     upstream_subsets: bool = True
+    burst_credits: bool = True
 
 
 ALL_POLICIES = Policies()
