Let customers use their limits in bursts, on credits recorded in the store

A credit now raises the bucket's capacity once it is recorded in the platform's store, and an entry that starts counts recorded credits as used. The bucket's level never exceeds what the window holds, since a level from before a lowered limit would refuse for longer.

--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -58,6 +58,7 @@
       the entry started. Customers without a change may be left out.
     - `rollouts`: what the entry knows of each service's roll-out.
     - `limits`: what it knows of the limits that upstreams name.
+    - `burst_credits`: customer to the tokens of a credit that the entry has recorded.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
 
     Events since the last message:
@@ -80,6 +81,7 @@
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
+    burst_credits: tuple[tuple[str, float], ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -14,6 +14,7 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.attemptresults import attempt_result
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.burstcredits import BurstCredits
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
 from lavenderspoke.direct.dispatcher import (
@@ -54,7 +55,10 @@
 # would each grant the same unused share to requests that waited for the start. A longer
 # time refuses customers whose callers are unevenly spread.
 OWN_SHARE_ONLY_S = 0.2
+# Interval, in seconds, at which customers' burst credits are decided on.
+BURST_CREDITS_INTERVAL_S = 0.1
 ATTEMPTS_METRIC = "direct_attempts"
+BURST_CREDITS_METRIC = "direct_burst_credits"
 RETRIES_METRIC = "direct_retries"
 RELOCATIONS_METRIC = "direct_silence_looks"
 FIRST_EVENT_LATER_METRIC = "direct_first_event_later_s"
@@ -87,8 +91,16 @@
         self._lock = threading.RLock()
         self._peers = Peers(own_name=name)
         self._resubmissions = Resubmissions()
+        self._burst_credits = None
+        if policies.burst_credits:
+            self._burst_credits = BurstCredits(
+                name=name, now_s=clock.monotonic_s(), window_s=bounds.quota_window_s
+            )
+        self._burst_credits_updated_s = 0.0
         self._quota = SharedQuota(
-            window_s=bounds.quota_window_s, tolerance=bounds.quota_tolerance
+            window_s=bounds.quota_window_s,
+            tolerance=bounds.quota_tolerance,
+            credits=self._burst_credits,
         )
         self._sent_usage: dict[str, UsageRows] = {}
         self._full_usage_sent_s = 0.0
@@ -371,6 +383,32 @@
             now_s = self._now_s()
             return self._rollouts.status_updates(self._cluster_view(now_s), now_s)
 
+    # Burst credits
+
+    def burst_credits_read(self, records: dict[str, float]) -> None:
+        """Apply the burst credits that the store holds when this entry starts."""
+        if self._burst_credits is not None:
+            with self._lock:
+                self._burst_credits.read_records(records, self._now_s())
+
+    def burst_credits_due(self) -> tuple[dict[str, float], list[str]]:
+        """Return the credits to record and the customers whose record to delete."""
+        if self._burst_credits is None:
+            return {}, []
+        with self._lock:
+            credits = self._burst_credits
+            return credits.writes_due(), credits.deletions_due()
+
+    def burst_credit_written(self, customer: str, tokens: float) -> None:
+        """Put a credit in force that the store has acknowledged."""
+        with self._lock:
+            self._burst_credits.record_written(customer, tokens)
+
+    def burst_credit_deleted(self, customer: str) -> None:
+        """Forget a credit whose record is deleted."""
+        with self._lock:
+            self._burst_credits.record_deleted(customer)
+
     # Peers
 
     def peers_listed(self, entries: dict[str, EntryLocation]) -> None:
@@ -412,6 +450,7 @@
             self._peers.drop_stale(now_s)
             self._scheduler.tick(now_s)
             self._advance_rollouts(now_s)
+            self._update_burst_credits(now_s)
             queues = self._scheduler.queues().values()
             running = sum(queue.pool.peer_requests() for queue in queues)
         self._metrics.set_gauge(PEER_REQUESTS_METRIC, running)
@@ -457,6 +496,9 @@
                 spent=self._usage_to_send(),
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
+                burst_credits=(
+                    self._burst_credits.rows() if self._burst_credits else ()
+                ),
                 upstreams_leaving=self._backpressure.leaving_here(),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
@@ -481,6 +523,7 @@
         self._quota.merge_peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
+        self._merge_burst_credits(sender, state, now_s - (age_s or 0.0))
         return True
 
     def _advance_rollouts(self, now_s: float) -> None:
@@ -494,6 +537,31 @@
         if self._rollouts.tick(loads, self._cluster_view(now_s), now_s):
             self._scheduler.rollouts_changed()
 
+    def _merge_burst_credits(
+        self, sender: InstanceId, state: SharedState, heard_s: float
+    ) -> None:
+        if self._burst_credits is None:
+            return
+        malformed = self._burst_credits.merge_peer(
+            sender.name, state.burst_credits, heard_s
+        )
+        if malformed:
+            self._metrics.count(BURST_CREDITS_METRIC, "malformed", malformed)
+
+    def _update_burst_credits(self, now_s: float) -> None:
+        credits = self._burst_credits
+        due_s = self._burst_credits_updated_s + BURST_CREDITS_INTERVAL_S
+        if credits is None or now_s < due_s:
+            return
+        self._burst_credits_updated_s = now_s
+        live_peers = self._peers.live_names(now_s)
+        credits.update(
+            self._quota.bucket_states(now_s),
+            live_peers=live_peers,
+            all_live=len(live_peers) == len(self._peers.known(now_s)),
+            now_s=now_s,
+        )
+
     def _cluster_view(self, now_s: float) -> ClusterView:
         return ClusterView(
             name=self._name,
--- a/lavenderspoke/direct/quota.py
+++ b/lavenderspoke/direct/quota.py
@@ -18,11 +18,15 @@
 
 An entry that has just started doesn't know the use in the window before. Because of
 the bucket, it was at most the bucket's capacity plus the mean rate times that time. So
-the entry may admit what has become free since its start, and a share of the tolerance.
+the entry may admit what has become free since its start, and a share of the tolerance,
+less what customers may have used on a credit (`burstcredits`).
 """
 
+from collections.abc import Iterator
+
 import attrs
 
+from lavenderspoke.direct.burstcredits import BucketState, BurstCredits
 from lavenderspoke.direct.catalog import Customer
 from lavenderspoke.direct.usage import Usage, UsageRows
 
@@ -52,6 +56,14 @@
 # were always kept out of half of it, their callers were refused for a second after
 # every burst of long prompts, at a fifth of their customer's limit.
 NEAR_LIMIT_SHARE = 0.6
+# Largest burst credit, as a share of the window's limit. After a failure of all
+# entries, a customer with that credit is refused until as much has become free, which
+# takes half a window.
+CREDIT_MAX_SHARE = 0.5
+# How steeply a credit shrinks towards the limit: from half of the limit on, to
+# nothing at the limit. In messages up to 0.3 s old, a customer at five times its rate
+# has used up to a sixth of its limit more than an entry knows.
+CREDIT_TAPER = 2.0
 # Share of the tolerated tokens by which the last request before the limit may exceed
 # it. Otherwise small requests would use up what becomes free before it suffices for a
 # large one.
@@ -89,8 +101,16 @@
     True
     """
 
-    def __init__(self, *, window_s: float, tolerance: Tolerance = Tolerance()):
+    def __init__(
+        self,
+        *,
+        window_s: float,
+        tolerance: Tolerance = Tolerance(),
+        credits: BurstCredits | None = None,
+    ):
         self._window_s = window_s
+        self._credits = credits
+        self._customers: tuple[Customer, ...] = ()
         self._tolerance = tolerance
         self._usages: dict[str, Usage] = {}
         self._live_share = 1.0
@@ -102,14 +122,16 @@
 
         Otherwise, what peers admit before that would be lost.
         """
-        for customer in customers:
-            if customer.per_s > 0.0:
-                self._advanced_usage(customer, now_s)
+        self._customers = tuple(each for each in customers if each.per_s > 0.0)
+        for customer in self._customers:
+            self._advanced_usage(customer, now_s)
 
     def set_window(self, window_s: float, tolerance: Tolerance) -> None:
         """Change the length of the window and the tolerance."""
         self._window_s = window_s
         self._tolerance = tolerance
+        if self._credits is not None:
+            self._credits.window_s = window_s
 
     def set_entry_counts(self, *, live: int, known: int) -> None:
         """Set how many entries are known and live, this one included."""
@@ -172,10 +194,22 @@
             f"{usage.used():.0f} used in {self._window_s:g} s, {cost:.0f} requested, "
             f"limit {limit:.0f}, {usage.requested_above(rank):.0f} requested by higher "
             f"ranks; bucket at {usage.bucket_level:.0f} "
-            f"of {self._bucket_capacity(customer, usage, rank):.0f}; "
+            f"of {self._bucket_capacity(customer, usage, rank):.0f}, "
+            f"{self._credit(customer, usage):.0f} of it on credit; "
             f"{self._live_share:.2f} of the entries count as live"
         )
 
+    def bucket_states(self, now_s: float) -> Iterator[BucketState]:
+        """Return the limited customers' buckets as this entry sees them."""
+        for customer in self._customers:
+            usage = self._advanced_usage(customer, now_s)
+            yield BucketState(
+                customer=customer.name,
+                level=usage.bucket_level,
+                base_capacity=self._total_capacity(customer) * self._live_share,
+                credit_max=self._credit_max(customer),
+            )
+
     def spent(self) -> dict[str, UsageRows]:
         """Return what this entry has admitted since it started, by customer."""
         return {name: usage.totals() for name, usage in self._usages.items()}
@@ -230,7 +264,8 @@
         )
 
     def _bucket_capacity(self, customer: Customer, usage: Usage, rank: int) -> float:
-        capacity = self._total_capacity(customer) * self._live_share
+        credit = self._credit(customer, usage)
+        capacity = (self._total_capacity(customer) + credit) * self._live_share
         own_limit = self._window_limit(customer) * self._live_share
         is_near = usage.used() > own_limit * NEAR_LIMIT_SHARE
         uses_its_share = usage.used_at_or_below(rank) > own_limit * LOWER_RANK_SHARE
@@ -250,9 +285,33 @@
         if not usage.covers_window(now_s, self._window_s):
             freed = limit * (now_s - usage.since_s) / self._window_s
             tolerated = self._tolerance.of(customer, self._window_limit(customer))
-            limit = min(limit, freed + tolerated * START_SHARE)
+            on_credit = self._used_before_start(customer)
+            limit = min(limit, freed + tolerated * START_SHARE - on_credit)
+            limit = max(0.0, limit)
         return limit * self._live_share
 
+    def _credit(self, customer: Customer, usage: Usage) -> float:
+        """Return the credit that a customer may use now, less the nearer its limit.
+
+        What other entries admit is known late. If a customer came to its limit at the
+        rate of a burst, all entries together would exceed it by what isn't reported.
+        """
+        if self._credits is None:
+            return 0.0
+        credit = self._credits.credit_of(customer.name, usage.advanced_s)
+        used_share = usage.used() / max(1e-9, self._window_limit(customer))
+        taper = min(1.0, CREDIT_TAPER * max(0.0, 1.0 - used_share))
+        return min(credit, self._credit_max(customer)) * taper
+
+    def _used_before_start(self, customer: Customer) -> float:
+        if self._credits is None:
+            return 0.0
+        credit_max = self._credit_max(customer)
+        return self._credits.used_before_start(customer.name, credit_max)
+
+    def _credit_max(self, customer: Customer) -> float:
+        return self._window_limit(customer) * CREDIT_MAX_SHARE
+
     def _window_limit(self, customer: Customer) -> float:
         return customer.per_s * self._window_s + customer.burst
 
--- a/lavenderspoke/direct/usage.py
+++ b/lavenderspoke/direct/usage.py
@@ -67,7 +67,10 @@
         for window in (*self._used.values(), *self._requested.values()):
             window.expire(now_s - window_s)
         leaked = max(0.0, now_s - self.advanced_s) * self.leak_per_s
-        self.bucket_level = max(0.0, self.bucket_level - leaked)
+        # What left the window needn't leak any more. Otherwise, after a limit was
+        # lowered, a level from before would refuse everything for longer than that.
+        level = min(self.bucket_level - leaked, self.used())
+        self.bucket_level = max(0.0, level)
         self.advanced_s = now_s
 
     def covers_window(self, now_s: float, window_s: float) -> bool:
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -17,6 +17,7 @@
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
+from lavenderspoke.platform.burstcredits import CreditWriter
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.rollouts import OrderTracker, StatusWriter
 from lavenderspoke.platform.settings import PlatformSettings
@@ -137,6 +138,13 @@
             name=entry.me.name,
             location=entry.location,
             on_change=entry.dispatcher.peers_listed,
+            on_credits=entry.dispatcher.burst_credits_read,
+        )
+        self._credits = CreditWriter(
+            store=Store(address=settings.store),
+            clock=clock,
+            metrics=entry.metrics,
+            dispatcher=entry.dispatcher,
         )
 
     def parts(self) -> list[tuple[str, Part]]:
@@ -147,6 +155,7 @@
             ("upstreams", self._upstreams),
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
+            ("credits", self._credits.part),
         ]
 
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -18,6 +18,7 @@
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
+from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
 from lavenderspoke.platform.decoding import parse_as
 from lavenderspoke.platform.registry import Registry
 from lavenderspoke.platform.rollouts import OrderTracker
@@ -26,7 +27,7 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 UPSTREAMS_TOPIC = "keyed.servers"
-ENTRIES_TOPIC = "keyed.lavenderspoke-entries"
+ENTRIES_TOPIC = TOPIC
 
 # Duration of a long poll for the configuration, as a share of the time in which one
 # must be applied. New records are returned at once, so the duration only limits how
@@ -219,7 +220,9 @@
 class EntriesFeed(Feed):
     """Registers this entry in the store, and follows the other entries' records.
 
-    An entry writes its location; earlier releases omit the data centre.
+    An entry writes its location; earlier releases omit the data centre. The topic also
+    holds customers' burst credits, since a starting entry needs both before it serves,
+    and one read is enough for both.
     """
 
     topic = ENTRIES_TOPIC
@@ -236,8 +239,10 @@
         name: str,
         location: EntryLocation,
         on_change: Callable[[dict[str, EntryLocation]], None],
+        on_credits: Callable[[dict[str, float]], None] = lambda credits: None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
+        self._on_credits = on_credits
         self._name = name
         self._location = location
         self._on_change = on_change
@@ -262,9 +267,11 @@
         return ENTRIES_PERIOD_S
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
+        if is_snapshot:
+            self._on_credits(read_credits(batch.records))
         entries = {}
         for record in batch.records:
-            if record.value is None:
+            if record.value is None or is_credit(record):
                 continue
             decoded = parse_as(record.value, EntryLocation)
             if isinstance(decoded, Err):
