Take an entries' list without burst credits for one that holds none

An entry whose platform lists the entries without such records waited a whole window for them, and refused the customers' requests meanwhile (features/direct_start.feature). The records come with the list, before it is applied, so nothing else changes.

--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -416,6 +416,9 @@
         with self._lock:
             now_s = self._now_s()
             self._peers_listed = True
+            if self._burst_credits is not None:
+                # A list without records means that there are none.
+                self._burst_credits.read_records({}, now_s)
             self._peers.update_listed(entries, now_s)
             self._update_shares(now_s)
 
