Book slots for the return of refused requests

In a burst many callers come back at the time they were told and are refused again, while slots stand free some seconds later.

--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -106,6 +106,8 @@
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
         self.held_back: dict[str, str] = {}
+        # What is booked for its return, or was booked for it, at the last decision.
+        self.booking = ""
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -236,6 +238,7 @@
         self._dispatcher.submit(ticket)
         if not self._decided.wait(max(0.0, self._remaining_s())) or self._caller_gone:
             self._dispatcher.withdraw(ticket)
+        self.booking = ticket.booking or self.booking
         self.waited_s += self._clock.monotonic_s() - started_s
 
     def _send(self, attempt: _Attempt, remaining_s: float) -> None:
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -54,6 +54,9 @@
       tokens still to be prefilled.
     - `waiting`, `held`: service to rows of customer rank, route rank and number of
       requests, for those queued (`waiting`) and those at upstreams (`held`).
+    - `bookings`: service to rows of customer rank, route rank, steps of 0.25 s from now
+      and number of slots booked for the return of refused requests, less the returns
+      that came to this entry.
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
     - `rollouts`: what the entry knows of each service's roll-out.
@@ -77,6 +80,9 @@
     running: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
+    bookings: dict[str, tuple[tuple[int, int, int, int], ...]] = attrs.field(
+        factory=dict
+    )
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections import Counter
 from random import Random
 
 import attrs
@@ -60,6 +61,7 @@
 FIRST_EVENT_LATER_METRIC = "direct_first_event_later_s"
 FIRST_EVENT_EARLIER_METRIC = "direct_first_event_earlier_s"
 PEER_REQUESTS_METRIC = "direct_peers_running"
+BOOKINGS_METRIC = "direct_bookings"
 
 log = logbook.Logger(__name__)
 
@@ -94,6 +96,7 @@
         self._full_usage_sent_s = 0.0
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
+        self._malformed_bookings: set[str] = set()
         self._peers_listed = False
         self._own_share_only_until_s = clock.monotonic_s() + OWN_SHARE_ONLY_S
         self._connection_pools: dict[str, ConnectionPool] = {}
@@ -414,7 +417,14 @@
             self._advance_rollouts(now_s)
             queues = self._scheduler.queues().values()
             running = sum(queue.pool.peer_requests() for queue in queues)
+            booked = [
+                queue.bookings.take_counts()
+                for queue in queues
+                if queue.bookings is not None
+            ]
         self._metrics.set_gauge(PEER_REQUESTS_METRIC, running)
+        for reason, count in sum(booked, Counter()).items():
+            self._metrics.count(BOOKINGS_METRIC, reason, count)
 
     def known_peers(self) -> dict[str, EntryLocation]:
         """Return the other entries that may be alive, by name."""
@@ -439,7 +449,7 @@
     def outgoing_updates(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
         """Return what is to be sent to the other entries now."""
         with self._lock:
-            running, waiting, held = {}, {}, {}
+            running, waiting, held, bookings = {}, {}, {}, {}
             for service, queue in self._scheduler.queues().items():
                 for upstream_id, each in queue.pool.own_loads().items():
                     running[upstream_id] = (each.requests, each.prefill_tokens)
@@ -447,6 +457,10 @@
                     waiting[service] = _count_rows(rows)
                 if rows := queue.held():
                     held[service] = _count_rows(rows)
+                if queue.bookings is not None and (
+                    rows := queue.bookings.rows(self._now_s())
+                ):
+                    bookings[service] = rows
             findings = self._upstream_monitor.take_findings()
             state = SharedState(
                 address=self.location.address,
@@ -454,6 +468,7 @@
                 running=running,
                 waiting=waiting,
                 held=held,
+                bookings=bookings,
                 spent=self._usage_to_send(),
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
@@ -475,6 +490,7 @@
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
         self._resubmissions.record_peer_refusals(state.refused, now_s)
+        self._merge_bookings(sender, state, now_s, age_s or 0.0)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
         self._backpressure.merge_peer_state(sender, state, now_s)
@@ -483,6 +499,24 @@
         )
         return True
 
+    def _merge_bookings(
+        self, sender: InstanceId, state: SharedState, now_s: float, age_s: float
+    ) -> None:
+        """Apply a peer's bookings; malformed ones are logged once for each peer."""
+        is_valid = True
+        for service, queue in self._scheduler.queues().items():
+            if queue.bookings is not None:
+                is_valid &= queue.bookings.merge_peer(
+                    sender.name,
+                    sender.incarnation,
+                    state.bookings.get(service, ()),
+                    now_s,
+                    age_s=age_s,
+                )
+        if not is_valid and sender.name not in self._malformed_bookings:
+            self._malformed_bookings.add(sender.name)
+            log.warning("malformed bookings of an entry ignored", entry=sender.name)
+
     def _advance_rollouts(self, now_s: float) -> None:
         if not self._rollouts.is_any_running:
             return
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
+import attrs
+
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
@@ -19,11 +21,16 @@
 from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
+from lavenderspoke.direct.retrybookings import (
+    LATE_RETURN_SHARE,
+    Booking,
+    RetryBookings,
+)
 from lavenderspoke.direct.selection import Contention, Requirements
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
-from lavenderspoke.direct.waitpolicy import Backlog, WaitPolicy
+from lavenderspoke.direct.waitpolicy import RETRY_AFTER_MIN_S, Backlog, WaitPolicy
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.rollouts.canarysplit import CanarySplitter
 from lavenderspoke.rollouts.orders import Access
@@ -48,6 +55,9 @@
         self._rank_rates: dict[Rank, RankRates] = {}
         self._reserve = RankReserve()
         self._wait_policy = WaitPolicy(random=random)
+        self.bookings = (
+            RetryBookings(random=random) if policies.retry_bookings else None
+        )
         self._last_seen_s: dict[Rank, float] = {}
         self._no_wait_ticket: Ticket | None = None
         self._last_number = 0
@@ -77,6 +87,8 @@
             wait_max_s = self._wait_policy.wait_max_s(
                 ticket, now_s, is_highest_rank=is_highest_rank
             )
+            if self.bookings is not None:
+                wait_max_s = self._record_booked(ticket, wait_max_s, now_s)
         if self._try_canary(ticket, now_s):
             return
         if not self.pool.slots():
@@ -84,7 +96,7 @@
         elif wait_max_s <= 0.0:
             self._decide_immediately(ticket, now_s)
         elif self._wait_policy.is_wait_too_long(
-            self._backlog(ticket, now_s), wait_max_s
+            self._backlog_with_bookings(ticket, now_s), wait_max_s
         ):
             ticket.on_decision(self._refusal(ticket, Refusal.CROWDED, now_s))
         else:
@@ -92,6 +104,19 @@
             self._waiting.add(ticket)
             self.dispatch_waiting(now_s)
 
+    def _record_booked(self, ticket: Ticket, wait_max_s: float, now_s: float) -> float:
+        """Count a new request, or release a returned one's booking.
+
+        Returns how long it may wait.
+        """
+        if not ticket.resubmitted:
+            self.bookings.record_new(ticket.rank, now_s)
+            return wait_max_s
+        # A further attempt of a request that was sent before isn't a return.
+        if not ticket.excluded:
+            ticket.booking = self.bookings.redeem(ticket.rank, now_s).value
+        return self._wait_policy.returned_wait_max_s(ticket, now_s)
+
     def _try_canary(self, ticket: Ticket, now_s: float) -> bool:
         """Send a request to a roll-out's target if it is due and a slot is free."""
         if self.canary is None or not ticket.may_wait or ticket.excluded:
@@ -327,8 +352,8 @@
         free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
             rank, active_ranks
         )
-        peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r <= rank)
-        ahead = self._waiting.count_ahead(ticket) + peers_ahead - max(0, free_slots)
+        ahead_here = self._waiting.count_ahead(ticket)
+        ahead = ahead_here + self._peers_ahead(ticket, ahead_here) - max(0, free_slots)
         remaining_slots = max(
             slots - self._slots_of_higher_ranks(rank, now_s),
             self._reserve.guaranteed_slots(active_ranks, slots),
@@ -341,6 +366,34 @@
             blocked_s=self.pool.blocked_s(now_s),
         )
 
+    def _peers_ahead(self, ticket: Ticket, ahead_here: int) -> float:
+        """Return how many requests that wait at other entries go before this one.
+
+        Where returned requests wait as long as their callers do, many late ones of a
+        rank may wait behind those that can be on time. The counts by rank don't tell,
+        so the others' share is taken to be that of this entry.
+        """
+        rank, waiting = ticket.rank, self.peer_counts.waiting
+        higher = sum(n for each, n in waiting.items() if each < rank)
+        same, same_here = waiting.get(rank, 0), self._waiting.count(rank)
+        if self.bookings is None or not same or not same_here:
+            return higher + same
+        higher_here = sum(n for r, n in self._waiting.counts().items() if r < rank)
+        return higher + same * max(0, ahead_here - higher_here) / same_here
+
+    def _backlog_with_bookings(self, ticket: Ticket, now_s: float) -> Backlog:
+        """Return what a request has to wait for, with the returns expected before it.
+
+        A request that has returned itself goes ahead of them.
+        """
+        backlog = self._backlog(ticket, now_s)
+        if not self.bookings or ticket.resubmitted:
+            return backlog
+        booked = self.bookings.outstanding(
+            ticket.rank, until_s=backlog.expected_wait_s(), now_s=now_s
+        )
+        return attrs.evolve(backlog, ahead=backlog.ahead + booked)
+
     def _slots_of_higher_ranks(self, rank: Rank, now_s: float) -> float:
         """Return how many slots the present arrivals of the ranks above keep busy."""
         entries = self.peer_counts.entries + 1
@@ -351,14 +404,47 @@
         )
 
     def _refusal(self, ticket: Ticket, reason: Refusal, now_s: float) -> Refuse:
+        backlog = self._backlog(ticket, now_s)
+        retry_after_s = self._wait_policy.retry_after_s(ticket, backlog, now_s)
+        booking = self._book(ticket, reason, backlog, now_s)
+        if booking is not None:
+            ticket.booking = str(booking)
+            retry_after_s = booking.due_in_s
         return Refuse(
             reason=reason,
-            retry_after_s=self._wait_policy.retry_after_s(
-                ticket, self._backlog(ticket, now_s), now_s
-            ),
+            retry_after_s=retry_after_s,
             held_back=self.pool.held_back(now_s),
         )
 
+    def _book(
+        self, ticket: Ticket, reason: Refusal, backlog: Backlog, now_s: float
+    ) -> Booking | None:
+        """Book a slot for the return of a refused request, if its caller returns."""
+        if (
+            self.bookings is None
+            or ticket.resubmitted
+            or not ticket.may_wait
+            or reason is Refusal.NO_UPSTREAM
+        ):
+            return None
+        latest_s = self._wait_policy.retry_after_max_s(ticket, now_s)
+        if latest_s < backlog.blocked_s:
+            return None
+        earliest_s = max(min(RETRY_AFTER_MIN_S, latest_s), backlog.expected_wait_s())
+        per_s = backlog.slots / backlog.mean_hold_s
+        if now_s + earliest_s > ticket.on_time_until_s:
+            # New requests of its rank that can be on time go before a late one.
+            new_per_s = self.bookings.new_per_s(ticket.rank, now_s)
+            per_s -= new_per_s * (self.peer_counts.entries + 1)
+            earliest_s = max(earliest_s, latest_s * LATE_RETURN_SHARE)
+        return self.bookings.book(
+            ticket.rank,
+            earliest_s=earliest_s,
+            latest_s=latest_s,
+            per_s=per_s,
+            now_s=now_s,
+        )
+
 
 def _requirements(ticket: Ticket, now_s: float) -> Requirements:
     remaining_on_time_s = ticket.first_arrived_s + ticket.target_s - now_s
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -62,7 +62,8 @@
     the last event of its stream came. `excluded` names upstreams that it was sent to
     before. A `retryable` request may be sent to another upstream after it failed. One
     without `may_wait` is decided before `submit` returns. It is `resubmitted` if it was
-    refused, or sent to an upstream, before.
+    refused, or sent to an upstream, before. `booking` tells, for logs, which slot is
+    booked for its return, or what it found when it returned.
 
     On dispatch, `estimate` is set together with the expected time and number of engine
     steps until the first byte. `first_event_s` is when the first event arrived, and
@@ -86,6 +87,7 @@
     excluded: set[str] = attrs.field(factory=set)
     may_wait: bool = True
     retryable: bool = False
+    booking: str = ""
     number: int = 0
     is_late: bool = False
     waits_until_s: float = 0.0
--- a/lavenderspoke/direct/waitpolicy.py
+++ b/lavenderspoke/direct/waitpolicy.py
@@ -75,6 +75,15 @@
             return remaining_s * HIGHEST_RANK_WAIT_SHARE
         return min(remaining_s, ticket.on_time_until_s - now_s)
 
+    @staticmethod
+    def returned_wait_max_s(ticket: Ticket, now_s: float) -> float:
+        """Return how long a returned request may wait where slots are booked.
+
+        It has no further try, so it waits as long as its caller does.
+        """
+        latest_s = min(ticket.deadline_s, ticket.idle_since_s + ticket.patience_s)
+        return latest_s - now_s - DEADLINE_MARGIN_S
+
     @staticmethod
     def is_wait_too_long(backlog: Backlog, wait_max_s: float) -> bool:
         """Return whether a request should be refused on arrival."""
@@ -83,9 +92,12 @@
     def retry_after_s(self, ticket: Ticket, backlog: Backlog, now_s: float) -> float:
         """Return when a refused caller should come back, in seconds from now."""
         wait_s = backlog.expected_wait_s() * self._random.uniform(*RETRY_AFTER_JITTER)
-        retry_after_max_s = max(
-            0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE
-        )
+        retry_after_max_s = self.retry_after_max_s(ticket, now_s)
         retry_after_s = min(max(RETRY_AFTER_MIN_S, wait_s), retry_after_max_s)
         # Sooner than upstreams take requests again, a retry would be in vain.
         return max(retry_after_s, backlog.blocked_s)
+
+    @staticmethod
+    def retry_after_max_s(ticket: Ticket, now_s: float) -> float:
+        """Return the longest Retry-After that a caller honours."""
+        return max(0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE)
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -138,6 +138,8 @@
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
+    if booking := line.fields.get("booking"):
+        meaning += f" For its return: {booking}."
     return Explanation(line=line, meaning=meaning, around=tuple(around))
 
 
