--- a/lavenderspoke/direct/retrybookings.py
+++ b/lavenderspoke/direct/retrybookings.py
@@ -8,7 +8,7 @@
 
 import enum
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from random import Random
 
@@ -265,10 +265,11 @@
         latest_s = min(latest_s, HORIZON_S)
         if not (0.0 <= earliest_s <= latest_s and 0.0 < per_s < math.inf):
             return None
-        taken: Counter[int] = Counter()
+        taken: defaultdict[int, int] = defaultdict(int)
         for each, steps in self._totals.items():
             if each <= rank:
-                taken.update(steps)
+                for step, count in steps.items():
+                    taken[step] += count
         from_s, to_s = now_s + earliest_s, now_s + latest_s
         first_step = _step(from_s)
         per_step = per_s * STEP_S
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -95,12 +95,10 @@
             ticket.on_decision(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
         elif wait_max_s <= 0.0:
             self._decide_immediately(ticket, now_s)
-        elif self._wait_policy.is_wait_too_long(
-            self._backlog_with_bookings(ticket, now_s),
-            wait_max_s,
-            is_last_try=self.bookings is not None and ticket.resubmitted,
-        ):
-            ticket.on_decision(self._refusal(ticket, Refusal.CROWDED, now_s))
+        elif backlog := self._too_long_backlog(ticket, wait_max_s, now_s):
+            ticket.on_decision(
+                self._refusal(ticket, Refusal.CROWDED, now_s, backlog=backlog)
+            )
         else:
             ticket.waits_until_s = now_s + wait_max_s
             self._waiting.add(ticket)
@@ -383,18 +381,24 @@
         higher_here = sum(n for r, n in self._waiting.counts().items() if r < rank)
         return higher + same * max(0, ahead_here - higher_here) / same_here
 
-    def _backlog_with_bookings(self, ticket: Ticket, now_s: float) -> Backlog:
-        """Return what a request has to wait for, with the returns expected before it.
+    def _too_long_backlog(
+        self, ticket: Ticket, wait_max_s: float, now_s: float
+    ) -> Backlog | None:
+        """Return what a request has to wait for if that takes too long, or None.
 
-        A request that has returned itself goes ahead of them.
+        The returns that are expected before it count, unless it has returned itself.
         """
-        backlog = self._backlog(ticket, now_s)
-        if not self.bookings or ticket.resubmitted:
-            return backlog
-        booked = self.bookings.outstanding(
-            ticket.rank, until_s=backlog.expected_wait_s(), now_s=now_s
+        backlog = expected = self._backlog(ticket, now_s)
+        is_last_try = self.bookings is not None and ticket.resubmitted
+        if self.bookings and not ticket.resubmitted:
+            booked = self.bookings.outstanding(
+                ticket.rank, until_s=backlog.expected_wait_s(), now_s=now_s
+            )
+            expected = attrs.evolve(backlog, ahead=backlog.ahead + booked)
+        is_too_long = self._wait_policy.is_wait_too_long(
+            expected, wait_max_s, is_last_try=is_last_try
         )
-        return attrs.evolve(backlog, ahead=backlog.ahead + booked)
+        return backlog if is_too_long else None
 
     def _slots_of_higher_ranks(self, rank: Rank, now_s: float) -> float:
         """Return how many slots the present arrivals of the ranks above keep busy."""
@@ -405,8 +409,15 @@
             if each < rank
         )
 
-    def _refusal(self, ticket: Ticket, reason: Refusal, now_s: float) -> Refuse:
-        backlog = self._backlog(ticket, now_s)
+    def _refusal(
+        self,
+        ticket: Ticket,
+        reason: Refusal,
+        now_s: float,
+        *,
+        backlog: Backlog | None = None,
+    ) -> Refuse:
+        backlog = backlog or self._backlog(ticket, now_s)
         retry_after_s = self._wait_policy.retry_after_s(ticket, backlog, now_s)
         booking = self._book(ticket, reason, backlog, now_s)
         if booking is not None:
