--- a/lavenderspoke/direct/waitpolicy.py
+++ b/lavenderspoke/direct/waitpolicy.py
@@ -20,6 +20,10 @@
 # longest wait allowed: the estimate is rough, and a wait that ends in time costs
 # little.
 EXPECTED_WAIT_TOLERANCE = 2.0
+# The same for a request that won't come back, where slots are booked: a burst ends
+# within the seconds that it may wait, and refused now it is lost. Without a bound, a
+# fifth of all requests of a burst of 2.3 times the capacity is held in vain.
+LAST_TRY_TOLERANCE = 4.0
 # Time before the deadline that is never used for waiting: an answer that begins with
 # less left would be cut off.
 DEADLINE_MARGIN_S = 0.15
@@ -76,16 +80,31 @@
         return min(remaining_s, ticket.on_time_until_s - now_s)
 
     @staticmethod
-    def is_wait_too_long(backlog: Backlog, wait_max_s: float) -> bool:
+    def returned_wait_max_s(ticket: Ticket, now_s: float) -> float:
+        """Return how long a returned request may wait where slots are booked.
+
+        It has no further try, so it waits as long as its caller does.
+        """
+        latest_s = min(ticket.deadline_s, ticket.idle_since_s + ticket.patience_s)
+        return latest_s - now_s - DEADLINE_MARGIN_S
+
+    @staticmethod
+    def is_wait_too_long(
+        backlog: Backlog, wait_max_s: float, *, is_last_try: bool = False
+    ) -> bool:
         """Return whether a request should be refused on arrival."""
-        return backlog.expected_wait_s() > wait_max_s * EXPECTED_WAIT_TOLERANCE
+        tolerance = LAST_TRY_TOLERANCE if is_last_try else EXPECTED_WAIT_TOLERANCE
+        return backlog.expected_wait_s() > wait_max_s * tolerance
 
     def retry_after_s(self, ticket: Ticket, backlog: Backlog, now_s: float) -> float:
         """Return when a refused caller should come back, in seconds from now."""
         wait_s = backlog.expected_wait_s() * self._random.uniform(*RETRY_AFTER_JITTER)
-        retry_after_max_s = max(
-            0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE
-        )
+        retry_after_max_s = self.retry_after_max_s(ticket, now_s)
         retry_after_s = min(max(RETRY_AFTER_MIN_S, wait_s), retry_after_max_s)
         # Sooner than upstreams take requests again, a retry would be in vain.
         return max(retry_after_s, backlog.blocked_s)
+
+    @staticmethod
+    def retry_after_max_s(ticket: Ticket, now_s: float) -> float:
+        """Return the longest Retry-After that a caller honours."""
+        return max(0.0, (ticket.deadline_s - now_s) * RETRY_AFTER_MAX_SHARE)
