--- a/features/retry_bookings.feature
+++ b/features/retry_bookings.feature
@@ -92,7 +92,7 @@
     Given a dispatcher that has heard of 3 bookings of another entry
     When it receives 5 messages of that entry with the row <row>
     Then it still counts 3 bookings
-    And it has logged one line and counted "malformed" for each message
+    And it has logged one line on them and counted "malformed" for each message
 
     Examples:
       | row                |
@@ -101,6 +101,12 @@
       | 0, 2, 100000, 1    |
       | 0, 2, 4, 0         |
 
+  Scenario: A shortage begins and ends
+    Guards against a log that doesn't show why callers were told to come back.
+    Given a dispatcher that has heard of 3 bookings of another entry
+    When it goes on for 4 s without another message
+    Then it has logged once that bookings began, and once that they ended
+
   Scenario: A slot is expected before the caller of a returned request leaves
     Guards against refusing a caller for good whose slot is about to come free.
     Given a queue of 4 slots, all held for 3 s by requests of the highest rank
--- a/features/steps/retry_bookings_steps.py
+++ b/features/steps/retry_bookings_steps.py
@@ -12,7 +12,11 @@
 from features.linedrive import RANKS, QueueSimulation
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.messages import SharedState
-from lavenderspoke.direct.office import BOOKINGS_METRIC
+from lavenderspoke.direct.office import (
+    BOOKINGS_BEGUN,
+    BOOKINGS_ENDED,
+    BOOKINGS_METRIC,
+)
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, NO_POLICIES
 from lavenderspoke.direct.retrybookings import STEP_S, Redemption, RetryBookings
@@ -143,8 +147,9 @@
 
 @given("a dispatcher that has heard of 3 bookings of another entry")
 def step_dispatcher(context):
+    context.clock = ManualClock()
     context.entry = Entry(
-        name="entry-1", data_centre="dc-0", clock=ManualClock(), seed=1
+        name="entry-1", data_centre="dc-0", clock=context.clock, seed=1
     )
     hear(context, (0, 2, 8, 3), number=1)
 
@@ -165,16 +170,31 @@
     context.received = count
 
 
+@when("it goes on for 4 s without another message")
+def step_goes_on(context):
+    context.logged = logbook.TestHandler()
+    with context.logged.applicationbound():
+        for _ in range(40):
+            context.entry.dispatcher.tick()
+            context.clock.advance(0.1)
+
+
+@then("it has logged once that bookings began, and once that they ended")
+def step_begun_and_ended(context):
+    lines = [each.message for each in context.logged.records]
+    assert lines == [BOOKINGS_BEGUN, BOOKINGS_ENDED], lines
+
+
 @then("it still counts 3 bookings")
 def step_still_counts(context):
     queue = context.entry.dispatcher._scheduler.queue(SERVICE)
     assert queue.bookings.outstanding((0, 2), until_s=10.0, now_s=0.0) == 3
 
 
-@then('it has logged one line and counted "malformed" for each message')
+@then('it has logged one line on them and counted "malformed" for each message')
 def step_logged(context):
     lines = [each.message for each in context.logged.records]
-    assert lines == ["malformed bookings of an entry ignored"], lines
+    assert lines == ["malformed bookings of an entry ignored", BOOKINGS_BEGUN], lines
     counted = context.entry.dispatcher._metrics.counter_value(
         BOOKINGS_METRIC, "malformed"
     )
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -62,6 +62,8 @@
 FIRST_EVENT_EARLIER_METRIC = "direct_first_event_earlier_s"
 PEER_REQUESTS_METRIC = "direct_peers_running"
 BOOKINGS_METRIC = "direct_bookings"
+BOOKINGS_BEGUN = "slots booked for callers who return"
+BOOKINGS_ENDED = "no more slots booked for callers who return"
 
 log = logbook.Logger(__name__)
 
@@ -97,6 +99,7 @@
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
         self._malformed_bookings: set[str] = set()
+        self._booked_services: set[str] = set()
         self._peers_listed = False
         self._own_share_only_until_s = clock.monotonic_s() + OWN_SHARE_ONLY_S
         self._connection_pools: dict[str, ConnectionPool] = {}
@@ -417,13 +420,9 @@
             self._advance_rollouts(now_s)
             queues = self._scheduler.queues().values()
             running = sum(queue.pool.peer_requests() for queue in queues)
-            booked = [
-                queue.bookings.take_counts()
-                for queue in queues
-                if queue.bookings is not None
-            ]
+            booked = self._booking_counts()
         self._metrics.set_gauge(PEER_REQUESTS_METRIC, running)
-        for reason, count in sum(booked, Counter()).items():
+        for reason, count in booked.items():
             self._metrics.count(BOOKINGS_METRIC, reason, count)
 
     def known_peers(self) -> dict[str, EntryLocation]:
@@ -517,6 +516,24 @@
             self._malformed_bookings.add(sender.name)
             log.warning("malformed bookings of an entry ignored", entry=sender.name)
 
+    def _booking_counts(self) -> Counter[str]:
+        """Return what became of bookings since the last call.
+
+        A line is logged where a service begins or ceases to have any.
+        """
+        counts: Counter[str] = Counter()
+        for service, queue in self._scheduler.queues().items():
+            if queue.bookings is None:
+                continue
+            queue.bookings.expire(self._now_s())
+            counts.update(queue.bookings.take_counts())
+            if bool(queue.bookings) != (service in self._booked_services):
+                self._booked_services ^= {service}
+                is_begun = service in self._booked_services
+                message = BOOKINGS_BEGUN if is_begun else BOOKINGS_ENDED
+                log.info(message, service=service)
+        return counts
+
     def _advance_rollouts(self, now_s: float) -> None:
         if not self._rollouts.is_any_running:
             return
