--- a/bench/returns.py
+++ b/bench/returns.py
@@ -41,14 +41,14 @@
 END_S = 34.0
 SEEDS = (1, 2, 3)
 RANKS = (0, 1, 2)
-# Requests per second and engine, as shares of all, and what the engines can do of all
-# together: with 2.3 times that, engines are busy and the share served no longer grows.
+# Shares of the kinds, and the requests of all kinds per second that an engine can do:
+# found by steady loads, of which more begins to be refused.
 SHARES = (0.38, 0.41, 0.21)
 CAPACITY_PER_S = 9.8
-# Part of its worth that a request costs which was held this long and then refused.
+# What a request that was held this long and then refused costs, as a part of its worth.
 HELD_S = 1.0
 HELD_PART = 0.2
-# Share of the bookings' nines: beyond this the share served counts no more.
+# Nines beyond this count no more.
 NINES_MAX = 4.0
 
 
