Prefer upstreams to which an entry has connections

Each entry now computes a balanced subset of the upstreams by rendezvous hashing, and among candidates that cost at most 5 ms more than the one chosen by speed takes one with an idle connection or in its subset.

Connections are counted (`direct_connections`): new, reused, and why one was not kept. A stream whose end has arrived with its last event gives its connection back before that event is passed on, since a caller that leaves right after it cost the connection. direct_exchange, direct_handling and direct_line pass.

--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -5,6 +5,7 @@
 the start of the next.
 """
 
+import enum
 import errno
 import functools
 import http.client
@@ -23,6 +24,7 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.http.hopbyhop import Headers
+from lavenderspoke.observing.metrics import Metrics
 
 # Timeout of a TCP connect, in seconds; short enough that another upstream can still be
 # tried. A handshake takes a few milliseconds within a data centre and some ten between.
@@ -41,6 +43,9 @@
 # Idle limit in seconds if the upstream states none.
 IDLE_LIMIT_DEFAULT_S = 4.0
 READ_BYTES_MAX = 64 * 1024
+# What ends a chunked body, after the last chunk's data.
+CHUNKED_END = b"\r\n0\r\n\r\n"
+CONNECTIONS_METRIC = "direct_connections"
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -89,20 +94,20 @@
 
 
 class _SocketReader(socket.SocketIO):
-    """Reads from a socket until the response has ended.
+    """Reads from a socket, and nothing while `is_socket_unused`.
 
     A timed-out read has to be continued here: a timeout that reaches the buffered
     reader above makes it lose what it has read of an unfinished line.
     """
 
-    has_response_ended = False
+    is_socket_unused = False
 
     def __init__(self, sock: socket.socket, on_read_timeout: OnReadTimeout):
         super().__init__(sock, "rb")
         self.on_read_timeout = on_read_timeout
 
     def readinto(self, buffer):
-        if self.has_response_ended:
+        if self.is_socket_unused:
             # "Would block", so that `peek` returns only what is buffered.
             return None
         self._checkClosed()
@@ -133,14 +138,62 @@
         self.fp = io.BufferedReader(self._reader)
         self.has_extra_bytes = False
 
+    def is_end_next(self) -> bool:
+        """Return whether the rest of the response has arrived and has no data."""
+        if self.fp is None:
+            return True
+        if not self.chunked:
+            return self.length == 0
+        if self.chunk_left != 0:
+            return False
+        buffered = self._buffered()
+        if not buffered and _is_readable(self._reader._sock):
+            buffered = self.fp.peek(1)
+        return buffered.startswith(CHUNKED_END)
+
+    def _buffered(self) -> bytes:
+        """Return what was read from the socket and not used so far."""
+        before = self._reader.is_socket_unused
+        self._reader.is_socket_unused = True
+        try:
+            return self.fp.peek(1)
+        finally:
+            self._reader.is_socket_unused = before
+
     def _close_conn(self):
         # With bytes after this response, the connection must not be reused: they would
         # be parsed as the start of the next response.
-        self._reader.has_response_ended = True
-        self.has_extra_bytes = bool(self.fp.peek(1))
+        self.has_extra_bytes = bool(self._buffered())
+        self._reader.is_socket_unused = True
         super()._close_conn()
 
 
+class ConnectionUse(enum.StrEnum):
+    """Where a request's connection came from, or why one was not kept.
+
+    - `NEW`, `REUSED`: a request was sent over it.
+    - `CLOSED_BY_UPSTREAM`: the response said that the upstream closes it.
+    - `NOT_READ_TO_END`: the response was incomplete, broken off or cancelled.
+    - `EXTRA_BYTES`: bytes followed the response.
+    - `REFUSED_KEEPING`: the response isn't that of the upstream asked for.
+    - `IDLE_LIMIT_SHORT`: the upstream closes idle ones too soon for any reuse.
+    - `IDLE_EXPIRED`: no request came before its idle limit.
+    - `CLOSED_WHILE_IDLE`: the upstream closed it before its idle limit.
+    - `NO_RESPONSE`: no response came over it, or the caller left before.
+    """
+
+    NEW = "new"
+    REUSED = "reused"
+    CLOSED_BY_UPSTREAM = "closed_by_upstream"
+    NOT_READ_TO_END = "not_read_to_end"
+    EXTRA_BYTES = "extra_bytes"
+    REFUSED_KEEPING = "refused_keeping"
+    IDLE_LIMIT_SHORT = "idle_limit_short"
+    IDLE_EXPIRED = "idle_expired"
+    CLOSED_WHILE_IDLE = "closed_while_idle"
+    NO_RESPONSE = "no_response"
+
+
 @attrs.define(kw_only=True, eq=False)
 class _IdleConnection:
     connection: HTTPConnection
@@ -187,6 +240,20 @@
             self._check_complete()
         return data
 
+    def end_if_arrived(self) -> bool:
+        """Return whether the response is complete, without waiting for data.
+
+        After the last event of a stream its caller may leave at once; the connection
+        can be kept if the end of the response has been read before.
+        """
+        try:
+            if not self._is_complete and self._http_response().is_end_next():
+                self.read(0.0)
+        except OSError as error:
+            # The next read reports it.
+            log.debug("end of response not read", error=str(error))
+        return self._is_complete
+
     def read_all(self, deadline_s: float, clock: Clock) -> bytes:
         """Return the rest of the body; raises IncompleteResponse.
 
@@ -211,18 +278,23 @@
 
     def close(self, *, keep: bool) -> None:
         """Release the connection if `keep` is set and it is reusable, else close it."""
-        reusable = (
-            keep
-            and self._is_complete
-            and not self._http_response().has_extra_bytes
-            and self._connection.sock is not None
-            and self.header("Connection").lower() != "close"
-        )
-        if reusable:
+        obstacle = self._obstacle_to_reuse(keep)
+        if obstacle is None:
             self._pool.release(self._connection, self.header("Keep-Alive"))
             return
         self._response.close()
-        self._pool.discard(self._connection)
+        self._pool.discard(self._connection, obstacle)
+
+    def _obstacle_to_reuse(self, keep: bool) -> ConnectionUse | None:
+        if not self._is_complete:
+            return ConnectionUse.NOT_READ_TO_END
+        if self._http_response().has_extra_bytes:
+            return ConnectionUse.EXTRA_BYTES
+        if self._connection.sock is None or (
+            self.header("Connection").lower() == "close"
+        ):
+            return ConnectionUse.CLOSED_BY_UPSTREAM
+        return None if keep else ConnectionUse.REFUSED_KEEPING
 
     def _check_complete(self) -> None:
         response = self._http_response()
@@ -282,10 +354,13 @@
 class ConnectionPool:
     """Connections to one upstream incarnation; thread-safe."""
 
-    def __init__(self, *, host: str, port: int, clock: Clock):
+    def __init__(
+        self, *, host: str, port: int, clock: Clock, metrics: Metrics | None = None
+    ):
         self._host = host
         self._port = port
         self._clock = clock
+        self._metrics = metrics or Metrics()
         self._idle: list[_IdleConnection] = []
         self._busy: set[HTTPConnection] = set()
         self._lock = threading.Lock()
@@ -311,10 +386,13 @@
             if opened.is_err():
                 return opened
             connection = opened.ok_value
+            self._count(ConnectionUse.NEW)
+        else:
+            self._count(ConnectionUse.REUSED)
         with self._lock:
             self._busy.add(connection)
         if not cancel_handle.attach(connection, None):
-            self.discard(connection)
+            self.discard(connection, ConnectionUse.NO_RESPONSE)
             return Err(NotSent(detail="the caller has gone"))
         connection.response_class = functools.partial(
             _Response, on_read_timeout=on_read_timeout
@@ -323,7 +401,7 @@
             connection, method, target, headers, body, head_timeout_s
         )
         if sent.is_err():
-            self.discard(connection)
+            self.discard(connection, ConnectionUse.NO_RESPONSE)
             cancel_handle.attach(None, None)
             return sent
         response = sent.ok_value
@@ -335,7 +413,7 @@
         """Keep a connection for reuse until shortly before its idle limit."""
         idle_s = _keep_alive_s(keep_alive) - REUSE_MARGIN_S
         if idle_s <= 0.0:
-            self.discard(connection)
+            self.discard(connection, ConnectionUse.IDLE_LIMIT_SHORT)
             return
         usable_until_s = self._clock.monotonic_s() + idle_s
         with self._lock:
@@ -344,8 +422,18 @@
                 _IdleConnection(connection=connection, usable_until_s=usable_until_s)
             )
 
-    def discard(self, connection: HTTPConnection) -> None:
+    def has_idle(self) -> bool:
+        """Return whether a connection could be reused now, as far as known.
+
+        It takes no lock and does not look at the socket, so that it costs little in the
+        choice of an upstream. Another request may take the connection first.
+        """
+        newest = self._idle[-1:]
+        return bool(newest) and self._clock.monotonic_s() < newest[0].usable_until_s
+
+    def discard(self, connection: HTTPConnection, why: ConnectionUse) -> None:
         """Close a connection."""
+        self._count(why)
         with self._lock:
             self._busy.discard(connection)
         connection.close()
@@ -373,10 +461,17 @@
                 # Newest first, so that the others reach their idle limit.
                 idle = self._idle.pop()
             connection = idle.connection
-            if now_s < idle.usable_until_s and not is_connection_dropped(connection):
+            if now_s >= idle.usable_until_s:
+                self._count(ConnectionUse.IDLE_EXPIRED)
+            elif is_connection_dropped(connection):
+                self._count(ConnectionUse.CLOSED_WHILE_IDLE)
+            else:
                 return connection
             connection.close()
 
+    def _count(self, use: ConnectionUse) -> None:
+        self._metrics.count(CONNECTIONS_METRIC, use.value)
+
     def _open(self) -> Result[HTTPConnection, NotSent]:
         connection = HTTPConnection(
             self._host,
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -405,11 +405,12 @@
                 self.relocation.clear_excluded()
                 step_count += 1
                 self._record_event_id(events)
+                if not splitter.rest() and attempt.response.end_if_arrived():
+                    self._complete_stream(attempt, step_count)
                 yield events.body
             if rest := splitter.rest():
                 yield rest
-            self._dispatcher.stream_completed(attempt.ticket, step_count)
-            self._end_attempt(attempt, AttemptOutcome.ANSWERED)
+            self._complete_stream(attempt, step_count)
         except EventTooLong as error:
             self._end_attempt(attempt, AttemptOutcome.FAILED)
             raise IncompleteResponse("an event exceeds the size limit") from error
@@ -418,6 +419,12 @@
         finally:
             self._end_attempt(attempt, AttemptOutcome.LEFT)
 
+    def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
+        """End the attempt of a complete stream; a further call does nothing."""
+        if attempt.outcome is None:
+            self._dispatcher.stream_completed(attempt.ticket, step_count)
+            self._end_attempt(attempt, AttemptOutcome.ANSWERED)
+
     def _record_event_id(self, events: Events) -> None:
         """Record the last event id; raise IncompleteResponse if the ids don't rise.
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -16,6 +16,7 @@
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
+from lavenderspoke.direct.connectionpreference import ConnectionView
 from lavenderspoke.direct.dispatcher import (
     AcceptedRequest,
     AttemptOutcome,
@@ -110,6 +111,12 @@
             canary=self._rollouts.canary_splitter,
             policies=policies,
             data_centre=location.data_centre,
+            connection_view=ConnectionView(
+                entry_name=name,
+                live_entries=lambda: self._peers.live_names(self._now_s()),
+                has_idle=self._has_idle_connection,
+                metrics=metrics,
+            ),
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -254,7 +261,10 @@
             pool = self._connection_pools.get(upstream.upstream_id)
             if pool is None:
                 pool = ConnectionPool(
-                    host=upstream.host, port=upstream.port, clock=self._clock
+                    host=upstream.host,
+                    port=upstream.port,
+                    clock=self._clock,
+                    metrics=self._metrics,
                 )
                 self._connection_pools[upstream.upstream_id] = pool
             return pool
@@ -469,6 +479,10 @@
 
     # Internals
 
+    def _has_idle_connection(self, upstream_id: str) -> bool:
+        pool = self._connection_pools.get(upstream_id)
+        return pool is not None and pool.has_idle()
+
     def _merge_state(
         self, sender: InstanceId, state: SharedState, now_s: float, age_s: float | None
     ) -> bool:
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -8,6 +8,10 @@
 import attrs
 
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.connectionpreference import (
+    ConnectionPreference,
+    ConnectionView,
+)
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.outliers import is_outlier, may_eject
@@ -35,7 +39,8 @@
     """The upstreams of one service.
 
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
-    the upstreams said they can take. The entry that chooses is in `data_centre`.
+    the upstreams said they can take. The entry that chooses is in `data_centre`, and
+    its connections are in `connection_view`.
     """
 
     def __init__(
@@ -46,6 +51,7 @@
         access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        connection_view: ConnectionView | None = None,
     ):
         self._random = random
         self._backpressure = backpressure
@@ -53,7 +59,14 @@
         self._policies = policies
         self._data_centre = data_centre
         self._states: dict[str, UpstreamState] = {}
-        self._selector = UpstreamSelector(random=random)
+        self._connection_preference = (
+            ConnectionPreference(view=connection_view, random=random)
+            if connection_view is not None and policies.upstream_subsets
+            else None
+        )
+        self._selector = UpstreamSelector(
+            random=random, connection_preference=self._connection_preference
+        )
         self.prefill_rate = self._selector.prefill_rate
         self.decode_rate = self._selector.decode_rate
 
@@ -91,6 +104,15 @@
         for upstream_id, state in self._states.items():
             state.peer_load = loads.get(upstream_id, NO_LOAD)
 
+    def update_subset(self, waiting: int, now_s: float) -> None:
+        """Update which upstreams are preferred; `waiting` requests wait here."""
+        if self._connection_preference is None:
+            return
+        running = sum(len(each.own_requests) for each in self._states.values())
+        self._connection_preference.update(
+            (each.upstream for each in self._open_states()), running + waiting, now_s
+        )
+
     def evict(self, upstream_id: str, now_s: float) -> None:
         """Stop sending to an upstream that has restarted under another ID.
 
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.connectionpreference import ConnectionView
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
@@ -384,7 +385,8 @@
     `peer_counts(service)` return the other entries' last reports. `access` tells which
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
-    `policies` which optional policies are on. This entry is in `data_centre`.
+    `policies` which optional policies are on. This entry is in `data_centre`, and its
+    connections are in `connection_view`.
     """
 
     def __init__(
@@ -398,6 +400,7 @@
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        connection_view: ConnectionView | None = None,
     ):
         self._random = random
         self._backpressure = backpressure or Backpressure(metrics=Metrics())
@@ -407,6 +410,7 @@
         self._canary = canary
         self._policies = policies
         self._data_centre = data_centre
+        self._connection_view = connection_view
         self._queues: dict[str, ServiceQueue] = {}
 
     def queue(self, service: str) -> ServiceQueue:
@@ -418,6 +422,7 @@
                 access=self._access,
                 policies=self._policies,
                 data_centre=self._data_centre,
+                connection_view=self._connection_view,
             )
             self._queues[service] = ServiceQueue(
                 pool=pool, random=self._random, policies=self._policies
@@ -452,4 +457,5 @@
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
+            queue.pool.update_subset(sum(queue.waiting().values()), now_s)
             queue.dispatch_waiting(now_s)
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from lavenderspoke.direct.connectionpreference import ConnectionPreference
 from lavenderspoke.direct.decoderate import DecodeRate
 from lavenderspoke.direct.prefillrate import PrefillRate
 from lavenderspoke.direct.upstreamstate import UpstreamState, estimate_latency
@@ -87,8 +88,14 @@
 class UpstreamSelector:
     """Selects the upstream with a free slot that should answer soonest."""
 
-    def __init__(self, *, random: Random):
+    def __init__(
+        self,
+        *,
+        random: Random,
+        connection_preference: ConnectionPreference | None = None,
+    ):
         self._random = random
+        self._connection_preference = connection_preference
         self.prefill_rate = PrefillRate()
         self.decode_rate = DecodeRate()
 
@@ -143,7 +150,8 @@
         in_deadline = [
             each for each in candidates if each.total_s <= requirements.remaining_s
         ]
-        sampled = self._sample(in_deadline or candidates, unseen_requests)
+        candidates = in_deadline or candidates
+        sampled = self._sample(candidates, unseen_requests)
         costs = [
             (
                 _cost_s(each, requirements)
@@ -152,7 +160,12 @@
             )
             for index, each in enumerate(sampled)
         ]
-        return sampled[min(costs)[1]].state
+        best = sampled[min(costs)[1]]
+        if self._connection_preference is not None:
+            best = self._connection_preference.refine(
+                best, candidates, lambda each: _cost_s(each, requirements)
+            )
+        return best.state
 
     def _sample(
         self, candidates: list[_Candidate], unseen_requests: float
