--- a/bench/engineday.py
+++ b/bench/engineday.py
@@ -236,16 +236,20 @@
                 self._ends(engine, sent, self.now_s + more_s)
                 return
             engine.running -= 1
-            call, upstream_id = sent.call, engine.upstream.upstream_id
+            call = sent.call
             sent.line.pool.decode_rate.record(
                 tokens=call.expected_tokens, steps=call.events
             )
-            sent.line.release(sent.ticket, upstream_id, self.now_s)
+            self._released(engine, sent)
             if engine.waiting and engine.running < engine.figures.places:
                 self._arrives(engine, engine.waiting.popleft())
 
         self._at(end_s, ended)
 
+    def _released(self, engine: Engine, sent: Sent) -> None:
+        """Free the slot of a request that has ended, at its entry."""
+        sent.line.release(sent.ticket, engine.upstream.upstream_id, self.now_s)
+
 
 def _spread(random: Random, mean: float, sigma: float) -> float:
     """Return a length with that mean, before the longest are cut."""
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -127,10 +127,13 @@
 
     def worth(self) -> float:
         """Play the day and return the part of what was owed that was earned."""
-        while self._events and self._events[0][0] < DAY_S + 6.0:
+        self.play(until_s=DAY_S + 6.0)
+        return self._earned / self._owed
+
+    def play(self, *, until_s: float) -> None:
+        while self._events and self._events[0][0] < until_s:
             self.now_s, _, work = heapq.heappop(self._events)
             work()
-        return self._earned / self._owed
 
     def line(self) -> ServiceQueue:
         return self._random.choice(self._schedulers).queue(SERVICE)
