--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -523,10 +523,13 @@
 
     >>> _keep_alive_s("timeout=5, max=100")
     5.0
+    >>> _keep_alive_s('timeout="1.5"')
+    1.5
     """
     for part in header.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        value = value.strip('"')
+        if name.lower() == "timeout" and value.replace(".", "", 1).isdecimal():
             return float(value)
     return IDLE_LIMIT_DEFAULT_S
 
