Save in a request's choice what the preference of connections costs

The states that take requests are now listed without a call for each, free slots are summed without one where no upstream has stated a limit, and an estimate's step time is read once.

--- a/lavenderspoke/direct/connectionpreference.py
+++ b/lavenderspoke/direct/connectionpreference.py
@@ -118,12 +118,11 @@
         entries, and are looked at only as far as they are used.
         """
         start = self._random.randrange(len(candidates))
-        inside, outside = [], []
-        for each in (*candidates[start:], *candidates[:start]):
-            is_inside = self.subset.contains(each.state.upstream.upstream_id)
-            (inside if is_inside else outside).append(each)
-        for among in (inside, outside):
-            yield (each for each in among if self._has_idle(each))
+        rotated = (*candidates[start:], *candidates[:start])
+        members = self.subset.members
+        inside = [c for c in rotated if c.state.upstream.upstream_id in members]
+        yield (each for each in inside if self._has_idle(each))
+        yield (each for each in rotated if self._has_idle(each))
         yield inside
 
     def _has_idle(self, candidate: Candidate) -> bool:
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -165,19 +165,17 @@
 
     def free_slots(self, now_s: float) -> int:
         """Return the free slots of the usable upstreams, except ejected ones."""
-        usable = (
+        in_service = (
             s
             for s in self._open_states()
-            if s.health.usable(len(s.own_requests), now_s)
-        )
-        return sum(
-            self._usable_slots(s, now_s) for s in usable if not s.health.is_ejected
+            if s.health.usable(len(s.own_requests), now_s) and not s.health.is_ejected
         )
+        if self._backpressure.is_empty:
+            return sum(max(0, s.free_slots()) for s in in_service)
+        return sum(self._usable_slots(s, now_s) for s in in_service)
 
     def _usable_slots(self, state: UpstreamState, now_s: float) -> int:
         """Return the free slots for which the upstream takes a request now."""
-        if self._backpressure.is_empty:
-            return max(0, state.free_slots())
         free = self._backpressure.free_requests(state.upstream.upstream_id, now_s)
         return max(0, math.floor(min(state.free_slots(), free)))
 
@@ -232,8 +230,8 @@
         for state in self._states.values():
             version = state.upstream.version
             in_flight[version] += state.in_flight()
-            if self._takes_new(state):
-                slots[version] += state.upstream.slots
+        for state in self._staying_states():
+            slots[state.upstream.version] += state.upstream.slots
         return VersionLoad(slots=slots, in_flight=in_flight)
 
     def in_flight(self) -> int:
@@ -333,23 +331,23 @@
         return self._states_with(Access.OPEN)
 
     def _states_with(self, access: Access) -> list[UpstreamState]:
+        return [state for state in self._staying_states() if state.access is access]
+
+    def _staying_states(self) -> list[UpstreamState]:
+        """Return the upstreams that stay and are still those at their addresses.
+
+        An upstream's own word that it leaves counts as much as its record, which may be
+        older.
+        """
+        is_leaving = self._backpressure.is_leaving
         return [
             state
             for state in self._states.values()
-            if state.access is access and self._takes_new(state)
+            if state.evicted_until_s is None
+            and not state.upstream.leaving
+            and not is_leaving(state.upstream.upstream_id)
         ]
 
-    def _takes_new(self, state: UpstreamState) -> bool:
-        """Return whether an upstream stays and is still the one at its address.
-
-        Its own word that it leaves counts as much as its record, which may be older.
-        """
-        upstream = state.upstream
-        is_leaving = upstream.leaving or self._backpressure.is_leaving(
-            upstream.upstream_id
-        )
-        return not is_leaving and state.evicted_until_s is None
-
 
 def _most_loaded_first(state: UpstreamState) -> tuple[int, str]:
     # Ties are broken by ID, so that all entries pick the same upstream.
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -192,7 +192,7 @@
         return _Candidate(
             state=state,
             first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step),
-            answer_s=state.step_s() * steps,
+            answer_s=estimate.step_s * steps,
         )
 
 
--- a/lavenderspoke/direct/upstreamsubset.py
+++ b/lavenderspoke/direct/upstreamsubset.py
@@ -80,6 +80,11 @@
         """The number of upstreams inside, by name."""
         return min(self._size, len(self._ranking))
 
+    @property
+    def members(self) -> frozenset[str]:
+        """The IDs of the upstreams inside."""
+        return self._members
+
     def contains(self, upstream_id: str) -> bool:
         """Return whether an upstream is preferred."""
         return upstream_id in self._members or not self.is_partial
