--- a/features/steps/upstream_subsets_steps.py
+++ b/features/steps/upstream_subsets_steps.py
@@ -154,6 +154,11 @@
     assert all(counts[each.name] >= least for each in context.upstreams), counts
 
 
+@then("each entry has computed {count:d} hashes")
+def step_hashes(context, count):
+    assert {len(each._ranks.hashes) for each in context.subsets.values()} == {count}
+
+
 @then('entry 0 prefers "{names}"')
 def step_prefers(context, names):
     assert " ".join(sorted(context.members["entry-0"])) == names, context.members[
--- a/features/upstream_subsets.feature
+++ b/features/upstream_subsets.feature
@@ -59,6 +59,13 @@
       | 3       | 25        | 25   | 1     | 3     |
       | 27      | 5         | 5    | 1     | 27    |
 
+  Scenario: Too many entries for subsets that are balanced
+    Guards against a lock that is held while the subsets of all entries are computed.
+    Given 120 entries, each with a subset of 65 upstreams
+    Then each subset has 6 upstreams
+    And each entry has computed 65 hashes
+    And the busiest upstream is in at most 2 times the mean number of subsets
+
   Scenario: Subsets are the same in each process
     Guards against an order that depends on the process or on that of a set.
     Given 27 entries, each with a subset of 25 upstreams
--- a/lavenderspoke/direct/upstreamsubset.py
+++ b/lavenderspoke/direct/upstreamsubset.py
@@ -38,10 +38,10 @@
 NARROW_INTERVAL_S = 2.0
 # Interval between two log lines, in seconds.
 LOG_INTERVAL_S = 5.0
-# Above so many pairs of an entry and an upstream, subsets aren't balanced: the hashes
-# of all pairs would take longer than a lock should be held. Plain rendezvous hashing
-# needs those of this entry alone, and load is balanced by the choice itself.
-BALANCED_PAIRS_MAX = 20_000
+# Above so many pairs of an entry and an upstream, subsets aren't balanced: 4,420 take
+# 7 ms, and 19,500 take 56 ms in which the dispatcher's lock would be held. Plain
+# rendezvous hashing needs the hashes of this entry alone.
+BALANCED_PAIRS_MAX = 5_000
 SUBSET_METRIC = "direct_subset"
 
 log = logbook.Logger(__name__)
