Let a subset follow the lists at once

An entry that has just started knows no others, so its first subset is all upstreams. It was then narrowed like one that need has widened: with 25 upstreams it took 48 s to come down to 6. Only what need adds is narrowed slowly now. A scenario with 24 entries that hear each other by gossip fails before and passes now, and upstream_subsets.feature passes, 39 scenarios.

--- a/features/steps/upstream_subsets_steps.py
+++ b/features/steps/upstream_subsets_steps.py
@@ -425,6 +425,36 @@
     assert sent_to != context.sent_to
 
 
+# Whole entries
+
+
+@given("each of them has {count:d} upstreams")
+def step_upstreams(context, count):
+    context.upstreams = upstreams_of(count)
+    for entry in context.fleet.entries.values():
+        entry.dispatcher.upstreams_changed(tuple(context.upstreams))
+        entry.dispatcher.tick()
+
+
+@when("one entry is killed and they run for {seconds:g} s")
+def step_kill_one(context, seconds):
+    context.fleet.entries["entry-5"].is_down = True
+    context.fleet.run(seconds)
+
+
+@then("each entry's subset is that of {count:d} live entries")
+def step_agreed(context, count):
+    live = [name for name, e in context.fleet.entries.items() if not e.is_down]
+    assert len(live) == count
+    for name in live:
+        dispatcher = context.fleet.entries[name].dispatcher
+        dispatcher.tick()
+        pool = dispatcher._scheduler.queue(SERVICE).pool
+        own = members(pool._connection_preference.subset, context.upstreams)
+        wanted = members(subset_of(name, context.upstreams, live), context.upstreams)
+        assert own == wanted and len(own) < len(context.upstreams), (name, own, wanted)
+
+
 # The driven model
 
 
--- a/features/upstream_subsets.feature
+++ b/features/upstream_subsets.feature
@@ -154,6 +154,16 @@
     When it gets 30 requests, one after the other
     Then the other one sends as one without a view of connections does
 
+  Scenario: Entries that hear each other by gossip
+    Guards against subsets that form only long after the start, when an entry knew no
+    others yet, or keep to an entry that is gone.
+    Given 24 entries in 3 data centres
+    And each of them has 25 upstreams
+    When they run for 1.5 s
+    Then each entry's subset is that of 24 live entries
+    When one entry is killed and they run for 2 s
+    Then each entry's subset is that of 23 live entries
+
   Scenario: Many entries in front of many engines
     Guards against subsets that save no connections, or cost callers anything.
     Given a driven day of 27 entries and 25 engines
--- a/lavenderspoke/direct/upstreamsubset.py
+++ b/lavenderspoke/direct/upstreamsubset.py
@@ -65,6 +65,8 @@
         self._ranking: Sequence[str] = ()
         self._upstream_ids: dict[str, list[str]] = {}
         self._size = 0
+        # How many members were added to the base size.
+        self._added = 0
         self._members: frozenset[str] = frozenset()
         self._choices: Counter[bool] = Counter()
         self._narrow_at_s = 0.0
@@ -141,18 +143,24 @@
         return len(self._ranking)
 
     def _resize(self, base_size: int, needed: int, now_s: float) -> None:
-        """Widen at once, and narrow step by step once less has sufficed for long."""
+        """Widen at once, and narrow step by step once less has sufficed for long.
+
+        Only what is added to the base size is narrowed slowly: an entry that has just
+        started knows no other ones, so that its first base size is too large.
+        """
         before, most = self._size, len(self._ranking)
-        needed = min(max(base_size, needed), most)
+        added = min(self._added, most - base_size)
+        added_needed = min(max(0, needed - base_size), most - base_size)
         # Also if the clock went back.
-        narrow_at_s = min(self._narrow_at_s, now_s + NARROW_AFTER_S)
-        if needed >= before or before > most:
-            self._size = min(max(needed, before), most)
-            narrow_at_s = now_s + NARROW_AFTER_S
-        elif now_s >= narrow_at_s:
-            self._size = before - 1
-            narrow_at_s = now_s + NARROW_INTERVAL_S
-        self._narrow_at_s = narrow_at_s
+        self._narrow_at_s = min(self._narrow_at_s, now_s + NARROW_AFTER_S)
+        if added_needed >= added:
+            added = added_needed
+            self._narrow_at_s = now_s + NARROW_AFTER_S
+        elif now_s >= self._narrow_at_s:
+            added -= 1
+            self._narrow_at_s = now_s + NARROW_INTERVAL_S
+        self._added = added
+        self._size = base_size + added
         if before and self._size != before:
             self._report(before, now_s)
 
