Share engine time between customers within a rank

The queue didn't know whose request it is, so a customer at several times its usual demand took the slots of all others of its rank.

CustomerShares counts the engine time of each customer with exponential decay. While requests of several customers wait in a rank, those of customers over their weighted share go behind the others, also in the estimate of the wait on which an early refusal rests. Weights follow the configured limits.

--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -12,7 +12,11 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
+from result import Err
+
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.customershares import CustomerShares
+from lavenderspoke.direct.enginetime import expected_engine_s, used_engine_s
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
@@ -20,6 +24,7 @@
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
 from lavenderspoke.direct.selection import Contention, Requirements
+from lavenderspoke.direct.sharereports import ShareReports
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
@@ -36,14 +41,23 @@
     """The waiting requests of one service, and the pool of its upstreams."""
 
     def __init__(
-        self, *, pool: Pool, random: Random, policies: Policies = ALL_POLICIES
+        self,
+        *,
+        pool: Pool,
+        random: Random,
+        policies: Policies = ALL_POLICIES,
+        share_reports: ShareReports | None = None,
     ):
         self.pool = pool
         self.policies = policies
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
-        self._waiting = WaitingTickets()
+        self.shares = CustomerShares() if policies.customer_shares else None
+        self.share_reports = share_reports or ShareReports(
+            service="", metrics=Metrics()
+        )
+        self._waiting = WaitingTickets(self.shares)
         self._held_counts: Counter[Rank] = Counter()
         self._rank_rates: dict[Rank, RankRates] = {}
         self._reserve = RankReserve()
@@ -129,6 +143,9 @@
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the slot of a request that has ended, and record its hold time."""
         self._rates_of(ticket.rank).record_hold(now_s - ticket.sent_s)
+        read_rate = self.pool.prefill_rate.tokens_per_step
+        used_s = used_engine_s(ticket, now_s, read_tokens_per_step=read_rate)
+        self._settle_use(ticket, used_s, now_s)
         self.release_unused(ticket, upstream_id, now_s)
 
     def release_unused(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
@@ -136,9 +153,27 @@
         state = self.pool.state_of(upstream_id)
         if state is not None:
             state.own_requests.pop(ticket.request_id, None)
+        self._settle_use(ticket, 0.0, now_s)
         self._held_counts[ticket.rank] -= 1
         self.dispatch_waiting(now_s, freed_slots=1)
 
+    def _charge_use(self, ticket: Ticket, now_s: float) -> None:
+        """Charge a request's customer the engine time that it is expected to take."""
+        if self.shares is None:
+            return
+        ticket.engine_s = expected_engine_s(
+            ticket,
+            read_tokens_per_step=self.pool.prefill_rate.tokens_per_step,
+            written_tokens_per_step=self.pool.decode_rate.tokens_per_step,
+        )
+        self.shares.record_use(ticket.customer, ticket.engine_s, now_s)
+
+    def _settle_use(self, ticket: Ticket, used_s: float, now_s: float) -> None:
+        """Replace what was charged for a request by what it used; once only."""
+        charged_s, ticket.engine_s = ticket.engine_s, 0.0
+        if self.shares is not None and used_s != charged_s:
+            self.shares.record_use(ticket.customer, used_s - charged_s, now_s)
+
     def record_first_event(
         self, ticket: Ticket, upstream_id: str, now_s: float
     ) -> float:
@@ -162,6 +197,13 @@
         waiting = [*self.waiting(), *self.peer_counts.waiting]
         self._reserve.update(waiting, self._active_ranks(now_s), now_s)
 
+    def update_shares(self, now_s: float) -> None:
+        """Drop peers that are gone, and report who is no longer limited."""
+        if self.shares is not None:
+            self.shares.set_slots(self.pool.slots())
+            self.shares.forget_silent_peers(now_s)
+            self.share_reports.tick(now_s)
+
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
         """Dispatch waiting requests to free slots, and refuse expired ones.
 
@@ -203,7 +245,7 @@
         `freed_here` tells that a request of this entry has freed a slot. The other
         entries don't know that yet, so it isn't shared with them.
         """
-        firsts = self._waiting.first_by_rank(skipped)
+        firsts = self._waiting.first_by_rank(skipped, now_s)
         if not firsts:
             return None
         free_slots = self.pool.free_slots(now_s)
@@ -273,6 +315,8 @@
         )
 
     def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+        for overtaken in self._waiting.deferred_for(ticket, now_s):
+            self._record_deferred(overtaken, now_s)
         self._waiting.remove(ticket)
         self._send(ticket, state, now_s)
 
@@ -293,7 +337,17 @@
         state.own_requests[ticket.request_id] = ticket.prompt_tokens
         self.pool.record_sent(state, now_s)
         self._held_counts[ticket.rank] += 1
-        ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
+        self._charge_use(ticket, now_s)
+        ticket.on_decision(
+            Dispatch(
+                upstream=state.upstream, held_back=held_back, deferred=ticket.deferred
+            )
+        )
+
+    def _record_deferred(self, ticket: Ticket, now_s: float) -> None:
+        asking = self._waiting.share_order.customers(ticket.rank)
+        share = self.shares.share_of(ticket.customer, asking, now_s)
+        self.share_reports.record_deferred(ticket, share, now_s)
 
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
@@ -327,8 +381,13 @@
         free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
             rank, active_ranks
         )
-        peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r <= rank)
-        ahead = self._waiting.count_ahead(ticket) + peers_ahead - max(0, free_slots)
+        peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r < rank)
+        peers_ahead += self.peer_counts.waiting.get(
+            rank, 0
+        ) * self._waiting.share_order.part_ahead(ticket, now_s)
+        ahead = (
+            self._waiting.count_ahead(ticket, now_s) + peers_ahead - max(0, free_slots)
+        )
         remaining_slots = max(
             slots - self._slots_of_higher_ranks(rank, now_s),
             self._reserve.guaranteed_slots(active_ranks, slots),
@@ -351,12 +410,16 @@
         )
 
     def _refusal(self, ticket: Ticket, reason: Refusal, now_s: float) -> Refuse:
+        beside = self._waiting.share_order.deferred_beside(ticket, now_s)
+        if ticket.customer in beside:
+            self._record_deferred(ticket, now_s)
         return Refuse(
             reason=reason,
             retry_after_s=self._wait_policy.retry_after_s(
                 ticket, self._backlog(ticket, now_s), now_s
             ),
             held_back=self.pool.held_back(now_s),
+            deferred=ticket.deferred,
         )
 
 
@@ -385,6 +448,7 @@
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
     `policies` which optional policies are on. This entry is in `data_centre`.
+    What is shared out is counted in `metrics`.
     """
 
     def __init__(
@@ -398,9 +462,11 @@
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        metrics: Metrics | None = None,
     ):
         self._random = random
-        self._backpressure = backpressure or Backpressure(metrics=Metrics())
+        self._metrics = metrics or Metrics()
+        self._backpressure = backpressure or Backpressure(metrics=self._metrics)
         self._peer_loads = peer_loads
         self._peer_counts = peer_counts
         self._access = access
@@ -408,6 +474,7 @@
         self._policies = policies
         self._data_centre = data_centre
         self._queues: dict[str, ServiceQueue] = {}
+        self._share_weights: dict[str, float] = {}
 
     def queue(self, service: str) -> ServiceQueue:
         """Return a service's queue."""
@@ -419,9 +486,14 @@
                 policies=self._policies,
                 data_centre=self._data_centre,
             )
-            self._queues[service] = ServiceQueue(
-                pool=pool, random=self._random, policies=self._policies
+            queue = self._queues[service] = ServiceQueue(
+                pool=pool,
+                random=self._random,
+                policies=self._policies,
+                share_reports=ShareReports(service=service, metrics=self._metrics),
             )
+            if queue.shares is not None:
+                queue.shares.set_weights(self._share_weights)
         return self._queues[service]
 
     def queues(self) -> dict[str, ServiceQueue]:
@@ -438,6 +510,39 @@
             queue.pool.reconfigure(listed)
             queue.dispatch_waiting(now_s)
 
+    def set_share_weights(self, weights: dict[str, float]) -> None:
+        """Apply the customers' weights in the sharing of engine time."""
+        self._share_weights = weights
+        for queue in self._queues.values():
+            if queue.shares is not None:
+                queue.shares.set_weights(weights)
+
+    def engine_time(self) -> dict[str, dict[str, float]]:
+        """Return this entry's engine time since its start, by service and customer."""
+        return {
+            service: queue.shares.own_totals()
+            for service, queue in self._queues.items()
+            if queue.shares is not None
+        }
+
+    def merge_engine_time(
+        self,
+        sender: str,
+        incarnation: str,
+        engine_time: Mapping[str, Mapping[str, float]],
+        now_s: float,
+    ) -> None:
+        """Add the engine time that a peer reports, of the services known here."""
+        for service, totals in engine_time.items():
+            queue = self._queues.get(service)
+            if queue is None or queue.shares is None:
+                continue
+            merged = queue.shares.merge_peer(sender, incarnation, totals, now_s)
+            if isinstance(merged, Err):
+                queue.share_reports.record_invalid(
+                    sender, incarnation, merged.err_value
+                )
+
     def rollouts_changed(self) -> None:
         """Apply the current stages of the roll-outs."""
         for service, queue in self._queues.items():
@@ -452,4 +557,5 @@
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
+            queue.update_shares(now_s)
             queue.dispatch_waiting(now_s)
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -32,22 +32,25 @@
     """Send the request to this upstream now.
 
     `held_back` are the upstreams that take no request now by their own word, and why.
+    `deferred` tells why requests of other customers went first, if they did.
     """
 
     upstream: Upstream
     held_back: dict[str, str] = attrs.field(factory=dict)
+    deferred: str = ""
 
 
 @attrs.frozen(kw_only=True)
 class Refuse:
     """Refuse the request: it hasn't run and won't run.
 
-    `held_back` is as in `Dispatch`.
+    `held_back` and `deferred` are as in `Dispatch`.
     """
 
     reason: Refusal
     retry_after_s: float
     held_back: dict[str, str] = attrs.field(factory=dict)
+    deferred: str = ""
 
 
 Decision = Dispatch | Refuse
@@ -62,10 +65,12 @@
     the last event of its stream came. `excluded` names upstreams that it was sent to
     before. A `retryable` request may be sent to another upstream after it failed. One
     without `may_wait` is decided before `submit` returns. It is `resubmitted` if it was
-    refused, or sent to an upstream, before.
+    refused, or sent to an upstream, before. The `customer` is empty if it is unknown;
+    `deferred` tells why requests of other customers went first, if they did.
 
     On dispatch, `estimate` is set together with the expected time and number of engine
-    steps until the first byte. `first_event_s` is when the first event arrived, and
+    steps until the first byte, and `engine_s` to the engine time that its customer is
+    charged until it ends. `first_event_s` is when the first event arrived, and
     `events` the number of events of a complete stream. `on_decision` is called once,
     under the scheduler's lock, so it must not block.
     """
@@ -73,6 +78,7 @@
     request_id: str
     service: str
     route: str = ""
+    customer: str = ""
     rank: Rank
     prompt_tokens: int
     answer_tokens: int
@@ -89,10 +95,12 @@
     number: int = 0
     is_late: bool = False
     waits_until_s: float = 0.0
+    deferred: str = ""
     sent_s: float = 0.0
     estimate: LatencyEstimate | None = None
     expected_first_byte_s: float = 0.0
     expected_first_byte_steps: float = 0.0
+    engine_s: float = 0.0
     first_event_s: float | None = None
     events: int = 0
 
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -9,6 +9,8 @@
 LIMIT_ENDED = "upstream no longer limits its requests"
 LEAVING = "upstream says that it leaves"
 PAUSE = "upstream asks for a pause"
+SHARE_LIMITED = "customer limited by its share"
+SHARE_ENDED = "customer no longer limited by its share"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
