Tell the other entries the engine time of customers

Shares hold over all entries only if each knows what all used. SharedState gets engine_time: totals since the entry's start, of customers that changed, and of all once a second, so that lost and repeated messages are harmless. With fewer than two customers nothing is sent. A request's log line has deferred, the reason why requests of other customers went first.

--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -106,6 +106,8 @@
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
         self.held_back: dict[str, str] = {}
+        # Why requests of other customers went first, at the last decision of that kind.
+        self.deferred = ""
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -204,6 +206,7 @@
             request_id=f"{accepted.head.request_id}.{len(self.trail)}",
             service=accepted.service,
             route=accepted.route.name,
+            customer=accepted.customer.name if accepted.customer else "",
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
@@ -227,6 +230,7 @@
     def _on_decision(self, decision: Decision) -> None:
         self._decision = decision
         self.held_back |= decision.held_back
+        self.deferred = decision.deferred or self.deferred
         self._decided.set()
 
     def _wait_for_decision(self, ticket: Ticket) -> None:
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -56,6 +56,8 @@
       requests, for those queued (`waiting`) and those at upstreams (`held`).
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
+    - `engine_time`: service to customer to seconds of engine time, since the entry
+      started. Customers without a change may be left out.
     - `rollouts`: what the entry knows of each service's roll-out.
     - `limits`: what it knows of the limits that upstreams name.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
@@ -78,6 +80,7 @@
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
+    engine_time: dict[str, dict[str, float]] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -21,6 +21,7 @@
     AttemptOutcome,
     RelocationResult,
 )
+from lavenderspoke.direct.enginetimenews import EngineTimeNews
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
@@ -30,6 +31,7 @@
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
+from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
@@ -92,6 +94,7 @@
         )
         self._sent_usage: dict[str, UsageRows] = {}
         self._full_usage_sent_s = 0.0
+        self._engine_time_news = EngineTimeNews()
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
         self._peers_listed = False
@@ -110,6 +113,7 @@
             canary=self._rollouts.canary_splitter,
             policies=policies,
             data_centre=location.data_centre,
+            metrics=metrics,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -320,6 +324,9 @@
                 for share in route.traffic_split
             )
             self._quota.reconfigure(catalog.customers, now_s=self._now_s())
+            self._scheduler.set_share_weights(share_weights(catalog.customers))
+            # A single customer has nobody to share with.
+            self._engine_time_news.is_needed = len(catalog.customers) > 1
 
     def reload(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
@@ -455,6 +462,9 @@
                 waiting=waiting,
                 held=held,
                 spent=self._usage_to_send(),
+                engine_time=self._engine_time_news.take(
+                    self._scheduler.engine_time(), self._now_s()
+                ),
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
                 upstreams_leaving=self._backpressure.leaving_here(),
@@ -481,6 +491,9 @@
         self._quota.merge_peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
+        self._scheduler.merge_engine_time(
+            sender.name, sender.incarnation, state.engine_time, now_s
+        )
         return True
 
     def _advance_rollouts(self, now_s: float) -> None:
