--- a/lavenderspoke/direct/customershares.py
+++ b/lavenderspoke/direct/customershares.py
@@ -16,8 +16,8 @@
 # with one below the few seconds that a long answer holds its slot, shares would swing
 # with single answers.
 USE_TIME_CONSTANT_S = 4.0
-# How far a customer's use may exceed its share before its requests go behind others.
-# Customers who use about the same keep the usual order.
+# How far a customer's use by weight may exceed that of the others together before its
+# requests go behind theirs. Customers who use about the same keep the usual order.
 OVER_SHARE_TOLERANCE = 1.1
 # The most that one request counts for, in seconds. A caller may expect any length of
 # its answer, and what lies further back than this has no weight left.
@@ -44,11 +44,7 @@
 
     used_s: float
     share_s: float
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the use exceeds the share."""
-        return self.used_s > self.share_s * OVER_SHARE_TOLERANCE
+    is_over: bool
 
 
 @attrs.define(kw_only=True)
@@ -172,18 +168,17 @@
     def over_share(self, asking: Collection[str], now_s: float) -> frozenset[str]:
         """Return those of the customers who ask that used more than their shares.
 
-        Never all of them, since at least one has used no more than its share.
+        Never all of them, since one has used the least by weight.
         """
         if len(asking) < 2:
             return NOBODY
         use = self._scaled_use_s
-        used_s = sum(use.get(each, 0.0) for each in asking)
-        if used_s <= 0.0:
-            return NOBODY
-        per_weight_s = used_s / sum(self._weight(each) for each in asking)
-        limit_s = per_weight_s * OVER_SHARE_TOLERANCE
+        use_sum = sum(use.get(each, 0.0) for each in asking)
+        weight_sum = sum(self._weight(each) for each in asking)
         return frozenset(
-            each for each in asking if use.get(each, 0.0) > self._weight(each) * limit_s
+            each
+            for each in asking
+            if _exceeds(use.get(each, 0.0), self._weight(each), use_sum, weight_sum)
         )
 
     def share_of(
@@ -195,10 +190,14 @@
             each: self._scaled_use_s.get(each, 0.0) * decay
             for each in {*asking, customer}
         }
+        # Exact sums, since the set has no fixed order.
+        used_sum_s = math.fsum(used_s.values())
         weight_sum = math.fsum(self._weight(each) for each in used_s)
-        part = self._weight(customer) / weight_sum
+        weight = self._weight(customer)
         return ShareOfUse(
-            used_s=used_s[customer], share_s=math.fsum(used_s.values()) * part
+            used_s=used_s[customer],
+            share_s=used_sum_s * weight / weight_sum,
+            is_over=_exceeds(used_s[customer], weight, used_sum_s, weight_sum),
         )
 
     def _weight(self, customer: str) -> float:
@@ -238,3 +237,13 @@
             name: use_s for name, use_s in decayed.items() if use_s >= USE_MIN_S
         }
         self._origin_s = self._latest_s
+
+
+def _exceeds(use: float, weight: float, use_sum: float, weight_sum: float) -> bool:
+    """Return whether a use by weight exceeds that of the others together.
+
+    Against the sum with the customer's own use, one with nearly all of the weight
+    could never exceed its share by the tolerance.
+    """
+    others_use, others_weight = max(0.0, use_sum - use), weight_sum - weight
+    return use * others_weight > others_use * weight * OVER_SHARE_TOLERANCE
--- a/lavenderspoke/direct/dissemination.py
+++ b/lavenderspoke/direct/dissemination.py
@@ -12,7 +12,7 @@
 import attrs
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.direct.enginetimenews import combined_engine_time
+from lavenderspoke.direct.enginetimenews import combined_rows
 from lavenderspoke.direct.messages import (
     DirectMessage,
     GroupStates,
@@ -199,7 +199,7 @@
     return attrs.evolve(
         after,
         spent=before.spent | after.spent,
-        engine_time=combined_engine_time(before.engine_time, after.engine_time),
+        engine_time=combined_rows(before.engine_time, after.engine_time),
         refused=before.refused + after.refused,
         gone=before.gone + after.gone,
         unreached=before.unreached + after.unreached,
--- a/lavenderspoke/direct/enginetimenews.py
+++ b/lavenderspoke/direct/enginetimenews.py
@@ -6,27 +6,30 @@
 # peer that missed a message has outdated totals for at most this long.
 FULL_INTERVAL_S = 1.0
 
-EngineTime = Mapping[str, Mapping[str, float]]
-"""Service to customer to seconds of engine time."""
+EngineRows = tuple[tuple[int, int, str, float], ...]
+"""Customer rank, route rank, customer and seconds of engine time."""
+
+Totals = dict[tuple[int, int, str], float]
+"""The same as a table."""
 
 
 class EngineTimeNews:
-    """The totals that changed since the last message.
+    """The totals that changed since the last message, by service.
 
     >>> news = EngineTimeNews()
     >>> news.is_needed = True
-    >>> news.take({"chat": {"a": 1.0, "b": 2.0}}, now_s=5.0)
-    {'chat': {'a': 1.0, 'b': 2.0}}
-    >>> news.take({"chat": {"a": 1.5, "b": 2.0}}, now_s=5.1)
-    {'chat': {'a': 1.5}}
+    >>> news.take({"chat": {(0, 0, "a"): 1.0, (0, 0, "b"): 2.0}}, now_s=5.0)
+    {'chat': ((0, 0, 'a', 1.0), (0, 0, 'b', 2.0))}
+    >>> news.take({"chat": {(0, 0, "a"): 1.5, (0, 0, "b"): 2.0}}, now_s=5.1)
+    {'chat': ((0, 0, 'a', 1.5),)}
     """
 
     def __init__(self):
         self.is_needed = False
-        self._sent: EngineTime = {}
+        self._sent: Mapping[str, Totals] = {}
         self._full_sent_s = float("-inf")
 
-    def take(self, totals: EngineTime, now_s: float) -> dict[str, dict[str, float]]:
+    def take(self, totals: Mapping[str, Totals], now_s: float) -> dict[str, EngineRows]:
         """Return the totals to send now: all at each interval, else what changed."""
         if not self.is_needed:
             return {}
@@ -35,23 +38,24 @@
             self._full_sent_s = now_s
         sent, self._sent = ({} if is_full else self._sent), totals
         news = {
-            service: _changes(sent.get(service, {}), customers)
-            for service, customers in totals.items()
+            service: _changes(sent.get(service, {}), after)
+            for service, after in totals.items()
         }
-        return {service: changes for service, changes in news.items() if changes}
+        return {service: rows for service, rows in news.items() if rows}
 
 
-def combined_engine_time(
-    before: EngineTime, after: EngineTime
-) -> dict[str, dict[str, float]]:
-    """Return the totals of two messages, the later ones where both have them."""
-    combined = {service: dict(totals) for service, totals in before.items()}
-    for service, totals in after.items():
-        combined.setdefault(service, {}).update(totals)
+def combined_rows(
+    before: Mapping[str, EngineRows], after: Mapping[str, EngineRows]
+) -> dict[str, EngineRows]:
+    """Return the rows of two messages, the later ones where both have them."""
+    combined = dict(before)
+    for service, rows in after.items():
+        totals = {row[:3]: row for row in (*before.get(service, ()), *rows)}
+        combined[service] = tuple(totals.values())
     return combined
 
 
-def _changes(
-    before: Mapping[str, float], after: Mapping[str, float]
-) -> dict[str, float]:
-    return {name: used for name, used in after.items() if used != before.get(name)}
+def _changes(before: Totals, after: Totals) -> EngineRows:
+    return tuple(
+        (*key, used_s) for key, used_s in after.items() if used_s != before.get(key)
+    )
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from lavenderspoke.direct.askingrows import AskingRows
+from lavenderspoke.direct.enginetimenews import EngineRows
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.model import InstanceId
 from lavenderspoke.poison import CrashEvidence
@@ -56,8 +58,8 @@
       requests, for those queued (`waiting`) and those at upstreams (`held`).
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
-    - `engine_time`: service to customer to seconds of engine time, since the entry
-      started. Customers without a change may be left out.
+    - `engine_time`: service to rows of customer rank, route rank, customer and seconds
+      of engine time, since the entry started. Rows without a change may be left out.
     - `asking`: service to rows of customer rank, route rank, customer and number of
       requests queued.
     - `rollouts`: what the entry knows of each service's roll-out.
@@ -82,8 +84,8 @@
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
-    engine_time: dict[str, dict[str, float]] = attrs.field(factory=dict)
-    asking: dict[str, tuple[tuple[int, int, str, int], ...]] = attrs.field(factory=dict)
+    engine_time: dict[str, EngineRows] = attrs.field(factory=dict)
+    asking: dict[str, AskingRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.askingrows import are_valid, asking_rows
 from lavenderspoke.direct.attemptresults import attempt_result
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.catalog import Catalog, Route
@@ -31,6 +32,7 @@
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
+from lavenderspoke.direct.sharereports import ShareReports
 from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.tickets import Rank, Ticket
@@ -95,6 +97,7 @@
         self._sent_usage: dict[str, UsageRows] = {}
         self._full_usage_sent_s = 0.0
         self._engine_time_news = EngineTimeNews()
+        self._share_reports = ShareReports(service="", metrics=metrics)
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
         self._peers_listed = False
@@ -455,7 +458,7 @@
                 if rows := queue.held():
                     held[service] = _count_rows(rows)
                 if self._engine_time_news.is_needed and (rows := queue.asking()):
-                    asking[service] = _asking_rows(rows)
+                    asking[service] = asking_rows(rows)
             findings = self._upstream_monitor.take_findings()
             state = SharedState(
                 address=self.location.address,
@@ -485,6 +488,11 @@
     def _merge_state(
         self, sender: InstanceId, state: SharedState, now_s: float, age_s: float | None
     ) -> bool:
+        if not are_valid(state.asking):
+            self._share_reports.record_invalid(
+                sender.name, sender.incarnation, "asking"
+            )
+            state = attrs.evolve(state, asking={})
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
         self._resubmissions.record_peer_refusals(state.refused, now_s)
@@ -570,13 +578,3 @@
 
 def _count_rows(counts: dict[Rank, int]) -> tuple[tuple[int, int, int], ...]:
     return tuple((*rank, count) for rank, count in counts.items())
-
-
-def _asking_rows(
-    counts: dict[Rank, dict[str, int]],
-) -> tuple[tuple[int, int, str, int], ...]:
-    return tuple(
-        (*rank, customer, count)
-        for rank, customers in counts.items()
-        for customer, count in customers.items()
-    )
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -15,14 +15,15 @@
 from result import Err
 
 from lavenderspoke.direct.backpressure import Backpressure
-from lavenderspoke.direct.customershares import CustomerShares
 from lavenderspoke.direct.enginetime import expected_engine_s, used_engine_s
+from lavenderspoke.direct.enginetimenews import EngineRows, Totals
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
+from lavenderspoke.direct.rankshares import RankShares
 from lavenderspoke.direct.selection import Contention, Requirements
 from lavenderspoke.direct.sharereports import ShareReports
 from lavenderspoke.direct.slothandover import SlotHandover
@@ -54,7 +55,7 @@
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
-        self.shares = CustomerShares() if policies.customer_shares else None
+        self.shares = RankShares() if policies.customer_shares else None
         self.share_reports = share_reports or ShareReports(
             service="", metrics=Metrics()
         )
@@ -172,13 +173,15 @@
             read_tokens_per_step=self.pool.prefill_rate.tokens_per_step,
             written_tokens_per_step=self.pool.decode_rate.tokens_per_step,
         )
-        self.shares.record_use(ticket.customer, ticket.engine_s, now_s)
+        self.shares.of(ticket.rank).record_use(ticket.customer, ticket.engine_s, now_s)
 
     def _settle_use(self, ticket: Ticket, used_s: float, now_s: float) -> None:
         """Replace what was charged for a request by what it used; once only."""
         charged_s, ticket.engine_s = ticket.engine_s, 0.0
         if self.shares is not None and used_s != charged_s:
-            self.shares.record_use(ticket.customer, used_s - charged_s, now_s)
+            self.shares.of(ticket.rank).record_use(
+                ticket.customer, used_s - charged_s, now_s
+            )
 
     def record_first_event(
         self, ticket: Ticket, upstream_id: str, now_s: float
@@ -207,8 +210,7 @@
         """Apply what the peers report, and report who is no longer limited."""
         if self.shares is not None:
             self._waiting.share_order.peers = self.peer_counts.asking
-            self.shares.set_slots(self.pool.slots())
-            self.shares.forget_silent_peers(now_s)
+            self.shares.update(self.pool.slots(), now_s)
             self.share_reports.tick(now_s)
 
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
@@ -372,7 +374,7 @@
 
     def _record_deferred(self, ticket: Ticket, now_s: float) -> None:
         asking = self._waiting.share_order.asking(ticket.rank)
-        share = self.shares.share_of(ticket.customer, asking, now_s)
+        share = self.shares.of(ticket.rank).share_of(ticket.customer, asking, now_s)
         self.share_reports.record_deferred(ticket, share, now_s)
 
     def _rates_of(self, rank: Rank) -> RankRates:
@@ -541,8 +543,8 @@
             if queue.shares is not None:
                 queue.shares.set_weights(weights)
 
-    def engine_time(self) -> dict[str, dict[str, float]]:
-        """Return this entry's engine time since its start, by service and customer."""
+    def engine_time(self) -> dict[str, Totals]:
+        """Return this entry's engine time since its start, by service."""
         return {
             service: queue.shares.own_totals()
             for service, queue in self._queues.items()
@@ -553,15 +555,15 @@
         self,
         sender: str,
         incarnation: str,
-        engine_time: Mapping[str, Mapping[str, float]],
+        engine_time: Mapping[str, EngineRows],
         now_s: float,
     ) -> None:
         """Add the engine time that a peer reports, of the services known here."""
-        for service, totals in engine_time.items():
+        for service, rows in engine_time.items():
             queue = self._queues.get(service)
             if queue is None or queue.shares is None:
                 continue
-            merged = queue.shares.merge_peer(sender, incarnation, totals, now_s)
+            merged = queue.shares.merge_peer(sender, incarnation, rows, now_s)
             if isinstance(merged, Err):
                 queue.share_reports.record_invalid(
                     sender, incarnation, merged.err_value
--- a/lavenderspoke/direct/shareorder.py
+++ b/lavenderspoke/direct/shareorder.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from lavenderspoke.direct.customershares import NOBODY, CustomerShares
+from lavenderspoke.direct.customershares import NOBODY
+from lavenderspoke.direct.rankshares import RankShares
 from lavenderspoke.direct.tickets import Rank, Ticket
 
 
@@ -32,7 +33,7 @@
     request goes behind others.
     """
 
-    def __init__(self, shares: CustomerShares | None):
+    def __init__(self, shares: RankShares | None):
         self.peers: Mapping[Rank, Mapping[str, int]] = {}
         self._shares = shares
         self._waiting: defaultdict[Rank, Counter[str]] = defaultdict(Counter)
@@ -66,7 +67,7 @@
         """Return the customers whose requests go behind the others of a rank."""
         if self._shares is None:
             return NOBODY
-        return self._shares.over_share(self.asking(rank), now_s)
+        return self._shares.of(rank).over_share(self.asking(rank), now_s)
 
     def deferred_beside(self, ticket: Ticket, now_s: float) -> frozenset[str]:
         """Return them as if a request that arrives waited already."""
@@ -75,7 +76,7 @@
         asking = self.asking(ticket.rank)
         if ticket.customer not in asking:
             asking = {**asking, ticket.customer: 1}
-        return self._shares.over_share(asking, now_s)
+        return self._shares.of(ticket.rank).over_share(asking, now_s)
 
     def rivals(self, ticket: Ticket, now_s: float) -> Rivals:
         """Return the requests at other entries that shares put before or behind it."""
--- a/lavenderspoke/direct/sharereports.py
+++ b/lavenderspoke/direct/sharereports.py
@@ -55,14 +55,14 @@
         self._limited_until_s[customer] = now_s + LIMITED_S
 
     def record_invalid(self, sender: str, incarnation: str, reason: str) -> None:
-        """Record that a peer's totals are malformed: one line for each start of it."""
+        """Record that a peer's rows are malformed: one line for each start of it."""
         self._metrics.count(INVALID_METRIC, reason)
         peer = (sender, incarnation)
         if peer in self._invalid_peers or len(self._invalid_peers) >= INVALID_PEERS_MAX:
             return
         self._invalid_peers.add(peer)
         log.warning(
-            "malformed engine time of a peer ignored",
+            "malformed shares of a peer ignored",
             service=self._service,
             peer=sender,
             reason=reason,
--- a/lavenderspoke/direct/shareweights.py
+++ b/lavenderspoke/direct/shareweights.py
@@ -28,7 +28,7 @@
     """
     customers = tuple(customers)
     medians = {
-        counts_tokens: statistics.median(limits)
+        counts_tokens: statistics.median_low(limits)
         for counts_tokens in (False, True)
         if (limits := _limits(customers, counts_tokens))
     }
--- a/lavenderspoke/direct/waitingtickets.py
+++ b/lavenderspoke/direct/waitingtickets.py
@@ -5,8 +5,8 @@
 
 from sortedcontainers import SortedKeyList
 
-from lavenderspoke.direct.customershares import CustomerShares
 from lavenderspoke.direct.lengths import AnswerLengths
+from lavenderspoke.direct.rankshares import RankShares
 from lavenderspoke.direct.shareorder import ShareOrder
 from lavenderspoke.direct.tickets import Rank, Ticket
 
@@ -37,7 +37,7 @@
     behind those of the others, if `shares` are given.
     """
 
-    def __init__(self, shares: CustomerShares | None = None):
+    def __init__(self, shares: RankShares | None = None):
         self.share_order = ShareOrder(shares)
         self._tickets: SortedKeyList = SortedKeyList(key=priority_key)
         self._counts: Counter[Rank] = Counter()
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -26,6 +26,9 @@
     signals.LEAVING: "leaving",
     signals.PAUSE: "pause",
 }
+# A customer stays limited by its share until the other line, of the same service.
+SHARE_MESSAGES = (signals.SHARE_LIMITED, signals.SHARE_ENDED)
+DEFERRED_MEANING = " Requests of other customers went first."
 
 MEANINGS = {
     "whole": "The upstream's complete answer was sent to the caller.",
@@ -135,9 +138,13 @@
     since_s = arrived_s - LOOKBACK_S
     earlier = [each for each in before if each.at_s < since_s]
     around = _last_statements(earlier, _upstreams_of(line))
+    if line.fields.get("deferred"):
+        around += _last_share_line(earlier, line.fields.get("customer"))
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
+    if line.fields.get("deferred"):
+        meaning += DEFERRED_MEANING
     return Explanation(line=line, meaning=meaning, around=tuple(around))
 
 
@@ -158,3 +165,13 @@
             last.pop((upstream, subject), None)
             last[upstream, subject] = line
     return list(last.values())
+
+
+def _last_share_line(lines: list[LogLine], customer: str | None) -> list[LogLine]:
+    """Return the last line about whether a customer is limited by its share."""
+    about = [
+        line
+        for line in lines
+        if line.message in SHARE_MESSAGES and line.fields.get("customer") == customer
+    ]
+    return about[-1:]
