--- a/bench/customershares.py
+++ b/bench/customershares.py
@@ -32,7 +32,7 @@
 )
 from lavenderspoke.direct.enginetimenews import EngineRows, EngineTimeNews
 from lavenderspoke.direct.peercounts import PeerCounts
-from lavenderspoke.direct.policies import ALL_POLICIES, NO_POLICIES, Policies
+from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.tickets import Rank
 
@@ -44,6 +44,7 @@
 LARGE_PART, SMALLEST_PART = 0.13, 0.01
 LARGE = 3
 HOT = "c0"
+WITHOUT_SHARES = Policies(customer_shares=False)
 HOT_TIMES = 6.0
 HOT_S = (2.0, 9.0)
 # The usual demand, against the rates of `fleet.KINDS`.
@@ -245,7 +246,7 @@
 
 
 FLEETS = {
-    Fleet(entries=3, engines=3, told_every_s=0.02): range(1, 9),
+    Fleet(entries=3, engines=3, told_every_s=0.02): range(1, 33),
     Fleet(entries=27, engines=25, told_every_s=0.08): range(1, 5),
     Fleet(entries=68, engines=59, told_every_s=0.1): range(1, 3),
 }
@@ -277,7 +278,7 @@
     for fleet, seeds in FLEETS.items():
         if arguments.entries and fleet.entries not in arguments.entries:
             continue
-        for name, policies in (("off", NO_POLICIES), ("on", ALL_POLICIES)):
+        for name, policies in (("off", WITHOUT_SHARES), ("on", ALL_POLICIES)):
             days = [
                 CustomersDay(
                     fleet=fleet,
--- a/features/customer_shares.feature
+++ b/features/customer_shares.feature
@@ -13,8 +13,8 @@
 
     Examples:
       | entries | engines | told | more | jain |
-      | 3       | 3       | 0.02 | 1.2  | 0.08 |
-      | 27      | 25      | 0.08 | 1.1  | 0.03 |
+      | 3       | 3       | 0.02 | 1.1  | 0.08 |
+      | 27      | 25      | 0.08 | 1.0  | 0.03 |
 
   Scenario: No customer starves
     Guards against a customer over its share that gets no slot at all.
--- a/lavenderspoke/direct/customershares.py
+++ b/lavenderspoke/direct/customershares.py
@@ -173,12 +173,14 @@
         if len(asking) < 2:
             return NOBODY
         use = self._scaled_use_s
-        use_sum = sum(use.get(each, 0.0) for each in asking)
-        weight_sum = sum(self._weight(each) for each in asking)
+        weights = self._weights
+        rows = [(each, use.get(each, 0.0), weights.get(each, 1.0)) for each in asking]
+        use_sum = sum(row[1] for row in rows)
+        weight_sum = sum(row[2] for row in rows)
         return frozenset(
-            each
-            for each in asking
-            if _exceeds(use.get(each, 0.0), self._weight(each), use_sum, weight_sum)
+            customer
+            for customer, used, weight in rows
+            if used and _exceeds(used, weight, use_sum, weight_sum)
         )
 
     def share_of(
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -173,15 +173,17 @@
             read_tokens_per_step=self.pool.prefill_rate.tokens_per_step,
             written_tokens_per_step=self.pool.decode_rate.tokens_per_step,
         )
-        self.shares.of(ticket.rank).record_use(ticket.customer, ticket.engine_s, now_s)
+        self._record_use(ticket, ticket.engine_s, now_s)
+
+    def _record_use(self, ticket: Ticket, engine_s: float, now_s: float) -> None:
+        self.shares.of(ticket.rank).record_use(ticket.customer, engine_s, now_s)
+        self._waiting.share_order.use_changed()
 
     def _settle_use(self, ticket: Ticket, used_s: float, now_s: float) -> None:
         """Replace what was charged for a request by what it used; once only."""
         charged_s, ticket.engine_s = ticket.engine_s, 0.0
         if self.shares is not None and used_s != charged_s:
-            self.shares.of(ticket.rank).record_use(
-                ticket.customer, used_s - charged_s, now_s
-            )
+            self._record_use(ticket, used_s - charged_s, now_s)
 
     def record_first_event(
         self, ticket: Ticket, upstream_id: str, now_s: float
@@ -209,7 +211,7 @@
     def update_shares(self, now_s: float) -> None:
         """Apply what the peers report, and report who is no longer limited."""
         if self.shares is not None:
-            self._waiting.share_order.peers = self.peer_counts.asking
+            self._waiting.share_order.set_peers(self.peer_counts.asking)
             self.shares.update(self.pool.slots(), now_s)
             self.share_reports.tick(now_s)
 
@@ -278,7 +280,9 @@
                 n for r, n in self.peer_counts.waiting.items() if r < rank
             )
             free = (
-                free_slots - self._reserved_slots(rank, active_ranks) - needed_by_peers
+                free_slots
+                - self._reserved_slots(rank, active_ranks, slots)
+                - needed_by_peers
             )
             if free > 0:
                 if not self._leaves_slot(firsts[rank], free, now_s) and (
@@ -323,13 +327,15 @@
             others + self._waiting.count(ticket.rank)
         )
 
-    def _reserved_slots(self, rank: Rank, active_ranks: list[Rank]) -> float:
-        """Return the number of slots reserved for the ranks above this one."""
+    def _reserved_slots(
+        self, rank: Rank, active_ranks: list[Rank], slots: int
+    ) -> float:
+        """Return the number of all slots that are reserved for the ranks above."""
         return self._reserve.reserved_slots(
             rank,
             active_ranks,
             mean_hold_s=self._rates_of(rank).mean_hold_s,
-            slots=self.pool.slots(),
+            slots=slots,
         )
 
     def _active_ranks(self, now_s: float) -> list[Rank]:
@@ -407,7 +413,7 @@
         slots = self.pool.effective_slots(mean_hold_s, now_s) or 1.0
         active_ranks = self._active_ranks(now_s)
         free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
-            rank, active_ranks
+            rank, active_ranks, self.pool.slots()
         )
         peers_ahead = sum(n for r, n in self.peer_counts.waiting.items() if r <= rank)
         peers_ahead -= self._waiting.share_order.rivals(ticket, now_s).behind
