--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from lavenderspoke.direct.askingrows import AskingRows
+from lavenderspoke.direct.enginetimenews import EngineRows
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.model import InstanceId
 from lavenderspoke.poison import CrashEvidence
@@ -59,6 +61,10 @@
       that came to this entry.
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
+    - `engine_time`: service to rows of customer rank, route rank, customer and seconds
+      of engine time, since the entry started. Rows without a change may be left out.
+    - `asking`: service to rows of customer rank, route rank, customer and number of
+      requests queued.
     - `rollouts`: what the entry knows of each service's roll-out.
     - `limits`: what it knows of the limits that upstreams name.
     - `burst_credits`: customer to the tokens of a credit that the entry has recorded.
@@ -85,6 +91,8 @@
         factory=dict
     )
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
+    engine_time: dict[str, EngineRows] = attrs.field(factory=dict)
+    asking: dict[str, AskingRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     burst_credits: tuple[tuple[str, float], ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.askingrows import are_valid, asking_rows
 from lavenderspoke.direct.attemptresults import attempt_result
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.burstcredits import BurstCredits
@@ -24,6 +25,7 @@
     AttemptOutcome,
     RelocationResult,
 )
+from lavenderspoke.direct.enginetimenews import EngineTimeNews
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
@@ -33,6 +35,8 @@
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
+from lavenderspoke.direct.sharereports import ShareReports
+from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
@@ -109,6 +113,8 @@
         )
         self._sent_usage: dict[str, UsageRows] = {}
         self._full_usage_sent_s = 0.0
+        self._engine_time_news = EngineTimeNews()
+        self._share_reports = ShareReports(service="", metrics=metrics)
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
         self._malformed_bookings: set[str] = set()
@@ -135,6 +141,7 @@
                 has_idle=self._has_idle_connection,
                 metrics=metrics,
             ),
+            metrics=metrics,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -348,6 +355,9 @@
                 for share in route.traffic_split
             )
             self._quota.reconfigure(catalog.customers, now_s=self._now_s())
+            self._scheduler.set_share_weights(share_weights(catalog.customers))
+            # A single customer has nobody to share with.
+            self._engine_time_news.is_needed = len(catalog.customers) > 1
 
     def reload(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
@@ -500,7 +510,7 @@
     def outgoing_updates(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
         """Return what is to be sent to the other entries now."""
         with self._lock:
-            running, waiting, held, bookings = {}, {}, {}, {}
+            running, waiting, held, bookings, asking = {}, {}, {}, {}, {}
             for service, queue in self._scheduler.queues().items():
                 for upstream_id, each in queue.pool.own_loads().items():
                     running[upstream_id] = (each.requests, each.prefill_tokens)
@@ -512,6 +522,8 @@
                     rows := queue.bookings.rows(self._now_s())
                 ):
                     bookings[service] = rows
+                if self._engine_time_news.is_needed and (rows := queue.asking()):
+                    asking[service] = asking_rows(rows)
             findings = self._upstream_monitor.take_findings()
             state = SharedState(
                 address=self.location.address,
@@ -521,6 +533,10 @@
                 held=held,
                 bookings=bookings,
                 spent=self._usage_to_send(),
+                engine_time=self._engine_time_news.take(
+                    self._scheduler.engine_time(), self._now_s()
+                ),
+                asking=asking,
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
                 burst_credits=(
@@ -545,6 +561,11 @@
     def _merge_state(
         self, sender: InstanceId, state: SharedState, now_s: float, age_s: float | None
     ) -> bool:
+        if not are_valid(state.asking):
+            self._share_reports.record_invalid(
+                sender.name, sender.incarnation, "asking"
+            )
+            state = attrs.evolve(state, asking={})
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
         self._resubmissions.record_peer_refusals(state.refused, now_s)
@@ -556,6 +577,9 @@
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
         self._merge_burst_credits(sender, state, now_s - (age_s or 0.0))
+        self._scheduler.merge_engine_time(
+            sender.name, sender.incarnation, state.engine_time, now_s
+        )
         return True
 
     def _merge_bookings(
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -13,21 +13,27 @@
 from random import Random
 
 import attrs
+from result import Err
 
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.connectionpreference import ConnectionView
+from lavenderspoke.direct.enginetime import expected_engine_s, used_engine_s
+from lavenderspoke.direct.enginetimenews import EngineRows, Totals
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
+from lavenderspoke.direct.rankshares import RankShares
 from lavenderspoke.direct.retrybookings import (
     LATE_RETURN_SHARE,
     Booking,
     RetryBookings,
 )
 from lavenderspoke.direct.selection import Contention, Requirements
+from lavenderspoke.direct.sharereports import ShareReports
+from lavenderspoke.direct.slothandover import SlotHandover
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
@@ -44,14 +50,24 @@
     """The waiting requests of one service, and the pool of its upstreams."""
 
     def __init__(
-        self, *, pool: Pool, random: Random, policies: Policies = ALL_POLICIES
+        self,
+        *,
+        pool: Pool,
+        random: Random,
+        policies: Policies = ALL_POLICIES,
+        share_reports: ShareReports | None = None,
     ):
         self.pool = pool
         self.policies = policies
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
-        self._waiting = WaitingTickets()
+        self.shares = RankShares() if policies.customer_shares else None
+        self.share_reports = share_reports or ShareReports(
+            service="", metrics=Metrics()
+        )
+        self._waiting = WaitingTickets(self.shares)
+        self._handover = SlotHandover()
         self._held_counts: Counter[Rank] = Counter()
         self._rank_rates: dict[Rank, RankRates] = {}
         self._reserve = RankReserve()
@@ -67,6 +83,10 @@
         """Return the requests waiting at this entry, by rank."""
         return self._waiting.counts()
 
+    def asking(self) -> dict[Rank, dict[str, int]]:
+        """Return the requests waiting at this entry, by rank and customer."""
+        return self._waiting.share_order.own_waiting()
+
     def held(self) -> dict[Rank, int]:
         """Return the slots held by this entry's requests, by rank."""
         return {rank: count for rank, count in self._held_counts.items() if count}
@@ -155,6 +175,9 @@
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the slot of a request that has ended, and record its hold time."""
         self._rates_of(ticket.rank).record_hold(now_s - ticket.sent_s)
+        read_rate = self.pool.prefill_rate.tokens_per_step
+        used_s = used_engine_s(ticket, now_s, read_tokens_per_step=read_rate)
+        self._settle_use(ticket, used_s, now_s)
         self.release_unused(ticket, upstream_id, now_s)
 
     def release_unused(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
@@ -162,9 +185,31 @@
         state = self.pool.state_of(upstream_id)
         if state is not None:
             state.own_requests.pop(ticket.request_id, None)
+        self._settle_use(ticket, 0.0, now_s)
         self._held_counts[ticket.rank] -= 1
         self.dispatch_waiting(now_s, freed_slots=1)
 
+    def _charge_use(self, ticket: Ticket, now_s: float) -> None:
+        """Charge a request's customer the engine time that it is expected to take."""
+        if self.shares is None:
+            return
+        ticket.engine_s = expected_engine_s(
+            ticket,
+            read_tokens_per_step=self.pool.prefill_rate.tokens_per_step,
+            written_tokens_per_step=self.pool.decode_rate.tokens_per_step,
+        )
+        self._record_use(ticket, ticket.engine_s, now_s)
+
+    def _record_use(self, ticket: Ticket, engine_s: float, now_s: float) -> None:
+        self.shares.of(ticket.rank).record_use(ticket.customer, engine_s, now_s)
+        self._waiting.share_order.use_changed()
+
+    def _settle_use(self, ticket: Ticket, used_s: float, now_s: float) -> None:
+        """Replace what was charged for a request by what it used; once only."""
+        charged_s, ticket.engine_s = ticket.engine_s, 0.0
+        if self.shares is not None and used_s != charged_s:
+            self._record_use(ticket, used_s - charged_s, now_s)
+
     def record_first_event(
         self, ticket: Ticket, upstream_id: str, now_s: float
     ) -> float:
@@ -188,6 +233,13 @@
         waiting = [*self.waiting(), *self.peer_counts.waiting]
         self._reserve.update(waiting, self._active_ranks(now_s), now_s)
 
+    def update_shares(self, now_s: float) -> None:
+        """Apply what the peers report, and report who is no longer limited."""
+        if self.shares is not None:
+            self._waiting.share_order.set_peers(self.peer_counts.asking)
+            self.shares.update(self.pool.slots(), now_s)
+            self.share_reports.tick(now_s)
+
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
         """Dispatch waiting requests to free slots, and refuse expired ones.
 
@@ -229,11 +281,12 @@
         `freed_here` tells that a request of this entry has freed a slot. The other
         entries don't know that yet, so it isn't shared with them.
         """
-        firsts = self._waiting.first_by_rank(skipped)
+        firsts = self._waiting.first_by_rank(skipped, now_s)
         if not firsts:
             return None
         free_slots = self.pool.free_slots(now_s)
         if free_slots <= 0:
+            self._handover.end_all()
             return None
         slots = self.pool.slots()
         active_ranks = self._active_ranks(now_s)
@@ -241,6 +294,10 @@
             held = self._held_counts[rank] + self.peer_counts.held.get(rank, 0)
             if self._reserve.is_below_guarantee(
                 rank, active_ranks, held=held, slots=slots
+            ) and not self._leaves_slot(
+                firsts[rank],
+                self._reserve.guaranteed_slots(active_ranks, slots) - held,
+                now_s,
             ):
                 return firsts[rank]
         for rank in sorted(firsts):
@@ -248,16 +305,30 @@
                 n for r, n in self.peer_counts.waiting.items() if r < rank
             )
             free = (
-                free_slots - self._reserved_slots(rank, active_ranks) - needed_by_peers
+                free_slots
+                - self._reserved_slots(rank, active_ranks, slots)
+                - needed_by_peers
             )
             if free > 0:
-                if freed_here or self._claims_slot(firsts[rank], free):
+                if not self._leaves_slot(firsts[rank], free, now_s) and (
+                    freed_here or self._claims_slot(firsts[rank], free, now_s)
+                ):
                     return firsts[rank]
                 # Slots not claimed are left to other entries, not to lower ranks. Only
                 # a request that may not wait takes one all the same.
                 return self._match_no_wait_ticket(rank, skipped)
+            self._handover.end(rank)
         return None
 
+    def _leaves_slot(self, ticket: Ticket, free: float, now_s: float) -> bool:
+        """Return whether the free slots are left to requests of other entries.
+
+        Among many entries, requests of customers within their shares mostly wait at
+        others than those that free a slot.
+        """
+        before = self._waiting.share_order.rivals(ticket, now_s).before
+        return before >= free and self._handover.leaves_slot(ticket.rank, now_s)
+
     def _match_no_wait_ticket(self, rank: Rank, skipped: set[int]) -> Ticket | None:
         """Return the request that may not wait, if it has that rank."""
         ticket = self._no_wait_ticket
@@ -265,7 +336,7 @@
             return None
         return ticket if ticket in self._waiting else None
 
-    def _claims_slot(self, ticket: Ticket, free: float) -> bool:
+    def _claims_slot(self, ticket: Ticket, free: float, now_s: float) -> bool:
         """Return whether a request takes one of the slots that are free for its rank.
 
         Other entries with waiting requests of that rank see the same slots free, and
@@ -273,20 +344,23 @@
         be sent to one slot and queue at the upstream. So each takes its share of them,
         at random.
         """
-        others = self.peer_counts.waiting.get(ticket.rank, 0)
-        if not others:
+        rivals = self._waiting.share_order.rivals(ticket, now_s)
+        others = self.peer_counts.waiting.get(ticket.rank, 0) - rivals.behind
+        if others <= 0:
             return True
         return self._random.random() < free / (
             others + self._waiting.count(ticket.rank)
         )
 
-    def _reserved_slots(self, rank: Rank, active_ranks: list[Rank]) -> float:
-        """Return the number of slots reserved for the ranks above this one."""
+    def _reserved_slots(
+        self, rank: Rank, active_ranks: list[Rank], slots: int
+    ) -> float:
+        """Return the number of all slots that are reserved for the ranks above."""
         return self._reserve.reserved_slots(
             rank,
             active_ranks,
             mean_hold_s=self._rates_of(rank).mean_hold_s,
-            slots=self.pool.slots(),
+            slots=slots,
         )
 
     def _active_ranks(self, now_s: float) -> list[Rank]:
@@ -299,6 +373,8 @@
         )
 
     def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+        for overtaken in self._waiting.deferred_for(ticket, now_s):
+            self._record_deferred(overtaken, now_s)
         self._waiting.remove(ticket)
         self._send(ticket, state, now_s)
 
@@ -319,7 +395,18 @@
         state.own_requests[ticket.request_id] = ticket.prompt_tokens
         self.pool.record_sent(state, now_s)
         self._held_counts[ticket.rank] += 1
-        ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
+        self._handover.end(ticket.rank)
+        self._charge_use(ticket, now_s)
+        ticket.on_decision(
+            Dispatch(
+                upstream=state.upstream, held_back=held_back, deferred=ticket.deferred
+            )
+        )
+
+    def _record_deferred(self, ticket: Ticket, now_s: float) -> None:
+        asking = self._waiting.share_order.asking(ticket.rank)
+        share = self.shares.of(ticket.rank).share_of(ticket.customer, asking, now_s)
+        self.share_reports.record_deferred(ticket, share, now_s)
 
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
@@ -351,10 +438,11 @@
         slots = self.pool.effective_slots(mean_hold_s, now_s) or 1.0
         active_ranks = self._active_ranks(now_s)
         free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
-            rank, active_ranks
+            rank, active_ranks, self.pool.slots()
         )
-        ahead_here = self._waiting.count_ahead(ticket)
-        ahead = ahead_here + self._peers_ahead(ticket, ahead_here) - max(0, free_slots)
+        ahead_here = self._waiting.count_ahead(ticket, now_s)
+        peers_ahead = self._peers_ahead(ticket, ahead_here, now_s)
+        ahead = ahead_here + peers_ahead - max(0, free_slots)
         remaining_slots = max(
             slots - self._slots_of_higher_ranks(rank, now_s),
             self._reserve.guaranteed_slots(active_ranks, slots),
@@ -367,7 +455,7 @@
             blocked_s=self.pool.blocked_s(now_s),
         )
 
-    def _peers_ahead(self, ticket: Ticket, ahead_here: int) -> float:
+    def _peers_ahead(self, ticket: Ticket, ahead_here: int, now_s: float) -> float:
         """Return how many requests that wait at other entries go before this one.
 
         Where returned requests wait as long as their callers do, many late ones of a
@@ -376,7 +464,9 @@
         """
         rank, waiting = ticket.rank, self.peer_counts.waiting
         higher = sum(n for each, n in waiting.items() if each < rank)
-        same, same_here = waiting.get(rank, 0), self._waiting.count(rank)
+        rivals = self._waiting.share_order.rivals(ticket, now_s)
+        same = waiting.get(rank, 0) - rivals.behind
+        same_here = self._waiting.count(rank)
         if self.bookings is None or not same or not same_here:
             return higher + same
         higher_here = sum(n for r, n in self._waiting.counts().items() if r < rank)
@@ -424,10 +514,14 @@
         if booking is not None:
             ticket.booking = str(booking)
             retry_after_s = booking.due_in_s
+        beside = self._waiting.share_order.deferred_beside(ticket, now_s)
+        if ticket.customer in beside:
+            self._record_deferred(ticket, now_s)
         return Refuse(
             reason=reason,
             retry_after_s=retry_after_s,
             held_back=self.pool.held_back(now_s),
+            deferred=ticket.deferred,
         )
 
     def _book(
@@ -485,7 +579,7 @@
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
     `policies` which optional policies are on. This entry is in `data_centre`, and its
-    connections are in `connection_view`.
+    connections are in `connection_view`. What is shared out is counted in `metrics`.
     """
 
     def __init__(
@@ -500,9 +594,11 @@
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
         connection_view: ConnectionView | None = None,
+        metrics: Metrics | None = None,
     ):
         self._random = random
-        self._backpressure = backpressure or Backpressure(metrics=Metrics())
+        self.metrics = metrics or Metrics()
+        self._backpressure = backpressure or Backpressure(metrics=self.metrics)
         self._peer_loads = peer_loads
         self._peer_counts = peer_counts
         self._access = access
@@ -511,6 +607,7 @@
         self._data_centre = data_centre
         self._connection_view = connection_view
         self._queues: dict[str, ServiceQueue] = {}
+        self._share_weights: dict[str, float] = {}
 
     def queue(self, service: str) -> ServiceQueue:
         """Return a service's queue."""
@@ -523,9 +620,14 @@
                 data_centre=self._data_centre,
                 connection_view=self._connection_view,
             )
-            self._queues[service] = ServiceQueue(
-                pool=pool, random=self._random, policies=self._policies
+            queue = self._queues[service] = ServiceQueue(
+                pool=pool,
+                random=self._random,
+                policies=self._policies,
+                share_reports=ShareReports(service=service, metrics=self.metrics),
             )
+            if queue.shares is not None:
+                queue.shares.set_weights(self._share_weights)
         return self._queues[service]
 
     def queues(self) -> dict[str, ServiceQueue]:
@@ -542,6 +644,39 @@
             queue.pool.reconfigure(listed)
             queue.dispatch_waiting(now_s)
 
+    def set_share_weights(self, weights: dict[str, float]) -> None:
+        """Apply the customers' weights in the sharing of engine time."""
+        self._share_weights = weights
+        for queue in self._queues.values():
+            if queue.shares is not None:
+                queue.shares.set_weights(weights)
+
+    def engine_time(self) -> dict[str, Totals]:
+        """Return this entry's engine time since its start, by service."""
+        return {
+            service: queue.shares.own_totals()
+            for service, queue in self._queues.items()
+            if queue.shares is not None
+        }
+
+    def merge_engine_time(
+        self,
+        sender: str,
+        incarnation: str,
+        engine_time: Mapping[str, EngineRows],
+        now_s: float,
+    ) -> None:
+        """Add the engine time that a peer reports, of the services known here."""
+        for service, rows in engine_time.items():
+            queue = self._queues.get(service)
+            if queue is None or queue.shares is None:
+                continue
+            merged = queue.shares.merge_peer(sender, incarnation, rows, now_s)
+            if isinstance(merged, Err):
+                queue.share_reports.record_invalid(
+                    sender, incarnation, merged.err_value
+                )
+
     def rollouts_changed(self) -> None:
         """Apply the current stages of the roll-outs."""
         for service, queue in self._queues.items():
@@ -557,4 +692,5 @@
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
             queue.pool.update_subset(sum(queue.waiting().values()), now_s)
+            queue.update_shares(now_s)
             queue.dispatch_waiting(now_s)
