Send requests to their own data centre first

Entries chose by expected time alone, so with upstreams in four data centres three of four requests left theirs, whether there was room at home or not.

Each entry tells the slots that its arrivals need (SharedState.demand). From the sums by data centre and the slots in the platform's list every entry computes the same proportions (spillover.py): home first, the excess of a data centre that is short to the others, by what is free there beyond their own need, with hysteresis. The selector adds the cost of other data centres to its estimates; a free slot is still taken anywhere rather than left empty. Rows that can't be true are ignored, logged once and counted.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -325,6 +325,7 @@
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
             held_back=(handler.held_back or None) if handler else None,
+            spillover=(handler.spillover or None) if handler else None,
             retry_after_s=record.retry_after_s,
             detail=record.detail,
             silence_looks=dict(handler.relocation.results) if handler else {},
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -106,6 +106,8 @@
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
         self.held_back: dict[str, str] = {}
+        # Upstreams outside the entry's data centre that it was sent to, and why.
+        self.spillover: dict[str, str] = {}
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -227,6 +229,8 @@
     def _on_decision(self, decision: Decision) -> None:
         self._decision = decision
         self.held_back |= decision.held_back
+        if isinstance(decision, Dispatch) and decision.spillover:
+            self.spillover[decision.upstream.upstream_id] = decision.spillover
         self._decided.set()
 
     def _wait_for_decision(self, ticket: Ticket) -> None:
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -54,6 +54,8 @@
       tokens still to be prefilled.
     - `waiting`, `held`: service to rows of customer rank, route rank and number of
       requests, for those queued (`waiting`) and those at upstreams (`held`).
+    - `demand`: service to the slots that the arrivals at the entry need, where there
+      are upstreams in several data centres.
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
     - `rollouts`: what the entry knows of each service's roll-out.
@@ -77,6 +79,7 @@
     running: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     waiting: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
     held: dict[str, tuple[tuple[int, int, int], ...]] = attrs.field(factory=dict)
+    demand: dict[str, float] = attrs.field(factory=dict)
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -31,6 +31,7 @@
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
@@ -101,6 +102,11 @@
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
         self._backpressure = Backpressure(metrics=metrics)
+        self._spillovers = Spillovers(
+            data_centre=location.data_centre,
+            is_on=policies.spillover,
+            metrics=metrics,
+        )
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -110,6 +116,7 @@
             canary=self._rollouts.canary_splitter,
             policies=policies,
             data_centre=location.data_centre,
+            spillovers=self._spillovers,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -454,6 +461,7 @@
                 running=running,
                 waiting=waiting,
                 held=held,
+                demand=self._spillovers.rows(),
                 spent=self._usage_to_send(),
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
@@ -474,6 +482,7 @@
     ) -> bool:
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
+        self._spillovers.merge_peer(sender.name, state, now_s, age_s=age_s or 0.0)
         self._resubmissions.record_peer_refusals(state.refused, now_s)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -19,6 +19,7 @@
     Selection,
     UpstreamSelector,
 )
+from lavenderspoke.direct.spillover import Preference, Spillover
 from lavenderspoke.direct.upstreamstate import NO_LOAD, Load, UpstreamState
 from lavenderspoke.rollouts.orders import Access
 from lavenderspoke.rollouts.versionload import VersionLoad
@@ -35,7 +36,8 @@
     """The upstreams of one service.
 
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
-    the upstreams said they can take. The entry that chooses is in `data_centre`.
+    the upstreams said they can take. The entry that chooses is in `data_centre`;
+    `spillover`, if any, tells which data centre its requests should go to.
     """
 
     def __init__(
@@ -46,12 +48,14 @@
         access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        spillover: Spillover | None = None,
     ):
         self._random = random
         self._backpressure = backpressure
         self._access = access
         self._policies = policies
         self._data_centre = data_centre
+        self.spillover = spillover
         self._states: dict[str, UpstreamState] = {}
         self._selector = UpstreamSelector(random=random)
         self.prefill_rate = self._selector.prefill_rate
@@ -141,6 +145,13 @@
         """Return the slots of the upstreams open to all requests, even if ejected."""
         return sum(s.upstream.slots for s in self._open_states())
 
+    def slots_by_data_centre(self) -> dict[str, int]:
+        """Return the same slots by data centre."""
+        slots: Counter[str] = Counter()
+        for state in self._open_states():
+            slots[state.upstream.data_centre] += state.upstream.slots
+        return dict(slots)
+
     def free_slots(self, now_s: float) -> int:
         """Return the free slots of the usable upstreams, except ejected ones."""
         usable = (
@@ -256,7 +267,19 @@
             return Selection(upstream_state=trial_states[0])
         in_service = [s for s in available if not s.health.is_ejected]
         return self._selector.select(
-            in_service, requirements, contention.unseen_requests
+            in_service,
+            requirements,
+            contention.unseen_requests,
+            self._preference(requirements),
+        )
+
+    def _preference(self, requirements: Requirements) -> Preference | None:
+        """Return which data centre a request should go to, if there is a choice."""
+        if self.spillover is None or not self.spillover.is_active:
+            return None
+        return self.spillover.preference(
+            target_s=min(requirements.target_s, requirements.first_byte_within_s),
+            draw=self._random.random(),
         )
 
     def _available(
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -20,6 +20,8 @@
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
 from lavenderspoke.direct.selection import Contention, Requirements
+from lavenderspoke.direct.spillover import Spill
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
@@ -60,6 +62,13 @@
         """Return the slots held by this entry's requests, by rank."""
         return {rank: count for rank, count in self._held_counts.items() if count}
 
+    def needed_slots(self, now_s: float) -> float:
+        """Return the slots that the recent arrivals at this entry keep busy."""
+        return sum(
+            rates.arrivals_per_s(now_s) * rates.mean_hold_s
+            for rates in self._rank_rates.values()
+        )
+
     def submit(self, ticket: Ticket, now_s: float) -> None:
         """Dispatch or refuse a request, or let it wait."""
         self._last_number += 1
@@ -178,7 +187,10 @@
                 contention=self._contention(now_s, is_claimed=is_claimed),
             )
             if selection.upstream_state is not None:
-                self._dispatch(ticket, selection.upstream_state, now_s)
+                self._waiting.remove(ticket)
+                self._send(
+                    ticket, selection.upstream_state, now_s, spill=selection.spill
+                )
             elif selection.only_this_waits:
                 # Only this request waits for another upstream.
                 skipped.add(ticket.number)
@@ -272,11 +284,14 @@
             {*own, *self.waiting(), *self.peer_counts.waiting, *self.peer_counts.held}
         )
 
-    def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
-        self._waiting.remove(ticket)
-        self._send(ticket, state, now_s)
-
-    def _send(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+    def _send(
+        self,
+        ticket: Ticket,
+        state: UpstreamState,
+        now_s: float,
+        *,
+        spill: Spill | None = None,
+    ) -> None:
         if self.canary is not None:
             is_canary = state.access is Access.CANARY
             self.canary.record_sent(ticket.route, to_target=is_canary)
@@ -293,7 +308,21 @@
         state.own_requests[ticket.request_id] = ticket.prompt_tokens
         self.pool.record_sent(state, now_s)
         self._held_counts[ticket.rank] += 1
-        ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
+        ticket.on_decision(
+            Dispatch(
+                upstream=state.upstream,
+                held_back=held_back,
+                spillover=self._spillover_reason(state.upstream, spill),
+            )
+        )
+
+    def _spillover_reason(self, upstream: Upstream, spill: Spill | None) -> str:
+        """Count where a request goes; return why it leaves its data centre, if so."""
+        spillover = self.pool.spillover
+        if spillover is None or spill is None:
+            return ""
+        spillover.record(upstream.data_centre, spill)
+        return spillover.reason(upstream.data_centre, spill)
 
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
@@ -372,6 +401,7 @@
             remaining_on_time_s if remaining_on_time_s > 0.0 else remaining_s
         ),
         remaining_s=remaining_s,
+        target_s=ticket.target_s,
         excluded=ticket.excluded,
         retryable=ticket.retryable,
     )
@@ -384,7 +414,8 @@
     `peer_counts(service)` return the other entries' last reports. `access` tells which
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
-    `policies` which optional policies are on. This entry is in `data_centre`.
+    `policies` which optional policies are on. This entry is in `data_centre`, and
+    `spillovers` has the proportions between data centres.
     """
 
     def __init__(
@@ -398,6 +429,7 @@
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        spillovers: Spillovers | None = None,
     ):
         self._random = random
         self._backpressure = backpressure or Backpressure(metrics=Metrics())
@@ -407,6 +439,9 @@
         self._canary = canary
         self._policies = policies
         self._data_centre = data_centre
+        self.spillovers = spillovers or Spillovers(
+            data_centre=data_centre, is_on=policies.spillover, metrics=Metrics()
+        )
         self._queues: dict[str, ServiceQueue] = {}
 
     def queue(self, service: str) -> ServiceQueue:
@@ -418,6 +453,7 @@
                 access=self._access,
                 policies=self._policies,
                 data_centre=self._data_centre,
+                spillover=self.spillovers.of(service),
             )
             self._queues[service] = ServiceQueue(
                 pool=pool, random=self._random, policies=self._policies
@@ -446,6 +482,7 @@
 
     def tick(self, now_s: float) -> None:
         """Apply the peers' reports, refuse expired requests and dispatch others."""
+        self._update_spillovers(now_s)
         peer_loads = self._peer_loads()
         for service, queue in self._queues.items():
             queue.pool.update_peer_loads(peer_loads)
@@ -453,3 +490,11 @@
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
             queue.dispatch_waiting(now_s)
+
+    def _update_spillovers(self, now_s: float) -> None:
+        if self.spillovers.is_due(now_s):
+            rows = [
+                (name, queue.pool.slots_by_data_centre(), queue.needed_slots(now_s))
+                for name, queue in self._queues.items()
+            ]
+            self.spillovers.update(rows, now_s)
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -7,6 +7,7 @@
 
 from lavenderspoke.direct.decoderate import DecodeRate
 from lavenderspoke.direct.prefillrate import PrefillRate
+from lavenderspoke.direct.spillover import Preference, Spill
 from lavenderspoke.direct.upstreamstate import UpstreamState, estimate_latency
 
 # Share of the time after the first byte that is added to the cost: a long answer holds
@@ -29,7 +30,8 @@
 
     From now on, the first byte should come within `first_byte_within_s` and the whole
     answer within `remaining_s`. Upstreams in `excluded` are not chosen. A `retryable`
-    request may be the trial request of an ejected upstream.
+    request may be the trial request of an ejected upstream. `target_s` is the target
+    for the first byte, counted from the request's first arrival.
     """
 
     prompt_tokens: int
@@ -38,6 +40,7 @@
     remaining_s: float
     excluded: set[str] = attrs.field(factory=set)
     retryable: bool = False
+    target_s: float = math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -60,11 +63,13 @@
     """The upstream chosen for a request, if any.
 
     Without one, `only_this_waits` tells that requests behind this one may still be
-    sent; otherwise no upstream has a free slot.
+    sent; otherwise no upstream has a free slot. `spill` tells whether the request
+    leaves the entry's data centre, if there are several.
     """
 
     upstream_state: UpstreamState | None
     only_this_waits: bool = False
+    spill: Spill | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +84,10 @@
     first_byte_s: float
     answer_s: float
 
+    @property
+    def data_centre(self) -> str:
+        return self.state.upstream.data_centre
+
     @property
     def total_s(self) -> float:
         return self.first_byte_s + self.answer_s
@@ -97,11 +106,13 @@
         available: list[UpstreamState],
         requirements: Requirements,
         unseen_requests: float,
+        preference: Preference | None = None,
     ) -> Selection:
         """Return the upstream to send a request to, if it should be sent now.
 
         Where the first byte would be late at every upstream with a free slot, but on
-        time at one without, the request waits.
+        time at one without, the request waits. `preference` only ranks the upstreams
+        that remain: a request takes a free slot in any data centre rather than wait.
         """
         free = [
             self._estimate(state, requirements)
@@ -118,8 +129,8 @@
             if each.first_byte_s <= requirements.first_byte_within_s
         ]
         if on_time:
-            return Selection(
-                upstream_state=self._best_state(on_time, requirements, unseen_requests)
+            return self._selected(
+                on_time, free, requirements, unseen_requests, preference
             )
         full = (
             self._estimate(state, requirements)
@@ -128,26 +139,62 @@
         )
         if any(each.first_byte_s <= requirements.first_byte_within_s for each in full):
             return Selection(upstream_state=None, only_this_waits=True)
-        return Selection(
-            upstream_state=self._best_state(free, requirements, unseen_requests)
+        return self._selected(free, free, requirements, unseen_requests, preference)
+
+    def _selected(
+        self,
+        candidates: list[_Candidate],
+        free: list[_Candidate],
+        requirements: Requirements,
+        unseen_requests: float,
+        preference: Preference | None,
+    ) -> Selection:
+        """Return the best of the candidates, which are some of the `free` ones."""
+        if preference is None:
+            return Selection(
+                upstream_state=self._best_state(
+                    candidates, requirements, unseen_requests
+                )
+            )
+        has_home_slot = any(each.data_centre == preference.home for each in free)
+        is_urgent = has_home_slot and not any(
+            each.data_centre == preference.home for each in candidates
+        )
+        # If only others can be on time, the soonest of them should get the request.
+        state = self._best_state(
+            candidates,
+            requirements,
+            unseen_requests,
+            None if is_urgent else preference,
         )
+        if state.upstream.data_centre == preference.home:
+            spill = Spill.HOME
+        else:
+            spill = Spill.AWAY if has_home_slot else Spill.NO_ROOM
+        return Selection(upstream_state=state, spill=spill)
 
     def _best_state(
         self,
         candidates: list[_Candidate],
         requirements: Requirements,
         unseen_requests: float,
+        preference: Preference | None = None,
     ) -> UpstreamState:
         # If slow upstreams were sampled too, some would get long answers that are cut
         # off at their deadlines.
         in_deadline = [
             each for each in candidates if each.total_s <= requirements.remaining_s
         ]
-        sampled = self._sample(in_deadline or candidates, unseen_requests)
+        candidates = in_deadline or candidates
+        if preference is None:
+            sampled = self._sample(candidates, unseen_requests)
+        else:
+            sampled = self._sample_each(candidates, unseen_requests, preference)
         costs = [
             (
                 _cost_s(each, requirements)
-                * self._random.uniform(1.0, 1.0 + COST_JITTER),
+                * self._random.uniform(1.0, 1.0 + COST_JITTER)
+                + (preference.cost_s(each.data_centre) if preference else 0.0),
                 index,
             )
             for index, each in enumerate(sampled)
@@ -170,6 +217,25 @@
             return candidates
         return self._random.sample(candidates, sample_size)
 
+    def _sample_each(
+        self,
+        candidates: list[_Candidate],
+        unseen_requests: float,
+        preference: Preference,
+    ) -> list[_Candidate]:
+        """Return a sample of the preferred data centre and one of the others.
+
+        A sample of all that is small would seldom hold one of the preferred.
+        """
+        preferred, others = [], []
+        for each in candidates:
+            is_preferred = each.data_centre == preference.preferred
+            (preferred if is_preferred else others).append(each)
+        return [
+            *self._sample(preferred, unseen_requests),
+            *self._sample(others, unseen_requests),
+        ]
+
     def _estimate(self, state: UpstreamState, requirements: Requirements) -> _Candidate:
         estimate = estimate_latency(state, requirements.prompt_tokens)
         steps = requirements.answer_tokens / self.decode_rate.tokens_per_step
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -32,10 +32,12 @@
     """Send the request to this upstream now.
 
     `held_back` are the upstreams that take no request now by their own word, and why.
+    `spillover` tells why it left the entry's data centre, empty if it didn't.
     """
 
     upstream: Upstream
     held_back: dict[str, str] = attrs.field(factory=dict)
+    spillover: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -135,6 +135,8 @@
     since_s = arrived_s - LOOKBACK_S
     earlier = [each for each in before if each.at_s < since_s]
     around = _last_statements(earlier, _upstreams_of(line))
+    if line.fields.get("spillover"):
+        around = _last_spillover_line(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
@@ -158,3 +160,9 @@
             last.pop((upstream, subject), None)
             last[upstream, subject] = line
     return list(last.values())
+
+
+def _last_spillover_line(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last line on whether the entry's data centre spills over."""
+    told = (signals.SPILLOVER_BEGAN, signals.SPILLOVER_ENDED)
+    return [each for each in lines if each.message in told][-1:]
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -9,6 +9,8 @@
 LIMIT_ENDED = "upstream no longer limits its requests"
 LEAVING = "upstream says that it leaves"
 PAUSE = "upstream asks for a pause"
+SPILLOVER_BEGAN = "data centre starts to spill over"
+SPILLOVER_ENDED = "data centre no longer spills over"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
