--- a/bench/spillover.py
+++ b/bench/spillover.py
@@ -95,6 +95,9 @@
         self._arrivals = Random(seed)
         self._entry = 0
         super().__init__(fleet=fleet, seed=seed)
+        self._numbers_of_lines = {
+            id(each.queue(SERVICE)): n for n, each in enumerate(self._schedulers)
+        }
         self._at(BEGIN_S, self._look)
 
     def play(self) -> Tally:
@@ -223,10 +226,6 @@
         super()._began(engine, sent)
 
     def _number_of(self, sent: Sent) -> int:
-        if not hasattr(self, "_numbers_of_lines"):
-            self._numbers_of_lines = {
-                id(each.queue(SERVICE)): n for n, each in enumerate(self._schedulers)
-            }
         return self._numbers_of_lines[id(sent.line)]
 
     def _look(self) -> None:
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -136,7 +136,7 @@
     earlier = [each for each in before if each.at_s < since_s]
     around = _last_statements(earlier, _upstreams_of(line))
     if line.fields.get("spillover"):
-        around = _last_spillover_line(earlier) + around
+        around = _last_spillover_lines(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
@@ -162,7 +162,8 @@
     return list(last.values())
 
 
-def _last_spillover_line(lines: list[LogLine]) -> list[LogLine]:
-    """Return the last line on whether the entry's data centre spills over."""
+def _last_spillover_lines(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last line of each service on whether its requests spill over."""
     told = (signals.SPILLOVER_BEGAN, signals.SPILLOVER_ENDED)
-    return [each for each in lines if each.message in told][-1:]
+    last = {each.fields.get("service"): each for each in lines if each.message in told}
+    return sorted(last.values(), key=lambda each: each.at_s)
