--- a/bench/spillover.py
+++ b/bench/spillover.py
@@ -20,6 +20,7 @@
 import itertools
 import math
 import statistics
+import time
 from collections import Counter
 from random import Random
 
@@ -30,9 +31,11 @@
 from bench.fleet import FIGURES, KINDS, SLOWNESS, Fleet, FleetDay
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
+from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, NO_POLICIES
 from lavenderspoke.direct.scheduler import Scheduler
-from lavenderspoke.direct.tickets import Dispatch
+from lavenderspoke.direct.tickets import Dispatch, Ticket
+from lavenderspoke.direct.upstreamstate import Load
 
 DATA_CENTRES = ("dc-0", "dc-1", "dc-2", "dc-3")
 DAY_S = 24.0
@@ -50,6 +53,9 @@
     Fleet(entries=68, engines=65, told_every_s=0.1),
 )
 LOADS = (0.5, 0.75, 1.1)
+# Rounds, and requests in each, by which `submit` is timed.
+ROUNDS = 40
+SUBMITS = 50
 SEEDS = {4: (1, 2, 3), 21: (1, 2), 68: (1,)}
 
 
@@ -269,23 +275,90 @@
     return [statistics.mean(column) for column in zip(*rows)]
 
 
+def submit_ratio() -> float:
+    """Return the time of `submit` with spilling over, as a part of that without.
+
+    Of one of 68 entries with 65 upstreams on which half of the slots are taken. Both
+    take turns in one process; the ratio is the median over many short rounds.
+    """
+    schedulers = [_loaded_scheduler(each) for each in (NO_POLICIES, ALL_POLICIES)]
+    rounds: tuple[list, list] = ([], [])
+    for _ in range(ROUNDS):
+        for scheduler, times_s in zip(schedulers, rounds):
+            times_s.append(_round_s(scheduler.queue(SERVICE)))
+    return statistics.median(on_s / off_s for off_s, on_s in zip(*rounds))
+
+
+def _loaded_scheduler(policies) -> Scheduler:
+    upstreams = [
+        Upstream(
+            upstream_id=f"u{number}",
+            service=SERVICE,
+            host="127.0.0.1",
+            port=1 + number,
+            data_centre=_home(number),
+            slots=6,
+        )
+        for number in range(65)
+    ]
+    loads = {each.upstream_id: Load(requests=3) for each in upstreams}
+    scheduler = Scheduler(
+        random=Random(1),
+        peer_loads=lambda: loads,
+        peer_counts=lambda service: PeerCounts(entries=67, age_s=0.07),
+        policies=policies,
+        data_centre=_home(0),
+    )
+    scheduler.reconfigure(tuple(upstreams), 0.0)
+    scheduler.tick(0.0)
+    return scheduler
+
+
+def _round_s(queue) -> float:
+    began_s = time.process_time()
+    for number in range(SUBMITS):
+        decided = []
+        ticket = Ticket(
+            request_id=f"r{number}",
+            service=SERVICE,
+            rank=(0, 0),
+            prompt_tokens=1860,
+            answer_tokens=24,
+            first_arrived_s=0.0,
+            idle_since_s=0.0,
+            deadline_s=4.0,
+            target_s=1.0,
+            patience_s=4.0,
+            resubmitted=False,
+            on_decision=decided.append,
+        )
+        queue.submit(ticket, 0.0)
+        queue.release_unused(ticket, decided[0].upstream.upstream_id, 0.0)
+    return time.process_time() - began_s
+
+
 def main() -> None:
     """Print the table."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--entries", type=int, nargs="*", default=sorted(SEEDS))
-    wanted = parser.parse_args().entries
+    parser.add_argument("--traffic", nargs="*", default=["swings", "even"])
+    parser.add_argument("--submit", action="store_true", help="only time submit")
+    wanted = parser.parse_args()
+    if wanted.submit:
+        print(f"submit with spilling over, without is 1: {submit_ratio():.3f}")
+        return
     print(
         "| entries | traffic | load | spillover | left | of tokens | highest on time "
         "| middle | lowest | idle | changes |"
     )
     print("| ---: | --- | ---: | --- | " + "---: | " * 7)
-    fleets = [each for each in FLEETS if each.entries in wanted]
-    for each, swings, load in itertools.product(fleets, (True, False), LOADS):
+    fleets = [each for each in FLEETS if each.entries in wanted.entries]
+    for each, traffic, load in itertools.product(fleets, wanted.traffic, LOADS):
         for is_on in (False, True):
-            figures = row(each, load, swings, is_on)
+            figures = row(each, load, traffic == "swings", is_on)
             parts = " | ".join(f"{figure:.3f}" for figure in figures[:5])
             print(
-                f"| {each.entries} | {'swings' if swings else 'even'} | {load:g} "
+                f"| {each.entries} | {traffic} | {load:g} "
                 f"| {'on' if is_on else 'off'} | {parts} | {figures[5]:.1f} "
                 f"| {figures[6]:.1f} |",
                 flush=True,
--- a/features/spillover.feature
+++ b/features/spillover.feature
@@ -44,7 +44,7 @@
     Guards against an answer that is late since it stayed at home.
     Given four data centres of 30 slots each
     When they need 40, 25, 10 and 5 slots
-    Then no data centre costs more than a fifth of the target
+    Then no data centre costs more than a tenth of the target
 
   Scenario: Only upstreams of other data centres have a free slot
     Guards against a slot that stays empty while a request waits.
--- a/features/steps/spillover_steps.py
+++ b/features/steps/spillover_steps.py
@@ -288,7 +288,7 @@
     assert context.spillover.proportions() == {"first": 1.0}
 
 
-@then("no data centre costs more than a fifth of the target")
+@then("no data centre costs more than a tenth of the target")
 def step_cost(context):
     for target_s in (0.0, 0.16, 1.2):
         for draw in (0.0, 0.5, 0.99):
@@ -297,7 +297,7 @@
                 for name in (*NAMES, "unknown")
             }
             assert min(costs.values()) == 0.0, costs
-            assert max(costs.values()) <= 0.2 * target_s, costs
+            assert max(costs.values()) <= 0.1 * target_s, costs
 
 
 # One entry
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -72,7 +72,8 @@
     spill: Spill | None = None
 
 
-@attrs.frozen(kw_only=True)
+# Not frozen: one is made for each upstream at each choice, and that takes longer.
+@attrs.define(kw_only=True, eq=False)
 class _Candidate:
     """An upstream with the expected times of a request there.
 
@@ -227,10 +228,9 @@
 
         A sample of all that is small would seldom hold one of the preferred.
         """
-        preferred, others = [], []
-        for each in candidates:
-            is_preferred = each.data_centre == preference.preferred
-            (preferred if is_preferred else others).append(each)
+        wanted = preference.preferred
+        preferred = [e for e in candidates if e.state.upstream.data_centre == wanted]
+        others = [e for e in candidates if e.state.upstream.data_centre != wanted]
         return [
             *self._sample(preferred, unseen_requests),
             *self._sample(others, unseen_requests),
