--- a/features/spillover.feature
+++ b/features/spillover.feature
@@ -55,6 +55,13 @@
     And its decision says "to west: no free slot in east"
     And "direct_spillover" counts "west:away_no_room"
 
+  Scenario: Requests wait at other entries
+    Guards against entries of one data centre that all send to its few free slots, where
+    requests queue while slots are free elsewhere.
+    Given an entry in "east" with upstreams in "east" and "west"
+    When requests wait at another entry, and 200 requests arrive and end
+    Then between 60 and 140 of them are sent to "west"
+
   Scenario: Only upstreams of other data centres are on time
     Guards against a late answer of the own data centre where another one is on time.
     Given an entry in "east" with upstreams in "east" and "west"
--- a/features/steps/spillover_steps.py
+++ b/features/steps/spillover_steps.py
@@ -541,3 +541,12 @@
 def step_no_sums(context):
     demand = context.entry.dispatcher._spillovers._demand
     assert not demand._totals and not demand._rows, demand._totals
+
+
+@when("requests wait at another entry, and {count:d} requests arrive and end")
+def step_wait_elsewhere(context, count):
+    entry, chosen = context.entry, []
+    for _ in range(count):
+        entry.hear({}, waiting={SERVICE: ((0, 9, 1),)})
+        chosen += entry.choices(1)
+    context.chosen = chosen
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -37,7 +37,8 @@
 
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
     the upstreams said they can take. The entry that chooses is in `data_centre`;
-    `spillover`, if any, tells which data centre its requests should go to.
+    `spillover`, if any, tells which data centre its requests should go to, unless
+    `is_short`: then requests wait, and any data centre will do.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self._policies = policies
         self._data_centre = data_centre
         self.spillover = spillover
+        self.is_short = False
         self._slots_by_data_centre: dict[str, int] | None = None
         self._states: dict[str, UpstreamState] = {}
         self._selector = UpstreamSelector(random=random)
@@ -281,6 +283,8 @@
         """Return which data centre a request should go to, if there is a choice."""
         if self.spillover is None or not self.spillover.is_active:
             return None
+        if self.is_short:
+            return self.spillover.no_preference()
         return self.spillover.preference(
             target_s=min(requirements.target_s, requirements.first_byte_within_s),
             draw=self._random.random(),
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -171,6 +171,15 @@
         waiting = [*self.waiting(), *self.peer_counts.waiting]
         self._reserve.update(waiting, self._active_ranks(now_s), now_s)
 
+    def update_shortage(self, now_s: float) -> None:
+        """Tell the pool whether requests wait at any entry.
+
+        Slots are short then. If each entry preferred its own data centre, all there
+        would send to its few free slots at once, and some of the requests would queue
+        at an upstream while slots are free elsewhere.
+        """
+        self.pool.is_short = bool(self.waiting() or self.peer_counts.waiting)
+
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
         """Dispatch waiting requests to free slots, and refuse expired ones.
 
@@ -489,6 +498,7 @@
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
+            queue.update_shortage(now_s)
             queue.dispatch_waiting(now_s)
 
     def _update_spillovers(self, now_s: float) -> None:
--- a/lavenderspoke/direct/spillover.py
+++ b/lavenderspoke/direct/spillover.py
@@ -156,6 +156,10 @@
             home=self._home, preferred=preferred, costs_s=costs_s, other_s=cost_s
         )
 
+    def no_preference(self) -> Preference:
+        """Return that a request may go anywhere at no cost."""
+        return Preference(home=self._home, preferred="", costs_s={}, other_s=0.0)
+
     def cost_s(self, data_centre: str, *, target_s: float, draw: float = 0.0) -> float:
         """Return the seconds added to an estimate, of a request as in `preference`."""
         return self.preference(target_s=target_s, draw=draw).cost_s(data_centre)
