--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -327,6 +327,7 @@
             held_back=(handler.held_back or None) if handler else None,
             booking=(handler.booking or None) if handler else None,
             deferred=(handler.deferred or None) if handler else None,
+            spillover=(handler.spillover or None) if handler else None,
             retry_after_s=record.retry_after_s,
             detail=record.detail,
             silence_looks=dict(handler.relocation.results) if handler else {},
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -110,6 +110,8 @@
         self.booking = ""
         # Why requests of other customers went first, at the last decision of that kind.
         self.deferred = ""
+        # Upstreams outside the entry's data centre that it was sent to, and why.
+        self.spillover: dict[str, str] = {}
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -233,6 +235,8 @@
         self._decision = decision
         self.held_back |= decision.held_back
         self.deferred = decision.deferred or self.deferred
+        if isinstance(decision, Dispatch) and decision.spillover:
+            self.spillover[decision.upstream.upstream_id] = decision.spillover
         self._decided.set()
 
     def _wait_for_decision(self, ticket: Ticket) -> None:
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -59,6 +59,8 @@
     - `bookings`: service to rows of customer rank, route rank, steps of 0.25 s from now
       and number of slots booked for the return of refused requests, less the returns
       that came to this entry.
+    - `demand`: service to the slots that the arrivals at the entry need, where there
+      are upstreams in several data centres.
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
     - `engine_time`: service to rows of customer rank, route rank, customer and seconds
@@ -90,6 +92,7 @@
     bookings: dict[str, tuple[tuple[int, int, int, int], ...]] = attrs.field(
         factory=dict
     )
+    demand: dict[str, float] = attrs.field(factory=dict)
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
     engine_time: dict[str, EngineRows] = attrs.field(factory=dict)
     asking: dict[str, AskingRows] = attrs.field(factory=dict)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -38,6 +38,7 @@
 from lavenderspoke.direct.sharereports import ShareReports
 from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
@@ -126,6 +127,11 @@
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
         self._backpressure = Backpressure(metrics=metrics)
+        self._spillovers = Spillovers(
+            data_centre=location.data_centre,
+            is_on=policies.spillover,
+            metrics=metrics,
+        )
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -142,6 +148,7 @@
                 metrics=metrics,
             ),
             metrics=metrics,
+            spillovers=self._spillovers,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -532,6 +539,7 @@
                 waiting=waiting,
                 held=held,
                 bookings=bookings,
+                demand=self._spillovers.rows(),
                 spent=self._usage_to_send(),
                 engine_time=self._engine_time_news.take(
                     self._scheduler.engine_time(), self._now_s()
@@ -568,6 +576,7 @@
             state = attrs.evolve(state, asking={})
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
+        self._spillovers.merge_peer(sender.name, state, now_s, age_s=age_s or 0.0)
         self._resubmissions.record_peer_refusals(state.refused, now_s)
         self._merge_bookings(sender, state, now_s, age_s or 0.0)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -23,6 +23,7 @@
     Selection,
     UpstreamSelector,
 )
+from lavenderspoke.direct.spillover import Preference, Spillover
 from lavenderspoke.direct.upstreamstate import NO_LOAD, Load, UpstreamState
 from lavenderspoke.rollouts.orders import Access
 from lavenderspoke.rollouts.versionload import VersionLoad
@@ -41,6 +42,9 @@
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
     the upstreams said they can take. The entry that chooses is in `data_centre`, and
     its connections are in `connection_view`.
+
+    `spillover`, if any, tells which data centre its requests should go to, unless
+    `is_short`: then requests wait, and any data centre will do.
     """
 
     def __init__(
@@ -52,12 +56,16 @@
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
         connection_view: ConnectionView | None = None,
+        spillover: Spillover | None = None,
     ):
         self._random = random
         self._backpressure = backpressure
         self._access = access
         self._policies = policies
         self._data_centre = data_centre
+        self.spillover = spillover
+        self.is_short = False
+        self._slots_by_data_centre: dict[str, int] | None = None
         self._states: dict[str, UpstreamState] = {}
         self._connection_preference = (
             ConnectionPreference(view=connection_view, random=random)
@@ -94,6 +102,7 @@
         """Update which requests each upstream may get."""
         for state in self._states.values():
             state.access = self._access(state.upstream)
+        self._slots_by_data_centre = None
 
     def state_of(self, upstream_id: str) -> UpstreamState | None:
         """Return an upstream's state, also of one that is leaving, or None."""
@@ -163,6 +172,15 @@
         """Return the slots of the upstreams open to all requests, even if ejected."""
         return sum(s.upstream.slots for s in self._open_states())
 
+    def slots_by_data_centre(self) -> dict[str, int]:
+        """Return these slots by data centre, as of the last list or roll-out step."""
+        if self._slots_by_data_centre is None:
+            slots: Counter[str] = Counter()
+            for state in self._open_states():
+                slots[state.upstream.data_centre] += state.upstream.slots
+            self._slots_by_data_centre = dict(slots)
+        return self._slots_by_data_centre
+
     def free_slots(self, now_s: float) -> int:
         """Return the free slots of the usable upstreams, except ejected ones."""
         in_service = (
@@ -276,7 +294,21 @@
             return Selection(upstream_state=trial_states[0])
         in_service = [s for s in available if not s.health.is_ejected]
         return self._selector.select(
-            in_service, requirements, contention.unseen_requests
+            in_service,
+            requirements,
+            contention.unseen_requests,
+            self._preference(requirements),
+        )
+
+    def _preference(self, requirements: Requirements) -> Preference | None:
+        """Return which data centre a request should go to, if there is a choice."""
+        if self.spillover is None or not self.spillover.is_active:
+            return None
+        if self.is_short:
+            return self.spillover.no_preference()
+        return self.spillover.preference(
+            target_s=min(requirements.target_s, requirements.first_byte_within_s),
+            draw=self._random.random(),
         )
 
     def _available(
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -34,6 +34,8 @@
 from lavenderspoke.direct.selection import Contention, Requirements
 from lavenderspoke.direct.sharereports import ShareReports
 from lavenderspoke.direct.slothandover import SlotHandover
+from lavenderspoke.direct.spillover import Spill
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
@@ -91,6 +93,13 @@
         """Return the slots held by this entry's requests, by rank."""
         return {rank: count for rank, count in self._held_counts.items() if count}
 
+    def needed_slots(self, now_s: float) -> float:
+        """Return the slots that the recent arrivals at this entry keep busy."""
+        return sum(
+            rates.arrivals_per_s(now_s) * rates.mean_hold_s
+            for rates in self._rank_rates.values()
+        )
+
     def submit(self, ticket: Ticket, now_s: float) -> None:
         """Dispatch or refuse a request, or let it wait."""
         self._last_number += 1
@@ -240,6 +249,15 @@
             self.shares.update(self.pool.slots(), now_s)
             self.share_reports.tick(now_s)
 
+    def update_shortage(self, now_s: float) -> None:
+        """Tell the pool whether requests wait at any entry.
+
+        Slots are short then. If each entry preferred its own data centre, all there
+        would send to its few free slots at once, and some of the requests would queue
+        at an upstream while slots are free elsewhere.
+        """
+        self.pool.is_short = bool(self.waiting() or self.peer_counts.waiting)
+
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
         """Dispatch waiting requests to free slots, and refuse expired ones.
 
@@ -256,7 +274,9 @@
                 contention=self._contention(now_s, is_claimed=is_claimed),
             )
             if selection.upstream_state is not None:
-                self._dispatch(ticket, selection.upstream_state, now_s)
+                self._dispatch(
+                    ticket, selection.upstream_state, now_s, spill=selection.spill
+                )
             elif selection.only_this_waits:
                 # Only this request waits for another upstream.
                 skipped.add(ticket.number)
@@ -372,13 +392,27 @@
             {*own, *self.waiting(), *self.peer_counts.waiting, *self.peer_counts.held}
         )
 
-    def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+    def _dispatch(
+        self,
+        ticket: Ticket,
+        state: UpstreamState,
+        now_s: float,
+        *,
+        spill: Spill | None,
+    ) -> None:
         for overtaken in self._waiting.deferred_for(ticket, now_s):
             self._record_deferred(overtaken, now_s)
         self._waiting.remove(ticket)
-        self._send(ticket, state, now_s)
+        self._send(ticket, state, now_s, spill=spill)
 
-    def _send(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+    def _send(
+        self,
+        ticket: Ticket,
+        state: UpstreamState,
+        now_s: float,
+        *,
+        spill: Spill | None = None,
+    ) -> None:
         if self.canary is not None:
             is_canary = state.access is Access.CANARY
             self.canary.record_sent(ticket.route, to_target=is_canary)
@@ -399,7 +433,10 @@
         self._charge_use(ticket, now_s)
         ticket.on_decision(
             Dispatch(
-                upstream=state.upstream, held_back=held_back, deferred=ticket.deferred
+                upstream=state.upstream,
+                held_back=held_back,
+                deferred=ticket.deferred,
+                spillover=self._spillover_reason(state.upstream, spill),
             )
         )
 
@@ -408,6 +445,14 @@
         share = self.shares.of(ticket.rank).share_of(ticket.customer, asking, now_s)
         self.share_reports.record_deferred(ticket, share, now_s)
 
+    def _spillover_reason(self, upstream: Upstream, spill: Spill | None) -> str:
+        """Count where a request goes; return why it leaves its data centre, if so."""
+        spillover = self.pool.spillover
+        if spillover is None or spill is None:
+            return ""
+        spillover.record(upstream.data_centre, spill)
+        return spillover.reason(upstream.data_centre, spill)
+
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
 
@@ -566,6 +611,7 @@
             remaining_on_time_s if remaining_on_time_s > 0.0 else remaining_s
         ),
         remaining_s=remaining_s,
+        target_s=ticket.target_s,
         excluded=ticket.excluded,
         retryable=ticket.retryable,
     )
@@ -579,7 +625,8 @@
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
     `policies` which optional policies are on. This entry is in `data_centre`, and its
-    connections are in `connection_view`. What is shared out is counted in `metrics`.
+    connections are in `connection_view`; `spillovers` has the proportions between data
+    centres. What is shared out is counted in `metrics`.
     """
 
     def __init__(
@@ -595,6 +642,7 @@
         data_centre: str = "",
         connection_view: ConnectionView | None = None,
         metrics: Metrics | None = None,
+        spillovers: Spillovers | None = None,
     ):
         self._random = random
         self.metrics = metrics or Metrics()
@@ -606,6 +654,9 @@
         self._policies = policies
         self._data_centre = data_centre
         self._connection_view = connection_view
+        self.spillovers = spillovers or Spillovers(
+            data_centre=data_centre, is_on=policies.spillover, metrics=Metrics()
+        )
         self._queues: dict[str, ServiceQueue] = {}
         self._share_weights: dict[str, float] = {}
 
@@ -619,6 +670,7 @@
                 policies=self._policies,
                 data_centre=self._data_centre,
                 connection_view=self._connection_view,
+                spillover=self.spillovers.of(service),
             )
             queue = self._queues[service] = ServiceQueue(
                 pool=pool,
@@ -685,6 +737,7 @@
 
     def tick(self, now_s: float) -> None:
         """Apply the peers' reports, refuse expired requests and dispatch others."""
+        self._update_spillovers(now_s)
         peer_loads = self._peer_loads()
         for service, queue in self._queues.items():
             queue.pool.update_peer_loads(peer_loads)
@@ -693,4 +746,13 @@
             queue.update_reserve(now_s)
             queue.pool.update_subset(sum(queue.waiting().values()), now_s)
             queue.update_shares(now_s)
+            queue.update_shortage(now_s)
             queue.dispatch_waiting(now_s)
+
+    def _update_spillovers(self, now_s: float) -> None:
+        if self.spillovers.is_due(now_s):
+            rows = [
+                (name, queue.pool.slots_by_data_centre(), queue.needed_slots(now_s))
+                for name, queue in self._queues.items()
+            ]
+            self.spillovers.update(rows, now_s)
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -33,11 +33,13 @@
 
     `held_back` are the upstreams that take no request now by their own word, and why.
     `deferred` tells why requests of other customers went first, if they did.
+    `spillover` tells why it left the entry's data centre, if it did.
     """
 
     upstream: Upstream
     held_back: dict[str, str] = attrs.field(factory=dict)
     deferred: str = ""
+    spillover: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -140,6 +140,8 @@
     around = _last_statements(earlier, _upstreams_of(line))
     if line.fields.get("deferred"):
         around += _last_share_line(earlier, line.fields.get("customer"))
+    if line.fields.get("spillover"):
+        around = _last_spillover_lines(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
@@ -177,3 +179,10 @@
         if line.message in SHARE_MESSAGES and line.fields.get("customer") == customer
     ]
     return about[-1:]
+
+
+def _last_spillover_lines(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last line of each service on whether its requests spill over."""
+    told = (signals.SPILLOVER_BEGAN, signals.SPILLOVER_ENDED)
+    last = {each.fields.get("service"): each for each in lines if each.message in told}
+    return sorted(last.values(), key=lambda each: each.at_s)
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -11,6 +11,8 @@
 PAUSE = "upstream asks for a pause"
 SHARE_LIMITED = "customer limited by its share"
 SHARE_ENDED = "customer no longer limited by its share"
+SPILLOVER_BEGAN = "data centre starts to spill over"
+SPILLOVER_ENDED = "data centre no longer spills over"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
