Avoid upstreams that are slow for a moment

An upstream that is 2.5 times slower for 600 ms is as fast as before when the mean step shows it. `PaceMonitor` judges the intervals between events (and the times of plain answers) against the usual ones: two long intervals in a row, none beside another, show a slow upstream; a single one may be a prompt that was read. Entries tell each other in `SharedState.slow`, and `UpstreamSelector` multiplies its estimates. What an entry sees itself overrides what it is told for 150 ms; the smallest of several reports counts. A suspended entry, and one to which most upstreams seem slow, reports nothing.

`event_interval_measured` gets the ticket, so that an interval can be told from another stream's; the fake dispatcher follows, without a change to what it checks.

--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -9,6 +9,7 @@
 from lavenderspoke.direct.dissemination import Dissemination
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.office import DirectDispatcher
+from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import LIVE_TIMEOUT_S, EntryLocation
 from lavenderspoke.direct.tickets import Ticket
@@ -48,6 +49,7 @@
         clock: ManualClock,
         seed: int,
         upstreams: tuple[Upstream, ...] = (UPSTREAM,),
+        policies: Policies = ALL_POLICIES,
     ):
         self.me = InstanceId(name=name, incarnation="1")
         self.location = EntryLocation(
@@ -60,6 +62,7 @@
             clock=clock,
             random=Random(seed),
             metrics=Metrics(),
+            policies=policies,
         )
         self.dispatcher.upstreams_changed(upstreams)
         self.dissemination = Dissemination(
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -73,7 +73,7 @@
     def take_retry(self, service) -> bool:
         return False
 
-    def event_interval_measured(self, upstream, step_s) -> None:
+    def event_interval_measured(self, ticket, upstream, step_s) -> None:
         pass
 
     def relocation_checked(self, result) -> None:
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -325,6 +325,7 @@
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
             held_back=(handler.held_back or None) if handler else None,
+            slow=_rounded(handler.slow) if handler else None,
             retry_after_s=record.retry_after_s,
             detail=record.detail,
             silence_looks=dict(handler.relocation.results) if handler else {},
@@ -338,6 +339,10 @@
     return None if at_s is None else round(at_s - start_s, 4)
 
 
+def _rounded(slowdowns: dict[str, float]) -> dict[str, float] | None:
+    return {key: round(each, 1) for key, each in slowdowns.items()} or None
+
+
 def _has_unread_body(http_request: CallerHttpRequest) -> bool:
     if http_request.chunked_read:
         return not http_request.rfile.closed
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -142,5 +142,7 @@
     def stream_completed(self, ticket: Ticket, steps: int) -> None:
         """Record the steps of a complete stream, its reads that brought events."""
 
-    def event_interval_measured(self, upstream: Upstream, step_s: float) -> None:
+    def event_interval_measured(
+        self, ticket: Ticket, upstream: Upstream, step_s: float
+    ) -> None:
         """Record the time between two events of a stream, in seconds."""
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -106,6 +106,8 @@
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
         self.held_back: dict[str, str] = {}
+        # Upstreams that were slow at the moment of a dispatch, and how many times.
+        self.slow: dict[str, float] = {}
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -227,6 +229,8 @@
     def _on_decision(self, decision: Decision) -> None:
         self._decision = decision
         self.held_back |= decision.held_back
+        if isinstance(decision, Dispatch):
+            self.slow |= decision.slow
         self._decided.set()
 
     def _wait_for_decision(self, ticket: Ticket) -> None:
@@ -395,7 +399,7 @@
                 now_s = self._clock.monotonic_s()
                 if previous_s is not None:
                     self._dispatcher.event_interval_measured(
-                        attempt.upstream, now_s - previous_s
+                        attempt.ticket, attempt.upstream, now_s - previous_s
                     )
                 else:
                     self._dispatcher.first_event_received(
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -59,6 +59,8 @@
     - `rollouts`: what the entry knows of each service's roll-out.
     - `limits`: what it knows of the limits that upstreams name.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
+    - `slow`: rows of an upstream and how many times slower than usual the entry's
+      requests show it to be at the moment; 1.0 contradicts others' reports.
 
     Events since the last message:
 
@@ -81,6 +83,7 @@
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
+    slow: tuple[tuple[str, float], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -24,6 +24,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
@@ -101,6 +102,12 @@
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
         self._backpressure = Backpressure(metrics=metrics)
+        # None if the policy is off.
+        self._pace = (
+            PaceMonitor(metrics=metrics, reading_s=self._reading_s)
+            if policies.stall_avoidance
+            else None
+        )
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -110,6 +117,7 @@
             canary=self._rollouts.canary_splitter,
             policies=policies,
             data_centre=location.data_centre,
+            slowdowns=self._pace.slowdowns if self._pace is not None else dict,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -200,6 +208,7 @@
             late_s = queue.record_first_event(
                 ticket, upstream.upstream_id, self._now_s()
             )
+            self._record_event(ticket, upstream)
         name = FIRST_EVENT_LATER_METRIC if late_s > 0.0 else FIRST_EVENT_EARLIER_METRIC
         tier = str(ticket.rank[1])
         self._metrics.observe(name, ticket.service, tier, abs(late_s))
@@ -240,6 +249,7 @@
             self._upstream_monitor.record_attempt(upstream, accepted, outcome, now_s)
             queue = self._scheduler.queue(ticket.service)
             queue.release(ticket, upstream.upstream_id, now_s)
+            self._record_end(ticket, upstream, accepted, outcome, now_s)
             result = attempt_result(ticket, accepted.route, outcome, now_s)
             if result is not None:
                 self._rollouts.record_attempt(upstream, result)
@@ -279,8 +289,11 @@
             pool = self._scheduler.queue(ticket.service).pool
             pool.decode_rate.record(tokens=ticket.answer_tokens, steps=steps)
 
-    def event_interval_measured(self, upstream: Upstream, step_s: float) -> None:
+    def event_interval_measured(
+        self, ticket: Ticket, upstream: Upstream, step_s: float
+    ) -> None:
         with self._lock:
+            self._record_event(ticket, upstream)
             queue = self._scheduler.queue(upstream.service)
             state = queue.pool.state_of(upstream.upstream_id)
             if state is not None:
@@ -300,6 +313,8 @@
             self._rollouts.update_upstreams(upstreams, now_s)
             self._backpressure.update_listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
+            if self._pace is not None:
+                self._pace.retain(each.upstream_id for each in upstreams)
             restarted = self._upstream_monitor.update_listed(upstreams, now_s)
             listed = {each.upstream_id for each in upstreams}
             unlisted = [each for each in self._connection_pools if each not in listed]
@@ -410,6 +425,8 @@
             self._update_shares(now_s)
             self._upstream_monitor.tick(now_s)
             self._peers.drop_stale(now_s)
+            if self._pace is not None:
+                self._pace.tick(now_s)
             self._scheduler.tick(now_s)
             self._advance_rollouts(now_s)
             queues = self._scheduler.queues().values()
@@ -458,6 +475,7 @@
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
                 upstreams_leaving=self._backpressure.leaving_here(),
+                slow=self._pace.own_rows(self._now_s()) if self._pace else (),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
                 unreached=findings.unreached,
@@ -478,11 +496,48 @@
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
         self._backpressure.merge_peer_state(sender, state, now_s)
+        if self._pace is not None:
+            self._pace.merge_peer(sender.name, state.slow, now_s, age_s=age_s or 0.0)
         self._quota.merge_peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
         return True
 
+    def _record_event(self, ticket: Ticket, upstream: Upstream) -> None:
+        if self._pace is not None:
+            self._pace.event_received(
+                upstream.upstream_id, ticket.request_id, self._now_s()
+            )
+
+    def _record_end(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        accepted: AcceptedRequest,
+        outcome: AttemptOutcome,
+        now_s: float,
+    ) -> None:
+        if self._pace is None:
+            return
+        is_plain_answer = (
+            outcome is AttemptOutcome.ANSWERED and not accepted.route.stream
+        )
+        self._pace.request_ended(
+            upstream.upstream_id,
+            ticket.request_id,
+            now_s,
+            took_s=now_s - ticket.sent_s if is_plain_answer else None,
+        )
+
+    def _reading_s(self, upstream_id: str) -> float:
+        """Return the expected time to read the prompts that wait at an upstream."""
+        for queue in self._scheduler.queues().values():
+            state = queue.pool.state_of(upstream_id)
+            if state is not None:
+                rate = queue.pool.prefill_rate.tokens_per_step
+                return state.prefill_tokens() / rate * state.step_s()
+        return 0.0
+
     def _advance_rollouts(self, now_s: float) -> None:
         if not self._rollouts.is_any_running:
             return
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -53,6 +53,8 @@
         self._policies = policies
         self._data_centre = data_centre
         self._states: dict[str, UpstreamState] = {}
+        # Upstreams that are slow at the moment, and how many times slower than usual.
+        self.slowdowns: Mapping[str, float] = {}
         self._selector = UpstreamSelector(random=random)
         self.prefill_rate = self._selector.prefill_rate
         self.decode_rate = self._selector.decode_rate
@@ -91,6 +93,22 @@
         for upstream_id, state in self._states.items():
             state.peer_load = loads.get(upstream_id, NO_LOAD)
 
+    def update_slowdowns(self, slowdowns: Mapping[str, float]) -> None:
+        """Replace how much slower upstreams are at the moment.
+
+        Where most are slow there is none to go to instead, so that none counts.
+        """
+        slow = {key: each for key, each in slowdowns.items() if key in self._states}
+        if len(slow) * 2 > len(self._states):
+            slow = {}
+        for upstream_id in self.slowdowns:
+            state = self._states.get(upstream_id)
+            if state is not None:
+                state.slowdown = 1.0
+        for upstream_id, slowdown in slow.items():
+            self._states[upstream_id].slowdown = slowdown
+        self.slowdowns = slow
+
     def evict(self, upstream_id: str, now_s: float) -> None:
         """Stop sending to an upstream that has restarted under another ID.
 
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -293,7 +293,11 @@
         state.own_requests[ticket.request_id] = ticket.prompt_tokens
         self.pool.record_sent(state, now_s)
         self._held_counts[ticket.rank] += 1
-        ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
+        ticket.on_decision(
+            Dispatch(
+                upstream=state.upstream, held_back=held_back, slow=self.pool.slowdowns
+            )
+        )
 
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
@@ -385,6 +389,7 @@
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
     `policies` which optional policies are on. This entry is in `data_centre`.
+    `slowdowns()` returns the upstreams that are slow at the moment.
     """
 
     def __init__(
@@ -398,7 +403,9 @@
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        slowdowns: Callable[[], Mapping[str, float]] = dict,
     ):
+        self._slowdowns = slowdowns
         self._random = random
         self._backpressure = backpressure or Backpressure(metrics=Metrics())
         self._peer_loads = peer_loads
@@ -446,9 +453,11 @@
 
     def tick(self, now_s: float) -> None:
         """Apply the peers' reports, refuse expired requests and dispatch others."""
-        peer_loads = self._peer_loads()
+        peer_loads, slowdowns = self._peer_loads(), self._slowdowns()
         for service, queue in self._queues.items():
             queue.pool.update_peer_loads(peer_loads)
+            if slowdowns or queue.pool.slowdowns:
+                queue.pool.update_slowdowns(slowdowns)
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -175,8 +175,9 @@
         steps = requirements.answer_tokens / self.decode_rate.tokens_per_step
         return _Candidate(
             state=state,
-            first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step),
-            answer_s=state.step_s() * steps,
+            first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step)
+            * state.slowdown,
+            answer_s=state.step_s() * steps * state.slowdown,
         )
 
 
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -4,7 +4,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -32,10 +32,12 @@
     """Send the request to this upstream now.
 
     `held_back` are the upstreams that take no request now by their own word, and why.
+    `slow` are those that were slow at the moment, and how many times slower than usual.
     """
 
     upstream: Upstream
     held_back: dict[str, str] = attrs.field(factory=dict)
+    slow: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/direct/upstreamstate.py
+++ b/lavenderspoke/direct/upstreamstate.py
@@ -34,6 +34,7 @@
 
     `own_requests` maps this entry's request IDs to their unread prompt tokens;
     `peer_load` is the other entries' load. `access` tells which requests it may get.
+    `slowdown` is how many times slower than usual it is at the moment.
     """
 
     upstream: Upstream
@@ -42,6 +43,7 @@
     own_requests: dict[str, int] = attrs.field(factory=dict)
     peer_load: Load = NO_LOAD
     evicted_until_s: float | None = None
+    slowdown: float = 1.0
 
     def free_slots(self) -> int:
         """Return the free slots; negative when entries have sent too many."""
