Hedge idempotent plain requests that take unusually long

A plain request at an upstream that stops or is slow waited for it alone, though another could still answer on time. The first whole answer wins and cancels the other attempt, which holds its slot until it has ended. The request's log line has `hedge` and `slow`, so that `explain ID` tells them.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -36,6 +36,14 @@
     And the explanation contains "upstream asks for a pause: upstream=model-1, pause_s=1.5"
     And the explanation omits what other upstreams said
 
+  Scenario: A request was sent elsewhere, and twice, since upstreams were slow
+    Guards against a choice or a second run that an operator can't explain.
+    Given a log file of a request that was hedged while an upstream was slow
+    When its id is explained from them
+    Then the explanation contains "won, after 0.061 s"
+    And the explanation contains "{'model-1': 2.5}"
+    And the explanation contains "upstream is slow at the moment: upstream=model-1"
+
   Scenario: Lines are truncated, from other programs or out of order
     A log collector truncated a line, put names before others, and changed the order.
     Given log files with truncated, unrelated and reordered lines about one request
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.helper import run, stage_of
+from lavenderspoke.direct import pacemonitor
 from standins.processes import wait_until
 
 
@@ -96,6 +97,26 @@
     context.files = [str(path)]
 
 
+@given("a log file of a request that was hedged while an upstream was slow")
+def step_hedged(context):
+    lines = [
+        record(2, pacemonitor.SLOW, upstream="model-1", by="told", times=2.5),
+        record(
+            3,
+            "request",
+            request="r1",
+            outcome="whole",
+            trail=["model-2:left", "model-3:answered"],
+            slow={"model-1": 2.5},
+            hedge="won, after 0.061 s",
+            whole_s=0.1,
+        ),
+    ]
+    path = stage_of(context).directory / "entry.log"
+    path.write_text("\n".join(lines) + "\n")
+    context.files = [str(path)]
+
+
 @then("the explanation omits what other upstreams said")
 def step_omits_others(context):
     assert "model-3" not in context.done.stdout, context.done.stdout
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -22,6 +22,7 @@
 )
 from lavenderspoke.direct.exchange import IncompleteResponse
 from lavenderspoke.direct.handling import RequestHandler
+from lavenderspoke.direct.hedgedattempt import Hedging
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.refusals import not_run
@@ -326,6 +327,7 @@
             trail=handler.trail if handler else [],
             held_back=(handler.held_back or None) if handler else None,
             slow=_rounded(handler.slow) if handler else None,
+            hedge=_hedge_text(handler.hedging) if handler else None,
             retry_after_s=record.retry_after_s,
             detail=record.detail,
             silence_looks=dict(handler.relocation.results) if handler else {},
@@ -343,6 +345,12 @@
     return {key: round(each, 1) for key, each in slowdowns.items()} or None
 
 
+def _hedge_text(hedging: Hedging) -> str | None:
+    """Return what came of a second attempt, such as "won, after 0.061 s"."""
+    result = hedging.result
+    return None if result is None else f"{result.value}, after {hedging.after_s:.3f} s"
+
+
 def _has_unread_body(http_request: CallerHttpRequest) -> bool:
     if http_request.chunked_read:
         return not http_request.rfile.closed
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -9,6 +9,7 @@
 from lavenderspoke.direct.catalog import Customer, Route
 from lavenderspoke.direct.dialect import RequestHead
 from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.hedging import HedgePlan, HedgeResult
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.http.hopbyhop import Headers
@@ -139,6 +140,17 @@
     def relocation_checked(self, result: RelocationResult) -> None:
         """Count the result of trying to relocate a request."""
 
+    def hedge_plan(self, accepted: AcceptedRequest) -> HedgePlan | None:
+        """Return when a plain request gets a second attempt, None if it gets none."""
+
+    def request_overdue(self, upstream: Upstream, elapsed_s: float) -> None:
+        """Record a plain request that takes longer than nearly all of its kind."""
+
+    def hedge_ended(
+        self, accepted: AcceptedRequest, result: HedgeResult, *, after_s: float
+    ) -> None:
+        """Record what came of a second attempt, due `after_s` after the first."""
+
     def stream_completed(self, ticket: Ticket, steps: int) -> None:
         """Record the steps of a complete stream, its reads that brought events."""
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -29,6 +29,7 @@
     NotSent,
     UpstreamResponse,
 )
+from lavenderspoke.direct.hedgedattempt import WAIT_MIN_S, Hedging
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import (
     deadline_exceeded,
@@ -130,6 +131,13 @@
             clock=clock,
             find_free_slot=lambda: self._acquire_slot(may_wait=False),
         )
+        self.hedging = Hedging(
+            accepted=accepted,
+            dispatcher=dispatcher,
+            dialect=dialect,
+            clock=clock,
+            find_free_slot=lambda: self._acquire_slot(may_wait=False),
+        )
         # An upstream's error response, returned if no later attempt gets a response.
         self._error_response: FullResponse | None = None
 
@@ -143,6 +151,7 @@
         self._decided.set()
         if cancel_handle is not None:
             cancel_handle.cancel()
+        self.hedging.cancel()
 
     def close(self) -> None:
         """End what is still in progress; must always be called.
@@ -152,6 +161,7 @@
         """
         if self._current is not None:
             self._end_attempt(self._current, AttemptOutcome.LEFT)
+        self.hedging.cancel()
         self.relocation.release()
 
     @property
@@ -165,7 +175,7 @@
             attempt = self._start_attempt()
             if isinstance(attempt, Problem):
                 return self._error_response or attempt
-            response = self._begin_response(attempt)
+            response = self._resolve_hedge(self._begin_response(attempt))
             if response is not None:
                 return response
             if not self._should_retry(attempt):
@@ -262,7 +272,10 @@
             target=accepted.head.target,
             headers=headers,
             body=accepted.body,
-            head_timeout_s=self._read_timeout_s(),
+            head_timeout_s=self.hedging.wait_s(
+                self._read_timeout_s(),
+                may_run_again=self._may_run_again(pending_runs=1),
+            ),
             on_read_timeout=self._on_read_timeout,
         )
         if isinstance(sent, Err):
@@ -286,7 +299,7 @@
         self._record_possible_run()
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
         self._end_attempt(
-            attempt, AttemptOutcome.LEFT if self._caller_gone else outcome
+            attempt, AttemptOutcome.LEFT if self._is_cancelled(attempt) else outcome
         )
 
     def _check_head(self, attempt: _Attempt) -> None:
@@ -474,7 +487,7 @@
     ) -> IncompleteResponse:
         """End an attempt with an incomplete response; return the error to raise."""
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
-        if self._caller_gone or self._remaining_s() <= 0.0:
+        if self._is_cancelled(attempt) or self._remaining_s() <= 0.0:
             outcome = AttemptOutcome.LEFT
             if error.timed_out and not self._caller_gone:
                 error = IncompleteResponse("deadline expired", timed_out=True)
@@ -520,6 +533,39 @@
                 return True
         return self._dispatcher.take_retry(self.accepted.service)
 
+    def _is_cancelled(self, attempt: _Attempt) -> bool:
+        """Return whether the caller has gone, or a second attempt was answered."""
+        return self._caller_gone or attempt.cancel_handle.cancelled
+
+    # A second attempt beside the first
+
+    def _start_hedge(self) -> float:
+        """Start a second attempt; return how long to wait on for the first one."""
+        current = self._current
+        if self.hedging.start(current.slot, current.cancel_handle, current.sent_s):
+            self._tried.add(self.hedging.attempt.slot.upstream.upstream_id)
+            # Counted already while it runs, so that no third attempt is made.
+            self.possible_runs += 1
+            if self._caller_gone:
+                self.hedging.cancel()
+        waited_s = self._clock.monotonic_s() - current.sent_s
+        return max(WAIT_MIN_S, self._read_timeout_s() - waited_s)
+
+    def _resolve_hedge(self, response: HandlerResult | None) -> HandlerResult | None:
+        """Return the answer that counts, of the first or of the second attempt."""
+        hedging = self.hedging
+        if hedging.attempt is None or hedging.result is not None:
+            return response
+        response = hedging.resolve(response, self._remaining_s())
+        outcome = hedging.attempt.outcome or AttemptOutcome.LEFT
+        upstream_id = hedging.attempt.slot.upstream.upstream_id
+        self.trail.append(f"{upstream_id}:{outcome.value}")
+        if outcome in NOT_RUN_OUTCOMES:
+            self.possible_runs -= 1
+        else:
+            self._may_have_run = True
+        return response
+
     # Read timeouts and relocation
 
     def _read_timeout_s(self) -> float:
@@ -543,6 +589,8 @@
         remaining_s = max(0.0, self._remaining_s())
         if self._caller_gone:
             return 0.0
+        if self.hedging.is_due and self._current.response is None:
+            return self._start_hedge()
         if remaining_s < RELOCATION_REMAINING_MIN_S or not self._may_relocate():
             return remaining_s
         if self.relocation.prepare(self._current.cancel_handle):
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -22,6 +22,7 @@
     RelocationResult,
 )
 from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.hedging import HedgePlan, HedgeResult, HedgeTimer
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
 from lavenderspoke.direct.pacemonitor import PaceMonitor
@@ -61,6 +62,7 @@
 FIRST_EVENT_LATER_METRIC = "direct_first_event_later_s"
 FIRST_EVENT_EARLIER_METRIC = "direct_first_event_earlier_s"
 PEER_REQUESTS_METRIC = "direct_peers_running"
+HEDGES_METRIC = "direct_hedges"
 
 log = logbook.Logger(__name__)
 
@@ -108,6 +110,7 @@
             if policies.stall_avoidance
             else None
         )
+        self._hedge_timer = HedgeTimer()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -283,6 +286,30 @@
     def relocation_checked(self, result: RelocationResult) -> None:
         self._metrics.count(RELOCATIONS_METRIC, result.value)
 
+    def hedge_plan(self, accepted: AcceptedRequest) -> HedgePlan | None:
+        if self._pace is None:
+            return None
+        with self._lock:
+            return self._hedge_timer.plan((accepted.service, accepted.route.name))
+
+    def request_overdue(self, upstream: Upstream, elapsed_s: float) -> None:
+        with self._lock:
+            if self._pace is not None:
+                self._pace.request_overdue(
+                    upstream.upstream_id, elapsed_s, self._now_s()
+                )
+
+    def hedge_ended(
+        self, accepted: AcceptedRequest, result: HedgeResult, *, after_s: float
+    ) -> None:
+        self._metrics.count(HEDGES_METRIC, result.value)
+        if result is HedgeResult.WON:
+            # The first attempt was given up after so long. If only answers counted,
+            # each second attempt would make the next ones come sooner.
+            with self._lock:
+                kind = (accepted.service, accepted.route.name)
+                self._hedge_timer.record(kind, after_s)
+
     def stream_completed(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
             ticket.events = steps
@@ -522,12 +549,13 @@
         is_plain_answer = (
             outcome is AttemptOutcome.ANSWERED and not accepted.route.stream
         )
+        took_s = now_s - ticket.sent_s if is_plain_answer else None
         self._pace.request_ended(
-            upstream.upstream_id,
-            ticket.request_id,
-            now_s,
-            took_s=now_s - ticket.sent_s if is_plain_answer else None,
+            upstream.upstream_id, ticket.request_id, now_s, took_s=took_s
         )
+        if took_s is not None:
+            kind = (accepted.service, accepted.route.name)
+            self._hedge_timer.record(kind, took_s)
 
     def _reading_s(self, upstream_id: str) -> float:
         """Return the expected time to read the prompts that wait at an upstream."""
