--- a/bench/stalls.py
+++ b/bench/stalls.py
@@ -10,18 +10,21 @@
     python -m bench.stalls
 """
 
+import itertools
 import statistics
-from collections import Counter
+from collections import Counter, defaultdict
 from random import Random
 
 import attrs
 
-from bench.engineday import SERVICE, Engine, EngineFigures, Kind, Sent
+from bench.engineday import SERVICE, Call, Engine, EngineFigures, Kind, Sent
 from bench.fleet import DAY_S, MESSAGE_S, Fleet, FleetDay
+from lavenderspoke.direct.hedging import HedgePlan, HedgeTimer
 from lavenderspoke.direct.pacemonitor import PaceMonitor
-from lavenderspoke.direct.scheduler import Scheduler
+from lavenderspoke.direct.scheduler import Scheduler, ServiceQueue
 from lavenderspoke.direct.tickets import Dispatch
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
 
 SLOW_PART = 0.15
 SLOW_TIMES = 2.5
@@ -86,7 +89,7 @@
     Kind(
         rank=0,
         per_s=130.0,
-        prompt_tokens=0,
+        prompt_tokens=1,
         events=1,
         target_s=0.19,
         deadline_s=0.65,
@@ -272,6 +275,100 @@
             self._arrives(engine, engine.waiting.popleft())
 
 
+class PlainDay(StallsDay):
+    """A day of plain requests; half of them may get a second attempt.
+
+    The attempt that is answered second runs to its end, as where an upstream doesn't
+    notice that it was cancelled.
+    """
+
+    kinds = PLAIN
+    makes = (1.0,)
+
+    def __init__(self, **options):
+        self.hedges: Counter[str] = Counter()
+        self._timers: defaultdict[ServiceQueue, HedgeTimer] = defaultdict(HedgeTimer)
+        self._budget = RetryAllowance(budget=RetryBudget(ratio=0.1, per_s_min=0.0))
+        # Calls that are answered, by when their caller asked first.
+        self._answered: set[float] = set()
+        super().__init__(figures=SERVICES, **options)
+
+    def _draw(self, kind: Kind, at_s: float, prompt_spread: float) -> Call:
+        call = super()._draw(kind, at_s, prompt_spread)
+        self._budget.record_first_attempt(at_s)
+        return attrs.evolve(call, events=1, expected_tokens=1)
+
+    def _arrives(self, engine: Engine, sent: Sent) -> None:
+        if engine.running >= engine.figures.places:
+            engine.waiting.append(sent)
+            return
+        engine.running += 1
+        work_s = self._figures.first_s * engine.slowness
+        work_s *= self._random.lognormvariate(0.0, WORK_SPREAD)
+        self._at(self.now_s + work_s, lambda: self._plain_ended(engine, sent))
+
+    def _decided(self, sent: Sent, tries: int, decision) -> None:
+        super()._decided(sent, tries, decision)
+        plan = self._timers[sent.line].plan((SERVICE, "")) if self._is_on else None
+        is_idempotent = int(sent.call.first_s * 1e6) % 2 == 0
+        if isinstance(decision, Dispatch) and plan is not None and is_idempotent:
+            first = decision.upstream.upstream_id
+            self._at(self.now_s + plan.delay_s, lambda: self._hedge(sent, plan, first))
+
+    def _hedge(self, sent: Sent, plan: HedgePlan, first: str) -> None:
+        call = sent.call
+        if call.first_s in self._answered:
+            return
+        sent.line.monitor.request_overdue(first, plan.delay_s, self.now_s)
+        on_time_until_s = call.first_s + call.kind.target_s
+        if not plan.can_be_on_time(now_s=self.now_s, on_time_until_s=on_time_until_s):
+            self.hedges["too_late"] += 1
+        elif not self._budget.try_spend(self.now_s):
+            self.hedges["no_retry"] += 1
+        else:
+            self._send_second(sent, first)
+
+    def _send_second(self, sent: Sent, first: str) -> None:
+        call = sent.call
+        ticket = attrs.evolve(
+            sent.ticket,
+            request_id=f"{sent.ticket.request_id}+",
+            excluded={first},
+            may_wait=False,
+            resubmitted=True,
+            on_decision=lambda decision: None,
+        )
+        second = Sent(call=call, ticket=ticket, line=sent.line)
+
+        def decided(decision) -> None:
+            if isinstance(decision, Dispatch):
+                self.hedges["sent"] += 1
+                self._arrives(self._engines[decision.upstream.upstream_id], second)
+            else:
+                self.hedges["no_slot"] += 1
+                self._budget.refund()
+
+        ticket.on_decision = decided
+        sent.line.submit(ticket, self.now_s)
+
+    def _plain_ended(self, engine: Engine, sent: Sent) -> None:
+        call, upstream_id = sent.call, engine.upstream.upstream_id
+        took_s = self.now_s - sent.ticket.sent_s
+        if call.first_s not in self._answered:
+            self._answered.add(call.first_s)
+            first_s = self.now_s - call.first_s
+            self.results.first_s.append(first_s)
+            self.results.on_time += first_s <= call.kind.target_s
+        self._timers[sent.line].record((SERVICE, ""), took_s)
+        engine.running -= 1
+        sent.line.monitor.request_ended(
+            upstream_id, sent.ticket.request_id, self.now_s, took_s=took_s
+        )
+        sent.line.release(sent.ticket, upstream_id, self.now_s)
+        if engine.waiting and engine.running < engine.figures.places:
+            self._arrives(engine, engine.waiting.popleft())
+
+
 def figures(days: list[StallsDay]) -> str:
     """Return the mean shares of several days as cells of a table."""
     shares = [
@@ -290,9 +387,9 @@
     return " | ".join(cells)
 
 
-def play(**options) -> StallsDay:
+def play(day_type: type[StallsDay] = StallsDay, **options) -> StallsDay:
     """Play one day."""
-    day = StallsDay(**options)
+    day = day_type(**options)
     day.worth()
     return day
 
@@ -301,36 +398,41 @@
     Fleet(entries=3, engines=20, told_every_s=0.04),
     Fleet(entries=21, engines=20, told_every_s=0.1),
 )
+PLAIN_FLEETS = tuple(attrs.evolve(each, engines=4) for each in FLEETS)
 
 
-def main() -> None:
-    """Print the table."""
+def print_table(day_type: type[StallsDay], fleets: tuple[Fleet, ...]) -> None:
+    """Print what the policy is worth, by entries, load and share of slow upstreams."""
     print(
-        print(
-            "| entries | load | slow | policy | on time | refused | to slow "
-            "| paused | p99 ms |"
-        )
+        "| entries | load | slow | policy | on time | refused | to slow | paused "
+        "| p99 ms |"
     )
     print("| ---: | ---: | ---: | --- | ---: | ---: | ---: | ---: | ---: |")
-    for fleet in FLEETS:
-        for slow_part in (SLOW_PART, 0.0):
-            for load in LOADS:
-                for is_on in (False, True):
-                    days = [
-                        play(
-                            fleet=fleet,
-                            seed=seed,
-                            load=load,
-                            is_on=is_on,
-                            slow_part=slow_part,
-                        )
-                        for seed in SEEDS
-                    ]
-                    print(
-                        f"| {fleet.entries} | {load:g} | {slow_part:.0%} "
-                        f"| {'on' if is_on else 'off'} | {figures(days)} |",
-                        flush=True,
-                    )
+    for fleet, slow_part, load in itertools.product(fleets, (SLOW_PART, 0.0), LOADS):
+        for is_on in (False, True):
+            days = [
+                play(
+                    day_type,
+                    fleet=fleet,
+                    seed=seed,
+                    load=load,
+                    is_on=is_on,
+                    slow_part=slow_part,
+                )
+                for seed in SEEDS
+            ]
+            print(
+                f"| {fleet.entries} | {load:g} | {slow_part:.0%} "
+                f"| {'on' if is_on else 'off'} | {figures(days)} |",
+                flush=True,
+            )
+
+
+def main() -> None:
+    """Print the tables of plain requests and of streams."""
+    print_table(PlainDay, PLAIN_FLEETS)
+    print()
+    print_table(StallsDay, FLEETS)
 
 
 if __name__ == "__main__":
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -83,6 +83,10 @@
     def total_s(self) -> float:
         return self.first_byte_s + self.answer_s
 
+    @property
+    def usual_first_byte_s(self) -> float:
+        return self.first_byte_s / self.state.slowdown
+
 
 class UpstreamSelector:
     """Selects the upstream with a free slot that should answer soonest."""
@@ -112,10 +116,10 @@
             return Selection(
                 upstream_state=None, only_this_waits=bool(requirements.excluded)
             )
-        on_time = [
-            each
-            for each in free
-            if each.first_byte_s <= requirements.first_byte_within_s
+        within_s = requirements.first_byte_within_s
+        # A slowdown is over soon: it is no reason to wait for a slot elsewhere.
+        on_time = [each for each in free if each.first_byte_s <= within_s] or [
+            each for each in free if each.usual_first_byte_s <= within_s
         ]
         if on_time:
             return Selection(
