--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -71,6 +71,8 @@
     - `limits`: what it knows of the limits that upstreams name.
     - `burst_credits`: customer to the tokens of a credit that the entry has recorded.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
+    - `slow`: rows of an upstream and how many times slower than usual the entry's
+      requests show it to be at the moment; 1.0 contradicts others' reports.
 
     Events since the last message:
 
@@ -100,6 +102,7 @@
     limits: tuple[LimitNews, ...] = ()
     burst_credits: tuple[tuple[str, float], ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
+    slow: tuple[tuple[str, float], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -27,8 +27,10 @@
 )
 from lavenderspoke.direct.enginetimenews import EngineTimeNews
 from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.hedging import HedgePlan, HedgeResult, HedgeTimer
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
@@ -74,6 +76,7 @@
 BOOKINGS_METRIC = "direct_bookings"
 BOOKINGS_BEGUN = "slots booked for callers who return"
 BOOKINGS_ENDED = "no more slots booked for callers who return"
+HEDGES_METRIC = "direct_hedges"
 
 log = logbook.Logger(__name__)
 
@@ -132,6 +135,13 @@
             is_on=policies.spillover,
             metrics=metrics,
         )
+        # None if the policy is off.
+        self._pace = (
+            PaceMonitor(metrics=metrics, reading_s=self._reading_s)
+            if policies.stall_avoidance
+            else None
+        )
+        self._hedge_timer = HedgeTimer()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -149,6 +159,7 @@
             ),
             metrics=metrics,
             spillovers=self._spillovers,
+            slowdowns=self._pace.slowdowns if self._pace is not None else dict,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -239,6 +250,7 @@
             late_s = queue.record_first_event(
                 ticket, upstream.upstream_id, self._now_s()
             )
+            self._record_event(ticket, upstream)
         name = FIRST_EVENT_LATER_METRIC if late_s > 0.0 else FIRST_EVENT_EARLIER_METRIC
         tier = str(ticket.rank[1])
         self._metrics.observe(name, ticket.service, tier, abs(late_s))
@@ -279,6 +291,7 @@
             self._upstream_monitor.record_attempt(upstream, accepted, outcome, now_s)
             queue = self._scheduler.queue(ticket.service)
             queue.release(ticket, upstream.upstream_id, now_s)
+            self._record_end(ticket, upstream, accepted, outcome, now_s)
             result = attempt_result(ticket, accepted.route, outcome, now_s)
             if result is not None:
                 self._rollouts.record_attempt(upstream, result)
@@ -315,14 +328,41 @@
     def relocation_checked(self, result: RelocationResult) -> None:
         self._metrics.count(RELOCATIONS_METRIC, result.value)
 
+    def hedge_plan(self, accepted: AcceptedRequest) -> HedgePlan | None:
+        if self._pace is None:
+            return None
+        with self._lock:
+            return self._hedge_timer.plan((accepted.service, accepted.route.name))
+
+    def request_overdue(self, upstream: Upstream, elapsed_s: float) -> None:
+        with self._lock:
+            if self._pace is not None:
+                self._pace.request_overdue(
+                    upstream.upstream_id, elapsed_s, self._now_s()
+                )
+
+    def hedge_ended(
+        self, accepted: AcceptedRequest, result: HedgeResult, *, after_s: float
+    ) -> None:
+        self._metrics.count(HEDGES_METRIC, result.value)
+        if result is HedgeResult.WON:
+            # The first attempt was given up after so long. If only answers counted,
+            # each second attempt would make the next ones come sooner.
+            with self._lock:
+                kind = (accepted.service, accepted.route.name)
+                self._hedge_timer.record(kind, after_s)
+
     def stream_completed(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
             ticket.events = steps
             pool = self._scheduler.queue(ticket.service).pool
             pool.decode_rate.record(tokens=ticket.answer_tokens, steps=steps)
 
-    def event_interval_measured(self, upstream: Upstream, step_s: float) -> None:
+    def event_interval_measured(
+        self, ticket: Ticket, upstream: Upstream, step_s: float
+    ) -> None:
         with self._lock:
+            self._record_event(ticket, upstream)
             queue = self._scheduler.queue(upstream.service)
             state = queue.pool.state_of(upstream.upstream_id)
             if state is not None:
@@ -342,6 +382,8 @@
             self._rollouts.update_upstreams(upstreams, now_s)
             self._backpressure.update_listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
+            if self._pace is not None:
+                self._pace.retain(each.upstream_id for each in upstreams)
             restarted = self._upstream_monitor.update_listed(upstreams, now_s)
             listed = {each.upstream_id for each in upstreams}
             unlisted = [each for each in self._connection_pools if each not in listed]
@@ -484,6 +526,8 @@
             self._update_shares(now_s)
             self._upstream_monitor.tick(now_s)
             self._peers.drop_stale(now_s)
+            if self._pace is not None:
+                self._pace.tick(now_s)
             self._scheduler.tick(now_s)
             self._advance_rollouts(now_s)
             self._update_burst_credits(now_s)
@@ -551,6 +595,7 @@
                     self._burst_credits.rows() if self._burst_credits else ()
                 ),
                 upstreams_leaving=self._backpressure.leaving_here(),
+                slow=self._pace.own_rows(self._now_s()) if self._pace else (),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
                 unreached=findings.unreached,
@@ -582,6 +627,8 @@
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
         self._backpressure.merge_peer_state(sender, state, now_s)
+        if self._pace is not None:
+            self._pace.merge_peer(sender.name, state.slow, now_s, age_s=age_s or 0.0)
         self._quota.merge_peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
@@ -627,6 +674,42 @@
                 log.info(message, service=service)
         return counts
 
+    def _record_event(self, ticket: Ticket, upstream: Upstream) -> None:
+        if self._pace is not None:
+            self._pace.event_received(
+                upstream.upstream_id, ticket.request_id, self._now_s()
+            )
+
+    def _record_end(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        accepted: AcceptedRequest,
+        outcome: AttemptOutcome,
+        now_s: float,
+    ) -> None:
+        if self._pace is None:
+            return
+        is_plain_answer = (
+            outcome is AttemptOutcome.ANSWERED and not accepted.route.stream
+        )
+        took_s = now_s - ticket.sent_s if is_plain_answer else None
+        self._pace.request_ended(
+            upstream.upstream_id, ticket.request_id, now_s, took_s=took_s
+        )
+        if took_s is not None:
+            kind = (accepted.service, accepted.route.name)
+            self._hedge_timer.record(kind, took_s)
+
+    def _reading_s(self, upstream_id: str) -> float:
+        """Return the expected time to read the prompts that wait at an upstream."""
+        for queue in self._scheduler.queues().values():
+            state = queue.pool.state_of(upstream_id)
+            if state is not None:
+                rate = queue.pool.prefill_rate.tokens_per_step
+                return state.prefill_tokens() / rate * state.step_s()
+        return 0.0
+
     def _advance_rollouts(self, now_s: float) -> None:
         if not self._rollouts.is_any_running:
             return
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -437,6 +437,7 @@
                 held_back=held_back,
                 deferred=ticket.deferred,
                 spillover=self._spillover_reason(state.upstream, spill),
+                slow=self.pool.slowdowns,
             )
         )
 
@@ -626,7 +627,8 @@
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
     `policies` which optional policies are on. This entry is in `data_centre`, and its
     connections are in `connection_view`; `spillovers` has the proportions between data
-    centres. What is shared out is counted in `metrics`.
+    centres. `slowdowns()` returns the upstreams that are slow at the moment. What is
+    shared out is counted in `metrics`.
     """
 
     def __init__(
@@ -643,7 +645,9 @@
         connection_view: ConnectionView | None = None,
         metrics: Metrics | None = None,
         spillovers: Spillovers | None = None,
+        slowdowns: Callable[[], Mapping[str, float]] = dict,
     ):
+        self._slowdowns = slowdowns
         self._random = random
         self.metrics = metrics or Metrics()
         self._backpressure = backpressure or Backpressure(metrics=self.metrics)
@@ -738,9 +742,11 @@
     def tick(self, now_s: float) -> None:
         """Apply the peers' reports, refuse expired requests and dispatch others."""
         self._update_spillovers(now_s)
-        peer_loads = self._peer_loads()
+        peer_loads, slowdowns = self._peer_loads(), self._slowdowns()
         for service, queue in self._queues.items():
             queue.pool.update_peer_loads(peer_loads)
+            if slowdowns or queue.pool.slowdowns:
+                queue.pool.update_slowdowns(slowdowns)
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -94,6 +94,10 @@
     def total_s(self) -> float:
         return self.first_byte_s + self.answer_s
 
+    @property
+    def usual_first_byte_s(self) -> float:
+        return self.first_byte_s / self.state.slowdown
+
 
 class UpstreamSelector:
     """Selects the upstream with a free slot that should answer soonest."""
@@ -131,10 +135,10 @@
             return Selection(
                 upstream_state=None, only_this_waits=bool(requirements.excluded)
             )
-        on_time = [
-            each
-            for each in free
-            if each.first_byte_s <= requirements.first_byte_within_s
+        within_s = requirements.first_byte_within_s
+        # A slowdown is over soon: it is no reason to wait for a slot elsewhere.
+        on_time = [each for each in free if each.first_byte_s <= within_s] or [
+            each for each in free if each.usual_first_byte_s <= within_s
         ]
         if on_time:
             return self._selected(
@@ -260,8 +264,9 @@
         steps = requirements.answer_tokens / self.decode_rate.tokens_per_step
         return _Candidate(
             state=state,
-            first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step),
-            answer_s=estimate.step_s * steps,
+            first_byte_s=estimate.first_byte_s(self.prefill_rate.tokens_per_step)
+            * state.slowdown,
+            answer_s=estimate.step_s * steps * state.slowdown,
         )
 
 
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -4,7 +4,7 @@
 """
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -34,12 +34,14 @@
     `held_back` are the upstreams that take no request now by their own word, and why.
     `deferred` tells why requests of other customers went first, if they did.
     `spillover` tells why it left the entry's data centre, if it did.
+    `slow` are those that were slow at the moment, and how many times slower than usual.
     """
 
     upstream: Upstream
     held_back: dict[str, str] = attrs.field(factory=dict)
     deferred: str = ""
     spillover: str = ""
+    slow: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
