Leave time for the answer when a returned request waits

They now wait at most until 1.5 mean hold times before the deadline, and until half a second before their callers leave.

--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -145,7 +145,10 @@
         # A further attempt of a request that was sent before isn't a return.
         if not ticket.excluded:
             ticket.booking = self.bookings.redeem(ticket.rank, now_s).value
-        return self._wait_policy.returned_wait_max_s(ticket, now_s)
+        mean_hold_s = self._rates_of(ticket.rank).mean_hold_s
+        return self._wait_policy.returned_wait_max_s(
+            ticket, now_s, mean_hold_s=mean_hold_s
+        )
 
     def _try_canary(self, ticket: Ticket, now_s: float) -> bool:
         """Send a request to a roll-out's target if it is due and a slot is free."""
@@ -581,9 +584,10 @@
             or reason is Refusal.NO_UPSTREAM
         ):
             return None
-        latest_s = self._wait_policy.retry_after_max_s(ticket, now_s)
-        if latest_s < backlog.blocked_s:
+        if backlog.blocked_s > 0.0:
+            # The upstreams say themselves when they take requests again.
             return None
+        latest_s = self._wait_policy.retry_after_max_s(ticket, now_s)
         earliest_s = max(min(RETRY_AFTER_MIN_S, latest_s), backlog.expected_wait_s())
         per_s = backlog.slots / backlog.mean_hold_s
         if now_s + earliest_s > ticket.on_time_until_s:
--- a/lavenderspoke/direct/waitpolicy.py
+++ b/lavenderspoke/direct/waitpolicy.py
@@ -24,6 +24,12 @@
 # within the seconds that it may wait, and refused now it is lost. Without a bound, a
 # fifth of all requests of a burst of 2.3 times the capacity is held in vain.
 LAST_TRY_TOLERANCE = 4.0
+# Time for the answer that a returned request leaves when it waits, in mean hold times
+# of its rank: answers differ in length. One that is sent with less is cut off at its
+# deadline after it has held a slot for nothing.
+ANSWER_HOLDS = 1.5
+# The most of that time that passes before the first byte, for which callers wait.
+FIRST_BYTE_MAX_S = 0.5
 # Time before the deadline that is never used for waiting: an answer that begins with
 # less left would be cut off.
 DEADLINE_MARGIN_S = 0.15
@@ -80,12 +86,19 @@
         return min(remaining_s, ticket.on_time_until_s - now_s)
 
     @staticmethod
-    def returned_wait_max_s(ticket: Ticket, now_s: float) -> float:
+    def returned_wait_max_s(
+        ticket: Ticket, now_s: float, *, mean_hold_s: float
+    ) -> float:
         """Return how long a returned request may wait where slots are booked.
 
-        It has no further try, so it waits as long as its caller does.
+        It has no further try, so it waits as long as its caller does, less the time for
+        its answer. `mean_hold_s` is how long answers of its rank hold a slot.
         """
-        latest_s = min(ticket.deadline_s, ticket.idle_since_s + ticket.patience_s)
+        first_byte_s = min(mean_hold_s, FIRST_BYTE_MAX_S)
+        latest_s = min(
+            ticket.deadline_s - ANSWER_HOLDS * mean_hold_s,
+            ticket.idle_since_s + ticket.patience_s - first_byte_s,
+        )
         return latest_s - now_s - DEADLINE_MARGIN_S
 
     @staticmethod
