Book retries only where the configuration leaves time for late service

Only routes whose callers have twelve targets or more are now booked and wait; the others are told and held as before.

--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -145,6 +145,8 @@
         # A further attempt of a request that was sent before isn't a return.
         if not ticket.excluded:
             ticket.booking = self.bookings.redeem(ticket.rank, now_s).value
+        if not self._wait_policy.allows_late_service(ticket):
+            return wait_max_s
         mean_hold_s = self._rates_of(ticket.rank).mean_hold_s
         return self._wait_policy.returned_wait_max_s(
             ticket, now_s, mean_hold_s=mean_hold_s
@@ -529,7 +531,11 @@
         The returns that are expected before it count, unless it has returned itself.
         """
         backlog = expected = self._backlog(ticket, now_s)
-        is_last_try = self.bookings is not None and ticket.resubmitted
+        is_last_try = (
+            self.bookings is not None
+            and ticket.resubmitted
+            and self._wait_policy.allows_late_service(ticket)
+        )
         if self.bookings and not ticket.resubmitted:
             booked = self.bookings.outstanding(
                 ticket.rank, until_s=backlog.expected_wait_s(), now_s=now_s
@@ -582,6 +588,7 @@
             or ticket.resubmitted
             or not ticket.may_wait
             or reason is Refusal.NO_UPSTREAM
+            or not self._wait_policy.allows_late_service(ticket)
         ):
             return None
         if backlog.blocked_s > 0.0:
--- a/lavenderspoke/direct/waitpolicy.py
+++ b/lavenderspoke/direct/waitpolicy.py
@@ -24,6 +24,10 @@
 # within the seconds that it may wait, and refused now it is lost. Without a bound, a
 # fifth of all requests of a burst of 2.3 times the capacity is held in vain.
 LAST_TRY_TOLERANCE = 4.0
+# Time that a caller must have for late service, in targets of its route: a third of it
+# until its return, a third of it in which the burst ends, and a third for the answer,
+# which takes a few targets.
+LATE_SERVICE_TARGETS = 12.0
 # Time for the answer that a returned request leaves when it waits, in mean hold times
 # of its rank: answers differ in length. One that is sent with less is cut off at its
 # deadline after it has held a slot for nothing.
@@ -85,6 +89,16 @@
             return remaining_s * HIGHEST_RANK_WAIT_SHARE
         return min(remaining_s, ticket.on_time_until_s - now_s)
 
+    @staticmethod
+    def allows_late_service(ticket: Ticket) -> bool:
+        """Return whether the configuration leaves time to serve a request much later.
+
+        Otherwise a return that waits for the end of a burst is sent too late for its
+        answer, or held in vain.
+        """
+        time_s = ticket.deadline_s - ticket.first_arrived_s
+        return time_s >= LATE_SERVICE_TARGETS * ticket.target_s
+
     @staticmethod
     def returned_wait_max_s(
         ticket: Ticket, now_s: float, *, mean_hold_s: float
