--- a/lavenderspoke/direct/spillover.py
+++ b/lavenderspoke/direct/spillover.py
@@ -28,8 +28,8 @@
 # The shortest time between two changes of direction. It bounds the log lines.
 CHANGE_INTERVAL_S = 1.0
 # Cost of leaving the data centre, as a share of the request's target at most: staying
-# must not make an answer late. With 0.2, 68 entries at 0.75 of what 65 engines can do
-# made 0.2 to 0.6 percent of answers late, and 0.1 none of them (bench/spillover.py).
+# must not make an answer late. At a fifth of the target, requests that stay wait behind
+# others that entries haven't reported yet, and some of their answers are late.
 COST_TARGET_SHARE = 0.1
 # Parts of that cost. A request that should go elsewhere rather stays than goes to a
 # third data centre, and goes to one with free slots before one without.
