Move the rendezvous hash below both rooms that use it

Direct dispatch imported it from the agents' membership, which the check of rooms forbids; it now lies in the model, which both import. The hash and its results are the same.

--- a/lavenderspoke/direct/upstreamsubset.py
+++ b/lavenderspoke/direct/upstreamsubset.py
@@ -17,7 +17,7 @@
 import logbook
 
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.membership.subset import rendezvous_hash
+from lavenderspoke.model import rendezvous_hash
 from lavenderspoke.observing.metrics import Metrics
 
 # The fewest members. With fewer, one slow or full member is a large part of them, and
--- a/lavenderspoke/membership/subset.py
+++ b/lavenderspoke/membership/subset.py
@@ -6,9 +6,8 @@
 where an entry is added or removed.
 """
 
-import hashlib
-
 from lavenderspoke.membership.memberlist import Member
+from lavenderspoke.model import rendezvous_hash
 
 
 def choose_entries(
@@ -26,8 +25,3 @@
     near_count = max(count - len(far), count - count // 2)
     chosen = near[:near_count]
     return tuple(each.name for each in chosen + far[: count - len(chosen)])
-
-
-def rendezvous_hash(agent_name: str, entry_name: str) -> bytes:
-    """Return the hash an agent ranks an entry by; same on all machines."""
-    return hashlib.sha256(f"{agent_name}\0{entry_name}".encode()).digest()
--- a/lavenderspoke/model.py
+++ b/lavenderspoke/model.py
@@ -1,6 +1,7 @@
 """The things that entries, agents and documents all speak of."""
 
 import enum
+import hashlib
 
 import attrs
 
@@ -75,3 +76,11 @@
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
+
+
+def rendezvous_hash(name: str, other_name: str) -> bytes:
+    """Return the hash by which one daemon ranks another; same on all machines.
+
+    With subsets chosen by it, a daemon that is added or removed changes few of them.
+    """
+    return hashlib.sha256(f"{name}\0{other_name}".encode()).digest()
