--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -140,6 +140,7 @@
             on_change=entry.dispatcher.peers_listed,
             on_credits=entry.dispatcher.burst_credits_read,
         )
+        self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
             store=Store(address=settings.store),
             clock=clock,
@@ -149,14 +150,16 @@
 
     def parts(self) -> list[tuple[str, Part]]:
         """Return the parts in the order in which they start."""
-        return [
+        parts = [
             ("settings", self._reloader.part),
             ("configuration", self._configuration),
             ("upstreams", self._upstreams),
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
-            ("credits", self._credits.part),
         ]
+        if self._has_credits:
+            parts.append(("credits", self._credits.part))
+        return parts
 
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
         """Handle a message from another entry about the store's records."""
