--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -29,6 +29,7 @@
     NotSent,
     UpstreamResponse,
 )
+from lavenderspoke.direct.hedgedattempt import WAIT_MIN_S, Hedging
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.refusals import (
     deadline_exceeded,
@@ -108,6 +109,12 @@
         self.held_back: dict[str, str] = {}
         # What is booked for its return, or was booked for it, at the last decision.
         self.booking = ""
+        # Why requests of other customers went first, at the last decision of that kind.
+        self.deferred = ""
+        # Upstreams outside the entry's data centre that it was sent to, and why.
+        self.spillover: dict[str, str] = {}
+        # Upstreams that were slow at the moment of a dispatch, and how many times.
+        self.slow: dict[str, float] = {}
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._clock = clock
@@ -130,6 +137,13 @@
             clock=clock,
             find_free_slot=lambda: self._acquire_slot(may_wait=False),
         )
+        self.hedging = Hedging(
+            accepted=accepted,
+            dispatcher=dispatcher,
+            dialect=dialect,
+            clock=clock,
+            find_free_slot=lambda: self._acquire_slot(may_wait=False),
+        )
         # An upstream's error response, returned if no later attempt gets a response.
         self._error_response: FullResponse | None = None
 
@@ -143,6 +157,7 @@
         self._decided.set()
         if cancel_handle is not None:
             cancel_handle.cancel()
+        self.hedging.cancel()
 
     def close(self) -> None:
         """End what is still in progress; must always be called.
@@ -152,6 +167,7 @@
         """
         if self._current is not None:
             self._end_attempt(self._current, AttemptOutcome.LEFT)
+        self.hedging.cancel()
         self.relocation.release()
 
     @property
@@ -165,7 +181,7 @@
             attempt = self._start_attempt()
             if isinstance(attempt, Problem):
                 return self._error_response or attempt
-            response = self._begin_response(attempt)
+            response = self._resolve_hedge(self._begin_response(attempt))
             if response is not None:
                 return response
             if not self._should_retry(attempt):
@@ -206,6 +222,7 @@
             request_id=f"{accepted.head.request_id}.{len(self.trail)}",
             service=accepted.service,
             route=accepted.route.name,
+            customer=accepted.customer.name if accepted.customer else "",
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
@@ -229,6 +246,11 @@
     def _on_decision(self, decision: Decision) -> None:
         self._decision = decision
         self.held_back |= decision.held_back
+        self.deferred = decision.deferred or self.deferred
+        if isinstance(decision, Dispatch):
+            self.slow |= decision.slow
+            if decision.spillover:
+                self.spillover[decision.upstream.upstream_id] = decision.spillover
         self._decided.set()
 
     def _wait_for_decision(self, ticket: Ticket) -> None:
@@ -261,7 +283,10 @@
             target=accepted.head.target,
             headers=headers,
             body=accepted.body,
-            head_timeout_s=self._read_timeout_s(),
+            head_timeout_s=self.hedging.wait_s(
+                self._read_timeout_s(),
+                may_run_again=self._may_run_again(pending_runs=1),
+            ),
             on_read_timeout=self._on_read_timeout,
         )
         if isinstance(sent, Err):
@@ -285,7 +310,7 @@
         self._record_possible_run()
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
         self._end_attempt(
-            attempt, AttemptOutcome.LEFT if self._caller_gone else outcome
+            attempt, AttemptOutcome.LEFT if self._is_cancelled(attempt) else outcome
         )
 
     def _check_head(self, attempt: _Attempt) -> None:
@@ -398,7 +423,7 @@
                 now_s = self._clock.monotonic_s()
                 if previous_s is not None:
                     self._dispatcher.event_interval_measured(
-                        attempt.upstream, now_s - previous_s
+                        attempt.ticket, attempt.upstream, now_s - previous_s
                     )
                 else:
                     self._dispatcher.first_event_received(
@@ -408,11 +433,12 @@
                 self.relocation.clear_excluded()
                 step_count += 1
                 self._record_event_id(events)
+                if not splitter.rest() and attempt.response.end_if_arrived():
+                    self._complete_stream(attempt, step_count)
                 yield events.body
             if rest := splitter.rest():
                 yield rest
-            self._dispatcher.stream_completed(attempt.ticket, step_count)
-            self._end_attempt(attempt, AttemptOutcome.ANSWERED)
+            self._complete_stream(attempt, step_count)
         except EventTooLong as error:
             self._end_attempt(attempt, AttemptOutcome.FAILED)
             raise IncompleteResponse("an event exceeds the size limit") from error
@@ -421,6 +447,12 @@
         finally:
             self._end_attempt(attempt, AttemptOutcome.LEFT)
 
+    def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
+        """End the attempt of a complete stream; a further call does nothing."""
+        if attempt.outcome is None:
+            self._dispatcher.stream_completed(attempt.ticket, step_count)
+            self._end_attempt(attempt, AttemptOutcome.ANSWERED)
+
     def _record_event_id(self, events: Events) -> None:
         """Record the last event id; raise IncompleteResponse if the ids don't rise.
 
@@ -473,7 +505,7 @@
     ) -> IncompleteResponse:
         """End an attempt with an incomplete response; return the error to raise."""
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
-        if self._caller_gone or self._remaining_s() <= 0.0:
+        if self._is_cancelled(attempt) or self._remaining_s() <= 0.0:
             outcome = AttemptOutcome.LEFT
             if error.timed_out and not self._caller_gone:
                 error = IncompleteResponse("deadline expired", timed_out=True)
@@ -519,6 +551,39 @@
                 return True
         return self._dispatcher.take_retry(self.accepted.service)
 
+    def _is_cancelled(self, attempt: _Attempt) -> bool:
+        """Return whether the caller has gone, or a second attempt was answered."""
+        return self._caller_gone or attempt.cancel_handle.cancelled
+
+    # A second attempt beside the first
+
+    def _start_hedge(self) -> float:
+        """Start a second attempt; return how long to wait on for the first one."""
+        current = self._current
+        if self.hedging.start(current.slot, current.cancel_handle, current.sent_s):
+            self._tried.add(self.hedging.attempt.slot.upstream.upstream_id)
+            # Counted already while it runs, so that no third attempt is made.
+            self.possible_runs += 1
+            if self._caller_gone:
+                self.hedging.cancel()
+        waited_s = self._clock.monotonic_s() - current.sent_s
+        return max(WAIT_MIN_S, self._read_timeout_s() - waited_s)
+
+    def _resolve_hedge(self, response: HandlerResult | None) -> HandlerResult | None:
+        """Return the answer that counts, of the first or of the second attempt."""
+        hedging = self.hedging
+        if hedging.attempt is None or hedging.result is not None:
+            return response
+        response = hedging.resolve(response, self._remaining_s())
+        outcome = hedging.attempt.outcome or AttemptOutcome.LEFT
+        upstream_id = hedging.attempt.slot.upstream.upstream_id
+        self.trail.append(f"{upstream_id}:{outcome.value}")
+        if outcome in NOT_RUN_OUTCOMES:
+            self.possible_runs -= 1
+        else:
+            self._may_have_run = True
+        return response
+
     # Read timeouts and relocation
 
     def _read_timeout_s(self) -> float:
@@ -542,6 +607,8 @@
         remaining_s = max(0.0, self._remaining_s())
         if self._caller_gone:
             return 0.0
+        if self.hedging.is_due and self._current.response is None:
+            return self._start_hedge()
         if remaining_s < RELOCATION_REMAINING_MIN_S or not self._may_relocate():
             return remaining_s
         if self.relocation.prepare(self._current.cancel_handle):
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from lavenderspoke.direct.askingrows import AskingRows
+from lavenderspoke.direct.enginetimenews import EngineRows
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.model import InstanceId
 from lavenderspoke.poison import CrashEvidence
@@ -57,12 +59,20 @@
     - `bookings`: service to rows of customer rank, route rank, steps of 0.25 s from now
       and number of slots booked for the return of refused requests, less the returns
       that came to this entry.
+    - `demand`: service to the slots that the arrivals at the entry need, where there
+      are upstreams in several data centres.
     - `spent`: customer to rows of route rank, cost admitted and cost requested, since
       the entry started. Customers without a change may be left out.
+    - `engine_time`: service to rows of customer rank, route rank, customer and seconds
+      of engine time, since the entry started. Rows without a change may be left out.
+    - `asking`: service to rows of customer rank, route rank, customer and number of
+      requests queued.
     - `rollouts`: what the entry knows of each service's roll-out.
     - `limits`: what it knows of the limits that upstreams name.
     - `burst_credits`: customer to the tokens of a credit that the entry has recorded.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
+    - `slow`: rows of an upstream and how many times slower than usual the entry's
+      requests show it to be at the moment; 1.0 contradicts others' reports.
 
     Events since the last message:
 
@@ -84,11 +94,15 @@
     bookings: dict[str, tuple[tuple[int, int, int, int], ...]] = attrs.field(
         factory=dict
     )
+    demand: dict[str, float] = attrs.field(factory=dict)
     spent: dict[str, UsageRows] = attrs.field(factory=dict)
+    engine_time: dict[str, EngineRows] = attrs.field(factory=dict)
+    asking: dict[str, AskingRows] = attrs.field(factory=dict)
     rollouts: tuple[RolloutNews, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     burst_credits: tuple[tuple[str, float], ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
+    slow: tuple[tuple[str, float], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -13,26 +13,34 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.askingrows import are_valid, asking_rows
 from lavenderspoke.direct.attemptresults import attempt_result
 from lavenderspoke.direct.backpressure import Backpressure
 from lavenderspoke.direct.burstcredits import BurstCredits
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
+from lavenderspoke.direct.connectionpreference import ConnectionView
 from lavenderspoke.direct.dispatcher import (
     AcceptedRequest,
     AttemptOutcome,
     RelocationResult,
 )
+from lavenderspoke.direct.enginetimenews import EngineTimeNews
 from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.hedging import HedgePlan, HedgeResult, HedgeTimer
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import not_run
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
+from lavenderspoke.direct.sharereports import ShareReports
+from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
@@ -66,6 +74,9 @@
 FIRST_EVENT_EARLIER_METRIC = "direct_first_event_earlier_s"
 PEER_REQUESTS_METRIC = "direct_peers_running"
 BOOKINGS_METRIC = "direct_bookings"
+BOOKINGS_BEGUN = "slots booked for callers who return"
+BOOKINGS_ENDED = "no more slots booked for callers who return"
+HEDGES_METRIC = "direct_hedges"
 
 log = logbook.Logger(__name__)
 
@@ -106,9 +117,12 @@
         )
         self._sent_usage: dict[str, UsageRows] = {}
         self._full_usage_sent_s = 0.0
+        self._engine_time_news = EngineTimeNews()
+        self._share_reports = ShareReports(service="", metrics=metrics)
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._known_entries = 1
         self._malformed_bookings: set[str] = set()
+        self._booked_services: set[str] = set()
         self._peers_listed = False
         self._own_share_only_until_s = clock.monotonic_s() + OWN_SHARE_ONLY_S
         self._connection_pools: dict[str, ConnectionPool] = {}
@@ -116,6 +130,18 @@
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
         self._backpressure = Backpressure(metrics=metrics)
+        self._spillovers = Spillovers(
+            data_centre=location.data_centre,
+            is_on=policies.spillover,
+            metrics=metrics,
+        )
+        # None if the policy is off.
+        self._pace = (
+            PaceMonitor(metrics=metrics, reading_s=self._reading_s)
+            if policies.stall_avoidance
+            else None
+        )
+        self._hedge_timer = HedgeTimer()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -125,6 +151,15 @@
             canary=self._rollouts.canary_splitter,
             policies=policies,
             data_centre=location.data_centre,
+            connection_view=ConnectionView(
+                entry_name=name,
+                live_entries=lambda: self._peers.live_names(self._now_s()),
+                has_idle=self._has_idle_connection,
+                metrics=metrics,
+            ),
+            metrics=metrics,
+            spillovers=self._spillovers,
+            slowdowns=self._pace.slowdowns if self._pace is not None else dict,
         )
         self._upstream_monitor = UpstreamMonitor(
             own_name=name, scheduler=self._scheduler, metrics=metrics
@@ -215,6 +250,7 @@
             late_s = queue.record_first_event(
                 ticket, upstream.upstream_id, self._now_s()
             )
+            self._record_event(ticket, upstream)
         name = FIRST_EVENT_LATER_METRIC if late_s > 0.0 else FIRST_EVENT_EARLIER_METRIC
         tier = str(ticket.rank[1])
         self._metrics.observe(name, ticket.service, tier, abs(late_s))
@@ -255,6 +291,7 @@
             self._upstream_monitor.record_attempt(upstream, accepted, outcome, now_s)
             queue = self._scheduler.queue(ticket.service)
             queue.release(ticket, upstream.upstream_id, now_s)
+            self._record_end(ticket, upstream, accepted, outcome, now_s)
             result = attempt_result(ticket, accepted.route, outcome, now_s)
             if result is not None:
                 self._rollouts.record_attempt(upstream, result)
@@ -269,7 +306,10 @@
             pool = self._connection_pools.get(upstream.upstream_id)
             if pool is None:
                 pool = ConnectionPool(
-                    host=upstream.host, port=upstream.port, clock=self._clock
+                    host=upstream.host,
+                    port=upstream.port,
+                    clock=self._clock,
+                    metrics=self._metrics,
                 )
                 self._connection_pools[upstream.upstream_id] = pool
             return pool
@@ -288,14 +328,41 @@
     def relocation_checked(self, result: RelocationResult) -> None:
         self._metrics.count(RELOCATIONS_METRIC, result.value)
 
+    def hedge_plan(self, accepted: AcceptedRequest) -> HedgePlan | None:
+        if self._pace is None:
+            return None
+        with self._lock:
+            return self._hedge_timer.plan((accepted.service, accepted.route.name))
+
+    def request_overdue(self, upstream: Upstream, elapsed_s: float) -> None:
+        with self._lock:
+            if self._pace is not None:
+                self._pace.request_overdue(
+                    upstream.upstream_id, elapsed_s, self._now_s()
+                )
+
+    def hedge_ended(
+        self, accepted: AcceptedRequest, result: HedgeResult, *, after_s: float
+    ) -> None:
+        self._metrics.count(HEDGES_METRIC, result.value)
+        if result is HedgeResult.WON:
+            # The first attempt was given up after so long. If only answers counted,
+            # each second attempt would make the next ones come sooner.
+            with self._lock:
+                kind = (accepted.service, accepted.route.name)
+                self._hedge_timer.record(kind, after_s)
+
     def stream_completed(self, ticket: Ticket, steps: int) -> None:
         with self._lock:
             ticket.events = steps
             pool = self._scheduler.queue(ticket.service).pool
             pool.decode_rate.record(tokens=ticket.answer_tokens, steps=steps)
 
-    def event_interval_measured(self, upstream: Upstream, step_s: float) -> None:
+    def event_interval_measured(
+        self, ticket: Ticket, upstream: Upstream, step_s: float
+    ) -> None:
         with self._lock:
+            self._record_event(ticket, upstream)
             queue = self._scheduler.queue(upstream.service)
             state = queue.pool.state_of(upstream.upstream_id)
             if state is not None:
@@ -315,6 +382,8 @@
             self._rollouts.update_upstreams(upstreams, now_s)
             self._backpressure.update_listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
+            if self._pace is not None:
+                self._pace.retain(each.upstream_id for each in upstreams)
             restarted = self._upstream_monitor.update_listed(upstreams, now_s)
             listed = {each.upstream_id for each in upstreams}
             unlisted = [each for each in self._connection_pools if each not in listed]
@@ -335,6 +404,9 @@
                 for share in route.traffic_split
             )
             self._quota.reconfigure(catalog.customers, now_s=self._now_s())
+            self._scheduler.set_share_weights(share_weights(catalog.customers))
+            # A single customer has nobody to share with.
+            self._engine_time_news.is_needed = len(catalog.customers) > 1
 
     def reload(self, bounds: Bounds) -> None:
         """Apply changed bounds."""
@@ -454,18 +526,16 @@
             self._update_shares(now_s)
             self._upstream_monitor.tick(now_s)
             self._peers.drop_stale(now_s)
+            if self._pace is not None:
+                self._pace.tick(now_s)
             self._scheduler.tick(now_s)
             self._advance_rollouts(now_s)
             self._update_burst_credits(now_s)
             queues = self._scheduler.queues().values()
             running = sum(queue.pool.peer_requests() for queue in queues)
-            booked = [
-                queue.bookings.take_counts()
-                for queue in queues
-                if queue.bookings is not None
-            ]
+            booked = self._booking_counts()
         self._metrics.set_gauge(PEER_REQUESTS_METRIC, running)
-        for reason, count in sum(booked, Counter()).items():
+        for reason, count in booked.items():
             self._metrics.count(BOOKINGS_METRIC, reason, count)
 
     def known_peers(self) -> dict[str, EntryLocation]:
@@ -491,7 +561,7 @@
     def outgoing_updates(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
         """Return what is to be sent to the other entries now."""
         with self._lock:
-            running, waiting, held, bookings = {}, {}, {}, {}
+            running, waiting, held, bookings, asking = {}, {}, {}, {}, {}
             for service, queue in self._scheduler.queues().items():
                 for upstream_id, each in queue.pool.own_loads().items():
                     running[upstream_id] = (each.requests, each.prefill_tokens)
@@ -503,6 +573,8 @@
                     rows := queue.bookings.rows(self._now_s())
                 ):
                     bookings[service] = rows
+                if self._engine_time_news.is_needed and (rows := queue.asking()):
+                    asking[service] = asking_rows(rows)
             findings = self._upstream_monitor.take_findings()
             state = SharedState(
                 address=self.location.address,
@@ -511,13 +583,19 @@
                 waiting=waiting,
                 held=held,
                 bookings=bookings,
+                demand=self._spillovers.rows(),
                 spent=self._usage_to_send(),
+                engine_time=self._engine_time_news.take(
+                    self._scheduler.engine_time(), self._now_s()
+                ),
+                asking=asking,
                 rollouts=self._rollouts.outgoing_news(self._now_s()),
                 limits=self._backpressure.limits.reports(self._now_s()),
                 burst_credits=(
                     self._burst_credits.rows() if self._burst_credits else ()
                 ),
                 upstreams_leaving=self._backpressure.leaving_here(),
+                slow=self._pace.own_rows(self._now_s()) if self._pace else (),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
                 unreached=findings.unreached,
@@ -529,20 +607,35 @@
 
     # Internals
 
+    def _has_idle_connection(self, upstream_id: str) -> bool:
+        pool = self._connection_pools.get(upstream_id)
+        return pool is not None and pool.has_idle()
+
     def _merge_state(
         self, sender: InstanceId, state: SharedState, now_s: float, age_s: float | None
     ) -> bool:
+        if not are_valid(state.asking):
+            self._share_reports.record_invalid(
+                sender.name, sender.incarnation, "asking"
+            )
+            state = attrs.evolve(state, asking={})
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
+        self._spillovers.merge_peer(sender.name, state, now_s, age_s=age_s or 0.0)
         self._resubmissions.record_peer_refusals(state.refused, now_s)
         self._merge_bookings(sender, state, now_s, age_s or 0.0)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
         self._backpressure.merge_peer_state(sender, state, now_s)
+        if self._pace is not None:
+            self._pace.merge_peer(sender.name, state.slow, now_s, age_s=age_s or 0.0)
         self._quota.merge_peer_spent(
             sender.name, sender.incarnation, state.spent, now_s=now_s
         )
         self._merge_burst_credits(sender, state, now_s - (age_s or 0.0))
+        self._scheduler.merge_engine_time(
+            sender.name, sender.incarnation, state.engine_time, now_s
+        )
         return True
 
     def _merge_bookings(
@@ -563,6 +656,60 @@
             self._malformed_bookings.add(sender.name)
             log.warning("malformed bookings of an entry ignored", entry=sender.name)
 
+    def _booking_counts(self) -> Counter[str]:
+        """Return what became of bookings since the last call.
+
+        A line is logged where a service begins or ceases to have any.
+        """
+        counts: Counter[str] = Counter()
+        for service, queue in self._scheduler.queues().items():
+            if queue.bookings is None:
+                continue
+            queue.bookings.expire(self._now_s())
+            counts.update(queue.bookings.take_counts())
+            if bool(queue.bookings) != (service in self._booked_services):
+                self._booked_services ^= {service}
+                is_begun = service in self._booked_services
+                message = BOOKINGS_BEGUN if is_begun else BOOKINGS_ENDED
+                log.info(message, service=service)
+        return counts
+
+    def _record_event(self, ticket: Ticket, upstream: Upstream) -> None:
+        if self._pace is not None:
+            self._pace.event_received(
+                upstream.upstream_id, ticket.request_id, self._now_s()
+            )
+
+    def _record_end(
+        self,
+        ticket: Ticket,
+        upstream: Upstream,
+        accepted: AcceptedRequest,
+        outcome: AttemptOutcome,
+        now_s: float,
+    ) -> None:
+        if self._pace is None:
+            return
+        is_plain_answer = (
+            outcome is AttemptOutcome.ANSWERED and not accepted.route.stream
+        )
+        took_s = now_s - ticket.sent_s if is_plain_answer else None
+        self._pace.request_ended(
+            upstream.upstream_id, ticket.request_id, now_s, took_s=took_s
+        )
+        if took_s is not None:
+            kind = (accepted.service, accepted.route.name)
+            self._hedge_timer.record(kind, took_s)
+
+    def _reading_s(self, upstream_id: str) -> float:
+        """Return the expected time to read the prompts that wait at an upstream."""
+        for queue in self._scheduler.queues().values():
+            state = queue.pool.state_of(upstream_id)
+            if state is not None:
+                rate = queue.pool.prefill_rate.tokens_per_step
+                return state.prefill_tokens() / rate * state.step_s()
+        return 0.0
+
     def _advance_rollouts(self, now_s: float) -> None:
         if not self._rollouts.is_any_running:
             return
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -8,6 +8,10 @@
 import attrs
 
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.connectionpreference import (
+    ConnectionPreference,
+    ConnectionView,
+)
 from lavenderspoke.direct.health import Health
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.outliers import is_outlier, may_eject
@@ -19,6 +23,7 @@
     Selection,
     UpstreamSelector,
 )
+from lavenderspoke.direct.spillover import Preference, Spillover
 from lavenderspoke.direct.upstreamstate import NO_LOAD, Load, UpstreamState
 from lavenderspoke.rollouts.orders import Access
 from lavenderspoke.rollouts.versionload import VersionLoad
@@ -35,7 +40,11 @@
     """The upstreams of one service.
 
     `access(upstream)` tells which requests an upstream may get, and `backpressure` what
-    the upstreams said they can take. The entry that chooses is in `data_centre`.
+    the upstreams said they can take. The entry that chooses is in `data_centre`, and
+    its connections are in `connection_view`.
+
+    `spillover`, if any, tells which data centre its requests should go to, unless
+    `is_short`: then requests wait, and any data centre will do.
     """
 
     def __init__(
@@ -46,14 +55,28 @@
         access: Callable[[Upstream], Access] = lambda upstream: Access.OPEN,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        connection_view: ConnectionView | None = None,
+        spillover: Spillover | None = None,
     ):
         self._random = random
         self._backpressure = backpressure
         self._access = access
         self._policies = policies
         self._data_centre = data_centre
+        self.spillover = spillover
+        self.is_short = False
+        self._slots_by_data_centre: dict[str, int] | None = None
         self._states: dict[str, UpstreamState] = {}
-        self._selector = UpstreamSelector(random=random)
+        self._connection_preference = (
+            ConnectionPreference(view=connection_view, random=random)
+            if connection_view is not None and policies.upstream_subsets
+            else None
+        )
+        self._selector = UpstreamSelector(
+            random=random, connection_preference=self._connection_preference
+        )
+        # Upstreams that are slow at the moment, and how many times slower than usual.
+        self.slowdowns: Mapping[str, float] = {}
         self.prefill_rate = self._selector.prefill_rate
         self.decode_rate = self._selector.decode_rate
 
@@ -81,6 +104,7 @@
         """Update which requests each upstream may get."""
         for state in self._states.values():
             state.access = self._access(state.upstream)
+        self._slots_by_data_centre = None
 
     def state_of(self, upstream_id: str) -> UpstreamState | None:
         """Return an upstream's state, also of one that is leaving, or None."""
@@ -91,6 +115,31 @@
         for upstream_id, state in self._states.items():
             state.peer_load = loads.get(upstream_id, NO_LOAD)
 
+    def update_subset(self, waiting: int, now_s: float) -> None:
+        """Update which upstreams are preferred; `waiting` requests wait here."""
+        if self._connection_preference is None:
+            return
+        running = sum(len(each.own_requests) for each in self._states.values())
+        self._connection_preference.update(
+            (each.upstream for each in self._open_states()), running + waiting, now_s
+        )
+
+    def update_slowdowns(self, slowdowns: Mapping[str, float]) -> None:
+        """Replace how much slower upstreams are at the moment.
+
+        Where most are slow there is none to go to instead, so that none counts.
+        """
+        slow = {key: each for key, each in slowdowns.items() if key in self._states}
+        if len(slow) * 2 > len(self._states):
+            slow = {}
+        for upstream_id in self.slowdowns:
+            state = self._states.get(upstream_id)
+            if state is not None:
+                state.slowdown = 1.0
+        for upstream_id, slowdown in slow.items():
+            self._states[upstream_id].slowdown = slowdown
+        self.slowdowns = slow
+
     def evict(self, upstream_id: str, now_s: float) -> None:
         """Stop sending to an upstream that has restarted under another ID.
 
@@ -141,21 +190,28 @@
         """Return the slots of the upstreams open to all requests, even if ejected."""
         return sum(s.upstream.slots for s in self._open_states())
 
+    def slots_by_data_centre(self) -> dict[str, int]:
+        """Return these slots by data centre, as of the last list or roll-out step."""
+        if self._slots_by_data_centre is None:
+            slots: Counter[str] = Counter()
+            for state in self._open_states():
+                slots[state.upstream.data_centre] += state.upstream.slots
+            self._slots_by_data_centre = dict(slots)
+        return self._slots_by_data_centre
+
     def free_slots(self, now_s: float) -> int:
         """Return the free slots of the usable upstreams, except ejected ones."""
-        usable = (
+        in_service = (
             s
             for s in self._open_states()
-            if s.health.usable(len(s.own_requests), now_s)
-        )
-        return sum(
-            self._usable_slots(s, now_s) for s in usable if not s.health.is_ejected
+            if s.health.usable(len(s.own_requests), now_s) and not s.health.is_ejected
         )
+        if self._backpressure.is_empty:
+            return sum(max(0, s.free_slots()) for s in in_service)
+        return sum(self._usable_slots(s, now_s) for s in in_service)
 
     def _usable_slots(self, state: UpstreamState, now_s: float) -> int:
         """Return the free slots for which the upstream takes a request now."""
-        if self._backpressure.is_empty:
-            return max(0, state.free_slots())
         free = self._backpressure.free_requests(state.upstream.upstream_id, now_s)
         return max(0, math.floor(min(state.free_slots(), free)))
 
@@ -210,8 +266,8 @@
         for state in self._states.values():
             version = state.upstream.version
             in_flight[version] += state.in_flight()
-            if self._takes_new(state):
-                slots[version] += state.upstream.slots
+        for state in self._staying_states():
+            slots[state.upstream.version] += state.upstream.slots
         return VersionLoad(slots=slots, in_flight=in_flight)
 
     def in_flight(self) -> int:
@@ -256,7 +312,21 @@
             return Selection(upstream_state=trial_states[0])
         in_service = [s for s in available if not s.health.is_ejected]
         return self._selector.select(
-            in_service, requirements, contention.unseen_requests
+            in_service,
+            requirements,
+            contention.unseen_requests,
+            self._preference(requirements),
+        )
+
+    def _preference(self, requirements: Requirements) -> Preference | None:
+        """Return which data centre a request should go to, if there is a choice."""
+        if self.spillover is None or not self.spillover.is_active:
+            return None
+        if self.is_short:
+            return self.spillover.no_preference()
+        return self.spillover.preference(
+            target_s=min(requirements.target_s, requirements.first_byte_within_s),
+            draw=self._random.random(),
         )
 
     def _available(
@@ -311,23 +381,23 @@
         return self._states_with(Access.OPEN)
 
     def _states_with(self, access: Access) -> list[UpstreamState]:
+        return [state for state in self._staying_states() if state.access is access]
+
+    def _staying_states(self) -> list[UpstreamState]:
+        """Return the upstreams that stay and are still those at their addresses.
+
+        An upstream's own word that it leaves counts as much as its record, which may be
+        older.
+        """
+        is_leaving = self._backpressure.is_leaving
         return [
             state
             for state in self._states.values()
-            if state.access is access and self._takes_new(state)
+            if state.evicted_until_s is None
+            and not state.upstream.leaving
+            and not is_leaving(state.upstream.upstream_id)
         ]
 
-    def _takes_new(self, state: UpstreamState) -> bool:
-        """Return whether an upstream stays and is still the one at its address.
-
-        Its own word that it leaves counts as much as its record, which may be older.
-        """
-        upstream = state.upstream
-        is_leaving = upstream.leaving or self._backpressure.is_leaving(
-            upstream.upstream_id
-        )
-        return not is_leaving and state.evicted_until_s is None
-
 
 def _most_loaded_first(state: UpstreamState) -> tuple[int, str]:
     # Ties are broken by ID, so that all entries pick the same upstream.
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -13,20 +13,29 @@
 from random import Random
 
 import attrs
+from result import Err
 
 from lavenderspoke.direct.backpressure import Backpressure
+from lavenderspoke.direct.connectionpreference import ConnectionView
+from lavenderspoke.direct.enginetime import expected_engine_s, used_engine_s
+from lavenderspoke.direct.enginetimenews import EngineRows, Totals
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.peercounts import PeerCounts
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.pool import Pool
 from lavenderspoke.direct.rankrates import RankRates
 from lavenderspoke.direct.rankreserve import RankReserve
+from lavenderspoke.direct.rankshares import RankShares
 from lavenderspoke.direct.retrybookings import (
     LATE_RETURN_SHARE,
     Booking,
     RetryBookings,
 )
 from lavenderspoke.direct.selection import Contention, Requirements
+from lavenderspoke.direct.sharereports import ShareReports
+from lavenderspoke.direct.slothandover import SlotHandover
+from lavenderspoke.direct.spillover import Spill
+from lavenderspoke.direct.spillovers import Spillovers
 from lavenderspoke.direct.tickets import Dispatch, Rank, Refusal, Refuse, Ticket
 from lavenderspoke.direct.upstreamstate import Load, UpstreamState, estimate_latency
 from lavenderspoke.direct.waitingtickets import WaitingTickets
@@ -43,14 +52,24 @@
     """The waiting requests of one service, and the pool of its upstreams."""
 
     def __init__(
-        self, *, pool: Pool, random: Random, policies: Policies = ALL_POLICIES
+        self,
+        *,
+        pool: Pool,
+        random: Random,
+        policies: Policies = ALL_POLICIES,
+        share_reports: ShareReports | None = None,
     ):
         self.pool = pool
         self.policies = policies
         self.peer_counts = PeerCounts()
         self.canary: CanarySplitter | None = None
         self._random = random
-        self._waiting = WaitingTickets()
+        self.shares = RankShares() if policies.customer_shares else None
+        self.share_reports = share_reports or ShareReports(
+            service="", metrics=Metrics()
+        )
+        self._waiting = WaitingTickets(self.shares)
+        self._handover = SlotHandover()
         self._held_counts: Counter[Rank] = Counter()
         self._rank_rates: dict[Rank, RankRates] = {}
         self._reserve = RankReserve()
@@ -66,10 +85,21 @@
         """Return the requests waiting at this entry, by rank."""
         return self._waiting.counts()
 
+    def asking(self) -> dict[Rank, dict[str, int]]:
+        """Return the requests waiting at this entry, by rank and customer."""
+        return self._waiting.share_order.own_waiting()
+
     def held(self) -> dict[Rank, int]:
         """Return the slots held by this entry's requests, by rank."""
         return {rank: count for rank, count in self._held_counts.items() if count}
 
+    def needed_slots(self, now_s: float) -> float:
+        """Return the slots that the recent arrivals at this entry keep busy."""
+        return sum(
+            rates.arrivals_per_s(now_s) * rates.mean_hold_s
+            for rates in self._rank_rates.values()
+        )
+
     def submit(self, ticket: Ticket, now_s: float) -> None:
         """Dispatch or refuse a request, or let it wait."""
         self._last_number += 1
@@ -115,7 +145,12 @@
         # A further attempt of a request that was sent before isn't a return.
         if not ticket.excluded:
             ticket.booking = self.bookings.redeem(ticket.rank, now_s).value
-        return self._wait_policy.returned_wait_max_s(ticket, now_s)
+        if not self._wait_policy.allows_late_service(ticket):
+            return wait_max_s
+        mean_hold_s = self._rates_of(ticket.rank).mean_hold_s
+        return self._wait_policy.returned_wait_max_s(
+            ticket, now_s, mean_hold_s=mean_hold_s
+        )
 
     def _try_canary(self, ticket: Ticket, now_s: float) -> bool:
         """Send a request to a roll-out's target if it is due and a slot is free."""
@@ -154,6 +189,9 @@
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the slot of a request that has ended, and record its hold time."""
         self._rates_of(ticket.rank).record_hold(now_s - ticket.sent_s)
+        read_rate = self.pool.prefill_rate.tokens_per_step
+        used_s = used_engine_s(ticket, now_s, read_tokens_per_step=read_rate)
+        self._settle_use(ticket, used_s, now_s)
         self.release_unused(ticket, upstream_id, now_s)
 
     def release_unused(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
@@ -161,9 +199,31 @@
         state = self.pool.state_of(upstream_id)
         if state is not None:
             state.own_requests.pop(ticket.request_id, None)
+        self._settle_use(ticket, 0.0, now_s)
         self._held_counts[ticket.rank] -= 1
         self.dispatch_waiting(now_s, freed_slots=1)
 
+    def _charge_use(self, ticket: Ticket, now_s: float) -> None:
+        """Charge a request's customer the engine time that it is expected to take."""
+        if self.shares is None:
+            return
+        ticket.engine_s = expected_engine_s(
+            ticket,
+            read_tokens_per_step=self.pool.prefill_rate.tokens_per_step,
+            written_tokens_per_step=self.pool.decode_rate.tokens_per_step,
+        )
+        self._record_use(ticket, ticket.engine_s, now_s)
+
+    def _record_use(self, ticket: Ticket, engine_s: float, now_s: float) -> None:
+        self.shares.of(ticket.rank).record_use(ticket.customer, engine_s, now_s)
+        self._waiting.share_order.use_changed()
+
+    def _settle_use(self, ticket: Ticket, used_s: float, now_s: float) -> None:
+        """Replace what was charged for a request by what it used; once only."""
+        charged_s, ticket.engine_s = ticket.engine_s, 0.0
+        if self.shares is not None and used_s != charged_s:
+            self._record_use(ticket, used_s - charged_s, now_s)
+
     def record_first_event(
         self, ticket: Ticket, upstream_id: str, now_s: float
     ) -> float:
@@ -187,6 +247,22 @@
         waiting = [*self.waiting(), *self.peer_counts.waiting]
         self._reserve.update(waiting, self._active_ranks(now_s), now_s)
 
+    def update_shares(self, now_s: float) -> None:
+        """Apply what the peers report, and report who is no longer limited."""
+        if self.shares is not None:
+            self._waiting.share_order.set_peers(self.peer_counts.asking)
+            self.shares.update(self.pool.slots(), now_s)
+            self.share_reports.tick(now_s)
+
+    def update_shortage(self, now_s: float) -> None:
+        """Tell the pool whether requests wait at any entry.
+
+        Slots are short then. If each entry preferred its own data centre, all there
+        would send to its few free slots at once, and some of the requests would queue
+        at an upstream while slots are free elsewhere.
+        """
+        self.pool.is_short = bool(self.waiting() or self.peer_counts.waiting)
+
     def dispatch_waiting(self, now_s: float, *, freed_slots: int = 0) -> None:
         """Dispatch waiting requests to free slots, and refuse expired ones.
 
@@ -203,7 +279,9 @@
                 contention=self._contention(now_s, is_claimed=is_claimed),
             )
             if selection.upstream_state is not None:
-                self._dispatch(ticket, selection.upstream_state, now_s)
+                self._dispatch(
+                    ticket, selection.upstream_state, now_s, spill=selection.spill
+                )
             elif selection.only_this_waits:
                 # Only this request waits for another upstream.
                 skipped.add(ticket.number)
@@ -228,11 +306,12 @@
         `freed_here` tells that a request of this entry has freed a slot. The other
         entries don't know that yet, so it isn't shared with them.
         """
-        firsts = self._waiting.first_by_rank(skipped)
+        firsts = self._waiting.first_by_rank(skipped, now_s)
         if not firsts:
             return None
         free_slots = self.pool.free_slots(now_s)
         if free_slots <= 0:
+            self._handover.end_all()
             return None
         slots = self.pool.slots()
         active_ranks = self._active_ranks(now_s)
@@ -240,6 +319,10 @@
             held = self._held_counts[rank] + self.peer_counts.held.get(rank, 0)
             if self._reserve.is_below_guarantee(
                 rank, active_ranks, held=held, slots=slots
+            ) and not self._leaves_slot(
+                firsts[rank],
+                self._reserve.guaranteed_slots(active_ranks, slots) - held,
+                now_s,
             ):
                 return firsts[rank]
         for rank in sorted(firsts):
@@ -247,16 +330,30 @@
                 n for r, n in self.peer_counts.waiting.items() if r < rank
             )
             free = (
-                free_slots - self._reserved_slots(rank, active_ranks) - needed_by_peers
+                free_slots
+                - self._reserved_slots(rank, active_ranks, slots)
+                - needed_by_peers
             )
             if free > 0:
-                if freed_here or self._claims_slot(firsts[rank], free):
+                if not self._leaves_slot(firsts[rank], free, now_s) and (
+                    freed_here or self._claims_slot(firsts[rank], free, now_s)
+                ):
                     return firsts[rank]
                 # Slots not claimed are left to other entries, not to lower ranks. Only
                 # a request that may not wait takes one all the same.
                 return self._match_no_wait_ticket(rank, skipped)
+            self._handover.end(rank)
         return None
 
+    def _leaves_slot(self, ticket: Ticket, free: float, now_s: float) -> bool:
+        """Return whether the free slots are left to requests of other entries.
+
+        Among many entries, requests of customers within their shares mostly wait at
+        others than those that free a slot.
+        """
+        before = self._waiting.share_order.rivals(ticket, now_s).before
+        return before >= free and self._handover.leaves_slot(ticket.rank, now_s)
+
     def _match_no_wait_ticket(self, rank: Rank, skipped: set[int]) -> Ticket | None:
         """Return the request that may not wait, if it has that rank."""
         ticket = self._no_wait_ticket
@@ -264,7 +361,7 @@
             return None
         return ticket if ticket in self._waiting else None
 
-    def _claims_slot(self, ticket: Ticket, free: float) -> bool:
+    def _claims_slot(self, ticket: Ticket, free: float, now_s: float) -> bool:
         """Return whether a request takes one of the slots that are free for its rank.
 
         Other entries with waiting requests of that rank see the same slots free, and
@@ -272,20 +369,23 @@
         be sent to one slot and queue at the upstream. So each takes its share of them,
         at random.
         """
-        others = self.peer_counts.waiting.get(ticket.rank, 0)
-        if not others:
+        rivals = self._waiting.share_order.rivals(ticket, now_s)
+        others = self.peer_counts.waiting.get(ticket.rank, 0) - rivals.behind
+        if others <= 0:
             return True
         return self._random.random() < free / (
             others + self._waiting.count(ticket.rank)
         )
 
-    def _reserved_slots(self, rank: Rank, active_ranks: list[Rank]) -> float:
-        """Return the number of slots reserved for the ranks above this one."""
+    def _reserved_slots(
+        self, rank: Rank, active_ranks: list[Rank], slots: int
+    ) -> float:
+        """Return the number of all slots that are reserved for the ranks above."""
         return self._reserve.reserved_slots(
             rank,
             active_ranks,
             mean_hold_s=self._rates_of(rank).mean_hold_s,
-            slots=self.pool.slots(),
+            slots=slots,
         )
 
     def _active_ranks(self, now_s: float) -> list[Rank]:
@@ -297,11 +397,27 @@
             {*own, *self.waiting(), *self.peer_counts.waiting, *self.peer_counts.held}
         )
 
-    def _dispatch(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+    def _dispatch(
+        self,
+        ticket: Ticket,
+        state: UpstreamState,
+        now_s: float,
+        *,
+        spill: Spill | None,
+    ) -> None:
+        for overtaken in self._waiting.deferred_for(ticket, now_s):
+            self._record_deferred(overtaken, now_s)
         self._waiting.remove(ticket)
-        self._send(ticket, state, now_s)
+        self._send(ticket, state, now_s, spill=spill)
 
-    def _send(self, ticket: Ticket, state: UpstreamState, now_s: float) -> None:
+    def _send(
+        self,
+        ticket: Ticket,
+        state: UpstreamState,
+        now_s: float,
+        *,
+        spill: Spill | None = None,
+    ) -> None:
         if self.canary is not None:
             is_canary = state.access is Access.CANARY
             self.canary.record_sent(ticket.route, to_target=is_canary)
@@ -318,7 +434,30 @@
         state.own_requests[ticket.request_id] = ticket.prompt_tokens
         self.pool.record_sent(state, now_s)
         self._held_counts[ticket.rank] += 1
-        ticket.on_decision(Dispatch(upstream=state.upstream, held_back=held_back))
+        self._handover.end(ticket.rank)
+        self._charge_use(ticket, now_s)
+        ticket.on_decision(
+            Dispatch(
+                upstream=state.upstream,
+                held_back=held_back,
+                deferred=ticket.deferred,
+                spillover=self._spillover_reason(state.upstream, spill),
+                slow=self.pool.slowdowns,
+            )
+        )
+
+    def _record_deferred(self, ticket: Ticket, now_s: float) -> None:
+        asking = self._waiting.share_order.asking(ticket.rank)
+        share = self.shares.of(ticket.rank).share_of(ticket.customer, asking, now_s)
+        self.share_reports.record_deferred(ticket, share, now_s)
+
+    def _spillover_reason(self, upstream: Upstream, spill: Spill | None) -> str:
+        """Count where a request goes; return why it leaves its data centre, if so."""
+        spillover = self.pool.spillover
+        if spillover is None or spill is None:
+            return ""
+        spillover.record(upstream.data_centre, spill)
+        return spillover.reason(upstream.data_centre, spill)
 
     def _rates_of(self, rank: Rank) -> RankRates:
         return self._rank_rates.setdefault(rank, RankRates())
@@ -350,10 +489,11 @@
         slots = self.pool.effective_slots(mean_hold_s, now_s) or 1.0
         active_ranks = self._active_ranks(now_s)
         free_slots = self.pool.free_slots(now_s) - self._reserved_slots(
-            rank, active_ranks
+            rank, active_ranks, self.pool.slots()
         )
-        ahead_here = self._waiting.count_ahead(ticket)
-        ahead = ahead_here + self._peers_ahead(ticket, ahead_here) - max(0, free_slots)
+        ahead_here = self._waiting.count_ahead(ticket, now_s)
+        peers_ahead = self._peers_ahead(ticket, ahead_here, now_s)
+        ahead = ahead_here + peers_ahead - max(0, free_slots)
         remaining_slots = max(
             slots - self._slots_of_higher_ranks(rank, now_s),
             self._reserve.guaranteed_slots(active_ranks, slots),
@@ -366,7 +506,7 @@
             blocked_s=self.pool.blocked_s(now_s),
         )
 
-    def _peers_ahead(self, ticket: Ticket, ahead_here: int) -> float:
+    def _peers_ahead(self, ticket: Ticket, ahead_here: int, now_s: float) -> float:
         """Return how many requests that wait at other entries go before this one.
 
         Where returned requests wait as long as their callers do, many late ones of a
@@ -375,7 +515,9 @@
         """
         rank, waiting = ticket.rank, self.peer_counts.waiting
         higher = sum(n for each, n in waiting.items() if each < rank)
-        same, same_here = waiting.get(rank, 0), self._waiting.count(rank)
+        rivals = self._waiting.share_order.rivals(ticket, now_s)
+        same = waiting.get(rank, 0) - rivals.behind
+        same_here = self._waiting.count(rank)
         if self.bookings is None or not same or not same_here:
             return higher + same
         higher_here = sum(n for r, n in self._waiting.counts().items() if r < rank)
@@ -389,7 +531,11 @@
         The returns that are expected before it count, unless it has returned itself.
         """
         backlog = expected = self._backlog(ticket, now_s)
-        is_last_try = self.bookings is not None and ticket.resubmitted
+        is_last_try = (
+            self.bookings is not None
+            and ticket.resubmitted
+            and self._wait_policy.allows_late_service(ticket)
+        )
         if self.bookings and not ticket.resubmitted:
             booked = self.bookings.outstanding(
                 ticket.rank, until_s=backlog.expected_wait_s(), now_s=now_s
@@ -423,10 +569,14 @@
         if booking is not None:
             ticket.booking = str(booking)
             retry_after_s = booking.due_in_s
+        beside = self._waiting.share_order.deferred_beside(ticket, now_s)
+        if ticket.customer in beside:
+            self._record_deferred(ticket, now_s)
         return Refuse(
             reason=reason,
             retry_after_s=retry_after_s,
             held_back=self.pool.held_back(now_s),
+            deferred=ticket.deferred,
         )
 
     def _book(
@@ -438,11 +588,13 @@
             or ticket.resubmitted
             or not ticket.may_wait
             or reason is Refusal.NO_UPSTREAM
+            or not self._wait_policy.allows_late_service(ticket)
         ):
             return None
-        latest_s = self._wait_policy.retry_after_max_s(ticket, now_s)
-        if latest_s < backlog.blocked_s:
+        if backlog.blocked_s > 0.0:
+            # The upstreams say themselves when they take requests again.
             return None
+        latest_s = self._wait_policy.retry_after_max_s(ticket, now_s)
         earliest_s = max(min(RETRY_AFTER_MIN_S, latest_s), backlog.expected_wait_s())
         per_s = backlog.slots / backlog.mean_hold_s
         if now_s + earliest_s > ticket.on_time_until_s:
@@ -471,6 +623,7 @@
             remaining_on_time_s if remaining_on_time_s > 0.0 else remaining_s
         ),
         remaining_s=remaining_s,
+        target_s=ticket.target_s,
         excluded=ticket.excluded,
         retryable=ticket.retryable,
     )
@@ -483,7 +636,10 @@
     `peer_counts(service)` return the other entries' last reports. `access` tells which
     requests an upstream may get; `canary(service)` returns the splitter of a running
     roll-out, or None. `backpressure` has what the upstreams said about themselves,
-    `policies` which optional policies are on. This entry is in `data_centre`.
+    `policies` which optional policies are on. This entry is in `data_centre`, and its
+    connections are in `connection_view`; `spillovers` has the proportions between data
+    centres. `slowdowns()` returns the upstreams that are slow at the moment. What is
+    shared out is counted in `metrics`.
     """
 
     def __init__(
@@ -497,16 +653,27 @@
         canary: Callable[[str], CanarySplitter | None] = lambda service: None,
         policies: Policies = ALL_POLICIES,
         data_centre: str = "",
+        connection_view: ConnectionView | None = None,
+        metrics: Metrics | None = None,
+        spillovers: Spillovers | None = None,
+        slowdowns: Callable[[], Mapping[str, float]] = dict,
     ):
+        self._slowdowns = slowdowns
         self._random = random
-        self._backpressure = backpressure or Backpressure(metrics=Metrics())
+        self.metrics = metrics or Metrics()
+        self._backpressure = backpressure or Backpressure(metrics=self.metrics)
         self._peer_loads = peer_loads
         self._peer_counts = peer_counts
         self._access = access
         self._canary = canary
         self._policies = policies
         self._data_centre = data_centre
+        self._connection_view = connection_view
+        self.spillovers = spillovers or Spillovers(
+            data_centre=data_centre, is_on=policies.spillover, metrics=Metrics()
+        )
         self._queues: dict[str, ServiceQueue] = {}
+        self._share_weights: dict[str, float] = {}
 
     def queue(self, service: str) -> ServiceQueue:
         """Return a service's queue."""
@@ -517,10 +684,17 @@
                 access=self._access,
                 policies=self._policies,
                 data_centre=self._data_centre,
+                connection_view=self._connection_view,
+                spillover=self.spillovers.of(service),
             )
-            self._queues[service] = ServiceQueue(
-                pool=pool, random=self._random, policies=self._policies
+            queue = self._queues[service] = ServiceQueue(
+                pool=pool,
+                random=self._random,
+                policies=self._policies,
+                share_reports=ShareReports(service=service, metrics=self.metrics),
             )
+            if queue.shares is not None:
+                queue.shares.set_weights(self._share_weights)
         return self._queues[service]
 
     def queues(self) -> dict[str, ServiceQueue]:
@@ -537,6 +711,39 @@
             queue.pool.reconfigure(listed)
             queue.dispatch_waiting(now_s)
 
+    def set_share_weights(self, weights: dict[str, float]) -> None:
+        """Apply the customers' weights in the sharing of engine time."""
+        self._share_weights = weights
+        for queue in self._queues.values():
+            if queue.shares is not None:
+                queue.shares.set_weights(weights)
+
+    def engine_time(self) -> dict[str, Totals]:
+        """Return this entry's engine time since its start, by service."""
+        return {
+            service: queue.shares.own_totals()
+            for service, queue in self._queues.items()
+            if queue.shares is not None
+        }
+
+    def merge_engine_time(
+        self,
+        sender: str,
+        incarnation: str,
+        engine_time: Mapping[str, EngineRows],
+        now_s: float,
+    ) -> None:
+        """Add the engine time that a peer reports, of the services known here."""
+        for service, rows in engine_time.items():
+            queue = self._queues.get(service)
+            if queue is None or queue.shares is None:
+                continue
+            merged = queue.shares.merge_peer(sender, incarnation, rows, now_s)
+            if isinstance(merged, Err):
+                queue.share_reports.record_invalid(
+                    sender, incarnation, merged.err_value
+                )
+
     def rollouts_changed(self) -> None:
         """Apply the current stages of the roll-outs."""
         for service, queue in self._queues.items():
@@ -545,10 +752,24 @@
 
     def tick(self, now_s: float) -> None:
         """Apply the peers' reports, refuse expired requests and dispatch others."""
-        peer_loads = self._peer_loads()
+        self._update_spillovers(now_s)
+        peer_loads, slowdowns = self._peer_loads(), self._slowdowns()
         for service, queue in self._queues.items():
             queue.pool.update_peer_loads(peer_loads)
+            if slowdowns or queue.pool.slowdowns:
+                queue.pool.update_slowdowns(slowdowns)
             queue.pool.expire_evictions(now_s)
             queue.peer_counts = self._peer_counts(service)
             queue.update_reserve(now_s)
+            queue.pool.update_subset(sum(queue.waiting().values()), now_s)
+            queue.update_shares(now_s)
+            queue.update_shortage(now_s)
             queue.dispatch_waiting(now_s)
+
+    def _update_spillovers(self, now_s: float) -> None:
+        if self.spillovers.is_due(now_s):
+            rows = [
+                (name, queue.pool.slots_by_data_centre(), queue.needed_slots(now_s))
+                for name, queue in self._queues.items()
+            ]
+            self.spillovers.update(rows, now_s)
