Drain without a supervisor, and redeem only bookings that were made

The drain's new call failed where no supervisor runs, as in three scenarios of features/direct_stop.feature, which drive the drain alone; in a daemon the supervisor stands before the drain can begin. Returns of routes that aren't booked no longer take the booking of another request of their rank.

--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -238,7 +238,8 @@
             if self._app.refusing and not self._caller_server.in_flight():
                 break
             pause.wait(DRAIN_POLL_S)
-        self._supervisor.stop_restarting()
+        if self._supervisor is not None:
+            self._supervisor.stop_restarting()
         self._peer_link.stop()
         log.info("stopped", cut_off=self._caller_server.in_flight())
         # The remaining threads wait on sockets. Joining them takes up to a second for
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -142,11 +142,11 @@
         if not ticket.resubmitted:
             self.bookings.record_new(ticket.rank, now_s)
             return wait_max_s
+        if not self._wait_policy.allows_late_service(ticket):
+            return wait_max_s
         # A further attempt of a request that was sent before isn't a return.
         if not ticket.excluded:
             ticket.booking = self.bookings.redeem(ticket.rank, now_s).value
-        if not self._wait_policy.allows_late_service(ticket):
-            return wait_max_s
         mean_hold_s = self._rates_of(ticket.rank).mean_hold_s
         return self._wait_policy.returned_wait_max_s(
             ticket, now_s, mean_hold_s=mean_hold_s
