Reuse the rendezvous hash, and work out engine time only where it is shared

Burst credits had a hash of names of their own beside the one that subsets of upstreams and of agents use, and the counter's name stood twice. Each release of a slot computed the engine time used although shares are off in the deployment. Which entry is responsible for a customer's credit changes with the hash; any choice on which all agree will do.

--- a/lavenderspoke/direct/burstcredits.py
+++ b/lavenderspoke/direct/burstcredits.py
@@ -12,12 +12,13 @@
 """
 
 import math
-import zlib
 from collections.abc import Iterable, Mapping
 
 import attrs
 import logbook
 
+from lavenderspoke.model import rendezvous_hash
+
 # Share of the bucket's capacity above which more credit is requested. The record takes
 # some milliseconds and the news up to 0.3 s; at twice its rate a customer fills the
 # other half of the bucket in about that time.
@@ -43,6 +44,7 @@
 UPDATE_GAP_MAX_S = 1.0
 # Largest credit that is believed in, in tokens.
 CREDIT_MAX = 1e12
+BURST_CREDITS_METRIC = "direct_burst_credits"
 
 log = logbook.Logger(__name__)
 
@@ -252,11 +254,7 @@
         responsible = self._responsible.get(customer)
         if responsible is None:
             responsible = min(
-                self._live_names, key=lambda name: _hash_key(customer, name)
+                self._live_names, key=lambda name: rendezvous_hash(name, customer)
             )
             self._responsible[customer] = responsible
         return responsible == self._name
-
-
-def _hash_key(customer: str, name: str) -> tuple[int, str]:
-    return zlib.crc32(f"{name} {customer}".encode()), name
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.askingrows import are_valid, asking_rows
 from lavenderspoke.direct.attemptresults import attempt_result
 from lavenderspoke.direct.backpressure import Backpressure
-from lavenderspoke.direct.burstcredits import BurstCredits
+from lavenderspoke.direct.burstcredits import BURST_CREDITS_METRIC, BurstCredits
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
 from lavenderspoke.direct.connectionpreference import ConnectionView
@@ -67,7 +67,6 @@
 # Interval, in seconds, at which customers' burst credits are decided on.
 BURST_CREDITS_INTERVAL_S = 0.1
 ATTEMPTS_METRIC = "direct_attempts"
-BURST_CREDITS_METRIC = "direct_burst_credits"
 RETRIES_METRIC = "direct_retries"
 RELOCATIONS_METRIC = "direct_silence_looks"
 FIRST_EVENT_LATER_METRIC = "direct_first_event_later_s"
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -189,9 +189,10 @@
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the slot of a request that has ended, and record its hold time."""
         self._rates_of(ticket.rank).record_hold(now_s - ticket.sent_s)
-        read_rate = self.pool.prefill_rate.tokens_per_step
-        used_s = used_engine_s(ticket, now_s, read_tokens_per_step=read_rate)
-        self._settle_use(ticket, used_s, now_s)
+        if self.shares is not None:
+            read_rate = self.pool.prefill_rate.tokens_per_step
+            used_s = used_engine_s(ticket, now_s, read_tokens_per_step=read_rate)
+            self._settle_use(ticket, used_s, now_s)
         self.release_unused(ticket, upstream_id, now_s)
 
     def release_unused(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
--- a/lavenderspoke/platform/burstcredits.py
+++ b/lavenderspoke/platform/burstcredits.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.burstcredits import BURST_CREDITS_METRIC
 from lavenderspoke.direct.records import KeyedRecord
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.periodic import Periodic
@@ -25,7 +26,6 @@
 PERIOD_S = 0.1
 # Pause after a failed call, in seconds: without credit the bucket alone applies.
 RETRY_PAUSE_S = 1.0
-CREDITS_METRIC = "direct_burst_credits"
 
 log = logbook.Logger(__name__)
 
@@ -102,7 +102,7 @@
         value = json.dumps(tokens).encode()
         written = self._store.append(TOPIC, KEY_PREFIX + customer, value)
         if isinstance(written, Ok):
-            self._metrics.count(CREDITS_METRIC, "written")
+            self._metrics.count(BURST_CREDITS_METRIC, "written")
             self._dispatcher.burst_credit_written(customer, tokens)
         else:
             self._record_failure("write", customer, written.err_value.detail)
@@ -124,16 +124,16 @@
             end_offset=read.ok_value.next_offset,
         )
         if isinstance(deleted, Ok):
-            self._metrics.count(CREDITS_METRIC, "deleted")
+            self._metrics.count(BURST_CREDITS_METRIC, "deleted")
             self._dispatcher.burst_credit_deleted(customer)
         elif isinstance(deleted.err_value, Conflict):
-            self._metrics.count(CREDITS_METRIC, "conflict")
+            self._metrics.count(BURST_CREDITS_METRIC, "conflict")
         else:
             self._record_failure("delete", customer, deleted.err_value.detail)
 
     def _record_failure(self, call: str, customer: str, detail: str) -> None:
         self._paused_until_s = self._clock.monotonic_s() + RETRY_PAUSE_S
-        self._metrics.count(CREDITS_METRIC, f"{call}_failed")
+        self._metrics.count(BURST_CREDITS_METRIC, f"{call}_failed")
         log.warning(
             "burst credit call failed", call=call, customer=customer, error=detail
         )
