Log and count what ends each upstream response

A stream reached its caller as complete although its engine had crashed. Neither the request's log line nor a counter told how the response was framed, so a body that ends with its connection couldn't be told from a chunked one. `framing` of the line and `direct_response_framing` do now. No decision changes.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -325,6 +325,7 @@
             status=record.status,
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
+            framing=(handler.framing or None) if handler else None,
             held_back=(handler.held_back or None) if handler else None,
             booking=(handler.booking or None) if handler else None,
             deferred=(handler.deferred or None) if handler else None,
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -23,6 +23,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.http.framing import framing_of
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.observing.metrics import Metrics
 
@@ -46,6 +47,7 @@
 # What ends a chunked body, after the last chunk's data.
 CHUNKED_END = b"\r\n0\r\n\r\n"
 CONNECTIONS_METRIC = "direct_connections"
+FRAMING_METRIC = "direct_response_framing"
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -207,9 +209,21 @@
     out, `on_read_timeout` may grant more time.
     """
 
-    def __init__(self, *, connection: HTTPConnection, response, pool: "ConnectionPool"):
+    def __init__(
+        self,
+        *,
+        connection: HTTPConnection,
+        method: str,
+        response,
+        pool: "ConnectionPool",
+    ):
         self.status: int = response.status
         self.headers: Headers = tuple(response.headers.items())
+        self.framing = framing_of(
+            method=method,
+            status=response.status,
+            header_values=response.headers.getlist,
+        )
         self._connection = connection
         self._response = response
         # Kept here because a connection that closes after this response drops it.
@@ -497,7 +511,11 @@
             return Err(NoResponse(detail=str(error), timed_out=True))
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
             return Err(NoResponse(detail=f"{type(error).__name__}: {error}"))
-        return Ok(UpstreamResponse(connection=connection, response=response, pool=self))
+        received = UpstreamResponse(
+            connection=connection, method=method, response=response, pool=self
+        )
+        self._metrics.count(FRAMING_METRIC, received.framing.value)
+        return Ok(received)
 
     @staticmethod
     def _write(connection, method, target, headers, body) -> None:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -103,6 +103,8 @@
     ):
         self.accepted = accepted
         self.trail: list[str] = []
+        # How the response of each upstream that sent one was framed.
+        self.framing: dict[str, str] = {}
         self.possible_runs = 0
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
@@ -293,6 +295,7 @@
             self._handle_send_error(attempt, sent.err_value)
             return
         attempt.response = sent.ok_value
+        self.framing[upstream.upstream_id] = attempt.response.framing.value
         self._check_head(attempt)
 
     def _handle_send_error(
