--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -32,7 +32,10 @@
     """What a test may set; -1 stands for "never".
 
     `cut_after_events` cuts a stream in the middle of the next event, but not one
-    that was resumed.
+    that was resumed. If it `ends_properly`, all that its framing asks for follows.
+    `framing` is what ends answers: "length", "chunks" or "connection"; by default a
+    length for plain answers and chunks for streams. If it `resets`, its cuts reset
+    their connections, also those of answers that end with them.
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
     `mute` runs and never answers. `silent` holds all runs where they are, and lets
@@ -44,6 +47,9 @@
     events: int = 5
     work_s: float = 0.01
     cut_after_events: int = -1
+    ends_properly: bool = False
+    framing: str = ""
+    resets: bool = False
     wrong_id: bool = False
     truncate: bool = False
     unsigned: bool = False
@@ -128,7 +134,7 @@
         self._slots.release()
 
     def _refuse(self, request: Request) -> None:
-        self._start(request, 503, ("X-Not-Executed", "1"), length=0)
+        self._start(request, 503, ("X-Not-Executed", "1"), length=0, framing="length")
 
     def _run(self, request: Request) -> None:
         run = _Run(
@@ -157,27 +163,62 @@
         if not self._work(request, run, faults.work_s):
             raise Cut
         body = f"answer to {run.attempt_id}".encode()
-        self._start(request, faults.status, *self._signed(run), length=len(body))
+        framing = faults.framing or "length"
+        self._start(
+            request,
+            faults.status,
+            *self._signed(run),
+            length=len(body),
+            framing=framing,
+        )
+        if request.method == "HEAD":
+            run.end = "whole"
+            return
         if faults.truncate:
             request.http.write(body[:-3])
-            raise Cut
+            self._cut(request)
         request.http.write(body)
         run.end = "whole"
 
     def _stream(self, request: Request, run: _Run) -> None:
         faults = self._faults.now
         after = int(request.headers.get(LAST_EVENT, -1))
-        self._start(request, 200, *self._signed(run), length=None)
-        for number in range(after + 1, faults.events):
+        numbers = range(after + 1, faults.events)
+        self._start(
+            request,
+            200,
+            *self._signed(run),
+            ("Content-Type", "text/event-stream"),
+            length=self._stream_bytes(numbers, after),
+            framing=faults.framing or "chunks",
+        )
+        for number in numbers:
             if not self._work(request, run, faults.event_s):
                 raise Cut
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = _event(number)
             if after < 0 and number == faults.cut_after_events:
                 request.http.write(event[:-4])
-                raise Cut
+                if faults.ends_properly:
+                    return
+                self._cut(request)
             request.http.write(event)
         run.end = "whole"
 
+    def _stream_bytes(self, numbers: range, after: int) -> int:
+        """Return how long a stream is, which a proper end cuts short."""
+        faults = self._faults.now
+        events = [_event(number) for number in numbers]
+        if after < 0 and faults.ends_properly and 0 <= faults.cut_after_events:
+            events = events[: faults.cut_after_events + 1]
+            events[-1] = events[-1][:-4]
+        return sum(map(len, events))
+
+    def _cut(self, request: Request) -> None:
+        """End the connection in the middle of an answer."""
+        if self._faults.now.resets:
+            server.reset(request)
+        raise Cut
+
     def _work(self, request: Request, run: _Run, work_s: float) -> bool:
         """Work for so long; return False when the caller has gone."""
         until_s = time.monotonic() + work_s
@@ -197,19 +238,24 @@
         return headers
 
     def _start(
-        self, request: Request, status: int, *headers, length: int | None
+        self, request: Request, status: int, *headers, length: int, framing: str
     ) -> None:
         http = request.http
         headers = (*headers, *self._faults.now.signals())
         http.status = f"{status} Said".encode()
         http.outheaders = [(n.encode(), v.encode()) for n, v in headers]
-        if length is not None:
+        if framing == "length":
             http.outheaders.append((b"Content-Length", str(length).encode()))
-        else:
-            http.outheaders.append((b"Content-Type", b"text/event-stream"))
+        elif framing == "connection":
+            # The server adds no chunks to an answer for HTTP/1.0, and closes after it.
+            http.response_protocol = "HTTP/1.0"
         http.ensure_headers_sent()
 
 
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
 def main() -> None:
     """Serve until the process is ended."""
     parser = server.parser(__doc__)
--- a/standins/server.py
+++ b/standins/server.py
@@ -6,8 +6,10 @@
 
 import argparse
 import json
+import os
 import select
 import socket
+import struct
 import sys
 import threading
 import time
@@ -21,6 +23,7 @@
 
 BACKLOG = 1024
 POLL_S = 0.01
+RESET_PAUSE_S = 0.05
 
 
 class Cut(Exception):
@@ -84,6 +87,17 @@
     http.ready = False
 
 
+def reset(request: Request) -> None:
+    """Reset the connection, so that its caller sees no orderly end."""
+    raw = request.http.conn.socket
+    # Time for the caller to read what was written: a reset drops the rest.
+    time.sleep(RESET_PAUSE_S)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with socket.socket() as unconnected:
+        # The server shuts a connection down before it closes it, which isn't a reset.
+        os.dup2(unconnected.fileno(), raw.fileno())
+
+
 def caller_gone(request: Request) -> bool:
     """Return whether the caller has closed its side."""
     raw = request.http.conn.socket
