Don't take the end of a body for the end of an event stream within an event

Entries that dispatch themselves passed on what lay behind the last whole event, and called the stream complete, whenever the body was in order by its framing. A body that ends with its connection is in order also when its sender has crashed. Now a stream that ends within an event, or whose connection ends before any event, is broken off: resumed elsewhere where the route allows it, else cut off without the last chunk. What has another media type, and comments behind the last event, still are whole.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -153,3 +153,25 @@
     And no other upstream has a free slot
     When its stream is read until it breaks off
     Then the error is "deadline expired", after relocations that ended as "no_place"
+
+  Scenario Outline: A stream's bytes end, and its framing says that they are all
+    Guards against a truncated stream that passes for whole, and a whole one refused.
+    Given a request at an upstream that sends the head "<head>" and "<bytes>", and ends
+    When its stream is read until its end
+    Then it ends as "<end>"
+
+    Examples:
+      | head                                        | bytes                               | end                                                   |
+      | Content-Type: text/event-stream             | id: 0\ndata: a\n\n                  | whole                                                 |
+      | Content-Type: text/event-stream             | id: 0\ndata: a\n\nid: 1\nda         | the stream ended within an event                      |
+      | Content-Type: text/event-stream             | id: 0\ndata: a\n\nid: 1\ndata: b\n  | the stream ended within an event                      |
+      | Content-Type: text/event-stream             | id: 0\r\ndata: a\r\n\r\nid: 1\r\n   | the stream ended within an event                      |
+      | Content-Type: text/event-stream             | id: 0\rdata: a\r\r                  | whole                                                 |
+      | Content-Type: text/event-stream             | data: a\n\n: still here\n           | whole                                                 |
+      | Content-Type: text/event-stream             |                                     | the connection ended before the stream's first event  |
+      | X-Nothing: 1                                | id: 0\ndata: a\n\nid: 1\nda         | the stream ended within an event                      |
+      | Content-Type: application/json              | {"choices": []}                     | whole                                                 |
+      | Content-Type: application/json\r\nContent-Length: 15 | {"choices": []}            | whole                                                 |
+      | Content-Type: text/event-stream\r\nContent-Length: 0 |                            | whole                                                 |
+      | Content-Type: text/event-stream\r\nContent-Length: 10 | data: a\n\n:              | whole                                                 |
+      | Content-Type: text/event-stream\r\nContent-Length: 14 | data: a\n\ndata:          | the stream ended within an event                      |
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -12,7 +12,11 @@
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.direct.catalog import Repeatability, Route, TrafficShare
 from lavenderspoke.direct.dialect import ControlRequest, RequestHead
-from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
+from lavenderspoke.direct.dispatcher import (
+    AcceptedRequest,
+    AttemptOutcome,
+    StreamResponse,
+)
 from lavenderspoke.direct.exchange import ConnectionPool, IncompleteResponse
 from lavenderspoke.direct.handling import RequestHandler
 from lavenderspoke.direct.instances import Upstream
@@ -23,7 +27,7 @@
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import Ran
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.problems import Reason
+from lavenderspoke.problems import Problem, Reason
 from standins.processes import HOST, free_port
 
 TIMEOUT_S = 5.0
@@ -616,3 +620,46 @@
     assert context.dispatcher.outcomes == [
         AttemptOutcome.BROKEN
     ], context.dispatcher.outcomes
+
+
+@given('a request at an upstream that sends the head "{head}" and "{body}", and ends')
+def step_framed(context, head, body):
+    text = f"HTTP/1.1 200 OK\\r\\n{head}\\r\\n\\r\\n{body}"
+    answer = text.encode().decode("unicode_escape").encode("latin-1")
+    raw = RawUpstream(answer=answer, then="ends")
+    context.add_cleanup(raw.close)
+    context.body = body.encode().decode("unicode_escape").encode("latin-1")
+    context.dispatcher = FewSlotsDispatcher(upstreams=[upstream_at(raw.port)])
+    accepted = accepted_request(resumable=False, attempts_max=1)
+    context.handler = handler_for(accepted, context.dispatcher)
+
+
+@given('a request at an upstream that sends the head "{head}" and "", and ends')
+def step_framed_empty(context, head):
+    step_framed(context, head, "")
+
+
+@when("its stream is read until its end")
+def step_read_until_end(context):
+    answer = context.handler.handle()
+    if isinstance(answer, Problem):
+        context.end = answer.detail
+    else:
+        context.end = read_stream(answer, context.body)
+    context.handler.close()
+
+
+def read_stream(answer: StreamResponse, body: bytes) -> str:
+    """Return how a stream ended; check that it had no other bytes."""
+    parts = []
+    try:
+        parts.extend(answer.chunks)
+    except IncompleteResponse as error:
+        return str(error)
+    assert b"".join(parts) == body, parts
+    return "whole"
+
+
+@then('it ends as "{end}"')
+def step_ends_as(context, end):
+    assert context.end == end, context.end
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -38,7 +38,12 @@
 )
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
 from lavenderspoke.direct.tickets import Decision, Dispatch, Ticket
-from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
+from lavenderspoke.http.eventstream import (
+    MEDIA_TYPE,
+    Events,
+    EventSplitter,
+    EventTooLong,
+)
 from lavenderspoke.problems import Problem
 
 # The shortest read timeout, in seconds, before a relocation is tried; well under the
@@ -439,6 +444,7 @@
                 if not splitter.rest() and attempt.response.end_if_arrived():
                     self._complete_stream(attempt, step_count)
                 yield events.body
+            self._check_stream_end(attempt.response, splitter)
             if rest := splitter.rest():
                 yield rest
             self._complete_stream(attempt, step_count)
@@ -450,6 +456,16 @@
         finally:
             self._end_attempt(attempt, AttemptOutcome.LEFT)
 
+    @staticmethod
+    def _check_stream_end(response: UpstreamResponse, splitter: EventSplitter) -> None:
+        """Raise IncompleteResponse if a complete body isn't a whole event stream."""
+        content_type = response.header("Content-Type").strip().lower()
+        # Without a type it is what its route says, a stream.
+        if content_type and not content_type.startswith(MEDIA_TYPE):
+            return
+        if missing := splitter.missing(response.framing):
+            raise IncompleteResponse(missing)
+
     def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
         """End the attempt of a complete stream; a further call does nothing."""
         if attempt.outcome is None:
--- a/lavenderspoke/http/eventstream.py
+++ b/lavenderspoke/http/eventstream.py
@@ -1,7 +1,12 @@
 """Splitting a server-sent event stream into whole events."""
 
+import itertools
+
 import attrs
 
+from lavenderspoke.http.framing import Framing
+
+MEDIA_TYPE = "text/event-stream"
 EVENT_BYTES_MAX = 1024 * 1024
 LAST_DATA = b"[DONE]"
 # Ids of more digits don't fit 64 bits and are no numbers of events.
@@ -40,11 +45,32 @@
 
     def __init__(self):
         self._held = b""
+        self._has_events = False
 
     def rest(self) -> bytes:
         """Return what came behind the last whole event."""
         return self._held
 
+    def missing(self, framing: Framing) -> str:
+        r"""Return what a stream lacks that has ended here, "" if it may be whole.
+
+        A connection that ends before any event says no more than a crash does.
+
+        >>> splitter = EventSplitter()
+        >>> splitter.feed(b"data: a\n\ndata:") is None
+        False
+        >>> splitter.missing(Framing.LENGTH)
+        'the stream ended within an event'
+        """
+        lines = self._held.splitlines()
+        unfinished = itertools.takewhile(bool, reversed(lines))
+        if any(not line.startswith(b":") for line in unfinished):
+            return "the stream ended within an event"
+        has_events = self._has_events or any(lines)
+        if framing is Framing.CONNECTION_END and not has_events:
+            return "the connection ended before the stream's first event"
+        return ""
+
     def feed(self, data: bytes) -> Events | None:
         """Return the events that these bytes complete, if any."""
         held = self._held + data
@@ -54,6 +80,7 @@
             raise EventTooLong
         if not end:
             return None
+        self._has_events = True
         lines = held[:end].splitlines()
         ids = _ids(lines)
         return Events(
