Don't take an end of the connection that this side made for that of a response

An entry that ends an upstream's connection (its caller has left, another attempt was answered first, the upstream was replaced) then reads the end that it made itself. Of a response with neither length nor chunks it took that for the end, and relayed what had come as the whole. The same came of a reset that the kernel reported to the sending of a long body: it reports it once, so the read after it found an orderly end. Connections now remember both, unless the upstream had ended before. They also keep their socket after "Connection: close", without which the replacement of an upstream aborted none of these.

Three of four scenarios in direct_exchange.feature failed before ("complete", and "timed out" where the abort had no effect); one, of a response that was whole before, guards the other side.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -38,6 +38,29 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n  | incomplete, timed out  |
       |                                                                      | timed out              |
 
+  Scenario Outline: A response that ends with its connection is aborted here
+    Guards against the end that this side makes itself, which passes for the upstream's.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\n\r\nwhole" and then "keeps"
+    When a request is sent to it, and "<what>" aborts it after its head
+    Then its outcome is "incomplete"
+
+    Examples:
+      | what           |
+      | its caller     |
+      | the entry      |
+
+  Scenario: A response that has ended with its connection is aborted afterwards
+    Guards against refusing a response that was whole before.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\n\r\nwhole" and then "ends"
+    When a request is sent to it, and "the entry" aborts it after its head
+    Then its outcome is "complete"
+
+  Scenario: An upstream responds, and resets the connection while the request is sent
+    Guards against a reset that is reported to the sending of a body and then forgotten.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\n\r\nwhole" and resets unread requests
+    When a request too long for the socket's buffers is sent to it
+    Then its outcome is not "complete"
+
   Scenario: An idle connection is reused
     Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" and then "keeps"
     When a request is sent to it, twice
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -18,9 +18,12 @@
 from standins.processes import HOST, free_port
 
 HEAD_TIMEOUT_S = 0.6
+# Time for the bytes of an upstream, and the end of its connection, to arrive.
+RESPONSE_PAUSE_S = 0.1
 # More than the socket buffers hold if the upstream reads nothing.
 STALLED_BODY_BYTES = 100_000
 STALLED_BUFFER_BYTES = 2048
+LONG_BODY_BYTES = 8_000_000
 # Longer than the kernel takes to time out a connection.
 CONNECTION_TIMEOUT_MAX_S = 10.0
 
@@ -82,6 +85,21 @@
             self._over.wait()
 
 
+class ResettingUpstream(RawUpstream):
+    """Responds after reading the start of a request, and resets the connection."""
+
+    def __init__(self, *, answer: bytes):
+        super().__init__(answer=answer, then="reset", buffer_bytes=STALLED_BUFFER_BYTES)
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(16)
+            connection.sendall(self._answer)
+            time.sleep(RESPONSE_PAUSE_S)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def send(context, cancel_handle: CancelHandle | None = None):
     sent = context.connection_pool.send(
         cancel_handle=cancel_handle or CancelHandle(),
@@ -165,6 +183,46 @@
     context.outcomes = [outcome(second)]
 
 
+@when('a request is sent to it, and "{who}" aborts it after its head')
+def step_aborted(context, who):
+    cancel_handle = CancelHandle()
+    sent = send(context, cancel_handle)
+    time.sleep(RESPONSE_PAUSE_S)
+    if who == "its caller":
+        cancel_handle.cancel()
+    else:
+        context.connection_pool.abort()
+    context.outcomes = [outcome(sent)]
+
+
+@given('an upstream that sends "{text}" and resets unread requests')
+def step_resets_unread(context, text):
+    answer = text.encode().decode("unicode_escape").encode("latin-1")
+    context.raw = ResettingUpstream(answer=answer)
+    context.add_cleanup(context.raw.close)
+    context.connection_pool = ConnectionPool(
+        host=HOST, port=context.raw.port, clock=SystemClock()
+    )
+
+
+@when("a request too long for the socket's buffers is sent to it")
+def step_send_long(context):
+    sent = context.connection_pool.send(
+        cancel_handle=CancelHandle(),
+        method="POST",
+        target="/",
+        headers={"Host": "test"},
+        body=bytes(LONG_BODY_BYTES),
+        head_timeout_s=CONNECTION_TIMEOUT_MAX_S,
+    )
+    context.outcomes = [outcome(sent)]
+
+
+@then('its outcome is not "{outcome}"')
+def step_other_outcome(context, outcome):
+    assert outcome not in context.outcomes, context.outcomes
+
+
 @given('an upstream that sends "{text}" and reads nothing more')
 def step_stalled(context, text):
     answer = text.encode().decode("unicode_escape").encode("latin-1")
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -23,7 +23,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.http.framing import framing_of
+from lavenderspoke.http.framing import Framing, framing_of
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.observing.metrics import Metrics
 
@@ -170,6 +170,33 @@
         super()._close_conn()
 
 
+class _UpstreamConnection(HTTPConnection):
+    """A connection that can be aborted from any thread.
+
+    The socket of an aborted or failed connection reads as ended, which says nothing
+    about the response: `is_end_genuine` then is False.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.is_end_genuine = True
+        self._opened_socket: socket.socket | None = None
+
+    def connect(self) -> None:
+        super().connect()
+        # Kept because `sock` is dropped once the upstream says that it closes.
+        self._opened_socket = self.sock
+
+    def abort(self) -> None:
+        """End what is in flight; data that has arrived can still be read."""
+        sock = self._opened_socket
+        if sock is None:
+            return
+        if not _has_peer_ended(sock):
+            self.is_end_genuine = False
+        _shut_down(sock)
+
+
 class ConnectionUse(enum.StrEnum):
     """Where a request's connection came from, or why one was not kept.
 
@@ -198,7 +225,7 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _IdleConnection:
-    connection: HTTPConnection
+    connection: _UpstreamConnection
     usable_until_s: float
 
 
@@ -212,7 +239,7 @@
     def __init__(
         self,
         *,
-        connection: HTTPConnection,
+        connection: _UpstreamConnection,
         method: str,
         response,
         pool: "ConnectionPool",
@@ -288,7 +315,7 @@
 
     def cancel(self) -> None:
         """Abort the response, from any thread; `read` raises once data runs out."""
-        _shut_down(self._socket)
+        self._connection.abort()
 
     def close(self, *, keep: bool) -> None:
         """Release the connection if `keep` is set and it is reusable, else close it."""
@@ -314,6 +341,9 @@
         response = self._http_response()
         if response.length not in (None, 0):
             raise IncompleteResponse(f"{response.length} bytes are missing")
+        is_proved = self._connection.is_end_genuine
+        if self.framing is Framing.CONNECTION_END and not is_proved:
+            raise IncompleteResponse("the connection was aborted or reset")
         response._close_conn() if response.fp is not None else None
         self._is_complete = True
 
@@ -326,7 +356,7 @@
 
     def __init__(self):
         self._lock = threading.Lock()
-        self._connection: HTTPConnection | None = None
+        self._connection: _UpstreamConnection | None = None
         self._response: UpstreamResponse | None = None
         self.cancelled = False
 
@@ -334,10 +364,8 @@
         """Abort what is attached, from any thread; a later `attach` returns False."""
         with self._lock:
             self.cancelled = True
-            if self._response is not None:
-                self._response.cancel()
-            elif self._connection is not None and self._connection.sock is not None:
-                _shut_down(self._connection.sock)
+            if self._connection is not None:
+                self._connection.abort()
 
     def is_readable(self) -> bool:
         """Return whether a read would return at once: data, the end or an error."""
@@ -356,7 +384,7 @@
         self.attach(None, None)
 
     def attach(
-        self, connection: HTTPConnection | None, response: UpstreamResponse | None
+        self, connection: _UpstreamConnection | None, response: UpstreamResponse | None
     ) -> bool:
         """Set what `cancel` aborts; return False if `cancel` was called before."""
         with self._lock:
@@ -376,7 +404,7 @@
         self._clock = clock
         self._metrics = metrics or Metrics()
         self._idle: list[_IdleConnection] = []
-        self._busy: set[HTTPConnection] = set()
+        self._busy: set[_UpstreamConnection] = set()
         self._lock = threading.Lock()
 
     def send(
@@ -423,7 +451,7 @@
             response.cancel()
         return sent
 
-    def release(self, connection: HTTPConnection, keep_alive: str) -> None:
+    def release(self, connection: _UpstreamConnection, keep_alive: str) -> None:
         """Keep a connection for reuse until shortly before its idle limit."""
         idle_s = _keep_alive_s(keep_alive) - REUSE_MARGIN_S
         if idle_s <= 0.0:
@@ -445,7 +473,7 @@
         newest = self._idle[-1:]
         return bool(newest) and self._clock.monotonic_s() < newest[0].usable_until_s
 
-    def discard(self, connection: HTTPConnection, why: ConnectionUse) -> None:
+    def discard(self, connection: _UpstreamConnection, why: ConnectionUse) -> None:
         """Close a connection."""
         self._count(why)
         with self._lock:
@@ -462,11 +490,11 @@
     def abort(self) -> None:
         """Abort all requests in flight; data that has arrived can still be read."""
         with self._lock:
-            sockets = [each.sock for each in self._busy if each.sock is not None]
-        for sock in sockets:
-            _shut_down(sock)
+            busy = list(self._busy)
+        for connection in busy:
+            connection.abort()
 
-    def _take_idle_connection(self) -> HTTPConnection | None:
+    def _take_idle_connection(self) -> _UpstreamConnection | None:
         now_s = self._clock.monotonic_s()
         while True:
             with self._lock:
@@ -486,8 +514,8 @@
     def _count(self, use: ConnectionUse) -> None:
         self._metrics.count(CONNECTIONS_METRIC, use.value)
 
-    def _open(self) -> Result[HTTPConnection, NotSent]:
-        connection = HTTPConnection(
+    def _open(self) -> Result[_UpstreamConnection, NotSent]:
+        connection = _UpstreamConnection(
             self._host,
             self._port,
             timeout=CONNECT_TIMEOUT_S,
@@ -533,6 +561,8 @@
             # response may still be readable.
             if error.errno not in (errno.EPIPE, errno.ECONNRESET):
                 raise
+            # The socket reports a reset once, so that no read will.
+            connection.is_end_genuine = False
             log.info("upstream did not read the whole body", error=str(error))
 
 
@@ -558,6 +588,17 @@
     return bool(poll.poll(0))
 
 
+def _has_peer_ended(sock: socket.socket) -> bool:
+    """Return whether the other side has ended the connection, by a close or a reset."""
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        # It has just been closed here.
+        return False
+
+
 def _has_kernel_timed_out(error: TimeoutError) -> bool:
     """Return whether TCP_USER_TIMEOUT or keep-alive probes ended the connection.
 
