Don't take truncated chunk sizes or contradicting headers for an end

A chunk's size that was cut off after "0" passed for the last chunk, and a body whose length was no number, or whose transfer coding is unknown, for one that ends with its connection. A truncated response could so reach its caller as whole. Both now are incomplete. After a real last chunk a broken trailer no longer makes the response incomplete; only its connection isn't used again.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -38,6 +38,28 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n  | incomplete, timed out  |
       |                                                                      | timed out              |
 
+  Scenario Outline: A body's end is truncated or contradicted
+    Guards against bytes that are cut off, or headers in conflict, that pass for an end.
+    Given an upstream that sends "<bytes>" and then "<then>"
+    When a request is sent to it
+    Then its outcome is "<outcome>"
+
+    Examples:
+      | bytes                                                                                   | then  | outcome    |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0                    | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n\r\n                 | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n-0\r\n\r\n          | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n0;c\r\n\r\n      | keeps | complete   |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n                | ends  | complete   |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n                | reset | complete   |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n5\r\nwhole\r\n0\r\n\r\n | keeps | complete |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nwhole                                | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nwhole                                   | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole                                     | ends  | incomplete |
+      | HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\nwhole                 | ends  | no response |
+      | HTTP/1.0 200 OK\r\n\r\nwhole                                                            | ends  | complete   |
+      | HTTP/1.0 200 OK\r\n\r\nwhole                                                            | reset | incomplete |
+
   Scenario Outline: A response that ends with its connection is aborted here
     Guards against the end that this side makes itself, which passes for the upstream's.
     Given an upstream that sends "HTTP/1.1 200 OK\r\n\r\nwhole" and then "keeps"
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -23,7 +23,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.http.framing import Framing, framing_of
+from lavenderspoke.http.framing import Framing, StrictResponse, framing_of
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.observing.metrics import Metrics
 
@@ -125,7 +125,7 @@
                 self._sock.settimeout(extra_s)
 
 
-class _Response(http.client.HTTPResponse):
+class _Response(StrictResponse):
     """An HTTP response that detects bytes after its end."""
 
     def __init__(
@@ -327,7 +327,7 @@
         self._pool.discard(self._connection, obstacle)
 
     def _obstacle_to_reuse(self, keep: bool) -> ConnectionUse | None:
-        if not self._is_complete:
+        if not self._is_complete or self._http_response().trailer_lost:
             return ConnectionUse.NOT_READ_TO_END
         if self._http_response().has_extra_bytes:
             return ConnectionUse.EXTRA_BYTES
@@ -341,6 +341,8 @@
         response = self._http_response()
         if response.length not in (None, 0):
             raise IncompleteResponse(f"{response.length} bytes are missing")
+        if self.framing is Framing.INVALID:
+            raise IncompleteResponse("its headers don't tell where it ends")
         is_proved = self._connection.is_end_genuine
         if self.framing is Framing.CONNECTION_END and not is_proved:
             raise IncompleteResponse("the connection was aborted or reset")
--- a/lavenderspoke/http/framing.py
+++ b/lavenderspoke/http/framing.py
@@ -4,11 +4,14 @@
 """
 
 import enum
+import http.client
+import string
 from collections.abc import Callable, Sequence
 
 HeaderValues = Callable[[str], Sequence[str]]
 """Returns the values of all headers with that name."""
 
+CHUNK_LINE_BYTES_MAX = 64 * 1024
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -47,3 +50,28 @@
     if len(lengths) == 1 and all(each.isascii() and each.isdigit() for each in lengths):
         return Framing.LENGTH
     return Framing.INVALID
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """A response whose chunks count only if their sizes came whole.
+
+    The base class takes the "0" of a size "0a0" that was cut off for the last chunk.
+    After the last chunk nothing is missing, so trailers may break off (`trailer_lost`).
+    """
+
+    trailer_lost = False
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(CHUNK_LINE_BYTES_MAX)
+        size = line.partition(b";")[0].strip().decode("latin-1")
+        if not line.endswith(b"\n") or not size or size.strip(string.hexdigits):
+            self._close_conn()
+            # The caller turns it into IncompleteRead.
+            raise ValueError("truncated or malformed chunk size")
+        return int(size, 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        try:
+            super()._read_and_discard_trailer()
+        except (OSError, http.client.HTTPException):
+            self.trailer_lost = True
