Hold streams for callers of HTTP/1.0 until they are whole

Such a caller has no chunks: its stream ended with its connection, in order, also where it had broken off, so it took the events so far for all. Entries that dispatch themselves now hold a stream for it until its end, as the others do, and send it with its length; one that breaks off is refused as incomplete.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -139,18 +139,21 @@
         fd = http_request.conn.socket.fileno()
         self._watch.add(fd, handler.cancel)
         try:
-            yield from self._write_result(handler, start_response, record)
+            yield from self._write_result(http_request, handler, start_response, record)
         finally:
             handler.close()
             self._watch.remove(fd)
 
     def _write_result(
         self,
+        http_request: CallerHttpRequest,
         handler: RequestHandler,
         start_response: StartResponse,
         record: _RequestRecord,
     ) -> Iterator[bytes]:
-        result = handler.handle()
+        # A response to HTTP/1.0 has no chunks, so that only a length shows a cut.
+        has_chunks = http_request.response_protocol == "HTTP/1.1"
+        result = handler.handle() if has_chunks else handler.handle_whole()
         record.response_began_s = self._clock.monotonic_s()
         accepted = handler.accepted
         if isinstance(result, Problem):
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -65,6 +65,9 @@
 # Timeout for reading and discarding the body of a refusal, in seconds.
 DISCARD_TIMEOUT_S = 0.3
 
+# Length up to which a stream is held until its end, in bytes.
+GATHERED_BYTES_MAX = 32 * 1024 * 1024
+
 # Outcomes that prove that an attempt did not run.
 NOT_RUN_OUTCOMES = (
     AttemptOutcome.UNREACHABLE,
@@ -194,6 +197,29 @@
             if not self._should_retry(attempt):
                 return self._error_response or self._final_refusal(attempt)
 
+    def handle_whole(self) -> FullResponse | Problem:
+        """Return a full response, also of a stream, or a refusal.
+
+        For callers who can't tell a stream that breaks off from one that ends.
+        """
+        result = self.handle()
+        if not isinstance(result, StreamResponse):
+            return result
+        body = bytearray()
+        try:
+            for events in result.chunks:
+                body += events
+                if len(body) > GATHERED_BYTES_MAX:
+                    raise IncompleteResponse("too long to be held until its end")
+        except IncompleteResponse as error:
+            self._current.detail = str(error)
+            return self._final_refusal(self._current)
+        finally:
+            result.chunks.close()
+        return FullResponse(
+            status=result.status, headers=result.headers, body=bytes(body)
+        )
+
     # One attempt
 
     def _start_attempt(self) -> _Attempt | Problem:
