Answer a HEAD with the upstream's length and never with a body

Entries that dispatch themselves said Content-Length: 0 for a body that has one, treated a HEAD on a streaming route as a stream, and sent the page of a refusal behind its head, which a caller reads as the next response. A response without a body now states the upstream's length, or none where it has none.

--- a/features/steps/whole_responses_steps.py
+++ b/features/steps/whole_responses_steps.py
@@ -174,3 +174,14 @@
         assert found is None, response
     else:
         assert int(found) > 0, response
+
+
+@when("the head of an unknown route is requested by a raw caller")
+def step_unknown_head(context):
+    request_raw(context, "HEAD", "/nowhere/1", "1.1")
+
+
+@then("it is refused without a body")
+def step_refused_head(context):
+    assert context.response.status == 404, context.response
+    assert context.response.body == b"", context.response
--- a/features/whole_responses.feature
+++ b/features/whole_responses.feature
@@ -87,3 +87,9 @@
       | framing    | length | stream |
       | connection | none   | none   |
       | length     | some   | some   |
+
+  Scenario: A caller asks for the head of what is refused
+    Guards against a body, which the caller would read as the next response.
+    Given two entries before two model and two desk upstreams
+    When the head of an unknown route is requested by a raw caller
+    Then it is refused without a body
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -30,6 +30,7 @@
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
 from lavenderspoke.http.callerwatch import CallerWatch
+from lavenderspoke.http.framing import NO_BODY_STATUSES
 from lavenderspoke.http.hopbyhop import Headers, end_to_end
 from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
 from lavenderspoke.http.server import REQUEST_KEY, CallerHttpRequest, CutOff
@@ -41,8 +42,9 @@
 # A request's deadline lies this much, in seconds, before the route's timeout, so that
 # its response is sent in time.
 TIMEOUT_MARGIN_S = 0.05
+LENGTH = "content-length"
 # Headers that this server writes itself; an upstream's are dropped.
-SERVER_HEADERS = frozenset(("content-length", "date", "server"))
+SERVER_HEADERS = frozenset((LENGTH, "date", "server"))
 
 ANSWERS_METRIC = "direct_answers"
 FIRST_BYTE_METRIC = "direct_first_byte_s"
@@ -127,7 +129,7 @@
         if isinstance(accepted, Err):
             # The rest of the body would be parsed as the next request.
             http_request.close_connection |= _has_unread_body(http_request)
-            yield self._refuse(start_response, accepted.err_value, record)
+            yield self._refuse(http_request, start_response, accepted.err_value, record)
             return
         handler = RequestHandler(
             accepted=accepted.ok_value,
@@ -160,14 +162,16 @@
             self._dispatcher.record_refusal(accepted, ran=result.ran)
             if handler.caller_gone:
                 result = attrs.evolve(result, reason=Reason.CALLER_GONE)
-            yield self._refuse(start_response, result, record)
+            yield self._refuse(http_request, start_response, result, record)
             return
         record.status = result.status
         if isinstance(result, FullResponse):
             record.outcome = OUTCOME_COMPLETE
             start_response(
                 problempage.status_line(result.status),
-                _response_headers(result.headers, len(result.body)),
+                _response_headers(
+                    result.headers, _body_length(result, handler.accepted.head.method)
+                ),
             )
             yield result.body
             return
@@ -294,7 +298,11 @@
     # Writing
 
     def _refuse(
-        self, start_response: StartResponse, problem: Problem, record: _RequestRecord
+        self,
+        http_request: CallerHttpRequest,
+        start_response: StartResponse,
+        problem: Problem,
+        record: _RequestRecord,
     ) -> bytes:
         record.outcome = problem.reason.value
         record.status = problem.status
@@ -302,7 +310,7 @@
         record.retry_after_s = problem.retry_after_s
         page = problempage.render(problem, retry_after=problempage.retry_after_exact)
         start_response(page.status, list(page.headers))
-        return page.body
+        return b"" if http_request.method == b"HEAD" else page.body
 
     def _log_and_count(self, record: _RequestRecord) -> None:
         now_s = self._clock.monotonic_s()
@@ -364,6 +372,19 @@
     return getattr(http_request.rfile, "remaining", 0) > 0
 
 
+def _body_length(response: FullResponse, method: str) -> int | None:
+    """Return the length to state, None for none.
+
+    Without a body it is that of the body which the upstream told of.
+    """
+    if method != "HEAD" and response.status not in NO_BODY_STATUSES:
+        return len(response.body)
+    values = (value for name, value in response.headers if name.lower() == LENGTH)
+    length = next(values, "").strip()
+    is_stated = length.isascii() and length.isdigit() and response.status != 204
+    return int(length) if is_stated else None
+
+
 def _response_headers(headers: Headers, length: int | None) -> list[tuple[str, str]]:
     """Return the headers for the caller; a body of unknown length is sent chunked."""
     result = list(end_to_end(headers, SERVER_HEADERS))
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -44,6 +44,7 @@
     EventSplitter,
     EventTooLong,
 )
+from lavenderspoke.http.framing import Framing
 from lavenderspoke.problems import Problem
 
 # The shortest read timeout, in seconds, before a relocation is tried; well under the
@@ -408,7 +409,9 @@
         """Return the response for the caller, or None if the attempt failed."""
         if attempt.outcome is not None:
             return None
-        if self.accepted.route.stream and attempt.response.status == 200:
+        response = attempt.response
+        has_body = response.framing is not Framing.NO_BODY
+        if self.accepted.route.stream and response.status == 200 and has_body:
             return self._begin_stream(attempt)
         return self._read_full_response(attempt)
 
