Deliver whole answers that end with their connection through agents too

Agents refused each plain answer with neither length nor chunks as broken, also a HEAD without a length, and every event stream of a plain service that has no [DONE]: callers got 502 for work that had run and was answered whole. Entries that dispatch themselves delivered these. Both now judge by the same rules: length, last chunk or proper end of the connection, and no event stream that ends within an event. A model engine's stream still needs its last event.

Of six new scenarios, in which a plain service ends with its connection, resets it, or is asked for a head, three failed before (whole answer, whole stream, head).

--- a/features/httpupstream.feature
+++ b/features/httpupstream.feature
@@ -155,6 +155,28 @@
       | refuse       | UpstreamBroken      | 0     |
       | killed       | UpstreamUnreachable | 0     |
 
+  Scenario Outline: A plain service's answer ends with its connection
+    Guards against refusing a whole answer, or calling a truncated one whole.
+    Given a plain service stand-in with the fault "<mode>"
+    When the payment "r1" is sent
+    Then it ends with <ending>
+    And the service has run "r1" 1 times
+
+    Examples:
+      | mode           | ending         |
+      | unframed       | UpstreamEnd    |
+      | reset_unframed | UpstreamBroken |
+      | events         | UpstreamEnd    |
+      | half_event     | UpstreamBroken |
+      | no_event       | UpstreamBroken |
+
+  Scenario: The head of a plain service's answer is asked for
+    Guards against calling an answer broken that has no body to break.
+    Given a plain service stand-in with the fault "unframed"
+    When the head "r1" is asked for
+    Then it ends with UpstreamEnd
+    And it has no body
+
   Scenario: What a plain service can't do is said so
     Given a plain service stand-in with the fault "up"
     Then resume, cancel, load, cache events and orders are unsupported
--- a/lavenderspoke/http/client.py
+++ b/lavenderspoke/http/client.py
@@ -11,6 +11,8 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from lavenderspoke.http.framing import Framing, StrictResponse, framing_of
+
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 64 * 1024
@@ -42,7 +44,13 @@
     body: bytes
 
 
-class _Http10Connection(urllib3.connection.HTTPConnection):
+class _Connection(urllib3.connection.HTTPConnection):
+    """Takes only whole chunk sizes."""
+
+    response_class = StrictResponse
+
+
+class _Http10Connection(_Connection):
     """Asks for HTTP/1.0, so that the answer comes without chunks."""
 
     _http_vsn = 10
@@ -61,8 +69,8 @@
         self._pool = urllib3.connection_from_url(
             base_url, maxsize=connections, block=False
         )
-        if http10:
-            self._pool.ConnectionCls = _Http10Connection
+        if self._pool.scheme == "http":
+            self._pool.ConnectionCls = _Http10Connection if http10 else _Connection
         self._prefix = (urllib3.util.parse_url(base_url).path or "").rstrip("/")
 
     def open(
@@ -108,10 +116,22 @@
         Takes the arguments of `open`. An answer longer than `ANSWER_BYTES_MAX`
         counts as lost.
         """
-        return self.open(**request).and_then(_read_whole)
+        return self.open(**request).and_then(
+            lambda response: _read_whole(response, request["method"])
+        )
 
 
-def _read_whole(response: urllib3.BaseHTTPResponse) -> Result[Reply, AnswerLost]:
+def _read_whole(
+    response: urllib3.BaseHTTPResponse, method: str
+) -> Result[Reply, AnswerLost]:
+    framing = framing_of(
+        method=method,
+        status=response.status,
+        header_values=response.headers.getlist,
+    )
+    if framing is Framing.INVALID:
+        release(response, whole=False)
+        return Err(AnswerLost(detail="its headers don't tell where it ends"))
     whole = False
     try:
         body = response.read(ANSWER_BYTES_MAX + 1)
--- a/lavenderspoke/upstreams/httprun.py
+++ b/lavenderspoke/upstreams/httprun.py
@@ -8,7 +8,8 @@
 from urllib3.exceptions import HTTPError
 
 from lavenderspoke.http.client import READ_BYTES, AnswerLost, NotSent
-from lavenderspoke.http.eventstream import EventSplitter, EventTooLong
+from lavenderspoke.http.eventstream import MEDIA_TYPE, EventSplitter, EventTooLong
+from lavenderspoke.http.framing import Framing, framing_of
 from lavenderspoke.http.hopbyhop import end_to_end
 from lavenderspoke.upstreams.upstream import (
     RunEvent,
@@ -20,8 +21,6 @@
     UpstreamUnreachable,
 )
 
-EVENT_STREAM = "text/event-stream"
-
 Opened = Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]
 
 
@@ -29,11 +28,21 @@
     """A run that is sent when its first event is asked for.
 
     `is_ended` is set with the last event. `is_resumed` takes a 404 as the
-    upstream's word that it doesn't know the run.
+    upstream's word that it doesn't know the run. `marks_last_event` says that its
+    streams are whole only with their last event, whatever their framing.
     """
 
-    def __init__(self, *, send: Callable[[], Opened], is_resumed: bool = False):
+    def __init__(
+        self,
+        *,
+        send: Callable[[], Opened],
+        method: str = "GET",
+        is_resumed: bool = False,
+        marks_last_event: bool = False,
+    ):
         self._send = send
+        self._method = method
+        self._marks_last_event = marks_last_event
         self._is_resumed = is_resumed
         self._response: urllib3.BaseHTTPResponse | None = None
         self._splitter: EventSplitter | None = None
@@ -78,7 +87,7 @@
         """Return what has come; blocks while that is nothing."""
         try:
             data = self._response.read1(READ_BYTES)
-            events = self._split(data) if data else [self._ending()]
+            events = self._split(data) if data else self._ending()
         except (HTTPError, OSError, ValueError) as error:
             events = [UpstreamBroken(detail=f"{type(error).__name__}: {error}")]
         except EventTooLong:
@@ -104,7 +113,7 @@
             self._end(UpstreamUnknownRun())
             return
         content_type = self._response.headers.get("Content-Type", "")
-        if content_type.startswith(EVENT_STREAM):
+        if content_type.strip().lower().startswith(MEDIA_TYPE):
             self._splitter = EventSplitter()
         headers = end_to_end(tuple(self._response.headers.iteritems()))
         self._events.append(UpstreamHead(status=self._response.status, headers=headers))
@@ -122,14 +131,24 @@
         body = UpstreamBody(body=events.body, event_id=events.event_id)
         return [body, UpstreamEnd()] if events.last else [body]
 
-    def _ending(self) -> RunEvent:
+    def _ending(self) -> list[RunEvent]:
+        framing = framing_of(
+            method=self._method,
+            status=self._response.status,
+            header_values=self._response.headers.getlist,
+        )
+        if framing is Framing.INVALID:
+            return [UpstreamBroken(detail="its headers don't tell where it ends")]
+        if self._splitter is None or framing is Framing.NO_BODY:
+            return [UpstreamEnd()]
         # An engine that gives up early ends its HTTP answer properly; only its
         # missing last event shows the caller's answer to be cut short.
-        if self._splitter is not None:
-            return UpstreamBroken(detail="event stream ended early")
-        if not _is_delimited(self._response):
-            return UpstreamBroken(detail="answer has neither length nor chunks")
-        return UpstreamEnd()
+        if self._marks_last_event:
+            return [UpstreamBroken(detail="event stream ended early")]
+        if missing := self._splitter.missing(framing):
+            return [UpstreamBroken(detail=missing)]
+        rest = self._splitter.rest()
+        return [UpstreamBody(body=rest), UpstreamEnd()] if rest else [UpstreamEnd()]
 
 
 def run_error(error: NotSent | AnswerLost) -> UpstreamUnreachable | UpstreamBroken:
@@ -137,14 +156,3 @@
     if isinstance(error, NotSent):
         return UpstreamUnreachable(detail=error.detail, is_refused=error.is_refused)
     return UpstreamBroken(detail=error.detail)
-
-
-def _is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether the answer's end can be told from a crash of its sender.
-
-    A body that ends with its connection looks the same when the upstream dies
-    in the middle of it.
-    """
-    bodiless = response.status in (204, 304)
-    length = response.headers.get("Content-Length", "")
-    return bodiless or response.chunked or length.isdecimal()
--- a/lavenderspoke/upstreams/httpupstream.py
+++ b/lavenderspoke/upstreams/httpupstream.py
@@ -50,6 +50,8 @@
     and callers would be told "unknown" for payments that never ran.
     """
 
+    marks_last_event = False
+
     def __init__(self, *, base_url: str):
         self._client = HttpClient(base_url=base_url)
         self._run_client = self._client
@@ -64,7 +66,9 @@
             body=call.body,
             timeout_s=timeout_s,
         )
-        return HttpRun(send=send)
+        return HttpRun(
+            send=send, method=call.method, marks_last_event=self.marks_last_event
+        )
 
     def resume(
         self, request_id: str, after_event_id: int | None, *, timeout_s: float
@@ -121,6 +125,8 @@
     chunks, one read takes all that came, and a selector may wait for more.
     """
 
+    marks_last_event = True
+
     def __init__(self, *, base_url: str):
         super().__init__(base_url=base_url)
         self._run_client = HttpClient(base_url=base_url, http10=True)
@@ -136,7 +142,9 @@
             path=f"{_run_path(request_id)}?after={after}",
             timeout_s=timeout_s,
         )
-        return HttpRun(send=send, is_resumed=True)
+        return HttpRun(
+            send=send, is_resumed=True, marks_last_event=self.marks_last_event
+        )
 
     def cancel(self, request_id: str) -> Result[None, UpstreamError]:
         """Ask the engine to stop a run."""
--- a/lavenderspoke/upstreams/upstream.py
+++ b/lavenderspoke/upstreams/upstream.py
@@ -42,7 +42,7 @@
 
 @attrs.frozen(kw_only=True)
 class UpstreamEnd:
-    """The answer is whole, by its length, last chunk or last event."""
+    """The answer is whole: by its length, last chunk, last event or proper end."""
 
 
 @attrs.frozen(kw_only=True)
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -2,7 +2,9 @@
 
 It echoes what it is sent and counts each run, with its own faults: `refuse`
 cuts before the request takes effect, `lose_answers` after, `cut_body` in the
-middle of the answer.
+middle of the answer. `unframed` sends it with neither length nor chunks, and
+`reset_unframed` resets the connection in the middle of that. `events`,
+`half_event` and `no_event` send an event stream in its place, unframed too.
 """
 
 import json
@@ -16,6 +18,12 @@
 from standins.server import Cut, Reply, Request, json_reply
 
 CRASH_STATUS = 9
+EVENT_STREAM = "text/event-stream"
+STREAMS = {
+    "events": b"data: a\n\ndata: b\n\n",
+    "half_event": b"data: a\n\ndata:",
+    "no_event": b"",
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -34,7 +42,7 @@
         self._faults = server.Faults(kind=Faults, initial=faults)
         self._counts = RunCounts(path=counts_file)
 
-    def handle(self, request: Request) -> Reply:
+    def handle(self, request: Request) -> Reply | None:
         """Answer one request."""
         if request.path == "/control":
             return self._faults.handle(request)
@@ -52,8 +60,26 @@
             server.start_answer(request, reply, length=len(reply.body))
             request.http.write(reply.body[: len(reply.body) // 2])
             raise Cut
+        if faults.mode in ("unframed", "reset_unframed"):
+            self._send_unframed(request, reply, is_reset=faults.mode != "unframed")
+            return None
+        if faults.mode in STREAMS:
+            stream = Reply(body=STREAMS[faults.mode], content_type=EVENT_STREAM)
+            self._send_unframed(request, stream)
+            return None
         return reply
 
+    def _send_unframed(
+        self, request: Request, reply: Reply, *, is_reset: bool = False
+    ) -> None:
+        server.start_unframed(request, reply)
+        if is_reset:
+            request.http.write(reply.body[: len(reply.body) // 2])
+            server.reset(request)
+            raise Cut
+        if request.method != "HEAD":
+            request.http.write(reply.body)
+
     def _take_effect(self, request: Request, faults: Faults) -> Reply:
         body = request.body.decode("latin-1")
         self._counts.add(
--- a/standins/server.py
+++ b/standins/server.py
@@ -79,6 +79,13 @@
     http.ensure_headers_sent()
 
 
+def start_unframed(request: Request, reply: Reply) -> None:
+    """Send the status line and headers of an answer that ends with its connection."""
+    # For HTTP/1.0 the server adds no chunks, and closes the connection.
+    request.http.response_protocol = "HTTP/1.0"
+    start_answer(request, reply)
+
+
 def cut(request: Request) -> None:
     """Close the connection without ending the answer."""
     http = request.http
