Read, log and count the number of the store's copy

Changes that had been acknowledged were not in force after the store had been away. No log line told by which copy of the store an entry had learned anything. Its number, in every response of the store, now is logged and counted when it rises, and when it is missing, malformed or lower than before, which changes nothing. No decision rests on it yet.

--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -101,7 +101,7 @@
             random=Random(),
         )
         self._configuration = ConfigurationFeed(
-            store=Store(address=settings.store),
+            store=Store(address=settings.store, metrics=entry.metrics),
             clock=clock,
             relay=self._relay,
             metrics=entry.metrics,
@@ -116,14 +116,14 @@
             on_read=entry.dispatcher.orders_read,
         )
         self._rollouts = StatusWriter(
-            store=Store(address=settings.store),
+            store=Store(address=settings.store, metrics=entry.metrics),
             clock=clock,
             metrics=entry.metrics,
             updates_due=entry.dispatcher.rollout_records_due,
             on_stored=entry.dispatcher.rollout_stored,
         )
         self._upstreams = UpstreamsFeed(
-            store=Store(address=settings.store),
+            store=Store(address=settings.store, metrics=entry.metrics),
             clock=clock,
             relay=self._relay,
             metrics=entry.metrics,
@@ -131,7 +131,7 @@
             on_change=entry.dispatcher.upstreams_changed,
         )
         self._entries = EntriesFeed(
-            store=Store(address=settings.store),
+            store=Store(address=settings.store, metrics=entry.metrics),
             clock=clock,
             relay=self._relay,
             metrics=entry.metrics,
@@ -142,7 +142,7 @@
         )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
-            store=Store(address=settings.store),
+            store=Store(address=settings.store, metrics=entry.metrics),
             clock=clock,
             metrics=entry.metrics,
             dispatcher=entry.dispatcher,
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -17,7 +17,9 @@
     StoreError,
 )
 from lavenderspoke.direct.settings import Address
+from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.storeepoch import STORE_EPOCH, EpochReader
 
 # Read timeout beyond the requested wait, in seconds: the store responds within
 # milliseconds, and takes much longer only if it is faulty.
@@ -36,7 +38,10 @@
 class Store:
     """A client with one persistent connection, for use by a single thread."""
 
-    def __init__(self, *, address: Address):
+    def __init__(self, *, address: Address, metrics: Metrics):
+        self._epochs = EpochReader(metrics=metrics)
+        # Of the last response, None if it named no valid one.
+        self._epoch: int | None = None
         self._pool = urllib3.HTTPConnectionPool(
             address.host, address.port, maxsize=1, block=False
         )
@@ -136,6 +141,7 @@
                 self._pool.host, self._pool.port, maxsize=1, block=False
             )
             return Err(StoreError(detail=f"{type(error).__name__}: {error}"))
+        self._epoch = self._epochs.read(reply.headers.getlist(STORE_EPOCH))
         return Ok(reply)
 
 
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -141,6 +141,10 @@
         """Put a configuration in force."""
         self.put("keyed.op", "config", content)
 
+    def control_store(self, action: str) -> None:
+        """Make the store keep a `copy` of itself, or `go-back` to the last one."""
+        urllib3.request("POST", f"{self.store.url}/control/{action}")
+
     def upstream(
         self, name: str, service: str, *options: str, version: str = "v1"
     ) -> StandIn:
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -4,6 +4,9 @@
 expect), and what goes wrong with them. Modes: `up`; `down` answers 503; `reset` cuts;
 `silent` answers nothing; `lose` carries out and then cuts. `forgotten_before` makes
 older reads fail as if the records had been dropped.
+
+Each answer has the number of the store's copy. `POST /control/copy` keeps a copy of all
+topics, and `POST /control/go-back` puts it in their place and raises the number by one.
 """
 
 import base64
@@ -21,6 +24,7 @@
 # The operator's own topics; the system may only read them.
 OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
 OPERATOR_HEADER = "x-operator"
+EPOCH_HEADER = "Store-Era"
 POLL_S = 0.005
 # A caller that is answered nothing is held for this long at most.
 SILENCE_S = 30.0
@@ -33,6 +37,8 @@
     mode: str = "up"
     delay_s: float = 0.0
     forgotten_before: int = 0
+    # Sent in place of the copy's number, if set; "none" leaves it out.
+    epoch: str = ""
 
 
 class StoreStandIn:
@@ -40,11 +46,22 @@
 
     def __init__(self, *, faults: str):
         self._topics: dict[str, list[bytes]] = {}
+        self._copy: dict[str, list[bytes]] = {}
+        self._epoch = 1
         self._faults = server.Faults(kind=Faults, initial=faults)
         self._lock = threading.Lock()
 
     def handle(self, request: Request) -> Reply | None:
         """Answer one call."""
+        if request.path == "/control/copy":
+            with self._lock:
+                self._copy = {key: list(held) for key, held in self._topics.items()}
+            return json_reply({})
+        if request.path == "/control/go-back":
+            with self._lock:
+                self._topics = {key: list(held) for key, held in self._copy.items()}
+                self._epoch += 1
+            return json_reply({"epoch": self._epoch})
         if request.path.startswith("/control"):
             return self._faults.handle(request)
         is_operator = OPERATOR_HEADER in request.headers
@@ -53,7 +70,10 @@
         reply = self._call(request, is_operator)
         if self._faults.now.mode == "lose" and not is_operator:
             raise Cut
-        return reply
+        epoch = self._faults.now.epoch or str(self._epoch)
+        if epoch == "none":
+            return reply
+        return attrs.evolve(reply, headers=(*reply.headers, (EPOCH_HEADER, epoch)))
 
     def _suffer(self) -> None:
         mode = self._faults.now.mode
@@ -101,6 +121,8 @@
         if start < self._faults.now.forgotten_before:
             first = self._faults.now.forgotten_before
             return json_reply({"first-offset": first}, 410)
+        if start > len(self._records(topic, 0)):
+            return json_reply({"first-offset": 0}, 410)
         until_s = time.monotonic() + request.number("wait-ms", 0) / 1000
         while not self._records(topic, start) and time.monotonic() < until_s:
             if self._faults.now.mode in ("reset", "silent"):
