--- a/features/steps/store_relay_steps.py
+++ b/features/steps/store_relay_steps.py
@@ -47,6 +47,9 @@
         self.now_s = 0.0
         self.topics: dict[str, list[KeyedRecord]] = {}
         self.expired_before = 0
+        # The number of the store's copy, and an earlier one to go back to.
+        self.epoch = 1
+        self.copy: dict[str, list[KeyedRecord]] = {}
         # Names of entries. Store calls of rejected ones fail, those of entries that it
         # is unresponsive to do so only after a timeout; feeds of hanging ones stop.
         self.rejected: set[str] = set()
@@ -85,6 +88,11 @@
         for entry in self.entries.values():
             entry.end_long_poll()
 
+    def go_back(self, epoch: int) -> None:
+        """Lose all records that were appended since the copy."""
+        self.topics = {topic: list(records) for topic, records in self.copy.items()}
+        self.epoch = epoch
+
     def send(self, sender: str, name: str, message) -> None:
         if isinstance(message, RecordsTold):
             size = sum(len(value or b"") for _, value, _ in message.records)
@@ -101,6 +109,8 @@
     def __init__(self, *, world: Simulation, name: str):
         self._world = world
         self._name = name
+        # Whether the store refused an offset since the entry's last round.
+        self.has_refused_offset = False
 
     def _call(self) -> StoreError | None:
         self._world.calls[self._name] += 1
@@ -113,16 +123,31 @@
         records = self._world.topics.get(topic, [])
         newest = {record.key: record for record in records}
         present = tuple(r for r in newest.values() if r.value is not None)
-        return Ok(RecordBatch(records=present, next_offset=len(records)))
+        return Ok(
+            RecordBatch(
+                records=present, next_offset=len(records), epoch=self._world.epoch
+            )
+        )
 
     def read(self, topic: str, from_offset: int, *, wait_s: float):
         if error := self._call():
             return Err(error)
         if from_offset < self._world.expired_before:
-            return Ok(OffsetExpired(first_offset=self._world.expired_before))
+            return Ok(
+                OffsetExpired(
+                    first_offset=self._world.expired_before, epoch=self._world.epoch
+                )
+            )
         records = self._world.topics.get(topic, [])
+        if from_offset > len(records):
+            self.has_refused_offset = True
+            return Ok(OffsetExpired(first_offset=0, epoch=self._world.epoch))
         return Ok(
-            RecordBatch(records=tuple(records[from_offset:]), next_offset=len(records))
+            RecordBatch(
+                records=tuple(records[from_offset:]),
+                next_offset=len(records),
+                epoch=self._world.epoch,
+            )
         )
 
 
@@ -154,7 +179,7 @@
             clock=world,
             random=Random(name),
         )
-        store = FakeStore(world=world, name=name)
+        self._store = store = FakeStore(world=world, name=name)
         self.orders = []
         if feed == "configuration":
             self.feed = ConfigurationFeed(
@@ -214,7 +239,9 @@
         pause_s = self.feed.run_once()
         read = self._world.calls[self.name] > calls
         # The fake responds at once where the store would hold the read.
-        held_s = self.feed._long_poll_s() if read else 0.0
+        is_held = read and not self._store.has_refused_offset
+        self._store.has_refused_offset = False
+        held_s = self.feed._long_poll_s() if is_held else 0.0
         self._in_long_poll = held_s > 0.0
         if read and self.name in self._world.unresponsive_to:
             self._world.at(
@@ -454,13 +481,13 @@
     world.expired_before = len(world.topics[UPSTREAMS_TOPIC])
 
 
-def register(world: Simulation, name: str) -> None:
+def register(world: Simulation, name: str, *, state: str = "ready") -> None:
     record = {
         "service": "s",
         "address": "127.0.0.1:1",
         "zone": "here",
         "slots": 1,
-        "state": "ready",
+        "state": state,
     }
     world.append(UPSTREAMS_TOPIC, name, record)
 
--- a/lavenderspoke/direct/records.py
+++ b/lavenderspoke/direct/records.py
@@ -15,9 +15,14 @@
 
 @attrs.frozen(kw_only=True)
 class OffsetExpired:
-    """The requested offset has expired; the topic now begins at `first_offset`."""
+    """The store doesn't have the requested offset; `first_offset` is the first it has.
+
+    The offset has expired, or lies beyond the end of a copy that the store has come
+    back from; `epoch` is as in a batch.
+    """
 
     first_offset: int
+    epoch: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -33,12 +38,15 @@
 class RecordBatch:
     """Records in offset order, and the offset of the next read.
 
-    `skipped` counts records that could not be decoded.
+    `skipped` counts records that could not be decoded. `epoch` is the number of the
+    store's copy that they come from, None if the store didn't tell; offsets compare
+    only within one copy.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     skipped: int = 0
+    epoch: int | None = None
 
 
 class RecordStore(Protocol):
