Forget offsets when the store comes back from an older copy

The store had been away and come back from an older copy, in which offsets are given out again. Entries kept the larger of two offsets: readers asked for one that the store lacks some 45 times a second, and followers asked the readers for records after it, of which there were none, and took that for "nothing new".

An offset now counts only in the copy that it was learned from, whose number the store names in each response and entries in their messages. A higher number, or a store that ends before an offset that it gave out, makes a feed forget its offsets and load the newest records; messages from before replace nothing. What the copy lacks is kept: the version in force stays so and is passed on to entries that never heard of it, confirms no keys until the store has it again, and bounds what an entry that starts then believes; upstreams that were leaving or gone stay so until they write again. Entries write their own records, burst credits and the state of roll-outs again; an order under a new number goes on, and a conditional write that spans two copies is decided on again.

--- a/features/rolloutsimulation.py
+++ b/features/rolloutsimulation.py
@@ -90,10 +90,11 @@
             return Err(StoreError(detail="rejected"))
         return Ok(self._shared.newest())
 
-    def append(self, topic: str, key: str, value: bytes, *, end_offset=None):
+    def append(self, topic: str, key: str, value: bytes, *, unchanged_since=None):
         assert topic == STATUS_TOPIC
         if self._name in self._shared.rejected_entries:
             return Err(StoreError(detail="rejected"))
+        end_offset = unchanged_since.next_offset if unchanged_since else None
         return self._shared.append(key, value, end_offset)
 
 
--- a/features/steps/burst_credits_steps.py
+++ b/features/steps/burst_credits_steps.py
@@ -345,7 +345,8 @@
         self.on_read()
         return Ok(batch)
 
-    def append(self, topic, key, value, *, end_offset=None):
+    def append(self, topic, key, value, *, unchanged_since=None):
+        end_offset = unchanged_since.next_offset if unchanged_since else None
         self.calls.append((key, value, end_offset))
         if self.is_away:
             return Err(StoreError(detail="away"))
--- a/lavenderspoke/direct/burstcredits.py
+++ b/lavenderspoke/direct/burstcredits.py
@@ -95,6 +95,8 @@
         self._held: dict[str, float] = {}
         self._told: dict[str, dict[str, _Told]] = {}
         self._wanted: dict[str, float] = {}
+        # Credits in force whose record the store has lost.
+        self._unstored: dict[str, float] = {}
         self._calm_since_s: dict[str, float] = {}
         self._last_in_force_s: dict[str, float] = {}
         self._deletable: list[str] = []
@@ -132,6 +134,14 @@
         if records:
             log.info("burst credits at start", credits=dict(records))
 
+    def records_lost(self, records: Mapping[str, float], now_s: float) -> None:
+        """Record the own credits again, and see to it that older ones are deleted.
+
+        `records` are those in the copy that the store has come back from.
+        """
+        self._unstored = dict(self._held)
+        self._last_in_force_s |= dict.fromkeys(records, now_s)
+
     def writes_due(self) -> dict[str, float]:
         """Return the credits that this entry should record, by customer."""
         return dict(self._wanted)
@@ -141,6 +151,7 @@
         log.info("burst credit in force", customer=customer, tokens=tokens)
         self._held[customer] = max(tokens, self._held.get(customer, 0.0))
         self._wanted.pop(customer, None)
+        self._unstored.pop(customer, None)
 
     def deletions_due(self) -> list[str]:
         """Return the customers whose records this entry should delete."""
@@ -202,7 +213,12 @@
             self._held.clear()
         self._updated_s = now_s
         self._update_names([self._name, *live_peers])
-        self._wanted = {}
+        self._unstored = {
+            customer: tokens
+            for customer, tokens in self._unstored.items()
+            if customer in self._held
+        }
+        self._wanted = dict(self._unstored)
         for bucket in buckets:
             self._update_customer(bucket, now_s)
         self._update_deletions(all_live, now_s)
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -3,6 +3,9 @@
 It reads from its last offset. When that offset has expired, it loads the newest record
 of each key and continues from there. While other entries read the store, it queries
 them instead.
+
+The store may come back from an older copy, whose offsets are given out again. Then all
+that depends on offsets is forgotten, and the newest record of each key loaded anew.
 """
 
 import threading
@@ -19,11 +22,13 @@
     StoreError,
 )
 from lavenderspoke.direct.relay import RecordCache, Relay
+from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 
 # Minimum pause after a failed call, in seconds.
 RETRY_PAUSE_S = 0.2
 STORE_CALLS = "store_calls"
+STORE_COPIES = "store_copies"
 
 log = logbook.Logger(__name__)
 
@@ -69,6 +74,8 @@
         self._relay = relay
         self._metrics = metrics
         self._needs_snapshot = True
+        # The last offset that the store didn't have, until a snapshot was applied.
+        self._refused_offset: int | None = None
         self._failing = False
         self._read_scheduled = False
         # Send time of the last read that returned any records.
@@ -114,18 +121,26 @@
             return False
         self._note_success()
         batch = read.ok_value
+        epoch = self._epoch_of(batch)
+        if epoch < self.cache.epoch:
+            # Other entries have told of a later copy; this is an answer from before.
+            return True
         if isinstance(batch, OffsetExpired):
             log.info("offset expired", topic=self.topic, offset=offset)
+            self._refused_offset = offset
+            self._needs_snapshot = True
+            return self.poll()
+        if epoch > self.cache.epoch and not is_snapshot:
             self._needs_snapshot = True
             return self.poll()
         if batch.skipped:
             log.warning(
                 "undecodable records skipped", topic=self.topic, count=batch.skipped
             )
-        known_offset = self.cache.next_offset
+        known_position = self.cache.position
         if not self._apply_and_cache(batch, is_snapshot=is_snapshot, sent_s=sent_s):
             return False
-        if batch.next_offset > (known_offset or 0):
+        if self.cache.position > known_position and batch.next_offset > 0:
             self._relay.notify_peers(self)
         return True
 
@@ -154,18 +169,98 @@
     def on_read_failed(self) -> None:
         """Handle a failed store read; does nothing by default."""
 
+    def on_new_copy(self, *, is_announced: bool) -> None:
+        """Forget offsets: the next snapshot is from another copy of the store.
+
+        It may lack what was applied before, which the operator and the upstreams write
+        again. The cache has its epoch, which isn't a later one unless `is_announced`.
+        Does nothing by default.
+        """
+
+    def copy_started(self, epoch: int) -> None:
+        """Look at the store soon, since another topic came from a later copy."""
+        if epoch > self.cache.epoch:
+            self._wake.set()
+
+    def version(self) -> int:
+        """Return the newest version of what the topic holds, 0 if it has none."""
+        return 0
+
+    def unstored_version(self) -> int:
+        """Return the version in force if the store's copy lacks it, else 0."""
+        return 0
+
+    def newer_than(self, version: int) -> tuple[tuple[str, bytes], ...]:
+        """Return the key and value in force, if they are newer than a version."""
+        return ()
+
+    def apply_unstored(self, rows: tuple[tuple[str, bytes], ...]) -> None:
+        """Apply values that other entries have in force and the store may lack."""
+
+    def _epoch_of(self, read: RecordBatch | OffsetExpired) -> int:
+        return self.cache.epoch if read.epoch is None else read.epoch
+
     def _apply_and_cache(
         self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float
     ) -> bool:
         with self._apply_lock:
+            epoch = self._epoch_of(batch)
+            if epoch < self.cache.epoch or (
+                epoch > self.cache.epoch and not is_snapshot
+            ):
+                # Another thread has applied a later copy meanwhile, or the sender took
+                # this entry's offsets for those of its own copy.
+                return False
+            if self._is_other_copy(batch, epoch, is_snapshot=is_snapshot):
+                self._start_copy(batch, epoch)
             if not self.apply(batch, is_snapshot=is_snapshot, sent_s=sent_s):
                 return False
             self.cache.put(batch, is_snapshot=is_snapshot, sent_s=sent_s)
+            if is_snapshot:
+                self._refused_offset = None
             if batch.records:
                 self._last_records_s = max(self._last_records_s, sent_s)
             self._needs_snapshot = False
             return True
 
+    def _is_other_copy(
+        self, batch: RecordBatch, epoch: int, *, is_snapshot: bool
+    ) -> bool:
+        if epoch > self.cache.epoch:
+            return True
+        # Without a number that tells: the store lacks the offset that it gave out, and
+        # ends before it.
+        refused_offset = self._refused_offset
+        return (
+            is_snapshot
+            and refused_offset is not None
+            and refused_offset == self.cache.next_offset
+            and batch.next_offset < refused_offset
+        )
+
+    def _start_copy(self, batch: RecordBatch, epoch: int) -> None:
+        before, known_offset = self.cache.position
+        self.cache.start_copy(epoch)
+        self._needs_snapshot = True
+        if known_offset < 0:
+            # The first read of all.
+            return
+        is_announced = epoch > before
+        self._metrics.count(
+            STORE_COPIES,
+            f"{self.topic}:{'announced' if is_announced else 'unannounced'}",
+        )
+        log.warning(
+            signals.STORE_WENT_BACK,
+            topic=self.topic,
+            epoch=epoch,
+            before=before,
+            offset=batch.next_offset,
+            known_offset=known_offset,
+        )
+        self.on_new_copy(is_announced=is_announced)
+        self._relay.copy_started(self, epoch)
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
--- a/lavenderspoke/direct/inforce.py
+++ b/lavenderspoke/direct/inforce.py
@@ -18,6 +18,9 @@
     the store any more, and such an entry can't know whether the configuration has
     changed. The age counts from when the read was sent, since the response may have
     been delayed. `clock` must include time spent suspended.
+
+    The store may have lost a version that was in force at other entries. Until that one
+    or a newer one is here, no keys are accepted (`require`).
     """
 
     def __init__(self, *, clock: Clock, key_age_max_s: float):
@@ -25,6 +28,7 @@
         self.key_age_max_s = key_age_max_s
         self._lock = threading.Lock()
         self._catalog: Catalog | None = None
+        self._required_version = 0
         self._confirmed_s: float | None = None
 
     @property
@@ -48,6 +52,11 @@
         )
         return True
 
+    def require(self, version: int) -> None:
+        """Accept no keys by a catalog that is older than this version."""
+        with self._lock:
+            self._required_version = max(self._required_version, version)
+
     def confirm(self, sent_s: float) -> None:
         """Record that a read sent at `sent_s` showed no newer catalog."""
         with self._lock:
@@ -62,5 +71,8 @@
 
     def is_fresh(self) -> bool:
         """Return whether API keys may be accepted now."""
+        catalog = self._catalog
+        if catalog is None or catalog.version < self._required_version:
+            return False
         age_s = self.age_s()
         return age_s is not None and age_s < self.key_age_max_s
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -140,12 +140,16 @@
     `from_offset` is the offset of the sender's next read, -1 before its first one.
     `asked_s` is the send time on the sender's clock and is returned in the reply.
     `in_full` requests records of any size, since the sender can't read the store.
+    Offsets are those of the store's copy number `epoch`. `version` is the newest that
+    the sender has of what the topic holds, 0 if it has none or the topic no versions.
     """
 
     topic: str
     from_offset: int
     asked_s: float
     in_full: bool = False
+    epoch: int = 0
+    version: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -157,7 +161,8 @@
     `age_s`, which the receiver takes as its time. Records are rows of key, value and
     offset, in offset order; a value of None is a tombstone. With `whole` they are a
     snapshot of all keys. With `too_large` the records are left out, and the receiver
-    should read them from the store.
+    should read them from the store. `unstored` are rows of key and value that are in
+    force at the sender though its copy of the store lacks them.
     """
 
     topic: str
@@ -167,6 +172,8 @@
     whole: bool
     records: tuple[tuple[str, bytes | None, int], ...] = ()
     too_large: bool = False
+    epoch: int = 0
+    unstored: tuple[tuple[str, bytes], ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -174,10 +181,13 @@
     """Notifies other entries that the sender has read a topic up to an offset.
 
     Entries that are behind query the records, so those that aren't cause no traffic.
+    `unstored_version` is a version in force that the store lacks, 0 if there is none.
     """
 
     topic: str
     next_offset: int
+    epoch: int = 0
+    unstored_version: int = 0
 
 
 RecordsMessage = RecordsAsked | RecordsTold | RecordsNews
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -436,6 +436,11 @@
             self._rollouts.withdraw_order(service, number, self._now_s())
             self._scheduler.rollouts_changed()
 
+    def rollout_records_lost(self) -> None:
+        """Write the records of roll-outs again: the store has come back from a copy."""
+        with self._lock:
+            self._rollouts.records_lost()
+
     def orders_read(self, sent_s: float) -> None:
         """Record that a read sent at `sent_s` has returned all orders."""
         with self._lock:
@@ -452,7 +457,7 @@
     def rollout_records_due(self) -> list[StatusUpdate]:
         """Return the roll-outs whose record this entry should write."""
         with self._lock:
-            if not self._rollouts.is_any_running:
+            if not self._rollouts.may_need_record:
                 return []
             now_s = self._now_s()
             return self._rollouts.status_updates(self._cluster_view(now_s), now_s)
@@ -465,6 +470,12 @@
             with self._lock:
                 self._burst_credits.read_records(records, self._now_s())
 
+    def burst_credits_lost(self, records: dict[str, float]) -> None:
+        """Apply the credits in a copy of the store that may lack later records."""
+        if self._burst_credits is not None:
+            with self._lock:
+                self._burst_credits.records_lost(records, self._now_s())
+
     def burst_credits_due(self) -> tuple[dict[str, float], list[str]]:
         """Return the credits to record and the customers whose record to delete."""
         if self._burst_credits is None:
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -12,6 +12,11 @@
 A reply carries the age of the store read behind it, and the receiver subtracts that age
 from the time at which it sent the query. A delayed reply therefore never looks fresher
 than it is, which is why an entry may accept API keys because of relayed records.
+
+The store may come back from an older copy. Messages name the number of the copy that
+their offsets belong to: what comes from an earlier one replaces nothing, and an entry
+that hears of a later one queries it. A version in force that the copy lacks is passed
+on beside the records, to entries that never heard of it.
 """
 
 import threading
@@ -58,6 +63,7 @@
     def __init__(self):
         self._lock = threading.Lock()
         self._newest: dict[str, KeyedRecord] = {}
+        self._epoch = 0
         self._next_offset: int | None = None
         # Tombstones below this offset may be missing.
         self._complete_from_offset = 0
@@ -68,12 +74,30 @@
         """The offset of the next read, None before the first one."""
         return self._next_offset
 
+    @property
+    def epoch(self) -> int:
+        """The number of the store's copy that the records come from."""
+        return self._epoch
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """The copy's number and the offset of the next read, -1 before the first."""
+        return self._epoch, -1 if self._next_offset is None else self._next_offset
+
     def age_s(self, now_s: float) -> float:
         """Return the time since the last read was sent, infinity before the first."""
         return float("inf") if self._read_sent_s is None else now_s - self._read_sent_s
 
+    def start_copy(self, epoch: int) -> None:
+        """Discard all records: those to come are from another copy of the store."""
+        with self._lock:
+            self._newest.clear()
+            self._next_offset = None
+            self._complete_from_offset = 0
+            self._epoch = epoch
+
     def put(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> None:
-        """Merge the result of a read sent at `sent_s`.
+        """Merge the result of a read sent at `sent_s`, of the same copy of the store.
 
         A snapshot replaces all records, unless it is older than the cache: then it is
         merged like any batch.
@@ -92,14 +116,20 @@
             self._prune_tombstones()
 
     def reply_to(self, query: RecordsAsked, now_s: float) -> RecordsTold | None:
-        """Return the reply, or None if this cache is empty or behind the query."""
+        """Return the reply, or None if this cache is empty or behind the query.
+
+        The offsets of a query from before another copy mean nothing in this one.
+        """
         with self._lock:
-            if self._next_offset is None or query.from_offset > self._next_offset:
+            from_offset = query.from_offset if query.epoch == self._epoch else -1
+            if self._next_offset is None or query.epoch > self._epoch:
                 return None
-            is_snapshot = query.from_offset < self._complete_from_offset
-            records = [
-                r for r in self._newest.values() if r.offset >= query.from_offset
-            ]
+            if from_offset > self._next_offset:
+                return None
+            is_snapshot = (
+                query.epoch < self._epoch or from_offset < self._complete_from_offset
+            )
+            records = [r for r in self._newest.values() if r.offset >= from_offset]
             if is_snapshot:
                 records = [r for r in self._newest.values() if r.value is not None]
             records.sort(key=lambda record: record.offset)
@@ -115,6 +145,7 @@
                 whole=is_snapshot,
                 records=tuple((r.key, r.value, r.offset) for r in records),
                 too_large=too_large,
+                epoch=self._epoch,
             )
 
     def _prune_tombstones(self) -> None:
@@ -141,6 +172,21 @@
     def schedule_read(self) -> None:
         """Read the store instead of sending the next query."""
 
+    def version(self) -> int:
+        """Return the newest version of what the topic holds, 0 if it has none."""
+
+    def unstored_version(self) -> int:
+        """Return the version in force if the store's copy lacks it, else 0."""
+
+    def newer_than(self, version: int) -> tuple[tuple[str, bytes], ...]:
+        """Return the key and value in force, if they are newer than a version."""
+
+    def apply_unstored(self, rows: tuple[tuple[str, bytes], ...]) -> None:
+        """Apply values that other entries have in force and the store may lack."""
+
+    def copy_started(self, epoch: int) -> None:
+        """Handle that another topic was read from a later copy of the store."""
+
 
 @attrs.frozen(kw_only=True)
 class PeerAccess:
@@ -214,7 +260,26 @@
         """
         if not feed.urgent or self.is_follower():
             return
-        notification = RecordsNews(topic=feed.topic, next_offset=feed.cache.next_offset)
+        self._notify(feed)
+
+    def tell_unstored(self, feed: RelayedFeed) -> None:
+        """Notify peers that a version is in force here that the store lacks."""
+        self._notify(feed)
+
+    def copy_started(self, feed: RelayedFeed, epoch: int) -> None:
+        """Tell the other feeds that this one has read from a later copy."""
+        for other in self._feeds.values():
+            if other is not feed:
+                other.copy_started(epoch)
+
+    def _notify(self, feed: RelayedFeed) -> None:
+        epoch, next_offset = feed.cache.position
+        notification = RecordsNews(
+            topic=feed.topic,
+            next_offset=next_offset,
+            epoch=epoch,
+            unstored_version=feed.unstored_version(),
+        )
         for name in self._peers.live_peer_names():
             self._peers.send(name, notification)
 
@@ -222,12 +287,15 @@
         others = [name for name in names if name != self._peers.name]
         if not others:
             return
-        offset = self._feeds[topic].cache.next_offset
+        feed = self._feeds[topic]
+        epoch, next_offset = feed.cache.position
         query = RecordsAsked(
             topic=topic,
-            from_offset=-1 if offset is None else offset,
+            from_offset=next_offset,
             asked_s=self._clock.monotonic_s(),
             in_full=in_full,
+            epoch=epoch,
+            version=feed.version(),
         )
         self._peers.send(self._random.choice(others), query)
 
@@ -241,19 +309,44 @@
                 peer=sender.name,
             )
         elif isinstance(message, RecordsNews):
-            if message.next_offset > (feed.cache.next_offset or 0):
+            is_ahead = (message.epoch, message.next_offset) > feed.cache.position
+            if is_ahead or message.unstored_version > feed.version():
                 self._query(feed.topic, [sender.name], in_full=False)
         elif isinstance(message, RecordsAsked):
             self._last_query_received_s = self._clock.monotonic_s()
-            reply = feed.cache.reply_to(message, self._clock.monotonic_s())
-            if reply is not None:
-                self._peers.send(sender.name, reply)
+            self._reply(sender, feed, message)
         else:
             self._apply_reply(feed, message)
 
+    def _reply(
+        self, sender: InstanceId, feed: RelayedFeed, query: RecordsAsked
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        reply = feed.cache.reply_to(query, now_s)
+        is_unstored = feed.unstored_version() > query.version
+        if query.epoch > feed.cache.epoch:
+            # This entry is behind, but may have what the later copy lacks.
+            is_unstored = True
+            epoch, next_offset = feed.cache.position
+            reply = RecordsTold(
+                topic=query.topic,
+                asked_s=query.asked_s,
+                age_s=feed.cache.age_s(now_s),
+                next_offset=next_offset,
+                whole=False,
+                epoch=epoch,
+            )
+            self._query(feed.topic, [sender.name], in_full=False)
+        if reply is None:
+            return
+        if is_unstored:
+            reply = attrs.evolve(reply, unstored=feed.newer_than(query.version))
+        self._peers.send(sender.name, reply)
+
     def _apply_reply(self, feed: RelayedFeed, reply: RecordsTold) -> None:
-        known_offset = feed.cache.next_offset
-        if known_offset is not None and reply.next_offset < known_offset:
+        if reply.unstored:
+            feed.apply_unstored(reply.unstored)
+        if (reply.epoch, reply.next_offset) < feed.cache.position:
             # The sender is behind; its records must not replace newer ones.
             return
         if reply.too_large:
@@ -264,7 +357,9 @@
             for key, value, offset in reply.records
         )
         feed.apply_relayed(
-            RecordBatch(records=records, next_offset=reply.next_offset),
+            RecordBatch(
+                records=records, next_offset=reply.next_offset, epoch=reply.epoch
+            ),
             is_snapshot=reply.whole,
             sent_s=reply.asked_s - max(0.0, reply.age_s),
         )
--- a/lavenderspoke/direct/rolling.py
+++ b/lavenderspoke/direct/rolling.py
@@ -85,6 +85,8 @@
         self._baselines: dict[str, DurationBaseline] = {}
         self._longest_answer_s: dict[str, float] = {}
         self._access: dict[tuple[str, str], Access] = {}
+        # Orders that a later one has replaced, by what they say.
+        self._replaced: set[tuple[str, str, float]] = set()
         self._evaluated_s = float("-inf")
         self._is_connected = False
         # News from peers about orders that this entry hasn't read yet.
@@ -95,8 +97,21 @@
         """Whether any roll-out hasn't reached a final stage."""
         return any(not each.stage.is_final for each in self._rollouts.values())
 
+    @property
+    def may_need_record(self) -> bool:
+        """Whether any roll-out runs, or the store may lack the record of one."""
+        return any(
+            each.is_record_lost or not each.stage.is_final
+            for each in self._rollouts.values()
+        )
+
     # The platform
 
+    def records_lost(self) -> None:
+        """Have the records of all roll-outs checked, and written where they lag."""
+        for rollout in self._rollouts.values():
+            rollout.is_record_lost = rollout.is_order_lost = True
+
     def update_upstreams(self, upstreams: Iterable[Upstream], now_s: float) -> None:
         """Update the listed versions of each service that has upstreams."""
         by_service: dict[str, list[str]] = {}
@@ -125,10 +140,23 @@
         return changed
 
     def add_order(self, order: Order, now_s: float) -> None:
-        """Start the roll-out of an order that is newer than the known one."""
+        """Start the roll-out of an order that is newer than the known one.
+
+        After the store has come back from a copy (`records_lost`), the known order
+        comes again under another number, and so may one that it has replaced.
+        """
         current = self._rollouts.get(order.service)
         if current is not None and current.order.number >= order.number:
             return
+        if current is not None and current.is_order_lost:
+            if _content(order) == _content(current.order):
+                current.order = order
+                current.is_order_lost = False
+                return
+            if _content(order) in self._replaced:
+                return
+        if current is not None:
+            self._replaced.add(_content(current.order))
         if current is not None and not current.stage.is_final:
             self._versions_of(order.service).roll_back(current.order.target)
         rollout = Rollout(order=order, now_s=now_s, random=self._random)
@@ -155,6 +183,7 @@
         rollout = self._rollouts.get(order.service)
         if rollout is None or rollout.order != order:
             return
+        rollout.is_record_lost = False
         rollout.backdate(elapsed_s, now_s)
         if stage > rollout.stage or stage.is_final:
             if stage is not rollout.stage:
@@ -166,7 +195,9 @@
         """Return the status records that this entry has to write."""
         return [
             StatusUpdate(
-                order=each.order, stage=each.stage, elapsed_s=each.elapsed_s(now_s)
+                order=each.order,
+                stage=_stage_to_record(each),
+                elapsed_s=each.elapsed_s(now_s),
             )
             for each in self._rollouts.values()
             if self._needs_record(each)
@@ -179,7 +210,7 @@
 
     @staticmethod
     def _needs_record(rollout: Rollout) -> bool:
-        if rollout.stage in (Stage.ORDERED, Stage.STOPPED):
+        if rollout.is_record_lost or rollout.stage in (Stage.ORDERED, Stage.STOPPED):
             return True
         return rollout.stage is Stage.MOVING and rollout.is_completion_due
 
@@ -386,3 +417,15 @@
 
     def _versions_of(self, service: str) -> ServiceVersions:
         return self._versions.setdefault(service, ServiceVersions())
+
+
+def _content(order: Order) -> tuple[str, str, float]:
+    return order.service, order.target, order.duration_s
+
+
+def _stage_to_record(rollout: Rollout) -> Stage:
+    """Return the stage that the store's record should tell of."""
+    is_moving = rollout.stage is Stage.MOVING and not rollout.is_completion_due
+    if is_moving or rollout.stage in (Stage.CANARY, Stage.LOADED):
+        return Stage.ORDERED
+    return rollout.stage
--- a/lavenderspoke/direct/rollout.py
+++ b/lavenderspoke/direct/rollout.py
@@ -27,6 +27,9 @@
         self.splitter = CanarySplitter(random=random)
         self.update_due_s = now_s
         self.is_completion_due = False
+        # Whether the store may have lost the record of it, and the order.
+        self.is_record_lost = False
+        self.is_order_lost = False
         # The transition left to the coordinator, and since when it has been wanted.
         self._wanted_transition: tuple[Stage, float] | None = None
         self._began_s = now_s
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -13,6 +13,8 @@
 SHARE_ENDED = "customer no longer limited by its share"
 SPILLOVER_BEGAN = "data centre starts to spill over"
 SPILLOVER_ENDED = "data centre no longer spills over"
+STORE_WENT_BACK = "store went back to an older copy"
+UNSTORED_IN_FORCE = "version in force that the store lacks"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
--- a/lavenderspoke/platform/burstcredits.py
+++ b/lavenderspoke/platform/burstcredits.py
@@ -121,7 +121,7 @@
             TOPIC,
             KEY_PREFIX + customer,
             None,
-            end_offset=read.ok_value.next_offset,
+            unchanged_since=read.ok_value,
         )
         if isinstance(deleted, Ok):
             self._metrics.count(BURST_CREDITS_METRIC, "deleted")
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -110,6 +110,7 @@
             orders=OrderTracker(
                 on_order=entry.dispatcher.rollout_ordered,
                 on_withdrawn=entry.dispatcher.order_withdrawn,
+                on_records_lost=entry.dispatcher.rollout_records_lost,
                 metrics=entry.metrics,
             ),
             on_change=entry.catalog_changed,
@@ -137,8 +138,10 @@
             metrics=entry.metrics,
             name=entry.me.name,
             location=entry.location,
+            in_force=entry.in_force,
             on_change=entry.dispatcher.peers_listed,
             on_credits=entry.dispatcher.burst_credits_read,
+            on_credits_lost=entry.dispatcher.burst_credits_lost,
         )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -16,6 +16,7 @@
 from lavenderspoke.direct.records import RecordBatch
 from lavenderspoke.direct.relay import Relay
 from lavenderspoke.direct.sharing import EntryLocation
+from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
@@ -111,9 +112,13 @@
         self._orders = orders
         self._on_change = on_change
         self._on_read = on_read
+        # The record in force, and the newest version in this copy of the store.
+        self._value_in_force = b""
+        self._stored_version = 0
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
-        self._orders.apply(batch, is_snapshot=is_snapshot)
+        epoch = self.cache.epoch
+        self._orders.apply(batch, is_snapshot=is_snapshot, epoch=epoch)
         if not self._apply_configuration(batch, is_snapshot=is_snapshot, sent_s=sent_s):
             return False
         self._on_read(sent_s)
@@ -124,7 +129,9 @@
     ) -> bool:
         values = [r.value for r in batch.records if r.key == CONFIGURATION_KEY]
         if not values:
-            if self._in_force.catalog is not None and not is_snapshot:
+            # A copy that lacks what is in force confirms nothing: it may also lack a
+            # newer version, which revokes keys.
+            if not is_snapshot and self.version() == self._stored_version > 0:
                 self._in_force.confirm(sent_s)
             return True
         catalogs = []
@@ -134,16 +141,62 @@
                 # Not confirmed and not skipped: it may revoke keys.
                 log.error("invalid configuration", error=decoded.err_value)
                 return False
-            catalogs.append(decoded.ok_value)
+            catalogs.append((decoded.ok_value, value))
         # Of several in one read, the highest version applies, not the last: an older
         # version that was rewritten must not replace it.
-        catalog = max(catalogs, key=lambda each: each.version)
-        if self._in_force.offer(catalog):
-            self._on_change(catalog)
-        if catalog.version == self._in_force.catalog.version:
+        catalog, value = max(catalogs, key=lambda each: each[0].version)
+        self._stored_version = max(self._stored_version, catalog.version)
+        self._offer(catalog, value)
+        if catalog.version == self.version():
             self._in_force.confirm(sent_s)
         return True
 
+    def _offer(self, catalog: Catalog, value: bytes) -> bool:
+        if not self._in_force.offer(catalog):
+            return False
+        self._value_in_force = value
+        self._on_change(catalog)
+        return True
+
+    def on_new_copy(self, *, is_announced: bool) -> None:
+        self._stored_version = 0
+        self._orders.on_new_copy()
+
+    def version(self) -> int:
+        catalog = self._in_force.catalog
+        return 0 if catalog is None else catalog.version
+
+    def unstored_version(self) -> int:
+        version = self.version()
+        return version if version > self._stored_version else 0
+
+    def newer_than(self, version: int) -> tuple[tuple[str, bytes], ...]:
+        with self._apply_lock:
+            if self.version() <= version:
+                return ()
+            return ((CONFIGURATION_KEY, self._value_in_force),)
+
+    def apply_unstored(self, rows: tuple[tuple[str, bytes], ...]) -> None:
+        with self._apply_lock:
+            for key, value in rows:
+                decoded = configuration.decode(value)
+                if key != CONFIGURATION_KEY or isinstance(decoded, Err):
+                    log.error("invalid configuration of a peer ignored", key=key)
+                    continue
+                if self._offer(decoded.ok_value, value):
+                    log.warning(
+                        signals.UNSTORED_IN_FORCE,
+                        version=decoded.ok_value.version,
+                        stored=self._stored_version,
+                    )
+
+    def run_once(self) -> float:
+        pause_s = super().run_once()
+        if self.unstored_version():
+            # Again and again, since entries start meanwhile, and messages get lost.
+            self._relay.tell_unstored(self)
+        return pause_s
+
     def _long_poll_s(self) -> float:
         if self._failing or self._relay.is_follower():
             # A follower that reads the store itself needs only the current state.
@@ -187,6 +240,9 @@
         self._publish(now_s)
         return True
 
+    def on_new_copy(self, *, is_announced: bool) -> None:
+        self._registry.on_new_copy(self._clock.monotonic_s())
+
     def _period_s(self) -> float:
         has_followers = self._relay.has_followers()
         share = (
@@ -217,12 +273,26 @@
         self._on_change(upstreams)
 
 
+@attrs.frozen(kw_only=True)
+class _EntryRecord:
+    """An entry's record of itself.
+
+    Earlier releases omit the data centre and `version`, which was in force at the entry
+    when it wrote the record.
+    """
+
+    address: str
+    data_centre: str = ""
+    version: int = 0
+
+
 class EntriesFeed(Feed):
     """Registers this entry in the store, and follows the other entries' records.
 
-    An entry writes its location; earlier releases omit the data centre. The topic also
-    holds customers' burst credits, since a starting entry needs both before it serves,
-    and one read is enough for both.
+    An entry writes its location, and the configuration in force: when the store comes
+    back from an older copy, it is written again, and an entry that starts then learns
+    of versions that the copy lacks. The topic also has customers' burst credits, since
+    a starting entry needs both before it serves, and one read is enough for both.
     """
 
     topic = ENTRIES_TOPIC
@@ -238,49 +308,87 @@
         metrics: Metrics,
         name: str,
         location: EntryLocation,
+        in_force: CatalogInForce,
         on_change: Callable[[dict[str, EntryLocation]], None],
         on_credits: Callable[[dict[str, float]], None] = lambda credits: None,
+        on_credits_lost: Callable[[dict[str, float]], None] = lambda credits: None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
+        self._in_force = in_force
         self._on_credits = on_credits
+        self._on_credits_lost = on_credits_lost
+        # Whether the next snapshot is the first of a copy that may lack records.
+        self._has_lost_records = False
         self._name = name
         self._location = location
         self._on_change = on_change
-        self._registered = False
+        # The newest copy of the store that this entry knows of, and the one to which it
+        # has written its record.
+        self._newest_epoch = 0
+        self._registered_epoch: int | None = None
 
     def poll(self) -> bool:
-        """Write this entry's record unless that has succeeded, then read the store."""
-        if not self._registered:
-            value = json.dumps(attrs.asdict(self._location)).encode()
+        """Write this entry's record unless the store has it, then read the store."""
+        if not self._is_registered():
+            epoch = self._newest_epoch
+            catalog = self._in_force.catalog
+            record = _EntryRecord(
+                address=self._location.address,
+                data_centre=self._location.data_centre,
+                version=0 if catalog is None else catalog.version,
+            )
+            value = json.dumps(attrs.asdict(record)).encode()
             self._count_call(CallReason.OWN_RECORD)
             appended = self._store.append(self.topic, self._name, value)
             if isinstance(appended, Err):
                 self._note_failure(appended.err_value)
                 return False
-            self._registered = True
+            self._registered_epoch = epoch
         return super().poll()
 
+    def copy_started(self, epoch: int) -> None:
+        if epoch > self._newest_epoch:
+            self._newest_epoch = epoch
+            self._wake.set()
+
+    def on_new_copy(self, *, is_announced: bool) -> None:
+        self._has_lost_records = True
+        if not is_announced:
+            self._registered_epoch = None
+        self._newest_epoch = max(self._newest_epoch, self.cache.epoch)
+
+    def _is_registered(self) -> bool:
+        return self._registered_epoch == self._newest_epoch
+
     def _relies_on_peers(self) -> bool:
-        return self._registered and super()._relies_on_peers()
+        return self._is_registered() and super()._relies_on_peers()
 
     def _period_s(self) -> float:
         return ENTRIES_PERIOD_S
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
         if is_snapshot:
-            self._on_credits(read_credits(batch.records))
+            credits = read_credits(batch.records)
+            self._on_credits(credits)
+            if self._has_lost_records:
+                self._has_lost_records = False
+                self._on_credits_lost(credits)
         entries = {}
         for record in batch.records:
             if record.value is None or is_credit(record):
                 continue
-            decoded = parse_as(record.value, EntryLocation)
+            decoded = parse_as(record.value, _EntryRecord)
             if isinstance(decoded, Err):
                 error = decoded.err_value
                 log.warning("entry's record skipped", key=record.key, error=error)
             elif not PEER_ADDRESS.fullmatch(decoded.ok_value.address):
                 log.warning("entry's record skipped", key=record.key, error="address")
             else:
-                entries[record.key] = decoded.ok_value
+                listed = decoded.ok_value
+                self._in_force.require(listed.version)
+                entries[record.key] = EntryLocation(
+                    address=listed.address, data_centre=listed.data_centre
+                )
         self._on_change(entries)
         return True
 
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -121,6 +121,16 @@
     return Err(SkippedRecord(reason=reason, detail=detail[:200]))
 
 
+def _still_leaving(known: Registration, received: Registration) -> Registration:
+    """Return a registration that is leaving if its upstream was before."""
+    is_same = received.upstream.upstream_id == known.upstream.upstream_id
+    if not is_same or not known.upstream.leaving:
+        return received
+    return attrs.evolve(
+        received, upstream=attrs.evolve(received.upstream, leaving=True)
+    )
+
+
 @attrs.define(kw_only=True)
 class _KnownUpstream:
     offset: int
@@ -132,6 +142,10 @@
 
     A record that was applied before changes nothing. Times are seconds on the
     caller's clock.
+
+    When the store comes back from an older copy, upstreams write their records again.
+    Until one has, the copy can't bring back what was known to leave or to be gone, and
+    one that it lacks has as long as after an outage.
     """
 
     def __init__(
@@ -142,6 +156,10 @@
         self._earlier_start_ids: dict[str, str] = {}
         self._known_upstreams: dict[str, _KnownUpstream] = {}
         self._dropped_offsets: dict[str, int] = {}
+        # Keys that were dropped before the store came back from an older copy, and the
+        # end of that copy, None if its first snapshot is still to come.
+        self._dropped_before: set[str] = set()
+        self._copy_end_offset: int | None = 0
         self._pending_removal: set[str] = set()
         self._end_offset = 0
         self._store_unavailable = False
@@ -157,6 +175,17 @@
             self._store_unavailable = False
             self._store_recovered_s = now_s
 
+    def on_new_copy(self, now_s: float) -> None:
+        """Forget offsets: the next snapshot is from an older copy of the store."""
+        self._dropped_before |= self._dropped_offsets.keys()
+        self._dropped_offsets.clear()
+        self._end_offset = 0
+        self._copy_end_offset = None
+        for known in self._known_upstreams.values():
+            known.offset = -1
+        self._store_unavailable = False
+        self._store_recovered_s = now_s
+
     def apply(self, records: tuple[KeyedRecord, ...], now_s: float) -> None:
         """Apply records in the order in which they were read."""
         self.on_store_answered(now_s)
@@ -174,11 +203,13 @@
         """
         if end_offset < self._end_offset:
             return
+        if self._copy_end_offset is None:
+            self._copy_end_offset = end_offset
         self.apply(records, now_s)
         self._end_offset = max(self._end_offset, end_offset)
         present = {record.key for record in records}
         for key in [each for each in self._known_upstreams if each not in present]:
-            self._drop(key, end_offset, now_s)
+            self._drop(key, end_offset - 1, now_s)
 
     def upstreams(self, now_s: float) -> tuple[Upstream, ...]:
         """Return the registered upstreams; remove those whose grace period is over."""
@@ -195,6 +226,11 @@
             return
         if record.offset <= self._dropped_offsets.get(record.key, -1):
             return
+        is_of_copy = record.offset < (self._copy_end_offset or 0)
+        if record.key in self._dropped_before:
+            if is_of_copy:
+                return
+            self._dropped_before.discard(record.key)
         if record.value is None:
             self._drop(record.key, record.offset, now_s)
             return
@@ -212,6 +248,8 @@
             skipped = SkippedRecord(reason=SkipReason.OLDER_START, detail=detail)
             self._skip(record.key, skipped)
             return
+        if is_of_copy and known is not None:
+            registration = _still_leaving(known.registration, registration)
         self._pending_removal.discard(record.key)
         self._known_upstreams[record.key] = _KnownUpstream(
             offset=record.offset, registration=registration
--- a/lavenderspoke/platform/rollouts.py
+++ b/lavenderspoke/platform/rollouts.py
@@ -29,6 +29,8 @@
 DURATION_MAX_S = 30 * 86_400.0
 # Time between two checks for status records to write, in seconds.
 STATUS_PERIOD_S = 0.2
+# More than a topic has records, by far.
+OFFSETS_PER_EPOCH = 1_000_000_000
 ORDERS_METRIC = "rollout_orders"
 RECORDS_METRIC = "rollout_records"
 
@@ -43,6 +45,9 @@
     Stage.ORDERED: "in_progress",
     Stage.MOVING: "completed",
     Stage.STOPPED: "rolled_back",
+    # Written again, since the store has lost the record.
+    Stage.COMPLETED: "completed",
+    Stage.ROLLED_BACK: "rolled_back",
 }
 
 log = logbook.Logger(__name__)
@@ -81,8 +86,17 @@
     return record.key.startswith(KEY_PREFIX)
 
 
-def decode_order(record: KeyedRecord) -> Result[Order, str]:
-    """Return the order in a record, or an error message.
+def order_number(epoch: int, offset: int) -> int:
+    """Return a number that grows with the store's copies, and with offsets in one.
+
+    >>> order_number(2, 7)
+    2000000007
+    """
+    return epoch * OFFSETS_PER_EPOCH + offset
+
+
+def decode_order(record: KeyedRecord, epoch: int = 0) -> Result[Order, str]:
+    """Return the order in a record of the store's copy `epoch`, or an error message.
 
     >>> value = b'{"service": "s", "target": "v2", "duration-s": 12}'
     >>> record = KeyedRecord(key="rollout/s", value=value, offset=3)
@@ -108,7 +122,7 @@
             service=content.service,
             target=content.target,
             duration_s=float(duration_s),
-            number=record.offset,
+            number=order_number(epoch, record.offset),
         )
     )
 
@@ -118,6 +132,10 @@
 
     `on_order(order)` is called for each new order, and `on_withdrawn(service, number)`
     for each withdrawn one, with the record number of the withdrawal.
+
+    When the store comes back from an older copy, orders come again under other numbers,
+    all higher than those before, and `on_records_lost()` is called for the status
+    records. An order that the copy lacks isn't withdrawn: the operator writes it again.
     """
 
     def __init__(
@@ -126,14 +144,23 @@
         on_order: Callable[[Order], None],
         on_withdrawn: Callable[[str, int], None],
         metrics: Metrics,
+        on_records_lost: Callable[[], None] = lambda: None,
     ):
+        self._on_records_lost = on_records_lost
         self._on_order = on_order
         self._on_withdrawn = on_withdrawn
         self._metrics = metrics
         self._seen_offsets: dict[str, int] = {}
+        self._epoch = 0
+
+    def on_new_copy(self) -> None:
+        """Forget offsets: the next snapshot is from an older copy of the store."""
+        self._seen_offsets.clear()
+        self._on_records_lost()
 
-    def apply(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
-        """Apply a batch of records; a snapshot contains every existing key."""
+    def apply(self, batch: RecordBatch, *, is_snapshot: bool, epoch: int = 0) -> None:
+        """Apply records of the store's copy `epoch`; a snapshot has every key."""
+        self._epoch = epoch
         orders = [each for each in batch.records if is_order(each)]
         for record in orders:
             if record.offset > self._seen_offsets.get(record.key, -1):
@@ -146,7 +173,7 @@
         if record.value is None:
             self._withdraw(record.key, record.offset)
             return
-        decoded = decode_order(record)
+        decoded = decode_order(record, self._epoch)
         if isinstance(decoded, Err):
             self._metrics.count(ORDERS_METRIC, "malformed")
             error = decoded.err_value
@@ -165,7 +192,7 @@
         self._metrics.count(ORDERS_METRIC, "withdrawn")
         service = key.removeprefix(KEY_PREFIX)
         log.warning("roll-out order withdrawn", service=service, record=number)
-        self._on_withdrawn(service, number)
+        self._on_withdrawn(service, order_number(self._epoch, number))
 
 
 class StatusWriter:
@@ -213,10 +240,10 @@
                 or STAGE_BY_STATE[STATE_TO_WRITE[update.stage]] is known.stage
             ):
                 return
-        self._write(update, known, read.ok_value.next_offset)
+        self._write(update, known, read.ok_value)
 
     def _write(
-        self, update: StatusUpdate, known: Status | None, end_offset: int
+        self, update: StatusUpdate, known: Status | None, read: RecordBatch
     ) -> None:
         order = update.order
         now_s = self._clock.now().timestamp()
@@ -231,7 +258,7 @@
         value = json.dumps({name.replace("_", "-"): each for name, each in fields})
         key = KEY_PREFIX + order.service
         written = self._store.append(
-            STATUS_TOPIC, key, value.encode(), end_offset=end_offset
+            STATUS_TOPIC, key, value.encode(), unchanged_since=read
         )
         if isinstance(written, Ok):
             self._metrics.count(RECORDS_METRIC, status.state)
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import struct
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import attrs
@@ -29,6 +30,8 @@
 OFFSETS_HEADER = struct.Struct(">QQ")
 PAGES_MAX = 1000
 
+ReadT = TypeVar("ReadT", RecordBatch, OffsetExpired)
+
 
 @attrs.frozen(kw_only=True)
 class Conflict:
@@ -59,6 +62,10 @@
             page = self._get("/v1/log-newest", query, wait_s=0.0)
             if isinstance(page, Err):
                 return page
+            if next_offset is None:
+                epoch = self._epoch
+            elif self._epoch != epoch:
+                return Err(StoreError(detail="went back to a copy between two pages"))
             decoded = decode_page(page.ok_value.data)
             if isinstance(decoded, Err):
                 return decoded
@@ -69,7 +76,7 @@
             if content.after is None:
                 break
             query["after"] = content.after
-        return decode_newest(items, next_offset)
+        return decode_newest(items, next_offset).map(self._with_epoch)
 
     def read(
         self, topic: str, from_offset: int, *, wait_s: float
@@ -83,8 +90,8 @@
             return response
         reply = response.ok_value
         if reply.status == 410:
-            return decode_offset_expired(reply.data)
-        return decode_records(reply.data, from_offset)
+            return decode_offset_expired(reply.data).map(self._with_epoch)
+        return decode_records(reply.data, from_offset).map(self._with_epoch)
 
     def append(
         self,
@@ -92,18 +99,20 @@
         key: str,
         value: bytes | None,
         *,
-        end_offset: int | None = None,
+        unchanged_since: RecordBatch | None = None,
     ) -> Result[None, StoreError | Conflict]:
         """Write a key's value, or delete the key if `value` is None.
 
-        With `end_offset`, only if the topic still ends at that offset.
+        With `unchanged_since`, only if the topic still ends where that read did. If the
+        store came back from a copy meanwhile, the end may be another topic's state: the
+        write then is a conflict although it was carried out, and is decided on again.
         """
         name = key.encode()
         content = bytes([len(name)]) + name + (value or b"")
         query: dict[str, object] = {"topic": topic, "part": 0}
-        if end_offset is not None:
+        if unchanged_since is not None:
             # The platform calls the expected end offset `timestamp`.
-            query["timestamp"] = end_offset
+            query["timestamp"] = unchanged_since.next_offset
         sent = self._call(
             "POST",
             f"/v1/log-append?{urlencode(query)}",
@@ -112,7 +121,15 @@
         )
         if isinstance(sent, Ok) and sent.ok_value.status == 412:
             return Err(Conflict())
-        return sent.and_then(_expect_ok)
+        written = sent.and_then(_expect_ok)
+        if isinstance(written, Ok) and unchanged_since is not None:
+            if unchanged_since.epoch is not None and self._epoch is not None:
+                if self._epoch != unchanged_since.epoch:
+                    return Err(Conflict())
+        return written
+
+    def _with_epoch(self, read: ReadT) -> ReadT:
+        return attrs.evolve(read, epoch=self._epoch)
 
     def _get(
         self, path: str, query: dict, *, wait_s: float, allow_gone: bool = False
