--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -123,3 +123,33 @@
     And upstream c registers again 1 s later
     And the entries go on for 4 s
     Then c was known at all entries throughout
+
+  Scenario: Other entries tell of a copy whose number the store never had
+    Guards against an entry that ignores the store for good.
+    Given 6 entries before a store with a configuration
+    And the entries follow it for 20 s
+    When entry-5 is told of copy 900, and the entries go on for 3 s
+    And the operator writes version 2, and 1.5 s pass
+    Then version 2 is in force at all entries
+    And all entries accept keys
+
+  Scenario: A conditional write spans two copies
+    Guards against a write whose condition holds by chance in another copy.
+    Given a client of a store whose copy ends where the topic did
+    When it writes on the condition that a read from before the copy still holds
+    Then the write is a conflict
+
+  Scenario: Burst credits are lost with the copy
+    Guards against a credit in force that nothing accounts for after a restart.
+    Given an entry whose credits "tours" are in force and "guides" ended
+    When the store comes back from a copy that has only "guides"
+    Then it records "tours" again and deletes "guides"
+
+  Scenario: An order comes again under another number
+    Guards against a roll-out that starts again, or one that a replaced order takes back.
+    Given an entry whose roll-out to v3 replaced one to v2
+    When the store comes back from a copy, and the orders for v2 and v3 come again
+    Then the roll-out to v3 goes on under its new number
+    And its record is due once more
+    When the order for v3 comes once more under a higher number
+    Then a new roll-out has begun
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -11,6 +11,7 @@
 import threading
 from enum import Enum
 
+import attrs
 import logbook
 from result import Err
 
@@ -76,6 +77,7 @@
         self._needs_snapshot = True
         # The last offset that the store didn't have, until a snapshot was applied.
         self._refused_offset: int | None = None
+        self._copy_since_s = float("-inf")
         self._failing = False
         self._read_scheduled = False
         # Send time of the last read that returned any records.
@@ -121,10 +123,11 @@
             return False
         self._note_success()
         batch = read.ok_value
-        epoch = self._epoch_of(batch)
+        epoch = self._epoch_of(batch, sent_s)
         if epoch < self.cache.epoch:
             # Other entries have told of a later copy; this is an answer from before.
             return True
+        batch = attrs.evolve(batch, epoch=epoch)
         if isinstance(batch, OffsetExpired):
             log.info("offset expired", topic=self.topic, offset=offset)
             self._refused_offset = offset
@@ -197,14 +200,22 @@
     def apply_unstored(self, rows: tuple[tuple[str, bytes], ...]) -> None:
         """Apply values that other entries have in force and the store may lack."""
 
-    def _epoch_of(self, read: RecordBatch | OffsetExpired) -> int:
-        return self.cache.epoch if read.epoch is None else read.epoch
+    def _epoch_of(self, read: RecordBatch | OffsetExpired, sent_s: float) -> int:
+        """Return the number of the copy that a read of this entry's own comes from.
+
+        One sent after a later copy was told of comes from that one: its own number must
+        be wrong, or what was told. Ignored, it would leave the entry without any read.
+        """
+        known = self.cache.epoch
+        if read.epoch is None or (read.epoch < known and sent_s > self._copy_since_s):
+            return known
+        return read.epoch
 
     def _apply_and_cache(
         self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float
     ) -> bool:
         with self._apply_lock:
-            epoch = self._epoch_of(batch)
+            epoch = self.cache.epoch if batch.epoch is None else batch.epoch
             if epoch < self.cache.epoch or (
                 epoch > self.cache.epoch and not is_snapshot
             ):
@@ -241,6 +252,7 @@
     def _start_copy(self, batch: RecordBatch, epoch: int) -> None:
         before, known_offset = self.cache.position
         self.cache.start_copy(epoch)
+        self._copy_since_s = self._clock.monotonic_s()
         self._needs_snapshot = True
         if known_offset < 0:
             # The first read of all.
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -142,6 +142,7 @@
         around += _last_share_line(earlier, line.fields.get("customer"))
     if line.fields.get("spillover"):
         around = _last_spillover_lines(earlier) + around
+    around = _last_store_lines(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
@@ -181,6 +182,20 @@
     return about[-1:]
 
 
+def _last_store_lines(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last line of each topic on a copy that the store came back from.
+
+    What an entry knows may have been learned from the copy before.
+    """
+    told = (signals.STORE_WENT_BACK, signals.UNSTORED_IN_FORCE)
+    last = {
+        (each.message, each.fields.get("topic")): each
+        for each in lines
+        if each.message in told
+    }
+    return sorted(last.values(), key=lambda each: each.at_s)
+
+
 def _last_spillover_lines(lines: list[LogLine]) -> list[LogLine]:
     """Return the last line of each service on whether its requests spill over."""
     told = (signals.SPILLOVER_BEGAN, signals.SPILLOVER_ENDED)
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -177,7 +177,9 @@
 
     def on_new_copy(self, now_s: float) -> None:
         """Forget offsets: the next snapshot is from an older copy of the store."""
-        self._dropped_before |= self._dropped_offsets.keys()
+        self._dropped_before |= {
+            key for key in self._dropped_offsets if key not in self._known_upstreams
+        }
         self._dropped_offsets.clear()
         self._end_offset = 0
         self._copy_end_offset = None
