Soak answers that end with their connections, and a store that goes back

Two to three upstreams of each seed send answers with neither length nor chunks, some of which crash within an event; in each seed the store loses up to two seconds, is away for up to one, and is written again up to one second after its return. They are drawn apart from the other faults, so that earlier seeds keep theirs.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -67,6 +67,11 @@
     Guards against a soak in which no upstream at work ever falls silent.
     Then each of the seeds 1 to 60 has entries stopped around a silence
 
+  Scenario: Schedules hold answers that end with their connections, and a lost copy
+    Guards against a soak in which no upstream's framing changes, or no store goes back.
+    Then each of the seeds 1 to 60 has upstreams without length or chunks
+    And each of the seeds 1 to 60 has a store that goes back while it is written
+
   Scenario Outline: What an upstream says about itself is checked
     Guards against a check that passes whatever entries do with it.
     Given a soak's record in which every promise is kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -295,3 +295,32 @@
 def step_paused_after(context):
     paused = Span(subject="entry-1", from_s=TOLD_S + 0.5, to_s=TOLD_S + 0.8)
     context.record = attrs.evolve(context.record, disturbed=(paused,))
+
+
+@then("each of the seeds {first:d} to {last:d} has upstreams without length or chunks")
+def step_has_framings(context, first, last):
+    crashes = set()
+    for seed in range(first, last + 1):
+        found = {
+            event.action.crashes
+            for event in schedule.draw(seed)
+            if isinstance(event.action, schedule.AnswersUnframed)
+        }
+        assert found, seed
+        crashes |= found
+    assert crashes == {True, False}, crashes
+
+
+@then(
+    "each of the seeds {first:d} to {last:d} has a store that goes back while it is "
+    "written"
+)
+def step_has_copies(context, first, last):
+    for seed in range(first, last + 1):
+        (event,) = (
+            each
+            for each in schedule.draw(seed)
+            if isinstance(each.action, schedule.StoreGoesBack)
+        )
+        takes_s = event.length_s + event.action.away_s + event.action.again_s
+        assert event.length_s > 0 and takes_s < checks.REVOKE_S, event
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -46,6 +46,11 @@
     return soak.forget()
 
 
+@begin.register(schedule.StoreGoesBack)
+def _(action, soak):
+    return soak.go_back(action.away_s, action.again_s)
+
+
 @begin.register(schedule.LinkFails)
 def _(action, soak):
     return soak.fail_link(action.link, schedule.LINK_FAULTS[action.fault])
@@ -57,6 +62,11 @@
     return soak.fail_upstream(action.upstream, faults)
 
 
+@begin.register(schedule.AnswersUnframed)
+def _(action, soak):
+    return soak.end_with_connections(action.upstream, crashes=action.crashes)
+
+
 @begin.register(schedule.UpstreamSilent)
 def _(action, soak):
     return soak.silence(action.upstream)
--- a/soak/run.py
+++ b/soak/run.py
@@ -51,6 +51,11 @@
 # Streams of 5 events last 0.15 s and plain answers 0.05 s, so that some are always
 # under way when a fault begins.
 EVENT_S = 0.03
+# Time after which upstreams write their records once more, in seconds, as they do all
+# the time on the platform.
+HEARTBEAT_S = 1.2
+# Events after which a crash cuts a stream within the next one.
+CRASH_AFTER_EVENTS = 2
 # Added to the id of an upstream that has replaced another one.
 REPLACEMENT = "-2"
 HEALTHY = {
@@ -84,6 +89,7 @@
         self._links: dict[str, Link] = {}
         self._versions_s: dict[int, float] = {}
         self._versions_sent_s: dict[int, float] = {}
+        self._newest_content: dict = {}
         self._keys = [KEY, REVOKED_KEY]
         self._revoked_s = float("inf")
         self._disturbed: list[Span] = []
@@ -240,6 +246,7 @@
         content["tenants"] = [
             {"name": key, "api-keys": [key], "priority": 1} for key in self._keys
         ]
+        self._newest_content = content
         self._versions_sent_s[version] = time.monotonic()
         self._platform.configure(content)
         self._versions_s[version] = time.monotonic()
@@ -329,6 +336,32 @@
 
         return undo
 
+    def go_back(self, away_s: float, again_s: float) -> Callable[[], None]:
+        """Have the store keep a copy, and go back to it in the end."""
+        self._platform.control_store("copy")
+
+        def undo() -> None:
+            end = self._disturb("store")
+            self._platform.store.set_faults(mode="reset")
+            self._at(time.monotonic() + away_s, lambda: come_back(end))
+
+        def come_back(end: Callable[[], None]) -> None:
+            self._platform.control_store("go-back")
+            self._platform.store.set_faults(mode="up")
+            self._at(time.monotonic() + again_s, lambda: write_again(end))
+
+        def write_again(end: Callable[[], None]) -> None:
+            self._platform.configure(self._newest_content)
+            self._register_all()
+            end()
+            self._at(time.monotonic() + HEARTBEAT_S, self._register_all)
+
+        return undo
+
+    def _register_all(self) -> None:
+        for name in UPSTREAMS:
+            self._register(name, state="draining" if self._leaves[name] else "ready")
+
     def fail_link(self, name: str, faults: dict) -> Callable[[], None]:
         subject = name if name in UPSTREAMS else name.removeprefix("store-")
         end = self._disturb(subject)
@@ -350,6 +383,19 @@
 
         return undo
 
+    def end_with_connections(self, name: str, *, crashes: bool) -> Callable[[], None]:
+        """Have an upstream's answers end with their connections, some too early."""
+        end = self._disturb(name) if crashes else lambda: None
+        cut_after_events = CRASH_AFTER_EVENTS if crashes else -1
+        upstream = self._platform.upstreams[name]
+        upstream.set_faults(framing="connection", cut_after_events=cut_after_events)
+
+        def undo() -> None:
+            upstream.set_faults(framing="", cut_after_events=-1)
+            end()
+
+        return undo
+
     def silence(self, name: str) -> Callable[[], None]:
         """Have an upstream hold its streams; it is at work, so nothing is disturbed."""
         from_s = time.monotonic()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -40,6 +40,18 @@
 LIMITS_PER_S = (0.5, 2.0, 4.0)
 PAUSES_S = (1.0, 3.0)
 
+# How answers of upstreams end otherwise: how many of them change that, when and for how
+# long, in seconds.
+FRAMINGS = (2, 3)
+FRAMING_LENGTH_S = (2.0, 5.0)
+# When the store keeps the copy that it comes back from, how much later it goes away,
+# for how long, and when the operator and the upstreams then write again, in seconds. A
+# revoked key may work for 5 s, and all of this takes less.
+COPY_AT_S = (0.5, FAULTS_S * 0.6)
+LOST_S = (0.3, 2.0)
+AWAY_S = (0.1, 1.0)
+AGAIN_S = (0.0, 1.0)
+
 STORE_MODES = ("down", "reset", "silent", "lose")
 LINK_FAULTS = {
     "delayed": {"to_target": {"delay_ms": 300.0}, "to_client": {"delay_ms": 300.0}},
@@ -100,6 +112,14 @@
     """The store drops the records it has."""
 
 
+@attrs.frozen(kw_only=True)
+class StoreGoesBack:
+    """The store keeps a copy, goes away in the end, and comes back from the copy."""
+
+    away_s: float
+    again_s: float
+
+
 @attrs.frozen(kw_only=True)
 class LinkFails:
     """The way from an entry to the store, or of all to an upstream, is harmed."""
@@ -116,6 +136,14 @@
     fault: str
 
 
+@attrs.frozen(kw_only=True)
+class AnswersUnframed:
+    """An upstream's answers have neither length nor chunks; some crash within them."""
+
+    upstream: str
+    crashes: bool
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamSilent:
     """An upstream at work holds its streams, as while it reads a long prompt."""
@@ -173,8 +201,10 @@
     | EntryReloaded
     | StoreFails
     | StoreForgets
+    | StoreGoesBack
     | LinkFails
     | UpstreamFails
+    | AnswersUnframed
     | UpstreamSilent
     | UpstreamLeaves
     | LimitNamed
@@ -266,6 +296,8 @@
         revoked,
         *_silences(Random(f"{seed}/silences")),
         *_signals(Random(f"{seed}/signals")),
+        *_framings(Random(f"{seed}/framings")),
+        _going_back(Random(f"{seed}/copies")),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
@@ -309,6 +341,32 @@
     return events
 
 
+def _framings(random: Random) -> list[Event]:
+    """Return upstreams whose answers end with their connections."""
+    return [
+        Event(
+            at_s=round(random.uniform(0.0, FAULTS_S), 2),
+            length_s=round(random.uniform(*FRAMING_LENGTH_S), 2),
+            action=AnswersUnframed(
+                upstream=upstream, crashes=random.choice((True, False))
+            ),
+        )
+        for upstream in random.sample(UPSTREAMS, random.randint(*FRAMINGS))
+    ]
+
+
+def _going_back(random: Random) -> Event:
+    """Return when the store loses what was written for some time."""
+    return Event(
+        at_s=round(random.uniform(*COPY_AT_S), 2),
+        length_s=round(random.uniform(*LOST_S), 2),
+        action=StoreGoesBack(
+            away_s=round(random.uniform(*AWAY_S), 2),
+            again_s=round(random.uniform(*AGAIN_S), 2),
+        ),
+    )
+
+
 def _stops(silence: Event, random: Random) -> list[Event]:
     """Return stops of entries in a series, of which some overlap the silence."""
     at_s = silence.at_s + random.uniform(-STOP_BEFORE_S, silence.length_s / 3)
