--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -180,8 +180,8 @@
         Does nothing by default.
         """
 
-    def copy_started(self, epoch: int) -> None:
-        """Look at the store soon, since another topic came from a later copy."""
+    def epoch_rose(self, epoch: int) -> None:
+        """Look at the store soon, since another topic was read from a later copy."""
         if epoch > self.cache.epoch:
             self._wake.set()
 
@@ -271,7 +271,7 @@
             known_offset=known_offset,
         )
         self.on_new_copy(is_announced=is_announced)
-        self._relay.copy_started(self, epoch)
+        self._relay.tell_epoch(self, epoch)
 
     def _run(self) -> None:
         while not self._stopping.is_set():
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -184,7 +184,7 @@
     def apply_unstored(self, rows: tuple[tuple[str, bytes], ...]) -> None:
         """Apply values that other entries have in force and the store may lack."""
 
-    def copy_started(self, epoch: int) -> None:
+    def epoch_rose(self, epoch: int) -> None:
         """Handle that another topic was read from a later copy of the store."""
 
 
@@ -266,11 +266,11 @@
         """Notify peers that a version is in force here that the store lacks."""
         self._notify(feed)
 
-    def copy_started(self, feed: RelayedFeed, epoch: int) -> None:
+    def tell_epoch(self, feed: RelayedFeed, epoch: int) -> None:
         """Tell the other feeds that this one has read from a later copy."""
         for other in self._feeds.values():
             if other is not feed:
-                other.copy_started(epoch)
+                other.epoch_rose(epoch)
 
     def _notify(self, feed: RelayedFeed) -> None:
         epoch, next_offset = feed.cache.position
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -346,7 +346,7 @@
             self._registered_epoch = epoch
         return super().poll()
 
-    def copy_started(self, epoch: int) -> None:
+    def epoch_rose(self, epoch: int) -> None:
         if epoch > self._newest_epoch:
             self._newest_epoch = epoch
             self._wake.set()
--- a/lavenderspoke/platform/storeepoch.py
+++ b/lavenderspoke/platform/storeepoch.py
@@ -1,7 +1,7 @@
-"""The platform's number of the store's copy, which every response of the store names.
+"""The epoch of the platform's store, which each of its responses names.
 
-It rises by one when the store comes back from an older copy, and so has lost what was
-written since. Offsets compare only within one copy.
+It rises by one when the store comes back from an older copy of itself, and so has lost
+what was written since. Offsets compare only within one epoch.
 """
 
 import enum
@@ -12,7 +12,7 @@
 from lavenderspoke.observing.metrics import Metrics
 
 STORE_EPOCH = "Store-Era"
-# Longer values are no numbers of copies, of which there are a few a day.
+# Longer values are no epochs, of which there are a few a day.
 DIGITS_MAX = 12
 EPOCHS_METRIC = "store_epochs"
 ROSE = "rose"
@@ -21,7 +21,7 @@
 
 
 class InvalidEpoch(enum.Enum):
-    """Why the number in a response is ignored."""
+    """Why the epoch in a response is ignored."""
 
     MALFORMED = "malformed"
     FELL = "fell"
@@ -29,21 +29,21 @@
 
 
 class EpochReader:
-    """Reads the number from the responses to one client, in their order.
+    """Reads the epoch from the responses to one client, in their order.
 
     One that is missing, malformed or lower than before says nothing about the copy that
-    the response comes from: it is logged, counted and ignored. A store that never sends
-    the number is taken to have one copy.
+    the response comes from: it is logged, counted and ignored. A store that never names
+    its epoch is taken to have one.
     """
 
     def __init__(self, *, metrics: Metrics):
         self._metrics = metrics
         self._latest: int | None = None
-        # Logged once until a valid number comes, since each response would log it.
+        # Logged once until a valid one comes, since each response would log it.
         self._logged: InvalidEpoch | None = None
 
     def read(self, values: Sequence[str]) -> int | None:
-        """Return the number in a response's headers, None if it is ignored.
+        """Return the epoch in a response's headers, None if it is ignored.
 
         >>> reader = EpochReader(metrics=Metrics())
         >>> reader.read(["3"]), reader.read(["2"]), reader.read([]), reader.read(["4"])
@@ -63,7 +63,7 @@
             return None
         if self._latest is not None and epoch > self._latest:
             self._metrics.count(EPOCHS_METRIC, ROSE)
-            log.warning("store came back from a copy", epoch=epoch, before=self._latest)
+            log.warning("store epoch rose", epoch=epoch, before=self._latest)
         self._latest = epoch
         self._logged = None
         return epoch
