Check whole and broken answers through agents, hedged and moved

An answer with neither length nor chunks through entry and agent, by HTTP/1.1 and 1.0: whole, reset in the middle, a stream, and one that ends within an event; a first attempt whose body is cut off when the second one wins; a stream that is moved to an upstream of that kind.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -154,6 +154,20 @@
     When its stream is read until it breaks off
     Then the error is "deadline expired", after relocations that ended as "no_place"
 
+  Scenario Outline: A stream is moved to an upstream whose rest ends with its connection
+    Guards against half an event of a second upstream that passes for the end.
+    Given a resumable request whose first upstream breaks off after its first event
+    And another upstream that sends "<rest>" with neither length nor chunks, and ends
+    When its stream is read until its end
+    Then it ends as "<end>"
+    And no slot is held
+
+    Examples:
+      | rest                             | end                                                  |
+      | id: 1\ndata: a\n\n              | whole                                                |
+      | id: 1\ndata: a\n\nid: 2\ndat     | the stream ended within an event                     |
+      |                                  | the connection ended before the stream's first event |
+
   Scenario Outline: A stream's bytes end, and its framing says that they are all
     Guards against a truncated stream that passes for whole, and a whole one refused.
     Given a request at an upstream that sends the head "<head>" and "<bytes>", and ends
--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -47,6 +47,15 @@
     And it ran at 2 upstreams, with 1 retry
     And no slot stays held, and the first attempt ended as "broken"
 
+  Scenario: The second upstream answers while the first one's body comes
+    Guards against a body that this side has cut off and that passes for an answer.
+    Given an idempotent plain request at an upstream that sends "fir" after 0.2 s and no end
+    And another upstream that answers "second" after 0.3 s
+    When it is handled
+    Then its caller gets "second" within 1 s
+    And it ran at 2 upstreams, with 1 retry
+    And no slot stays held, and the first attempt ended as "left"
+
   Scenario: No other upstream has a free slot
     Guards against a second attempt that waits, and a retry that is lost without one.
     Given an idempotent plain request at an upstream that answers "first" after 0.3 s
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -397,6 +397,19 @@
     context.first = start_upstream(context, parts, pause_s, "keeps")
 
 
+@given('another upstream that sends "{rest}" with neither length nor chunks, and ends')
+def step_other_unframed(context, rest):
+    data = rest.encode().decode("unicode_escape").encode("latin-1")
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    create_handler(context, [start_upstream(context, [head + data], 0.0, "ends")])
+    context.body = b"id: 0\ndata: a\n\n" + data
+
+
+@given('another upstream that sends "" with neither length nor chunks, and ends')
+def step_other_unframed_empty(context):
+    step_other_unframed(context, "")
+
+
 @given("another upstream that can't be reached")
 def step_other_unreachable(context):
     create_handler(context, [], more=[upstream_at(free_port(), name="x")])
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -90,6 +90,16 @@
     step_another_breaks(context, s)
 
 
+@given(
+    'an idempotent plain request at an upstream that sends "{text}" after {s:g} s and '
+    "no end"
+)
+def step_plain_unframed(context, text, s):
+    context.changes = {"repeatability": Repeatability.IDEMPOTENT}
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    add_upstream(context, [b"", head + text.encode()], s, "keeps")
+
+
 @given("another upstream that breaks off after {s:g} s")
 def step_another_breaks(context, s):
     add_upstream(
--- a/features/steps/wholeanswers_steps.py
+++ b/features/steps/wholeanswers_steps.py
@@ -1,15 +1,20 @@
-"""Steps about streamed answers of model engines."""
+"""Steps about whole and broken answers on their way through agents."""
+
+import json
 
 from behave import given, then, when
 
+from features.rawhttp import RawResponse, exchange, request_bytes
 from features.steps.deployment_steps import (
     WAIT_S,
     merged,
+    payment_runs,
     result,
     sees,
     start_models,
 )
 from standins.deployment import (
+    CREDENTIAL,
     Sent,
     expected_tokens,
     streamed_tokens,
@@ -128,3 +133,57 @@
         assert isinstance(sent, Sent), sent
         assert not (sent.status == 200 and sent.whole), sent
         assert streamed_tokens(sent.body) == [], sent
+
+
+ENTRIES = ("entry-1", "entry-2")
+
+
+@when('the payment service\'s answers are "{mode}", and one is asked for by each entry')
+def step_ask_each(context, mode):
+    set_engines(context, mode=mode)
+    context.mode = mode
+    context.answers = [
+        context.deployment.pay(entry, f"order of {entry}") for entry in ENTRIES
+    ]
+
+
+def check_payment(context, order: str, status: int, body: bytes, whole: bool) -> None:
+    """Check what a caller got against what the service sent."""
+    assert payment_runs(context, order) == 1, order
+    if context.mode == "unframed":
+        assert (status, whole) == (200, True) and order.encode() in body, body
+    elif context.mode == "events":
+        assert (status, whole, body) == (200, True, b"data: a\n\ndata: b\n\n"), body
+    else:
+        # Refused, or cut after the whole event.
+        assert status == 502 or not whole, (status, body)
+
+
+@then("each answer is {kind}, after one run")
+def step_each_answer(context, kind):
+    for entry, sent in zip(ENTRIES, context.answers):
+        check_payment(context, f"order of {entry}", sent.status, sent.body, sent.whole)
+
+
+def pay_by_http10(context, entry: str, order: str) -> RawResponse:
+    headers = {
+        "Authorization": f"Bearer {CREDENTIAL}",
+        "Lavenderspoke-Idempotent": "false",
+    }
+    data = request_bytes(
+        path="/ticketing/payments",
+        headers=headers.items(),
+        body=json.dumps({"order": order}).encode(),
+        version="1.0",
+    )
+    return exchange(context.deployment.ports[entry].callers, data)
+
+
+@then("by HTTP/1.0 each answer is {kind}, after one run")
+def step_each_old_answer(context, kind):
+    for entry in ENTRIES:
+        order = f"old order of {entry}"
+        response = pay_by_http10(context, entry, order)
+        length = response.header("Content-Length")
+        whole = length is not None and int(length) == len(response.body)
+        check_payment(context, order, response.status, response.body, whole)
--- a/features/wholeanswers.feature
+++ b/features/wholeanswers.feature
@@ -74,3 +74,18 @@
     And process engine-1 is started again
     Then no completion ends as if it were whole
     And no promise is broken
+
+  Scenario Outline: A plain service's answers end with their connections
+    Guards against refusing whole answers on their way through agents, and against
+    truncated ones that look whole.
+    Given two entries before a payment service with 4 slots
+    When the payment service's answers are "<mode>", and one is asked for by each entry
+    Then each answer is <result>, after one run
+    And by HTTP/1.0 each answer is <result>, after one run
+
+    Examples:
+      | mode           | result                |
+      | unframed       | whole                 |
+      | reset_unframed | refused as incomplete |
+      | events         | whole                 |
+      | half_event     | visibly broken        |
