Give the fuzzed feeds what they need, and fuzz what peers have in force

The scenario had no configuration in force for the entries' feed, which needs one since it records the version. What another entry sends of a version that the store lacks is fuzzed too.

--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -253,6 +253,7 @@
         EntriesFeed(
             name="e",
             location=EntryLocation(address="tcp://127.0.0.1:1"),
+            in_force=in_force,
             on_change=lambda new: None,
             **common,
         ),
@@ -292,6 +293,7 @@
         )
         for feed in targets:
             feed.apply(records, is_snapshot=False, sent_s=0.0)
+            feed.apply_unstored(((key, content or b""),))
 
     fuzz(strategies.tuples(keys, contents), take)
     codec = Codec(messages=DirectMessage)
