Announce that the babbling store closes its connections

"A conditional write spans two copies" failed in 1 of 8 and 3 of 12 runs with RemoteDisconnected: its stand-in closed the connection after the first answer without saying so, and the client's next call could still use it. A first guess, unread bytes of the request, was wrong: reading them all changed nothing, and isn't kept.

--- a/features/steps/store_copies_steps.py
+++ b/features/steps/store_copies_steps.py
@@ -181,7 +181,8 @@
 
 def store_reply(epoch: int, body: bytes) -> bytes:
     head = f"HTTP/1.1 200 OK\r\nStore-Era: {epoch}\r\nContent-Length: {len(body)}\r\n"
-    return head.encode() + b"\r\n" + body
+    # The babbler closes each connection; unannounced, the next call might still use it.
+    return head.encode() + b"Connection: close\r\n\r\n" + body
 
 
 @given("a client of a store whose copy ends where the topic did")
