Have one place for framing's details, event streams' type and a connection's socket

Reading the whole change again: framing was asked for with the same three arguments in three places, its detail for invalid headers stood in three, and the type of event streams was compared in four, two of which minded its case, so that a relay could split a stream that its run read otherwise. One function serves each now. Two comments said how a value was chosen. Behaviour is the same but for types in upper case through agents.

--- a/features/rawhttp.py
+++ b/features/rawhttp.py
@@ -45,6 +45,11 @@
         return json.loads(self.body)
 
 
+def unescaped(text: str) -> bytes:
+    r"""Return the bytes of a step's text, in which escapes such as `\r\n` stand."""
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
 def request_bytes(
     *, method="POST", path="/", headers=(), body=b"", length=None, version="1.1"
 ) -> bytes:
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from result import Err
 
+from features.rawhttp import unescaped
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.direct.exchange import (
     CancelHandle,
@@ -129,17 +130,20 @@
     return "complete"
 
 
-@given('an upstream that sends "{text}" and then "{then}"')
-def step_upstream(context, text, then):
-    answer = text.encode().decode("unicode_escape").encode("latin-1")
-    context.raw = RawUpstream(answer=answer, then=then)
-    context.add_cleanup(context.raw.close)
+def use_upstream(context, raw: RawUpstream) -> None:
+    context.raw = raw
+    context.add_cleanup(raw.close)
     context.connection_pool = ConnectionPool(
-        host=HOST, port=context.raw.port, clock=SystemClock()
+        host=HOST, port=raw.port, clock=SystemClock()
     )
     context.add_cleanup(context.connection_pool.close_idle)
 
 
+@given('an upstream that sends "{text}" and then "{then}"')
+def step_upstream(context, text, then):
+    use_upstream(context, RawUpstream(answer=unescaped(text), then=then))
+
+
 @given('an upstream that sends "" and then "{then}"')
 def step_silent_upstream(context, then):
     step_upstream(context, "", then)
@@ -197,12 +201,7 @@
 
 @given('an upstream that sends "{text}" and resets unread requests')
 def step_resets_unread(context, text):
-    answer = text.encode().decode("unicode_escape").encode("latin-1")
-    context.raw = ResettingUpstream(answer=answer)
-    context.add_cleanup(context.raw.close)
-    context.connection_pool = ConnectionPool(
-        host=HOST, port=context.raw.port, clock=SystemClock()
-    )
+    use_upstream(context, ResettingUpstream(answer=unescaped(text)))
 
 
 @when("a request too long for the socket's buffers is sent to it")
@@ -225,12 +224,7 @@
 
 @given('an upstream that sends "{text}" and reads nothing more')
 def step_stalled(context, text):
-    answer = text.encode().decode("unicode_escape").encode("latin-1")
-    context.raw = StalledUpstream(answer=answer)
-    context.add_cleanup(context.raw.close)
-    context.connection_pool = ConnectionPool(
-        host=HOST, port=context.raw.port, clock=SystemClock()
-    )
+    use_upstream(context, StalledUpstream(answer=unescaped(text)))
 
 
 @given('an upstream that sends "" and reads nothing more')
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.rawhttp import unescaped
 from features.steps.direct_exchange_steps import RawUpstream
 from lavenderspoke.clock import SystemClock
 from lavenderspoke.direct.catalog import Repeatability, Route, TrafficShare
@@ -299,7 +300,7 @@
 
 @given('a request at an upstream that streams "{events}" and waits')
 def step_request(context, events):
-    body = events.encode().decode("unicode_escape").encode("latin-1")
+    body = unescaped(events)
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body
     raw = RawUpstream(answer=answer, then="keeps")
     context.add_cleanup(raw.close)
@@ -399,7 +400,7 @@
 
 @given('another upstream that sends "{rest}" with neither length nor chunks, and ends')
 def step_other_unframed(context, rest):
-    data = rest.encode().decode("unicode_escape").encode("latin-1")
+    data = unescaped(rest)
     head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
     create_handler(context, [start_upstream(context, [head + data], 0.0, "ends")])
     context.body = b"id: 0\ndata: a\n\n" + data
@@ -638,10 +639,10 @@
 @given('a request at an upstream that sends the head "{head}" and "{body}", and ends')
 def step_framed(context, head, body):
     text = f"HTTP/1.1 200 OK\\r\\n{head}\\r\\n\\r\\n{body}"
-    answer = text.encode().decode("unicode_escape").encode("latin-1")
+    answer = unescaped(text)
     raw = RawUpstream(answer=answer, then="ends")
     context.add_cleanup(raw.close)
-    context.body = body.encode().decode("unicode_escape").encode("latin-1")
+    context.body = unescaped(body)
     context.dispatcher = FewSlotsDispatcher(upstreams=[upstream_at(raw.port)])
     accepted = accepted_request(resumable=False, attempts_max=1)
     context.handler = handler_for(accepted, context.dispatcher)
--- a/lavenderspoke/answerstream.py
+++ b/lavenderspoke/answerstream.py
@@ -15,12 +15,12 @@
 )
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse
+from lavenderspoke.http.eventstream import is_event_stream
 from lavenderspoke.http.server import CutOff
 from lavenderspoke.model import Head, Ran
 from lavenderspoke.problems import Problem, Reason
 
 HELD_BYTES_MAX = 64 * 1024
-EVENT_STREAM = "text/event-stream"
 NO_BODY_STATUSES = frozenset((204, 205, 304))
 BROKEN = "broken"
 WHOLE = "whole"
@@ -151,7 +151,7 @@
             return
         gone = gathered.end.problem.reason is Reason.CALLER_GONE
         self._end(Reason.CALLER_GONE.value if gone else BROKEN)
-        if _header(gathered.head, "content-type").startswith(EVENT_STREAM):
+        if is_event_stream(_header(gathered.head, "content-type")):
             yield problempage.error_event(gathered.end.problem)
         # Returning here would write the last chunk, and half an answer would
         # look whole; the raised error makes the server close without it.
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -23,7 +23,12 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.http.framing import Framing, StrictResponse, framing_of
+from lavenderspoke.http.framing import (
+    INVALID_DETAIL,
+    Framing,
+    StrictResponse,
+    framing_of,
+)
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.observing.metrics import Metrics
 
@@ -180,16 +185,16 @@
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.is_end_genuine = True
-        self._opened_socket: socket.socket | None = None
+        self.opened_socket: socket.socket | None = None
 
     def connect(self) -> None:
         super().connect()
         # Kept because `sock` is dropped once the upstream says that it closes.
-        self._opened_socket = self.sock
+        self.opened_socket = self.sock
 
     def abort(self) -> None:
         """End what is in flight; data that has arrived can still be read."""
-        sock = self._opened_socket
+        sock = self.opened_socket
         if sock is None:
             return
         if not _has_peer_ended(sock):
@@ -246,15 +251,10 @@
     ):
         self.status: int = response.status
         self.headers: Headers = tuple(response.headers.items())
-        self.framing = framing_of(
-            method=method,
-            status=response.status,
-            header_values=response.headers.getlist,
-        )
+        self.framing = framing_of(response, method=method)
         self._connection = connection
         self._response = response
-        # Kept here because a connection that closes after this response drops it.
-        self._socket = self._http_response()._reader._sock
+        self._socket = connection.opened_socket
         self._pool = pool
         self._is_complete = False
 
@@ -342,7 +342,7 @@
         if response.length not in (None, 0):
             raise IncompleteResponse(f"{response.length} bytes are missing")
         if self.framing is Framing.INVALID:
-            raise IncompleteResponse("its headers don't tell where it ends")
+            raise IncompleteResponse(INVALID_DETAIL)
         is_proved = self._connection.is_end_genuine
         if self.framing is Framing.CONNECTION_END and not is_proved:
             raise IncompleteResponse("the connection was aborted or reset")
@@ -585,22 +585,24 @@
 
 
 def _is_readable(sock: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
+    return _has_event(sock, select.POLLIN)
 
 
 def _has_peer_ended(sock: socket.socket) -> bool:
     """Return whether the other side has ended the connection, by a close or a reset."""
-    poll = select.poll()
     try:
-        poll.register(sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return _has_event(sock, select.POLLRDHUP)
     except (OSError, ValueError):
         # It has just been closed here.
         return False
 
 
+def _has_event(sock: socket.socket, event: int) -> bool:
+    poll = select.poll()
+    poll.register(sock, event)
+    return bool(poll.poll(0))
+
+
 def _has_kernel_timed_out(error: TimeoutError) -> bool:
     """Return whether TCP_USER_TIMEOUT or keep-alive probes ended the connection.
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -39,10 +39,10 @@
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
 from lavenderspoke.direct.tickets import Decision, Dispatch, Ticket
 from lavenderspoke.http.eventstream import (
-    MEDIA_TYPE,
     Events,
     EventSplitter,
     EventTooLong,
+    is_event_stream,
 )
 from lavenderspoke.http.framing import Framing
 from lavenderspoke.problems import Problem
@@ -488,9 +488,9 @@
     @staticmethod
     def _check_stream_end(response: UpstreamResponse, splitter: EventSplitter) -> None:
         """Raise IncompleteResponse if a complete body isn't a whole event stream."""
-        content_type = response.header("Content-Type").strip().lower()
+        content_type = response.header("Content-Type").strip()
         # Without a type it is what its route says, a stream.
-        if content_type and not content_type.startswith(MEDIA_TYPE):
+        if content_type and not is_event_stream(content_type):
             return
         if missing := splitter.missing(response.framing):
             raise IncompleteResponse(missing)
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -181,7 +181,8 @@
     """Notifies other entries that the sender has read a topic up to an offset.
 
     Entries that are behind query the records, so those that aren't cause no traffic.
-    `unstored_version` is a version in force that the store lacks, 0 if there is none.
+    The offset is that of the store's copy number `epoch`; `unstored_version` is a
+    version in force that the store lacks, 0 if there is none.
     """
 
     topic: str
--- a/lavenderspoke/http/client.py
+++ b/lavenderspoke/http/client.py
@@ -11,7 +11,12 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from lavenderspoke.http.framing import Framing, StrictResponse, framing_of
+from lavenderspoke.http.framing import (
+    INVALID_DETAIL,
+    Framing,
+    StrictResponse,
+    framing_of,
+)
 
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
@@ -124,14 +129,9 @@
 def _read_whole(
     response: urllib3.BaseHTTPResponse, method: str
 ) -> Result[Reply, AnswerLost]:
-    framing = framing_of(
-        method=method,
-        status=response.status,
-        header_values=response.headers.getlist,
-    )
-    if framing is Framing.INVALID:
+    if framing_of(response, method=method) is Framing.INVALID:
         release(response, whole=False)
-        return Err(AnswerLost(detail="its headers don't tell where it ends"))
+        return Err(AnswerLost(detail=INVALID_DETAIL))
     whole = False
     try:
         body = response.read(ANSWER_BYTES_MAX + 1)
--- a/lavenderspoke/http/eventstream.py
+++ b/lavenderspoke/http/eventstream.py
@@ -13,6 +13,15 @@
 ID_DIGITS_MAX = 19
 
 
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a Content-Type is that of an event stream.
+
+    >>> is_event_stream("Text/Event-Stream; charset=utf-8")
+    True
+    """
+    return content_type.strip().lower().startswith(MEDIA_TYPE)
+
+
 class EventTooLong(Exception):
     """An event grew past `EVENT_BYTES_MAX`; reading on would fill the memory."""
 
--- a/lavenderspoke/http/framing.py
+++ b/lavenderspoke/http/framing.py
@@ -6,13 +6,13 @@
 import enum
 import http.client
 import string
-from collections.abc import Callable, Sequence
 
-HeaderValues = Callable[[str], Sequence[str]]
-"""Returns the values of all headers with that name."""
+import urllib3
 
 CHUNK_LINE_BYTES_MAX = 64 * 1024
 NO_BODY_STATUSES = frozenset((204, 304))
+# What is logged of a response with `Framing.INVALID`.
+INVALID_DETAIL = "its headers don't tell where it ends"
 
 
 class Framing(enum.StrEnum):
@@ -32,15 +32,16 @@
     INVALID = "invalid"
 
 
-def framing_of(*, method: str, status: int, header_values: HeaderValues) -> Framing:
-    """Return what ends the body of a response.
+def framing_of(response: urllib3.BaseHTTPResponse, *, method: str) -> Framing:
+    """Return what ends the body of the response to a request with that method.
 
-    >>> headers = {"Transfer-Encoding": ["chunked"], "Content-Length": ["5"]}
-    >>> framing_of(method="GET", status=200, header_values=headers.__getitem__).value
+    >>> headers = {"Transfer-Encoding": "chunked", "Content-Length": "5"}
+    >>> framing_of(urllib3.HTTPResponse(headers=headers), method="GET").value
     'last_chunk'
     """
-    if method == "HEAD" or status in NO_BODY_STATUSES:
+    if method == "HEAD" or response.status in NO_BODY_STATUSES:
         return Framing.NO_BODY
+    header_values = response.headers.getlist
     codings = [value.strip().lower() for value in header_values("Transfer-Encoding")]
     if codings:
         return Framing.LAST_CHUNK if codings == ["chunked"] else Framing.INVALID
--- a/lavenderspoke/platform/rollouts.py
+++ b/lavenderspoke/platform/rollouts.py
@@ -29,7 +29,7 @@
 DURATION_MAX_S = 30 * 86_400.0
 # Time between two checks for status records to write, in seconds.
 STATUS_PERIOD_S = 0.2
-# More than a topic has records, by far.
+# Offsets of the orders of one epoch are below this.
 OFFSETS_PER_EPOCH = 1_000_000_000
 ORDERS_METRIC = "rollout_orders"
 RECORDS_METRIC = "rollout_records"
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -104,7 +104,7 @@
         """Write a key's value, or delete the key if `value` is None.
 
         With `unchanged_since`, only if the topic still ends where that read did. If the
-        store came back from a copy meanwhile, the end may be another topic's state: the
+        store came back from a copy meanwhile, the topic may end there by chance: the
         write then is a conflict although it was carried out, and is decided on again.
         """
         name = key.encode()
@@ -122,12 +122,16 @@
         if isinstance(sent, Ok) and sent.ok_value.status == 412:
             return Err(Conflict())
         written = sent.and_then(_expect_ok)
-        if isinstance(written, Ok) and unchanged_since is not None:
-            if unchanged_since.epoch is not None and self._epoch is not None:
-                if self._epoch != unchanged_since.epoch:
-                    return Err(Conflict())
+        if isinstance(written, Ok) and self._spans_copies(unchanged_since):
+            return Err(Conflict())
         return written
 
+    def _spans_copies(self, earlier: RecordBatch | None) -> bool:
+        """Return whether the last response is from another copy than a read's."""
+        if earlier is None or None in (earlier.epoch, self._epoch):
+            return False
+        return earlier.epoch != self._epoch
+
     def _with_epoch(self, read: ReadT) -> ReadT:
         return attrs.evolve(read, epoch=self._epoch)
 
--- a/lavenderspoke/platform/storeepoch.py
+++ b/lavenderspoke/platform/storeepoch.py
@@ -12,7 +12,7 @@
 from lavenderspoke.observing.metrics import Metrics
 
 STORE_EPOCH = "Store-Era"
-# Longer values are no epochs, of which there are a few a day.
+# Maximum digits of an epoch; longer values are malformed.
 DIGITS_MAX = 12
 EPOCHS_METRIC = "store_epochs"
 ROSE = "rose"
--- a/lavenderspoke/upstreamruns.py
+++ b/lavenderspoke/upstreamruns.py
@@ -17,6 +17,7 @@
 from lavenderspoke import agentevents as events
 from lavenderspoke.clock import Clock
 from lavenderspoke.documents.service import Kind
+from lavenderspoke.http.eventstream import is_event_stream
 from lavenderspoke.http.upstreamsignals import SignalHeaders, read_signals
 from lavenderspoke.model import Call, Head
 from lavenderspoke.upstreams.runselector import RunSelector
@@ -33,7 +34,6 @@
     UpstreamUnsupported,
 )
 
-EVENT_STREAM = "text/event-stream"
 EVENT_END = re.compile(rb"(?<=\n\n)|(?<=\r\n\r\n)")
 # Threads beside those of the slots: resumed runs and cancellations.
 SPARE_THREADS = 16
@@ -168,7 +168,7 @@
     @_on.register
     def _(self, event: UpstreamHead, relay: _Relay) -> None:
         relay.is_events = any(
-            name.lower() == "content-type" and value.startswith(EVENT_STREAM)
+            name.lower() == "content-type" and is_event_stream(value)
             for name, value in event.headers
         )
         headers = {name.lower(): value for name, value in event.headers}
--- a/lavenderspoke/upstreams/httprun.py
+++ b/lavenderspoke/upstreams/httprun.py
@@ -8,8 +8,8 @@
 from urllib3.exceptions import HTTPError
 
 from lavenderspoke.http.client import READ_BYTES, AnswerLost, NotSent
-from lavenderspoke.http.eventstream import MEDIA_TYPE, EventSplitter, EventTooLong
-from lavenderspoke.http.framing import Framing, framing_of
+from lavenderspoke.http.eventstream import EventSplitter, EventTooLong, is_event_stream
+from lavenderspoke.http.framing import INVALID_DETAIL, Framing, framing_of
 from lavenderspoke.http.hopbyhop import end_to_end
 from lavenderspoke.upstreams.upstream import (
     RunEvent,
@@ -112,8 +112,7 @@
         if self._is_resumed and self._response.status == 404:
             self._end(UpstreamUnknownRun())
             return
-        content_type = self._response.headers.get("Content-Type", "")
-        if content_type.strip().lower().startswith(MEDIA_TYPE):
+        if is_event_stream(self._response.headers.get("Content-Type", "")):
             self._splitter = EventSplitter()
         headers = end_to_end(tuple(self._response.headers.iteritems()))
         self._events.append(UpstreamHead(status=self._response.status, headers=headers))
@@ -132,13 +131,9 @@
         return [body, UpstreamEnd()] if events.last else [body]
 
     def _ending(self) -> list[RunEvent]:
-        framing = framing_of(
-            method=self._method,
-            status=self._response.status,
-            header_values=self._response.headers.getlist,
-        )
+        framing = framing_of(self._response, method=self._method)
         if framing is Framing.INVALID:
-            return [UpstreamBroken(detail="its headers don't tell where it ends")]
+            return [UpstreamBroken(detail=INVALID_DETAIL)]
         if self._splitter is None or framing is Framing.NO_BODY:
             return [UpstreamEnd()]
         # An engine that gives up early ends its HTTP answer properly; only its
