--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -69,6 +69,7 @@
     status: int = 0
     retry_after_s: float | None = None
     detail: str = ""
+    content: str = ""
     handler: RequestHandler | None = None
     response_began_s: float | None = None
 
@@ -235,7 +236,7 @@
         if isinstance(body, Err):
             return body
         accepted = self._admit(
-            catalog, route, customer.ok_value, head, body.ok_value, record.arrived_s
+            catalog, route, customer.ok_value, head, body.ok_value, record
         )
         if isinstance(accepted, Ok):
             record.resubmitted = accepted.ok_value.resubmitted
@@ -274,8 +275,9 @@
         customer: Customer | None,
         head: RequestHead,
         body: bytes,
-        arrived_s: float,
+        record: _RequestRecord,
     ) -> Result[AcceptedRequest, Problem]:
+        arrived_s = record.arrived_s
         timeout_s = route.timeout_s - TIMEOUT_MARGIN_S
         if head.deadline_in_s is not None:
             timeout_s = min(timeout_s, head.deadline_in_s)
@@ -293,6 +295,7 @@
             deadline_s=arrived_s + timeout_s,
             version=catalog.version,
         )
+        record.content = accepted.fingerprint
         return self._dispatcher.admit(accepted)
 
     # Writing
@@ -331,6 +334,7 @@
             request=record.request_id,
             route=record.route,
             customer=record.customer,
+            content=record.content,
             version=record.version,
             outcome=record.outcome or OUTCOME_BROKEN,
             status=record.status,
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -527,7 +527,7 @@
     def receive_crash_evidence(self, evidence: CrashEvidence) -> None:
         """Merge evidence of a crash that another entry observed."""
         with self._lock:
-            self._upstream_monitor.crashes.merge(evidence, self._now_s())
+            self._upstream_monitor.merge_evidence(evidence, self._now_s())
 
     def tick(self) -> None:
         """Refresh the peers' states, dispatch waiting requests, advance roll-outs."""
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -15,6 +15,7 @@
 from lavenderspoke.direct.peerreports import PeerReports
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.upstreamstate import UpstreamState
+from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
 
@@ -22,6 +23,7 @@
 # their threads only have to wake up.
 RESTART_SETTLED_S = 0.2
 EJECTIONS = "upstreams_left_alone"
+CRASHES = "upstream_crashes"
 
 log = logbook.Logger(__name__)
 
@@ -132,6 +134,12 @@
         for upstream_id in state.failing:
             self._record_failing_report(upstream_id, by, state.data_centre, now_s)
 
+    def merge_evidence(self, evidence: CrashEvidence, now_s: float) -> None:
+        """Add a crash that another entry detected."""
+        self.crashes.merge(evidence, now_s)
+        self._metrics.count(CRASHES, "told")
+        _log_crash(evidence, by=evidence.crash_id.rpartition("/")[2])
+
     def tick(self, now_s: float) -> None:
         """Check restarts for a crash once requests to the old incarnation ended."""
         settled = [e for e in self._restarted if now_s >= e.at_s + RESTART_SETTLED_S]
@@ -213,3 +221,15 @@
         )
         if evidence is not None:
             self._evidence.append(evidence)
+            self._metrics.count(CRASHES, "own")
+            _log_crash(evidence, by="own requests")
+
+
+def _log_crash(evidence: CrashEvidence, *, by: str) -> None:
+    log.info(
+        signals.CRASHED,
+        upstream=evidence.upstream,
+        service=evidence.service,
+        contents=evidence.fingerprints,
+        by=by,
+    )
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -15,6 +15,7 @@
 SPILLOVER_ENDED = "data centre no longer spills over"
 STORE_WENT_BACK = "store went back to an older copy"
 UNSTORED_IN_FORCE = "version in force that the store lacks"
+CRASHED = "upstream crashed"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
