--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -15,6 +15,7 @@
 from lavenderspoke.direct.tickets import Ticket
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.poison import CrashEvidence
 
 TICK_S = 0.02
 # Range of message delays, in seconds.
@@ -173,6 +174,9 @@
         entry = self.entries[outgoing.name]
         if entry.is_down or outgoing.address != entry.location.address:
             return
+        if isinstance(outgoing.message, CrashEvidence):
+            entry.dispatcher.receive_crash_evidence(outgoing.message)
+            return
         for further in entry.dissemination.receive(sender.me, outgoing.message):
             self.send(entry, further)
 
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -153,10 +153,12 @@
         self.register(name, service, version=version)
         return standin
 
-    def start_upstream(self, name: str, *options: str) -> StandIn:
+    def start_upstream(
+        self, name: str, *options: str, port: int | None = None
+    ) -> StandIn:
         """Start an upstream that nobody knows of yet."""
         standin = self.stage.start_standin(
-            name, "platformengine", "--upstream-id", name, *options
+            name, "platformengine", "--upstream-id", name, *options, port=port
         )
         self.upstreams[name] = standin
         return standin
@@ -181,6 +183,18 @@
         }
         self.put("keyed.servers", name + incarnation, record)
 
+    def replace_upstream(
+        self, before: str, name: str, service: str, *options: str, same_address: bool
+    ) -> StandIn:
+        """Start an upstream in the place of one that has crashed, under another id.
+
+        The record of the one before stays until it is dropped.
+        """
+        port = self.upstreams.pop(before).port if same_address else None
+        standin = self.start_upstream(name, *options, port=port)
+        self.register(name, service)
+        return standin
+
     def rollout_state(self, service: str) -> str:
         """Return what the system says of a service's roll-out, empty if nothing."""
         http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -13,6 +13,8 @@
 import argparse
 import itertools
 import json
+import os
+import signal
 import threading
 import time
 
@@ -38,6 +40,9 @@
     their connections, also those of answers that end with them.
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
+    A request whose body has the `crash_marker` ends the process as its work begins, or
+    after `crash_after_events` events of its stream; if it `crashes_silently`, the
+    process stops instead, and its connections stay open.
     `mute` runs and never answers. `silent` holds all runs where they are, and lets
     them go on when it ends. `crash` refuses everything, as if it had died.
     `incarnation` is added to its id, as after a restart.
@@ -56,6 +61,9 @@
     mute: bool = False
     silent: bool = False
     crash: bool = False
+    crash_marker: str = ""
+    crash_after_events: int = 0
+    crashes_silently: bool = False
     full: bool = False
     status: int = 200
     incarnation: str = ""
@@ -148,6 +156,8 @@
         with self._lock:
             self._runs.append(run)
         run.end = "broken"
+        if self._is_fatal(run) and not self._faults.now.crash_after_events:
+            self._crash()
         if self._faults.now.mute:
             server.wait_while(
                 lambda: self._faults.now.mute and not server.caller_gone(request)
@@ -195,6 +205,8 @@
         for number in numbers:
             if not self._work(request, run, faults.event_s):
                 raise Cut
+            if self._is_fatal(run) and number >= faults.crash_after_events:
+                self._crash()
             event = _event(number)
             if after < 0 and number == faults.cut_after_events:
                 request.http.write(event[:-4])
@@ -213,6 +225,17 @@
             events[-1] = events[-1][:-4]
         return sum(map(len, events))
 
+    def _is_fatal(self, run: _Run) -> bool:
+        marker = self._faults.now.crash_marker
+        return bool(marker) and marker in run.body
+
+    def _crash(self) -> None:
+        """End or stop the process at once, as an engine does that crashes."""
+        if self._faults.now.crashes_silently:
+            os.kill(os.getpid(), signal.SIGSTOP)
+        else:
+            os._exit(1)
+
     def _cut(self, request: Request) -> None:
         """End the connection in the middle of an answer."""
         if self._faults.now.resets:
