--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -19,6 +19,19 @@
     When its stream is read
     Then it is refused as incomplete, and its slot was released once
 
+  Scenario Outline: Content is proved to crash upstreams while a request is handled
+    Guards against sending what waited, or was to be resumed, after the proof.
+    Given a resumable request whose first upstream breaks off after its first event
+    And another upstream has a free slot
+    And its content is quarantined <when>
+    When its stream is read as far as it goes
+    Then it was sent to <sent> upstreams, and no slot is held
+
+    Examples:
+      | when                       | sent |
+      | while it waits             | 0    |
+      | as its first attempt ended | 1    |
+
   Scenario: An upstream pauses during a stream, and no other has a free slot
     Guards against a stream that breaks off although its upstream would have continued.
     The engine prefills a long prompt or has preempted the stream for lack of memory, so
--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -112,7 +112,9 @@
             work()
         self.clock.advance(end_s - self.now_s)
 
-    def restart(self, name: str) -> Entry:
+    def restart(
+        self, name: str, upstreams: tuple[Upstream, ...] = (UPSTREAM,)
+    ) -> Entry:
         """Restart an entry without any state."""
         before = self.entries[name]
         before.is_down = True
@@ -121,6 +123,7 @@
             data_centre=before.location.data_centre,
             clock=self.clock,
             seed=self._random.randrange(1000),
+            upstreams=upstreams,
         )
         entry.me = InstanceId(name=name, incarnation=f"{before.me.incarnation}+")
         entry.dissemination = Dissemination(
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -44,6 +44,15 @@
     And the explanation contains "{'model-1': 2.5}"
     And the explanation contains "upstream is slow at the moment: upstream=model-1"
 
+  Scenario: A request is refused since its content crashed upstreams
+    Guards against a refusal whose crashes only other entries have logged.
+    Given log files of a request whose content crashed upstreams at another entry
+    When its id is explained from them
+    Then the explanation contains "Its content crashed upstreams; it has not run."
+    And the explanation contains "upstream ended: upstream=model-1, service=model, sign=refused"
+    And the explanation contains "content quarantined: content=c0ffee, upstreams=['model-1', 'model-2']"
+    And the explanation omits ends in which it didn't run
+
   Scenario: Lines are truncated, from other programs or out of order
     A log collector truncated a line, put names before others, and changed the order.
     Given log files with truncated, unrelated and reordered lines about one request
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -25,15 +25,16 @@
     context.fleet = Fleet(entries=entries, data_centres=entries)
     context.upstreams = {f"u{n}": upstream_at(f"u{n}") for n in range(1, count + 1)}
     list_upstreams(context)
-    context.fleet.run(1.0)
+    # The fleet's own first upstream has ended, which isn't to be taken for an outage.
+    context.fleet.run(4.0)
 
 
 def upstream_at(name: str) -> Upstream:
     return attrs.evolve(upstream_of(name), port=1000 + int(name[1:]))
 
 
-def list_upstreams(context, only: Entry | None = None) -> None:
-    for entry in [only] if only else context.fleet.entries.values():
+def list_upstreams(context) -> None:
+    for entry in context.fleet.entries.values():
         entry.dispatcher.upstreams_changed(tuple(context.upstreams.values()))
 
 
@@ -186,7 +187,7 @@
     if misses == "hears nothing":
         missing.is_down = False
     else:
-        list_upstreams(context, only=fleet.restart(entry))
+        fleet.restart(entry, tuple(context.upstreams.values()))
     fleet.run(2.0)
 
 
@@ -203,7 +204,7 @@
 
 @when("{entry} starts again")
 def step_starts_again(context, entry):
-    list_upstreams(context, only=context.fleet.restart(entry))
+    context.fleet.restart(entry, tuple(context.upstreams.values()))
     context.fleet.run(2.0)
 
 
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -2,29 +2,30 @@
 
 from behave import given, then, when
 
-from lavenderspoke.direct.crashes import CrashDetector
-
-SERVICE = "narrative"
+from features.entryfleet import upstream_of
+from lavenderspoke.direct.crashes import CrashDetector, EndSign
 
 
 @given("two entries that detect crashes")
 def step_detectors(context):
     context.now_s = 0.0
-    context.detector = CrashDetector(own_name="entry-1")
-    context.peer_detector = CrashDetector(own_name="entry-2")
+    context.detector = CrashDetector()
+    context.peer_detector = CrashDetector()
 
 
 def break_at(context, upstream_id: str, *contents: str) -> None:
     # Later than CRASH_WINDOW_S after the breaks before.
     context.now_s += 5.0
     for content in contents:
-        context.detector.record_broken_answer(upstream_id, content, context.now_s)
+        context.detector.record_broken_answer(
+            upstream_of(upstream_id), content, context.now_s
+        )
 
 
 def refuse_connections(context, upstream_id: str, after_s: float) -> None:
     now_s = context.now_s + after_s
-    evidence = context.detector.record_unreachable(SERVICE, upstream_id, now_s)
-    if evidence is not None:
+    ended = [upstream_of(upstream_id)]
+    for evidence in context.detector.record_ends(ended, EndSign.REFUSED, now_s):
         context.peer_detector.merge(evidence, now_s)
 
 
@@ -56,7 +57,7 @@
 
 def quarantined_at(context, content: str) -> list[bool]:
     return [
-        each.is_quarantined(SERVICE, content, context.now_s + 1.0)
+        each.is_quarantined(content, context.now_s + 1.0)
         for each in (context.detector, context.peer_detector)
     ]
 
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -72,6 +72,15 @@
     def reserved_slot_used(self, upstream) -> None:
         pass
 
+    def is_quarantined(self, accepted) -> bool:
+        return False
+
+    def connection_refused(self, upstream) -> None:
+        pass
+
+    def check_ended(self, upstream) -> None:
+        pass
+
     def connection_pool(self, upstream) -> ConnectionPool:
         return self._connections
 
@@ -359,6 +368,37 @@
     create_handler(context, [context.other])
 
 
+@given("its content is quarantined while it waits")
+def step_quarantined_waiting(context):
+    # Its first check is before it waits.
+    checks = iter([False])
+    context.dispatcher.is_quarantined = lambda accepted: next(checks, True)
+
+
+@given("its content is quarantined as its first attempt ended")
+def step_quarantined_ended(context):
+    dispatcher = context.dispatcher
+    dispatcher.is_quarantined = lambda accepted: bool(dispatcher.outcomes)
+
+
+@when("its stream is read as far as it goes")
+def step_read_far(context):
+    result = context.handler.handle()
+    if isinstance(result, StreamResponse):
+        try:
+            list(result.chunks)
+        except IncompleteResponse:
+            pass
+    else:
+        assert (result.reason, result.ran) == (Reason.CRASHES_UPSTREAMS, Ran.NO)
+
+
+@then("it was sent to {count:d} upstreams, and no slot is held")
+def step_sent_to(context, count):
+    assert len(context.first.heads) + len(context.other.heads) == count
+    assert context.dispatcher.held == []
+
+
 @given("another upstream that reserves a slot and says that it leaves")
 def step_reserves_leaving(context):
     rest = [STREAM_HEAD + chunk(1) + STREAM_END]
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -6,6 +6,7 @@
 
 from features.helper import run, stage_of
 from lavenderspoke.direct import pacemonitor
+from lavenderspoke.observing import signals
 from standins.processes import wait_until
 
 
@@ -117,6 +118,35 @@
     context.files = [str(path)]
 
 
+@given("log files of a request whose content crashed upstreams at another entry")
+def step_crashed(context):
+    ended = {"service": "model", "sign": "refused"}
+    others = [
+        record(1, signals.ENDED, upstream="model-1", **ended, contents=["c0ffee"]),
+        record(2, signals.ENDED, upstream="model-9", **ended, contents=["other"]),
+        record(
+            3,
+            signals.QUARANTINED,
+            content="c0ffee",
+            upstreams=["model-1", "model-2"],
+        ),
+    ]
+    own = record(
+        50, "request", request="r1", outcome="crashes_upstreams", content="c0ffee"
+    )
+    context.files = []
+    for name, lines in (("entry-1", [own]), ("entry-2", others)):
+        path = stage_of(context).directory / f"{name}.log"
+        text = "\n".join(lines) + "\n"
+        path.write_text(text.replace("entry-1", name))
+        context.files.append(str(path))
+
+
+@then("the explanation omits ends in which it didn't run")
+def step_omits_ends(context):
+    assert "model-9" not in context.done.stdout, context.done.stdout
+
+
 @then("the explanation omits what other upstreams said")
 def step_omits_others(context):
     assert "model-3" not in context.done.stdout, context.done.stdout
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -22,7 +22,6 @@
 from lavenderspoke.direct.selection import Requirements
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import EntryLocation
-from lavenderspoke.direct.verdicts import RESTART_SETTLED_S
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.feeds import (
     ConfigurationFeed,
@@ -34,6 +33,8 @@
 from standins.processes import HOST
 
 SERVICE = "s"
+# For the threads of aborted requests to end.
+SETTLED_S = 0.3
 FIELDS = ("service", "address", "zone", "slots", "state", "born", "sequence")
 
 
@@ -162,19 +163,18 @@
 def step_crash(context, content, born):
     crashes = context.dispatcher._upstream_monitor.crashes
     crashes.record_broken_answer(
-        upstream(context).upstream_id, content, context.clock.monotonic_s()
+        upstream(context), content, context.clock.monotonic_s()
     )
     read_record_of(context, born)
-    context.clock.advance(RESTART_SETTLED_S + 0.1)
+    context.clock.advance(SETTLED_S)
     context.dispatcher.tick()
 
 
 @then('content "{content}" is refused')
 def step_refused(context, content):
     now_s = context.clock.monotonic_s()
-    assert context.dispatcher._upstream_monitor.crashes.is_quarantined(
-        SERVICE, content, now_s
-    )
+    crashes = context.dispatcher._upstream_monitor.crashes
+    assert crashes.is_quarantined(content, now_s)
 
 
 def upstream_ids(registry: Registry) -> list[str]:
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -1,86 +1,237 @@
-"""Detects upstream crashes, and which requests were running in them."""
+"""Detects upstream crashes, and which requests were running in them.
 
-import attrs
+An answer that breaks off, or doesn't come, proves nothing by itself: connections are
+reset, answers get lost, and links are cut. It is put down to a crash once its upstream
+is known to have ended without having said that it leaves, however that shows and
+whichever entry notices.
+"""
+
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable
 
-from lavenderspoke.poison import CrashEvidence, CrashHistory, QuarantinePolicy
+import attrs
 
-# Answers that broke off at most this long before their upstream refused a connection
-# are put down to a crash.
-CRASH_WINDOW_S = 2.5
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.poison import (
+    CrashEvidence,
+    CrashHistory,
+    Quarantined,
+    QuarantinePolicy,
+)
+
+# Time before its upstream's end was noticed from which an unanswered request may have
+# been running in the crash, in seconds. A silent upstream's record lapses after three
+# heartbeats, and lists are read once a second, later still while the store is away.
+CRASH_WINDOW_S = 9.0
+# A request that its caller or its deadline ended was still being worked on if its
+# upstream had sent something within this time before, in seconds.
+AT_WORK_S = 1.0
+# Time after an end is noticed in which data that was on its way may still arrive, in
+# seconds.
+IN_FLIGHT_S = 0.3
 # Least number of crashed upstreams for which content that ran there is refused: one may
 # be chance.
 CRASHED_UPSTREAMS_MIN = 2
 QUARANTINE_S = 600.0
+# Upstreams that ended within this time of each other may have a common cause, in
+# seconds: ends of one moment are noticed by different signs.
+OUTAGE_WINDOW_S = 3.0
+# Ended upstreams remembered; the oldest is forgotten first.
+ENDS_MAX = 1024
+
+
+class EndSign(enum.Enum):
+    """How an upstream was seen to end; also the label of its counter."""
+
+    REFUSED = "refused"  # its address refuses connections
+    REPLACED = "replaced"  # another upstream answers or is listed at its address
+    DROPPED = "dropped"  # the platform's list no longer has it
+    TOLD = "told"  # another entry has evidence of its crash
+    PLANNED = "planned"  # it said before that it leaves
 
 
 @attrs.frozen(kw_only=True)
-class _BrokenAnswer:
+class _Unanswered:
     fingerprint: str
     at_s: float
 
 
+@attrs.frozen(kw_only=True)
+class _End:
+    sign: EndSign
+    at_s: float
+
+
 class CrashDetector:
     """The crashes that an entry has detected or received from others.
 
-    A broken answer alone proves nothing, since connections are reset and answers get
-    lost. Only if the upstream then refuses a connection, or turns out to have
-    restarted, did it crash, and the answers that broke shortly before were running in
-    it.
+    Times are in seconds on the caller's clock. Methods return the evidence that the
+    other entries should get.
     """
 
-    def __init__(self, *, own_name: str):
-        self._own_name = own_name
-        self._histories: dict[str, CrashHistory] = {}
-        self._broken_answers: dict[str, list[_BrokenAnswer]] = {}
+    def __init__(self):
+        self.history = CrashHistory(
+            service="",
+            policy=QuarantinePolicy(
+                upstreams_threshold=CRASHED_UPSTREAMS_MIN, quarantine_s=QUARANTINE_S
+            ),
+            outage_window_s=OUTAGE_WINDOW_S,
+        )
+        self._unanswered: dict[str, list[_Unanswered]] = {}
+        self._alive_s: dict[str, float] = {}
+        self._ends: OrderedDict[str, _End] = OrderedDict()
 
     def record_broken_answer(
-        self, upstream_id: str, fingerprint: str, now_s: float
-    ) -> None:
-        """Record an answer that broke off."""
-        kept = [
-            b for b in self._broken_answers.get(upstream_id, []) if _is_recent(b, now_s)
-        ]
-        self._broken_answers[upstream_id] = kept + [
-            _BrokenAnswer(fingerprint=fingerprint, at_s=now_s)
-        ]
+        self, upstream: Upstream, fingerprint: str, now_s: float
+    ) -> CrashEvidence | None:
+        """Record an answer that broke off, or a connection that ended before it.
+
+        After its record was dropped, an upstream may go on for a while and then exit,
+        so that such an answer is no sign of a crash.
+        """
+        end = self._ends.get(upstream.upstream_id)
+        if end is not None and end.sign in (EndSign.DROPPED, EndSign.PLANNED):
+            return None
+        return self._record_unanswered(upstream, fingerprint, now_s)
 
-    def record_unreachable(
-        self, service: str, upstream_id: str, now_s: float
+    def record_silence(
+        self, upstream: Upstream, fingerprint: str, *, heard_s: float, now_s: float
     ) -> CrashEvidence | None:
-        """Record that an upstream is down or replaced; return evidence of a crash."""
-        broken = self._broken_answers.pop(upstream_id, [])
-        fingerprints = {b.fingerprint for b in broken if _is_recent(b, now_s)}
-        if not fingerprints:
+        """Record a request that ended here while its upstream was silent.
+
+        The upstream was sent the request, or sent something itself, at `heard_s`.
+        """
+        end = self._ends.get(upstream.upstream_id)
+        is_planned = end is not None and end.sign is EndSign.PLANNED
+        if is_planned or now_s < heard_s + AT_WORK_S:
             return None
-        evidence = CrashEvidence(
-            service=service,
-            upstream=upstream_id,
-            crash_id=f"{upstream_id}/{self._own_name}",
-            fingerprints=tuple(sorted(fingerprints)),
-        )
-        self.merge(evidence, now_s)
+        return self._record_unanswered(upstream, fingerprint, now_s)
+
+    def record_alive(self, upstream_id: str, now_s: float) -> None:
+        """Record that an upstream has sent something."""
+        self._alive_s[upstream_id] = now_s
+        end = self._ends.get(upstream_id)
+        if end is None or end.sign is EndSign.PLANNED or now_s < end.at_s + IN_FLIGHT_S:
+            return
+        if end.sign is EndSign.DROPPED:
+            # It leaves without having said so, and serves for some time still.
+            self._ends[upstream_id] = _End(sign=EndSign.PLANNED, at_s=now_s)
+        else:
+            del self._ends[upstream_id]
+        self.history.withdraw_crash(upstream_id, now_s)
+
+    def record_leaving(self, upstream_id: str, now_s: float) -> None:
+        """Record that an upstream says that it leaves."""
+        self._note_end(upstream_id, EndSign.PLANNED, now_s)
+
+    def needs_check(self, upstream_id: str) -> bool:
+        """Return whether a broken answer leaves open if its upstream has ended."""
+        return upstream_id in self._unanswered and upstream_id not in self._ends
+
+    def record_ends(
+        self, upstreams: Iterable[Upstream], sign: EndSign, now_s: float
+    ) -> list[CrashEvidence]:
+        """Record upstreams that were seen to end at once."""
+        ended = [e for e in upstreams if self._note_end(e.upstream_id, sign, now_s)]
+        evidence = [
+            CrashEvidence(
+                service=each.service,
+                upstream=each.upstream_id,
+                crash_id=each.upstream_id,
+                fingerprints=self._running_in(each.upstream_id, now_s),
+            )
+            for each in ended
+        ]
+        # All together, so that an outage is seen as one.
+        self.history.record_crashes(evidence, now_s)
         return evidence
 
-    def merge(self, evidence: CrashEvidence, now_s: float) -> None:
-        """Add a crash that this or another entry detected."""
-        self._history(evidence.service).record_crash(evidence, now_s)
-
-    def record_answer(self, service: str, fingerprint: str) -> None:
+    def merge(self, evidence: CrashEvidence, now_s: float) -> CrashEvidence | None:
+        """Add a crash that another entry detected; return what this one adds to it."""
+        upstream_id = evidence.upstream
+        own = None
+        if self._note_end(upstream_id, EndSign.TOLD, now_s):
+            running = set(self._running_in(upstream_id, now_s))
+            if running - set(evidence.fingerprints):
+                own = attrs.evolve(evidence, fingerprints=tuple(sorted(running)))
+        merged = (evidence,) if own is None else (evidence, own)
+        self.history.record_crashes(merged, now_s)
+        return own
+
+    def record_answer(
+        self, upstream: Upstream, fingerprint: str, now_s: float
+    ) -> list[CrashEvidence]:
         """Record that content with this fingerprint was answered completely."""
-        self._history(service).record_answered(fingerprint)
+        excused = self.history.record_answered(fingerprint, now_s)
+        told = [self.history.evidence(crash_id, now_s) for crash_id in sorted(excused)]
+        return [each for each in told if each is not None]
 
-    def is_quarantined(self, service: str, fingerprint: str, now_s: float) -> bool:
+    def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether requests with this content are refused."""
-        return self._history(service).is_quarantined(fingerprint, now_s)
+        return self.history.is_quarantined(fingerprint, now_s)
+
+    def ran_here(self, fingerprint: str) -> bool:
+        """Return whether this entry sent the content to an upstream that ended."""
+        return any(
+            each.fingerprint == fingerprint
+            for upstream_id in self._unanswered.keys() & self._ends.keys()
+            for each in self._unanswered[upstream_id]
+        )
 
-    def _history(self, service: str) -> CrashHistory:
-        if service not in self._histories:
-            policy = QuarantinePolicy(
-                upstreams_threshold=CRASHED_UPSTREAMS_MIN, quarantine_s=QUARANTINE_S
-            )
-            self._histories[service] = CrashHistory(service=service, policy=policy)
-        return self._histories[service]
+    def announce(self, fingerprint: str, now_s: float) -> None:
+        """Apply a quarantine that another entry has recorded."""
+        quarantined = Quarantined(
+            service="", fingerprint=fingerprint, ttl_s=QUARANTINE_S
+        )
+        self.history.apply_quarantine(quarantined, now_s)
 
+    def _record_unanswered(
+        self, upstream: Upstream, fingerprint: str, now_s: float
+    ) -> CrashEvidence | None:
+        upstream_id = upstream.upstream_id
+        recent = [
+            each
+            for each in self._unanswered.get(upstream_id, ())
+            if _is_recent(each, now_s)
+        ]
+        recent.append(_Unanswered(fingerprint=fingerprint, at_s=now_s))
+        self._unanswered[upstream_id] = recent
+        if upstream_id not in self._ends:
+            return None
+        evidence = CrashEvidence(
+            service=upstream.service,
+            upstream=upstream_id,
+            crash_id=upstream_id,
+            fingerprints=self._running_in(upstream_id, now_s),
+        )
+        self.history.record_crash(evidence, now_s)
+        return evidence
 
-def _is_recent(each: _BrokenAnswer, now_s: float) -> bool:
+    def _note_end(self, upstream_id: str, sign: EndSign, now_s: float) -> bool:
+        """Note an upstream's end; return False if it was known."""
+        if upstream_id in self._ends:
+            return False
+        self._ends[upstream_id] = _End(sign=sign, at_s=now_s)
+        while len(self._ends) > ENDS_MAX:
+            forgotten, _ = self._ends.popitem(last=False)
+            self._unanswered.pop(forgotten, None)
+            self._alive_s.pop(forgotten, None)
+        return True
+
+    def _running_in(self, upstream_id: str, now_s: float) -> tuple[str, ...]:
+        """Return the content that may have been running when an upstream ended.
+
+        What the upstream sent afterwards shows that it had outlived a request.
+        """
+        alive_s = self._alive_s.get(upstream_id, float("-inf"))
+        running = {
+            each.fingerprint
+            for each in self._unanswered.get(upstream_id, ())
+            if _is_recent(each, now_s) and each.at_s >= alive_s
+        }
+        return tuple(sorted(running))
+
+
+def _is_recent(each: _Unanswered, now_s: float) -> bool:
     return now_s < each.at_s + CRASH_WINDOW_S
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -125,6 +125,18 @@
     ) -> None:
         """Release the slot at an upstream and record the attempt's outcome."""
 
+    def is_quarantined(self, accepted: AcceptedRequest) -> bool:
+        """Return whether the request's content has crashed upstreams."""
+
+    def connection_refused(self, upstream: Upstream) -> None:
+        """Record that nothing listens at an upstream's address."""
+
+    def check_ended(self, upstream: Upstream) -> None:
+        """Find out whether an upstream has ended that broke off an answer.
+
+        This may take some 0.1 s.
+        """
+
     def release_slot(self, ticket: Ticket, upstream: Upstream) -> None:
         """Release a slot to which nothing was sent."""
 
--- a/lavenderspoke/direct/dissemination.py
+++ b/lavenderspoke/direct/dissemination.py
@@ -131,6 +131,9 @@
             self._add_pending(self._me, numbered)
         for each in evidence:
             outgoing += _messages_to(each, known)
+        for name, crashes in self._dispatcher.missing_evidence().items():
+            for each in crashes:
+                outgoing += _messages_to(each, _locations([name], known))
         return outgoing
 
     def _new_peers(
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -35,6 +35,9 @@
 # Timeout of a TCP connect, in seconds; short enough that another upstream can still be
 # tried. A handshake takes a few milliseconds within a data centre and some ten between.
 CONNECT_TIMEOUT_S = 0.4
+# The same to find out whether an upstream still listens, in seconds. A process that has
+# ended refuses at once; a caller waits meanwhile.
+CHECK_TIMEOUT_S = 0.1
 # How long data may stay unacknowledged before the connection is given up, in
 # milliseconds, the unit of TCP_USER_TIMEOUT.
 TCP_USER_TIMEOUT_MS = 1500
@@ -79,9 +82,13 @@
 
 @attrs.frozen(kw_only=True)
 class NotSent:
-    """Nothing was sent, so the request has not run."""
+    """Nothing was sent, so the request has not run.
+
+    If the connection was `refused`, nothing listens at the address.
+    """
 
     detail: str
+    refused: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -453,6 +460,18 @@
             response.cancel()
         return sent
 
+    def is_refused(self) -> bool:
+        """Return whether nothing listens at the upstream's address.
+
+        A connection that is accepted is kept for the next request.
+        """
+        opened = self._open(CHECK_TIMEOUT_S)
+        if isinstance(opened, Err):
+            return opened.err_value.refused
+        self._count(ConnectionUse.NEW)
+        self.release(opened.ok_value, "")
+        return False
+
     def release(self, connection: _UpstreamConnection, keep_alive: str) -> None:
         """Keep a connection for reuse until shortly before its idle limit."""
         idle_s = _keep_alive_s(keep_alive) - REUSE_MARGIN_S
@@ -516,18 +535,25 @@
     def _count(self, use: ConnectionUse) -> None:
         self._metrics.count(CONNECTIONS_METRIC, use.value)
 
-    def _open(self) -> Result[_UpstreamConnection, NotSent]:
+    def _open(
+        self, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Result[_UpstreamConnection, NotSent]:
         connection = _UpstreamConnection(
             self._host,
             self._port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=timeout_s,
             socket_options=SOCKET_OPTIONS,
         )
         try:
             connection.connect()
         except (HTTPError, OSError) as error:
             connection.close()
-            return Err(NotSent(detail=f"{type(error).__name__}: {error}"))
+            return Err(
+                NotSent(
+                    detail=f"{type(error).__name__}: {error}",
+                    refused=isinstance(error.__cause__, ConnectionRefusedError),
+                )
+            )
         return Ok(connection)
 
     def _send_and_receive(
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -37,7 +37,7 @@
     no_slot_available,
 )
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
-from lavenderspoke.direct.tickets import Decision, Dispatch, Ticket
+from lavenderspoke.direct.tickets import Decision, Dispatch, Refusal, Refuse, Ticket
 from lavenderspoke.http.eventstream import (
     Events,
     EventSplitter,
@@ -244,11 +244,20 @@
         return attempt
 
     def _acquire_slot(self, *, may_wait: bool) -> HeldSlot | None:
+        if self._dispatcher.is_quarantined(self.accepted):
+            self._decision = Refuse(reason=Refusal.QUARANTINED)
+            return None
         ticket = self._create_ticket(may_wait)
         self._wait_for_decision(ticket)
         if not isinstance(self._decision, Dispatch):
             return None
-        return HeldSlot(upstream=self._decision.upstream, ticket=ticket)
+        slot = HeldSlot(upstream=self._decision.upstream, ticket=ticket)
+        # The content may have crashed upstreams while it waited.
+        if self._dispatcher.is_quarantined(self.accepted):
+            self._dispatcher.release_slot(ticket, slot.upstream)
+            self._decision = Refuse(reason=Refusal.QUARANTINED)
+            return None
+        return slot
 
     def _create_ticket(self, may_wait: bool) -> Ticket:
         accepted = self.accepted
@@ -257,6 +266,7 @@
             service=accepted.service,
             route=accepted.route.name,
             customer=accepted.customer.name if accepted.customer else "",
+            fingerprint=accepted.fingerprint,
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
@@ -340,6 +350,8 @@
             outcome = (
                 AttemptOutcome.LEFT if self._caller_gone else AttemptOutcome.UNREACHABLE
             )
+            if error.refused:
+                self._dispatcher.connection_refused(attempt.upstream)
             self._end_attempt(attempt, outcome)
             return
         self._record_possible_run()
@@ -398,6 +410,9 @@
         self._dispatcher.attempt_ended(
             attempt.ticket, attempt.upstream, self.accepted, outcome
         )
+        if outcome is AttemptOutcome.BROKEN:
+            # Before any retry, which would crash the next upstream.
+            self._dispatcher.check_ended(attempt.upstream)
 
     def _record_possible_run(self) -> None:
         self._may_have_run = True
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -134,6 +134,8 @@
         if isinstance(sent, Err):
             error = sent.err_value
             if isinstance(error, NotSent):
+                if error.refused:
+                    self.dispatcher.connection_refused(upstream)
                 return AttemptOutcome.UNREACHABLE, None
             return _incomplete_outcome(error.timed_out), None
         return self._read(sent.ok_value, sent_s)
@@ -178,6 +180,8 @@
         self.dispatcher.attempt_ended(
             self.slot.ticket, self.slot.upstream, self.accepted, outcome
         )
+        if outcome is AttemptOutcome.BROKEN:
+            self.dispatcher.check_ended(self.slot.upstream)
         self.outcome = outcome
         self._ended.set()
         if self.response is not None:
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -71,6 +71,7 @@
     - `limits`: what it knows of the limits that upstreams name.
     - `burst_credits`: customer to the tokens of a credit that the entry has recorded.
     - `upstreams_leaving`: upstreams that said to the entry itself that they leave.
+    - `crashes`: a number that differs where the entry knows other crashes of upstreams.
     - `slow`: rows of an upstream and how many times slower than usual the entry's
       requests show it to be at the moment; 1.0 contradicts others' reports.
 
@@ -102,6 +103,7 @@
     limits: tuple[LimitNews, ...] = ()
     burst_credits: tuple[tuple[str, float], ...] = ()
     upstreams_leaving: tuple[str, ...] = ()
+    crashes: int = 0
     slow: tuple[tuple[str, float], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -20,6 +20,8 @@
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
 from lavenderspoke.direct.connectionpreference import ConnectionView
+from lavenderspoke.direct.crashes import EndSign
+from lavenderspoke.direct.crashsync import CrashSync
 from lavenderspoke.direct.dispatcher import (
     AcceptedRequest,
     AttemptOutcome,
@@ -32,8 +34,9 @@
 from lavenderspoke.direct.messages import PassedOn, SharedState
 from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
+from lavenderspoke.direct.quarantinerecords import QuarantineRecords
 from lavenderspoke.direct.quota import SharedQuota
-from lavenderspoke.direct.refusals import not_run
+from lavenderspoke.direct.refusals import QUARANTINED_DETAIL, not_run
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.settings import RETRY_BUDGET_SHARE, Bounds
@@ -141,6 +144,8 @@
             else None
         )
         self._hedge_timer = HedgeTimer()
+        self._crash_sync = CrashSync()
+        self._quarantine_records = QuarantineRecords()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -161,7 +166,7 @@
             slowdowns=self._pace.slowdowns if self._pace is not None else dict,
         )
         self._upstream_monitor = UpstreamMonitor(
-            own_name=name, scheduler=self._scheduler, metrics=metrics
+            scheduler=self._scheduler, metrics=metrics
         )
 
     # Arrival
@@ -179,10 +184,9 @@
             now_s = self._now_s()
             service, fingerprint = accepted.service, accepted.fingerprint
             self._retry_allowance(service).record_first_attempt(now_s)
-            if self._upstream_monitor.crashes.is_quarantined(
-                service, fingerprint, now_s
-            ):
-                return Err(not_run(Reason.CRASHES_UPSTREAMS))
+            crashes = self._upstream_monitor.crashes
+            if crashes.is_quarantined(fingerprint, now_s):
+                return Err(not_run(Reason.CRASHES_UPSTREAMS, QUARANTINED_DETAIL))
             first_arrived_s = self._resubmissions.take(fingerprint, now_s)
             refusal = self._charge_quota(
                 accepted, now_s, resubmitted=first_arrived_s is not None
@@ -262,6 +266,10 @@
             self._backpressure.record_response(
                 upstream, signals, sent_s=sent_s, now_s=now_s
             )
+            crashes = self._upstream_monitor.crashes
+            crashes.record_alive(upstream.upstream_id, now_s)
+            if signals.is_leaving:
+                crashes.record_leaving(upstream.upstream_id, now_s)
 
     def takes_requests(self, upstream: Upstream) -> bool:
         with self._lock:
@@ -287,7 +295,13 @@
         self._metrics.count(ATTEMPTS_METRIC, outcome.value)
         with self._lock:
             now_s = self._now_s()
-            self._upstream_monitor.record_attempt(upstream, accepted, outcome, now_s)
+            self._upstream_monitor.record_attempt(
+                upstream,
+                accepted,
+                outcome,
+                now_s,
+                heard_s=max(ticket.sent_s, ticket.heard_s),
+            )
             queue = self._scheduler.queue(ticket.service)
             queue.release(ticket, upstream.upstream_id, now_s)
             self._record_end(ticket, upstream, accepted, outcome, now_s)
@@ -295,6 +309,25 @@
             if result is not None:
                 self._rollouts.record_attempt(upstream, result)
 
+    def is_quarantined(self, accepted: AcceptedRequest) -> bool:
+        with self._lock:
+            crashes = self._upstream_monitor.crashes
+            return crashes.is_quarantined(accepted.fingerprint, self._now_s())
+
+    def connection_refused(self, upstream: Upstream) -> None:
+        with self._lock:
+            self._upstream_monitor.record_ends(
+                [upstream], EndSign.REFUSED, self._now_s()
+            )
+
+    def check_ended(self, upstream: Upstream) -> None:
+        with self._lock:
+            crashes = self._upstream_monitor.crashes
+            if not crashes.needs_check(upstream.upstream_id):
+                return
+        if self.connection_pool(upstream).is_refused():
+            self.connection_refused(upstream)
+
     def release_slot(self, ticket: Ticket, upstream: Upstream) -> None:
         with self._lock:
             queue = self._scheduler.queue(ticket.service)
@@ -494,6 +527,45 @@
         with self._lock:
             self._burst_credits.record_deleted(customer)
 
+    # Quarantines
+
+    def quarantines_read(
+        self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
+    ) -> None:
+        """Apply the quarantines that the store holds, of all entries."""
+        with self._lock:
+            now_s = self._now_s()
+            changes = self._quarantine_records.read(
+                present, deleted, is_snapshot=is_snapshot
+            )
+            self._upstream_monitor.apply_recorded(changes, now_s)
+
+    def quarantine_records_lost(self) -> None:
+        """Write records again: the store has come back from an older copy."""
+        with self._lock:
+            self._quarantine_records.on_records_lost()
+
+    def quarantines_due(self) -> tuple[dict[str, tuple[str, ...]], list[str]]:
+        """Return the records to write, with the crashed upstreams, and to delete."""
+        with self._lock:
+            now_s, records = self._now_s(), self._quarantine_records
+            history = self._upstream_monitor.crashes.history
+            writes = records.writes_due(history.proved(now_s), now_s)
+            return (
+                {each: history.upstreams_of(each) for each in writes},
+                records.deletions_due(history.quarantined(now_s)),
+            )
+
+    def quarantine_written(self, fingerprint: str) -> None:
+        """Record that the store has a quarantine."""
+        with self._lock:
+            self._quarantine_records.record_written(fingerprint)
+
+    def quarantine_deleted(self, fingerprint: str) -> None:
+        """Record that the store no longer has a quarantine."""
+        with self._lock:
+            self._quarantine_records.record_deleted(fingerprint)
+
     # Peers
 
     def peers_listed(self, entries: dict[str, EntryLocation]) -> None:
@@ -534,7 +606,7 @@
         with self._lock:
             now_s = self._now_s()
             self._update_shares(now_s)
-            self._upstream_monitor.tick(now_s)
+            self._refuse_quarantined()
             self._peers.drop_stale(now_s)
             if self._pace is not None:
                 self._pace.tick(now_s)
@@ -548,6 +620,16 @@
         for reason, count in booked.items():
             self._metrics.count(BOOKINGS_METRIC, reason, count)
 
+    def _refuse_quarantined(self) -> None:
+        """Refuse waiting requests whose content has crashed upstreams meanwhile."""
+        if fingerprints := self._upstream_monitor.take_new_quarantines():
+            now_s, crashes = self._now_s(), self._upstream_monitor.crashes
+            for each in fingerprints & crashes.history.proved(now_s):
+                is_own = crashes.ran_here(each)
+                self._quarantine_records.note_proved(each, is_own=is_own, now_s=now_s)
+            for queue in self._scheduler.queues().values():
+                queue.refuse_quarantined(fingerprints)
+
     def known_peers(self) -> dict[str, EntryLocation]:
         """Return the other entries that may be alive, by name."""
         with self._lock:
@@ -605,6 +687,7 @@
                     self._burst_credits.rows() if self._burst_credits else ()
                 ),
                 upstreams_leaving=self._backpressure.leaving_here(),
+                crashes=self._upstream_monitor.digest(self._now_s()),
                 slow=self._pace.own_rows(self._now_s()) if self._pace else (),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
@@ -615,6 +698,15 @@
             evidence = self._upstream_monitor.take_evidence()
         return [state, *evidence]
 
+    def missing_evidence(self) -> dict[str, list[CrashEvidence]]:
+        """Return the crashes that other entries should be told again, by entry."""
+        with self._lock:
+            names = self._crash_sync.take_due(self._now_s())
+            if not names:
+                return {}
+            evidence = self._upstream_monitor.all_evidence(self._now_s())
+        return {name: evidence for name in names}
+
     # Internals
 
     def _has_idle_connection(self, upstream_id: str) -> bool:
@@ -631,6 +723,8 @@
             state = attrs.evolve(state, asking={})
         if not self._peers.receive(sender, state, now_s, age_s=age_s):
             return False
+        if age_s is None and state.crashes != self._upstream_monitor.digest(now_s):
+            self._crash_sync.note_difference(sender.name, now_s)
         self._spillovers.merge_peer(sender.name, state, now_s, age_s=age_s or 0.0)
         self._resubmissions.record_peer_refusals(state.refused, now_s)
         self._merge_bookings(sender, state, now_s, age_s or 0.0)
@@ -685,6 +779,9 @@
         return counts
 
     def _record_event(self, ticket: Ticket, upstream: Upstream) -> None:
+        ticket.heard_s = self._now_s()
+        crashes = self._upstream_monitor.crashes
+        crashes.record_alive(upstream.upstream_id, ticket.heard_s)
         if self._pace is not None:
             self._pace.event_received(
                 upstream.upstream_id, ticket.request_id, self._now_s()
--- a/lavenderspoke/direct/refusals.py
+++ b/lavenderspoke/direct/refusals.py
@@ -11,10 +11,13 @@
 # Retry-After, in seconds, for causes that pass soon.
 RETRY_AFTER_S = 0.4
 
+QUARANTINED_DETAIL = "upstreams that ran this content have crashed"
+
 REASONS = {
     Refusal.CROWDED: Reason.NO_ROOM,
     Refusal.WAITED_TOO_LONG: Reason.NO_ROOM,
     Refusal.NO_UPSTREAM: Reason.NO_UPSTREAM,
+    Refusal.QUARANTINED: Reason.CRASHES_UPSTREAMS,
 }
 
 
@@ -35,9 +38,12 @@
     if decision is None:
         return deadline_exceeded("no slot in time", may_have_run=may_have_run)
     reason = REASONS[decision.reason]
+    is_quarantined = decision.reason is Refusal.QUARANTINED
     if may_have_run:
-        return _outcome_unknown(Reason.ANSWER_INCOMPLETE, "no slot for another attempt")
-    return not_run(reason, "try again later", decision.retry_after_s)
+        why = QUARANTINED_DETAIL if is_quarantined else "no slot for another attempt"
+        return _outcome_unknown(Reason.ANSWER_INCOMPLETE, why)
+    detail = QUARANTINED_DETAIL if is_quarantined else "try again later"
+    return not_run(reason, detail, decision.retry_after_s)
 
 
 def deadline_exceeded(detail: str, *, may_have_run: bool) -> Problem:
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -186,6 +186,13 @@
         self._waiting.remove(ticket)
         return True
 
+    def refuse_quarantined(self, fingerprints: set[str]) -> None:
+        """Refuse the waiting requests with this content."""
+        for ticket in self._waiting:
+            if ticket.fingerprint in fingerprints:
+                self._waiting.remove(ticket)
+                ticket.on_decision(Refuse(reason=Refusal.QUARANTINED))
+
     def release(self, ticket: Ticket, upstream_id: str, now_s: float) -> None:
         """Free the slot of a request that has ended, and record its hold time."""
         self._rates_of(ticket.rank).record_hold(now_s - ticket.sent_s)
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -25,6 +25,7 @@
     CROWDED = "crowded"
     WAITED_TOO_LONG = "waited_too_long"
     NO_UPSTREAM = "no_upstream"
+    QUARANTINED = "quarantined"
 
 
 @attrs.frozen(kw_only=True)
@@ -48,11 +49,12 @@
 class Refuse:
     """Refuse the request: it hasn't run and won't run.
 
-    `held_back` and `deferred` are as in `Dispatch`.
+    `held_back` and `deferred` are as in `Dispatch`. Without `retry_after_s`, coming
+    back makes no sense.
     """
 
     reason: Refusal
-    retry_after_s: float
+    retry_after_s: float | None = None
     held_back: dict[str, str] = attrs.field(factory=dict)
     deferred: str = ""
 
@@ -64,27 +66,29 @@
 class Ticket:
     """A request in a queue, and after its dispatch at an upstream.
 
-    `target_s` is counted from `first_arrived_s`, when the caller sent it first. The
-    caller gives up `patience_s` after `idle_since_s`, when the request arrived or
-    the last event of its stream came. `excluded` names upstreams that it was sent to
-    before. A `retryable` request may be sent to another upstream after it failed. One
-    without `may_wait` is decided before `submit` returns. It is `resubmitted` if it was
-    refused, or sent to an upstream, before. The `customer` is empty if it is unknown.
+    `fingerprint` is the hash of its content. `target_s` is counted from
+    `first_arrived_s`, when the caller sent it first. The caller gives up `patience_s`
+    after `idle_since_s`, when the request arrived or the last event of its stream
+    came. `excluded` names upstreams that it was sent to before. A `retryable` request
+    may be sent to another upstream after it failed. One without `may_wait` is decided
+    before `submit` returns. It is `resubmitted` if it was refused, or sent to an
+    upstream, before. The `customer` is empty if it is unknown.
 
     For logs, `booking` tells which slot is booked for its return, or what it found when
     it returned, and `deferred` why requests of other customers went first, if they did.
 
     On dispatch, `estimate` is set together with the expected time and number of engine
     steps until the first byte, and `engine_s` to the engine time that its customer is
-    charged until it ends. `first_event_s` is when the first event arrived, and
-    `events` the number of events of a complete stream. `on_decision` is called once,
-    under the scheduler's lock, so it must not block.
+    charged until it ends. `first_event_s` is when the first event arrived, `heard_s`
+    when any did last, and `events` the number of events of a complete stream.
+    `on_decision` is called once, under the scheduler's lock, so it must not block.
     """
 
     request_id: str
     service: str
     route: str = ""
     customer: str = ""
+    fingerprint: str = ""
     rank: Rank
     prompt_tokens: int
     answer_tokens: int
@@ -108,6 +112,7 @@
     expected_first_byte_s: float = 0.0
     expected_first_byte_steps: float = 0.0
     engine_s: float = 0.0
+    heard_s: float = 0.0
     first_event_s: float | None = None
     events: int = 0
 
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -8,22 +8,24 @@
 import attrs
 import logbook
 
-from lavenderspoke.direct.crashes import CrashDetector
+from lavenderspoke.direct.crashes import CrashDetector, EndSign
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
 from lavenderspoke.direct.peerreports import PeerReports
+from lavenderspoke.direct.quarantinerecords import QuarantineChanges
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.upstreamstate import UpstreamState
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.poison import CrashEvidence
 
-# Time after which all requests to an upstream's previous incarnation have been aborted:
-# their threads only have to wake up.
-RESTART_SETTLED_S = 0.2
+# Time after which the digest of all crashes is computed again, in seconds: old ones
+# leave it as time passes.
+DIGEST_KEPT_S = 1.0
 EJECTIONS = "upstreams_left_alone"
-CRASHES = "upstream_crashes"
+ENDS = "upstream_ends"
+QUARANTINES = "content_quarantines"
 
 log = logbook.Logger(__name__)
 
@@ -41,22 +43,14 @@
     failing: tuple[str, ...]
 
 
-@attrs.frozen(kw_only=True)
-class _EndedIncarnation:
-    """An upstream's previous incarnation, and when the new one was noticed."""
-
-    upstream: Upstream
-    at_s: float
-
-
 class UpstreamMonitor:
     """Tracks crashed, replaced, unreachable and failing upstreams.
 
     Not thread-safe: its owner holds a lock. Times are in seconds.
     """
 
-    def __init__(self, *, own_name: str, scheduler: Scheduler, metrics: Metrics):
-        self.crashes = CrashDetector(own_name=own_name)
+    def __init__(self, *, scheduler: Scheduler, metrics: Metrics):
+        self.crashes = CrashDetector()
         self._scheduler = scheduler
         self._metrics = metrics
         self._evidence: list[CrashEvidence] = []
@@ -66,45 +60,67 @@
         self._unreached_reports = PeerReports()
         self._failing_reports = PeerReports()
         self._listed: dict[str, Upstream] = {}
-        self._restarted: list[_EndedIncarnation] = []
+        self._quarantined: set[str] = set()
+        self._new_quarantines: set[str] = set()
+        self._digest: tuple[int, float, int] = (0, 0.0, 0)
 
     def update_listed(
         self, upstreams: tuple[Upstream, ...], now_s: float
     ) -> list[Upstream]:
         """Apply the platform's list; return the ended incarnations."""
-        listed = {each.upstream_id: each for each in upstreams}
+        before, listed = self._listed, {each.upstream_id: each for each in upstreams}
         names = {each.name for each in upstreams}
-        restarted = [
-            each
-            for key, each in self._listed.items()
-            if key not in listed and each.name in names
-        ]
+        went = [each for key, each in before.items() if key not in listed]
+        restarted = [each for each in went if each.name in names]
+        came = [each for key, each in listed.items() if key not in before]
         self._listed = listed
         self._unreached_reports.retain(set(listed))
         self._failing_reports.retain(set(listed))
-        self._restarted += [
-            _EndedIncarnation(upstream=e, at_s=now_s) for e in restarted
+        for each in came:
+            self.crashes.record_alive(each.upstream_id, now_s)
+        taken = {(each.host, each.port) for each in came}
+        replaced = [
+            each
+            for each in before.values()
+            if (each.host, each.port) in taken and each not in went
         ]
+        for each in (*before.values(), *upstreams):
+            if each.leaving:
+                self.crashes.record_leaving(each.upstream_id, now_s)
+        self.record_ends([*restarted, *replaced], EndSign.REPLACED, now_s)
+        self.record_ends(went, EndSign.DROPPED, now_s)
         return restarted
 
+    def record_ends(
+        self, upstreams: list[Upstream], sign: EndSign, now_s: float
+    ) -> None:
+        """Record upstreams that were seen to end, and tell the others of crashes."""
+        for evidence in self.crashes.record_ends(upstreams, sign, now_s):
+            self._metrics.count(ENDS, sign.value)
+            _log_end(evidence, sign=sign.value)
+            # Each entry reads the list itself.
+            if evidence.fingerprints or sign is not EndSign.DROPPED:
+                self._evidence.append(evidence)
+        self._note_quarantines(now_s)
+
     def record_attempt(
         self,
         upstream: Upstream,
         accepted: AcceptedRequest,
         outcome: AttemptOutcome,
         now_s: float,
+        *,
+        heard_s: float,
     ) -> None:
-        """Record the outcome of one of this entry's attempts."""
-        fingerprint = accepted.fingerprint
-        if outcome is AttemptOutcome.ANSWERED:
-            self.crashes.record_answer(upstream.service, fingerprint)
-        elif outcome is AttemptOutcome.BROKEN:
-            self.crashes.record_broken_answer(upstream.upstream_id, fingerprint, now_s)
-        elif outcome is AttemptOutcome.UNREACHABLE:
-            self._check_crash(upstream, now_s)
+        """Record the outcome of one of this entry's attempts.
+
+        The upstream was sent the request, or sent something itself, at `heard_s`.
+        """
+        self._record_content(upstream, accepted.fingerprint, outcome, heard_s, now_s)
+        if outcome is AttemptOutcome.UNREACHABLE:
             self._unreached.add(upstream.upstream_id)
         elif outcome is AttemptOutcome.MISDIRECTED:
-            self._check_crash(upstream, now_s)
+            self.record_ends([upstream], EndSign.REPLACED, now_s)
             self._evict(upstream.upstream_id, now_s)
             self._gone.add(upstream.upstream_id)
         upstream_state = self._scheduler.queue(upstream.service).pool.state_of(
@@ -129,6 +145,8 @@
         """Apply the findings that another entry reports."""
         for upstream_id in state.gone:
             self._evict(upstream_id, now_s)
+        for upstream_id in state.upstreams_leaving:
+            self.crashes.record_leaving(upstream_id, now_s)
         for upstream_id in state.unreached:
             self._record_unreached_report(upstream_id, by, state.data_centre, now_s)
         for upstream_id in state.failing:
@@ -136,16 +154,29 @@
 
     def merge_evidence(self, evidence: CrashEvidence, now_s: float) -> None:
         """Add a crash that another entry detected."""
-        self.crashes.merge(evidence, now_s)
-        self._metrics.count(CRASHES, "told")
-        _log_crash(evidence, by=evidence.crash_id.rpartition("/")[2])
+        revision = self.crashes.history.revision
+        own = self.crashes.merge(evidence, now_s)
+        if own is not None:
+            self._evidence.append(own)
+        if self.crashes.history.revision != revision:
+            self._metrics.count(ENDS, EndSign.TOLD.value)
+            _log_end(evidence, sign=EndSign.TOLD.value)
+        self._note_quarantines(now_s)
+
+    def digest(self, now_s: float) -> int:
+        """Return a number that differs if another entry knows other crashes."""
+        history = self.crashes.history
+        revision, computed_s, digest = self._digest
+        if history.revision != revision or now_s >= computed_s + DIGEST_KEPT_S:
+            digest = history.digest(now_s)
+            self._digest = (history.revision, now_s, digest)
+        return digest
 
-    def tick(self, now_s: float) -> None:
-        """Check restarts for a crash once requests to the old incarnation ended."""
-        settled = [e for e in self._restarted if now_s >= e.at_s + RESTART_SETTLED_S]
-        for each in settled:
-            self._restarted.remove(each)
-            self._check_crash(each.upstream, now_s)
+    def all_evidence(self, now_s: float) -> list[CrashEvidence]:
+        """Return all crashes that another entry should know."""
+        history = self.crashes.history
+        told = (history.evidence(e, now_s) for e in history.told_crash_ids(now_s))
+        return [each for each in told if each is not None]
 
     def take_findings(self) -> UpstreamFindings:
         """Return the findings since the last call, and clear them."""
@@ -164,6 +195,23 @@
         evidence, self._evidence = self._evidence, []
         return evidence
 
+    def apply_recorded(self, changes: QuarantineChanges, now_s: float) -> None:
+        """Apply what became of quarantines that other entries have recorded."""
+        history = self.crashes.history
+        for each in changes.lifted:
+            history.lift_announced(each)
+        for each in changes.began:
+            if not history.is_quarantined(each, now_s):
+                self._metrics.count(QUARANTINES, "read")
+                log.warning(signals.QUARANTINE_READ, content=each)
+            self.crashes.announce(each, now_s)
+        self._new_quarantines.update(changes.began)
+
+    def take_new_quarantines(self) -> set[str]:
+        """Return the content that was quarantined since the last call."""
+        new, self._new_quarantines = self._new_quarantines, set()
+        return new
+
     def _check_outlier(self, upstream_state: UpstreamState, now_s: float) -> None:
         pool = self._scheduler.queue(upstream_state.upstream.service).pool
         if pool.eject_if_outlier(upstream_state, now_s):
@@ -215,21 +263,54 @@
         for queue in self._scheduler.queues().values():
             queue.pool.evict(upstream_id, now_s)
 
-    def _check_crash(self, upstream: Upstream, now_s: float) -> None:
-        evidence = self.crashes.record_unreachable(
-            upstream.service, upstream.upstream_id, now_s
-        )
+    def _record_content(
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        outcome: AttemptOutcome,
+        heard_s: float,
+        now_s: float,
+    ) -> None:
+        """Record what an attempt's outcome says about its content."""
+        evidence = None
+        if outcome is AttemptOutcome.ANSWERED:
+            self.crashes.record_alive(upstream.upstream_id, now_s)
+            self._evidence += self.crashes.record_answer(upstream, fingerprint, now_s)
+        elif outcome is AttemptOutcome.BROKEN:
+            evidence = self.crashes.record_broken_answer(upstream, fingerprint, now_s)
+        elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.LEFT):
+            evidence = self.crashes.record_silence(
+                upstream, fingerprint, heard_s=heard_s, now_s=now_s
+            )
         if evidence is not None:
             self._evidence.append(evidence)
-            self._metrics.count(CRASHES, "own")
-            _log_crash(evidence, by="own requests")
+            _log_end(evidence, sign="known")
+        self._note_quarantines(now_s)
+
+    def _note_quarantines(self, now_s: float) -> None:
+        """Log and count the quarantines that began or were lifted."""
+        history = self.crashes.history
+        proved = history.proved(now_s)
+        if proved == self._quarantined:
+            return
+        self._new_quarantines |= proved - self._quarantined
+        for each in sorted(proved - self._quarantined):
+            self._metrics.count(QUARANTINES, "proved")
+            log.warning(
+                signals.QUARANTINED, content=each, upstreams=history.upstreams_of(each)
+            )
+        for each in sorted(self._quarantined - proved):
+            self._metrics.count(QUARANTINES, "ended")
+            log.info(signals.QUARANTINE_ENDED, content=each)
+        self._quarantined = proved
 
 
-def _log_crash(evidence: CrashEvidence, *, by: str) -> None:
+def _log_end(evidence: CrashEvidence, *, sign: str) -> None:
     log.info(
-        signals.CRASHED,
+        signals.ENDED,
         upstream=evidence.upstream,
         service=evidence.service,
+        sign=sign,
         contents=evidence.fingerprints,
-        by=by,
+        answered=evidence.answered or None,
     )
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -28,6 +28,13 @@
 }
 # A customer stays limited by its share until the other line, of the same service.
 SHARE_MESSAGES = (signals.SHARE_LIMITED, signals.SHARE_ENDED)
+# Lines about content that has run in upstreams that ended, of any process.
+CONTENT_MESSAGES = (
+    signals.QUARANTINED,
+    signals.QUARANTINE_READ,
+    signals.QUARANTINE_ENDED,
+)
+CONTENT_LINES_MAX = 20
 DEFERRED_MEANING = " Requests of other customers went first."
 
 MEANINGS = {
@@ -144,6 +151,8 @@
         around = _last_spillover_lines(earlier) + around
     around = _last_store_lines(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
+    about_content = _content_lines(logs.lines, line)
+    around = [each for each in about_content if each not in around] + around
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
     if booking := line.fields.get("booking"):
@@ -172,6 +181,29 @@
     return list(last.values())
 
 
+def _content_lines(lines: Iterable[LogLine], of: LogLine) -> list[LogLine]:
+    """Return what any process has learned of crashes in which the content ran.
+
+    Another entry may have seen the crashes that a request is refused for.
+    """
+    content = of.fields.get("content")
+    if not content:
+        return []
+    about = [
+        each
+        for each in lines
+        if each.at_s <= of.at_s
+        and (
+            (each.message in CONTENT_MESSAGES and each.fields.get("content") == content)
+            or (
+                each.message == signals.ENDED
+                and content in (each.fields.get("contents") or ())
+            )
+        )
+    ]
+    return about[-CONTENT_LINES_MAX:]
+
+
 def _last_share_line(lines: list[LogLine], customer: str | None) -> list[LogLine]:
     """Return the last line about whether a customer is limited by its share."""
     about = [
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -15,7 +15,10 @@
 SPILLOVER_ENDED = "data centre no longer spills over"
 STORE_WENT_BACK = "store went back to an older copy"
 UNSTORED_IN_FORCE = "version in force that the store lacks"
-CRASHED = "upstream crashed"
+ENDED = "upstream ended"
+QUARANTINED = "content quarantined"
+QUARANTINE_ENDED = "content no longer quarantined"
+QUARANTINE_READ = "content quarantined by another entry"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -19,6 +19,7 @@
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform.burstcredits import CreditWriter
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
+from lavenderspoke.platform.quarantines import QuarantineWriter
 from lavenderspoke.platform.rollouts import OrderTracker, StatusWriter
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.platform.settingsfile import read_settings
@@ -142,6 +143,13 @@
             on_change=entry.dispatcher.peers_listed,
             on_credits=entry.dispatcher.burst_credits_read,
             on_credits_lost=entry.dispatcher.burst_credits_lost,
+            quarantines=entry.dispatcher,
+        )
+        self._quarantines = QuarantineWriter(
+            store=Store(address=settings.store, metrics=entry.metrics),
+            clock=clock,
+            metrics=entry.metrics,
+            dispatcher=entry.dispatcher,
         )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
@@ -159,6 +167,7 @@
             ("upstreams", self._upstreams),
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
+            ("quarantines", self._quarantines.part),
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -3,6 +3,7 @@
 import json
 import re
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 import logbook
@@ -21,6 +22,7 @@
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
 from lavenderspoke.platform.decoding import parse_as
+from lavenderspoke.platform.quarantines import is_quarantine, read_quarantines
 from lavenderspoke.platform.registry import Registry
 from lavenderspoke.platform.rollouts import OrderTracker
 from lavenderspoke.platform.store import Store
@@ -273,6 +275,18 @@
         self._on_change(upstreams)
 
 
+class QuarantineSink(Protocol):
+    """What takes the quarantines that the store holds."""
+
+    def quarantines_read(
+        self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
+    ) -> None:
+        """Apply records; a snapshot has all of them."""
+
+    def quarantine_records_lost(self) -> None:
+        """Write records again: the store has come back from an older copy."""
+
+
 @attrs.frozen(kw_only=True)
 class _EntryRecord:
     """An entry's record of itself.
@@ -291,8 +305,9 @@
 
     An entry writes its location, and the configuration in force: when the store comes
     back from an older copy, it is written again, and an entry that starts then learns
-    of versions that the copy lacks. The topic also has customers' burst credits, since
-    a starting entry needs both before it serves, and one read is enough for both.
+    of versions that the copy lacks. The topic also has customers' burst credits and the
+    quarantines of content, since a starting entry needs them before it serves, and one
+    read is enough for all.
     """
 
     topic = ENTRIES_TOPIC
@@ -312,11 +327,13 @@
         on_change: Callable[[dict[str, EntryLocation]], None],
         on_credits: Callable[[dict[str, float]], None] = lambda credits: None,
         on_credits_lost: Callable[[dict[str, float]], None] = lambda credits: None,
+        quarantines: QuarantineSink | None = None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self._in_force = in_force
         self._on_credits = on_credits
         self._on_credits_lost = on_credits_lost
+        self._quarantines = quarantines
         # Whether the next snapshot is the first of a copy that may lack records.
         self._has_lost_records = False
         self._name = name
@@ -367,6 +384,8 @@
         return ENTRIES_PERIOD_S
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
+        if self._quarantines is not None:
+            self._apply_quarantines(batch, is_snapshot=is_snapshot)
         if is_snapshot:
             credits = read_credits(batch.records)
             self._on_credits(credits)
@@ -375,7 +394,7 @@
                 self._on_credits_lost(credits)
         entries = {}
         for record in batch.records:
-            if record.value is None or is_credit(record):
+            if record.value is None or is_credit(record) or is_quarantine(record):
                 continue
             decoded = parse_as(record.value, _EntryRecord)
             if isinstance(decoded, Err):
@@ -392,6 +411,15 @@
         self._on_change(entries)
         return True
 
+    def _apply_quarantines(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
+        if self._has_lost_records:
+            self._quarantines.quarantine_records_lost()
+        rows = read_quarantines(batch.records)
+        if rows.present or rows.deleted or is_snapshot:
+            self._quarantines.quarantines_read(
+                rows.present, rows.deleted, is_snapshot=is_snapshot
+            )
+
     def leave(self) -> None:
         """Delete this entry's record; if that fails, others notice its silence."""
         self.stop()
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -3,13 +3,19 @@
 Crash evidence names all content that was running in the upstream: the culprit
 and bystanders. Content is quarantined when it ran in crashes of enough distinct
 upstreams and no other content ran in all of them: a bystander of a culprit runs
-only in some of its crashes. Contents that ran in exactly the same crashes can't
-be distinguished, so they are quarantined only after crashes of more upstreams.
-Content among the last `ANSWERED_MAX` that an upstream answered completely isn't
-suspected.
+only in some of its crashes. More upstreams have to crash where that is less certain:
+for contents that ran in exactly the same crashes, for content among the last
+`ANSWERED_MAX` that an upstream answered completely, and, where ends are recorded as
+well, for content whose upstreams ended together with others.
+
+A complete answer excuses content from all crashes until then. An excuse isn't undone
+when the same evidence arrives again, so daemons may exchange what they know in any
+order.
 """
 
+import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import attrs
 
@@ -18,9 +24,15 @@
 # Bounds of what a history remembers; the oldest is forgotten first.
 CRASHES_MAX = 256
 ANSWERED_MAX = 4096
-# Crashed upstreams beyond the threshold after which contents that can't be
-# distinguished are all quarantined.
+# Crashed upstreams beyond the threshold after which content is quarantined although it
+# isn't certain to be the culprit.
 AMBIGUOUS_EXTRA_UPSTREAMS = 2
+# Time for which crashes are remembered, in multiples of a quarantine: content that
+# crashes another upstream after its quarantine needs no new proof.
+CRASHES_KEPT_QUARANTINES = 6.0
+# Time before the end of that from which crashes aren't told to others any more, in
+# seconds: one that has forgotten a crash must not learn it again.
+UNTOLD_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -40,13 +52,17 @@
     """Reports that an upstream crashed, and which content was running in it.
 
     The fingerprints cover the requests' content only, so a re-send under
-    another key is recognised.
+    another key is recognised. Without any, it only reports the end of the upstream.
+    `answered` are those of them that were answered completely since. It was recorded
+    `age_s` seconds ago.
     """
 
     service: str
     upstream: str
     crash_id: str
     fingerprints: tuple[str, ...]
+    answered: tuple[str, ...] = ()
+    age_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -58,25 +74,40 @@
     ttl_s: float
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class _Crash:
+    service: str
     upstream: str
-    fingerprints: frozenset[str]
+    fingerprints: set[str]
+    answered: set[str]
     recorded_s: float
 
+    @property
+    def suspects(self) -> set[str]:
+        return self.fingerprints - self.answered
+
 
 class CrashHistory:
-    """The recent crashes of one service, and its quarantined fingerprints.
+    """The recent crashes of one service or of all, and the quarantined fingerprints.
 
-    Crashes are kept for the policy's `quarantine_s`, at most `CRASHES_MAX`.
+    With an `outage_window_s`, upstreams of a service that ended within that time of
+    each other, and didn't all run the content, may have a common cause.
     """
 
-    def __init__(self, *, service: str, policy: QuarantinePolicy):
+    def __init__(
+        self, *, service: str, policy: QuarantinePolicy, outage_window_s: float = 0.0
+    ):
         self._service = service
         self._policy = policy
+        self._outage_window_s = outage_window_s
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         self._answered: OrderedDict[str, None] = OrderedDict()
-        self._quarantined_until_s: dict[str, float] = {}
+        # Changes with each crash, content and excuse that is recorded or forgotten.
+        self.revision = 0
+        # Until when content is quarantined, by this history's own evidence or because
+        # it was announced.
+        self._proved_until_s: dict[str, float] = {}
+        self._announced_until_s: dict[str, float] = {}
 
     def reconfigure(self, policy: QuarantinePolicy) -> None:
         """Apply the policy of a new service document."""
@@ -85,54 +116,204 @@
     def record_crash(self, message: CrashEvidence, now_s: float) -> list[Quarantined]:
         """Record a crash and return the quarantines that follow from it.
 
-        A crash with an id that is already recorded changes nothing.
+        A crash that is already recorded may have further content.
         """
-        self._expire(now_s)
-        if message.crash_id in self._crashes:
-            return []
-        self._crashes[message.crash_id] = _Crash(
-            upstream=message.upstream,
-            fingerprints=frozenset(each for each in message.fingerprints if each),
-            recorded_s=now_s,
-        )
-        culprits = [
-            each
-            for each in sorted(self._crashes[message.crash_id].fingerprints)
-            if not self.is_quarantined(each, now_s) and self._is_culprit(each, now_s)
-        ]
-        for fingerprint in culprits:
-            self._quarantine(fingerprint, now_s + self._policy.quarantine_s)
-        return [
-            Quarantined(
-                service=self._service,
-                fingerprint=fingerprint,
-                ttl_s=self._policy.quarantine_s,
-            )
-            for fingerprint in culprits
-        ]
+        return self.record_crashes((message,), now_s)
 
-    def record_answered(self, fingerprint: str) -> None:
-        """Record that an upstream answered this content completely."""
+    def record_crashes(
+        self, messages: Iterable[CrashEvidence], now_s: float
+    ) -> list[Quarantined]:
+        """Record crashes that were noticed at once, as `record_crash` does."""
+        self._expire(now_s)
+        to_prove, to_review = set(), set()
+        for message in messages:
+            known = self._crashes.get(message.crash_id)
+            if known is None:
+                self.revision += 1
+                crash = self._add(message, now_s)
+                to_prove |= crash.suspects
+                to_review |= self._near(crash, now_s)
+            elif self._extend(known, message):
+                self.revision += 1
+                to_prove |= known.suspects
+                to_review |= known.fingerprints
+        return self._prove(to_prove, to_review, now_s)
+
+    def record_answered(self, fingerprint: str, now_s: float = 0.0) -> set[str]:
+        """Record that an upstream answered this content completely.
+
+        Returns the ids of the crashes that it is excused from.
+        """
         self._answered[fingerprint] = None
         self._answered.move_to_end(fingerprint)
         if len(self._answered) > ANSWERED_MAX:
             self._answered.popitem(last=False)
+        excused = {
+            crash_id
+            for crash_id, crash in self._crashes.items()
+            if fingerprint in crash.suspects
+        }
+        for crash_id in excused:
+            self._crashes[crash_id].answered.add(fingerprint)
+        if excused:
+            self.revision += 1
+            self._prove(set(), {fingerprint}, now_s)
+        return excused
+
+    def withdraw_crash(self, crash_id: str, now_s: float) -> None:
+        """Forget a crash: its upstream has shown that it didn't end."""
+        crash = self._crashes.pop(crash_id, None)
+        if crash is not None:
+            self.revision += 1
+            self._prove(set(), crash.fingerprints, now_s)
 
     def apply_quarantine(self, message: Quarantined, now_s: float) -> None:
         """Apply a quarantine that another daemon announced."""
-        self._quarantine(message.fingerprint, now_s + message.ttl_s)
+        until_s = self._announced_until_s.get(message.fingerprint, now_s)
+        self._announced_until_s[message.fingerprint] = max(
+            until_s, now_s + message.ttl_s
+        )
+
+    def lift_announced(self, fingerprint: str) -> None:
+        """End a quarantine that another daemon announced and then lifted."""
+        self._announced_until_s.pop(fingerprint, None)
 
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether this content is quarantined now."""
-        return now_s < self._quarantined_until_s.get(fingerprint, now_s)
+        return now_s < max(
+            self._proved_until_s.get(fingerprint, now_s),
+            self._announced_until_s.get(fingerprint, now_s),
+        )
 
-    def _quarantine(self, fingerprint: str, until_s: float) -> None:
-        known_s = self._quarantined_until_s.get(fingerprint, until_s)
-        self._quarantined_until_s[fingerprint] = max(until_s, known_s)
+    def proved(self, now_s: float) -> set[str]:
+        """Return the content that is quarantined by this history's own evidence."""
+        return {f for f, until_s in self._proved_until_s.items() if now_s < until_s}
+
+    def quarantined(self, now_s: float) -> set[str]:
+        """Return all content that is quarantined now."""
+        announced = self._announced_until_s.items()
+        return self.proved(now_s) | {f for f, until_s in announced if now_s < until_s}
+
+    def upstreams_of(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the crashed upstreams in which this content ran and is suspected."""
+        upstreams = {
+            crash.upstream
+            for crash in self._crashes.values()
+            if fingerprint in crash.suspects
+        }
+        return tuple(sorted(upstreams))
+
+    def evidence(self, crash_id: str, now_s: float) -> CrashEvidence | None:
+        """Return a recorded crash as a message, or None if it isn't to be told."""
+        crash = self._crashes.get(crash_id)
+        if crash is None or not self._is_told(crash, now_s):
+            return None
+        return CrashEvidence(
+            service=crash.service,
+            upstream=crash.upstream,
+            crash_id=crash_id,
+            fingerprints=tuple(sorted(crash.fingerprints)),
+            answered=tuple(sorted(crash.answered)),
+            age_s=now_s - crash.recorded_s,
+        )
+
+    def told_crash_ids(self, now_s: float) -> list[str]:
+        """Return the ids of the crashes that others should know, oldest first."""
+        return [
+            crash_id
+            for crash_id, crash in self._crashes.items()
+            if self._is_told(crash, now_s)
+        ]
+
+    def digest(self, now_s: float) -> int:
+        """Return a number that differs if another history should know more, or less."""
+        total = 0
+        for crash_id in self.told_crash_ids(now_s):
+            crash = self._crashes[crash_id]
+            row = (crash_id, *sorted(crash.fingerprints), "", *sorted(crash.answered))
+            hashed = hashlib.blake2b("\0".join(row).encode(), digest_size=6).digest()
+            total ^= int.from_bytes(hashed)
+        return total
+
+    def _is_told(self, crash: _Crash, now_s: float) -> bool:
+        age_s = now_s - crash.recorded_s
+        return bool(crash.fingerprints) and age_s < self._kept_s() - UNTOLD_S
+
+    def _kept_s(self) -> float:
+        return self._policy.quarantine_s * CRASHES_KEPT_QUARANTINES
+
+    def _add(self, message: CrashEvidence, now_s: float) -> _Crash:
+        crash = _Crash(
+            service=message.service,
+            upstream=message.upstream,
+            fingerprints={each for each in message.fingerprints if each},
+            answered=set(message.answered),
+            recorded_s=now_s - max(0.0, message.age_s),
+        )
+        self._crashes[message.crash_id] = crash
+        return crash
+
+    @staticmethod
+    def _extend(known: _Crash, message: CrashEvidence) -> bool:
+        """Add what a message tells beyond a known crash; return whether it did."""
+        before = len(known.fingerprints), len(known.answered)
+        known.fingerprints |= {each for each in message.fingerprints if each}
+        known.answered |= set(message.answered)
+        return before != (len(known.fingerprints), len(known.answered))
+
+    def _near(self, crash: _Crash, now_s: float) -> set[str]:
+        """Return the quarantined content that ran in crashes close to this one."""
+        if not self._outage_window_s:
+            return set()
+        running = set().union(
+            *(e.fingerprints for e in self._crashes.values() if self._near_by(e, crash))
+        )
+        return running & self.proved(now_s)
+
+    def _near_by(self, one: _Crash, other: _Crash) -> bool:
+        return (
+            one.upstream != other.upstream
+            and one.service == other.service
+            and abs(one.recorded_s - other.recorded_s) <= self._outage_window_s
+        )
+
+    def _prove(
+        self, to_prove: set[str], to_review: set[str], now_s: float
+    ) -> list[Quarantined]:
+        """Quarantine the culprits of these; lift quarantines that no longer hold.
+
+        Content of which something was learned that may excuse it is reviewed.
+        """
+        reviewed = {
+            each: self._proved_until_s.pop(each)
+            for each in to_review
+            if each in self._proved_until_s
+        }
+        culprits = []
+        # What was answered before is judged last, beside the culprits found so far.
+        for was_answered in (False, True):
+            found = [
+                each
+                for each in sorted(to_prove | set(reviewed))
+                if (each in self._answered) == was_answered
+                and not self.is_quarantined(each, now_s)
+                and self._is_culprit(each, now_s)
+            ]
+            for each in found:
+                until_s = now_s + self._policy.quarantine_s
+                self._proved_until_s[each] = reviewed.get(each, until_s)
+            culprits += found
+        return [
+            Quarantined(
+                service=self._service,
+                fingerprint=each,
+                ttl_s=self._policy.quarantine_s,
+            )
+            for each in culprits
+            if each not in reviewed
+        ]
 
     def _is_culprit(self, fingerprint: str, now_s: float) -> bool:
-        if fingerprint in self._answered:
-            return False
         crashes = self._unexplained_crashes(fingerprint, now_s)
         upstreams = {self._crashes[crash_id].upstream for crash_id in crashes}
         if len(upstreams) < self._policy.upstreams_threshold:
@@ -147,7 +328,27 @@
         ambiguous_threshold = (
             self._policy.upstreams_threshold + AMBIGUOUS_EXTRA_UPSTREAMS
         )
-        return not others or len(upstreams) >= ambiguous_threshold
+        is_ambiguous = (
+            bool(others)
+            or fingerprint in self._answered
+            or self._is_outage(fingerprint, crashes, now_s)
+        )
+        return not is_ambiguous or len(upstreams) >= ambiguous_threshold
+
+    def _is_outage(self, fingerprint: str, crashes: set[str], now_s: float) -> bool:
+        """Return whether upstreams ended close to these crashes without this content.
+
+        Ends that other quarantined content explains don't count.
+        """
+        if not self._outage_window_s:
+            return False
+        return any(
+            self._near_by(other, self._crashes[crash_id])
+            for crash_id in crashes
+            for other in self._crashes.values()
+            if fingerprint not in other.fingerprints
+            and not any(self.is_quarantined(e, now_s) for e in other.suspects)
+        )
 
     def _unexplained_crashes(self, fingerprint: str, now_s: float) -> set[str]:
         """Return the crashes in which it ran without other quarantined content.
@@ -158,18 +359,18 @@
         return {
             crash_id
             for crash_id, crash in self._crashes.items()
-            if fingerprint in crash.fingerprints
+            if fingerprint in crash.suspects
             and not any(
                 self.is_quarantined(each, now_s)
-                for each in crash.fingerprints
+                for each in crash.suspects
                 if each != fingerprint
             )
         }
 
     def _other_suspects(self, fingerprint: str, crashes: set[str]) -> set[str]:
         """Return the other unanswered contents that ran in all of these crashes."""
-        shared = [self._crashes[crash_id].fingerprints for crash_id in crashes]
-        common = frozenset.intersection(*shared)
+        shared = [self._crashes[crash_id].suspects for crash_id in crashes]
+        common = set.intersection(*shared)
         return {
             each
             for each in common
@@ -177,14 +378,13 @@
         }
 
     def _expire(self, now_s: float) -> None:
-        cutoff_s = now_s - self._policy.quarantine_s
+        cutoff_s = now_s - self._kept_s()
         while self._crashes:
             oldest = next(iter(self._crashes.values()))
             if oldest.recorded_s > cutoff_s and len(self._crashes) < CRASHES_MAX:
                 break
+            self.revision += 1
             self._crashes.popitem(last=False)
-        self._quarantined_until_s = {
-            fingerprint: until_s
-            for fingerprint, until_s in self._quarantined_until_s.items()
-            if now_s < until_s
-        }
+        for quarantines in (self._proved_until_s, self._announced_until_s):
+            for fingerprint in [f for f, s in quarantines.items() if now_s >= s]:
+                del quarantines[fingerprint]
