--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -43,7 +43,7 @@
 
 @when("{name} is answered")
 def step_answered(context, name):
-    context.crash_history.record_answered(name)
+    context.crash_history.record_answered(name, context.now_s)
 
 
 @when("{seconds:g} s pass for the crash history")
--- a/lavenderspoke/entrycore.py
+++ b/lavenderspoke/entrycore.py
@@ -168,7 +168,7 @@
                 pending[:0] = self._on_did_not_run(action, now_s)
             elif isinstance(action, events.Answered):
                 state = self.services[action.call.service]
-                state.crashes.record_answered(action.call.fingerprint)
+                state.crashes.record_answered(action.call.fingerprint, now_s)
             else:
                 done.append(action)
         return done
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -139,7 +139,7 @@
                 to_review |= known.fingerprints
         return self._prove(to_prove, to_review, now_s)
 
-    def record_answered(self, fingerprint: str, now_s: float = 0.0) -> set[str]:
+    def record_answered(self, fingerprint: str, now_s: float) -> set[str]:
         """Record that an upstream answered this content completely.
 
         Returns the ids of the crashes that it is excused from.
