--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -70,6 +70,7 @@
     retry_after_s: float | None = None
     detail: str = ""
     content: str = ""
+    resumed_id: str | None = None
     handler: RequestHandler | None = None
     response_began_s: float | None = None
 
@@ -218,6 +219,7 @@
             return Err(not_run(Reason.BAD_REQUEST, parsed.err_value.detail))
         head = parsed.ok_value
         record.request_id = head.request_id
+        record.resumed_id = head.resumed_id
         self._startup_hold.wait()
         catalog = self._in_force.catalog
         if catalog is None:
@@ -340,6 +342,8 @@
             status=record.status,
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
+            versions=(handler.versions or None) if handler else None,
+            resumes=record.resumed_id,
             framing=(handler.framing or None) if handler else None,
             held_back=(handler.held_back or None) if handler else None,
             booking=(handler.booking or None) if handler else None,
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -20,7 +20,8 @@
     forwarded to an upstream. Token counts are None if the request states none, and
     `deadline_in_s` if it sets no deadline. `max_output_tokens` limits the length of the
     answer, `expected_output_tokens` is the caller's estimate of it. `last_event_id` is
-    the id of the last event that the caller has received, as sent.
+    the id of the last event that the caller has received, as sent, and `resumed_id`
+    that of the attempt which brought the first event of a stream that it takes up.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     max_output_tokens: int | None = None
     expected_output_tokens: int | None = None
     last_event_id: str | None = None
+    resumed_id: str | None = None
 
     @property
     def path(self) -> str:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -114,6 +114,8 @@
         self.trail: list[str] = []
         # How the response of each upstream that sent one was framed.
         self.framing: dict[str, str] = {}
+        # The software version of each upstream that it was sent to.
+        self.versions: dict[str, str] = {}
         self.possible_runs = 0
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
@@ -310,6 +312,7 @@
     def _send(self, attempt: _Attempt, remaining_s: float) -> None:
         accepted, upstream = self.accepted, attempt.upstream
         self._tried.add(upstream.upstream_id)
+        self.versions[upstream.upstream_id] = upstream.version
         attempt.sent_s = self._clock.monotonic_s()
         if attempt.slot.reservation_id is not None:
             self._dispatcher.reserved_slot_used(upstream)
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -26,6 +26,8 @@
 # Output tokens that the caller expects: right at the median, often far off.
 EXPECTED_TOKENS = "X-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
+# Names the caller's attempt that brought the first event of a stream.
+RESUMES = "Resumes"
 AUTHORIZATION = "Authorization"
 CUSTOMER = "X-Tenant"
 # Expected upstream: another one at the same address rejects the request.
@@ -115,6 +117,7 @@
                     values.get(EXPECTED_TOKENS.lower(), "")
                 ),
                 last_event_id=after_event,
+                resumed_id=values.get(RESUMES.lower(), "").strip() or None,
             )
         )
 
