--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -132,7 +132,7 @@
     fleet.run(seconds)
     dispatcher = fleet.entries["entry-5"].dispatcher
     dispatcher._upstream_monitor.record_attempt(
-        UPSTREAM, REQUEST, AttemptOutcome.MISDIRECTED, fleet.now_s
+        UPSTREAM, REQUEST, AttemptOutcome.MISDIRECTED, fleet.now_s, heard_s=fleet.now_s
     )
 
 
@@ -151,7 +151,11 @@
     for number in {first, second}:
         dispatcher = fleet.entries[f"entry-{number}"].dispatcher
         dispatcher._upstream_monitor.record_attempt(
-            UPSTREAM, REQUEST, AttemptOutcome.UNREACHABLE, fleet.now_s
+            UPSTREAM,
+            REQUEST,
+            AttemptOutcome.UNREACHABLE,
+            fleet.now_s,
+            heard_s=fleet.now_s,
         )
 
 
