--- a/features/crash_evidence.feature
+++ b/features/crash_evidence.feature
@@ -56,7 +56,7 @@
     Guards against evidence that is lost with its first entry.
     Given 3 entries and 6 upstreams
     When "culprit" crashes u1 and u2 through entry-0, which is gone 0.3 s later
-    And entry-2 starts again
+    And the fleet's entry-2 starts again
     Then every entry refuses "culprit"
 
   Scenario: The services of its route change
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -202,7 +202,7 @@
     context.gone = entry
 
 
-@when("{entry} starts again")
+@when("the fleet's {entry} starts again")
 def step_starts_again(context, entry):
     context.fleet.restart(entry, tuple(context.upstreams.values()))
     context.fleet.run(2.0)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -35,6 +35,7 @@
 
     `cut_after_events` cuts a stream in the middle of the next event, but not one
     that was resumed. If it `ends_properly`, all that its framing asks for follows.
+    Events name the `software` version, if there is one.
     `framing` is what ends answers: "length", "chunks" or "connection"; by default a
     length for plain answers and chunks for streams. If it `resets`, its cuts reset
     their connections, also those of answers that end with them.
@@ -50,6 +51,7 @@
 
     event_s: float = 0.01
     events: int = 5
+    software: str = ""
     work_s: float = 0.01
     cut_after_events: int = -1
     ends_properly: bool = False
@@ -207,7 +209,7 @@
                 raise Cut
             if self._is_fatal(run) and number >= faults.crash_after_events:
                 self._crash()
-            event = _event(number)
+            event = _event(number, faults.software)
             if after < 0 and number == faults.cut_after_events:
                 request.http.write(event[:-4])
                 if faults.ends_properly:
@@ -219,7 +221,7 @@
     def _stream_bytes(self, numbers: range, after: int) -> int:
         """Return how long a stream is, which a proper end cuts short."""
         faults = self._faults.now
-        events = [_event(number) for number in numbers]
+        events = [_event(number, faults.software) for number in numbers]
         if after < 0 and faults.ends_properly and 0 <= faults.cut_after_events:
             events = events[: faults.cut_after_events + 1]
             events[-1] = events[-1][:-4]
@@ -275,8 +277,9 @@
         http.ensure_headers_sent()
 
 
-def _event(number: int) -> bytes:
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+def _event(number: int, software: str) -> bytes:
+    data = f"piece {number} {software}".rstrip()
+    return f"id: {number}\ndata: {data}\n\n".encode()
 
 
 def main() -> None:
