--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -72,6 +72,12 @@
     def reserved_slot_used(self, upstream) -> None:
         pass
 
+    def stream_began(self, attempt_id, upstream) -> None:
+        pass
+
+    def stream_goes_on(self, attempt_id, upstream, *, told_s) -> float:
+        return told_s
+
     def is_quarantined(self, accepted) -> bool:
         return False
 
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -1,8 +1,10 @@
 """Steps about streams that go on at the software version that began them."""
 
 import http.client
+import itertools
 import re
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 from behave import given, then, when
@@ -14,10 +16,11 @@
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 EVENTS = 6
 PATH = "/stream/1"
+ATTEMPTS = itertools.count(1)
 TIMEOUT_S = 15.0
 # Time for the list of upstreams to be read.
 LISTED_S = 1.5
-IN_USE_S = 2.5
+IN_USE_S = 4.5
 
 
 @attrs.define(kw_only=True)
@@ -124,8 +127,7 @@
 
 def begin(context, entry: str, *, events: int = 2) -> Stream:
     """Read the first events of a stream and leave."""
-    context.begun = getattr(context, "begun", 0) + 1
-    attempt_id = f"first-{context.begun}"
+    attempt_id = f"first-{next(ATTEMPTS)}"
     connection, response = open_stream(context, entry, {"X-Attempt-Id": attempt_id})
     assert response.status == 200, response.status
     body = b""
@@ -200,12 +202,11 @@
 @when("streams begin at {name} and are broken off by their callers")
 def step_begin_at(context, name):
     version = {"m1": "v1"}[name]
-    context.streams = []
-    for _ in range(30):
-        stream = begin(context, "entry-1")
-        if stream.version == version:
-            context.streams.append(stream)
-    assert context.streams
+    # So many at once that an entry uses all upstreams.
+    with ThreadPoolExecutor(14) as pool:
+        started = list(pool.map(lambda _: begin(context, "entry-1"), range(14)))
+    context.streams = [each for each in started if each.version == version]
+    assert context.streams, started
 
 
 @when("upstream {name} is dropped from the list")
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -6,7 +6,7 @@
     Guards against a resumed stream whose rest another version writes.
     Given upstreams m1 and m2 of v1, and m3, m4 and m5 of v2
     And each of them cuts its first stream after 2 events
-    When 30 streams are requested through the entries in turn
+    When 18 streams are requested through the entries in turn
     Then each is whole and of one version
 
   Scenario: No other upstream of its version is left within an answer
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -25,7 +25,7 @@
 from lavenderspoke.direct.hedgedattempt import Hedging
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.office import DirectDispatcher
-from lavenderspoke.direct.refusals import not_run
+from lavenderspoke.direct.refusals import not_run, version_gone, version_unknown
 from lavenderspoke.direct.startuphold import StartupHold
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
@@ -283,11 +283,20 @@
         timeout_s = route.timeout_s - TIMEOUT_MARGIN_S
         if head.deadline_in_s is not None:
             timeout_s = min(timeout_s, head.deadline_in_s)
+        service, stream_version = self._dispatcher.choose_service(route), None
+        if route.stream and head.is_taken_up:
+            origin = self._dispatcher.find_stream_origin(head.resumed_id, service)
+            if origin is None:
+                return Err(version_unknown(head.resumed_id))
+            if not route.allows(origin.service):
+                return Err(version_gone())
+            service, stream_version = origin.service, origin.version
         accepted = AcceptedRequest(
             head=head,
             body=body,
             route=route,
-            service=self._dispatcher.choose_service(route),
+            service=service,
+            stream_version=stream_version,
             customer=customer,
             rank=(catalog.rank_of(customer), route.rank),
             fingerprint=_fingerprint(head, customer, body),
--- a/lavenderspoke/direct/catalog.py
+++ b/lavenderspoke/direct/catalog.py
@@ -49,6 +49,10 @@
     attempts_max: int
     anonymous: bool = False
 
+    def allows(self, service: str) -> bool:
+        """Return whether the route leads to a service."""
+        return any(each.service == service for each in self.traffic_split)
+
     @property
     def retryable(self) -> bool:
         """Whether a request may safely run a second time."""
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.catalog import Catalog
 from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.inforce import CatalogInForce
-from lavenderspoke.direct.messages import RecordsMessage
+from lavenderspoke.direct.messages import RecordsMessage, StreamMessage
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.peerlink import PeerLink, PeerLinkLoader
 from lavenderspoke.direct.readiness import ReadinessServer
@@ -94,6 +94,7 @@
             metrics=self.metrics,
             policies=settings.policies,
         )
+        self.dispatcher.streams.send = self.send_to_peer
         self._caller_watch = CallerWatch()
         self._startup_hold = StartupHold(is_ready=self._has_initial_state, clock=clock)
         self._app = DirectApp(
@@ -151,7 +152,7 @@
         self.in_force.key_age_max_s = bounds.revoke_s - KEY_MARGIN_S
         self.dispatcher.reload(bounds)
 
-    def send_to_peer(self, name: str, message: RecordsMessage) -> None:
+    def send_to_peer(self, name: str, message: RecordsMessage | StreamMessage) -> None:
         """Send a message to one entry; drop it if that is unknown or unreachable."""
         self._peer_link.send_to_peer(name, message)
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -37,6 +37,11 @@
     last_event_id: str | None = None
     resumed_id: str | None = None
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the caller has the beginning of a stream already."""
+        return self.last_event_id is not None or self.resumed_id is not None
+
     @property
     def path(self) -> str:
         """The path without its query."""
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -23,7 +23,8 @@
 
     `first_arrived_s` is when the caller sent it for the first time, which for a
     `resubmitted` request is before `arrived_s`. `deadline_s` is the caller's deadline
-    or the end of the route's timeout, whichever comes first.
+    or the end of the route's timeout, whichever comes first. A stream that its caller
+    takes up goes on at `stream_version`.
     """
 
     head: RequestHead
@@ -38,6 +39,7 @@
     arrived_s: float
     deadline_s: float
     version: int
+    stream_version: str | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +127,17 @@
     ) -> None:
         """Release the slot at an upstream and record the attempt's outcome."""
 
+    def stream_began(self, attempt_id: str, upstream: Upstream) -> None:
+        """Record the version at which a stream began, and tell other entries.
+
+        Called before its first event goes out; may wait for them for a moment.
+        """
+
+    def stream_goes_on(
+        self, attempt_id: str, upstream: Upstream, *, told_s: float
+    ) -> float:
+        """Tell others again of a long stream; return when they were told last."""
+
     def is_quarantined(self, accepted: AcceptedRequest) -> bool:
         """Return whether the request's content has crashed upstreams."""
 
--- a/lavenderspoke/direct/dissemination.py
+++ b/lavenderspoke/direct/dissemination.py
@@ -154,7 +154,11 @@
         return attrs.evolve(state, number=self._number)
 
     def _add_pending(self, sender: InstanceId, state: SharedState) -> None:
-        """Keep a state to be forwarded, with the events of the one it replaces."""
+        """Keep a state to be forwarded, with the events of the one it replaces.
+
+        Streams are told to neighbours only; others ask.
+        """
+        state = attrs.evolve(state, begun=())
         with self._lock:
             before = self._pending.get(sender.name)
             if before is not None and before.sender == sender:
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -13,6 +13,7 @@
     GroupStates,
     RecordsMessage,
     SharedState,
+    StreamMessage,
 )
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.settings import Address
@@ -82,7 +83,7 @@
         running = self._thread is not None and self._thread.is_alive()
         return running and self._transport.alive()
 
-    def send_to_peer(self, name: str, message: RecordsMessage) -> None:
+    def send_to_peer(self, name: str, message: RecordsMessage | StreamMessage) -> None:
         """Send a message to one entry; drop it if that is unknown or unreachable."""
         peer = self._dispatcher.known_peers().get(name)
         if peer is not None:
@@ -128,6 +129,8 @@
             self._dispatcher.receive_crash_evidence(message)
         elif isinstance(message, RecordsMessage):
             self._on_records(envelope.sender, message)
+        elif isinstance(message, StreamMessage):
+            self._dispatcher.streams.receive(message, envelope.sender)
 
     def _on_bad_message(self, error: CodecError) -> None:
         self._metrics.count("gossip", "malformed")
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -142,6 +142,9 @@
         self._unreachable_count = 0
         self._may_have_run = False
         self._last_event_id = accepted.head.last_event_id
+        # The version that began the stream of which the caller has events.
+        self.version = accepted.stream_version
+        self._told_s = 0.0
         self._idle_since_s = accepted.arrived_s
         self.relocation = Relocation(
             accepted=accepted,
@@ -223,6 +226,21 @@
             status=result.status, headers=result.headers, body=bytes(body)
         )
 
+    # The version that began a stream
+
+    def _record_beginning(self, upstream: Upstream) -> None:
+        """Record the version before any event goes out to the caller."""
+        if self.version is None:
+            self.version = upstream.version
+        self._told_s = self._clock.monotonic_s()
+        self._dispatcher.stream_began(self._stream_id, upstream)
+
+    @property
+    def _stream_id(self) -> str:
+        """The attempt that brought the first event, as the caller will name it."""
+        head = self.accepted.head
+        return head.resumed_id or head.request_id
+
     # One attempt
 
     def _start_attempt(self) -> _Attempt | Problem:
@@ -277,9 +295,16 @@
             deadline_s=accepted.deadline_s,
             target_s=accepted.route.target_s,
             patience_s=accepted.route.patience_s,
-            resubmitted=accepted.resubmitted or self._may_have_run or bool(self._tried),
+            # A stream that goes on is no new arrival either.
+            resubmitted=(
+                accepted.resubmitted
+                or self._may_have_run
+                or bool(self._tried)
+                or self.version is not None
+            ),
             on_decision=self._on_decision,
             excluded=self._tried | self.relocation.excluded,
+            version=self.version,
             may_wait=may_wait,
             retryable=self._may_run_again(pending_runs=1),
         )
@@ -459,6 +484,8 @@
         except IncompleteResponse:
             return None
         response = attempt.response
+        if first:
+            self._record_beginning(attempt.upstream)
         return StreamResponse(
             status=response.status,
             headers=response.headers,
@@ -487,6 +514,10 @@
                 previous_s = self._idle_since_s = now_s
                 self.relocation.clear_excluded()
                 step_count += 1
+                if self.version is not None:
+                    self._told_s = self._dispatcher.stream_goes_on(
+                        self._stream_id, attempt.upstream, told_s=self._told_s
+                    )
                 self._record_event_id(events)
                 if not splitter.rest() and attempt.response.end_if_arrived():
                     self._complete_stream(attempt, step_count)
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -77,6 +77,8 @@
 
     Events since the last message:
 
+    - `begun`: streams by the attempt that brought their first event, their service and
+      the software version that began them.
     - `refused`: fingerprints of refused requests, which may be retried at any entry.
     - `gone`: upstreams at whose address another upstream was found.
     - `unreached`: upstreams to which a connection failed.
@@ -105,6 +107,7 @@
     upstreams_leaving: tuple[str, ...] = ()
     crashes: int = 0
     slow: tuple[tuple[str, float], ...] = ()
+    begun: tuple[tuple[str, str, str], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
@@ -195,4 +198,40 @@
 
 RecordsMessage = RecordsAsked | RecordsTold | RecordsNews
 
-DirectMessage = SharedState | GroupStates | CrashEvidence | RecordsMessage
+
+@attrs.frozen(kw_only=True)
+class StreamsBegan:
+    """Streams whose first event is about to go out; to be confirmed by `number`."""
+
+    number: int
+    rows: tuple[tuple[str, str, str], ...]
+
+
+@attrs.frozen(kw_only=True)
+class StreamsConfirmed:
+    """Confirms that the sender knows the streams of that message."""
+
+    number: int
+
+
+@attrs.frozen(kw_only=True)
+class VersionsAsked:
+    """Asks for the versions of streams, by the attempts that began them."""
+
+    number: int
+    attempts: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class VersionsTold:
+    """The reply: those of the streams that the sender knows."""
+
+    number: int
+    rows: tuple[tuple[str, str, str], ...] = ()
+
+
+StreamMessage = StreamsBegan | StreamsConfirmed | VersionsAsked | VersionsTold
+
+DirectMessage = (
+    SharedState | GroupStates | CrashEvidence | RecordsMessage | StreamMessage
+)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -44,9 +44,12 @@
 from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.spillovers import Spillovers
+from lavenderspoke.direct.streamexchange import StreamExchange, StreamOrigin
+from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
+from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
 from lavenderspoke.direct.waitpolicy import RETRY_AFTER_MAX_SHARE, RETRY_AFTER_MIN_S
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import InstanceId, Ran
@@ -144,8 +147,18 @@
             else None
         )
         self._hedge_timer = HedgeTimer()
+        self.stream_versions = StreamVersions(clock=clock)
+        self.streams = StreamExchange(
+            versions=self.stream_versions,
+            data_centre=location.data_centre,
+            live=self._live_peers,
+            known=self.known_peers,
+            clock=clock,
+            metrics=metrics,
+        )
         self._crash_sync = CrashSync()
         self._quarantine_records = QuarantineRecords()
+        self._version_records = VersionRecords()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -411,6 +424,7 @@
         """
         with self._lock:
             now_s = self._now_s()
+            self.stream_versions.update_listed(upstreams)
             self._rollouts.update_upstreams(upstreams, now_s)
             self._backpressure.update_listed(upstreams, now_s)
             self._scheduler.reconfigure(upstreams, now_s)
@@ -566,6 +580,40 @@
         with self._lock:
             self._quarantine_records.record_deleted(fingerprint)
 
+    # Versions of streams
+
+    def versions_read(
+        self,
+        present: dict[str, tuple[str, ...]],
+        deleted: tuple[str, ...],
+        *,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply the services with several versions that the store holds."""
+        with self._lock:
+            self._version_records.read(present, deleted, is_snapshot=is_snapshot)
+        if is_snapshot:
+            self.stream_versions.read_records(present)
+
+    def versions_due(self) -> VersionChanges:
+        """Return the records of services with several versions to write or delete."""
+        mixed = self.stream_versions.mixed_services()
+        with self._lock:
+            now_s = self._now_s()
+            is_first = self._name < min(self._peers.live_names(now_s), default="~")
+            return self._version_records.due(mixed, is_first=is_first, now_s=now_s)
+
+    def versions_written(self, service: str) -> None:
+        """Record that the store has the versions of a service."""
+        versions = self.stream_versions.mixed_services().get(service, ())
+        with self._lock:
+            self._version_records.record_written(service, versions)
+
+    def versions_deleted(self, service: str) -> None:
+        """Record that the store no longer has the versions of a service."""
+        with self._lock:
+            self._version_records.record_deleted(service)
+
     # Peers
 
     def peers_listed(self, entries: dict[str, EntryLocation]) -> None:
@@ -635,6 +683,31 @@
         with self._lock:
             return self._peers.known(self._now_s())
 
+    def _live_peers(self) -> dict[str, EntryLocation]:
+        with self._lock:
+            now_s = self._now_s()
+            known, live = self._peers.known(now_s), self._peers.live_names(now_s)
+        return {name: known[name] for name in live if name in known}
+
+    def stream_began(self, attempt_id: str, upstream: Upstream) -> None:
+        self.streams.stream_began(attempt_id, upstream.service, upstream.version)
+
+    def stream_goes_on(
+        self, attempt_id: str, upstream: Upstream, *, told_s: float
+    ) -> float:
+        return self.streams.stream_goes_on(
+            attempt_id, upstream.service, upstream.version, told_s=told_s
+        )
+
+    def find_stream_origin(
+        self, attempt_id: str | None, service: str
+    ) -> StreamOrigin | None:
+        """Return where a stream that a caller takes up began, None if nobody knows.
+
+        This may wait for other entries.
+        """
+        return self.streams.find_origin(attempt_id, service)
+
     def live_peer_names(self) -> list[str]:
         """Return the names of the other entries heard recently by any path."""
         with self._lock:
@@ -689,6 +762,7 @@
                 upstreams_leaving=self._backpressure.leaving_here(),
                 crashes=self._upstream_monitor.digest(self._now_s()),
                 slow=self._pace.own_rows(self._now_s()) if self._pace else (),
+                begun=self.stream_versions.take_unsent(),
                 refused=self._resubmissions.take_unsent(),
                 gone=findings.gone,
                 unreached=findings.unreached,
@@ -727,6 +801,7 @@
             self._crash_sync.note_difference(sender.name, now_s)
         self._spillovers.merge_peer(sender.name, state, now_s, age_s=age_s or 0.0)
         self._resubmissions.record_peer_refusals(state.refused, now_s)
+        self.stream_versions.merge(state.begun)
         self._merge_bookings(sender, state, now_s, age_s or 0.0)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
         self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
--- a/lavenderspoke/direct/peerlink.py
+++ b/lavenderspoke/direct/peerlink.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from lavenderspoke.direct.messages import RecordsMessage
+from lavenderspoke.direct.messages import RecordsMessage, StreamMessage
 
 log = logbook.Logger(__name__)
 
@@ -23,7 +23,7 @@
     def alive(self) -> bool:
         """Return whether messages are being sent and received."""
 
-    def send_to_peer(self, name: str, message: RecordsMessage) -> None:
+    def send_to_peer(self, name: str, message: RecordsMessage | StreamMessage) -> None:
         """Send a message to one entry; drop it if that is unknown or unreachable."""
 
 
@@ -68,7 +68,7 @@
         loading = self._start_thread is not None and self._start_thread.is_alive()
         return loading or (self._link is not None and self._link.alive())
 
-    def send_to_peer(self, name: str, message: RecordsMessage) -> None:
+    def send_to_peer(self, name: str, message: RecordsMessage | StreamMessage) -> None:
         """Send a message to one entry; drop it if that is unknown or unreachable."""
         if self._link is not None:
             self._link.send_to_peer(name, message)
--- a/lavenderspoke/direct/pool.py
+++ b/lavenderspoke/direct/pool.py
@@ -299,7 +299,7 @@
         """
         allowed = [
             state
-            for state in self._open_states()
+            for state in self._states_for(requirements.version)
             if state.upstream.upstream_id not in requirements.excluded
         ]
         available = self._available(allowed, contention, now_s)
@@ -377,6 +377,24 @@
             available, requirements, contention.unseen_requests
         ).upstream_state
 
+    def has_version(self, version: str) -> bool:
+        """Return whether a stream that began at a version may go on there."""
+        return bool(self._states_for(version))
+
+    def is_version_open(self, version: str) -> bool:
+        """Return whether upstreams of a version get new requests."""
+        return any(s.upstream.version == version for s in self._open_states())
+
+    def _states_for(self, version: str | None) -> list[UpstreamState]:
+        """Return the upstreams that a request may be sent to.
+
+        A stream that goes on isn't bound by what a roll-out says of new requests.
+        """
+        if version is None:
+            return self._open_states()
+        staying = self._staying_states()
+        return [state for state in staying if state.upstream.version == version]
+
     def _open_states(self) -> list[UpstreamState]:
         return self._states_with(Access.OPEN)
 
--- a/lavenderspoke/direct/refusals.py
+++ b/lavenderspoke/direct/refusals.py
@@ -13,11 +13,16 @@
 
 QUARANTINED_DETAIL = "upstreams that ran this content have crashed"
 
+DETAILS = {
+    Refusal.QUARANTINED: QUARANTINED_DETAIL,
+    Refusal.VERSION_GONE: "no upstream of the version that began the stream is left",
+}
 REASONS = {
     Refusal.CROWDED: Reason.NO_ROOM,
     Refusal.WAITED_TOO_LONG: Reason.NO_ROOM,
     Refusal.NO_UPSTREAM: Reason.NO_UPSTREAM,
     Refusal.QUARANTINED: Reason.CRASHES_UPSTREAMS,
+    Refusal.VERSION_GONE: Reason.STREAM_VERSION_GONE,
 }
 
 
@@ -38,14 +43,24 @@
     if decision is None:
         return deadline_exceeded("no slot in time", may_have_run=may_have_run)
     reason = REASONS[decision.reason]
-    is_quarantined = decision.reason is Refusal.QUARANTINED
     if may_have_run:
-        why = QUARANTINED_DETAIL if is_quarantined else "no slot for another attempt"
-        return _outcome_unknown(Reason.ANSWER_INCOMPLETE, why)
-    detail = QUARANTINED_DETAIL if is_quarantined else "try again later"
+        detail = DETAILS.get(decision.reason, "no slot for another attempt")
+        return _outcome_unknown(Reason.ANSWER_INCOMPLETE, detail)
+    detail = DETAILS.get(decision.reason, "try again later")
     return not_run(reason, detail, decision.retry_after_s)
 
 
+def version_unknown(attempt_id: str | None) -> Problem:
+    """Return a refusal for a stream of which nobody knows the version."""
+    detail = f"no entry knows the stream that {attempt_id or 'no attempt'} began"
+    return not_run(Reason.STREAM_VERSION_UNKNOWN, detail, RETRY_AFTER_S)
+
+
+def version_gone() -> Problem:
+    """Return a refusal for a stream whose version the route no longer leads to."""
+    return not_run(Reason.STREAM_VERSION_GONE, DETAILS[Refusal.VERSION_GONE])
+
+
 def deadline_exceeded(detail: str, *, may_have_run: bool) -> Problem:
     """Return a refusal for a request whose deadline has expired or can't be met."""
     if may_have_run:
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -46,6 +46,9 @@
 
 # How long a rank counts as active after its last request.
 RANK_ACTIVE_S = 5.0
+# Retry-After, in seconds, where no upstream of a stream's version is left: one that has
+# crashed is back after some seconds.
+VERSION_GONE_RETRY_AFTER_S = 1.0
 
 
 class ServiceQueue:
@@ -121,7 +124,11 @@
                 wait_max_s = self._record_booked(ticket, wait_max_s, now_s)
         if self._try_canary(ticket, now_s):
             return
-        if not self.pool.slots():
+        if self._is_version_gone(ticket):
+            ticket.on_decision(self._version_gone())
+        elif self._try_closed_version(ticket, now_s):
+            return
+        elif not self.pool.slots():
             ticket.on_decision(self._refusal(ticket, Refusal.NO_UPSTREAM, now_s))
         elif wait_max_s <= 0.0:
             self._decide_immediately(ticket, now_s)
@@ -156,6 +163,8 @@
         """Send a request to a roll-out's target if it is due and a slot is free."""
         if self.canary is None or not ticket.may_wait or ticket.excluded:
             return False
+        if ticket.version is not None:
+            return False
         if not self.canary.should_use_target(ticket.route):
             return False
         state = self.pool.choose_canary(
@@ -168,6 +177,28 @@
         self._send(ticket, state, now_s)
         return True
 
+    def _is_version_gone(self, ticket: Ticket) -> bool:
+        return ticket.version is not None and not self.pool.has_version(ticket.version)
+
+    @staticmethod
+    def _version_gone() -> Refuse:
+        return Refuse(
+            reason=Refusal.VERSION_GONE, retry_after_s=VERSION_GONE_RETRY_AFTER_S
+        )
+
+    def _try_closed_version(self, ticket: Ticket, now_s: float) -> bool:
+        """Send a stream on to a version that gets no new requests, if a slot is free.
+
+        The slots of such upstreams aren't counted among those that requests wait for.
+        """
+        if ticket.version is None or self.pool.is_version_open(ticket.version):
+            return False
+        state = self.pool.choose(_requirements(ticket, now_s), now_s=now_s)
+        if state.upstream_state is None:
+            return False
+        self._send(ticket, state.upstream_state, now_s)
+        return True
+
     def _decide_immediately(self, ticket: Ticket, now_s: float) -> None:
         """Dispatch a request if a slot is free for it, otherwise refuse it."""
         # Infinite, so that it isn't refused as expired before the refusal below.
@@ -290,7 +321,7 @@
                 self._dispatch(
                     ticket, selection.upstream_state, now_s, spill=selection.spill
                 )
-            elif selection.only_this_waits:
+            elif selection.only_this_waits or ticket.version is not None:
                 # Only this request waits for another upstream.
                 skipped.add(ticket.number)
             else:
@@ -299,7 +330,10 @@
     def _expire_and_reorder(self, now_s: float) -> None:
         """Refuse requests that waited too long, and reorder those that became late."""
         for ticket in self._waiting:
-            if now_s >= ticket.waits_until_s:
+            if self._is_version_gone(ticket):
+                self._waiting.remove(ticket)
+                ticket.on_decision(self._version_gone())
+            elif now_s >= ticket.waits_until_s:
                 self._waiting.remove(ticket)
                 reason = Refusal.WAITED_TOO_LONG
                 ticket.on_decision(self._refusal(ticket, reason, now_s))
@@ -633,6 +667,7 @@
         remaining_s=remaining_s,
         target_s=ticket.target_s,
         excluded=ticket.excluded,
+        version=ticket.version,
         retryable=ticket.retryable,
     )
 
--- a/lavenderspoke/direct/selection.py
+++ b/lavenderspoke/direct/selection.py
@@ -30,7 +30,8 @@
     """What a request needs of an upstream.
 
     From now on, the first byte should come within `first_byte_within_s` and the whole
-    answer within `remaining_s`. Upstreams in `excluded` are not chosen. A `retryable`
+    answer within `remaining_s`. Upstreams in `excluded` are not chosen, nor those of
+    another software version than `version`, if there is one. A `retryable`
     request may be the trial request of an ejected upstream. `target_s` is the target
     for the first byte, counted from the request's first arrival.
     """
@@ -40,6 +41,7 @@
     first_byte_within_s: float
     remaining_s: float
     excluded: set[str] = attrs.field(factory=set)
+    version: str | None = None
     retryable: bool = False
     target_s: float = math.inf
 
--- /dev/null
+++ b/lavenderspoke/direct/streamexchange.py
@@ -0,0 +1,244 @@
+"""Tells other entries at which version streams began, and asks them.
+
+While a service has several versions, an entry tells some others before the first event
+goes out, and waits for their confirmations, so that its death doesn't take the
+knowledge with it. Otherwise its neighbours learn with its next state. An entry that
+doesn't know a stream asks all others: it may have started since, or missed a message.
+
+Calls block the thread of the request for a short time at most.
+"""
+
+import enum
+import functools
+import itertools
+import threading
+from collections.abc import Callable, Iterable
+
+import attrs
+import logbook
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.messages import (
+    StreamMessage,
+    StreamsBegan,
+    StreamsConfirmed,
+    VersionsAsked,
+    VersionsTold,
+)
+from lavenderspoke.direct.sharing import EntryLocation
+from lavenderspoke.direct.streamversions import TOLD_AGAIN_S, StreamRow, StreamVersions
+from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
+
+# Number of entries that are told before the first event goes out.
+TOLD_ENTRIES = 2
+# How long the first event waits for their confirmations, in seconds: some ten times the
+# round trip between data centres, and well below the target for the first event.
+CONFIRM_TIMEOUT_S = 0.06
+# How long an entry waits for others that know a stream, in seconds; its caller would
+# otherwise be refused.
+ASK_TIMEOUT_S = 0.5
+# Time after which a question is sent again, in seconds: the link to the others may not
+# be up yet at a start.
+ASK_AGAIN_S = 0.1
+# Time after an entry's start in which it waits for all others that it knows of.
+ALL_HEARD_S = 3.0
+STREAM_VERSIONS = "stream_versions"
+
+log = logbook.Logger(__name__)
+
+
+class Told(enum.Enum):
+    """What came of telling others of a stream; also the label of its counter."""
+
+    CONFIRMED = "confirmed"
+    UNCONFIRMED = "unconfirmed"
+    NO_OTHERS = "no_others"
+    NOT_NEEDED = "not_needed"
+
+
+class Source(enum.Enum):
+    """How a stream's version was found; also the label of its counter."""
+
+    KNOWN = "known"
+    ONLY_ONE = "only_one"  # no other version has served lately
+    ASKED = "asked"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class StreamOrigin:
+    """The service and the version at which a stream that is taken up began."""
+
+    service: str
+    version: str
+
+
+class _Call:
+    """A message to several entries, and which of them have replied."""
+
+    def __init__(self, recipients: Iterable[str]):
+        self.replied_names: set[str] = set()
+        self.done = threading.Event()
+        self._expected = set(recipients)
+
+    def replied(self, name: str, *, is_final: bool = False) -> None:
+        self.replied_names.add(name)
+        if is_final or self._expected <= self.replied_names:
+            self.done.set()
+
+
+class StreamExchange:
+    """Exchanges the versions of streams with the other entries; thread-safe.
+
+    `live()` returns the other entries that are heard, and `known()` all that may be
+    alive.
+    """
+
+    def __init__(
+        self,
+        *,
+        versions: StreamVersions,
+        data_centre: str,
+        live: Callable[[], dict[str, EntryLocation]],
+        known: Callable[[], dict[str, EntryLocation]],
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.send: Callable[[str, StreamMessage], None] = lambda name, message: None
+        self._versions = versions
+        self._data_centre = data_centre
+        self._live = live
+        self._known = known
+        self._clock = clock
+        self._started_s = clock.monotonic_s()
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, _Call] = {}
+
+    def stream_began(self, attempt_id: str, service: str, version: str) -> Told:
+        """Tell others of a stream before its first event goes out."""
+        row = (attempt_id, service, version)
+        self._versions.record(row)
+        if self._versions.only_version(service) is not None:
+            told = Told.NOT_NEEDED
+        else:
+            told = self._tell(row)
+        self._metrics.count(STREAM_VERSIONS, told.value)
+        return told
+
+    def stream_goes_on(
+        self, attempt_id: str, service: str, version: str, *, told_s: float
+    ) -> float:
+        """Tell others again of a long stream; return when they were told last."""
+        now_s = self._clock.monotonic_s()
+        if now_s < told_s + TOLD_AGAIN_S:
+            return told_s
+        self._versions.record((attempt_id, service, version))
+        return now_s
+
+    def find_origin(self, attempt_id: str | None, service: str) -> StreamOrigin | None:
+        """Return where a stream that its caller takes up began, None if nobody knows.
+
+        Without any knowledge of the stream it must have been at `service`, if only one
+        version of that has served lately.
+        """
+        origin, source = self._find(attempt_id, service)
+        self._metrics.count(STREAM_VERSIONS, source.value)
+        return origin
+
+    @functools.singledispatchmethod
+    def receive(self, message: StreamMessage, sender: InstanceId) -> None:
+        """Handle a message of another entry."""
+        raise TypeError(f"not a message about streams: {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: StreamsBegan, sender: InstanceId) -> None:
+        self._versions.merge(message.rows)
+        self.send(sender.name, StreamsConfirmed(number=message.number))
+
+    @receive.register
+    def _(self, message: StreamsConfirmed, sender: InstanceId) -> None:
+        call = self._calls.get(message.number)
+        if call is not None:
+            call.replied(sender.name)
+
+    @receive.register
+    def _(self, message: VersionsAsked, sender: InstanceId) -> None:
+        rows = self._versions.rows(message.attempts)
+        self.send(sender.name, VersionsTold(number=message.number, rows=rows))
+
+    @receive.register
+    def _(self, message: VersionsTold, sender: InstanceId) -> None:
+        self._versions.merge(message.rows)
+        call = self._calls.get(message.number)
+        if call is not None:
+            call.replied(sender.name, is_final=bool(message.rows))
+
+    def _find(
+        self, attempt_id: str | None, service: str
+    ) -> tuple[StreamOrigin | None, Source]:
+        if attempt_id is not None and (row := self._versions.find(attempt_id)):
+            return _origin(row), Source.KNOWN
+        if (version := self._versions.only_version(service)) is not None:
+            return StreamOrigin(service=service, version=version), Source.ONLY_ONE
+        if attempt_id is not None:
+            self._ask(attempt_id)
+            if row := self._versions.find(attempt_id):
+                return _origin(row), Source.ASKED
+        return None, Source.UNKNOWN
+
+    def _tell(self, row: StreamRow) -> Told:
+        recipients = self._told_entries(row[0])
+        if not recipients:
+            return Told.NO_OTHERS
+        number, call = self._new_call(recipients)
+        try:
+            for name in recipients:
+                self.send(name, StreamsBegan(number=number, rows=(row,)))
+            is_confirmed = call.done.wait(CONFIRM_TIMEOUT_S)
+        finally:
+            del self._calls[number]
+        return Told.CONFIRMED if is_confirmed else Told.UNCONFIRMED
+
+    def _ask(self, attempt_id: str) -> None:
+        """Ask all other entries of a stream until one knows it, or none does."""
+        known = self._known()
+        if not known:
+            return
+        now_s = self._clock.monotonic_s()
+        # Soon after a start an entry hasn't heard all those that are alive.
+        is_new = now_s < self._started_s + ALL_HEARD_S
+        number, call = self._new_call(known if is_new else self._live() or known)
+        give_up_s = now_s + ASK_TIMEOUT_S
+        try:
+            while self._clock.monotonic_s() < give_up_s:
+                for name in sorted(known.keys() - call.replied_names):
+                    message = VersionsAsked(number=number, attempts=(attempt_id,))
+                    self.send(name, message)
+                if call.done.wait(ASK_AGAIN_S):
+                    return
+        finally:
+            del self._calls[number]
+
+    def _new_call(self, recipients: Iterable[str]) -> tuple[int, _Call]:
+        number, call = next(self._numbers), _Call(recipients)
+        self._calls[number] = call
+        return number, call
+
+    def _told_entries(self, attempt_id: str) -> list[str]:
+        """Return the entries to be told of a stream, some in other data centres.
+
+        They differ from stream to stream.
+        """
+        ranked = sorted(
+            self._live().items(), key=lambda item: hash((attempt_id, item[0]))
+        )
+        elsewhere = [n for n, each in ranked if each.data_centre != self._data_centre]
+        names = elsewhere[:1] + [name for name, _ in ranked]
+        return list(dict.fromkeys(names))[:TOLD_ENTRIES]
+
+
+def _origin(row: StreamRow) -> StreamOrigin:
+    _, service, version = row
+    return StreamOrigin(service=service, version=version)
--- /dev/null
+++ b/lavenderspoke/direct/streamversions.py
@@ -0,0 +1,178 @@
+"""At which software version streams began, as far as an entry knows.
+
+Upstreams of several versions may serve side by side, and what two versions write
+doesn't fit together. A stream therefore goes on only at the version that began it. Its
+caller names the attempt that brought its first event.
+"""
+
+import threading
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.instances import Upstream
+
+# Time for which a stream's version is kept after it was last told of, in seconds: well
+# above the time in which callers take a stream up again. A longer stream is told of
+# again and again.
+KEPT_S = 60.0
+# Time after which a stream that still runs is told of again, in seconds.
+TOLD_AGAIN_S = KEPT_S / 3.0
+# Streams kept at most; the oldest are forgotten first.
+STREAMS_MAX = 50_000
+
+StreamRow = tuple[str, str, str]
+"""The attempt that brought a stream's first event, its service and its version."""
+
+
+@attrs.frozen(kw_only=True)
+class _Begun:
+    service: str
+    version: str
+    known_s: float
+
+
+class ListedVersions:
+    """The versions of each service that were listed lately.
+
+    An entry doesn't know what was listed before its start until `KEPT_S` later, or
+    until it has read from the platform's store where there were several versions.
+
+    >>> versions = ListedVersions(now_s=0.0)
+    >>> versions.update([("s", "v1")], 1.0)
+    >>> versions.only_version("s", 2.0), versions.only_version("s", 60.0)
+    (None, 'v1')
+    >>> versions.update([("s", "v1"), ("s", "v2")], 60.5)
+    >>> versions.only_version("s", 61.0)
+    """
+
+    def __init__(self, *, now_s: float):
+        self._complete_from_s = now_s + KEPT_S
+        self._last_listed_s: dict[str, dict[str, float]] = defaultdict(dict)
+
+    def update(self, listed: Iterable[tuple[str, str]], now_s: float) -> None:
+        """Apply the services and versions of the upstreams that are listed now."""
+        for service, version in listed:
+            self._last_listed_s[service][version] = now_s
+
+    def read_records(self, records: Mapping[str, Iterable[str]], now_s: float) -> None:
+        """Apply the services of which other entries have seen several versions."""
+        if now_s < self._complete_from_s:
+            for service, versions in records.items():
+                for version in versions:
+                    self._last_listed_s[service].setdefault(version, now_s)
+        self._complete_from_s = min(self._complete_from_s, now_s)
+
+    def recent(self, service: str, now_s: float) -> tuple[str, ...]:
+        """Return the versions of which a stream may still be taken up."""
+        listed = self._last_listed_s.get(service, {})
+        for version in [v for v, at_s in listed.items() if now_s >= at_s + KEPT_S]:
+            del listed[version]
+        return tuple(sorted(listed))
+
+    def services(self) -> list[str]:
+        """Return the services whose upstreams were listed."""
+        return list(self._last_listed_s)
+
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether all versions are known that were listed lately."""
+        return now_s >= self._complete_from_s
+
+    def only_version(self, service: str, now_s: float) -> str | None:
+        """Return the version that began all streams of a service, if only one did."""
+        recent = self.recent(service, now_s)
+        if len(recent) != 1 or not self.is_complete(now_s):
+            return None
+        return recent[0]
+
+
+class StreamVersions:
+    """The versions of recent streams; thread-safe."""
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._begun: OrderedDict[str, _Begun] = OrderedDict()
+        self._unsent: list[StreamRow] = []
+        self._listed: tuple[Upstream, ...] = ()
+        self._versions = ListedVersions(now_s=clock.monotonic_s())
+
+    def update_listed(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Apply the platform's list of upstreams."""
+        with self._lock:
+            self._listed = upstreams
+            self._note_listed()
+
+    def read_records(self, records: Mapping[str, Iterable[str]]) -> None:
+        """Apply what the store has of services with several versions, all of them."""
+        with self._lock:
+            self._versions.read_records(records, self._clock.monotonic_s())
+
+    def mixed_services(self) -> dict[str, tuple[str, ...]]:
+        """Return the services of which several versions were listed lately."""
+        with self._lock:
+            self._note_listed()
+            now_s, versions = self._clock.monotonic_s(), self._versions
+            recent = {
+                each: versions.recent(each, now_s) for each in versions.services()
+            }
+        return {each: several for each, several in recent.items() if len(several) > 1}
+
+    def only_version(self, service: str) -> str | None:
+        """Return the version of all streams of a service, if there is only one."""
+        with self._lock:
+            self._note_listed()
+            return self._versions.only_version(service, self._clock.monotonic_s())
+
+    def record(self, row: StreamRow) -> None:
+        """Record a stream of this entry's own, to be told to its neighbours."""
+        with self._lock:
+            self._put(row)
+            self._unsent.append(row)
+
+    def merge(self, rows: Iterable[StreamRow]) -> None:
+        """Record streams that other entries have told of."""
+        with self._lock:
+            for row in rows:
+                self._put(row)
+
+    def find(self, attempt_id: str) -> StreamRow | None:
+        """Return what is known of the stream that an attempt began, if anything."""
+        rows = self.rows((attempt_id,))
+        return rows[0] if rows else None
+
+    def rows(self, attempt_ids: Iterable[str]) -> tuple[StreamRow, ...]:
+        """Return what is known of these streams."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            known = ((each, self._begun.get(each)) for each in attempt_ids)
+            return tuple(
+                (attempt_id, begun.service, begun.version)
+                for attempt_id, begun in known
+                if begun is not None and now_s < begun.known_s + KEPT_S
+            )
+
+    def take_unsent(self) -> tuple[StreamRow, ...]:
+        """Return the streams that haven't been told to the neighbours yet."""
+        with self._lock:
+            unsent, self._unsent = self._unsent, []
+            return tuple(unsent)
+
+    def _note_listed(self) -> None:
+        listed = {(each.service, each.version) for each in self._listed}
+        self._versions.update(listed, self._clock.monotonic_s())
+
+    def _put(self, row: StreamRow) -> None:
+        attempt_id, service, version = row
+        now_s = self._clock.monotonic_s()
+        self._begun[attempt_id] = _Begun(
+            service=service, version=version, known_s=now_s
+        )
+        self._begun.move_to_end(attempt_id)
+        while self._begun:
+            oldest = next(iter(self._begun.values()))
+            if len(self._begun) <= STREAMS_MAX and now_s < oldest.known_s + KEPT_S:
+                break
+            self._begun.popitem(last=False)
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -26,6 +26,7 @@
     WAITED_TOO_LONG = "waited_too_long"
     NO_UPSTREAM = "no_upstream"
     QUARANTINED = "quarantined"
+    VERSION_GONE = "version_gone"
 
 
 @attrs.frozen(kw_only=True)
@@ -70,7 +71,8 @@
     `first_arrived_s`, when the caller sent it first. The caller gives up `patience_s`
     after `idle_since_s`, when the request arrived or the last event of its stream
     came. `excluded` names upstreams that it was sent to before. A `retryable` request
-    may be sent to another upstream after it failed. One without `may_wait` is decided
+    may be sent to another upstream after it failed, and one with a `version` only to
+    upstreams of that software version. One without `may_wait` is decided
     before `submit` returns. It is `resubmitted` if it was refused, or sent to an
     upstream, before. The `customer` is empty if it is unknown.
 
@@ -100,6 +102,7 @@
     resubmitted: bool
     on_decision: Callable[[Decision], None]
     excluded: set[str] = attrs.field(factory=set)
+    version: str | None = None
     may_wait: bool = True
     retryable: bool = False
     booking: str = ""
--- a/lavenderspoke/http/problempage.py
+++ b/lavenderspoke/http/problempage.py
@@ -37,6 +37,8 @@
     Reason.NO_ROOM: "All upstreams are busy with work that goes first",
     Reason.NO_UPSTREAM: "No upstream of the service is known",
     Reason.CRASHES_UPSTREAMS: "This request has crashed upstreams",
+    Reason.STREAM_VERSION_GONE: "the version that began the stream is gone",
+    Reason.STREAM_VERSION_UNKNOWN: "nobody knows which version began the stream",
     Reason.HEADERS_TOO_LARGE: "The request headers are too large",
     Reason.SERVER_BUSY: "All of this instance's connections are in use",
     Reason.INTERNAL_ERROR: "This instance failed",
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -50,6 +50,12 @@
     Reason.NO_DOCUMENT.value: "The entry had no configuration yet.",
     Reason.DRAINING.value: "The entry was shutting down; it has not run.",
     Reason.CRASHES_UPSTREAMS.value: "Its content crashed upstreams; it has not run.",
+    Reason.STREAM_VERSION_GONE.value: (
+        "No upstream of the version that began its stream is left; it has not run."
+    ),
+    Reason.STREAM_VERSION_UNKNOWN.value: (
+        "No entry knew which version began its stream; it has not run."
+    ),
     Reason.ANSWER_INCOMPLETE.value: "It may have run, but no complete answer arrived.",
     Reason.DEADLINE_EXPIRED.value: "The deadline expired; an upstream may have run it.",
     Reason.DEADLINE_UNREACHABLE.value: "Time ran out in the queue; it has not run.",
--- a/lavenderspoke/platform/burstcredits.py
+++ b/lavenderspoke/platform/burstcredits.py
@@ -17,9 +17,9 @@
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.entryrecords import TOPIC
 from lavenderspoke.platform.store import Conflict, Store
 
-TOPIC = "keyed.lavenderspoke-entries"
 KEY_PREFIX = "burst-credit/"
 # Time between two checks for records to write or delete, in seconds. A customer at
 # twice its rate fills half of its bucket in about twice this time.
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -14,12 +14,15 @@
 from lavenderspoke.direct.messages import RecordsMessage
 from lavenderspoke.direct.relay import PeerAccess, Relay
 from lavenderspoke.direct.settings import Bounds
+from lavenderspoke.direct.streamexchange import STREAM_VERSIONS
+from lavenderspoke.direct.verdicts import QUARANTINES
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
+from lavenderspoke.platform import mixedversions, quarantines
 from lavenderspoke.platform.burstcredits import CreditWriter
+from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
-from lavenderspoke.platform.quarantines import QuarantineWriter
 from lavenderspoke.platform.rollouts import OrderTracker, StatusWriter
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.platform.settingsfile import read_settings
@@ -143,14 +146,9 @@
             on_change=entry.dispatcher.peers_listed,
             on_credits=entry.dispatcher.burst_credits_read,
             on_credits_lost=entry.dispatcher.burst_credits_lost,
-            quarantines=entry.dispatcher,
-        )
-        self._quarantines = QuarantineWriter(
-            store=Store(address=settings.store, metrics=entry.metrics),
-            clock=clock,
-            metrics=entry.metrics,
-            dispatcher=entry.dispatcher,
+            facts=entry.dispatcher,
         )
+        self._fact_writers = _fact_writers(entry, settings, clock)
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -167,7 +165,7 @@
             ("upstreams", self._upstreams),
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
-            ("quarantines", self._quarantines.part),
+            *self._fact_writers,
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
@@ -182,6 +180,50 @@
         self._entries.leave()
 
 
+def _fact_writers(
+    entry: DirectEntry, settings: PlatformSettings, clock: Clock
+) -> list[tuple[str, Part]]:
+    """Return the parts that write the records beside those of the entries."""
+    dispatcher = entry.dispatcher
+
+    def quarantines_due() -> DueRecords:
+        writes, deletions = dispatcher.quarantines_due()
+        values = {name: {"upstreams": each} for name, each in writes.items()}
+        return DueRecords(writes=values, deletions=deletions)
+
+    def versions_due() -> DueRecords:
+        changes = dispatcher.versions_due()
+        return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
+
+    def writer(name: str, **options) -> tuple[str, Part]:
+        store = Store(address=settings.store, metrics=entry.metrics)
+        return (
+            name,
+            RecordWriter(
+                name=name, store=store, clock=clock, metrics=entry.metrics, **options
+            ).part,
+        )
+
+    return [
+        writer(
+            "quarantines",
+            prefix=quarantines.KEY_PREFIX,
+            metric=QUARANTINES,
+            due=quarantines_due,
+            on_written=dispatcher.quarantine_written,
+            on_deleted=dispatcher.quarantine_deleted,
+        ),
+        writer(
+            "versions",
+            prefix=mixedversions.KEY_PREFIX,
+            metric=STREAM_VERSIONS,
+            due=versions_due,
+            on_written=dispatcher.versions_written,
+            on_deleted=dispatcher.versions_deleted,
+        ),
+    ]
+
+
 def run(path: str, listener: socket.socket | None) -> int:
     """Run the entry with the settings file at `path`; return its exit status.
 
--- /dev/null
+++ b/lavenderspoke/platform/entryrecords.py
@@ -0,0 +1,91 @@
+"""Writes records beside those of the entries in the platform's store.
+
+They hold what must outlive all entries, under keys with a prefix of their own. One read
+of the topic gives them all to an entry that starts.
+"""
+
+import json
+from collections.abc import Callable
+
+import attrs
+import logbook
+from result import Err
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.periodic import Periodic
+from lavenderspoke.platform.store import Store
+
+TOPIC = "keyed.lavenderspoke-entries"
+# Time between two checks for records to write or delete, in seconds.
+PERIOD_S = 0.1
+# Pause after a failed call, in seconds.
+RETRY_PAUSE_S = 1.0
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class DueRecords:
+    """Records to write, by name, and the names of those to delete."""
+
+    writes: dict[str, object]
+    deletions: list[str]
+
+
+class RecordWriter:
+    """Writes and deletes the records of one prefix as an entry decides.
+
+    `due()` returns the records that are due, `on_written` and `on_deleted` are called
+    with the name of each that the store has taken. They are counted in `metric`.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        prefix: str,
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+        metric: str,
+        due: Callable[[], DueRecords],
+        on_written: Callable[[str], None],
+        on_deleted: Callable[[str], None],
+    ):
+        self._prefix = prefix
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._metric = metric
+        self._due = due
+        self._on_written = on_written
+        self._on_deleted = on_deleted
+        self._paused_until_s = 0.0
+        self.part = Periodic(name=name, period_s=PERIOD_S, work=self.write_due)
+
+    def write_due(self) -> None:
+        """Write and delete the records that are due."""
+        if self._clock.monotonic_s() < self._paused_until_s:
+            return
+        due = self._due()
+        for name, value in due.writes.items():
+            if self._append(name, json.dumps(value).encode(), "written"):
+                self._on_written(name)
+        for name in due.deletions:
+            if self._append(name, None, "deleted"):
+                self._on_deleted(name)
+
+    def _append(self, name: str, value: bytes | None, done: str) -> bool:
+        appended = self._store.append(TOPIC, self._prefix + name, value)
+        if isinstance(appended, Err):
+            self._paused_until_s = self._clock.monotonic_s() + RETRY_PAUSE_S
+            self._metrics.count(self._metric, f"not_{done}")
+            log.warning(
+                "record beside the entries' failed",
+                key=self._prefix + name,
+                error=appended.err_value.detail,
+            )
+            return False
+        self._metrics.count(self._metric, done)
+        return True
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -14,7 +14,7 @@
 from lavenderspoke.direct.feed import CallReason, Feed
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.records import RecordBatch
+from lavenderspoke.direct.records import KeyedRecord, RecordBatch
 from lavenderspoke.direct.relay import Relay
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.observing import signals
@@ -22,6 +22,7 @@
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
 from lavenderspoke.platform.decoding import parse_as
+from lavenderspoke.platform.mixedversions import is_versions, read_versions
 from lavenderspoke.platform.quarantines import is_quarantine, read_quarantines
 from lavenderspoke.platform.registry import Registry
 from lavenderspoke.platform.rollouts import OrderTracker
@@ -275,16 +276,25 @@
         self._on_change(upstreams)
 
 
-class QuarantineSink(Protocol):
-    """What takes the quarantines that the store holds."""
+class EntryFacts(Protocol):
+    """What takes the records beside those of the entries."""
 
     def quarantines_read(
         self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
     ) -> None:
-        """Apply records; a snapshot has all of them."""
+        """Apply quarantines; a snapshot has all of them."""
 
     def quarantine_records_lost(self) -> None:
-        """Write records again: the store has come back from an older copy."""
+        """Write quarantines again: the store has come back from an older copy."""
+
+    def versions_read(
+        self,
+        present: dict[str, tuple[str, ...]],
+        deleted: tuple[str, ...],
+        *,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply the services with several versions; a snapshot has all of them."""
 
 
 @attrs.frozen(kw_only=True)
@@ -305,9 +315,9 @@
 
     An entry writes its location, and the configuration in force: when the store comes
     back from an older copy, it is written again, and an entry that starts then learns
-    of versions that the copy lacks. The topic also has customers' burst credits and the
-    quarantines of content, since a starting entry needs them before it serves, and one
-    read is enough for all.
+    of versions that the copy lacks. The topic also has customers' burst credits,
+    quarantines of content and services with several software versions, since a starting
+    entry needs them before it serves, and one read is enough for all.
     """
 
     topic = ENTRIES_TOPIC
@@ -327,13 +337,13 @@
         on_change: Callable[[dict[str, EntryLocation]], None],
         on_credits: Callable[[dict[str, float]], None] = lambda credits: None,
         on_credits_lost: Callable[[dict[str, float]], None] = lambda credits: None,
-        quarantines: QuarantineSink | None = None,
+        facts: EntryFacts | None = None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self._in_force = in_force
         self._on_credits = on_credits
         self._on_credits_lost = on_credits_lost
-        self._quarantines = quarantines
+        self._facts = facts
         # Whether the next snapshot is the first of a copy that may lack records.
         self._has_lost_records = False
         self._name = name
@@ -384,8 +394,8 @@
         return ENTRIES_PERIOD_S
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
-        if self._quarantines is not None:
-            self._apply_quarantines(batch, is_snapshot=is_snapshot)
+        if self._facts is not None:
+            self._apply_facts(batch, is_snapshot=is_snapshot)
         if is_snapshot:
             credits = read_credits(batch.records)
             self._on_credits(credits)
@@ -394,7 +404,7 @@
                 self._on_credits_lost(credits)
         entries = {}
         for record in batch.records:
-            if record.value is None or is_credit(record) or is_quarantine(record):
+            if record.value is None or _is_no_entry(record):
                 continue
             decoded = parse_as(record.value, _EntryRecord)
             if isinstance(decoded, Err):
@@ -411,13 +421,18 @@
         self._on_change(entries)
         return True
 
-    def _apply_quarantines(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
+    def _apply_facts(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
         if self._has_lost_records:
-            self._quarantines.quarantine_records_lost()
-        rows = read_quarantines(batch.records)
-        if rows.present or rows.deleted or is_snapshot:
-            self._quarantines.quarantines_read(
-                rows.present, rows.deleted, is_snapshot=is_snapshot
+            self._facts.quarantine_records_lost()
+        quarantines = read_quarantines(batch.records)
+        if quarantines.present or quarantines.deleted or is_snapshot:
+            self._facts.quarantines_read(
+                quarantines.present, quarantines.deleted, is_snapshot=is_snapshot
+            )
+        versions = read_versions(batch.records)
+        if versions.present or versions.deleted or is_snapshot:
+            self._facts.versions_read(
+                versions.present, versions.deleted, is_snapshot=is_snapshot
             )
 
     def leave(self) -> None:
@@ -427,3 +442,8 @@
         left = self._store.append(self.topic, self._name, None)
         if isinstance(left, Err):
             log.info("deleting own record failed", error=left.err_value.detail)
+
+
+def _is_no_entry(record: KeyedRecord) -> bool:
+    """Return whether a record of the entries' topic is another fact."""
+    return is_credit(record) or is_quarantine(record) or is_versions(record)
--- a/lavenderspoke/problems.py
+++ b/lavenderspoke/problems.py
@@ -34,6 +34,8 @@
     NO_ROOM = "no_room"
     NO_UPSTREAM = "no_upstream"
     CRASHES_UPSTREAMS = "crashes_upstreams"
+    STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     HEADERS_TOO_LARGE = "headers_too_large"
     SERVER_BUSY = "server_busy"
     INTERNAL_ERROR = "internal_error"
@@ -64,6 +66,8 @@
     Reason.NO_ROOM: 503,
     Reason.NO_UPSTREAM: 503,
     Reason.CRASHES_UPSTREAMS: 503,
+    Reason.STREAM_VERSION_GONE: 503,
+    Reason.STREAM_VERSION_UNKNOWN: 503,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.SERVER_BUSY: 503,
     Reason.INTERNAL_ERROR: 500,
