Take only a fresh list for proof that one version serves, and test what is kept

An entry that was cut off could have taken its old list for all versions that serve, and one that read a list without a version forgot at once that it had been there until then. The records of quarantines and versions share one thread, which looks four times a second.

--- /dev/null
+++ b/features/steps/stream_version_records_steps.py
@@ -0,0 +1,336 @@
+"""Steps about what entries keep, tell and record of the versions of streams."""
+
+import re
+import time
+from random import Random
+
+import attrs
+from behave import given, then, when
+
+from features.entryfleet import make_ticket, upstream_of
+from lavenderspoke.clock import ManualClock, SystemClock
+from lavenderspoke.direct.messages import (
+    StreamsBegan,
+    StreamsConfirmed,
+    VersionsAsked,
+    VersionsTold,
+)
+from lavenderspoke.direct.scheduler import Scheduler
+from lavenderspoke.direct.sharing import EntryLocation
+from lavenderspoke.direct.streamexchange import StreamExchange
+from lavenderspoke.direct.streamversions import StreamVersions
+from lavenderspoke.direct.tickets import Dispatch, Refusal, Refuse
+from lavenderspoke.direct.versionrecords import VersionRecords
+from lavenderspoke.model import InstanceId
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.rollouts.orders import Access
+
+SERVICE = "narrative"
+ROW = ("first", SERVICE, "v1")
+STEP_S = 1.0
+
+
+def read_list(context, *versions: str) -> None:
+    upstreams = tuple(upstream_of(f"u-{each}", version=each) for each in versions)
+    context.versions.update_listed(upstreams)
+    context.versions.record_read(context.clock.monotonic_s())
+
+
+def new_versions(context, clock=None) -> StreamVersions:
+    context.clock = clock or ManualClock()
+    context.versions = StreamVersions(clock=context.clock)
+    return context.versions
+
+
+def exchange_of(context, peers: dict[str, EntryLocation], send) -> StreamExchange:
+    exchange = StreamExchange(
+        versions=context.versions,
+        data_centre="dc-0",
+        live=lambda: peers,
+        known=lambda: peers,
+        clock=context.clock,
+        metrics=Metrics(),
+    )
+    exchange.send = send
+    return exchange
+
+
+@given('an entry that knows a stream of "{version}"')
+def step_knows(context, version):
+    new_versions(context).record(("first", SERVICE, version))
+
+
+@then("it knows its version for {kept:d} s and not for {forgotten:d} s")
+def step_kept(context, kept, forgotten):
+    context.clock.advance(kept)
+    assert context.versions.find("first") == ROW
+    context.clock.advance(forgotten - kept)
+    assert context.versions.find("first") is None
+
+
+@given('an entry that knows a stream of "{version}", whose events go on for {s:d} s')
+def step_goes_on(context, version, s):
+    new_versions(context).record(("first", SERVICE, version))
+    exchange = exchange_of(context, {}, lambda name, message: None)
+    told_s = 0.0
+    for _ in range(int(s / STEP_S)):
+        context.clock.advance(STEP_S)
+        told_s = exchange.stream_goes_on("first", SERVICE, version, told_s=told_s)
+
+
+@then("it has told its neighbours of it {count:d} times, and knows its version")
+def step_told_again(context, count):
+    # Once as it began, and each 20 s.
+    assert len(context.versions.take_unsent()) == count + 1
+    assert context.versions.find("first") == ROW
+
+
+@when("{count:d} other streams begin")
+def step_many(context, count):
+    context.versions.merge((f"s{n}", SERVICE, "v2") for n in range(count))
+
+
+@then("it has forgotten the first one and knows the last")
+def step_forgotten(context):
+    assert context.versions.find("first") is None
+    assert context.versions.find("s49999") is not None
+
+
+@given("as to versions, an entry that {read}")
+def step_read(context, read):
+    new_versions(context)
+    context.clock.advance(1.0)
+    listed = re.search(r"list of (v1(?: and v2)?)", read).group(1).split(" and ")
+    read_list(context, *listed)
+    if "in its place" in read:
+        context.versions.read_records({})
+        context.clock.advance(1.0)
+        read_list(context, "v2")
+        context.clock.advance(float(re.search(r"(\d+) s ago", read).group(1)))
+        read_list(context, "v2")
+        return
+    if seconds := re.search(r"v1 for (\d+) s", read):
+        for _ in range(int(seconds.group(1))):
+            context.clock.advance(1.0)
+            read_list(context, *listed)
+    if "records" in read or "none for" in read:
+        context.versions.read_records({SERVICE: ("v0",)} if "v0" in read else {})
+    if "none for 5 s" in read:
+        context.clock.advance(5.0)
+
+
+@then('the only version is "{version}"')
+def step_only(context, version):
+    expected = None if version == "none" else version
+    assert context.versions.only_version(SERVICE) == expected
+
+
+@given("the records of the versions of a service")
+def step_records(context):
+    context.records = VersionRecords()
+
+
+def due(context, *versions: str, is_first: bool, now_s: float):
+    mixed = {SERVICE: versions} if len(versions) > 1 else {}
+    return context.records.due(mixed, is_first=is_first, now_s=now_s)
+
+
+@then('the first entry writes "v1, v2" at once, and the others after 12 s')
+def step_writes(context):
+    first = due(context, "v1", "v2", is_first=True, now_s=0.0)
+    assert first.writes == {SERVICE: ("v1", "v2")}
+    assert not due(context, "v1", "v2", is_first=False, now_s=11.9).writes
+    assert due(context, "v1", "v2", is_first=False, now_s=12.0).writes
+
+
+@then("once that is read, nobody writes it again")
+def step_read_again(context):
+    context.records.read({SERVICE: ("v1", "v2")}, (), is_snapshot=False)
+    for is_first in (True, False):
+        assert not due(context, "v1", "v2", is_first=is_first, now_s=99.0).writes
+
+
+@then('the first entry adds "v3" at once')
+def step_adds(context):
+    added = due(context, "v1", "v2", "v3", is_first=True, now_s=100.0).writes
+    assert added == {SERVICE: ("v1", "v2", "v3")}
+    context.records.record_written(SERVICE, added[SERVICE])
+
+
+@then("it deletes the record once one version is left")
+def step_deletes(context):
+    assert due(context, "v3", is_first=True, now_s=200.0).deletions == [SERVICE]
+    context.records.record_deleted(SERVICE)
+    assert not due(context, "v3", is_first=True, now_s=201.0).deletions
+
+
+@then("a copy of the store without the record gets it again")
+def step_copy(context):
+    context.records.record_written(SERVICE, ("v3", "v4"))
+    context.records.read({}, (), is_snapshot=True)
+    assert due(context, "v3", "v4", is_first=True, now_s=300.0).writes
+
+
+@attrs.define(kw_only=True)
+class Peers:
+    """Other entries, which answer as they are sent something, or don't."""
+
+    names: list[str]
+    answering: set[str]
+    knowing: set[str] = attrs.field(factory=set)
+    told: set[str] = attrs.field(factory=set)
+    exchange: StreamExchange | None = None
+
+    def locations(self) -> dict[str, EntryLocation]:
+        return {
+            name: EntryLocation(address=f"tcp://{name}:1", data_centre=f"dc-{n % 2}")
+            for n, name in enumerate(self.names)
+        }
+
+    def receive(self, name: str, message) -> None:
+        sender = InstanceId(name=name, incarnation="1")
+        if isinstance(message, StreamsBegan):
+            self.told.add(name)
+            if name in self.answering:
+                reply = StreamsConfirmed(number=message.number)
+                self.exchange.receive(reply, sender)
+        elif isinstance(message, VersionsAsked) and name in self.answering:
+            rows = (ROW,) if name in self.knowing else ()
+            reply = VersionsTold(number=message.number, rows=rows)
+            self.exchange.receive(reply, sender)
+
+
+def start_exchange(context, peers: Peers) -> None:
+    new_versions(context, SystemClock())
+    # Two versions are listed, so that neither is the only one.
+    read_list(context, "v1", "v2")
+    context.peers = peers
+    peers.exchange = exchange_of(context, peers.locations(), peers.receive)
+
+
+@given("an entry with {others:d} other entries, of which {answering:d} confirm")
+def step_others(context, others, answering):
+    names = [f"entry-{n}" for n in range(others)]
+    start_exchange(context, Peers(names=names, answering=set(names[:answering])))
+
+
+@when("a stream begins while two versions serve")
+def step_begins(context):
+    began_s = time.monotonic()
+    context.result = context.peers.exchange.stream_began(*ROW)
+    context.took_s = time.monotonic() - began_s
+
+
+@then('{told:d} were told, and it is "{result}" within {s:g} s')
+def step_told(context, told, result, s):
+    assert len(context.peers.told) == told, context.peers.told
+    assert context.result.value == result, context.result
+    assert context.took_s < s, context.took_s
+
+
+@given(
+    "an entry with {others:d} other entries, of which {knowing:d} know the stream and "
+    "{silent:d} say nothing"
+)
+def step_knowing(context, others, knowing, silent):
+    names = [f"entry-{n}" for n in range(others)]
+    start_exchange(
+        context,
+        Peers(
+            names=names,
+            answering=set(names[: others - silent]),
+            knowing=set(names[:knowing]),
+        ),
+    )
+
+
+@when("the stream is taken up while two versions serve")
+def step_taken_up(context):
+    began_s = time.monotonic()
+    context.origin = context.peers.exchange.find_origin("first", SERVICE)
+    context.took_s = time.monotonic() - began_s
+
+
+@then('it goes on at "{version}" within {s:g} s')
+def step_goes_on_at(context, version, s):
+    found = "none" if context.origin is None else context.origin.version
+    assert found == version, context.origin
+    assert context.took_s < s, context.took_s
+
+
+def start_queue(context, accesses: dict[str, Access]) -> None:
+    context.decisions = {}
+    context.upstreams = {
+        each: attrs.evolve(upstream_of(f"u-{each}", version=each), slots=1)
+        for each in ("v1", "v2")
+    }
+    context.scheduler = Scheduler(
+        random=Random(1),
+        access=lambda upstream: accesses.get(upstream.version, Access.OPEN),
+        metrics=Metrics(),
+    )
+    context.scheduler.reconfigure(tuple(context.upstreams.values()), 0.0)
+    context.queue = context.scheduler.queue(SERVICE)
+
+
+def submit(context, name: str, version: str | None = None) -> None:
+    ticket = make_ticket(name, 0.0)
+    ticket.version = version
+    ticket.on_decision = lambda decision: context.decisions.update({name: decision})
+    context.queue.submit(ticket, 0.0)
+
+
+def sent_to(context, name: str) -> str:
+    decision = context.decisions.get(name)
+    return decision.upstream.version if isinstance(decision, Dispatch) else ""
+
+
+@given('a queue with a busy upstream of "{busy}" and an idle one of "{idle}"')
+def step_queue(context, busy, idle):
+    start_queue(context, {})
+    submit(context, "running", busy)
+    assert sent_to(context, "running") == busy
+
+
+@when('a stream of "{version}" waits, and a new request comes')
+def step_waits(context, version):
+    submit(context, "stream", version)
+    submit(context, "new")
+
+
+@then('the new request is sent to "{version}", and the stream waits')
+def step_sent(context, version):
+    assert sent_to(context, "new") == version, context.decisions
+    assert "stream" not in context.decisions
+
+
+@when('the upstream of "{version}" says that it leaves')
+def step_leaves(context, version):
+    leaving = attrs.evolve(context.upstreams[version], leaving=True)
+    context.upstreams[version] = leaving
+    context.scheduler.reconfigure(tuple(context.upstreams.values()), 0.1)
+    context.scheduler.tick(0.2)
+
+
+@then('the stream is refused as "{reason}"')
+def step_refused(context, reason):
+    decision = context.decisions["stream"]
+    assert isinstance(decision, Refuse), decision
+    assert decision.reason is Refusal(reason), decision
+
+
+@given('a queue with an idle, closed upstream of "{idle}" and a busy one of "{busy}"')
+def step_closed(context, idle, busy):
+    start_queue(context, {idle: Access.CLOSED})
+    submit(context, "running")
+    assert sent_to(context, "running") == busy
+
+
+@when('a stream of "{version}" is to go on')
+def step_to_go_on(context, version):
+    submit(context, "stream", version)
+
+
+@then('the stream goes to "{version}" without waiting')
+def step_at_once(context, version):
+    assert sent_to(context, "stream") == version, context.decisions
--- /dev/null
+++ b/features/stream_version_records.feature
@@ -0,0 +1,81 @@
+Feature: What an entry keeps, tells and records of the versions of streams
+  Without processes; the platform's store and the other entries are simulated.
+
+  Scenario: A stream is forgotten a minute after it was last told of
+    Guards against versions that are kept for ever, or lost while a stream still runs.
+    Given an entry that knows a stream of "v1"
+    Then it knows its version for 59 s and not for 61 s
+    Given an entry that knows a stream of "v1", whose events go on for 100 s
+    Then it has told its neighbours of it 5 times, and knows its version
+
+  Scenario: Very many streams begin
+    Guards against memory that grows with the number of streams.
+    Given an entry that knows a stream of "v1"
+    When 50000 other streams begin
+    Then it has forgotten the first one and knows the last
+
+  Scenario Outline: Only one version can have begun a stream
+    Guards against going on at the version that is listed, though another one served.
+    Given as to versions, an entry that <read>
+    Then the only version is "<version>"
+
+    Examples:
+      | read                                                              | version |
+      | has just started and read a list of v1                            | none    |
+      | has just started and read a list of v1, and the store's records   | v1      |
+      | has read a list of v1 for 61 s                                    | v1      |
+      | has read a list of v1 and v2, and the store's records             | none    |
+      | has read a list of v1, and the store's records with v0            | none    |
+      | has read a list of v1 for 61 s, and the store's records with v0   | v1      |
+      | has read a list of v1, and none for 5 s                           | none    |
+      | has read a list of v1, and of v2 in its place 59 s ago            | none    |
+      | has read a list of v1, and of v2 in its place 61 s ago            | v2      |
+
+  Scenario: Several versions are recorded in the store, until one is left
+    Guards against entries that start and know nothing, and against a record that stays.
+    Given the records of the versions of a service
+    Then the first entry writes "v1, v2" at once, and the others after 12 s
+    And once that is read, nobody writes it again
+    And the first entry adds "v3" at once
+    And it deletes the record once one version is left
+    And a copy of the store without the record gets it again
+
+  Scenario Outline: Others are told before the first event goes out
+    Guards against an event that goes out while only its entry knows the version.
+    Given an entry with <others> other entries, of which <answering> confirm
+    When a stream begins while two versions serve
+    Then <told> were told, and it is "<result>" within <s> s
+
+    Examples:
+      | others | answering | told | result      | s    |
+      | 0      | 0         | 0    | no_others   | 0.02 |
+      | 1      | 1         | 1    | confirmed   | 0.05 |
+      | 4      | 4         | 2    | confirmed   | 0.05 |
+      | 4      | 0         | 2    | unconfirmed | 0.2  |
+
+  Scenario Outline: An entry that doesn't know a stream asks
+    Guards against a refusal while another entry knows, and against a caller who waits.
+    Given an entry with 4 other entries, of which <knowing> know the stream and <silent> say nothing
+    When the stream is taken up while two versions serve
+    Then it goes on at "<version>" within <s> s
+
+    Examples:
+      | knowing | silent | version | s   |
+      | 1       | 0      | v1      | 0.1 |
+      | 1       | 3      | v1      | 0.1 |
+      | 0       | 0      | none    | 0.1 |
+      | 0       | 2      | none    | 0.8 |
+
+  Scenario: The last upstream of its version leaves while a stream waits
+    Guards against a request that waits for what can't come, or goes elsewhere.
+    Given a queue with a busy upstream of "v1" and an idle one of "v2"
+    When a stream of "v1" waits, and a new request comes
+    Then the new request is sent to "v2", and the stream waits
+    When the upstream of "v1" says that it leaves
+    Then the stream is refused as "version_gone"
+
+  Scenario: A roll-out gives the version no new requests
+    Guards against streams that are cut off by a roll-out.
+    Given a queue with an idle, closed upstream of "v1" and a busy one of "v2"
+    When a stream of "v1" is to go on
+    Then the stream goes to "v1" without waiting
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -441,6 +441,10 @@
             if upstream.upstream_id in pools:
                 pools[upstream.upstream_id].abort()
 
+    def upstreams_read(self, sent_s: float) -> None:
+        """Record that a read sent at `sent_s` has returned all upstreams."""
+        self.stream_versions.record_read(sent_s)
+
     def catalog_changed(self, catalog: Catalog) -> None:
         """Apply customers' limits and the services in use."""
         with self._lock:
--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -22,6 +22,9 @@
 TOLD_AGAIN_S = KEPT_S / 3.0
 # Streams kept at most; the oldest are forgotten first.
 STREAMS_MAX = 50_000
+# Age of the list of upstreams, in seconds, up to which it tells that no other version
+# serves: lists are read about once a second.
+LIST_AGE_MAX_S = 4.0
 
 StreamRow = tuple[str, str, str]
 """The attempt that brought a stream's first event, its service and its version."""
@@ -98,13 +101,20 @@
         self._unsent: list[StreamRow] = []
         self._listed: tuple[Upstream, ...] = ()
         self._versions = ListedVersions(now_s=clock.monotonic_s())
+        self._read_s = float("-inf")
 
     def update_listed(self, upstreams: tuple[Upstream, ...]) -> None:
         """Apply the platform's list of upstreams."""
         with self._lock:
+            # Those that went have been listed until now.
+            self._note_listed()
             self._listed = upstreams
             self._note_listed()
 
+    def record_read(self, sent_s: float) -> None:
+        """Record that a read sent at `sent_s` has returned all upstreams."""
+        self._read_s = max(self._read_s, sent_s)
+
     def read_records(self, records: Mapping[str, Iterable[str]]) -> None:
         """Apply what the store has of services with several versions, all of them."""
         with self._lock:
@@ -123,8 +133,12 @@
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams of a service, if there is only one."""
         with self._lock:
+            now_s = self._clock.monotonic_s()
+            if now_s >= self._read_s + LIST_AGE_MAX_S:
+                # Another version may have begun to serve meanwhile.
+                return None
             self._note_listed()
-            return self._versions.only_version(service, self._clock.monotonic_s())
+            return self._versions.only_version(service, now_s)
 
     def record(self, row: StreamRow) -> None:
         """Record a stream of this entry's own, to be told to its neighbours."""
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -21,7 +21,7 @@
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.platform import mixedversions, quarantines
 from lavenderspoke.platform.burstcredits import CreditWriter
-from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter
+from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter, part_of
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.rollouts import OrderTracker, StatusWriter
 from lavenderspoke.platform.settings import PlatformSettings
@@ -134,6 +134,7 @@
             metrics=entry.metrics,
             drain_s=settings.direct.bounds.drain_s,
             on_change=entry.dispatcher.upstreams_changed,
+            on_read=entry.dispatcher.upstreams_read,
         )
         self._entries = EntriesFeed(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -148,7 +149,7 @@
             on_credits_lost=entry.dispatcher.burst_credits_lost,
             facts=entry.dispatcher,
         )
-        self._fact_writers = _fact_writers(entry, settings, clock)
+        self._facts = _fact_writer(entry, settings, clock)
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -165,7 +166,7 @@
             ("upstreams", self._upstreams),
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
-            *self._fact_writers,
+            ("facts", self._facts),
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
@@ -180,11 +181,10 @@
         self._entries.leave()
 
 
-def _fact_writers(
-    entry: DirectEntry, settings: PlatformSettings, clock: Clock
-) -> list[tuple[str, Part]]:
-    """Return the parts that write the records beside those of the entries."""
+def _fact_writer(entry: DirectEntry, settings: PlatformSettings, clock: Clock) -> Part:
+    """Return the part that writes the records beside those of the entries."""
     dispatcher = entry.dispatcher
+    store = Store(address=settings.store, metrics=entry.metrics)
 
     def quarantines_due() -> DueRecords:
         writes, deletions = dispatcher.quarantines_due()
@@ -195,33 +195,29 @@
         changes = dispatcher.versions_due()
         return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
 
-    def writer(name: str, **options) -> tuple[str, Part]:
-        store = Store(address=settings.store, metrics=entry.metrics)
-        return (
-            name,
-            RecordWriter(
-                name=name, store=store, clock=clock, metrics=entry.metrics, **options
-            ).part,
-        )
-
-    return [
-        writer(
-            "quarantines",
+    writers = [
+        RecordWriter(
             prefix=quarantines.KEY_PREFIX,
+            store=store,
+            clock=clock,
+            metrics=entry.metrics,
             metric=QUARANTINES,
             due=quarantines_due,
             on_written=dispatcher.quarantine_written,
             on_deleted=dispatcher.quarantine_deleted,
         ),
-        writer(
-            "versions",
+        RecordWriter(
             prefix=mixedversions.KEY_PREFIX,
+            store=store,
+            clock=clock,
+            metrics=entry.metrics,
             metric=STREAM_VERSIONS,
             due=versions_due,
             on_written=dispatcher.versions_written,
             on_deleted=dispatcher.versions_deleted,
         ),
     ]
+    return part_of(writers)
 
 
 def run(path: str, listener: socket.socket | None) -> int:
--- a/lavenderspoke/platform/entryrecords.py
+++ b/lavenderspoke/platform/entryrecords.py
@@ -17,8 +17,9 @@
 from lavenderspoke.platform.store import Store
 
 TOPIC = "keyed.lavenderspoke-entries"
-# Time between two checks for records to write or delete, in seconds.
-PERIOD_S = 0.1
+# Time between two checks for records to write or delete, in seconds: they serve entries
+# that start later.
+PERIOD_S = 0.25
 # Pause after a failed call, in seconds.
 RETRY_PAUSE_S = 1.0
 
@@ -43,7 +44,6 @@
     def __init__(
         self,
         *,
-        name: str,
         prefix: str,
         store: Store,
         clock: Clock,
@@ -62,7 +62,6 @@
         self._on_written = on_written
         self._on_deleted = on_deleted
         self._paused_until_s = 0.0
-        self.part = Periodic(name=name, period_s=PERIOD_S, work=self.write_due)
 
     def write_due(self) -> None:
         """Write and delete the records that are due."""
@@ -89,3 +88,13 @@
             return False
         self._metrics.count(self._metric, done)
         return True
+
+
+def part_of(writers: list[RecordWriter]) -> Periodic:
+    """Return the part that writes and deletes the records of all kinds."""
+
+    def write_due() -> None:
+        for writer in writers:
+            writer.write_due()
+
+    return Periodic(name="facts", period_s=PERIOD_S, work=write_due)
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -210,7 +210,10 @@
 
 
 class UpstreamsFeed(Feed):
-    """Follows the upstreams' registrations."""
+    """Follows the upstreams' registrations.
+
+    `on_read(sent_s)` is called after each read that was applied, with its send time.
+    """
 
     topic = UPSTREAMS_TOPIC
 
@@ -223,8 +226,10 @@
         metrics: Metrics,
         drain_s: float,
         on_change: Callable[[tuple[Upstream, ...]], None],
+        on_read: Callable[[float], None] = lambda sent_s: None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
+        self._on_read = on_read
         self.stale_after_s = drain_s * UPSTREAMS_STALE_SHARE
         self.query_interval_s = drain_s * UPSTREAMS_QUERY_SHARE
         self._drain_s = drain_s
@@ -241,6 +246,7 @@
         else:
             self._registry.apply(batch.records, now_s)
         self._publish(now_s)
+        self._on_read(sent_s)
         return True
 
     def on_new_copy(self, *, is_announced: bool) -> None:
