Soak content that crashes upstreams, and streams taken up at upstreams of two versions

Each seed now sends content through all entries that ends the upstreams which run it; they come back under other ids, at the same or another address. Model upstreams are of two versions, and callers take up streams that broke off, at any entry. Checked: few crashes long after the third, nothing innocent refused, one version in a stream over all its attempts.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -29,6 +29,21 @@
       | a new version was unknown for too long    | versions       |
       | an upstream that leaves got a new request | drained        |
       | a stop cut a request off                  | graceful_stops |
+      | a stream has events of two versions       | one_version    |
+      | a stream was taken up at another version  | one_version    |
+      | an innocent request is refused as a crash | innocent_served |
+
+  Scenario Outline: Content that crashes upstreams long after it is known is noticed
+    Guards against a check that counts crashes at any time, or none.
+    Given a soak's record in which every promise is kept
+    When upstreams crash on content <when> s after the first
+    Then <checks> of the checks find a breach
+
+    Examples:
+      | when                       | checks |
+      | 1, 2, 4, 5.5, 6, 7 and 8   | 1      |
+      | 1, 2, 4, 4.5, 4.9, 7 and 8 | 0      |
+      | 1 and 9                    | 0      |
 
   Scenario Outline: A stream cut off while its upstream is at work is noticed
     Guards against a check that takes an upstream's silence for an excuse.
@@ -72,6 +87,10 @@
     Then each of the seeds 1 to 60 has upstreams without length or chunks
     And each of the seeds 1 to 60 has a store that goes back while it is written
 
+  Scenario: Schedules hold content that crashes upstreams
+    Guards against a soak in which no upstream crashes, or none comes back elsewhere.
+    Then each of the seeds 1 to 60 has content that crashes upstreams, at both addresses
+
   Scenario Outline: What an upstream says about itself is checked
     Guards against a check that passes whatever entries do with it.
     Given a soak's record in which every promise is kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Steps about the soak: its seeds, and what its checks notice."""
 
 import pathlib
+import re
 import tempfile
 
 import attrs
@@ -109,9 +110,58 @@
         case "a stop cut a request off":
             stop = Span(subject="entry-1", from_s=30.2, to_s=33.0)
             return [sent("more", at_s=30.0, answer=None)], [run("more", 30.1)], [stop]
+        case "a stream has events of two versions":
+            body = of_versions("v1", "v1", "v2", "v2", "v2")
+            return [answered(stream, body=body)], [run("more", 30.1)], []
+        case "a stream was taken up at another version":
+            late = attrs.evolve(stream, ended_s=stream.sent_s + stream.deadline_s)
+            cut = answered(late, body=of_versions("v1", "v1"), whole=False)
+            rest = of_versions("", "", "v2", "v2", "v2").partition(b"id: 2")[2]
+            again = sent("again", at_s=36.0, kind=KINDS["stream"])
+            again = attrs.evolve(again, resumes="more", after_event=1)
+            again = answered(again, body=b"id: 2" + rest)
+            return [cut, again], [run("more", 30.1), run("again", 36.1)], []
+        case "an innocent request is refused as a crash":
+            refused = answered(stream, status=503, body=b"crashes_upstreams")
+            return [refused], [], []
     raise AssertionError(change)
 
 
+def of_versions(*versions: str) -> bytes:
+    """Return a stream whose events name these software versions."""
+    return b"".join(
+        f"id: {n}\ndata: {f'piece {n} {each}'.rstrip()}\n\n".encode()
+        for n, each in enumerate(versions)
+    )
+
+
+@when("upstreams crash on content {when_s} s after the first")
+def step_crashes(context, when_s):
+    after_s = [float(each) for each in re.findall(r"[0-9.]+", when_s)]
+    crashes_s = tuple(10.0 + each for each in (0.0, *after_s))
+    context.record = attrs.evolve(context.record, crashes_s=crashes_s)
+
+
+@then("{count:d} of the checks find a breach")
+def step_count(context, count):
+    assert len(checks.breaches(context.record)) == count
+
+
+@then(
+    "each of the seeds {first:d} to {last:d} has content that crashes upstreams, at both "
+    "addresses"
+)
+def step_content(context, first, last):
+    actions = [
+        event.action
+        for seed in range(first, last + 1)
+        for event in schedule.draw(seed)
+        if isinstance(event.action, schedule.ContentCrashes)
+    ]
+    assert len(actions) == last + 1 - first
+    assert {each.same_address for each in actions} == {True, False}
+
+
 @when("it is changed: {change}")
 def step_change(context, change):
     record = context.record
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -92,6 +92,11 @@
     return soak.say_leaving(action.upstream)
 
 
+@begin.register(schedule.ContentCrashes)
+def _(action, soak):
+    return soak.crash(action.gap_s, same_address=action.same_address)
+
+
 @begin.register(schedule.VersionPublished)
 def _(action, soak):
     return soak.publish()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that send without a pause and remember what they saw."""
 
+import re
 import threading
 import time
 from collections.abc import Callable
@@ -22,6 +23,9 @@
 RECONNECT_EVERY = 25
 # Callers give up after this long, in milliseconds.
 DEADLINES_MS = (800, 3000, 5000)
+# Times that a caller takes up a stream that broke off.
+TAKEN_UP_MAX = 2
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.M)
 # Prompt and answer, as requests to model engines state them.
 TOKENS = "100,20"
 
@@ -51,7 +55,8 @@
     `answer` is None when no answer's head came, `connected` tells whether the
     entry can have read the request. `version` is that of the route
     that only one version of the configuration has, where the request used one.
-    `deadline_s` counts from when it was sent.
+    `deadline_s` counts from when it was sent. One that takes a stream up `resumes` the
+    attempt that brought its first event, after event number `after_event`.
     """
 
     attempt_id: str
@@ -65,6 +70,20 @@
     answer: Answer | None
     connected: bool
     version: int | None = None
+    resumes: str | None = None
+    after_event: int = -1
+
+    @property
+    def stream_id(self) -> str:
+        """The attempt that brought the first event of its stream."""
+        return self.resumes or self.attempt_id
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last whole event that its caller has, -1 for none."""
+        body = b"" if self.answer is None else self.answer.body
+        whole = body[: body.rfind(b"\n\n") + 1]
+        return max([self.after_event, *map(int, EVENT_ID.findall(whole))])
 
 
 class Callers:
@@ -109,7 +128,13 @@
             count += 1
             if count % RECONNECT_EVERY == 0:
                 http.clear()
-            self.sent.append(self._send(f"{number}-{count}", random, http))
+            sent = self._send(f"{number}-{count}", random, http)
+            self.sent.append(sent)
+            for again in range(TAKEN_UP_MAX):
+                if not _is_to_take_up(sent) or self._stopping.is_set():
+                    break
+                sent = self._take_up(f"{number}-{count}-{again}", sent, random)
+                self.sent.append(sent)
             self._stopping.wait(random.uniform(*PAUSE_S))
 
     def _send(self, name: str, random: Random, http: urllib3.PoolManager) -> Sent:
@@ -120,14 +145,55 @@
             kind, key = KINDS["look"], KEY
             version = max(1, self._newest_version() - random.choice((0, 0, 1)))
             path = version_path(version)
+        return self._attempt(
+            name, random, http, kind=kind, path=path, key=key, version=version
+        )
+
+    def _take_up(self, name: str, broken: Sent, random: Random) -> Sent:
+        """Go on with a stream that broke off, over a new connection."""
+        return self._attempt(
+            name,
+            random,
+            urllib3.PoolManager(retries=False),
+            kind=broken.kind,
+            path=broken.kind.path,
+            key=broken.key,
+            resumes=broken.stream_id,
+            after_event=broken.last_event,
+        )
+
+    def _attempt(
+        self,
+        name: str,
+        random: Random,
+        http: urllib3.PoolManager,
+        *,
+        kind: Kind,
+        path: str,
+        key: str,
+        **more,
+    ) -> Sent:
         attempt_id = f"soak-{self._seed}-{name}"
         entry = random.choice(ENTRIES)
         deadline_ms = random.choice(DEADLINES_MS)
+        headers = {"X-Attempt-Id": attempt_id, "X-Token-Usage": TOKENS}
+        if "resumes" in more:
+            headers["Resumes"] = more["resumes"]
+            headers["Last-Event-Id"] = str(more["after_event"])
         pid = self._platform.entries[entry].process.pid
         sent_s = time.monotonic()
         answer, connected = None, True
         try:
-            answer = self._answer(attempt_id, entry, kind, path, key, deadline_ms, http)
+            answer = self._platform.send(
+                entry,
+                f"{path}{more.get('resumes', attempt_id)}",
+                method=kind.method,
+                body=b"" if kind.method == "GET" else b"prompt",
+                key=key,
+                deadline_ms=deadline_ms,
+                headers=headers,
+                http=http,
+            )
         except NewConnectionError:
             connected = False
         except HTTPError:
@@ -144,20 +210,18 @@
             ended_s=time.monotonic(),
             answer=answer,
             connected=connected,
-            version=version,
+            **more,
         )
 
-    def _answer(self, attempt_id, entry, kind, path, key, deadline_ms, http) -> Answer:
-        return self._platform.send(
-            entry,
-            f"{path}{attempt_id}",
-            method=kind.method,
-            body=b"" if kind.method == "GET" else b"prompt",
-            key=key,
-            deadline_ms=deadline_ms,
-            headers={"X-Attempt-Id": attempt_id, "X-Token-Usage": TOKENS},
-            http=http,
-        )
+
+def _is_to_take_up(sent: Sent) -> bool:
+    """Return whether a stream broke off that may be taken up."""
+    return (
+        sent.kind.is_stream
+        and sent.kind.runs_max > 1
+        and sent.last_event >= 0
+        and (sent.answer is None or sent.answer.status != 200 or not sent.answer.whole)
+    )
 
 
 def version_path(version: int) -> str:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,11 +4,13 @@
 entries that nothing disturbed shortly before: a paused entry can't keep a bound.
 """
 
+import re
 from collections import defaultdict
 
 import attrs
 
 from soak.callers import REVOKED_KEY, Sent
+from soak.schedule import ENTRIES
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
@@ -29,6 +31,12 @@
 GRACE_S = 8.0
 GRACE_OWED = 5 / 6
 EVENTS = 5
+# The software version in an event, and a part of one at a cut.
+SOFTWARE = re.compile(rb"(?<=\d) v\d(?=\n)")
+SOFTWARE_CUT = re.compile(rb"(?<=\d) v?\d?\Z")
+# Crashes after which content is known for them, and how many more there may be later.
+CRASHES_KNOWN = 3
+LATE_CRASHES_MAX = 3
 # How long after a response that tells about its upstream its entry must go by it, in
 # seconds, and from when after a limit was first named the requests are checked.
 SIGNAL_EFFECT_S = 0.5
@@ -104,6 +112,7 @@
     silences: tuple[Span, ...]
     published: Published
     arrivals: tuple[Arrival, ...] = ()
+    crashes_s: tuple[float, ...] = ()
     leaving_said: tuple[Span, ...] = ()
 
     def calm(self, subjects: tuple[str, ...], from_s: float, to_s: float) -> bool:
@@ -188,13 +197,55 @@
         return False
     if sent.kind.is_stream:
         expected = b"".join(
-            b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(EVENTS)
+            b"id: %d\ndata: piece %d\n\n" % (n, n)
+            for n in range(sent.after_event + 1, EVENTS)
         )
     else:
         expected = f"answer to {sent.attempt_id}".encode()
+    body = SOFTWARE.sub(b"", answer.body)
     if answer.whole:
-        return answer.body == expected
-    return expected.startswith(answer.body)
+        return body == expected
+    # A part of a version may be left at a cut.
+    return expected.startswith(SOFTWARE_CUT.sub(b"", body))
+
+
+def one_version(record: Record) -> list[str]:
+    """A caller's stream has events of one software version, over all its attempts."""
+    versions = defaultdict(set)
+    for sent in record.sent:
+        if sent.kind.is_stream and sent.answer is not None:
+            versions[sent.stream_id].update(SOFTWARE.findall(sent.answer.body))
+    return [
+        f"{stream_id} has events of {sorted(found)}"
+        for stream_id, found in versions.items()
+        if len(found) > 1
+    ]
+
+
+def crashes_contained(record: Record) -> list[str]:
+    """Content that has crashed three upstreams reaches few more, after a while."""
+    crashes_s = sorted(record.crashes_s)
+    if len(crashes_s) <= CRASHES_KNOWN:
+        return []
+    known_s = crashes_s[CRASHES_KNOWN - 1]
+    late_s = [
+        each
+        for each in crashes_s
+        if each > known_s + CALM_AFTER_S
+        and record.calm(("store", *ENTRIES), known_s - CALM_AFTER_S, each)
+    ]
+    if len(late_s) <= LATE_CRASHES_MAX:
+        return []
+    return [f"{len(late_s)} upstreams crashed long after the third"]
+
+
+def innocent_served(record: Record) -> list[str]:
+    """Nothing is refused as crashing upstreams that never did."""
+    return [
+        f"{sent.attempt_id} was refused as crashing upstreams"
+        for sent in record.sent
+        if sent.answer is not None and b"crashes_upstreams" in sent.answer.body
+    ]
 
 
 def revoked_keys(record: Record) -> list[str]:
@@ -408,6 +459,9 @@
     run_counts,
     true_refusals,
     whole_answers,
+    one_version,
+    crashes_contained,
+    innocent_served,
     revoked_keys,
     versions,
     drained,
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,5 +1,6 @@
 """One seed: the processes, the schedule as it is played, and what was seen."""
 
+import contextlib
 import functools
 import heapq
 import itertools
@@ -7,11 +8,14 @@
 import pathlib
 import shutil
 import signal
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 
 import attrs
+import urllib3
 
 from soak import schedule
 from soak.actions import begin
@@ -33,7 +37,7 @@
     configuration,
     route,
 )
-from standins.processes import Link, NotReached, Stage, wait_until
+from standins.processes import Link, NotReached, Stage, StandIn, wait_until
 
 LOGS = pathlib.Path("out/soak")
 # Time after the last fault in which everything must serve again, in seconds.
@@ -56,6 +60,15 @@
 HEARTBEAT_S = 1.2
 # Events after which a crash cuts a stream within the next one.
 CRASH_AFTER_EVENTS = 2
+# Content that crashes model upstreams, the path on which it is sent, the time until
+# another upstream comes in place of one that has crashed, and until the record of that
+# lapses, in seconds.
+MARKER = "poison"
+CRASHING_PATH = "/stream-once/crashing"
+CRASHED_S = 0.7
+LAPSE_S = (0.0, 2.5)
+# The software versions of model upstreams.
+SOFTWARE = {"model-1": "v1", "model-2": "v1", "model-3": "v2"}
 # Added to the id of an upstream that has replaced another one.
 REPLACEMENT = "-2"
 HEALTHY = {
@@ -103,6 +116,10 @@
         self._stopping: dict[str, float] = {}
         self._killed: set[str] = set()
         self._ended: list[str] = []
+        self._crashed: set[str] = set()
+        self._crashes_s: list[float] = []
+        self._same_address = True
+        self._proxy: StandIn | None = None
         self._platform: PlatformDeployment | None = None
         self._callers: Callers | None = None
         # What is still to be done: time, a number that keeps the order, the work.
@@ -131,13 +148,15 @@
 
     def _start(self) -> None:
         platform = self._platform = PlatformDeployment(stage=self._stage)
-        proxy = self._stage.proxy()
+        proxy = self._proxy = self._stage.proxy()
         for name in UPSTREAMS:
             standin = platform.start_upstream(name)
             standin.set_faults(**HEALTHY)
+            if name in MODELS:
+                standin.set_faults(**self._model_faults(name))
             self._links[name] = self._stage.link(proxy, name, standin.address)
             platform.reached_at[name] = self._links[name].address
-            platform.register(name, "model" if name in MODELS else "desk")
+            self._register(name)
         self.publish()
         for name in ENTRIES:
             link = store_link(name)
@@ -176,6 +195,7 @@
             sent=tuple(self._callers.sent),
             runs=runs,
             arrivals=arrivals,
+            crashes_s=tuple(self._crashes_s),
             leaving_said=tuple(self._leaving_said),
             disturbed=tuple(self._disturbed),
             stops=tuple(self._stops),
@@ -207,6 +227,7 @@
     def _do_due(self, until_s: float, *, wait: Callable[[], bool]) -> None:
         while time.monotonic() < until_s and wait():
             self._reap()
+            self._reap_upstreams()
             if self._due and self._due[0][0] <= time.monotonic():
                 self._next_due()
             else:
@@ -360,7 +381,9 @@
 
     def _register_all(self) -> None:
         for name in UPSTREAMS:
-            self._register(name, state="draining" if self._leaves[name] else "ready")
+            if name not in self._crashed:
+                state = "draining" if self._leaves[name] else "ready"
+                self._register(name, state=state)
 
     def fail_link(self, name: str, faults: dict) -> Callable[[], None]:
         subject = name if name in UPSTREAMS else name.removeprefix("store-")
@@ -375,10 +398,10 @@
 
     def fail_upstream(self, name: str, faults: dict) -> Callable[[], None]:
         end = self._disturb(name)
-        self._platform.upstreams[name].set_faults(**faults)
+        self._set_faults(name, **faults)
 
         def undo() -> None:
-            self._platform.upstreams[name].set_faults(**HEALTHY)
+            self._set_faults(name, **HEALTHY)
             end()
 
         return undo
@@ -387,11 +410,10 @@
         """Have an upstream's answers end with their connections, some too early."""
         end = self._disturb(name) if crashes else lambda: None
         cut_after_events = CRASH_AFTER_EVENTS if crashes else -1
-        upstream = self._platform.upstreams[name]
-        upstream.set_faults(framing="connection", cut_after_events=cut_after_events)
+        self._set_faults(name, framing="connection", cut_after_events=cut_after_events)
 
         def undo() -> None:
-            upstream.set_faults(framing="", cut_after_events=-1)
+            self._set_faults(name, framing="", cut_after_events=-1)
             end()
 
         return undo
@@ -399,10 +421,10 @@
     def silence(self, name: str) -> Callable[[], None]:
         """Have an upstream hold its streams; it is at work, so nothing is disturbed."""
         from_s = time.monotonic()
-        self._platform.upstreams[name].set_faults(silent=True)
+        self._set_faults(name, silent=True)
 
         def undo() -> None:
-            self._platform.upstreams[name].set_faults(silent=False)
+            self._set_faults(name, silent=False)
             span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
             self._silences.append(span)
 
@@ -430,17 +452,23 @@
     def _register(self, name: str, *, state: str = "ready") -> None:
         service = "model" if name in MODELS else "desk"
         incarnation = self._incarnations.get(name, "")
-        self._platform.register(name, service, state=state, incarnation=incarnation)
+        self._platform.register(
+            name,
+            service,
+            state=state,
+            version=SOFTWARE.get(name, "v1"),
+            incarnation=incarnation,
+        )
 
     def name_limit(self, name: str, per_s: float) -> Callable[[], None]:
         """Have an upstream name a limit."""
-        self._platform.upstreams[name].set_faults(limit=str(per_s))
-        return lambda: self._platform.upstreams[name].set_faults(limit="")
+        self._set_faults(name, limit=str(per_s))
+        return lambda: self._set_faults(name, limit="")
 
     def ask_for_pause(self, name: str, pause_s: float) -> Callable[[], None]:
         """Have an upstream refuse all requests and ask for a pause."""
-        self._platform.upstreams[name].set_faults(retry_after=str(pause_s))
-        return lambda: self._platform.upstreams[name].set_faults(retry_after="")
+        self._set_faults(name, retry_after=str(pause_s))
+        return lambda: self._set_faults(name, retry_after="")
 
     def say_leaving(self, name: str) -> Callable[[], None]:
         """Have an upstream say that it leaves, and another one replace it in the end.
@@ -448,20 +476,86 @@
         The new one takes its address at once, so that some requests still name the old
         one.
         """
-        standin = self._platform.upstreams[name]
-        standin.set_faults(leaving=True)
+        self._set_faults(name, leaving=True)
         from_s = time.monotonic()
 
         def undo() -> None:
             span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
             self._leaving_said.append(span)
-            standin.set_faults(leaving=False, incarnation=REPLACEMENT)
-            self._platform.unregister(name)
-            self._incarnations[name] = REPLACEMENT
-            self._register(name, state="draining" if self._leaves[name] else "ready")
+            self._set_faults(name, leaving=False)
+            if self._platform.upstreams[name].process.alive():
+                self._replace(name)
 
         return undo
 
+    def crash(self, gap_s: float, *, same_address: bool) -> Callable[[], None]:
+        """Send content that crashes upstreams through all entries until the end."""
+        self._same_address = same_address
+        is_over = threading.Event()
+        random = Random(f"{self._seed}/content")
+
+        def send() -> None:
+            while not is_over.wait(gap_s):
+                with contextlib.suppress(urllib3.exceptions.HTTPError):
+                    self._platform.send(
+                        random.choice(ENTRIES), CRASHING_PATH, body=MARKER.encode()
+                    )
+
+        sender = threading.Thread(target=send, daemon=True)
+        sender.start()
+
+        def undo() -> None:
+            is_over.set()
+            sender.join()
+
+        return undo
+
+    def _reap_upstreams(self) -> None:
+        """Note the upstreams that have crashed, and start others in their place."""
+        for name in MODELS:
+            if name in self._crashed or self._platform.upstreams[name].process.alive():
+                continue
+            self._crashed.add(name)
+            self._crashes_s.append(time.monotonic())
+            end = self._disturb(name)
+            again = functools.partial(self._start_instead, name, end)
+            self._at(time.monotonic() + CRASHED_S, again)
+
+    def _start_instead(self, name: str, end: Callable[[], None]) -> None:
+        """Start an upstream under another id in place of one that has crashed."""
+        before = self._platform.upstreams[name]
+        port = before.port if self._same_address else None
+        standin = self._platform.start_upstream(name, port=port)
+        standin.set_faults(**HEALTHY, **self._model_faults(name))
+        if not self._same_address:
+            link = self._stage.link(
+                self._proxy, f"{name}{standin.port}", standin.address
+            )
+            self._links[name] = link
+            self._platform.reached_at[name] = link.address
+        self._replace(name)
+        self._crashed.remove(name)
+        end()
+
+    def _replace(self, name: str) -> None:
+        """Register an upstream under another id; the record before lapses."""
+        before = name + self._incarnations.get(name, "")
+        self._incarnations[name] = self._incarnations.get(name, "") + REPLACEMENT
+        self._set_faults(name, incarnation=self._incarnations[name])
+        self._register(name, state="draining" if self._leaves[name] else "ready")
+        lapse = functools.partial(self._platform.unregister, before)
+        self._at(time.monotonic() + Random(before).uniform(*LAPSE_S), lapse)
+
+    def _set_faults(self, name: str, **faults) -> None:
+        """Set faults of an upstream, unless it has crashed and isn't back yet."""
+        if self._platform.upstreams[name].process.alive():
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                self._platform.upstreams[name].set_faults(**faults)
+
+    @staticmethod
+    def _model_faults(name: str) -> dict:
+        return {"software": SOFTWARE[name], "crash_marker": MARKER}
+
     def revoke(self) -> None:
         self._keys.remove(REVOKED_KEY)
         self.publish()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -52,6 +52,12 @@
 AWAY_S = (0.1, 1.0)
 AGAIN_S = (0.0, 1.0)
 
+# When content that crashes the upstreams that run it is sent again and again, for how
+# long, and the time between two times, in seconds.
+CRASHES_AT_S = (0.5, FAULTS_S * 0.5)
+CRASHES_LENGTH_S = (5.0, 7.0)
+CRASHES_GAP_S = (0.2, 0.8)
+
 STORE_MODES = ("down", "reset", "silent", "lose")
 LINK_FAULTS = {
     "delayed": {"to_target": {"delay_ms": 300.0}, "to_client": {"delay_ms": 300.0}},
@@ -184,6 +190,17 @@
     upstream: str
 
 
+@attrs.frozen(kw_only=True)
+class ContentCrashes:
+    """Content that crashes upstreams is sent again and again, at all entries.
+
+    The upstreams come back under other ids, at their addresses if `same_address`.
+    """
+
+    gap_s: float
+    same_address: bool
+
+
 @attrs.frozen(kw_only=True)
 class VersionPublished:
     """The operator publishes a version with a route of its own."""
@@ -210,6 +227,7 @@
     | LimitNamed
     | PauseAsked
     | LeavingSaid
+    | ContentCrashes
     | VersionPublished
     | KeyRevoked
 )
@@ -298,6 +316,7 @@
         *_signals(Random(f"{seed}/signals")),
         *_framings(Random(f"{seed}/framings")),
         _going_back(Random(f"{seed}/copies")),
+        _crashes(Random(f"{seed}/crashes")),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
@@ -367,6 +386,18 @@
     )
 
 
+def _crashes(random: Random) -> Event:
+    """Return when content is sent that crashes upstreams."""
+    return Event(
+        at_s=round(random.uniform(*CRASHES_AT_S), 2),
+        length_s=round(random.uniform(*CRASHES_LENGTH_S), 2),
+        action=ContentCrashes(
+            gap_s=round(random.uniform(*CRASHES_GAP_S), 2),
+            same_address=random.choice((True, False)),
+        ),
+    )
+
+
 def _stops(silence: Event, random: Random) -> list[Event]:
     """Return stops of entries in a series, of which some overlap the silence."""
     at_s = silence.at_s + random.uniform(-STOP_BEFORE_S, silence.length_s / 3)
