--- a/features/explain.feature
+++ b/features/explain.feature
@@ -53,6 +53,15 @@
     And the explanation contains "content quarantined: content=c0ffee, upstreams=['model-1', 'model-2']"
     And the explanation omits ends in which it didn't run
 
+  Scenario: A stream is refused, since the version that began it is gone
+    Guards against a refusal whose stream began at another entry, under another id.
+    Given log files of a stream that began at one entry and was refused at another
+    When its id is explained from them
+    Then the explanation contains "No upstream of the version that began its stream is left"
+    And the explanation contains "request=r0"
+    And the explanation contains "versions={'model-1': 'v1'}"
+    And the explanation contains "versions of a service listed lately: service=model, versions=['v1', 'v2']"
+
   Scenario: Lines are truncated, from other programs or out of order
     A log collector truncated a line, put names before others, and changed the order.
     Given log files with truncated, unrelated and reordered lines about one request
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -142,6 +142,22 @@
         context.files.append(str(path))
 
 
+@given("log files of a stream that began at one entry and was refused at another")
+def step_version_gone(context):
+    began = record(
+        1, "request", "entry-2", request="r0", versions={"model-1": "v1"}, status=200
+    )
+    refused = [
+        record(2, signals.VERSIONS_LISTED, service="model", versions=["v1", "v2"]),
+        record(3, "request", request="r1", resumes="r0", outcome="stream_version_gone"),
+    ]
+    context.files = []
+    for name, lines in (("entry-1", refused), ("entry-2", [began])):
+        path = stage_of(context).directory / f"{name}.log"
+        path.write_text("\n".join(lines) + "\n")
+        context.files.append(str(path))
+
+
 @then("the explanation omits ends in which it didn't run")
 def step_omits_ends(context):
     assert "model-9" not in context.done.stdout, context.done.stdout
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -148,8 +148,8 @@
 
 
 @then(
-    "each of the seeds {first:d} to {last:d} has content that crashes upstreams, at both "
-    "addresses"
+    "each of the seeds {first:d} to {last:d} has content that crashes upstreams, at "
+    "both addresses"
 )
 def step_content(context, first, last):
     actions = [
--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -10,9 +10,11 @@
 from collections.abc import Iterable, Mapping
 
 import attrs
+import logbook
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.observing import signals
 
 # Time for which a stream's version is kept after it was last told of, in seconds: well
 # above the time in which callers take a stream up again. A longer stream is told of
@@ -26,6 +28,8 @@
 # serves: lists are read about once a second.
 LIST_AGE_MAX_S = 4.0
 
+log = logbook.Logger(__name__)
+
 StreamRow = tuple[str, str, str]
 """The attempt that brought a stream's first event, its service and its version."""
 
@@ -102,6 +106,7 @@
         self._listed: tuple[Upstream, ...] = ()
         self._versions = ListedVersions(now_s=clock.monotonic_s())
         self._read_s = float("-inf")
+        self._logged: dict[str, tuple[str, ...]] = {}
 
     def update_listed(self, upstreams: tuple[Upstream, ...]) -> None:
         """Apply the platform's list of upstreams."""
@@ -110,6 +115,7 @@
             self._note_listed()
             self._listed = upstreams
             self._note_listed()
+            self._log_changes()
 
     def record_read(self, sent_s: float) -> None:
         """Record that a read sent at `sent_s` has returned all upstreams."""
@@ -178,6 +184,15 @@
         listed = {(each.service, each.version) for each in self._listed}
         self._versions.update(listed, self._clock.monotonic_s())
 
+    def _log_changes(self) -> None:
+        """Log the services that have got or lost a version."""
+        now_s, versions = self._clock.monotonic_s(), self._versions
+        recent = {each: versions.recent(each, now_s) for each in versions.services()}
+        for service, each in recent.items():
+            if each != self._logged.get(service):
+                log.info(signals.VERSIONS_LISTED, service=service, versions=each)
+        self._logged = recent
+
     def _put(self, row: StreamRow) -> None:
         attempt_id, service, version = row
         now_s = self._clock.monotonic_s()
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -157,8 +157,8 @@
         around = _last_spillover_lines(earlier) + around
     around = _last_store_lines(earlier) + around
     around += [each for each in before if each.at_s >= since_s]
-    about_content = _content_lines(logs.lines, line)
-    around = [each for each in about_content if each not in around] + around
+    elsewhere = [*_content_lines(logs.lines, line), *_stream_lines(logs.lines, line)]
+    around = [each for each in elsewhere if each not in around] + around
     outcome = str(line.fields.get("outcome"))
     meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
     if booking := line.fields.get("booking"):
@@ -210,6 +210,19 @@
     return about[-CONTENT_LINES_MAX:]
 
 
+def _stream_lines(lines: Iterable[LogLine], of: LogLine) -> list[LogLine]:
+    """Return the requests of the other attempts at the same stream, of any process."""
+    attempt_id = of.fields.get("request")
+    first_id = of.fields.get("resumes") or attempt_id
+    return [
+        each
+        for each in lines
+        if each.message == REQUEST_MESSAGE
+        and each.fields.get("request") != attempt_id
+        and first_id in (each.fields.get("request"), each.fields.get("resumes"))
+    ]
+
+
 def _last_share_line(lines: list[LogLine], customer: str | None) -> list[LogLine]:
     """Return the last line about whether a customer is limited by its share."""
     about = [
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -19,6 +19,7 @@
 QUARANTINED = "content quarantined"
 QUARANTINE_ENDED = "content no longer quarantined"
 QUARANTINE_READ = "content quarantined by another entry"
+VERSIONS_LISTED = "versions of a service listed lately"
 LEAVING_REASON = "it says that it leaves"
 
 log = logbook.Logger(__name__)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -190,6 +190,7 @@
             request.http.write(body[:-3])
             self._cut(request)
         request.http.write(body)
+        server.set_reset_on_exit(request, False)
         run.end = "whole"
 
     def _stream(self, request: Request, run: _Run) -> None:
@@ -213,9 +214,11 @@
             if after < 0 and number == faults.cut_after_events:
                 request.http.write(event[:-4])
                 if faults.ends_properly:
+                    server.set_reset_on_exit(request, False)
                     return
                 self._cut(request)
             request.http.write(event)
+        server.set_reset_on_exit(request, False)
         run.end = "whole"
 
     def _stream_bytes(self, numbers: range, after: int) -> int:
@@ -240,6 +243,7 @@
 
     def _cut(self, request: Request) -> None:
         """End the connection in the middle of an answer."""
+        server.set_reset_on_exit(request, False)
         if self._faults.now.resets:
             server.reset(request)
         raise Cut
@@ -274,6 +278,8 @@
         elif framing == "connection":
             # The server adds no chunks to an answer for HTTP/1.0, and closes after it.
             http.response_protocol = "HTTP/1.0"
+            if self._faults.now.crash_marker:
+                server.set_reset_on_exit(request, True)
         http.ensure_headers_sent()
 
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -15,6 +15,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import threading
 
 import attrs
@@ -25,6 +27,8 @@
 READ_BYTES = 64 * 1024
 QUEUED_MAX = 4096
 CONTROL_TIMEOUT_S = 10
+# Has a socket reset its connection when it is closed.
+RESET_LINGER = struct.pack("ii", 1, 0)
 
 
 @attrs.define(kw_only=True)
@@ -45,6 +49,14 @@
 
     def cut(self) -> None:
         """End both sides with a reset, so that neither takes it for an end."""
+        for writer in self.writers:
+            raw = writer.get_extra_info("socket")
+            if raw is not None and raw.fileno() >= 0:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        self.close()
+
+    def close(self) -> None:
+        """Close both sides, whose bytes have all been passed on."""
         for writer in self.writers:
             writer.transport.abort()
 
@@ -131,7 +143,7 @@
         ]
         await asyncio.gather(*pumps, return_exceptions=True)
         self._connections.discard(connection)
-        connection.cut()
+        connection.close()
 
     async def _pump(self, name, connection, reader, writer) -> None:
         """Move one direction's bytes until its end, or cut both on an error."""
--- a/standins/server.py
+++ b/standins/server.py
@@ -105,6 +105,15 @@
         os.dup2(unconnected.fileno(), raw.fileno())
 
 
+def set_reset_on_exit(request: Request, is_reset: bool) -> None:
+    """Have the connection reset, or not, if the process exits or closes it.
+
+    The end of an answer that ends with its connection would otherwise look whole.
+    """
+    linger = struct.pack("ii", is_reset, 0)
+    request.http.conn.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def caller_gone(request: Request) -> bool:
     """Return whether the caller has closed its side."""
     raw = request.http.conn.socket
