Keep a withdrawn crash as excused, and an upstream that is listed again as alive

An entry to which an upstream answered after all forgot its crash, and the others, whose states showed the difference, told it again every half second; one whose record came back after an outage of the list counted as leaving, so that its real crash would have counted for nothing. Found by reading. Excuses now spread like evidence, and a new record ends what was believed of an end. What arrives within a quarter of a second was on its way, and excuses nothing.

--- a/features/crash_evidence.feature
+++ b/features/crash_evidence.feature
@@ -105,6 +105,24 @@
       | crashes together with the culprit of each, by another entry, at  |
       | is answered again after each crash of                            |
 
+  Scenario: An upstream that was taken for crashed answers again, at one entry
+    Guards against evidence that its entries tell each other again and again.
+    Given 3 entries and 6 upstreams
+    When "innocent" breaks off at u1 and u2, and another entry is told that they ended
+    And both answer another request at entry-2, 1 s later
+    Then no entry of the fleet refuses "innocent"
+    And 5 s later no entry of the fleet refuses "innocent"
+
+  Scenario: A dropped upstream is listed again
+    Guards against an outage of the list that is taken for crashes.
+    Given 3 entries and 6 upstreams
+    When "innocent" ends as "silent" at u1 through entry-0, and the list drops it
+    And "innocent" ends as "silent" at u2 through entry-0, and the list drops it
+    And both are listed again
+    Then no entry of the fleet refuses "innocent"
+    When in turn, "culprit" crashes u1 and u2
+    Then every entry refuses "culprit"
+
   Scenario: Two upstreams lose power while a stream is moved from one to the other
     Guards against refusing content that met two of several ends at once.
     Given 3 entries and 6 upstreams
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -346,6 +346,37 @@
 }
 
 
+@when('"{content}" breaks off at u1 and u2, and another entry is told that they ended')
+def step_mistaken(context, content):
+    for name in ("u1", "u2"):
+        run_attempt(context, "entry-0", content, name, "broken")
+        entry = context.fleet.entries["entry-1"]
+        entry.dispatcher.connection_refused(context.upstreams[name])
+    context.fleet.run(TOLD_S)
+
+
+@when("both answer another request at {entry}, 1 s later")
+def step_answer_again(context, entry):
+    context.fleet.run(1.0)
+    for name in ("u1", "u2"):
+        run_attempt(context, entry, f"other-{name}", name, "answered")
+    context.fleet.run(TOLD_S)
+
+
+@when("both are listed again")
+def step_listed_again(context):
+    for name in ("u1", "u2"):
+        context.upstreams[name] = upstream_at(name)
+    list_upstreams(context)
+    context.fleet.run(4.0)
+
+
+@then('5 s later no entry of the fleet refuses "{content}"')
+def step_still_not_refused(context, content):
+    context.fleet.run(5.0)
+    step_not_refused(context, content)
+
+
 @when('u1, u2 and u3 end at once, and "{content}" breaks off at u1 and u2')
 def step_outage(context, content):
     for name in ("u1", "u2"):
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -27,9 +27,9 @@
 # A request that its caller or its deadline ended was still being worked on if its
 # upstream had sent something within this time before, in seconds.
 AT_WORK_S = 1.0
-# Time after an end is noticed in which data that was on its way may still arrive, in
-# seconds.
-IN_FLIGHT_S = 0.3
+# Time after an end, or after an answer broke off, in which data that was on its way may
+# still arrive, in seconds.
+IN_FLIGHT_S = 0.25
 # Least number of crashed upstreams for which content that ran there is refused: one may
 # be chance.
 CRASHED_UPSTREAMS_MIN = 2
@@ -81,6 +81,7 @@
         self._unanswered: dict[str, list[_Unanswered]] = {}
         self._alive_s: dict[str, float] = {}
         self._ends: OrderedDict[str, _End] = OrderedDict()
+        self._corrections: list[CrashEvidence] = []
 
     def record_broken_answer(
         self, upstream: Upstream, fingerprint: str, now_s: float
@@ -110,16 +111,36 @@
 
     def record_alive(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream has sent something."""
-        self._alive_s[upstream_id] = now_s
         end = self._ends.get(upstream_id)
-        if end is None or end.sign is EndSign.PLANNED or now_s < end.at_s + IN_FLIGHT_S:
+        if end is None:
+            self._alive_s[upstream_id] = now_s
+            return
+        if end.sign is EndSign.PLANNED or now_s < end.at_s + IN_FLIGHT_S:
             return
+        self._alive_s[upstream_id] = now_s
         if end.sign is EndSign.DROPPED:
             # It leaves without having said so, and serves for some time still.
             self._ends[upstream_id] = _End(sign=EndSign.PLANNED, at_s=now_s)
         else:
             del self._ends[upstream_id]
-        self.history.withdraw_crash(upstream_id, now_s)
+        self._withdraw(upstream_id, now_s)
+
+    def record_listed(self, upstream_id: str, now_s: float) -> None:
+        """Record that an upstream has come to the platform's list, perhaps again."""
+        end = self._ends.pop(upstream_id, None)
+        if end is not None and end.sign is not EndSign.PLANNED:
+            self._withdraw(upstream_id, now_s)
+
+    def take_corrections(self) -> list[CrashEvidence]:
+        """Return the crashes that were withdrawn since the last call."""
+        corrections, self._corrections = self._corrections, []
+        return corrections
+
+    def _withdraw(self, upstream_id: str, now_s: float) -> None:
+        if self.history.withdraw_crash(upstream_id, now_s):
+            correction = self.history.evidence(upstream_id, now_s)
+            if correction is not None:
+                self._corrections.append(correction)
 
     def record_leaving(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream says that it leaves."""
@@ -228,7 +249,7 @@
         running = {
             each.fingerprint
             for each in self._unanswered.get(upstream_id, ())
-            if _is_recent(each, now_s) and each.at_s >= alive_s
+            if _is_recent(each, now_s) and each.at_s >= alive_s - IN_FLIGHT_S
         }
         return tuple(sorted(running))
 
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -607,9 +607,8 @@
             is_first = self._name < min(self._peers.live_names(now_s), default="~")
             return self._version_records.due(mixed, is_first=is_first, now_s=now_s)
 
-    def versions_written(self, service: str) -> None:
+    def versions_written(self, service: str, versions: tuple[str, ...]) -> None:
         """Record that the store has the versions of a service."""
-        versions = self.stream_versions.mixed_services().get(service, ())
         with self._lock:
             self._version_records.record_written(service, versions)
 
@@ -658,6 +657,7 @@
         with self._lock:
             now_s = self._now_s()
             self._update_shares(now_s)
+            self._upstream_monitor.tick(now_s)
             self._refuse_quarantined()
             self._peers.drop_stale(now_s)
             if self._pace is not None:
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -77,7 +77,7 @@
         self._unreached_reports.retain(set(listed))
         self._failing_reports.retain(set(listed))
         for each in came:
-            self.crashes.record_alive(each.upstream_id, now_s)
+            self.crashes.record_listed(each.upstream_id, now_s)
         taken = {(each.host, each.port) for each in came}
         replaced = [
             each
@@ -163,6 +163,10 @@
             _log_end(evidence, sign=EndSign.TOLD.value)
         self._note_quarantines(now_s)
 
+    def tick(self, now_s: float) -> None:
+        """Notice quarantines that are over, or were lifted."""
+        self._note_quarantines(now_s)
+
     def digest(self, now_s: float) -> int:
         """Return a number that differs if another entry knows other crashes."""
         history = self.crashes.history
@@ -192,7 +196,8 @@
 
     def take_evidence(self) -> list[CrashEvidence]:
         """Return the crashes that haven't been sent to the others, and clear them."""
-        evidence, self._evidence = self._evidence, []
+        evidence = [*self._evidence, *self.crashes.take_corrections()]
+        self._evidence.clear()
         return evidence
 
     def apply_recorded(self, changes: QuarantineChanges, now_s: float) -> None:
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -203,7 +203,7 @@
             metrics=entry.metrics,
             metric=QUARANTINES,
             due=quarantines_due,
-            on_written=dispatcher.quarantine_written,
+            on_written=lambda name, value: dispatcher.quarantine_written(name),
             on_deleted=dispatcher.quarantine_deleted,
         ),
         RecordWriter(
--- a/lavenderspoke/platform/entryrecords.py
+++ b/lavenderspoke/platform/entryrecords.py
@@ -37,8 +37,9 @@
 class RecordWriter:
     """Writes and deletes the records of one prefix as an entry decides.
 
-    `due()` returns the records that are due, `on_written` and `on_deleted` are called
-    with the name of each that the store has taken. They are counted in `metric`.
+    `due()` returns the records that are due. `on_written` is called with the name and
+    value of each that the store has taken, `on_deleted` with the name of each that it
+    has deleted. They are counted in `metric`.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         metrics: Metrics,
         metric: str,
         due: Callable[[], DueRecords],
-        on_written: Callable[[str], None],
+        on_written: Callable[[str, object], None],
         on_deleted: Callable[[str], None],
     ):
         self._prefix = prefix
@@ -70,7 +71,7 @@
         due = self._due()
         for name, value in due.writes.items():
             if self._append(name, json.dumps(value).encode(), "written"):
-                self._on_written(name)
+                self._on_written(name, value)
         for name in due.deletions:
             if self._append(name, None, "deleted"):
                 self._on_deleted(name)
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -160,12 +160,19 @@
             self._prove(set(), {fingerprint}, now_s)
         return excused
 
-    def withdraw_crash(self, crash_id: str, now_s: float) -> None:
-        """Forget a crash: its upstream has shown that it didn't end."""
-        crash = self._crashes.pop(crash_id, None)
-        if crash is not None:
-            self.revision += 1
-            self._prove(set(), crash.fingerprints, now_s)
+    def withdraw_crash(self, crash_id: str, now_s: float) -> bool:
+        """Excuse all content from a crash: its upstream has shown that it didn't end.
+
+        Returns whether any was suspected. The crash stays known, since others may tell
+        of it again.
+        """
+        crash = self._crashes.get(crash_id)
+        if crash is None or not crash.suspects:
+            return False
+        self.revision += 1
+        crash.answered |= crash.fingerprints
+        self._prove(set(), crash.fingerprints, now_s)
+        return True
 
     def apply_quarantine(self, message: Quarantined, now_s: float) -> None:
         """Apply a quarantine that another daemon announced."""
