--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -34,7 +34,6 @@
 from lavenderspoke.direct.messages import PassedOn, SharedState
 from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
-from lavenderspoke.direct.quarantinerecords import QuarantineRecords
 from lavenderspoke.direct.quota import SharedQuota
 from lavenderspoke.direct.refusals import QUARANTINED_DETAIL, not_run
 from lavenderspoke.direct.rolling import Rollouts, StatusUpdate
@@ -44,12 +43,12 @@
 from lavenderspoke.direct.shareweights import share_weights
 from lavenderspoke.direct.sharing import EntryLocation, Peers, Resubmissions
 from lavenderspoke.direct.spillovers import Spillovers
+from lavenderspoke.direct.storedfacts import StoredFacts
 from lavenderspoke.direct.streamexchange import StreamExchange, StreamOrigin
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.tickets import Rank, Ticket
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.direct.verdicts import UpstreamMonitor
-from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
 from lavenderspoke.direct.waitpolicy import RETRY_AFTER_MAX_SHARE, RETRY_AFTER_MIN_S
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import InstanceId, Ran
@@ -157,8 +156,6 @@
             metrics=metrics,
         )
         self._crash_sync = CrashSync()
-        self._quarantine_records = QuarantineRecords()
-        self._version_records = VersionRecords()
         self._scheduler = Scheduler(
             random=random,
             backpressure=self._backpressure,
@@ -181,6 +178,14 @@
         self._upstream_monitor = UpstreamMonitor(
             scheduler=self._scheduler, metrics=metrics
         )
+        self.facts = StoredFacts(
+            name=name,
+            monitor=self._upstream_monitor,
+            stream_versions=self.stream_versions,
+            live_peer_names=self.live_peer_names,
+            clock=clock,
+            lock=self._lock,
+        )
 
     # Arrival
 
@@ -545,78 +550,6 @@
         with self._lock:
             self._burst_credits.record_deleted(customer)
 
-    # Quarantines
-
-    def quarantines_read(
-        self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
-    ) -> None:
-        """Apply the quarantines that the store holds, of all entries."""
-        with self._lock:
-            now_s = self._now_s()
-            changes = self._quarantine_records.read(
-                present, deleted, is_snapshot=is_snapshot
-            )
-            self._upstream_monitor.apply_recorded(changes, now_s)
-
-    def quarantine_records_lost(self) -> None:
-        """Write records again: the store has come back from an older copy."""
-        with self._lock:
-            self._quarantine_records.on_records_lost()
-
-    def quarantines_due(self) -> tuple[dict[str, tuple[str, ...]], list[str]]:
-        """Return the records to write, with the crashed upstreams, and to delete."""
-        with self._lock:
-            now_s, records = self._now_s(), self._quarantine_records
-            history = self._upstream_monitor.crashes.history
-            writes = records.writes_due(history.proved(now_s), now_s)
-            return (
-                {each: history.upstreams_of(each) for each in writes},
-                records.deletions_due(history.quarantined(now_s)),
-            )
-
-    def quarantine_written(self, fingerprint: str) -> None:
-        """Record that the store has a quarantine."""
-        with self._lock:
-            self._quarantine_records.record_written(fingerprint)
-
-    def quarantine_deleted(self, fingerprint: str) -> None:
-        """Record that the store no longer has a quarantine."""
-        with self._lock:
-            self._quarantine_records.record_deleted(fingerprint)
-
-    # Versions of streams
-
-    def versions_read(
-        self,
-        present: dict[str, tuple[str, ...]],
-        deleted: tuple[str, ...],
-        *,
-        is_snapshot: bool,
-    ) -> None:
-        """Apply the services with several versions that the store holds."""
-        with self._lock:
-            self._version_records.read(present, deleted, is_snapshot=is_snapshot)
-        if is_snapshot:
-            self.stream_versions.read_records(present)
-
-    def versions_due(self) -> VersionChanges:
-        """Return the records of services with several versions to write or delete."""
-        mixed = self.stream_versions.mixed_services()
-        with self._lock:
-            now_s = self._now_s()
-            is_first = self._name < min(self._peers.live_names(now_s), default="~")
-            return self._version_records.due(mixed, is_first=is_first, now_s=now_s)
-
-    def versions_written(self, service: str, versions: tuple[str, ...]) -> None:
-        """Record that the store has the versions of a service."""
-        with self._lock:
-            self._version_records.record_written(service, versions)
-
-    def versions_deleted(self, service: str) -> None:
-        """Record that the store no longer has the versions of a service."""
-        with self._lock:
-            self._version_records.record_deleted(service)
-
     # Peers
 
     def peers_listed(self, entries: dict[str, EntryLocation]) -> None:
@@ -678,7 +611,7 @@
             now_s, crashes = self._now_s(), self._upstream_monitor.crashes
             for each in fingerprints & crashes.history.proved(now_s):
                 is_own = crashes.ran_here(each)
-                self._quarantine_records.note_proved(each, is_own=is_own, now_s=now_s)
+                self.facts.note_proved(each, is_own=is_own, now_s=now_s)
             for queue in self._scheduler.queues().values():
                 queue.refuse_quarantined(fingerprints)
 
--- /dev/null
+++ b/lavenderspoke/direct/storedfacts.py
@@ -0,0 +1,111 @@
+"""What an entry records in the platform's store for entries that start later.
+
+These are the quarantines of content, and the services of which several versions serve.
+"""
+
+import threading
+from collections.abc import Callable
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.quarantinerecords import QuarantineRecords
+from lavenderspoke.direct.streamversions import StreamVersions
+from lavenderspoke.direct.verdicts import UpstreamMonitor
+from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
+
+
+class StoredFacts:
+    """Decides on these records, and applies those of other entries; thread-safe.
+
+    `lock` is the dispatcher's, which also guards the `monitor`.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        monitor: UpstreamMonitor,
+        stream_versions: StreamVersions,
+        live_peer_names: Callable[[], list[str]],
+        clock: Clock,
+        lock: threading.RLock,
+    ):
+        self._name = name
+        self._monitor = monitor
+        self._stream_versions = stream_versions
+        self._live_peer_names = live_peer_names
+        self._clock = clock
+        self._lock = lock
+        self._quarantines = QuarantineRecords()
+        self._versions = VersionRecords()
+
+    # Quarantines
+
+    def note_proved(self, fingerprint: str, *, is_own: bool, now_s: float) -> None:
+        """Record that content is quarantined by evidence, part of it `is_own`."""
+        self._quarantines.note_proved(fingerprint, is_own=is_own, now_s=now_s)
+
+    def quarantines_read(
+        self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
+    ) -> None:
+        """Apply the quarantines that the store holds, of all entries."""
+        with self._lock:
+            changes = self._quarantines.read(present, deleted, is_snapshot=is_snapshot)
+            self._monitor.apply_recorded(changes, self._clock.monotonic_s())
+
+    def quarantine_records_lost(self) -> None:
+        """Write quarantines again: the store has come back from an older copy."""
+        with self._lock:
+            self._quarantines.on_records_lost()
+
+    def quarantines_due(self) -> tuple[dict[str, tuple[str, ...]], list[str]]:
+        """Return the records to write, with the crashed upstreams, and to delete."""
+        with self._lock:
+            now_s, history = self._clock.monotonic_s(), self._monitor.crashes.history
+            writes = self._quarantines.writes_due(history.proved(now_s), now_s)
+            return (
+                {each: history.upstreams_of(each) for each in writes},
+                self._quarantines.deletions_due(history.quarantined(now_s)),
+            )
+
+    def quarantine_written(self, fingerprint: str) -> None:
+        """Record that the store has a quarantine."""
+        with self._lock:
+            self._quarantines.record_written(fingerprint)
+
+    def quarantine_deleted(self, fingerprint: str) -> None:
+        """Record that the store no longer has a quarantine."""
+        with self._lock:
+            self._quarantines.record_deleted(fingerprint)
+
+    # Versions
+
+    def versions_read(
+        self,
+        present: dict[str, tuple[str, ...]],
+        deleted: tuple[str, ...],
+        *,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply the services with several versions that the store holds."""
+        with self._lock:
+            self._versions.read(present, deleted, is_snapshot=is_snapshot)
+        if is_snapshot:
+            self._stream_versions.read_records(present)
+
+    def versions_due(self) -> VersionChanges:
+        """Return the records of services with several versions to write or delete."""
+        mixed = self._stream_versions.mixed_services()
+        with self._lock:
+            is_first = all(self._name < each for each in self._live_peer_names())
+            now_s = self._clock.monotonic_s()
+            return self._versions.due(mixed, is_first=is_first, now_s=now_s)
+
+    def versions_written(self, service: str, versions: tuple[str, ...]) -> None:
+        """Record that the store has the versions of a service."""
+        with self._lock:
+            self._versions.record_written(service, versions)
+
+    def versions_deleted(self, service: str) -> None:
+        """Record that the store no longer has the versions of a service."""
+        with self._lock:
+            self._versions.record_deleted(service)
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -147,7 +147,7 @@
             on_change=entry.dispatcher.peers_listed,
             on_credits=entry.dispatcher.burst_credits_read,
             on_credits_lost=entry.dispatcher.burst_credits_lost,
-            facts=entry.dispatcher,
+            facts=entry.dispatcher.facts,
         )
         self._facts = _fact_writer(entry, settings, clock)
         self._has_credits = settings.direct.policies.burst_credits
@@ -183,16 +183,16 @@
 
 def _fact_writer(entry: DirectEntry, settings: PlatformSettings, clock: Clock) -> Part:
     """Return the part that writes the records beside those of the entries."""
-    dispatcher = entry.dispatcher
+    facts = entry.dispatcher.facts
     store = Store(address=settings.store, metrics=entry.metrics)
 
     def quarantines_due() -> DueRecords:
-        writes, deletions = dispatcher.quarantines_due()
+        writes, deletions = facts.quarantines_due()
         values = {name: {"upstreams": each} for name, each in writes.items()}
         return DueRecords(writes=values, deletions=deletions)
 
     def versions_due() -> DueRecords:
-        changes = dispatcher.versions_due()
+        changes = facts.versions_due()
         return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
 
     writers = [
@@ -203,8 +203,8 @@
             metrics=entry.metrics,
             metric=QUARANTINES,
             due=quarantines_due,
-            on_written=lambda name, value: dispatcher.quarantine_written(name),
-            on_deleted=dispatcher.quarantine_deleted,
+            on_written=lambda name, value: facts.quarantine_written(name),
+            on_deleted=facts.quarantine_deleted,
         ),
         RecordWriter(
             prefix=mixedversions.KEY_PREFIX,
@@ -213,8 +213,8 @@
             metrics=entry.metrics,
             metric=STREAM_VERSIONS,
             due=versions_due,
-            on_written=dispatcher.versions_written,
-            on_deleted=dispatcher.versions_deleted,
+            on_written=facts.versions_written,
+            on_deleted=facts.versions_deleted,
         ),
     ]
     return part_of(writers)
