--- a/soak/run.py
+++ b/soak/run.py
@@ -117,6 +117,7 @@
         self._killed: set[str] = set()
         self._ended: list[str] = []
         self._crashed: set[str] = set()
+        self._seen_alive_s: dict[str, float] = {}
         self._crashes_s: list[float] = []
         self._same_address = True
         self._proxy: StandIn | None = None
@@ -272,9 +273,11 @@
         self._platform.configure(content)
         self._versions_s[version] = time.monotonic()
 
-    def _disturb(self, subject: str) -> Callable[[], None]:
+    def _disturb(
+        self, subject: str, *, from_s: float | None = None
+    ) -> Callable[[], None]:
         """Note that something is disturbed; return what notes the end of it."""
-        from_s = time.monotonic()
+        from_s = time.monotonic() if from_s is None else from_s
         open_ended = Span(subject=subject, from_s=from_s, to_s=float("inf"))
         self._disturbed.append(open_ended)
 
@@ -513,11 +516,16 @@
     def _reap_upstreams(self) -> None:
         """Note the upstreams that have crashed, and start others in their place."""
         for name in MODELS:
-            if name in self._crashed or self._platform.upstreams[name].process.alive():
+            looked_s = time.monotonic()
+            if self._platform.upstreams[name].process.alive():
+                self._seen_alive_s[name] = looked_s
+                continue
+            if name in self._crashed:
                 continue
             self._crashed.add(name)
             self._crashes_s.append(time.monotonic())
-            end = self._disturb(name)
+            # What it broke off may have ended before the crash was noticed.
+            end = self._disturb(name, from_s=self._seen_alive_s[name])
             again = functools.partial(self._start_instead, name, end)
             self._at(time.monotonic() + CRASHED_S, again)
 
