Tell the version of a stream from those of a request's upstreams by name

handling.py had version and versions, of which the first is that of the stream; an argument that nothing read is gone. Behaviour is the same.

--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -180,9 +180,7 @@
         self.history.record_crashes(merged, now_s)
         return own
 
-    def record_answer(
-        self, upstream: Upstream, fingerprint: str, now_s: float
-    ) -> list[CrashEvidence]:
+    def record_answer(self, fingerprint: str, now_s: float) -> list[CrashEvidence]:
         """Record that content with this fingerprint was answered completely."""
         excused = self.history.record_answered(fingerprint, now_s)
         told = [self.history.evidence(crash_id, now_s) for crash_id in sorted(excused)]
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -143,7 +143,7 @@
         self._may_have_run = False
         self._last_event_id = accepted.head.last_event_id
         # The version that began the stream of which the caller has events.
-        self.version = accepted.stream_version
+        self.stream_version = accepted.stream_version
         self._told_s = 0.0
         self._idle_since_s = accepted.arrived_s
         self.relocation = Relocation(
@@ -230,8 +230,8 @@
 
     def _record_beginning(self, upstream: Upstream) -> None:
         """Record the version before any event goes out to the caller."""
-        if self.version is None:
-            self.version = upstream.version
+        if self.stream_version is None:
+            self.stream_version = upstream.version
         self._told_s = self._clock.monotonic_s()
         self._dispatcher.stream_began(self._stream_id, upstream)
 
@@ -300,11 +300,11 @@
                 accepted.resubmitted
                 or self._may_have_run
                 or bool(self._tried)
-                or self.version is not None
+                or self.stream_version is not None
             ),
             on_decision=self._on_decision,
             excluded=self._tried | self.relocation.excluded,
-            version=self.version,
+            version=self.stream_version,
             may_wait=may_wait,
             retryable=self._may_run_again(pending_runs=1),
         )
@@ -514,7 +514,7 @@
                 previous_s = self._idle_since_s = now_s
                 self.relocation.clear_excluded()
                 step_count += 1
-                if self.version is not None:
+                if self.stream_version is not None:
                     self._told_s = self._dispatcher.stream_goes_on(
                         self._stream_id, attempt.upstream, told_s=self._told_s
                     )
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -280,7 +280,7 @@
         evidence = None
         if outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_alive(upstream.upstream_id, now_s)
-            self._evidence += self.crashes.record_answer(upstream, fingerprint, now_s)
+            self._evidence += self.crashes.record_answer(fingerprint, now_s)
         elif outcome is AttemptOutcome.BROKEN:
             evidence = self.crashes.record_broken_answer(upstream, fingerprint, now_s)
         elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.LEFT):
