Never give an upstream of the soak the id of the one that it replaces

One started at the address of one that had crashed answered to its id until its faults were set, ran the content that requests still brought for that, and ended the soak with it.

--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 import functools
 import heapq
 import itertools
+import json
 import os
 import pathlib
 import shutil
@@ -531,10 +532,13 @@
 
     def _start_instead(self, name: str, end: Callable[[], None]) -> None:
         """Start an upstream under another id in place of one that has crashed."""
-        before = self._platform.upstreams[name]
-        port = before.port if self._same_address else None
-        standin = self._platform.start_upstream(name, port=port)
-        standin.set_faults(**HEALTHY, **self._model_faults(name))
+        port = self._platform.upstreams[name].port if self._same_address else None
+        # It never has the id of the one before, which requests may still name.
+        faults = {"incarnation": self._next_incarnation(name)}
+        faults |= HEALTHY | self._model_faults(name)
+        standin = self._platform.start_upstream(
+            name, "--faults", json.dumps(faults), port=port
+        )
         if not self._same_address:
             link = self._stage.link(
                 self._proxy, f"{name}{standin.port}", standin.address
@@ -545,10 +549,13 @@
         self._crashed.remove(name)
         end()
 
+    def _next_incarnation(self, name: str) -> str:
+        return self._incarnations.get(name, "") + REPLACEMENT
+
     def _replace(self, name: str) -> None:
         """Register an upstream under another id; the record before lapses."""
         before = name + self._incarnations.get(name, "")
-        self._incarnations[name] = self._incarnations.get(name, "") + REPLACEMENT
+        self._incarnations[name] = self._next_incarnation(name)
         self._set_faults(name, incarnation=self._incarnations[name])
         self._register(name, state="draining" if self._leaves[name] else "ready")
         lapse = functools.partial(self._platform.unregister, before)
