--- a/features/steps/stream_version_records_steps.py
+++ b/features/steps/stream_version_records_steps.py
@@ -179,6 +179,7 @@
     answering: set[str]
     knowing: set[str] = attrs.field(factory=set)
     told: set[str] = attrs.field(factory=set)
+    heard_from_s: float = 0.0
     exchange: StreamExchange | None = None
 
     def locations(self) -> dict[str, EntryLocation]:
@@ -189,6 +190,8 @@
 
     def receive(self, name: str, message) -> None:
         sender = InstanceId(name=name, incarnation="1")
+        if time.monotonic() < self.heard_from_s:
+            return
         if isinstance(message, StreamsBegan):
             self.told.add(name)
             if name in self.answering:
@@ -244,6 +247,15 @@
     )
 
 
+@given("an entry that hears its {others:d} others, who know the stream, after {s:g} s")
+def step_unheard(context, others, s):
+    names = [f"entry-{n}" for n in range(others)]
+    peers = Peers(names=names, answering=set(names), knowing=set(names))
+    peers.heard_from_s = time.monotonic() + s
+    start_exchange(context, peers)
+    peers.exchange._live = lambda: {}
+
+
 @when("the stream is taken up while two versions serve")
 def step_taken_up(context):
     began_s = time.monotonic()
--- a/features/stream_version_records.feature
+++ b/features/stream_version_records.feature
@@ -66,6 +66,12 @@
       | 0       | 0      | none    | 0.1 |
       | 0       | 2      | none    | 0.8 |
 
+  Scenario: An entry that has just started asks before its link is up
+    Guards against a refusal by an entry that hasn't heard the others yet.
+    Given an entry that hears its 2 others, who know the stream, after 1.2 s
+    When the stream is taken up while two versions serve
+    Then it goes on at "v1" within 1.6 s
+
   Scenario: The last upstream of its version leaves while a stream waits
     Guards against a request that waits for what can't come, or goes elsewhere.
     Given a queue with a busy upstream of "v1" and an idle one of "v2"
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -38,6 +38,9 @@
 # How long an entry waits for others that know a stream, in seconds; its caller would
 # otherwise be refused.
 ASK_TIMEOUT_S = 0.5
+# The same while an entry has heard nobody yet, as after its start, until its link is
+# loaded: below the two seconds after which callers leave.
+ASK_UNHEARD_TIMEOUT_S = 1.8
 # Time after which a question is sent again, in seconds: the link to the others may not
 # be up yet at a start.
 ASK_AGAIN_S = 0.1
@@ -209,8 +212,9 @@
         now_s = self._clock.monotonic_s()
         # Soon after a start an entry hasn't heard all those that are alive.
         is_new = now_s < self._started_s + ALL_HEARD_S
-        number, call = self._new_call(known if is_new else self._live() or known)
-        give_up_s = now_s + ASK_TIMEOUT_S
+        live = self._live()
+        number, call = self._new_call(known if is_new else live or known)
+        give_up_s = now_s + (ASK_TIMEOUT_S if live else ASK_UNHEARD_TIMEOUT_S)
         try:
             while self._clock.monotonic_s() < give_up_s:
                 for name in sorted(known.keys() - call.replied_names):
