Build evidence of an end in one place, and the writers' shared arguments once

Reading the change again: evidence was put together in two places from the same four fields, two writers of records repeated three arguments, and a comment said how a wait was chosen rather than why it ends.

--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -155,15 +155,7 @@
     ) -> list[CrashEvidence]:
         """Record upstreams that were seen to end at once."""
         ended = [e for e in upstreams if self._note_end(e.upstream_id, sign, now_s)]
-        evidence = [
-            CrashEvidence(
-                service=each.service,
-                upstream=each.upstream_id,
-                crash_id=each.upstream_id,
-                fingerprints=self._running_in(each.upstream_id, now_s),
-            )
-            for each in ended
-        ]
+        evidence = [self._evidence_of(each, now_s) for each in ended]
         # All together, so that an outage is seen as one.
         self.history.record_crashes(evidence, now_s)
         return evidence
@@ -218,12 +210,7 @@
         self._unanswered[upstream_id] = recent
         if upstream_id not in self._ends:
             return None
-        evidence = CrashEvidence(
-            service=upstream.service,
-            upstream=upstream_id,
-            crash_id=upstream_id,
-            fingerprints=self._running_in(upstream_id, now_s),
-        )
+        evidence = self._evidence_of(upstream, now_s)
         self.history.record_crash(evidence, now_s)
         return evidence
 
@@ -238,6 +225,15 @@
             self._alive_s.pop(forgotten, None)
         return True
 
+    def _evidence_of(self, upstream: Upstream, now_s: float) -> CrashEvidence:
+        """Return what this entry saw of an upstream's end."""
+        return CrashEvidence(
+            service=upstream.service,
+            upstream=upstream.upstream_id,
+            crash_id=upstream.upstream_id,
+            fingerprints=self._running_in(upstream.upstream_id, now_s),
+        )
+
     def _running_in(self, upstream_id: str, now_s: float) -> tuple[str, ...]:
         """Return the content that may have been running when an upstream ended.
 
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -32,8 +32,8 @@
 
 # Number of entries that are told before the first event goes out.
 TOLD_ENTRIES = 2
-# How long the first event waits for their confirmations, in seconds: some ten times the
-# round trip between data centres, and well below the target for the first event.
+# How long the first event waits for their confirmations, in seconds. It then goes out
+# without them: a caller must not be kept waiting by an entry that has ended.
 CONFIRM_TIMEOUT_S = 0.06
 # How long an entry waits for others that know a stream, in seconds; its caller would
 # otherwise be refused.
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -1,5 +1,6 @@
 """Assembles an entry on the platform from its settings, feeds and log."""
 
+import functools
 import signal
 import socket
 import sys
@@ -195,22 +196,19 @@
         changes = facts.versions_due()
         return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
 
+    writer = functools.partial(
+        RecordWriter, store=store, clock=clock, metrics=entry.metrics
+    )
     writers = [
-        RecordWriter(
+        writer(
             prefix=quarantines.KEY_PREFIX,
-            store=store,
-            clock=clock,
-            metrics=entry.metrics,
             metric=QUARANTINES,
             due=quarantines_due,
             on_written=lambda name, value: facts.quarantine_written(name),
             on_deleted=facts.quarantine_deleted,
         ),
-        RecordWriter(
+        writer(
             prefix=mixedversions.KEY_PREFIX,
-            store=store,
-            clock=clock,
-            metrics=entry.metrics,
             metric=STREAM_VERSIONS,
             due=versions_due,
             on_written=facts.versions_written,
