--- a/features/poison.feature
+++ b/features/poison.feature
@@ -76,3 +76,13 @@
     Given 50 seeded runs of 10 upstreams with 8 slots, one culprit and callers that retry
     Then the culprit was quarantined in each run after at most 6 crashes
     And no bystander was quarantined in any run
+
+  Scenario: A companion crashes one more upstream than the culprit
+    Guards against a culprit whose crashes are all put down to what ran beside it.
+    Given a crash history with a threshold of 2
+    When "a" crashes running twin
+    And "b" crashes running bad, twin
+    And "c" crashes running bad, twin
+    And "d" crashes running bad, twin
+    And "e" crashes running bad
+    Then only bad, twin is quarantined
--- a/features/steps/content_crashes_steps.py
+++ b/features/steps/content_crashes_steps.py
@@ -5,7 +5,12 @@
 from behave import given, then, when
 
 from features.platformstage import deploy
-from standins.platformdeployment import WAIT_S, PlatformDeployment
+from standins.platformdeployment import (
+    WAIT_S,
+    PlatformDeployment,
+    configuration,
+    route,
+)
 from standins.processes import wait_until
 
 MARKER = "bad"
@@ -13,6 +18,16 @@
     "before any byte": {},
     "after 2 events": {"crash_after_events": 2},
     "in the middle of a body": {"crash_after_events": 1, "framing": "length"},
+    "after 2 events, and its machine closes in order": {
+        "crash_after_events": 2,
+        "framing": "connection",
+        "closes_in_order": True,
+    },
+    "in half a plain answer that ends in order": {
+        "crash_after_events": 1,
+        "framing": "connection",
+        "closes_in_order": True,
+    },
 }
 # Time for evidence to reach all entries, and for their next decision.
 SETTLE_S = 0.4
@@ -21,7 +36,10 @@
 
 @given("{entries:d} entries, {count:d} model upstreams that crash on {rest}")
 def step_crashing(context, entries, count, rest):
-    start(context, entries, count, WAYS[rest.partition(", ")[2]])
+    way = rest.partition(", ")[2]
+    start(context, entries, count, WAYS[way])
+    if "plain" in way:
+        context.path = "/ask/1"
 
 
 @given('{entries:d} entries, {count:d} model upstreams that stop on "{marker}"')
@@ -31,6 +49,10 @@
 
 def start(context, entries: int, count: int, faults: dict) -> None:
     platform = deploy(context)
+    ask = route("ask", "non_idempotent", "model", **{"max-attempts": 1})
+    routes = [*configuration(1)["routes"], ask]
+    platform.configure(configuration(2, routes=routes))
+    context.path = "/stream-once/1"
     context.faults = {"crash_marker": MARKER} | faults
     context.crashed = set()
     for number in range(1, count + 1):
@@ -43,7 +65,7 @@
 
 def send(context, entry: str, content: str, deadline_ms: int = 5000):
     return context.platform.send(
-        entry, "/stream-once/1", body=content.encode(), deadline_ms=deadline_ms
+        entry, context.path, body=content.encode(), deadline_ms=deadline_ms
     )
 
 
@@ -84,6 +106,23 @@
         time.sleep(SETTLE_S)
 
 
+@when(
+    '"{content}" is sent {count:d} times in all, and all that its callers get is kept'
+)
+def step_kept(context, content, count):
+    context.answers = []
+    for number in range(count):
+        entries = entries_of(context)
+        context.answers.append(send(context, entries[number % len(entries)], content))
+        time.sleep(SETTLE_S)
+
+
+@then('no answer to "{content}" was whole')
+def step_none_whole(context, content):
+    whole = [each for each in context.answers if each.status == 200 and each.whole]
+    assert not whole, whole
+
+
 @when(
     '"{content}" is sent through {entry} alone, each time followed by "{other}" '
     "through {other_entry}"
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -42,8 +42,9 @@
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
     A request whose body has the `crash_marker` ends the process as its work begins, or
-    after `crash_after_events` events of its stream; if it `crashes_silently`, the
-    process stops instead, and its connections stay open.
+    after `crash_after_events` events of its stream, or half of its plain answer; if it
+    `crashes_silently`, the process stops instead, and its connections stay open. If its
+    machine `closes_in_order`, an answer that ends with its connection isn't reset.
     `mute` runs and never answers. `silent` holds all runs where they are, and lets
     them go on when it ends. `crash` refuses everything, as if it had died.
     `incarnation` is added to its id, as after a restart.
@@ -66,6 +67,7 @@
     crash_marker: str = ""
     crash_after_events: int = 0
     crashes_silently: bool = False
+    closes_in_order: bool = False
     full: bool = False
     status: int = 200
     incarnation: str = ""
@@ -189,6 +191,9 @@
         if faults.truncate:
             request.http.write(body[:-3])
             self._cut(request)
+        if self._is_fatal(run):
+            request.http.write(body[: len(body) // 2])
+            self._crash()
         request.http.write(body)
         server.set_reset_on_exit(request, False)
         run.end = "whole"
@@ -278,7 +283,8 @@
         elif framing == "connection":
             # The server adds no chunks to an answer for HTTP/1.0, and closes after it.
             http.response_protocol = "HTTP/1.0"
-            if self._faults.now.crash_marker:
+            faults = self._faults.now
+            if faults.crash_marker and not faults.closes_in_order:
                 server.set_reset_on_exit(request, True)
         http.ensure_headers_sent()
 
