Blame content that crashes an upstream alone after its companion is refused

Callers saw further engines end: content that had run beside a companion in three crashes wasn't refused, since the companion had one more crash, was quarantined, and explained all of them. A fourth crash without the companion counted as the first. Content that was never answered, ran in as many crashes as ambiguous content needs, and in one that nothing quarantined explains, is now blamed.

--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -203,12 +203,16 @@
 
     def upstreams_of(self, fingerprint: str) -> tuple[str, ...]:
         """Return the crashed upstreams in which this content ran and is suspected."""
-        upstreams = {
-            crash.upstream
-            for crash in self._crashes.values()
+        crashes = self._crashes_of(fingerprint)
+        return tuple(sorted({self._crashes[crash_id].upstream for crash_id in crashes}))
+
+    def _crashes_of(self, fingerprint: str) -> set[str]:
+        """Return the crashes in which this content ran and is suspected."""
+        return {
+            crash_id
+            for crash_id, crash in self._crashes.items()
             if fingerprint in crash.suspects
         }
-        return tuple(sorted(upstreams))
 
     def evidence(self, crash_id: str, now_s: float) -> CrashEvidence | None:
         """Return a recorded crash as a message, or None if it isn't to be told."""
@@ -323,6 +327,18 @@
     def _is_culprit(self, fingerprint: str, now_s: float) -> bool:
         crashes = self._unexplained_crashes(fingerprint, now_s)
         upstreams = {self._crashes[crash_id].upstream for crash_id in crashes}
+        ambiguous_threshold = (
+            self._policy.upstreams_threshold + AMBIGUOUS_EXTRA_UPSTREAMS
+        )
+        if (
+            upstreams
+            and len(self.upstreams_of(fingerprint)) >= ambiguous_threshold
+            and self._crashes_of(fingerprint) - crashes
+            and fingerprint not in self._answered
+        ):
+            # Quarantined content explains its other crashes, but not this one: it was
+            # no bystander in all of them.
+            return True
         if len(upstreams) < self._policy.upstreams_threshold:
             return False
         others = self._other_suspects(fingerprint, crashes)
@@ -332,9 +348,6 @@
             for each in others
         ):
             return False
-        ambiguous_threshold = (
-            self._policy.upstreams_threshold + AMBIGUOUS_EXTRA_UPSTREAMS
-        )
         is_ambiguous = (
             bool(others)
             or fingerprint in self._answered
