Count an answer that ends with its connection only if its upstream goes on

Callers held half an answer as whole, and its content crashed upstream after upstream: the machine of a process that has ended closes its sockets in order, so an answer with neither length nor chunks looked complete. It excused the content from all crashes before, and the upstream's end found nothing that had been running. An entry now connects to the upstream before it passes the end of such an answer on; if nothing listens, the answer is broken. If that can't be told, the content stays suspected until the upstream sends something later.

--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -87,6 +87,9 @@
     def check_ended(self, upstream) -> None:
         pass
 
+    def has_ended(self, upstream) -> bool:
+        return False
+
     def connection_pool(self, upstream) -> ConnectionPool:
         return self._connections
 
--- a/features/steps/hidden_crashes_steps.py
+++ b/features/steps/hidden_crashes_steps.py
@@ -29,14 +29,14 @@
 class UnheardPool:
     """Connections to an upstream whose refusals get lost."""
 
-    def is_refused(self) -> bool | None:
+    def is_refused(self, *, settle_s: float) -> bool | None:
         return None
 
 
 class RefusedPool:
     """Connections to an upstream that has ended."""
 
-    def is_refused(self) -> bool | None:
+    def is_refused(self, *, settle_s: float) -> bool | None:
         return True
 
 
--- a/lavenderspoke/direct/attemptresults.py
+++ b/lavenderspoke/direct/attemptresults.py
@@ -43,7 +43,7 @@
 def _durations(
     ticket: Ticket, route: Route, outcome: AttemptOutcome, now_s: float
 ) -> dict[DurationKind, float]:
-    if outcome is not AttemptOutcome.ANSWERED:
+    if not outcome.is_answer:
         return {}
     if not route.stream:
         return {DurationKind.UNSTREAMED: now_s - ticket.sent_s}
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -53,8 +53,14 @@
 
 @attrs.frozen(kw_only=True)
 class _Unanswered:
+    """A request that may have been running when its upstream ended.
+
+    If its answer `looks_whole`, only the end of its connection ended it.
+    """
+
     fingerprint: str
     at_s: float
+    looks_whole: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -96,6 +102,16 @@
             return None
         return self._record_unanswered(upstream, fingerprint, now_s)
 
+    def record_ended_answer(
+        self, upstream: Upstream, fingerprint: str, now_s: float
+    ) -> CrashEvidence | None:
+        """Record an answer that looks whole and ended with its connection.
+
+        The machine of a process that has ended closes its connections in order too.
+        So the content is excused only once the upstream sends something later.
+        """
+        return self._record_unanswered(upstream, fingerprint, now_s, looks_whole=True)
+
     def record_silence(
         self, upstream: Upstream, fingerprint: str, *, heard_s: float, now_s: float
     ) -> CrashEvidence | None:
@@ -114,6 +130,7 @@
         end = self._ends.get(upstream_id)
         if end is None:
             self._alive_s[upstream_id] = now_s
+            self._excuse_whole(upstream_id, now_s)
             return
         if end.sign is EndSign.PLANNED or now_s < end.at_s + IN_FLIGHT_S:
             return
@@ -136,6 +153,20 @@
         corrections, self._corrections = self._corrections, []
         return corrections
 
+    def _excuse_whole(self, upstream_id: str, now_s: float) -> None:
+        """Excuse the answers that an upstream has outlived, and that look whole."""
+        unanswered = self._unanswered.get(upstream_id)
+        if not unanswered or not any(each.looks_whole for each in unanswered):
+            return
+        outlived = {
+            each
+            for each in unanswered
+            if each.looks_whole and each.at_s < now_s - IN_FLIGHT_S
+        }
+        self._unanswered[upstream_id] = [e for e in unanswered if e not in outlived]
+        for fingerprint in sorted({each.fingerprint for each in outlived}):
+            self._corrections += self.record_answer(fingerprint, now_s)
+
     def _withdraw(self, upstream_id: str, now_s: float) -> None:
         if self.history.withdraw_crash(upstream_id, now_s):
             correction = self.history.evidence(upstream_id, now_s)
@@ -146,6 +177,11 @@
         """Record that an upstream says that it leaves."""
         self._note_end(upstream_id, EndSign.PLANNED, now_s)
 
+    def end_sign(self, upstream_id: str) -> EndSign | None:
+        """Return how an upstream was seen to end, None if it wasn't."""
+        end = self._ends.get(upstream_id)
+        return None if end is None else end.sign
+
     def needs_check(self, upstream_id: str) -> bool:
         """Return whether a broken answer leaves open if its upstream has ended."""
         return upstream_id in self._unanswered and upstream_id not in self._ends
@@ -198,7 +234,12 @@
         self.history.apply_quarantine(quarantined, now_s)
 
     def _record_unanswered(
-        self, upstream: Upstream, fingerprint: str, now_s: float
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        now_s: float,
+        *,
+        looks_whole: bool = False,
     ) -> CrashEvidence | None:
         upstream_id = upstream.upstream_id
         recent = [
@@ -206,9 +247,12 @@
             for each in self._unanswered.get(upstream_id, ())
             if _is_recent(each, now_s)
         ]
-        recent.append(_Unanswered(fingerprint=fingerprint, at_s=now_s))
+        recent.append(
+            _Unanswered(fingerprint=fingerprint, at_s=now_s, looks_whole=looks_whole)
+        )
         self._unanswered[upstream_id] = recent
-        if upstream_id not in self._ends:
+        end = self._ends.get(upstream_id)
+        if end is None or end.sign is EndSign.PLANNED:
             return None
         evidence = self._evidence_of(upstream, now_s)
         self.history.record_crash(evidence, now_s)
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -8,10 +8,11 @@
 
 from lavenderspoke.direct.catalog import Customer, Route
 from lavenderspoke.direct.dialect import RequestHead
-from lavenderspoke.direct.exchange import ConnectionPool
+from lavenderspoke.direct.exchange import ConnectionPool, UpstreamResponse
 from lavenderspoke.direct.hedging import HedgePlan, HedgeResult
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.tickets import Rank, Ticket
+from lavenderspoke.http.framing import Framing
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.problems import Problem
@@ -67,6 +68,7 @@
     """The result of one attempt at an upstream."""
 
     ANSWERED = "answered"
+    ENDED = "ended"  # looks whole, and its connection's end was all that ended it
     FAILED = "failed"  # the upstream's own error, or no valid response
     BROKEN = "broken"  # the connection broke; it may have run
     SILENT = "silent"  # a read timed out; it may have run
@@ -75,6 +77,26 @@
     MISDIRECTED = "misdirected"  # another upstream responded; it has not run
     LEFT = "left"  # ended here: the caller has gone, or the deadline expired
 
+    @property
+    def is_answer(self) -> bool:
+        """Whether the caller got an answer that counts as whole."""
+        return self in (AttemptOutcome.ANSWERED, AttemptOutcome.ENDED)
+
+
+def answer_outcome(response: UpstreamResponse) -> AttemptOutcome:
+    """Return the outcome of an attempt whose response was read to its end."""
+    if response.framing is Framing.CONNECTION_END:
+        return AttemptOutcome.ENDED
+    return AttemptOutcome.ANSWERED
+
+
+def keeps_connection(outcome: AttemptOutcome) -> bool:
+    """Return whether the connection of such an attempt may be used again."""
+    return outcome.is_answer or outcome in (
+        AttemptOutcome.FAILED,
+        AttemptOutcome.NOT_RUN,
+    )
+
 
 class RelocationResult(enum.Enum):
     """What came of trying to relocate a request."""
@@ -150,6 +172,12 @@
         This may take some 0.1 s.
         """
 
+    def has_ended(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has ended without having said that it leaves.
+
+        If that isn't known, this connects to it, which may take some 0.1 s.
+        """
+
     def release_slot(self, ticket: Ticket, upstream: Upstream) -> None:
         """Release a slot to which nothing was sent."""
 
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -38,6 +38,7 @@
 # The same to find out whether an upstream still listens, in seconds. A process that has
 # ended refuses at once; a caller waits meanwhile.
 CHECK_TIMEOUT_S = 0.1
+MS_PER_S = 1000.0
 # How long data may stay unacknowledged before the connection is given up, in
 # milliseconds, the unit of TCP_USER_TIMEOUT.
 TCP_USER_TIMEOUT_MS = 1500
@@ -460,14 +461,20 @@
             response.cancel()
         return sent
 
-    def is_refused(self) -> bool:
-        """Return whether nothing listens at the upstream's address.
+    def is_refused(self, *, settle_s: float = 0.0) -> bool | None:
+        """Return whether nothing listens at the upstream's address, None if unknown.
 
-        A connection that is accepted is kept for the next request.
+        A process that is ending may close its listener last, so a connection that it
+        ends within `settle_s` is opened once more. One that stays open is kept for the
+        next request.
         """
         opened = self._open(CHECK_TIMEOUT_S)
+        if isinstance(opened, Ok) and settle_s > 0.0:
+            if _has_event(opened.ok_value.sock, select.POLLIN, settle_s):
+                opened.ok_value.close()
+                opened = self._open(CHECK_TIMEOUT_S)
         if isinstance(opened, Err):
-            return opened.err_value.refused
+            return True if opened.err_value.refused else None
         self._count(ConnectionUse.NEW)
         self.release(opened.ok_value, "")
         return False
@@ -623,10 +630,10 @@
         return False
 
 
-def _has_event(sock: socket.socket, event: int) -> bool:
+def _has_event(sock: socket.socket, event: int, timeout_s: float = 0.0) -> bool:
     poll = select.poll()
     poll.register(sock, event)
-    return bool(poll.poll(0))
+    return bool(poll.poll(timeout_s * MS_PER_S))
 
 
 def _has_kernel_timed_out(error: TimeoutError) -> bool:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -21,6 +21,8 @@
     FullResponse,
     HandlerResult,
     StreamResponse,
+    answer_outcome,
+    keeps_connection,
 )
 from lavenderspoke.direct.exchange import (
     CancelHandle,
@@ -429,12 +431,7 @@
         attempt.cancel_handle.detach()
         self.trail.append(f"{attempt.upstream.upstream_id}:{outcome.value}")
         if attempt.response is not None:
-            keep = outcome in (
-                AttemptOutcome.ANSWERED,
-                AttemptOutcome.FAILED,
-                AttemptOutcome.NOT_RUN,
-            )
-            attempt.response.close(keep=keep)
+            attempt.response.close(keep=keeps_connection(outcome))
         self._dispatcher.attempt_ended(
             attempt.ticket, attempt.upstream, self.accepted, outcome
         )
@@ -462,11 +459,12 @@
         response = attempt.response
         try:
             body = response.read_all(self.accepted.deadline_s, self._clock)
+            self._check_outlived(attempt)
         except IncompleteResponse as error:
             self._end_incomplete(attempt, error)
             return None
         is_error = response.status >= 500
-        outcome = AttemptOutcome.FAILED if is_error else AttemptOutcome.ANSWERED
+        outcome = AttemptOutcome.FAILED if is_error else answer_outcome(response)
         full_response = FullResponse(
             status=response.status, headers=response.headers, body=body
         )
@@ -523,6 +521,7 @@
                     self._complete_stream(attempt, step_count)
                 yield events.body
             self._check_stream_end(attempt.response, splitter)
+            self._check_outlived(attempt)
             if rest := splitter.rest():
                 yield rest
             self._complete_stream(attempt, step_count)
@@ -544,11 +543,21 @@
         if missing := splitter.missing(response.framing):
             raise IncompleteResponse(missing)
 
+    def _check_outlived(self, attempt: _Attempt) -> None:
+        """Raise IncompleteResponse if an upstream ended as its answer did.
+
+        An answer that ends with its connection would look whole.
+        """
+        if attempt.response.framing is not Framing.CONNECTION_END:
+            return
+        if self._dispatcher.has_ended(attempt.upstream):
+            raise IncompleteResponse("the upstream ended with the connection")
+
     def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
         """End the attempt of a complete stream; a further call does nothing."""
         if attempt.outcome is None:
             self._dispatcher.stream_completed(attempt.ticket, step_count)
-            self._end_attempt(attempt, AttemptOutcome.ANSWERED)
+            self._end_attempt(attempt, answer_outcome(attempt.response))
 
     def _record_event_id(self, events: Events) -> None:
         """Record the last event id; raise IncompleteResponse if the ids don't rise.
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -19,6 +19,8 @@
     AttemptOutcome,
     Dispatcher,
     FullResponse,
+    answer_outcome,
+    keeps_connection,
 )
 from lavenderspoke.direct.exchange import (
     CancelHandle,
@@ -162,21 +164,20 @@
             return AttemptOutcome.NOT_RUN, received
         if received.status >= 500:
             return AttemptOutcome.FAILED, received
+        outcome = answer_outcome(received)
+        # Its caller would hold half an answer as whole.
+        if outcome is AttemptOutcome.ENDED and self.dispatcher.has_ended(upstream):
+            return AttemptOutcome.BROKEN, received
         if self._race.claim():
             self.response = FullResponse(
                 status=received.status, headers=received.headers, body=body
             )
-        return AttemptOutcome.ANSWERED, received
+        return outcome, received
 
     def _end(self, outcome: AttemptOutcome, received: UpstreamResponse | None) -> None:
         self._cancel_handle.detach()
         if received is not None:
-            keep = outcome in (
-                AttemptOutcome.ANSWERED,
-                AttemptOutcome.FAILED,
-                AttemptOutcome.NOT_RUN,
-            )
-            received.close(keep=keep)
+            received.close(keep=keeps_connection(outcome))
         self.dispatcher.attempt_ended(
             self.slot.ticket, self.slot.upstream, self.accepted, outcome
         )
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -20,7 +20,7 @@
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
 from lavenderspoke.direct.connectionpreference import ConnectionView
-from lavenderspoke.direct.crashes import EndSign
+from lavenderspoke.direct.crashchecks import CrashChecks
 from lavenderspoke.direct.crashsync import CrashSync
 from lavenderspoke.direct.dispatcher import (
     AcceptedRequest,
@@ -178,6 +178,12 @@
         self._upstream_monitor = UpstreamMonitor(
             scheduler=self._scheduler, metrics=metrics
         )
+        self.crash_checks = CrashChecks(
+            monitor=self._upstream_monitor,
+            connection_pool=self.connection_pool,
+            clock=clock,
+            lock=self._lock,
+        )
         self.facts = StoredFacts(
             name=name,
             monitor=self._upstream_monitor,
@@ -333,18 +339,13 @@
             return crashes.is_quarantined(accepted.fingerprint, self._now_s())
 
     def connection_refused(self, upstream: Upstream) -> None:
-        with self._lock:
-            self._upstream_monitor.record_ends(
-                [upstream], EndSign.REFUSED, self._now_s()
-            )
+        self.crash_checks.connection_refused(upstream)
 
     def check_ended(self, upstream: Upstream) -> None:
-        with self._lock:
-            crashes = self._upstream_monitor.crashes
-            if not crashes.needs_check(upstream.upstream_id):
-                return
-        if self.connection_pool(upstream).is_refused():
-            self.connection_refused(upstream)
+        self.crash_checks.check_broken(upstream)
+
+    def has_ended(self, upstream: Upstream) -> bool:
+        return self.crash_checks.has_ended(upstream)
 
     def release_slot(self, ticket: Ticket, upstream: Upstream) -> None:
         with self._lock:
@@ -809,9 +810,7 @@
     ) -> None:
         if self._pace is None:
             return
-        is_plain_answer = (
-            outcome is AttemptOutcome.ANSWERED and not accepted.route.stream
-        )
+        is_plain_answer = outcome.is_answer and not accepted.route.stream
         took_s = now_s - ticket.sent_s if is_plain_answer else None
         self._pace.request_ended(
             upstream.upstream_id, ticket.request_id, now_s, took_s=took_s
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -128,7 +128,7 @@
         )
         if upstream_state is None:
             return
-        if outcome is AttemptOutcome.ANSWERED:
+        if outcome.is_answer:
             upstream_state.health.record_success()
         elif outcome is AttemptOutcome.FAILED:
             upstream_state.health.record_failure()
@@ -281,6 +281,8 @@
         if outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_alive(upstream.upstream_id, now_s)
             self._evidence += self.crashes.record_answer(fingerprint, now_s)
+        elif outcome is AttemptOutcome.ENDED:
+            evidence = self.crashes.record_ended_answer(upstream, fingerprint, now_s)
         elif outcome is AttemptOutcome.BROKEN:
             evidence = self.crashes.record_broken_answer(upstream, fingerprint, now_s)
         elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.LEFT):
