Log each attempt that no upstream answered, with what was known of the upstream's end

The hypotheses on crashes that aren't counted couldn't be told apart: a request's line names the outcome of its attempts, but not how long its upstream had been silent, nor whether an announcement, the list or a refused connection had told of its end before. The line is among those that explain ID prints for a content, and upstream_unanswered counts them by outcome.

--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -26,6 +26,14 @@
 EJECTIONS = "upstreams_left_alone"
 ENDS = "upstream_ends"
 QUARANTINES = "content_quarantines"
+UNANSWERED = "upstream_unanswered"
+# Outcomes after which a request may have been running when its upstream ends.
+UNANSWERED_OUTCOMES = (
+    AttemptOutcome.BROKEN,
+    AttemptOutcome.ENDED,
+    AttemptOutcome.SILENT,
+    AttemptOutcome.LEFT,
+)
 
 log = logbook.Logger(__name__)
 
@@ -292,6 +300,17 @@
         if evidence is not None:
             self._evidence.append(evidence)
             _log_end(evidence, sign="known")
+        if outcome in UNANSWERED_OUTCOMES:
+            sign = self.crashes.end_sign(upstream.upstream_id)
+            self._metrics.count(UNANSWERED, outcome.value)
+            log.info(
+                signals.UNANSWERED,
+                upstream=upstream.upstream_id,
+                content=fingerprint,
+                outcome=outcome.value,
+                heard_before_s=round(now_s - heard_s, 3),
+                end=sign.value if sign is not None else None,
+            )
         self._note_quarantines(now_s)
 
     def _note_quarantines(self, now_s: float) -> None:
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -33,6 +33,7 @@
     signals.QUARANTINED,
     signals.QUARANTINE_READ,
     signals.QUARANTINE_ENDED,
+    signals.UNANSWERED,
 )
 CONTENT_LINES_MAX = 20
 DEFERRED_MEANING = " Requests of other customers went first."
