Count a connection that is reset long after the list dropped its silent upstream

Content ended engines that went dark, and wasn't refused: the list drops such an engine seconds later, and when its machine is back it resets the old connection. That was taken for the exit of an upstream which leaves without saying so, which goes on for a while after its record is gone.

--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -18,7 +18,10 @@
     context.now_s += 5.0
     for content in contents:
         context.detector.record_broken_answer(
-            upstream_of(upstream_id), content, context.now_s
+            upstream_of(upstream_id),
+            content,
+            heard_s=context.now_s,
+            now_s=context.now_s,
         )
 
 
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -162,9 +162,8 @@
 )
 def step_crash(context, content, born):
     crashes = context.dispatcher._upstream_monitor.crashes
-    crashes.record_broken_answer(
-        upstream(context), content, context.clock.monotonic_s()
-    )
+    now_s = context.clock.monotonic_s()
+    crashes.record_broken_answer(upstream(context), content, heard_s=now_s, now_s=now_s)
     read_record_of(context, born)
     context.clock.advance(SETTLED_S)
     context.dispatcher.tick()
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -90,15 +90,17 @@
         self._corrections: list[CrashEvidence] = []
 
     def record_broken_answer(
-        self, upstream: Upstream, fingerprint: str, now_s: float
+        self, upstream: Upstream, fingerprint: str, *, heard_s: float, now_s: float
     ) -> CrashEvidence | None:
         """Record an answer that broke off, or a connection that ended before it.
 
-        After its record was dropped, an upstream may go on for a while and then exit,
-        so that such an answer is no sign of a crash.
+        The upstream was sent the request, or sent something itself, at `heard_s`. After
+        its record was dropped, an upstream may go on for a while and then exit, so that
+        such an answer is no sign of a crash, unless nothing had come for a while.
         """
-        end = self._ends.get(upstream.upstream_id)
-        if end is not None and end.sign in (EndSign.DROPPED, EndSign.PLANNED):
+        sign = self.end_sign(upstream.upstream_id)
+        may_exit = sign is EndSign.DROPPED and now_s < heard_s + AT_WORK_S
+        if may_exit or sign is EndSign.PLANNED:
             return None
         return self._record_unanswered(upstream, fingerprint, now_s)
 
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -32,7 +32,6 @@
     AttemptOutcome.BROKEN,
     AttemptOutcome.ENDED,
     AttemptOutcome.SILENT,
-    AttemptOutcome.LEFT,
 )
 
 log = logbook.Logger(__name__)
@@ -292,7 +291,9 @@
         elif outcome is AttemptOutcome.ENDED:
             evidence = self.crashes.record_ended_answer(upstream, fingerprint, now_s)
         elif outcome is AttemptOutcome.BROKEN:
-            evidence = self.crashes.record_broken_answer(upstream, fingerprint, now_s)
+            evidence = self.crashes.record_broken_answer(
+                upstream, fingerprint, heard_s=heard_s, now_s=now_s
+            )
         elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.LEFT):
             evidence = self.crashes.record_silence(
                 upstream, fingerprint, heard_s=heard_s, now_s=now_s
