Count ends of upstreams that are announced or unreachable, as ambiguous crashes

Content that ended engines which had announced that they leave wasn't counted at all, and an engine that fell silent while the store was away proved nothing until its record lapsed. Both ends have another likely cause, so they are now presumed crashes: four of them, or proved ones beside them, are needed as for ambiguous content. An upstream counts as unreachable once entries of two other data centres can't connect to it. What it sends later withdraws the crash.

--- a/lavenderspoke/direct/crashchecks.py
+++ b/lavenderspoke/direct/crashchecks.py
@@ -56,7 +56,7 @@
         """Return whether an upstream has ended unannounced, as far as can be told."""
         with self._lock:
             sign = self._monitor.crashes.end_sign(upstream.upstream_id)
-        if sign is not None:
+        if sign not in (None, EndSign.UNREACHED):
             return sign is not EndSign.PLANNED
         return bool(self._find_out(upstream, settle_s=SETTLE_S))
 
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -49,6 +49,11 @@
     DROPPED = "dropped"  # the platform's list no longer has it
     TOLD = "told"  # another entry has evidence of its crash
     PLANNED = "planned"  # it said before that it leaves
+    UNREACHED = "unreached"  # entries of several data centres can't connect to it
+
+
+# Ends that have another likely cause than a crash.
+PRESUMED_SIGNS = (EndSign.PLANNED, EndSign.UNREACHED)
 
 
 @attrs.frozen(kw_only=True)
@@ -99,8 +104,7 @@
         such an answer is no sign of a crash, unless nothing had come for a while.
         """
         sign = self.end_sign(upstream.upstream_id)
-        may_exit = sign is EndSign.DROPPED and now_s < heard_s + AT_WORK_S
-        if may_exit or sign is EndSign.PLANNED:
+        if sign is EndSign.DROPPED and now_s < heard_s + AT_WORK_S:
             return None
         return self._record_unanswered(upstream, fingerprint, now_s)
 
@@ -122,8 +126,7 @@
         The upstream was sent the request, or sent something itself, at `heard_s`.
         """
         end = self._ends.get(upstream.upstream_id)
-        is_planned = end is not None and end.sign is EndSign.PLANNED
-        if is_planned or now_s < heard_s + AT_WORK_S:
+        if end is not None and end.sign is EndSign.PLANNED:
             return None
         return self._record_unanswered(upstream, fingerprint, now_s)
 
@@ -134,9 +137,12 @@
             self._alive_s[upstream_id] = now_s
             self._excuse_whole(upstream_id, now_s)
             return
-        if end.sign is EndSign.PLANNED or now_s < end.at_s + IN_FLIGHT_S:
+        if now_s < end.at_s + IN_FLIGHT_S:
             return
         self._alive_s[upstream_id] = now_s
+        if end.sign is EndSign.PLANNED:
+            self._withdraw(upstream_id, now_s)
+            return
         if end.sign is EndSign.DROPPED:
             # It leaves without having said so, and serves for some time still.
             self._ends[upstream_id] = _End(sign=EndSign.PLANNED, at_s=now_s)
@@ -202,7 +208,8 @@
         """Add a crash that another entry detected; return what this one adds to it."""
         upstream_id = evidence.upstream
         own = None
-        if self._note_end(upstream_id, EndSign.TOLD, now_s):
+        sign = EndSign.UNREACHED if evidence.presumed else EndSign.TOLD
+        if self._note_end(upstream_id, sign, now_s):
             running = set(self._running_in(upstream_id, now_s))
             if running - set(evidence.fingerprints):
                 own = attrs.evolve(evidence, fingerprints=tuple(sorted(running)))
@@ -262,7 +269,8 @@
 
     def _note_end(self, upstream_id: str, sign: EndSign, now_s: float) -> bool:
         """Note an upstream's end; return False if it was known."""
-        if upstream_id in self._ends:
+        known = self.end_sign(upstream_id)
+        if known is not None and (known is not EndSign.UNREACHED or sign is known):
             return False
         self._ends[upstream_id] = _End(sign=sign, at_s=now_s)
         while len(self._ends) > ENDS_MAX:
@@ -278,6 +286,7 @@
             upstream=upstream.upstream_id,
             crash_id=upstream.upstream_id,
             fingerprints=self._running_in(upstream.upstream_id, now_s),
+            presumed=self.end_sign(upstream.upstream_id) in PRESUMED_SIGNS,
         )
 
     def _running_in(self, upstream_id: str, now_s: float) -> tuple[str, ...]:
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -27,6 +27,8 @@
 ENDS = "upstream_ends"
 QUARANTINES = "content_quarantines"
 UNANSWERED = "upstream_unanswered"
+# Ends that each entry finds out itself, from the list or from the others' reports.
+ENDS_FOUND_BY_EACH = (EndSign.DROPPED, EndSign.UNREACHED)
 # Outcomes after which a request may have been running when its upstream ends.
 UNANSWERED_OUTCOMES = (
     AttemptOutcome.BROKEN,
@@ -105,8 +107,7 @@
         for evidence in self.crashes.record_ends(upstreams, sign, now_s):
             self._metrics.count(ENDS, sign.value)
             _log_end(evidence, sign=sign.value)
-            # Each entry reads the list itself.
-            if evidence.fingerprints or sign is not EndSign.DROPPED:
+            if evidence.fingerprints or sign not in ENDS_FOUND_BY_EACH:
                 self._evidence.append(evidence)
         self._note_quarantines(now_s)
 
@@ -253,6 +254,8 @@
         )
         if not is_unreachable:
             return
+        if upstream := self._listed.get(upstream_id):
+            self.record_ends([upstream], EndSign.UNREACHED, now_s)
         for queue in self._scheduler.queues().values():
             upstream_state = queue.pool.state_of(upstream_id)
             if upstream_state is not None:
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -5,8 +5,9 @@
 upstreams and no other content ran in all of them: a bystander of a culprit runs
 only in some of its crashes. More upstreams have to crash where that is less certain:
 for contents that ran in exactly the same crashes, for content among the last
-`ANSWERED_MAX` that an upstream answered completely, and, where ends are recorded as
-well, for content whose upstreams ended together with others.
+`ANSWERED_MAX` that an upstream answered completely, for crashes that are presumed and
+not proved, and, where ends are recorded as well, for content whose upstreams ended
+together with others.
 
 A complete answer excuses content from all crashes until then. An excuse isn't undone
 when the same evidence arrives again, so daemons may exchange what they know in any
@@ -54,7 +55,8 @@
     The fingerprints cover the requests' content only, so a re-send under
     another key is recognised. Without any, it only reports the end of the upstream.
     `answered` are those of them that were answered completely since. It was recorded
-    `age_s` seconds ago.
+    `age_s` seconds ago. If it is `presumed`, the upstream had announced that it leaves,
+    or can't be reached, so that its end has another likely cause.
     """
 
     service: str
@@ -63,6 +65,7 @@
     fingerprints: tuple[str, ...]
     answered: tuple[str, ...] = ()
     age_s: float = 0.0
+    presumed: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +84,7 @@
     fingerprints: set[str]
     answered: set[str]
     recorded_s: float
+    presumed: bool
 
     @property
     def suspects(self) -> set[str]:
@@ -226,6 +230,7 @@
             fingerprints=tuple(sorted(crash.fingerprints)),
             answered=tuple(sorted(crash.answered)),
             age_s=now_s - crash.recorded_s,
+            presumed=crash.presumed,
         )
 
     def told_crash_ids(self, now_s: float) -> list[str]:
@@ -241,7 +246,8 @@
         total = 0
         for crash_id in self.told_crash_ids(now_s):
             crash = self._crashes[crash_id]
-            row = (crash_id, *sorted(crash.fingerprints), "", *sorted(crash.answered))
+            row = [crash_id, *sorted(crash.fingerprints), "", *sorted(crash.answered)]
+            row += ["", "presumed"] if crash.presumed else []
             hashed = hashlib.blake2b("\0".join(row).encode(), digest_size=6).digest()
             total ^= int.from_bytes(hashed)
         return total
@@ -260,6 +266,7 @@
             fingerprints={each for each in message.fingerprints if each},
             answered=set(message.answered),
             recorded_s=now_s - max(0.0, message.age_s),
+            presumed=message.presumed,
         )
         self._crashes[message.crash_id] = crash
         return crash
@@ -267,10 +274,18 @@
     @staticmethod
     def _extend(known: _Crash, message: CrashEvidence) -> bool:
         """Add what a message tells beyond a known crash; return whether it did."""
-        before = len(known.fingerprints), len(known.answered)
+        before = len(known.fingerprints), len(known.answered), known.presumed
+        if not known.fingerprints:
+            known.presumed = message.presumed
+        elif message.fingerprints:
+            known.presumed &= message.presumed
         known.fingerprints |= {each for each in message.fingerprints if each}
         known.answered |= set(message.answered)
-        return before != (len(known.fingerprints), len(known.answered))
+        return before != (
+            len(known.fingerprints),
+            len(known.answered),
+            known.presumed,
+        )
 
     def _near(self, crash: _Crash, now_s: float) -> set[str]:
         """Return the quarantined content that ran in crashes close to this one."""
@@ -348,13 +363,20 @@
             for each in others
         ):
             return False
+        proved = {
+            self._crashes[e].upstream for e in crashes if not self._is_presumed(e)
+        }
         is_ambiguous = (
             bool(others)
+            or len(proved) < self._policy.upstreams_threshold
             or fingerprint in self._answered
             or self._is_outage(fingerprint, crashes, now_s)
         )
         return not is_ambiguous or len(upstreams) >= ambiguous_threshold
 
+    def _is_presumed(self, crash_id: str) -> bool:
+        return self._crashes[crash_id].presumed
+
     def _is_outage(self, fingerprint: str, crashes: set[str], now_s: float) -> bool:
         """Return whether upstreams ended close to these crashes without this content.
 
