Check an upstream again that could not be checked, or that a caller had left

Two ways in which a crash had no proof: the one look for a listener got no answer over a link that lost packets, and a caller left a moment before its upstream crashed, which made the request look cancelled. An entry now looks up to four more times. A request that was given up counts if its upstream is refused connections within a second, and if its content has crashed others an entry looks for that itself.

--- a/lavenderspoke/direct/crashchecks.py
+++ b/lavenderspoke/direct/crashchecks.py
@@ -7,17 +7,34 @@
 import threading
 from collections.abc import Callable
 
+import attrs
+
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.crashes import EndSign
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.verdicts import UpstreamMonitor
+from lavenderspoke.periodic import Periodic
 
 # Time for which a check waits whether an upstream that seems to listen goes on to, in
 # seconds: a process that ends closes its connections one by one.
 SETTLE_S = 0.02
 
 
+# Time between a check that told nothing, or the leaving of a caller, and the next
+# check, in seconds, and how often an upstream is checked again.
+AGAIN_S = 0.4
+AGAIN_TIMES = 4
+PERIOD_S = 0.2
+
+
+@attrs.define(kw_only=True)
+class _LaterCheck:
+    upstream: Upstream
+    due_s: float
+    left: int = AGAIN_TIMES
+
+
 class CrashChecks:
     """Checks upstreams and records what it finds; thread-safe.
 
@@ -37,6 +54,7 @@
         self._monitor = monitor
         self._clock = clock
         self._lock = lock
+        self._later: dict[str, _LaterCheck] = {}
 
     def connection_refused(self, upstream: Upstream) -> None:
         """Record that nothing listens at an upstream's address."""
@@ -46,11 +64,40 @@
             )
 
     def check_broken(self, upstream: Upstream) -> None:
-        """Find out whether an upstream has ended that broke off an answer."""
+        """Find out whether an upstream has ended that broke off an answer.
+
+        It is checked again later if that can't be told now, or if a caller left before
+        the answer to content that has crashed others.
+        """
+        crashes = self._monitor.crashes
+        with self._lock:
+            needs_check = crashes.needs_check(upstream.upstream_id)
+            needs_later_check = crashes.needs_later_check(upstream.upstream_id)
+        if needs_check and self._find_out(upstream) is None or needs_later_check:
+            with self._lock:
+                self._later[upstream.upstream_id] = _LaterCheck(
+                    upstream=upstream, due_s=self._clock.monotonic_s() + AGAIN_S
+                )
+
+    def check_again(self) -> None:
+        """Check the upstreams again of which it couldn't be told whether they ended."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            if not self._monitor.crashes.needs_check(upstream.upstream_id):
-                return
-        self._find_out(upstream)
+            due = [each for each in self._later.values() if now_s >= each.due_s]
+        for each in due:
+            each.left -= 1
+            each.due_s = now_s + AGAIN_S
+            upstream_id = each.upstream.upstream_id
+            with self._lock:
+                is_open = self._monitor.crashes.end_sign(upstream_id) is None
+            is_told = not is_open or self._find_out(each.upstream) is not None
+            if is_told or not each.left:
+                with self._lock:
+                    self._later.pop(upstream_id, None)
+
+    def part(self) -> Periodic:
+        """Return the part that runs `check_again`."""
+        return Periodic(name="crash-checks", period_s=PERIOD_S, work=self.check_again)
 
     def has_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream has ended unannounced, as far as can be told."""
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -27,6 +27,9 @@
 # A request that its caller or its deadline ended was still being worked on if its
 # upstream had sent something within this time before, in seconds.
 AT_WORK_S = 1.0
+# Time for which an upstream may go on with a request that was given up here while it
+# was at work on it, in seconds.
+LEFT_WINDOW_S = 1.0
 # Time after an end, or after an answer broke off, in which data that was on its way may
 # still arrive, in seconds.
 IN_FLIGHT_S = 0.25
@@ -52,6 +55,8 @@
     UNREACHED = "unreached"  # entries of several data centres can't connect to it
 
 
+# Ends that are noticed soon after they happen.
+SIGNS_OF_THE_MOMENT = (EndSign.REFUSED, EndSign.REPLACED, EndSign.TOLD)
 # Ends that have another likely cause than a crash.
 PRESUMED_SIGNS = (EndSign.PLANNED, EndSign.UNREACHED)
 
@@ -60,12 +65,14 @@
 class _Unanswered:
     """A request that may have been running when its upstream ended.
 
-    If its answer `looks_whole`, only the end of its connection ended it.
+    If its answer `looks_whole`, only the end of its connection ended it. If it was
+    `left`, its upstream was at work on it, and may have gone on for a moment.
     """
 
     fingerprint: str
     at_s: float
     looks_whole: bool = False
+    left: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +135,8 @@
         end = self._ends.get(upstream.upstream_id)
         if end is not None and end.sign is EndSign.PLANNED:
             return None
-        return self._record_unanswered(upstream, fingerprint, now_s)
+        is_at_work = now_s < heard_s + AT_WORK_S
+        return self._record_unanswered(upstream, fingerprint, now_s, left=is_at_work)
 
     def record_alive(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream has sent something."""
@@ -192,7 +200,16 @@
 
     def needs_check(self, upstream_id: str) -> bool:
         """Return whether a broken answer leaves open if its upstream has ended."""
-        return upstream_id in self._unanswered and upstream_id not in self._ends
+        unanswered = self._unanswered.get(upstream_id, ())
+        return upstream_id not in self._ends and not all(e.left for e in unanswered)
+
+    def needs_later_check(self, upstream_id: str) -> bool:
+        """Return whether content that has crashed others was given up there."""
+        unanswered = self._unanswered.get(upstream_id, ())
+        return upstream_id not in self._ends and any(
+            each.left and self.history.upstreams_of(each.fingerprint)
+            for each in unanswered
+        )
 
     def record_ends(
         self, upstreams: Iterable[Upstream], sign: EndSign, now_s: float
@@ -249,6 +266,7 @@
         now_s: float,
         *,
         looks_whole: bool = False,
+        left: bool = False,
     ) -> CrashEvidence | None:
         upstream_id = upstream.upstream_id
         recent = [
@@ -257,11 +275,16 @@
             if _is_recent(each, now_s)
         ]
         recent.append(
-            _Unanswered(fingerprint=fingerprint, at_s=now_s, looks_whole=looks_whole)
+            _Unanswered(
+                fingerprint=fingerprint,
+                at_s=now_s,
+                looks_whole=looks_whole,
+                left=left,
+            )
         )
         self._unanswered[upstream_id] = recent
-        end = self._ends.get(upstream_id)
-        if end is None or end.sign is EndSign.PLANNED:
+        sign = self.end_sign(upstream_id)
+        if sign is None or left or (sign is EndSign.PLANNED and looks_whole):
             return None
         evidence = self._evidence_of(upstream, now_s)
         self.history.record_crash(evidence, now_s)
@@ -295,13 +318,16 @@
         What the upstream sent afterwards shows that it had outlived a request.
         """
         alive_s = self._alive_s.get(upstream_id, float("-inf"))
+        tells_when = self.end_sign(upstream_id) in SIGNS_OF_THE_MOMENT
         running = {
             each.fingerprint
             for each in self._unanswered.get(upstream_id, ())
-            if _is_recent(each, now_s) and each.at_s >= alive_s - IN_FLIGHT_S
+            if _is_recent(each, now_s)
+            and each.at_s >= alive_s - IN_FLIGHT_S
+            and (tells_when or not each.left)
         }
         return tuple(sorted(running))
 
 
 def _is_recent(each: _Unanswered, now_s: float) -> bool:
-    return now_s < each.at_s + CRASH_WINDOW_S
+    return now_s < each.at_s + (LEFT_WINDOW_S if each.left else CRASH_WINDOW_S)
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -435,7 +435,7 @@
         self._dispatcher.attempt_ended(
             attempt.ticket, attempt.upstream, self.accepted, outcome
         )
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.LEFT):
             # Before any retry, which would crash the next upstream.
             self._dispatcher.check_ended(attempt.upstream)
 
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -181,7 +181,7 @@
         self.dispatcher.attempt_ended(
             self.slot.ticket, self.slot.upstream, self.accepted, outcome
         )
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.LEFT):
             self.dispatcher.check_ended(self.slot.upstream)
         self.outcome = outcome
         self._ended.set()
