Record crashes of upstreams in the platform's store

After a restart of all entries between two crashes of the same content, callers saw it end upstreams as if nothing had happened: crashes that weren't enough for a quarantine were known to entries only. A record goes once its content is excused, or forgotten. A first list of upstreams withdraws no crash any more: the record of one that crashed before the entry started may not have lapsed.

--- a/lavenderspoke/direct/crashchecks.py
+++ b/lavenderspoke/direct/crashchecks.py
@@ -14,7 +14,6 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.verdicts import UpstreamMonitor
-from lavenderspoke.periodic import Periodic
 
 # Time for which a check waits whether an upstream that seems to listen goes on to, in
 # seconds: a process that ends closes its connections one by one.
@@ -25,7 +24,6 @@
 # check, in seconds, and how often an upstream is checked again.
 AGAIN_S = 0.4
 AGAIN_TIMES = 4
-PERIOD_S = 0.2
 
 
 @attrs.define(kw_only=True)
@@ -95,10 +93,6 @@
                 with self._lock:
                     self._later.pop(upstream_id, None)
 
-    def part(self) -> Periodic:
-        """Return the part that runs `check_again`."""
-        return Periodic(name="crash-checks", period_s=PERIOD_S, work=self.check_again)
-
     def has_ended(self, upstream: Upstream) -> bool:
         """Return whether an upstream has ended unannounced, as far as can be told."""
         with self._lock:
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -189,7 +189,6 @@
                 ("readiness", self._readiness_server),
                 ("watch", self._caller_watch),
                 *feeds.parts(),
-                ("crash checks", self.dispatcher.crash_checks.part()),
                 ("callers", self._caller_server),
                 ("peers", self._peer_link),
             ],
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -176,7 +176,7 @@
             slowdowns=self._pace.slowdowns if self._pace is not None else dict,
         )
         self._upstream_monitor = UpstreamMonitor(
-            scheduler=self._scheduler, metrics=metrics
+            name=name, scheduler=self._scheduler, metrics=metrics
         )
         self.crash_checks = CrashChecks(
             monitor=self._upstream_monitor,
--- a/lavenderspoke/direct/storedfacts.py
+++ b/lavenderspoke/direct/storedfacts.py
@@ -1,12 +1,14 @@
 """What an entry records in the platform's store for entries that start later.
 
-These are the quarantines of content, and the services of which several versions serve.
+These are crashes of upstreams, quarantines of content, and the services of which
+several versions serve.
 """
 
 import threading
 from collections.abc import Callable
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.crashrecords import CrashRecordName, RecordedCrash
 from lavenderspoke.direct.quarantinerecords import QuarantineRecords
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.verdicts import UpstreamMonitor
@@ -52,10 +54,11 @@
             changes = self._quarantines.read(present, deleted, is_snapshot=is_snapshot)
             self._monitor.apply_recorded(changes, self._clock.monotonic_s())
 
-    def quarantine_records_lost(self) -> None:
-        """Write quarantines again: the store has come back from an older copy."""
+    def records_lost(self) -> None:
+        """Write crashes and quarantines again: the store has gone back to a copy."""
         with self._lock:
             self._quarantines.on_records_lost()
+            self._monitor.records.on_records_lost()
 
     def quarantines_due(self) -> tuple[dict[str, tuple[str, ...]], list[str]]:
         """Return the records to write, with the crashed upstreams, and to delete."""
@@ -77,6 +80,40 @@
         with self._lock:
             self._quarantines.record_deleted(fingerprint)
 
+    # Crashes
+
+    def crashes_read(
+        self,
+        present: dict[CrashRecordName, RecordedCrash],
+        deleted: tuple[CrashRecordName, ...],
+        *,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply the crashes that the store holds, of all entries."""
+        with self._lock:
+            new = self._monitor.records.read(present, deleted, is_snapshot=is_snapshot)
+            for each in new:
+                self._monitor.merge_evidence(each, self._clock.monotonic_s())
+
+    def crashes_due(
+        self,
+    ) -> tuple[dict[CrashRecordName, RecordedCrash], list[CrashRecordName]]:
+        """Return the records of crashes to write and to delete."""
+        with self._lock:
+            history = self._monitor.crashes.history
+            records = self._monitor.records
+            return records.writes_due(history), records.deletions_due(history)
+
+    def crash_written(self, name: CrashRecordName, recorded: RecordedCrash) -> None:
+        """Record that the store has a crash."""
+        with self._lock:
+            self._monitor.records.record_written(name, recorded)
+
+    def crash_deleted(self, name: CrashRecordName) -> None:
+        """Record that the store no longer has a crash."""
+        with self._lock:
+            self._monitor.records.record_deleted(name)
+
     # Versions
 
     def versions_read(
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -9,6 +9,7 @@
 import logbook
 
 from lavenderspoke.direct.crashes import CrashDetector, EndSign
+from lavenderspoke.direct.crashrecords import CrashRecords
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.messages import SharedState
@@ -25,6 +26,7 @@
 DIGEST_KEPT_S = 1.0
 EJECTIONS = "upstreams_left_alone"
 ENDS = "upstream_ends"
+CRASHES = "crash_records"
 QUARANTINES = "content_quarantines"
 UNANSWERED = "upstream_unanswered"
 # Ends that each entry finds out itself, from the list or from the others' reports.
@@ -58,8 +60,9 @@
     Not thread-safe: its owner holds a lock. Times are in seconds.
     """
 
-    def __init__(self, *, scheduler: Scheduler, metrics: Metrics):
+    def __init__(self, *, name: str, scheduler: Scheduler, metrics: Metrics):
         self.crashes = CrashDetector()
+        self.records = CrashRecords(entry=name)
         self._scheduler = scheduler
         self._metrics = metrics
         self._evidence: list[CrashEvidence] = []
@@ -69,6 +72,7 @@
         self._unreached_reports = PeerReports()
         self._failing_reports = PeerReports()
         self._listed: dict[str, Upstream] = {}
+        self._has_list = False
         self._quarantined: set[str] = set()
         self._new_quarantines: set[str] = set()
         self._digest: tuple[int, float, int] = (0, 0.0, 0)
@@ -82,10 +86,12 @@
         went = [each for key, each in before.items() if key not in listed]
         restarted = [each for each in went if each.name in names]
         came = [each for key, each in listed.items() if key not in before]
-        self._listed = listed
+        # The record of one that crashed before this entry started may not have lapsed.
+        listed_again = came if self._has_list else []
+        self._listed, self._has_list = listed, True
         self._unreached_reports.retain(set(listed))
         self._failing_reports.retain(set(listed))
-        for each in came:
+        for each in listed_again:
             self.crashes.record_listed(each.upstream_id, now_s)
         taken = {(each.host, each.port) for each in came}
         replaced = [
@@ -108,7 +114,7 @@
             self._metrics.count(ENDS, sign.value)
             _log_end(evidence, sign=sign.value)
             if evidence.fingerprints or sign not in ENDS_FOUND_BY_EACH:
-                self._evidence.append(evidence)
+                self._add_own(evidence)
         self._note_quarantines(now_s)
 
     def record_attempt(
@@ -165,7 +171,7 @@
         revision = self.crashes.history.revision
         own = self.crashes.merge(evidence, now_s)
         if own is not None:
-            self._evidence.append(own)
+            self._add_own(own)
         if self.crashes.history.revision != revision:
             self._metrics.count(ENDS, EndSign.TOLD.value)
             _log_end(evidence, sign=EndSign.TOLD.value)
@@ -225,6 +231,11 @@
         new, self._new_quarantines = self._new_quarantines, set()
         return new
 
+    def _add_own(self, evidence: CrashEvidence) -> None:
+        """Have evidence of this entry told to the others, and recorded."""
+        self._evidence.append(evidence)
+        self.records.note_own(evidence)
+
     def _check_outlier(self, upstream_state: UpstreamState, now_s: float) -> None:
         pool = self._scheduler.queue(upstream_state.upstream.service).pool
         if pool.eject_if_outlier(upstream_state, now_s):
@@ -302,7 +313,7 @@
                 upstream, fingerprint, heard_s=heard_s, now_s=now_s
             )
         if evidence is not None:
-            self._evidence.append(evidence)
+            self._add_own(evidence)
             _log_end(evidence, sign="known")
         if outcome in UNANSWERED_OUTCOMES:
             sign = self.crashes.end_sign(upstream.upstream_id)
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -16,11 +16,11 @@
 from lavenderspoke.direct.relay import PeerAccess, Relay
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.streamexchange import STREAM_VERSIONS
-from lavenderspoke.direct.verdicts import QUARANTINES
+from lavenderspoke.direct.verdicts import CRASHES, QUARANTINES
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
-from lavenderspoke.platform import mixedversions, quarantines
+from lavenderspoke.platform import crashrecords, mixedversions, quarantines
 from lavenderspoke.platform.burstcredits import CreditWriter
 from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter, part_of
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
@@ -38,6 +38,8 @@
 # Time between two reads of the settings file, in seconds: it may change without a
 # signal, and no change in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
+# Time between two checks of upstreams that couldn't be checked before, in seconds.
+CRASH_CHECKS_PERIOD_S = 0.2
 # Share of the key revocation limit to which the time to apply is capped.
 KEY_REVOCATION_SHARE = 0.4
 # How long writing the last log lines may take on shutdown, in seconds.
@@ -151,6 +153,11 @@
             facts=entry.dispatcher.facts,
         )
         self._facts = _fact_writer(entry, settings, clock)
+        self._crash_checks = Periodic(
+            name="crash-checks",
+            period_s=CRASH_CHECKS_PERIOD_S,
+            work=entry.dispatcher.crash_checks.check_again,
+        )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -168,6 +175,7 @@
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
             ("facts", self._facts),
+            ("crash checks", self._crash_checks),
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
@@ -192,6 +200,13 @@
         values = {name: {"upstreams": each} for name, each in writes.items()}
         return DueRecords(writes=values, deletions=deletions)
 
+    def crashes_due() -> DueRecords:
+        writes, deletions = facts.crashes_due()
+        return DueRecords(
+            writes={crashrecords.record_key(n): e for n, e in writes.items()},
+            deletions=[crashrecords.record_key(name) for name in deletions],
+        )
+
     def versions_due() -> DueRecords:
         changes = facts.versions_due()
         return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
@@ -200,6 +215,16 @@
         RecordWriter, store=store, clock=clock, metrics=entry.metrics
     )
     writers = [
+        writer(
+            prefix=crashrecords.KEY_PREFIX,
+            metric=CRASHES,
+            due=crashes_due,
+            encode=attrs.asdict,
+            on_written=lambda key, recorded: facts.crash_written(
+                crashrecords.record_name(key), recorded
+            ),
+            on_deleted=lambda key: facts.crash_deleted(crashrecords.record_name(key)),
+        ),
         writer(
             prefix=quarantines.KEY_PREFIX,
             metric=QUARANTINES,
--- a/lavenderspoke/platform/entryrecords.py
+++ b/lavenderspoke/platform/entryrecords.py
@@ -39,7 +39,8 @@
 
     `due()` returns the records that are due. `on_written` is called with the name and
     value of each that the store has taken, `on_deleted` with the name of each that it
-    has deleted. They are counted in `metric`.
+    has deleted. They are counted in `metric`. `encode` returns what is written of a
+    value.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         due: Callable[[], DueRecords],
         on_written: Callable[[str, object], None],
         on_deleted: Callable[[str], None],
+        encode: Callable[[object], object] = lambda value: value,
     ):
         self._prefix = prefix
         self._store = store
@@ -62,6 +64,7 @@
         self._due = due
         self._on_written = on_written
         self._on_deleted = on_deleted
+        self._encode = encode
         self._paused_until_s = 0.0
 
     def write_due(self) -> None:
@@ -70,7 +73,8 @@
             return
         due = self._due()
         for name, value in due.writes.items():
-            if self._append(name, json.dumps(value).encode(), "written"):
+            encoded = json.dumps(self._encode(value)).encode()
+            if self._append(name, encoded, "written"):
                 self._on_written(name, value)
         for name in due.deletions:
             if self._append(name, None, "deleted"):
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -11,6 +11,7 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog
+from lavenderspoke.direct.crashrecords import CrashRecordName, RecordedCrash
 from lavenderspoke.direct.feed import CallReason, Feed
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.instances import Upstream
@@ -21,6 +22,7 @@
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
+from lavenderspoke.platform.crashrecords import is_crash, read_crashes
 from lavenderspoke.platform.decoding import parse_as
 from lavenderspoke.platform.mixedversions import is_versions, read_versions
 from lavenderspoke.platform.quarantines import is_quarantine, read_quarantines
@@ -290,8 +292,17 @@
     ) -> None:
         """Apply quarantines; a snapshot has all of them."""
 
-    def quarantine_records_lost(self) -> None:
-        """Write quarantines again: the store has come back from an older copy."""
+    def records_lost(self) -> None:
+        """Write records again: the store has come back from an older copy."""
+
+    def crashes_read(
+        self,
+        present: dict[CrashRecordName, RecordedCrash],
+        deleted: tuple[CrashRecordName, ...],
+        *,
+        is_snapshot: bool,
+    ) -> None:
+        """Apply crashes of upstreams; a snapshot has all of them."""
 
     def versions_read(
         self,
@@ -322,8 +333,9 @@
     An entry writes its location, and the configuration in force: when the store comes
     back from an older copy, it is written again, and an entry that starts then learns
     of versions that the copy lacks. The topic also has customers' burst credits,
-    quarantines of content and services with several software versions, since a starting
-    entry needs them before it serves, and one read is enough for all.
+    crashes of upstreams, quarantines of content and services with several software
+    versions, since a starting entry needs them before it serves, and one read is enough
+    for all.
     """
 
     topic = ENTRIES_TOPIC
@@ -429,7 +441,12 @@
 
     def _apply_facts(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
         if self._has_lost_records:
-            self._facts.quarantine_records_lost()
+            self._facts.records_lost()
+        crashes = read_crashes(batch.records)
+        if crashes.present or crashes.deleted or is_snapshot:
+            self._facts.crashes_read(
+                crashes.present, crashes.deleted, is_snapshot=is_snapshot
+            )
         quarantines = read_quarantines(batch.records)
         if quarantines.present or quarantines.deleted or is_snapshot:
             self._facts.quarantines_read(
@@ -452,4 +469,6 @@
 
 def _is_no_entry(record: KeyedRecord) -> bool:
     """Return whether a record of the entries' topic is another fact."""
-    return is_credit(record) or is_quarantine(record) or is_versions(record)
+    return any(
+        is_kind(record) for is_kind in (is_credit, is_crash, is_quarantine, is_versions)
+    )
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -218,6 +218,14 @@
             if fingerprint in crash.suspects
         }
 
+    def knows(self, crash_id: str) -> bool:
+        """Return whether a crash is remembered."""
+        return crash_id in self._crashes
+
+    def is_suspicious(self, crash_id: str) -> bool:
+        """Return whether any content is suspected of a crash."""
+        return crash_id in self._crashes and bool(self._crashes[crash_id].suspects)
+
     def evidence(self, crash_id: str, now_s: float) -> CrashEvidence | None:
         """Return a recorded crash as a message, or None if it isn't to be told."""
         crash = self._crashes.get(crash_id)
