Have agents tell an entry that starts of the crashes before

An agent told the entries of a crash of its upstream once. An entry that started later learned of it only from further crashes, and sent content on that the others refused. An agent now remembers its upstream's last 16 crashes and tells a new entry, with their age.

--- a/lavenderspoke/agentcore.py
+++ b/lavenderspoke/agentcore.py
@@ -309,16 +309,17 @@
     def _(self, message: messages.EntryAnnounce, sender, now_s) -> list:
         if not self.puller.heard(sender, now_s, message.address):
             return []
-        return self._welcome(sender)
+        return self._welcome(sender, now_s)
 
-    def _welcome(self, entry: InstanceId) -> list:
-        held = self.runs.prefixes_held()
-        return self._announce([entry]) + [Send(recipient=entry, message=held)]
+    def _welcome(self, entry: InstanceId, now_s: float) -> list:
+        facts = [self.runs.prefixes_held(), *self.runs.crashes(now_s)]
+        sends = [Send(recipient=entry, message=each) for each in facts]
+        return self._announce([entry]) + sends
 
     @_from.register
     def _(self, message: messages.Demand, sender, now_s) -> list:
         is_new = self.puller.demand(sender, message.waiting, now_s)
-        return self._welcome(sender) if is_new else []
+        return self._welcome(sender, now_s) if is_new else []
 
     @_from.register
     def _(self, message: messages.PullDone, sender, now_s) -> list:
--- a/lavenderspoke/agentruns.py
+++ b/lavenderspoke/agentruns.py
@@ -1,6 +1,7 @@
 """The runs at an agent's upstream: their pieces, their ends, their crashes."""
 
 import functools
+from collections import deque
 from collections.abc import Callable
 
 import attrs
@@ -22,6 +23,16 @@
 PREFIXES_MAX = 4096
 
 
+# Crashes of its upstream that an agent remembers.
+CRASHES_MAX = 16
+
+
+@attrs.frozen(kw_only=True)
+class _TimedEvidence:
+    evidence: messages.CrashEvidence
+    at_s: float
+
+
 @attrs.define(kw_only=True)
 class AgentRuns:
     """Takes what comes of an upstream and passes it on to the entries."""
@@ -35,6 +46,9 @@
     new_id: Callable[[], str]
     _prefixes: dict[str, None] = attrs.field(factory=dict)
     _prefix_sequence: int = 0
+    _crashes: deque["_TimedEvidence"] = attrs.field(
+        factory=lambda: deque(maxlen=CRASHES_MAX)
+    )
 
     @functools.singledispatchmethod
     def take(self, event: object, now_s: float) -> list:
@@ -90,7 +104,7 @@
         run = self.ledger.run(event.request_id)
         if run is None or run.standing is not Standing.DISPATCHED:
             return []
-        actions = self._crash_evidence(run) if event.crashed else []
+        actions = self._crash_evidence(run, now_s) if event.crashed else []
         if run.resumes >= RESUMES_MAX:
             return actions + self._fail(run, event.detail, now_s)
         run.resumes += 1
@@ -113,7 +127,14 @@
         self.limit.finished(run.request_id, now_s)
         return [Count(name="runs_failed", reason="broken"), *self.outbox.flush()]
 
-    def _crash_evidence(self, run: Run) -> list:
+    def crashes(self, now_s: float) -> list[messages.CrashEvidence]:
+        """Return what a new entry is told of the upstream's last crashes."""
+        return [
+            attrs.evolve(each.evidence, age_s=now_s - each.at_s)
+            for each in self._crashes
+        ]
+
+    def _crash_evidence(self, run: Run, now_s: float) -> list:
         # One crash breaks every stream; it must count once for each of them.
         if run.crash_counted:
             return []
@@ -126,6 +147,7 @@
             crash_id=self.new_id(),
             fingerprints=tuple(each.call.fingerprint for each in running),
         )
+        self._crashes.append(_TimedEvidence(evidence=evidence, at_s=now_s))
         return [Send(recipient=e, message=evidence) for e in self.puller.entries()]
 
     def _add_piece(
