--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -70,6 +70,7 @@
     retry_after_s: float | None = None
     detail: str = ""
     content: str = ""
+    shared_parts: tuple[str, ...] = ()
     resumed_id: str | None = None
     handler: RequestHandler | None = None
     response_began_s: float | None = None
@@ -219,6 +220,7 @@
             return Err(not_run(Reason.BAD_REQUEST, parsed.err_value.detail))
         head = parsed.ok_value
         record.request_id = head.request_id
+        record.shared_parts = head.shared_parts
         record.resumed_id = head.resumed_id
         self._startup_hold.wait()
         catalog = self._in_force.catalog
@@ -346,6 +348,7 @@
             route=record.route,
             customer=record.customer,
             content=record.content,
+            parts=record.shared_parts or None,
             version=record.version,
             outcome=record.outcome or OUTCOME_BROKEN,
             status=record.status,
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -22,6 +22,7 @@
     answer, `expected_output_tokens` is the caller's estimate of it. `last_event_id` is
     the id of the last event that the caller has received, as sent, and `resumed_id`
     that of the attempt which brought the first event of a stream that it takes up.
+    `shared_parts` are the ids of the parts of its prompt that other requests may share.
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     expected_output_tokens: int | None = None
     last_event_id: str | None = None
     resumed_id: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def is_taken_up(self) -> bool:
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import string
 
 import attrs
 import logbook
@@ -25,6 +26,9 @@
 TOKENS = "X-Token-Usage"
 # Output tokens that the caller expects: right at the median, often far off.
 EXPECTED_TOKENS = "X-Length-Hint"
+# Ids of the parts of the prompt with their tokens, in order; the last one is the
+# request's own.
+PROMPT_PARTS = "X-Prefix-Hash"
 LAST_EVENT = "Last-Event-Id"
 # Names the caller's attempt that brought the first event of a stream.
 RESUMES = "Resumes"
@@ -48,6 +52,10 @@
 MS_PER_S = 1000.0
 # Maximum digits of a token count; longer values are invalid.
 COUNT_DIGITS_MAX = 12
+# Most parts of a prompt that are looked at, and the most characters of a part's id; more
+# are ignored.
+PARTS_MAX = 64
+PART_ID_LENGTH_MAX = 64
 # Maximum digits of a stream event's id, as in `EventSplitter`.
 EVENT_DIGITS_MAX = 18
 
@@ -118,6 +126,7 @@
                 ),
                 last_event_id=after_event,
                 resumed_id=values.get(RESUMES.lower(), "").strip() or None,
+                shared_parts=_parse_shared_parts(values.get(PROMPT_PARTS.lower(), "")),
             )
         )
 
@@ -224,6 +233,22 @@
     return prompt_tokens, output_tokens
 
 
+def _parse_shared_parts(value: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, in lower case; none if any is invalid.
+
+    >>> _parse_shared_parts("5C1e07a2:800, 91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06')
+    """
+    ids = []
+    for part in value.split(",")[: PARTS_MAX + 1]:
+        part_id, _, tokens = part.strip().partition(":")
+        is_hex = part_id and set(part_id) <= set(string.hexdigits)
+        if not is_hex or len(part_id) > PART_ID_LENGTH_MAX or not tokens:
+            return ()
+        ids.append(part_id.lower())
+    return tuple(dict.fromkeys(ids[:-1]))
+
+
 def _is_event_id(value: str) -> bool:
     """Return whether the value is a valid event id without surrounding spaces."""
     return _parse_count(value, EVENT_DIGITS_MAX) is not None and value == value.strip()
