--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -52,7 +52,7 @@
 MS_PER_S = 1000.0
 # Maximum digits of a token count; longer values are invalid.
 COUNT_DIGITS_MAX = 12
-# Most parts of a prompt that are looked at, and the most characters of a part's id; more
+# Most parts of a prompt that are looked at, and most characters of a part's id. More
 # are ignored.
 PARTS_MAX = 64
 PART_ID_LENGTH_MAX = 64
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -27,6 +27,7 @@
 ID = "x-attempt-id"
 EXPECTED = "x-expect-instance"
 LAST_EVENT = "last-event-id"
+PARTS = "x-prefix-hash"
 
 
 @attrs.frozen(kw_only=True)
@@ -41,8 +42,9 @@
     their connections, also those of answers that end with them.
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
-    A request whose body has the `crash_marker` ends the process as its work begins, or
-    after `crash_after_events` events of its stream, or half of its plain answer; if it
+    A request whose body has the `crash_marker`, or whose prompt has the `crash_part`
+    before its last part, ends the process as its work begins, or after
+    `crash_after_events` events of its stream, or half of its plain answer; if it
     `crashes_silently`, the process stops instead, and its connections stay open. If its
     machine `closes_in_order`, an answer that ends with its connection isn't reset.
     `mute` runs and never answers. `silent` holds all runs where they are, and lets
@@ -65,6 +67,7 @@
     silent: bool = False
     crash: bool = False
     crash_marker: str = ""
+    crash_part: str = ""
     crash_after_events: int = 0
     crashes_silently: bool = False
     closes_in_order: bool = False
@@ -236,8 +239,12 @@
         return sum(map(len, events))
 
     def _is_fatal(self, run: _Run) -> bool:
-        marker = self._faults.now.crash_marker
-        return bool(marker) and marker in run.body
+        faults = self._faults.now
+        parts = [
+            each.partition(":")[0] for each in run.headers.get(PARTS, "").split(",")
+        ]
+        has_part = bool(faults.crash_part) and faults.crash_part in parts[:-1]
+        return has_part or bool(faults.crash_marker) and faults.crash_marker in run.body
 
     def _crash(self) -> None:
         """End or stop the process at once, as an engine does that crashes."""
