Blame parts of prompts that crash upstreams, not only whole contents

Callers saw one engine after the other end, 36 in 78 s: each time a request of the same route that was unlike all others ran there. Only whole contents were blamed for crashes, so that each of them counted once. Crash evidence now holds the parts that other requests may share. A part is blamed for crashes since which no request with it was answered: a rare one after three, if that would be an unlikely coincidence, others after five, common ones only if rarer parts don't explain their crashes and some requests lack them. What can't be told apart is blamed together. Answers clear parts, and entries tell each other which; an entry that blames a part tells the others and records it like a content. What was running beside a rare part in each of its crashes is no longer blamed after two.

--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -15,7 +15,7 @@
 from lavenderspoke.direct.tickets import Ticket
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence
+from lavenderspoke.poison import CrashEvidence, Quarantined
 
 TICK_S = 0.02
 # Range of message delays, in seconds.
@@ -180,6 +180,9 @@
         if isinstance(outgoing.message, CrashEvidence):
             entry.dispatcher.receive_crash_evidence(outgoing.message)
             return
+        if isinstance(outgoing.message, Quarantined):
+            entry.dispatcher.facts.quarantine_told(outgoing.message)
+            return
         for further in entry.dissemination.receive(sender.me, outgoing.message):
             self.send(entry, further)
 
--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -43,10 +43,16 @@
   Scenario: All requests share a part, and entries have just started
     Guards against blaming what nothing has cleared yet.
     Given 3 entries and 20 upstreams
-    When 5 requests with the parts "a x" crash an upstream each, and nothing else is sent
+    When 5 requests with the parts "a x" crash an upstream each, beside sound ones of "a"
     Then new requests are refused everywhere with the parts "a x"
     And every entry accepts requests with the parts "a" and "a b"
 
+  Scenario: Upstreams end before anything is answered
+    Guards against refusing all requests for what all of them share.
+    Given 3 entries and 20 upstreams
+    When 9 requests with the parts "a b" crash an upstream each, beside sound ones of "a b"
+    Then every entry accepts requests with the parts "a" and "a b"
+
   Scenario: Most requests of a quiet route crash
     Guards against blaming what the requests of a route share.
     Given 3 entries and 20 upstreams
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -24,6 +24,7 @@
 )
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.tickets import Dispatch, Refuse
+from lavenderspoke.partuse import PartUse
 from lavenderspoke.problems import Reason
 
 NUMBERS = itertools.count(1)
@@ -158,11 +159,11 @@
 
 @when(
     '{count:d} requests with the parts "{parts}" crash an upstream each, '
-    "and nothing else is sent"
+    'beside sound ones of "{kind}"'
 )
-def step_crash_alone(context, count, parts):
+def step_crash_unanswered(context, count, parts, kind):
     for _ in range(count):
-        crash_with(context, parts_request(parts))
+        crash_with(context, parts_request(parts), parts_request(kind))
 
 
 @when("requests with the parts {kinds} crash an upstream each")
@@ -342,8 +343,6 @@
     "tenth"
 )
 def step_use(context, count, common):
-    from lavenderspoke.partuse import PartUse
-
     context.use = PartUse()
     for number in range(count):
         parts = (f"p{number}", common) if number % 10 == 0 else (f"p{number}",)
@@ -406,9 +405,7 @@
         time.sleep(SETTLE_S)
 
 
-@then(
-    'prompts with "{bad}" are refused as not run everywhere, and "{sound}" is served'
-)
+@then('prompts with "{bad}" are refused as not run everywhere, and "{sound}" is served')
 def step_refused_processes(context, bad, sound):
     newly_crashed(context)
     for entry in entries_of(context):
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -18,6 +18,7 @@
     CrashHistory,
     Quarantined,
     QuarantinePolicy,
+    parts_of_cause,
 )
 
 # Time before its upstream's end was noticed from which an unanswered request may have
@@ -73,6 +74,7 @@
     at_s: float
     looks_whole: bool = False
     left: bool = False
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -102,7 +104,13 @@
         self._corrections: list[CrashEvidence] = []
 
     def record_broken_answer(
-        self, upstream: Upstream, fingerprint: str, *, heard_s: float, now_s: float
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        *,
+        heard_s: float,
+        now_s: float,
+        parts: tuple[str, ...] = (),
     ) -> CrashEvidence | None:
         """Record an answer that broke off, or a connection that ended before it.
 
@@ -113,20 +121,33 @@
         sign = self.end_sign(upstream.upstream_id)
         if sign is EndSign.DROPPED and now_s < heard_s + AT_WORK_S:
             return None
-        return self._record_unanswered(upstream, fingerprint, now_s)
+        return self._record_unanswered(upstream, fingerprint, now_s, parts=parts)
 
     def record_ended_answer(
-        self, upstream: Upstream, fingerprint: str, now_s: float
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        now_s: float,
+        *,
+        parts: tuple[str, ...] = (),
     ) -> CrashEvidence | None:
         """Record an answer that looks whole and ended with its connection.
 
         The machine of a process that has ended closes its connections in order too.
         So the content is excused only once the upstream sends something later.
         """
-        return self._record_unanswered(upstream, fingerprint, now_s, looks_whole=True)
+        return self._record_unanswered(
+            upstream, fingerprint, now_s, parts=parts, looks_whole=True
+        )
 
     def record_silence(
-        self, upstream: Upstream, fingerprint: str, *, heard_s: float, now_s: float
+        self,
+        upstream: Upstream,
+        fingerprint: str,
+        *,
+        heard_s: float,
+        now_s: float,
+        parts: tuple[str, ...] = (),
     ) -> CrashEvidence | None:
         """Record a request that ended here while its upstream was silent.
 
@@ -136,7 +157,9 @@
         if end is not None and end.sign is EndSign.PLANNED:
             return None
         is_at_work = now_s < heard_s + AT_WORK_S
-        return self._record_unanswered(upstream, fingerprint, now_s, left=is_at_work)
+        return self._record_unanswered(
+            upstream, fingerprint, now_s, parts=parts, left=is_at_work
+        )
 
     def record_alive(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream has sent something."""
@@ -180,8 +203,8 @@
             if each.looks_whole and each.at_s < now_s - IN_FLIGHT_S
         }
         self._unanswered[upstream_id] = [e for e in unanswered if e not in outlived]
-        for fingerprint in sorted({each.fingerprint for each in outlived}):
-            self._corrections += self.record_answer(fingerprint, now_s)
+        for each in sorted(outlived, key=lambda each: each.fingerprint):
+            self._corrections += self.record_answer(each.fingerprint, now_s)
 
     def _withdraw(self, upstream_id: str, now_s: float) -> None:
         if self.history.withdraw_crash(upstream_id, now_s):
@@ -227,9 +250,13 @@
         own = None
         sign = EndSign.UNREACHED if evidence.presumed else EndSign.TOLD
         if self._note_end(upstream_id, sign, now_s):
-            running = set(self._running_in(upstream_id, now_s))
-            if running - set(evidence.fingerprints):
-                own = attrs.evolve(evidence, fingerprints=tuple(sorted(running)))
+            running = self._running_in(upstream_id, now_s)
+            if running.keys() - set(evidence.fingerprints):
+                own = attrs.evolve(
+                    evidence,
+                    fingerprints=tuple(sorted(running)),
+                    parts=_with_parts(running),
+                )
         merged = (evidence,) if own is None else (evidence, own)
         self.history.record_crashes(merged, now_s)
         return own
@@ -240,14 +267,17 @@
         told = [self.history.evidence(crash_id, now_s) for crash_id in sorted(excused)]
         return [each for each in told if each is not None]
 
-    def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
-        """Return whether requests with this content are refused."""
-        return self.history.is_quarantined(fingerprint, now_s)
+    def is_quarantined(
+        self, fingerprint: str, now_s: float, parts: tuple[str, ...] = ()
+    ) -> bool:
+        """Return whether requests with this content, or such parts, are refused."""
+        return self.history.is_quarantined(fingerprint, now_s, parts)
 
-    def ran_here(self, fingerprint: str) -> bool:
-        """Return whether this entry sent the content to an upstream that ended."""
+    def ran_here(self, cause: str) -> bool:
+        """Return whether this entry sent the cause to an upstream that ended."""
+        bad_parts = parts_of_cause(cause)
         return any(
-            each.fingerprint == fingerprint
+            bad_parts <= set(each.parts) if bad_parts else each.fingerprint == cause
             for upstream_id in self._unanswered.keys() & self._ends.keys()
             for each in self._unanswered[upstream_id]
         )
@@ -265,6 +295,7 @@
         fingerprint: str,
         now_s: float,
         *,
+        parts: tuple[str, ...] = (),
         looks_whole: bool = False,
         left: bool = False,
     ) -> CrashEvidence | None:
@@ -280,6 +311,7 @@
                 at_s=now_s,
                 looks_whole=looks_whole,
                 left=left,
+                parts=parts,
             )
         )
         self._unanswered[upstream_id] = recent
@@ -304,29 +336,36 @@
 
     def _evidence_of(self, upstream: Upstream, now_s: float) -> CrashEvidence:
         """Return what this entry saw of an upstream's end."""
+        running = self._running_in(upstream.upstream_id, now_s)
         return CrashEvidence(
             service=upstream.service,
             upstream=upstream.upstream_id,
             crash_id=upstream.upstream_id,
-            fingerprints=self._running_in(upstream.upstream_id, now_s),
+            fingerprints=tuple(sorted(running)),
+            parts=_with_parts(running),
             presumed=self.end_sign(upstream.upstream_id) in PRESUMED_SIGNS,
         )
 
-    def _running_in(self, upstream_id: str, now_s: float) -> tuple[str, ...]:
+    def _running_in(self, upstream_id: str, now_s: float) -> dict[str, tuple[str, ...]]:
         """Return the content that may have been running when an upstream ended.
 
+        Each has the shared parts of its prompt.
+
         What the upstream sent afterwards shows that it had outlived a request.
         """
         alive_s = self._alive_s.get(upstream_id, float("-inf"))
         tells_when = self.end_sign(upstream_id) in SIGNS_OF_THE_MOMENT
-        running = {
-            each.fingerprint
+        return {
+            each.fingerprint: each.parts
             for each in self._unanswered.get(upstream_id, ())
             if _is_recent(each, now_s)
             and each.at_s >= alive_s - IN_FLIGHT_S
             and (tells_when or not each.left)
         }
-        return tuple(sorted(running))
+
+
+def _with_parts(running: dict[str, tuple[str, ...]]) -> dict[str, tuple[str, ...]]:
+    return {content: parts for content, parts in running.items() if parts}
 
 
 def _is_recent(each: _Unanswered, now_s: float) -> bool:
--- a/lavenderspoke/direct/dissemination.py
+++ b/lavenderspoke/direct/dissemination.py
@@ -207,6 +207,7 @@
         after,
         spent=before.spent | after.spent,
         engine_time=combined_rows(before.engine_time, after.engine_time),
+        cleared=before.cleared + after.cleared,
         refused=before.refused + after.refused,
         gone=before.gone + after.gone,
         unreached=before.unreached + after.unreached,
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -20,7 +20,7 @@
 from lavenderspoke.envelope import Envelope
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence
+from lavenderspoke.poison import CrashEvidence, Quarantined
 from lavenderspoke.transport import Transport
 
 # Interval between ticks, in seconds. A tick also runs the dispatcher's periodic work,
@@ -127,6 +127,8 @@
             self._send_all(self._dissemination.receive(envelope.sender, message))
         elif isinstance(message, CrashEvidence):
             self._dispatcher.receive_crash_evidence(message)
+        elif isinstance(message, Quarantined):
+            self._dispatcher.facts.quarantine_told(message)
         elif isinstance(message, RecordsMessage):
             self._on_records(envelope.sender, message)
         elif isinstance(message, StreamMessage):
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -289,6 +289,7 @@
             route=accepted.route.name,
             customer=accepted.customer.name if accepted.customer else "",
             fingerprint=accepted.fingerprint,
+            shared_parts=accepted.head.shared_parts,
             rank=accepted.rank,
             prompt_tokens=accepted.head.prompt_tokens or 0,
             answer_tokens=accepted.head.answer_tokens,
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -9,7 +9,7 @@
 from lavenderspoke.direct.enginetimenews import EngineRows
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.model import InstanceId
-from lavenderspoke.poison import CrashEvidence
+from lavenderspoke.poison import CrashEvidence, Quarantined
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +79,8 @@
 
     - `begun`: streams by the attempt that brought their first event, their service and
       the software version that began them.
+    - `cleared`: parts of prompts that were suspected of crashes, and how many seconds
+      ago a request with them was sent that has been answered.
     - `refused`: fingerprints of refused requests, which may be retried at any entry.
     - `gone`: upstreams at whose address another upstream was found.
     - `unreached`: upstreams to which a connection failed.
@@ -108,6 +110,7 @@
     crashes: int = 0
     slow: tuple[tuple[str, float], ...] = ()
     begun: tuple[tuple[str, str, str], ...] = ()
+    cleared: tuple[tuple[str, float], ...] = ()
     refused: tuple[str, ...] = ()
     gone: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
@@ -233,5 +236,10 @@
 StreamMessage = StreamsBegan | StreamsConfirmed | VersionsAsked | VersionsTold
 
 DirectMessage = (
-    SharedState | GroupStates | CrashEvidence | RecordsMessage | StreamMessage
+    SharedState
+    | GroupStates
+    | CrashEvidence
+    | Quarantined
+    | RecordsMessage
+    | StreamMessage
 )
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -31,7 +31,7 @@
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.hedging import HedgePlan, HedgeResult, HedgeTimer
 from lavenderspoke.direct.instances import Upstream
-from lavenderspoke.direct.messages import PassedOn, SharedState
+from lavenderspoke.direct.messages import DirectMessage, PassedOn, SharedState
 from lavenderspoke.direct.pacemonitor import PaceMonitor
 from lavenderspoke.direct.policies import ALL_POLICIES, Policies
 from lavenderspoke.direct.quota import SharedQuota
@@ -53,7 +53,7 @@
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence
+from lavenderspoke.poison import CrashEvidence, Quarantined
 from lavenderspoke.problems import Problem, Reason
 from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
 from lavenderspoke.rollouts.orders import Order, Stage
@@ -208,8 +208,8 @@
             now_s = self._now_s()
             service, fingerprint = accepted.service, accepted.fingerprint
             self._retry_allowance(service).record_first_attempt(now_s)
-            crashes = self._upstream_monitor.crashes
-            if crashes.is_quarantined(fingerprint, now_s):
+            self._upstream_monitor.record_arrival(accepted)
+            if self._upstream_monitor.is_quarantined(accepted, now_s):
                 return Err(not_run(Reason.CRASHES_UPSTREAMS, QUARANTINED_DETAIL))
             first_arrived_s = self._resubmissions.take(fingerprint, now_s)
             refusal = self._charge_quota(
@@ -324,6 +324,7 @@
                 accepted,
                 outcome,
                 now_s,
+                sent_s=ticket.sent_s,
                 heard_s=max(ticket.sent_s, ticket.heard_s),
             )
             queue = self._scheduler.queue(ticket.service)
@@ -335,8 +336,7 @@
 
     def is_quarantined(self, accepted: AcceptedRequest) -> bool:
         with self._lock:
-            crashes = self._upstream_monitor.crashes
-            return crashes.is_quarantined(accepted.fingerprint, self._now_s())
+            return self._upstream_monitor.is_quarantined(accepted, self._now_s())
 
     def connection_refused(self, upstream: Upstream) -> None:
         self.crash_checks.connection_refused(upstream)
@@ -608,13 +608,13 @@
 
     def _refuse_quarantined(self) -> None:
         """Refuse waiting requests whose content has crashed upstreams meanwhile."""
-        if fingerprints := self._upstream_monitor.take_new_quarantines():
+        if causes := self._upstream_monitor.take_new_quarantines():
             now_s, crashes = self._now_s(), self._upstream_monitor.crashes
-            for each in fingerprints & crashes.history.proved(now_s):
+            for each in causes & crashes.history.proved(now_s):
                 is_own = crashes.ran_here(each)
                 self.facts.note_proved(each, is_own=is_own, now_s=now_s)
             for queue in self._scheduler.queues().values():
-                queue.refuse_quarantined(fingerprints)
+                queue.refuse_quarantined(crashes.is_quarantined, now_s)
 
     def known_peers(self) -> dict[str, EntryLocation]:
         """Return the other entries that may be alive, by name."""
@@ -661,7 +661,7 @@
         with self._lock:
             return self._peers.remove_expired(self._now_s())
 
-    def outgoing_updates(self, *, leaving: bool) -> list[SharedState | CrashEvidence]:
+    def outgoing_updates(self, *, leaving: bool) -> list[DirectMessage]:
         """Return what is to be sent to the other entries now."""
         with self._lock:
             running, waiting, held, bookings, asking = {}, {}, {}, {}, {}
@@ -702,6 +702,7 @@
                 slow=self._pace.own_rows(self._now_s()) if self._pace else (),
                 begun=self.stream_versions.take_unsent(),
                 refused=self._resubmissions.take_unsent(),
+                cleared=self._upstream_monitor.take_cleared(self._now_s()),
                 gone=findings.gone,
                 unreached=findings.unreached,
                 failing=findings.failing,
@@ -710,7 +711,7 @@
             evidence = self._upstream_monitor.take_evidence()
         return [state, *evidence]
 
-    def missing_evidence(self) -> dict[str, list[CrashEvidence]]:
+    def missing_evidence(self) -> dict[str, list[CrashEvidence | Quarantined]]:
         """Return the crashes that other entries should be told again, by entry."""
         with self._lock:
             names = self._crash_sync.take_due(self._now_s())
@@ -742,7 +743,7 @@
         self.stream_versions.merge(state.begun)
         self._merge_bookings(sender, state, now_s, age_s or 0.0)
         self._rollouts.receive_news(sender, state.rollouts, now_s)
-        self._upstream_monitor.merge_peer_state(sender.name, state, now_s)
+        self._upstream_monitor.merge_peer_state(sender.name, state, now_s, age_s or 0.0)
         self._backpressure.merge_peer_state(sender, state, now_s)
         if self._pace is not None:
             self._pace.merge_peer(sender.name, state.slow, now_s, age_s=age_s or 0.0)
--- a/lavenderspoke/direct/scheduler.py
+++ b/lavenderspoke/direct/scheduler.py
@@ -217,10 +217,14 @@
         self._waiting.remove(ticket)
         return True
 
-    def refuse_quarantined(self, fingerprints: set[str]) -> None:
-        """Refuse the waiting requests with this content."""
+    def refuse_quarantined(
+        self,
+        is_quarantined: Callable[[str, float, tuple[str, ...]], bool],
+        now_s: float,
+    ) -> None:
+        """Refuse the waiting requests whose content, or part of it, is quarantined."""
         for ticket in self._waiting:
-            if ticket.fingerprint in fingerprints:
+            if is_quarantined(ticket.fingerprint, now_s, ticket.shared_parts):
                 self._waiting.remove(ticket)
                 ticket.on_decision(Refuse(reason=Refusal.QUARANTINED))
 
--- a/lavenderspoke/direct/storedfacts.py
+++ b/lavenderspoke/direct/storedfacts.py
@@ -13,6 +13,7 @@
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.verdicts import UpstreamMonitor
 from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
+from lavenderspoke.poison import Quarantined
 
 
 class StoredFacts:
@@ -54,6 +55,11 @@
             changes = self._quarantines.read(present, deleted, is_snapshot=is_snapshot)
             self._monitor.apply_recorded(changes, self._clock.monotonic_s())
 
+    def quarantine_told(self, message: Quarantined) -> None:
+        """Apply a quarantine of prompt parts that another entry tells of."""
+        with self._lock:
+            self._monitor.apply_told(message, self._clock.monotonic_s())
+
     def records_lost(self) -> None:
         """Write crashes and quarantines again: the store has gone back to a copy."""
         with self._lock:
--- a/lavenderspoke/direct/tickets.py
+++ b/lavenderspoke/direct/tickets.py
@@ -67,7 +67,8 @@
 class Ticket:
     """A request in a queue, and after its dispatch at an upstream.
 
-    `fingerprint` is the hash of its content. `target_s` is counted from
+    `fingerprint` is the hash of its content, and `shared_parts` are the parts of its
+    prompt that others may share. `target_s` is counted from
     `first_arrived_s`, when the caller sent it first. The caller gives up `patience_s`
     after `idle_since_s`, when the request arrived or the last event of its stream
     came. `excluded` names upstreams that it was sent to before. A `retryable` request
@@ -91,6 +92,7 @@
     route: str = ""
     customer: str = ""
     fingerprint: str = ""
+    shared_parts: tuple[str, ...] = ()
     rank: Rank
     prompt_tokens: int
     answer_tokens: int
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -8,7 +8,7 @@
 import attrs
 import logbook
 
-from lavenderspoke.direct.crashes import CrashDetector, EndSign
+from lavenderspoke.direct.crashes import QUARANTINE_S, CrashDetector, EndSign
 from lavenderspoke.direct.crashrecords import CrashRecords
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.instances import Upstream
@@ -19,7 +19,7 @@
 from lavenderspoke.direct.upstreamstate import UpstreamState
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence
+from lavenderspoke.poison import CrashEvidence, Quarantined, parts_of_cause
 
 # Time after which the digest of all crashes is computed again, in seconds: old ones
 # leave it as time passes.
@@ -65,7 +65,7 @@
         self.records = CrashRecords(entry=name)
         self._scheduler = scheduler
         self._metrics = metrics
-        self._evidence: list[CrashEvidence] = []
+        self._evidence: list[CrashEvidence | Quarantined] = []
         self._gone: set[str] = set()
         self._unreached: set[str] = set()
         self._failing: set[str] = set()
@@ -124,13 +124,19 @@
         outcome: AttemptOutcome,
         now_s: float,
         *,
+        sent_s: float,
         heard_s: float,
     ) -> None:
         """Record the outcome of one of this entry's attempts.
 
-        The upstream was sent the request, or sent something itself, at `heard_s`.
+        The upstream was sent the request at `sent_s`, and that or sent something itself
+        at `heard_s`.
         """
-        self._record_content(upstream, accepted.fingerprint, outcome, heard_s, now_s)
+        self._record_content(upstream, accepted, outcome, heard_s, now_s)
+        if outcome.is_answer and accepted.head.shared_parts:
+            self.crashes.history.record_parts_answered(
+                accepted.head.shared_parts, began_s=sent_s, now_s=now_s
+            )
         if outcome is AttemptOutcome.UNREACHABLE:
             self._unreached.add(upstream.upstream_id)
         elif outcome is AttemptOutcome.MISDIRECTED:
@@ -155,8 +161,14 @@
         elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.UNREACHABLE):
             upstream_state.health.record_unreachable(now_s)
 
-    def merge_peer_state(self, by: str, state: SharedState, now_s: float) -> None:
-        """Apply the findings that another entry reports."""
+    def merge_peer_state(
+        self, by: str, state: SharedState, now_s: float, age_s: float = 0.0
+    ) -> None:
+        """Apply the findings that another entry reported `age_s` seconds ago."""
+        for part, cleared_age_s in state.cleared:
+            self.crashes.history.record_part_cleared(
+                part, began_s=now_s - age_s - max(0.0, cleared_age_s)
+            )
         for upstream_id in state.gone:
             self._evict(upstream_id, now_s)
         for upstream_id in state.upstreams_leaving:
@@ -190,11 +202,13 @@
             self._digest = (history.revision, now_s, digest)
         return digest
 
-    def all_evidence(self, now_s: float) -> list[CrashEvidence]:
-        """Return all crashes that another entry should know."""
+    def all_evidence(self, now_s: float) -> list[CrashEvidence | Quarantined]:
+        """Return all crashes and bad parts that another entry should know."""
         history = self.crashes.history
         told = (history.evidence(e, now_s) for e in history.told_crash_ids(now_s))
-        return [each for each in told if each is not None]
+        evidence = [each for each in told if each is not None]
+        bad = [cause for cause in history.proved(now_s) if parts_of_cause(cause)]
+        return [*evidence, *map(_quarantined, sorted(bad))]
 
     def take_findings(self) -> UpstreamFindings:
         """Return the findings since the last call, and clear them."""
@@ -208,17 +222,31 @@
         self._failing.clear()
         return findings
 
-    def take_evidence(self) -> list[CrashEvidence]:
-        """Return the crashes that haven't been sent to the others, and clear them."""
+    def take_cleared(self, now_s: float) -> tuple[tuple[str, float], ...]:
+        """Return the prompt parts that this entry has cleared since the last call."""
+        return self.crashes.history.take_cleared(now_s)
+
+    def take_evidence(self) -> list[CrashEvidence | Quarantined]:
+        """Return what hasn't been sent to the others of crashes, and clear it."""
         evidence = [*self._evidence, *self.crashes.take_corrections()]
         self._evidence.clear()
         return evidence
 
+    def apply_told(self, message: Quarantined, now_s: float) -> None:
+        """Apply a quarantine of prompt parts that another entry tells of."""
+        history, cause = self.crashes.history, message.fingerprint
+        if message.ttl_s > 0.0 and not history.is_quarantined(cause, now_s):
+            self._metrics.count(QUARANTINES, "told")
+            log.warning(signals.QUARANTINE_READ, content=cause)
+        history.apply_quarantine(message, now_s)
+        self._new_quarantines.add(cause)
+
     def apply_recorded(self, changes: QuarantineChanges, now_s: float) -> None:
         """Apply what became of quarantines that other entries have recorded."""
         history = self.crashes.history
         for each in changes.lifted:
-            history.lift_announced(each)
+            history.lift(each)
+        self._note_quarantines(now_s)
         for each in changes.began:
             if not history.is_quarantined(each, now_s):
                 self._metrics.count(QUARANTINES, "read")
@@ -236,6 +264,17 @@
         self._evidence.append(evidence)
         self.records.note_own(evidence)
 
+    def record_arrival(self, accepted: AcceptedRequest) -> None:
+        """Record which prompt parts callers use."""
+        if parts := accepted.head.shared_parts:
+            self.crashes.history.part_use.record_request(parts)
+
+    def is_quarantined(self, accepted: AcceptedRequest, now_s: float) -> bool:
+        """Return whether a request's content, or part of its prompt, is refused."""
+        return self.crashes.is_quarantined(
+            accepted.fingerprint, now_s, accepted.head.shared_parts
+        )
+
     def _check_outlier(self, upstream_state: UpstreamState, now_s: float) -> None:
         pool = self._scheduler.queue(upstream_state.upstream.service).pool
         if pool.eject_if_outlier(upstream_state, now_s):
@@ -292,25 +331,28 @@
     def _record_content(
         self,
         upstream: Upstream,
-        fingerprint: str,
+        accepted: AcceptedRequest,
         outcome: AttemptOutcome,
         heard_s: float,
         now_s: float,
     ) -> None:
         """Record what an attempt's outcome says about its content."""
-        evidence = None
+        evidence, fingerprint = None, accepted.fingerprint
+        parts = accepted.head.shared_parts
         if outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_alive(upstream.upstream_id, now_s)
             self._evidence += self.crashes.record_answer(fingerprint, now_s)
         elif outcome is AttemptOutcome.ENDED:
-            evidence = self.crashes.record_ended_answer(upstream, fingerprint, now_s)
+            evidence = self.crashes.record_ended_answer(
+                upstream, fingerprint, now_s, parts=parts
+            )
         elif outcome is AttemptOutcome.BROKEN:
             evidence = self.crashes.record_broken_answer(
-                upstream, fingerprint, heard_s=heard_s, now_s=now_s
+                upstream, fingerprint, heard_s=heard_s, now_s=now_s, parts=parts
             )
         elif outcome in (AttemptOutcome.SILENT, AttemptOutcome.LEFT):
             evidence = self.crashes.record_silence(
-                upstream, fingerprint, heard_s=heard_s, now_s=now_s
+                upstream, fingerprint, heard_s=heard_s, now_s=now_s, parts=parts
             )
         if evidence is not None:
             self._add_own(evidence)
@@ -335,6 +377,13 @@
         if proved == self._quarantined:
             return
         self._new_quarantines |= proved - self._quarantined
+        changed = sorted(each for each in proved ^ self._quarantined)
+        self._evidence += [
+            _quarantined(each, is_over=each not in proved)
+            for each in changed
+            # Of content each entry has the same proof, but not of how common parts are.
+            if parts_of_cause(each)
+        ]
         for each in sorted(proved - self._quarantined):
             self._metrics.count(QUARANTINES, "proved")
             log.warning(
@@ -346,6 +395,11 @@
         self._quarantined = proved
 
 
+def _quarantined(cause: str, *, is_over: bool = False) -> Quarantined:
+    ttl_s = 0.0 if is_over else QUARANTINE_S
+    return Quarantined(service="", fingerprint=cause, ttl_s=ttl_s)
+
+
 def _log_end(evidence: CrashEvidence, *, sign: str) -> None:
     log.info(
         signals.ENDED,
@@ -354,4 +408,6 @@
         sign=sign,
         contents=evidence.fingerprints,
         answered=evidence.answered or None,
+        parts=evidence.parts or None,
+        cleared=evidence.cleared or None,
     )
--- a/lavenderspoke/platform/quarantines.py
+++ b/lavenderspoke/platform/quarantines.py
@@ -1,5 +1,6 @@
 """The records of quarantined content in the platform's store."""
 
+import re
 from collections.abc import Iterable
 
 import attrs
@@ -8,8 +9,8 @@
 from lavenderspoke.direct.records import KeyedRecord
 
 KEY_PREFIX = "quarantine/"
-# Number of characters of a content's hash, in hexadecimal.
-FINGERPRINT_LENGTH = 24
+# The hash of a content, or the ids of parts of prompts.
+CAUSE = re.compile(r"[0-9a-f]{24}|part:[0-9a-f]{1,64}(\+[0-9a-f]{1,64})*")
 
 log = logbook.Logger(__name__)
 
@@ -40,8 +41,7 @@
         if not is_quarantine(record):
             continue
         fingerprint = record.key.removeprefix(KEY_PREFIX)
-        is_hash = set(fingerprint) <= set("0123456789abcdef")
-        if len(fingerprint) != FINGERPRINT_LENGTH or not is_hash:
+        if not CAUSE.fullmatch(fingerprint):
             log.warning("quarantine record skipped", key=record.key)
         elif record.value is None:
             deleted.append(fingerprint)
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -1,4 +1,4 @@
-"""Detects and quarantines request content that crashes upstreams.
+"""Detects and quarantines request content, or prompt parts, that crash upstreams.
 
 Crash evidence names all content that was running in the upstream: the culprit
 and bystanders. Content is quarantined when it ran in crashes of enough distinct
@@ -9,7 +9,12 @@
 not proved, and, where ends are recorded as well, for content whose upstreams ended
 together with others.
 
-A complete answer excuses content from all crashes until then. An excuse isn't undone
+What requests that aren't alike share, parts of their prompts, is blamed as `partblame`
+says; a cause is the hash of a content or the name of parts. The narrowest cause comes
+first: content that was sent again is blamed itself, and explains its crashes.
+
+A complete answer excuses content from all crashes until then, and the parts of its
+prompt from all crashes until it was sent. An excuse isn't undone
 when the same evidence arrives again, so daemons may exchange what they know in any
 order.
 """
@@ -21,6 +26,13 @@
 import attrs
 
 from lavenderspoke.checking import fieldrules
+from lavenderspoke.partblame import (
+    SuspectCrash,
+    SuspectRun,
+    find_bad_parts,
+    is_common,
+)
+from lavenderspoke.partuse import PartUse
 
 # Bounds of what a history remembers; the oldest is forgotten first.
 CRASHES_MAX = 256
@@ -34,6 +46,13 @@
 # Time before the end of that from which crashes aren't told to others any more, in
 # seconds: one that has forgotten a crash must not learn it again.
 UNTOLD_S = 60.0
+# Marks a cause that is made of parts, which are separated by the other.
+PARTS_PREFIX = "part:"
+PARTS_SEPARATOR = "+"
+# Parts that are blamed together at most; the rarest are.
+BLAMED_TOGETHER_MAX = 3
+# Parts to be told to others that have been cleared; the oldest is left out first.
+CLEARED_MAX = 64
 
 
 @attrs.frozen(kw_only=True)
@@ -56,7 +75,9 @@
     another key is recognised. Without any, it only reports the end of the upstream.
     `answered` are those of them that were answered completely since. It was recorded
     `age_s` seconds ago. If it is `presumed`, the upstream had announced that it leaves,
-    or can't be reached, so that its end has another likely cause.
+    or can't be reached, so that its end has another likely cause. `parts` are the
+    shared prompt parts of the contents that have any, and `cleared` are those of them
+    with which requests were answered since.
     """
 
     service: str
@@ -66,11 +87,13 @@
     answered: tuple[str, ...] = ()
     age_s: float = 0.0
     presumed: bool = False
+    parts: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    cleared: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
 class Quarantined:
-    """Announces that a fingerprint is refused for `ttl_s` from receipt."""
+    """Announces that a cause is refused for `ttl_s` from receipt; 0 lifts that."""
 
     service: str
     fingerprint: str
@@ -85,11 +108,45 @@
     answered: set[str]
     recorded_s: float
     presumed: bool
+    answers_before: int
+    parts: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    cleared: set[str] = attrs.field(factory=set)
 
     @property
     def suspects(self) -> set[str]:
         return self.fingerprints - self.answered
 
+    def runs(self, contents: Iterable[str]) -> tuple[SuspectRun, ...]:
+        """Return the requests with these contents and the parts that may be blamed."""
+        return tuple(
+            SuspectRun(content=each, parts=self.parts[each] - self.cleared)
+            for each in contents
+            if each in self.parts
+        )
+
+    def has_parts(self, parts: frozenset[str]) -> bool:
+        """Return whether a suspected request had all of these parts."""
+        return any(parts <= self.parts.get(each, NO_PARTS) for each in self.suspects)
+
+
+NO_PARTS: frozenset[str] = frozenset()
+
+
+def cause_of_parts(parts: Iterable[str]) -> str:
+    """Return the name of the cause that these parts are together.
+
+    >>> cause_of_parts({"5c1e", "91bd"})
+    'part:5c1e+91bd'
+    """
+    return PARTS_PREFIX + PARTS_SEPARATOR.join(sorted(parts))
+
+
+def parts_of_cause(cause: str) -> frozenset[str]:
+    """Return the parts that a cause is made of, none for the hash of a content."""
+    if not cause.startswith(PARTS_PREFIX):
+        return NO_PARTS
+    return frozenset(cause.removeprefix(PARTS_PREFIX).split(PARTS_SEPARATOR))
+
 
 class CrashHistory:
     """The recent crashes of one service or of all, and the quarantined fingerprints.
@@ -112,6 +169,12 @@
         # it was announced.
         self._proved_until_s: dict[str, float] = {}
         self._announced_until_s: dict[str, float] = {}
+        # The parts of all quarantined causes that have any.
+        self._bad_parts: dict[str, frozenset[str]] = {}
+        self.part_use = PartUse()
+        # Parts cleared here since they were last told to others: when the answered
+        # request was sent.
+        self._cleared_s: OrderedDict[str, float] = OrderedDict()
 
     def reconfigure(self, policy: QuarantinePolicy) -> None:
         """Apply the policy of a new service document."""
@@ -129,7 +192,7 @@
     ) -> list[Quarantined]:
         """Record crashes that were noticed at once, as `record_crash` does."""
         self._expire(now_s)
-        to_prove, to_review = set(), set()
+        to_prove, to_review, parts = set(), set(), set()
         for message in messages:
             known = self._crashes.get(message.crash_id)
             if known is None:
@@ -137,11 +200,15 @@
                 crash = self._add(message, now_s)
                 to_prove |= crash.suspects
                 to_review |= self._near(crash, now_s)
+                parts.update(*crash.parts.values())
             elif self._extend(known, message):
                 self.revision += 1
                 to_prove |= known.suspects
                 to_review |= known.fingerprints
-        return self._prove(to_prove, to_review, now_s)
+                parts.update(*known.parts.values())
+        # Parts are blamed first: they may explain what merely met them several times.
+        culprits = self._prove_parts(parts, now_s)
+        return culprits + self._prove(to_prove, to_review, now_s)
 
     def record_answered(self, fingerprint: str, now_s: float) -> set[str]:
         """Record that an upstream answered this content completely.
@@ -164,6 +231,52 @@
             self._prove(set(), {fingerprint}, now_s)
         return excused
 
+    def record_parts_answered(
+        self, parts: Iterable[str], *, began_s: float, now_s: float
+    ) -> None:
+        """Record a complete answer to a request with these parts, sent at `began_s`.
+
+        It excuses the parts from crashes before, and ends the quarantine of parts that
+        were all in it and haven't crashed anything since.
+        """
+        parts = frozenset(parts)
+        self.part_use.record_answer(parts, began_s=began_s)
+        self._clear(parts, began_s)
+        for cause, bad in list(self._bad_parts.items()):
+            if bad <= parts and not self._crashed_since(cause, began_s):
+                self.lift(cause)
+
+    def record_part_cleared(self, part: str, *, began_s: float) -> None:
+        """Record that a request with this part, sent then, was answered elsewhere."""
+        self.part_use.note_answered((part,), began_s=began_s)
+        self._clear(frozenset((part,)), began_s, is_own=False)
+
+    def take_cleared(self, now_s: float) -> tuple[tuple[str, float], ...]:
+        """Return the parts cleared since the last call, and how long ago."""
+        cleared, self._cleared_s = self._cleared_s, OrderedDict()
+        return tuple((part, now_s - began_s) for part, began_s in cleared.items())
+
+    def _clear(
+        self, parts: frozenset[str], began_s: float, *, is_own: bool = True
+    ) -> None:
+        for crash in self._crashes.values():
+            if crash.recorded_s > began_s:
+                continue
+            for content in crash.parts:
+                newly = (crash.parts[content] & parts) - crash.cleared
+                crash.cleared |= newly
+                if is_own:
+                    self._tell_cleared(newly, began_s)
+
+    def _tell_cleared(self, parts: Iterable[str], began_s: float) -> None:
+        self._cleared_s.update((part, began_s) for part in parts)
+        while len(self._cleared_s) > CLEARED_MAX:
+            self._cleared_s.popitem(last=False)
+
+    def _crashed_since(self, cause: str, at_s: float) -> bool:
+        crashes = self._crashes_of(cause)
+        return any(self._crashes[each].recorded_s >= at_s for each in crashes)
+
     def withdraw_crash(self, crash_id: str, now_s: float) -> bool:
         """Excuse all content from a crash: its upstream has shown that it didn't end.
 
@@ -180,6 +293,10 @@
 
     def apply_quarantine(self, message: Quarantined, now_s: float) -> None:
         """Apply a quarantine that another daemon announced."""
+        if message.ttl_s <= 0.0:
+            self.lift_announced(message.fingerprint)
+            return
+        self._note_bad_parts(message.fingerprint)
         until_s = self._announced_until_s.get(message.fingerprint, now_s)
         self._announced_until_s[message.fingerprint] = max(
             until_s, now_s + message.ttl_s
@@ -189,12 +306,33 @@
         """End a quarantine that another daemon announced and then lifted."""
         self._announced_until_s.pop(fingerprint, None)
 
-    def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
-        """Return whether this content is quarantined now."""
-        return now_s < max(
+    def lift(self, cause: str) -> None:
+        """End a quarantine, whatever it rests on; the next crash may renew it."""
+        self._proved_until_s.pop(cause, None)
+        self.lift_announced(cause)
+
+    def is_quarantined(
+        self, fingerprint: str, now_s: float, parts: Iterable[str] = ()
+    ) -> bool:
+        """Return whether this content, or any of these parts, is quarantined now."""
+        if now_s < max(
             self._proved_until_s.get(fingerprint, now_s),
             self._announced_until_s.get(fingerprint, now_s),
-        )
+        ):
+            return True
+        return bool(parts) and bool(self._bad_causes(frozenset(parts), now_s))
+
+    def _bad_causes(self, parts: frozenset[str], now_s: float) -> list[str]:
+        """Return the quarantined causes whose parts are all among these."""
+        return [
+            cause
+            for cause, bad in self._bad_parts.items()
+            if bad <= parts and self.is_quarantined(cause, now_s)
+        ]
+
+    def _note_bad_parts(self, cause: str) -> None:
+        if parts := parts_of_cause(cause):
+            self._bad_parts[cause] = parts
 
     def proved(self, now_s: float) -> set[str]:
         """Return the content that is quarantined by this history's own evidence."""
@@ -211,7 +349,9 @@
         return tuple(sorted({self._crashes[crash_id].upstream for crash_id in crashes}))
 
     def _crashes_of(self, fingerprint: str) -> set[str]:
-        """Return the crashes in which this content ran and is suspected."""
+        """Return the crashes in which this cause ran and is suspected."""
+        if parts := parts_of_cause(fingerprint):
+            return {key for key, e in self._crashes.items() if e.has_parts(parts)}
         return {
             crash_id
             for crash_id, crash in self._crashes.items()
@@ -239,6 +379,8 @@
             answered=tuple(sorted(crash.answered)),
             age_s=now_s - crash.recorded_s,
             presumed=crash.presumed,
+            parts={each: tuple(sorted(e)) for each, e in crash.parts.items()},
+            cleared=tuple(sorted(crash.cleared)),
         )
 
     def told_crash_ids(self, now_s: float) -> list[str]:
@@ -275,13 +417,27 @@
             answered=set(message.answered),
             recorded_s=now_s - max(0.0, message.age_s),
             presumed=message.presumed,
+            answers_before=self.part_use.answers,
         )
         self._crashes[message.crash_id] = crash
+        self._add_parts(crash, message)
         return crash
 
-    @staticmethod
-    def _extend(known: _Crash, message: CrashEvidence) -> bool:
+    def _add_parts(self, crash: _Crash, message: CrashEvidence) -> None:
+        for content, parts in message.parts.items():
+            crash.parts[content] = frozenset(parts)
+            answered = {
+                each
+                for each in parts
+                if self.part_use.is_answered_since(each, crash.recorded_s)
+            }
+            self._tell_cleared(answered - crash.cleared, crash.recorded_s)
+            crash.cleared |= answered
+        crash.cleared |= set(message.cleared)
+
+    def _extend(self, known: _Crash, message: CrashEvidence) -> bool:
         """Add what a message tells beyond a known crash; return whether it did."""
+        self._add_parts(known, message)
         before = len(known.fingerprints), len(known.answered), known.presumed
         if not known.fingerprints:
             known.presumed = message.presumed
@@ -347,6 +503,56 @@
             if each not in reviewed
         ]
 
+    def _prove_parts(self, candidates: set[str], now_s: float) -> list[Quarantined]:
+        """Quarantine the prompt parts that are to be blamed, and return that."""
+        culprits = []
+        while candidates:
+            bad = find_bad_parts(
+                self._suspect_crashes(now_s), candidates, self.part_use
+            )
+            if not bad:
+                break
+            blamed = sorted(bad, key=self.part_use.requests)[:BLAMED_TOGETHER_MAX]
+            cause = cause_of_parts(blamed)
+            self._note_bad_parts(cause)
+            self._proved_until_s[cause] = now_s + self._policy.quarantine_s
+            culprits.append(
+                Quarantined(
+                    service=self._service,
+                    fingerprint=cause,
+                    ttl_s=self._policy.quarantine_s,
+                )
+            )
+            candidates -= bad
+        return culprits
+
+    def _suspect_crashes(self, now_s: float) -> list[SuspectCrash]:
+        """Return the crashes that quarantined parts don't explain.
+
+        Where content is quarantined, what ran beside it says nothing about parts.
+        """
+        suspect = []
+        for crash in self._crashes.values():
+            if crash.presumed or not crash.parts or self._has_bad_parts(crash, now_s):
+                continue
+            refused = {e for e in crash.suspects if self.is_quarantined(e, now_s)}
+            suspect.append(
+                SuspectCrash(
+                    at_s=crash.recorded_s,
+                    runs=crash.runs(refused or crash.suspects),
+                    running_count=len(crash.fingerprints),
+                    answers_before=crash.answers_before,
+                )
+            )
+        return suspect
+
+    def _has_bad_parts(self, crash: _Crash, now_s: float) -> bool:
+        """Return whether quarantined parts explain a crash."""
+        return any(
+            crash.has_parts(bad) and self.is_quarantined(cause, now_s)
+            for cause, bad in self._bad_parts.items()
+        )
+
     def _is_culprit(self, fingerprint: str, now_s: float) -> bool:
         crashes = self._unexplained_crashes(fingerprint, now_s)
         upstreams = {self._crashes[crash_id].upstream for crash_id in crashes}
@@ -376,6 +582,7 @@
         }
         is_ambiguous = (
             bool(others)
+            or self._has_rival_part(fingerprint, crashes)
             or len(proved) < self._policy.upstreams_threshold
             or fingerprint in self._answered
             or self._is_outage(fingerprint, crashes, now_s)
@@ -397,6 +604,7 @@
             for crash_id in crashes
             for other in self._crashes.values()
             if fingerprint not in other.fingerprints
+            and not self._has_bad_parts(other, now_s)
             and not any(self.is_quarantined(e, now_s) for e in other.suspects)
         )
 
@@ -410,6 +618,7 @@
             crash_id
             for crash_id, crash in self._crashes.items()
             if fingerprint in crash.suspects
+            and not self._has_bad_parts(crash, now_s)
             and not any(
                 self.is_quarantined(each, now_s)
                 for each in crash.suspects
@@ -427,6 +636,20 @@
             if each != fingerprint and each not in self._answered
         }
 
+    def _has_rival_part(self, fingerprint: str, crashes: set[str]) -> bool:
+        """Return whether a rare part of other requests was in all of these crashes.
+
+        Content that goes on at another upstream after each crash may meet it again.
+        """
+        beside, own = [], set()
+        for crash_id in crashes:
+            crash = self._crashes[crash_id]
+            runs = crash.runs(crash.suspects - {fingerprint})
+            beside.append(set().union(*(each.parts for each in runs)))
+            own |= crash.parts.get(fingerprint, NO_PARTS)
+        rivals = set.intersection(*beside) - own
+        return any(not is_common(each, self.part_use) for each in rivals)
+
     def _expire(self, now_s: float) -> None:
         cutoff_s = now_s - self._kept_s()
         while self._crashes:
@@ -438,3 +661,5 @@
         for quarantines in (self._proved_until_s, self._announced_until_s):
             for fingerprint in [f for f, s in quarantines.items() if now_s >= s]:
                 del quarantines[fingerprint]
+        for cause in self._bad_parts.keys() - self.quarantined(now_s):
+            del self._bad_parts[cause]
