--- a/features/explain.feature
+++ b/features/explain.feature
@@ -53,6 +53,15 @@
     And the explanation contains "content quarantined: content=c0ffee, upstreams=['model-1', 'model-2']"
     And the explanation omits ends in which it didn't run
 
+  Scenario: A request is refused since a part of its prompt crashed upstreams
+    Guards against a refusal that names neither the part nor the crashes behind it.
+    Given log files of a request whose prompt has a part that crashed upstreams elsewhere
+    When its id is explained from them
+    Then the explanation contains "requests with those parts of its prompt did"
+    And the explanation contains "content quarantined: content=part:bad1"
+    And the explanation contains "upstream ended: upstream=model-1, service=model, sign=refused"
+    And the explanation omits ends in which it didn't run
+
   Scenario: A stream is refused, since the version that began it is gone
     Guards against a refusal whose stream began at another entry, under another id.
     Given log files of a stream that began at one entry and was refused at another
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -142,6 +142,28 @@
         context.files.append(str(path))
 
 
+@given(
+    "log files of a request whose prompt has a part that crashed upstreams elsewhere"
+)
+def step_part_crashed(context):
+    ended = {"service": "model", "sign": "refused"}
+    bad = {"contents": ["c1"], "parts": {"c1": ["aa", "bad1"]}}
+    sound = {"contents": ["c2"], "parts": {"c2": ["aa"]}}
+    others = [
+        record(1, signals.ENDED, upstream="model-1", **ended, **bad),
+        record(2, signals.ENDED, upstream="model-9", **ended, **sound),
+        record(3, signals.QUARANTINED, content="part:bad1", upstreams=["model-1"]),
+    ]
+    refused = {"outcome": "crashes_upstreams", "content": "c3"}
+    own = record(50, "request", request="r1", **refused, parts=["aa", "bad1"])
+    context.files = []
+    for name, lines in (("entry-1", [own]), ("entry-2", others)):
+        path = stage_of(context).directory / f"{name}.log"
+        text = "\n".join(lines) + "\n"
+        path.write_text(text.replace("entry-1", name))
+        context.files.append(str(path))
+
+
 @given("log files of a stream that began at one entry and was refused at another")
 def step_version_gone(context):
     began = record(
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -13,12 +13,12 @@
 import attrs
 
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.observing import signals
 from lavenderspoke.poison import (
     CrashEvidence,
     CrashHistory,
     Quarantined,
     QuarantinePolicy,
-    parts_of_cause,
 )
 
 # Time before its upstream's end was noticed from which an unanswered request may have
@@ -275,7 +275,7 @@
 
     def ran_here(self, cause: str) -> bool:
         """Return whether this entry sent the cause to an upstream that ended."""
-        bad_parts = parts_of_cause(cause)
+        bad_parts = signals.parts_of(cause)
         return any(
             bad_parts <= set(each.parts) if bad_parts else each.fingerprint == cause
             for upstream_id in self._unanswered.keys() & self._ends.keys()
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -19,7 +19,7 @@
 from lavenderspoke.direct.upstreamstate import UpstreamState
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence, Quarantined, parts_of_cause
+from lavenderspoke.poison import CrashEvidence, Quarantined
 
 # Time after which the digest of all crashes is computed again, in seconds: old ones
 # leave it as time passes.
@@ -207,7 +207,7 @@
         history = self.crashes.history
         told = (history.evidence(e, now_s) for e in history.told_crash_ids(now_s))
         evidence = [each for each in told if each is not None]
-        bad = [cause for cause in history.proved(now_s) if parts_of_cause(cause)]
+        bad = [cause for cause in history.proved(now_s) if signals.parts_of(cause)]
         return [*evidence, *map(_quarantined, sorted(bad))]
 
     def take_findings(self) -> UpstreamFindings:
@@ -382,7 +382,7 @@
             _quarantined(each, is_over=each not in proved)
             for each in changed
             # Of content each entry has the same proof, but not of how common parts are.
-            if parts_of_cause(each)
+            if signals.parts_of(each)
         ]
         for each in sorted(proved - self._quarantined):
             self._metrics.count(QUARANTINES, "proved")
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -50,7 +50,10 @@
     Reason.NO_ROUTE.value: "No route of that version matched the request.",
     Reason.NO_DOCUMENT.value: "The entry had no configuration yet.",
     Reason.DRAINING.value: "The entry was shutting down; it has not run.",
-    Reason.CRASHES_UPSTREAMS.value: "Its content crashed upstreams; it has not run.",
+    Reason.CRASHES_UPSTREAMS.value: (
+        "Its content crashed upstreams; it has not run. If what is quarantined begins "
+        'with "part:", requests with those parts of its prompt did.'
+    ),
     Reason.STREAM_VERSION_GONE.value: (
         "No upstream of the version that began its stream is left; it has not run."
     ),
@@ -191,26 +194,44 @@
 def _content_lines(lines: Iterable[LogLine], of: LogLine) -> list[LogLine]:
     """Return what any process has learned of crashes in which the content ran.
 
-    Another entry may have seen the crashes that a request is refused for.
+    Another entry may have seen the crashes that a request is refused for. If parts of
+    its prompt are refused, those are the crashes in which requests with them ran.
     """
-    content = of.fields.get("content")
+    content, parts = of.fields.get("content"), set(of.fields.get("parts") or ())
     if not content:
         return []
+    before = [each for each in lines if each.at_s <= of.at_s]
+    told = [
+        each
+        for each in before
+        if each.message in CONTENT_MESSAGES
+        and _is_cause_of(str(each.fields.get("content")), content, parts)
+    ]
+    causes = {content} | {str(each.fields.get("content")) for each in told}
     about = [
         each
-        for each in lines
-        if each.at_s <= of.at_s
-        and (
-            (each.message in CONTENT_MESSAGES and each.fields.get("content") == content)
-            or (
-                each.message == signals.ENDED
-                and content in (each.fields.get("contents") or ())
-            )
-        )
+        for each in before
+        if each in told
+        or (each.message == signals.ENDED and _ran_in(causes, each.fields))
     ]
     return about[-CONTENT_LINES_MAX:]
 
 
+def _is_cause_of(cause: str, content: str, parts: set[str]) -> bool:
+    """Return whether what was quarantined refuses this content with these parts."""
+    bad_parts = signals.parts_of(cause)
+    return bad_parts <= parts if bad_parts else cause == content
+
+
+def _ran_in(causes: set[str], ended: dict) -> bool:
+    """Return whether any cause was running in an upstream that ended."""
+    shared = [set(each) for each in (ended.get("parts") or {}).values()]
+    return bool(causes & set(ended.get("contents") or ())) or any(
+        bad_parts and any(bad_parts <= each for each in shared)
+        for bad_parts in map(signals.parts_of, causes)
+    )
+
+
 def _stream_lines(lines: Iterable[LogLine], of: LogLine) -> list[LogLine]:
     """Return the requests of the other attempts at the same stream, of any process."""
     attempt_id = of.fields.get("request")
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -1,6 +1,6 @@
 """What logs, counters and explanations call upstreams' signals."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import logbook
 
@@ -23,9 +23,29 @@
 VERSIONS_LISTED = "versions of a service listed lately"
 LEAVING_REASON = "it says that it leaves"
 
+# Marks a quarantined cause that is made of prompt parts, and what separates these.
+PARTS_PREFIX = "part:"
+PARTS_SEPARATOR = "+"
+
 log = logbook.Logger(__name__)
 
 
+def cause_of_parts(parts: Iterable[str]) -> str:
+    """Return the name of the cause that prompt parts are together.
+
+    >>> cause_of_parts({"5c1e", "91bd"})
+    'part:5c1e+91bd'
+    """
+    return PARTS_PREFIX + PARTS_SEPARATOR.join(sorted(parts))
+
+
+def parts_of(cause: str) -> frozenset[str]:
+    """Return the parts that a cause is made of, none for the hash of a content."""
+    if not cause.startswith(PARTS_PREFIX):
+        return frozenset()
+    return frozenset(cause.removeprefix(PARTS_PREFIX).split(PARTS_SEPARATOR))
+
+
 def log_invalid(upstream: str, invalid: Mapping[str, str]) -> None:
     """Log the signals of an upstream whose values can't be used, by name."""
     for signal, value in invalid.items():
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -26,6 +26,7 @@
 import attrs
 
 from lavenderspoke.checking import fieldrules
+from lavenderspoke.observing.signals import cause_of_parts, parts_of
 from lavenderspoke.partblame import (
     SuspectCrash,
     SuspectRun,
@@ -46,9 +47,6 @@
 # Time before the end of that from which crashes aren't told to others any more, in
 # seconds: one that has forgotten a crash must not learn it again.
 UNTOLD_S = 60.0
-# Marks a cause that is made of parts, which are separated by the other.
-PARTS_PREFIX = "part:"
-PARTS_SEPARATOR = "+"
 # Parts that are blamed together at most; the rarest are.
 BLAMED_TOGETHER_MAX = 3
 # Parts to be told to others that have been cleared; the oldest is left out first.
@@ -132,22 +130,6 @@
 NO_PARTS: frozenset[str] = frozenset()
 
 
-def cause_of_parts(parts: Iterable[str]) -> str:
-    """Return the name of the cause that these parts are together.
-
-    >>> cause_of_parts({"5c1e", "91bd"})
-    'part:5c1e+91bd'
-    """
-    return PARTS_PREFIX + PARTS_SEPARATOR.join(sorted(parts))
-
-
-def parts_of_cause(cause: str) -> frozenset[str]:
-    """Return the parts that a cause is made of, none for the hash of a content."""
-    if not cause.startswith(PARTS_PREFIX):
-        return NO_PARTS
-    return frozenset(cause.removeprefix(PARTS_PREFIX).split(PARTS_SEPARATOR))
-
-
 class CrashHistory:
     """The recent crashes of one service or of all, and the quarantined fingerprints.
 
@@ -331,7 +313,7 @@
         ]
 
     def _note_bad_parts(self, cause: str) -> None:
-        if parts := parts_of_cause(cause):
+        if parts := parts_of(cause):
             self._bad_parts[cause] = parts
 
     def proved(self, now_s: float) -> set[str]:
@@ -350,7 +332,7 @@
 
     def _crashes_of(self, fingerprint: str) -> set[str]:
         """Return the crashes in which this cause ran and is suspected."""
-        if parts := parts_of_cause(fingerprint):
+        if parts := parts_of(fingerprint):
             return {key for key, e in self._crashes.items() if e.has_parts(parts)}
         return {
             crash_id
