Close connections unread that an entry has no thread for

While most new connections come to one entry, its callers were read and then refused with 503, a second later, although other entries were idle. Such a connection is now closed after 0.3 s without reading anything, so that its caller sees that nobody has read the request and sends it elsewhere at once. The server of the product's own interface answers as before. Two scenarios with a busy server, of which the first failed before, and one with 24 callers who go to all of three entries and then mostly to one (it passed before too).

--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -79,6 +79,7 @@
             app=self._app,
             threads=self._settings.threads,
             on_problem=self._app.count_problem,
+            refuses_unread=True,
         )
         _apply_limits(server, self._limits)
         return server
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -31,6 +31,7 @@
 REFUSING_QUEUE_CONNECTIONS = 256
 REFUSING_WAIT_S = 0.1
 THREAD_WAIT_S = 1.0
+UNREAD_WAIT_S = 0.3
 THREAD_POLL_S = 0.005
 LINGER_S = 1.0
 LINGER_BYTES_MAX = 4 * 1024 * 1024
@@ -296,7 +297,9 @@
 class HttpServer(wsgi.Server):
     """A WSGI server that soon refuses what it has no thread for.
 
-    With a `listener`, it serves the connections that come there.
+    With a `listener`, it serves the connections that come there. If it
+    `refuses_unread`, it closes those that it has no thread for after a short wait
+    without reading anything, so that their callers may send the same elsewhere at once.
     """
 
     ConnectionClass = CallerConnection
@@ -314,8 +317,10 @@
         header_bytes_max: int = HEADER_BYTES_MAX,
         on_problem=lambda problem: None,
         listener: socket.socket | None = None,
+        refuses_unread: bool = False,
     ):
         self._listener = listener
+        self._refuses_unread = refuses_unread
         # Connections that have a thread or wait for one.
         self._handed: set[CallerConnection] = set()
         self._handed_lock = threading.Lock()
@@ -369,7 +374,8 @@
         if self._has_thread():
             super().process_conn(conn)
         elif self._unservicable_conns.qsize() < REFUSING_QUEUE_CONNECTIONS:
-            conn.thread_wanted_until_s = time.monotonic() + THREAD_WAIT_S
+            wait_s = UNREAD_WAIT_S if self._refuses_unread else THREAD_WAIT_S
+            conn.thread_wanted_until_s = time.monotonic() + wait_s
             self._unservicable_conns.put(conn)
         else:
             self.handed_back(conn)
@@ -406,7 +412,13 @@
         return True
 
     def _refuse(self, conn: CallerConnection) -> None:
-        """Read what has been sent, as far as it is there, and answer busy."""
+        """Read what has been sent, as far as it is there, and answer busy.
+
+        Where requests are refused unread, only close the connection.
+        """
+        if self._refuses_unread:
+            self._close_unread(conn)
+            return
         try:
             conn.socket.settimeout(REFUSING_WAIT_S)
             _read_once(conn.socket)
@@ -420,6 +432,16 @@
             pass
         self.handed_back(conn)
 
+    def _close_unread(self, conn: CallerConnection) -> None:
+        self.on_problem(Problem(reason=Reason.SERVER_BUSY, ran=Ran.NO))
+        try:
+            # Resets the connection if a request has come, whose caller sees at once
+            # that nobody has read it.
+            conn.close()
+        except OSError:
+            pass
+        self.handed_back(conn)
+
     def error_log(self, msg="", level=20, traceback=False) -> None:
         if traceback:
             log.exception("http server", detail=str(msg))
