Soak parts of prompts that crash upstreams, and connections that come mostly to one entry

Callers' prompts share a part with the bad ones. Each check has scenarios that it catches and that it lets pass.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -91,6 +91,36 @@
     Guards against a soak in which no upstream crashes, or none comes back elsewhere.
     Then each of the seeds 1 to 60 has content that crashes upstreams, at both addresses
 
+  Scenario: Schedules hold parts that crash upstreams, and shifted connections
+    Guards against a soak in which callers use all entries alike, or only contents crash.
+    Then of the seeds 1 to 60 some have contents that crash upstreams, and some have parts
+    And each of the seeds 1 to 60 has two entries that get most new connections
+
+  Scenario Outline: Parts that crash upstreams long after they are known are noticed
+    Guards against a check that allows a part no more crashes than a content.
+    Given a soak's record in which every promise is kept
+    When upstreams crash on content <when> s after the first
+    And the crashes were those of a part of prompts
+    Then <checks> of the checks find a breach
+
+    Examples:
+      | when                          | checks |
+      | 1, 2, 4, 5.5, 9, 9.5, 10, 11  | 1      |
+      | 1, 2, 4, 5.5, 6, 7 and 8      | 0      |
+
+  Scenario Outline: An entry that gets most new connections is checked
+    Guards against a check that passes whatever happens to them.
+    Given a soak's record in which every promise is kept
+    When most new connections come to entry-1, which then serves <served> of 40 requests, and <others>
+    Then <checks> of the checks find a breach
+
+    Examples:
+      | served | others                   | checks |
+      | 25     | refuses the rest         | 1      |
+      | 32     | refuses the rest         | 0      |
+      | 25     | is over a limit for them | 0      |
+      | 25     | leaves the rest unread   | 0      |
+
   Scenario Outline: What an upstream says about itself is checked
     Guards against a check that passes whatever entries do with it.
     Given a soak's record in which every promise is kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -77,6 +77,13 @@
     return attrs.evolve(each, answer=attrs.evolve(each.answer, **changes))
 
 
+REST = {
+    "refuses the rest": lambda each: answered(each, status=503),
+    "is over a limit for them": lambda each: answered(each, status=429),
+    "leaves the rest unread": lambda each: attrs.evolve(each, answer=None),
+}
+
+
 def versioned(name: str, at_s: float, version: int, status: int = 200) -> Sent:
     each = sent(name, at_s=at_s, kind=KINDS["look"], version=version)
     return answered(each, status=status)
@@ -142,6 +149,55 @@
     context.record = attrs.evolve(context.record, crashes_s=crashes_s)
 
 
+@when("the crashes were those of a part of prompts")
+def step_by_part(context):
+    context.record = attrs.evolve(context.record, crashes_by_part=True)
+
+
+@when(
+    "most new connections come to entry-1, which then serves {served:d} of {count:d} "
+    "requests, and {others}"
+)
+def step_shifted(context, served, count, others):
+    before = [sent(f"before-{n}", at_s=50.0 + n * 0.05) for n in range(40)]
+    now = [sent(f"now-{n}", at_s=56.1 + n * 0.02) for n in range(count)]
+    kept, rest = now[:served], now[served:]
+    rest = [REST[others](each) for each in rest]
+    context.record = attrs.evolve(
+        context.record,
+        sent=(*context.record.sent, *before, *kept, *rest),
+        shifts=(Span(subject="entry-1", from_s=53.0, to_s=58.0),),
+    )
+
+
+@then(
+    "of the seeds {first:d} to {last:d} some have contents that crash upstreams, and "
+    "some have parts"
+)
+def step_has_parts(context, first, last):
+    by_part = {
+        event.action.by_part
+        for seed in range(first, last + 1)
+        for event in schedule.draw(seed)
+        if isinstance(event.action, schedule.ContentCrashes)
+    }
+    assert by_part == {True, False}
+
+
+@then(
+    "each of the seeds {first:d} to {last:d} has two entries that get most new "
+    "connections"
+)
+def step_has_shifts(context, first, last):
+    for seed in range(first, last + 1):
+        favoured = {
+            event.action.entry
+            for event in schedule.draw(seed)
+            if isinstance(event.action, schedule.ConnectionsShifted)
+        }
+        assert len(favoured) == 2, seed
+
+
 @then("{count:d} of the checks find a breach")
 def step_count(context, count):
     assert len(checks.breaches(context.record)) == count
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -94,7 +94,14 @@
 
 @begin.register(schedule.ContentCrashes)
 def _(action, soak):
-    return soak.crash(action.gap_s, same_address=action.same_address)
+    return soak.crash(
+        action.gap_s, same_address=action.same_address, by_part=action.by_part
+    )
+
+
+@begin.register(schedule.ConnectionsShifted)
+def _(action, soak):
+    return soak.shift_connections(action.entry)
 
 
 @begin.register(schedule.VersionPublished)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,6 +30,23 @@
 TOKENS = "100,20"
 
 
+# The part with which all prompts begin, and the length of an id of a prompt's own part.
+SHARED_PART = "aa"
+PART_ID_LENGTH = 16
+# Share of new connections that a favoured entry gets.
+FAVOURED = 0.85
+
+
+def parts_headers(shared: str, own: str) -> dict[str, str]:
+    """Return the headers about the prompt of a request with these parts.
+
+    >>> parts_headers("aa,bad1", "7f")["X-Prefix-Hash"]
+    'aa:60,bad1:60,7f:40'
+    """
+    parts = [f"{each}:60" for each in shared.split(",")]
+    return {"X-Token-Usage": TOKENS, "X-Prefix-Hash": ",".join([*parts, f"{own}:40"])}
+
+
 @attrs.frozen(kw_only=True)
 class Kind:
     """One kind of request: its path, how often it may run, and its method."""
@@ -100,6 +117,8 @@
         newest_version: Callable[[], int],
     ):
         self.sent: list[Sent] = []
+        # The entry that gets most new connections, if any does.
+        self.favourite: str | None = None
         self._platform = platform
         self._seed = seed
         self._newest_version = newest_version
@@ -126,7 +145,7 @@
         count = 0
         while not self._stopping.is_set():
             count += 1
-            if count % RECONNECT_EVERY == 0:
+            if count % RECONNECT_EVERY == 0 or self.favourite is not None:
                 http.clear()
             sent = self._send(f"{number}-{count}", random, http)
             self.sent.append(sent)
@@ -175,8 +194,13 @@
     ) -> Sent:
         attempt_id = f"soak-{self._seed}-{name}"
         entry = random.choice(ENTRIES)
+        favourite = self.favourite
+        # A stream is taken up at any entry, like all that is sent again.
+        if favourite is not None and "resumes" not in more:
+            entry = favourite if random.random() < FAVOURED else entry
         deadline_ms = random.choice(DEADLINES_MS)
-        headers = {"X-Attempt-Id": attempt_id, "X-Token-Usage": TOKENS}
+        own_part = attempt_id.encode().hex()[-PART_ID_LENGTH:]
+        headers = {"X-Attempt-Id": attempt_id} | parts_headers(SHARED_PART, own_part)
         if "resumes" in more:
             headers["Resumes"] = more["resumes"]
             headers["Last-Event-Id"] = str(more["after_event"])
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 import attrs
 
 from soak.callers import REVOKED_KEY, Sent
-from soak.schedule import ENTRIES
+from soak.schedule import DESKS, ENTRIES
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
@@ -36,7 +36,13 @@
 SOFTWARE_CUT = re.compile(rb"(?<=\d) v?\d?\Z")
 # Crashes after which content is known for them, and how many more there may be later.
 CRASHES_KNOWN = 3
+PART_CRASHES_KNOWN = 5
 LATE_CRASHES_MAX = 3
+# Time before most new connections come to one entry with which their service is
+# compared, in seconds, the requests needed for that, and the least share served.
+SHIFT_BEFORE_S = 3.0
+SHIFT_REQUESTS_MIN = 20
+SHIFT_SERVED_MIN = 0.75
 # How long after a response that tells about its upstream its entry must go by it, in
 # seconds, and from when after a limit was first named the requests are checked.
 SIGNAL_EFFECT_S = 0.5
@@ -113,6 +119,8 @@
     published: Published
     arrivals: tuple[Arrival, ...] = ()
     crashes_s: tuple[float, ...] = ()
+    crashes_by_part: bool = False
+    shifts: tuple[Span, ...] = ()
     leaving_said: tuple[Span, ...] = ()
 
     def calm(self, subjects: tuple[str, ...], from_s: float, to_s: float) -> bool:
@@ -223,11 +231,15 @@
 
 
 def crashes_contained(record: Record) -> list[str]:
-    """Content that has crashed three upstreams reaches few more, after a while."""
+    """Content that has crashed three upstreams reaches few more, after a while.
+
+    A part of prompts may crash five before.
+    """
     crashes_s = sorted(record.crashes_s)
-    if len(crashes_s) <= CRASHES_KNOWN:
+    known = PART_CRASHES_KNOWN if record.crashes_by_part else CRASHES_KNOWN
+    if len(crashes_s) <= known:
         return []
-    known_s = crashes_s[CRASHES_KNOWN - 1]
+    known_s = crashes_s[known - 1]
     late_s = [
         each
         for each in crashes_s
@@ -236,7 +248,45 @@
     ]
     if len(late_s) <= LATE_CRASHES_MAX:
         return []
-    return [f"{len(late_s)} upstreams crashed long after the third"]
+    return [f"{len(late_s)} upstreams crashed long after {known}"]
+
+
+def served_when_shifted(record: Record) -> list[str]:
+    """An entry that gets most new connections serves nearly as much of them.
+
+    What nobody read doesn't count, nor does what is over a limit. Plain requests are
+    compared, since content crashes model upstreams all the while.
+    """
+    breaches = []
+    for shift in record.shifts:
+        before_s = shift.from_s - SHIFT_BEFORE_S
+        is_stopped = any(
+            stop.from_s < shift.to_s and before_s < stop.to_s for stop in record.stops
+        )
+        subjects = ("store", *ENTRIES, *DESKS)
+        if is_stopped or not record.calm(subjects, before_s, shift.to_s):
+            continue
+        before = _first_served(record, before_s, shift.from_s)
+        now = _first_served(record, shift.from_s + CALM_AFTER_S, shift.to_s)
+        if min(len(before), len(now)) < SHIFT_REQUESTS_MIN:
+            continue
+        share = sum(now) / len(now) / max(0.01, sum(before) / len(before))
+        if share < SHIFT_SERVED_MIN:
+            breaches.append(f"{shift.subject} served {share:.2f} times as often")
+    return breaches
+
+
+def _first_served(record: Record, from_s: float, to_s: float) -> list[bool]:
+    """Return whether each first attempt of that time was served."""
+    return [
+        sent.answer.status in (200, 429) and sent.answer.whole
+        for sent in record.sent
+        if from_s <= sent.sent_s < to_s
+        and sent.answer is not None
+        and not sent.kind.is_stream
+        and sent.version is None
+        and sent.key != REVOKED_KEY
+    ]
 
 
 def innocent_served(record: Record) -> list[str]:
@@ -465,6 +515,7 @@
     revoked_keys,
     versions,
     drained,
+    served_when_shifted,
     leaving_respected,
     pauses_respected,
     limits_respected,
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,7 +20,13 @@
 
 from soak import schedule
 from soak.actions import begin
-from soak.callers import REVOKED_KEY, Callers, version_path
+from soak.callers import (
+    REVOKED_KEY,
+    SHARED_PART,
+    Callers,
+    parts_headers,
+    version_path,
+)
 from soak.checks import (
     GRACE_S,
     Arrival,
@@ -65,6 +71,7 @@
 # another upstream comes in place of one that has crashed, and until the record of that
 # lapses, in seconds.
 MARKER = "poison"
+BAD_PART = "bad1"
 CRASHING_PATH = "/stream-once/crashing"
 CRASHED_S = 0.7
 LAPSE_S = (0.0, 2.5)
@@ -120,6 +127,8 @@
         self._crashed: set[str] = set()
         self._seen_alive_s: dict[str, float] = {}
         self._crashes_s: list[float] = []
+        self._crashes_by_part = False
+        self._shifts: list[Span] = []
         self._same_address = True
         self._proxy: StandIn | None = None
         self._platform: PlatformDeployment | None = None
@@ -198,6 +207,8 @@
             runs=runs,
             arrivals=arrivals,
             crashes_s=tuple(self._crashes_s),
+            crashes_by_part=self._crashes_by_part,
+            shifts=tuple(self._shifts),
             leaving_said=tuple(self._leaving_said),
             disturbed=tuple(self._disturbed),
             stops=tuple(self._stops),
@@ -492,17 +503,42 @@
 
         return undo
 
-    def crash(self, gap_s: float, *, same_address: bool) -> Callable[[], None]:
+    def shift_connections(self, entry: str) -> Callable[[], None]:
+        """Have most new connections come to an entry, unless they go to another then."""
+        self._callers.favourite = entry
+        from_s = time.monotonic()
+
+        def undo() -> None:
+            if self._callers.favourite == entry:
+                self._callers.favourite = None
+            span = Span(subject=entry, from_s=from_s, to_s=time.monotonic())
+            self._shifts.append(span)
+
+        return undo
+
+    def crash(
+        self, gap_s: float, *, same_address: bool, by_part: bool
+    ) -> Callable[[], None]:
         """Send content that crashes upstreams through all entries until the end."""
-        self._same_address = same_address
+        self._same_address, self._crashes_by_part = same_address, by_part
+        numbers = itertools.count()
         is_over = threading.Event()
         random = Random(f"{self._seed}/content")
 
         def send() -> None:
             while not is_over.wait(gap_s):
+                body, headers = MARKER.encode(), {}
+                if by_part:
+                    number = next(numbers)
+                    body = f"prompt {number}".encode()
+                    shared = f"{SHARED_PART},{BAD_PART}"
+                    headers = parts_headers(shared, f"{number:x}")
                 with contextlib.suppress(urllib3.exceptions.HTTPError):
                     self._platform.send(
-                        random.choice(ENTRIES), CRASHING_PATH, body=MARKER.encode()
+                        random.choice(ENTRIES),
+                        CRASHING_PATH,
+                        body=body,
+                        headers=headers,
                     )
 
         sender = threading.Thread(target=send, daemon=True)
@@ -569,7 +605,11 @@
 
     @staticmethod
     def _model_faults(name: str) -> dict:
-        return {"software": SOFTWARE[name], "crash_marker": MARKER}
+        return {
+            "software": SOFTWARE[name],
+            "crash_marker": MARKER,
+            "crash_part": BAD_PART,
+        }
 
     def revoke(self) -> None:
         self._keys.remove(REVOKED_KEY)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -58,6 +58,12 @@
 CRASHES_LENGTH_S = (5.0, 7.0)
 CRASHES_GAP_S = (0.2, 0.8)
 
+# Entries that get most new connections one after the other, when the first does, and
+# for how long, in seconds.
+SHIFTS = 2
+SHIFTS_AT_S = (2.0, 4.0)
+SHIFT_LENGTH_S = (4.0, 5.0)
+
 STORE_MODES = ("down", "reset", "silent", "lose")
 LINK_FAULTS = {
     "delayed": {"to_target": {"delay_ms": 300.0}, "to_client": {"delay_ms": 300.0}},
@@ -194,11 +200,20 @@
 class ContentCrashes:
     """Content that crashes upstreams is sent again and again, at all entries.
 
-    The upstreams come back under other ids, at their addresses if `same_address`.
+    The upstreams come back under other ids, at their addresses if `same_address`. If it
+    is `by_part`, no two requests are alike, and share a part of their prompts.
     """
 
     gap_s: float
     same_address: bool
+    by_part: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class ConnectionsShifted:
+    """Most new connections come to one entry, and callers open them more often."""
+
+    entry: str
 
 
 @attrs.frozen(kw_only=True)
@@ -228,6 +243,7 @@
     | PauseAsked
     | LeavingSaid
     | ContentCrashes
+    | ConnectionsShifted
     | VersionPublished
     | KeyRevoked
 )
@@ -316,7 +332,8 @@
         *_signals(Random(f"{seed}/signals")),
         *_framings(Random(f"{seed}/framings")),
         _going_back(Random(f"{seed}/copies")),
-        _crashes(Random(f"{seed}/crashes")),
+        _crashes(Random(f"{seed}/crashes"), Random(f"{seed}/parts")),
+        *_shifts(Random(f"{seed}/shifts")),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
@@ -386,7 +403,7 @@
     )
 
 
-def _crashes(random: Random) -> Event:
+def _crashes(random: Random, kinds: Random) -> Event:
     """Return when content is sent that crashes upstreams."""
     return Event(
         at_s=round(random.uniform(*CRASHES_AT_S), 2),
@@ -394,10 +411,28 @@
         action=ContentCrashes(
             gap_s=round(random.uniform(*CRASHES_GAP_S), 2),
             same_address=random.choice((True, False)),
+            by_part=kinds.choice((True, False)),
         ),
     )
 
 
+def _shifts(random: Random) -> list[Event]:
+    """Return when most new connections come to one entry, and then to another."""
+    at_s = random.uniform(*SHIFTS_AT_S)
+    events = []
+    for entry in random.sample(ENTRIES, SHIFTS):
+        length_s = random.uniform(*SHIFT_LENGTH_S)
+        events.append(
+            Event(
+                at_s=round(at_s, 2),
+                length_s=round(length_s, 2),
+                action=ConnectionsShifted(entry=entry),
+            )
+        )
+        at_s += length_s
+    return events
+
+
 def _stops(silence: Event, random: Random) -> list[Event]:
     """Return stops of entries in a series, of which some overlap the silence."""
     at_s = silence.at_s + random.uniform(-STOP_BEFORE_S, silence.length_s / 3)
