Tell all entries of bad parts for as long as they are refused, and look less often

An entry that only heard of a bad part passed it on to nobody, so that one that started after the first one's end learned of it from the store alone; told again in full, two entries would have kept it up for ever. Entries now tell how long it is still refused.

--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -223,8 +223,11 @@
 
     def needs_check(self, upstream_id: str) -> bool:
         """Return whether a broken answer leaves open if its upstream has ended."""
-        unanswered = self._unanswered.get(upstream_id, ())
-        return upstream_id not in self._ends and not all(e.left for e in unanswered)
+        alive_s = self._alive_s.get(upstream_id, float("-inf"))
+        return upstream_id not in self._ends and any(
+            not each.left and each.at_s >= alive_s - IN_FLIGHT_S
+            for each in self._unanswered.get(upstream_id, ())
+        )
 
     def needs_later_check(self, upstream_id: str) -> bool:
         """Return whether content that has crashed others was given up there."""
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -8,7 +8,7 @@
 import attrs
 import logbook
 
-from lavenderspoke.direct.crashes import QUARANTINE_S, CrashDetector, EndSign
+from lavenderspoke.direct.crashes import CrashDetector, EndSign
 from lavenderspoke.direct.crashrecords import CrashRecords
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.instances import Upstream
@@ -207,8 +207,12 @@
         history = self.crashes.history
         told = (history.evidence(e, now_s) for e in history.told_crash_ids(now_s))
         evidence = [each for each in told if each is not None]
-        bad = [cause for cause in history.proved(now_s) if signals.parts_of(cause)]
-        return [*evidence, *map(_quarantined, sorted(bad))]
+        bad = sorted(e for e in history.quarantined(now_s) if signals.parts_of(e))
+        return [*evidence, *(self._quarantined_now(each, now_s) for each in bad)]
+
+    def _quarantined_now(self, cause: str, now_s: float) -> Quarantined:
+        ttl_s = self.crashes.history.remaining_s(cause, now_s)
+        return Quarantined(service="", fingerprint=cause, ttl_s=ttl_s)
 
     def take_findings(self) -> UpstreamFindings:
         """Return the findings since the last call, and clear them."""
@@ -377,10 +381,9 @@
         if proved == self._quarantined:
             return
         self._new_quarantines |= proved - self._quarantined
-        changed = sorted(each for each in proved ^ self._quarantined)
         self._evidence += [
-            _quarantined(each, is_over=each not in proved)
-            for each in changed
+            self._quarantined_now(each, now_s)
+            for each in sorted(proved ^ self._quarantined)
             # Of content each entry has the same proof, but not of how common parts are.
             if signals.parts_of(each)
         ]
@@ -395,11 +398,6 @@
         self._quarantined = proved
 
 
-def _quarantined(cause: str, *, is_over: bool = False) -> Quarantined:
-    ttl_s = 0.0 if is_over else QUARANTINE_S
-    return Quarantined(service="", fingerprint=cause, ttl_s=ttl_s)
-
-
 def _log_end(evidence: CrashEvidence, *, sign: str) -> None:
     log.info(
         signals.ENDED,
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -49,6 +49,9 @@
 UNTOLD_S = 60.0
 # Parts that are blamed together at most; the rarest are.
 BLAMED_TOGETHER_MAX = 3
+# The quarantine of parts that many requests have, as a share of others: their blame is
+# less certain, and refuses more.
+COMMON_QUARANTINE_SHARE = 0.2
 # Parts to be told to others that have been cleared; the oldest is left out first.
 CLEARED_MAX = 64
 
@@ -109,6 +112,15 @@
     answers_before: int
     parts: dict[str, frozenset[str]] = attrs.field(factory=dict)
     cleared: set[str] = attrs.field(factory=set)
+    # The parts that aren't cleared.
+    open_parts: set[str] = attrs.field(factory=set)
+
+    def clear(self, parts: Iterable[str]) -> set[str]:
+        """Excuse parts; return those that weren't excused before."""
+        newly = self.open_parts.intersection(parts)
+        self.open_parts -= newly
+        self.cleared |= newly
+        return newly
 
     @property
     def suspects(self) -> set[str]:
@@ -242,11 +254,8 @@
         self, parts: frozenset[str], began_s: float, *, is_own: bool = True
     ) -> None:
         for crash in self._crashes.values():
-            if crash.recorded_s > began_s:
-                continue
-            for content in crash.parts:
-                newly = (crash.parts[content] & parts) - crash.cleared
-                crash.cleared |= newly
+            if crash.open_parts and crash.recorded_s <= began_s:
+                newly = crash.clear(parts)
                 if is_own:
                     self._tell_cleared(newly, began_s)
 
@@ -302,15 +311,21 @@
             self._announced_until_s.get(fingerprint, now_s),
         ):
             return True
-        return bool(parts) and bool(self._bad_causes(frozenset(parts), now_s))
-
-    def _bad_causes(self, parts: frozenset[str], now_s: float) -> list[str]:
-        """Return the quarantined causes whose parts are all among these."""
-        return [
-            cause
+        if not parts or not self._bad_parts:
+            return False
+        parts = frozenset(parts)
+        return any(
+            bad <= parts and self.is_quarantined(cause, now_s)
             for cause, bad in self._bad_parts.items()
-            if bad <= parts and self.is_quarantined(cause, now_s)
-        ]
+        )
+
+    def remaining_s(self, cause: str, now_s: float) -> float:
+        """Return how long a cause is still quarantined, 0 if it isn't."""
+        until_s = max(
+            self._proved_until_s.get(cause, now_s),
+            self._announced_until_s.get(cause, now_s),
+        )
+        return max(0.0, until_s - now_s)
 
     def _note_bad_parts(self, cause: str) -> None:
         if parts := parts_of(cause):
@@ -408,14 +423,14 @@
     def _add_parts(self, crash: _Crash, message: CrashEvidence) -> None:
         for content, parts in message.parts.items():
             crash.parts[content] = frozenset(parts)
-            answered = {
-                each
-                for each in parts
-                if self.part_use.is_answered_since(each, crash.recorded_s)
-            }
-            self._tell_cleared(answered - crash.cleared, crash.recorded_s)
-            crash.cleared |= answered
-        crash.cleared |= set(message.cleared)
+            crash.open_parts |= crash.parts[content] - crash.cleared
+        crash.clear(message.cleared)
+        answered = {
+            each
+            for each in crash.open_parts
+            if self.part_use.is_answered_since(each, crash.recorded_s)
+        }
+        self._tell_cleared(crash.clear(answered), crash.recorded_s)
 
     def _extend(self, known: _Crash, message: CrashEvidence) -> bool:
         """Add what a message tells beyond a known crash; return whether it did."""
@@ -495,15 +510,13 @@
             if not bad:
                 break
             blamed = sorted(bad, key=self.part_use.requests)[:BLAMED_TOGETHER_MAX]
-            cause = cause_of_parts(blamed)
+            cause, ttl_s = cause_of_parts(blamed), self._policy.quarantine_s
+            if all(is_common(each, self.part_use) for each in blamed):
+                ttl_s *= COMMON_QUARANTINE_SHARE
             self._note_bad_parts(cause)
-            self._proved_until_s[cause] = now_s + self._policy.quarantine_s
+            self._proved_until_s[cause] = now_s + ttl_s
             culprits.append(
-                Quarantined(
-                    service=self._service,
-                    fingerprint=cause,
-                    ttl_s=self._policy.quarantine_s,
-                )
+                Quarantined(service=self._service, fingerprint=cause, ttl_s=ttl_s)
             )
             candidates -= bad
         return culprits
--- a/soak/run.py
+++ b/soak/run.py
@@ -504,7 +504,7 @@
         return undo
 
     def shift_connections(self, entry: str) -> Callable[[], None]:
-        """Have most new connections come to an entry, unless they go to another then."""
+        """Have most new connections come to an entry, until they go to another."""
         self._callers.favourite = entry
         from_s = time.monotonic()
 
