Clear parts only by answers that are proved whole, and don't blame what met bad parts often

An answer that ended with its connection cleared the parts of its prompt although its upstream may have crashed in it; it now clears them once the upstream has sent something later. A stream that had gone on after four crashes of a bad part was blamed for the next end with another cause. Presumed ends are no longer recorded in the store.

--- a/features/prompt_parts.feature
+++ b/features/prompt_parts.feature
@@ -119,6 +119,22 @@
     Then every entry accepts the request "moved"
     And new requests are refused everywhere with the parts "a x"
 
+  Scenario: A stream that met a bad part four times meets an end for another reason
+    Guards against refusing what went on after each crash.
+    Given 3 entries and 20 upstreams
+    And sound requests with the parts "a", "b" and "c" at every entry for 10 s
+    When 5 requests with the parts "a x" crash an upstream each, beside the same request "moved" with "b"
+    And an upstream ends while the request "moved" runs there
+    Then every entry accepts the request "moved"
+
+  Scenario: Half answers that look whole hold the part
+    Guards against clearing a part by an answer that its upstream did not outlive.
+    Given 3 entries and 20 upstreams
+    And sound requests with the parts "a", "b" and "c" at every entry for 10 s
+    When 5 requests with the parts "a x" end with their connections as their upstreams crash
+    Then new requests are refused everywhere with the parts "a x"
+    And every entry accepts requests with the parts "a", "b" and "c"
+
   Scenario: An entry hears nothing, and another starts later
     Guards against an entry that wasn't there when a part was blamed.
     Given 3 entries and 20 upstreams
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -99,7 +99,12 @@
     return next(name for name in context.upstreams if name != SOUND)
 
 
-def crash_with(context, accepted: AcceptedRequest, *beside: AcceptedRequest) -> None:
+def crash_with(
+    context,
+    accepted: AcceptedRequest,
+    *beside: AcceptedRequest,
+    outcome: AttemptOutcome = AttemptOutcome.BROKEN,
+) -> None:
     """Have a request crash an upstream, unless its entry refuses it."""
     running = [n for n, e in context.fleet.entries.items() if not e.is_down]
     number = next(NUMBERS)
@@ -114,7 +119,7 @@
     attempt = begin(context, entry, accepted, name)
     context.fleet.run(RUN_S)
     for each in (attempt, *others):
-        each.end(AttemptOutcome.BROKEN)
+        each.end(outcome)
     attempt.entry.dispatcher.connection_refused(attempt.upstream)
     context.fleet.run(0.1)
     drop(context, name)
@@ -259,6 +264,21 @@
         serve_sound(context, context.kinds, 0.5)
 
 
+@when('an upstream ends while the request "{moved}" runs there')
+def step_moved_end(context, moved):
+    crash_with(context, context.moved)
+
+
+@when(
+    '{count:d} requests with the parts "{parts}" end with their connections as their '
+    "upstreams crash"
+)
+def step_half_answers(context, count, parts):
+    for _ in range(count):
+        crash_with(context, parts_request(parts), outcome=AttemptOutcome.ENDED)
+        serve_sound(context, context.kinds, 0.5)
+
+
 @when(
     'entry-2 hears nothing while {count:d} requests with the parts "{parts}" crash an '
     "upstream each"
@@ -347,7 +367,7 @@
     for number in range(count):
         parts = (f"p{number}", common) if number % 10 == 0 else (f"p{number}",)
         context.use.record_request(parts)
-        context.use.record_answer(parts, began_s=float(number))
+        context.use.record_answer(parts, sent_s=float(number))
 
 
 @then("it remembers at most {count:d} parts")
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -66,13 +66,15 @@
 class _Unanswered:
     """A request that may have been running when its upstream ended.
 
-    If its answer `looks_whole`, only the end of its connection ended it. If it was
+    If its answer `looks_whole`, only the end of its connection ended it; the request
+    was sent at `sent_s`. If it was
     `left`, its upstream was at work on it, and may have gone on for a moment.
     """
 
     fingerprint: str
     at_s: float
     looks_whole: bool = False
+    sent_s: float = 0.0
     left: bool = False
     parts: tuple[str, ...] = ()
 
@@ -129,6 +131,7 @@
         fingerprint: str,
         now_s: float,
         *,
+        sent_s: float | None = None,
         parts: tuple[str, ...] = (),
     ) -> CrashEvidence | None:
         """Record an answer that looks whole and ended with its connection.
@@ -137,7 +140,12 @@
         So the content is excused only once the upstream sends something later.
         """
         return self._record_unanswered(
-            upstream, fingerprint, now_s, parts=parts, looks_whole=True
+            upstream,
+            fingerprint,
+            now_s,
+            parts=parts,
+            looks_whole=True,
+            sent_s=now_s if sent_s is None else sent_s,
         )
 
     def record_silence(
@@ -205,6 +213,7 @@
         self._unanswered[upstream_id] = [e for e in unanswered if e not in outlived]
         for each in sorted(outlived, key=lambda each: each.fingerprint):
             self._corrections += self.record_answer(each.fingerprint, now_s)
+            self.history.record_parts_answered(each.parts, sent_s=each.sent_s)
 
     def _withdraw(self, upstream_id: str, now_s: float) -> None:
         if self.history.withdraw_crash(upstream_id, now_s):
@@ -300,6 +309,7 @@
         *,
         parts: tuple[str, ...] = (),
         looks_whole: bool = False,
+        sent_s: float = 0.0,
         left: bool = False,
     ) -> CrashEvidence | None:
         upstream_id = upstream.upstream_id
@@ -313,6 +323,7 @@
                 fingerprint=fingerprint,
                 at_s=now_s,
                 looks_whole=looks_whole,
+                sent_s=sent_s,
                 left=left,
                 parts=parts,
             )
--- a/lavenderspoke/direct/crashrecords.py
+++ b/lavenderspoke/direct/crashrecords.py
@@ -31,7 +31,6 @@
 
     service: str
     contents: tuple[str, ...]
-    presumed: bool = False
 
     @classmethod
     def of(cls, evidence: CrashEvidence) -> "RecordedCrash":
@@ -39,7 +38,6 @@
         return cls(
             service=evidence.service,
             contents=evidence.fingerprints,
-            presumed=evidence.presumed,
         )
 
     def evidence(self, upstream: str) -> CrashEvidence:
@@ -49,7 +47,6 @@
             upstream=upstream,
             crash_id=upstream,
             fingerprints=self.contents,
-            presumed=self.presumed,
         )
 
 
@@ -64,8 +61,11 @@
         self._others: set[CrashRecordName] = set()
 
     def note_own(self, evidence: CrashEvidence) -> None:
-        """Note a crash in which requests of this entry were running."""
-        if not evidence.fingerprints:
+        """Note a crash in which requests of this entry were running.
+
+        Presumed ones, as of upstreams that leave, aren't worth a record.
+        """
+        if not evidence.fingerprints or evidence.presumed:
             return
         before = self._own.get(evidence.upstream)
         if before is not None:
@@ -74,7 +74,6 @@
                 fingerprints=tuple(
                     sorted({*before.fingerprints, *evidence.fingerprints})
                 ),
-                presumed=before.presumed and evidence.presumed,
             )
         self._own[evidence.upstream] = evidence
         while len(self._own) > RECORDS_MAX:
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -132,11 +132,9 @@
         The upstream was sent the request at `sent_s`, and that or sent something itself
         at `heard_s`.
         """
-        self._record_content(upstream, accepted, outcome, heard_s, now_s)
-        if outcome.is_answer and accepted.head.shared_parts:
-            self.crashes.history.record_parts_answered(
-                accepted.head.shared_parts, began_s=sent_s, now_s=now_s
-            )
+        self._record_content(
+            upstream, accepted, outcome, sent_s=sent_s, heard_s=heard_s, now_s=now_s
+        )
         if outcome is AttemptOutcome.UNREACHABLE:
             self._unreached.add(upstream.upstream_id)
         elif outcome is AttemptOutcome.MISDIRECTED:
@@ -167,7 +165,7 @@
         """Apply the findings that another entry reported `age_s` seconds ago."""
         for part, cleared_age_s in state.cleared:
             self.crashes.history.record_part_cleared(
-                part, began_s=now_s - age_s - max(0.0, cleared_age_s)
+                part, sent_s=now_s - age_s - max(0.0, cleared_age_s)
             )
         for upstream_id in state.gone:
             self._evict(upstream_id, now_s)
@@ -337,6 +335,8 @@
         upstream: Upstream,
         accepted: AcceptedRequest,
         outcome: AttemptOutcome,
+        *,
+        sent_s: float,
         heard_s: float,
         now_s: float,
     ) -> None:
@@ -346,9 +346,10 @@
         if outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_alive(upstream.upstream_id, now_s)
             self._evidence += self.crashes.record_answer(fingerprint, now_s)
+            self.crashes.history.record_parts_answered(parts, sent_s=sent_s)
         elif outcome is AttemptOutcome.ENDED:
             evidence = self.crashes.record_ended_answer(
-                upstream, fingerprint, now_s, parts=parts
+                upstream, fingerprint, now_s, sent_s=sent_s, parts=parts
             )
         elif outcome is AttemptOutcome.BROKEN:
             evidence = self.crashes.record_broken_answer(
--- a/lavenderspoke/partuse.py
+++ b/lavenderspoke/partuse.py
@@ -48,15 +48,15 @@
             self._counts_before, self._requests_before = self._counts, self._requests
             self._counts, self._requests = Counter(), 0
 
-    def record_answer(self, parts: Iterable[str], *, began_s: float) -> None:
-        """Record a complete answer to a request that was sent at `began_s`."""
+    def record_answer(self, parts: Iterable[str], *, sent_s: float) -> None:
+        """Record a complete answer to a request that was sent at `sent_s`."""
         self.answers += 1
-        self.note_answered(parts, began_s=began_s)
+        self.note_answered(parts, sent_s=sent_s)
 
-    def note_answered(self, parts: Iterable[str], *, began_s: float) -> None:
+    def note_answered(self, parts: Iterable[str], *, sent_s: float) -> None:
         """Note that a request with these parts, sent then, was answered anywhere."""
         for part in parts:
-            latest_s = max(began_s, self._answered_s.get(part, began_s))
+            latest_s = max(sent_s, self._answered_s.get(part, sent_s))
             self._answered_s[part] = latest_s
             self._answered_s.move_to_end(part)
         while len(self._answered_s) > ANSWERED_MAX:
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -225,42 +225,42 @@
             self._prove(set(), {fingerprint}, now_s)
         return excused
 
-    def record_parts_answered(
-        self, parts: Iterable[str], *, began_s: float, now_s: float
-    ) -> None:
-        """Record a complete answer to a request with these parts, sent at `began_s`.
+    def record_parts_answered(self, parts: Iterable[str], *, sent_s: float) -> None:
+        """Record a complete answer to a request with these parts, sent at `sent_s`.
 
         It excuses the parts from crashes before, and ends the quarantine of parts that
         were all in it and haven't crashed anything since.
         """
         parts = frozenset(parts)
-        self.part_use.record_answer(parts, began_s=began_s)
-        self._clear(parts, began_s)
+        if not parts:
+            return
+        self.part_use.record_answer(parts, sent_s=sent_s)
+        self._clear(parts, sent_s)
         for cause, bad in list(self._bad_parts.items()):
-            if bad <= parts and not self._crashed_since(cause, began_s):
+            if bad <= parts and not self._crashed_since(cause, sent_s):
                 self.lift(cause)
 
-    def record_part_cleared(self, part: str, *, began_s: float) -> None:
+    def record_part_cleared(self, part: str, *, sent_s: float) -> None:
         """Record that a request with this part, sent then, was answered elsewhere."""
-        self.part_use.note_answered((part,), began_s=began_s)
-        self._clear(frozenset((part,)), began_s, is_own=False)
+        self.part_use.note_answered((part,), sent_s=sent_s)
+        self._clear(frozenset((part,)), sent_s, is_own=False)
 
     def take_cleared(self, now_s: float) -> tuple[tuple[str, float], ...]:
         """Return the parts cleared since the last call, and how long ago."""
         cleared, self._cleared_s = self._cleared_s, OrderedDict()
-        return tuple((part, now_s - began_s) for part, began_s in cleared.items())
+        return tuple((part, now_s - sent_s) for part, sent_s in cleared.items())
 
     def _clear(
-        self, parts: frozenset[str], began_s: float, *, is_own: bool = True
+        self, parts: frozenset[str], sent_s: float, *, is_own: bool = True
     ) -> None:
         for crash in self._crashes.values():
-            if crash.open_parts and crash.recorded_s <= began_s:
+            if crash.open_parts and crash.recorded_s <= sent_s:
                 newly = crash.clear(parts)
                 if is_own:
-                    self._tell_cleared(newly, began_s)
+                    self._tell_cleared(newly, sent_s)
 
-    def _tell_cleared(self, parts: Iterable[str], began_s: float) -> None:
-        self._cleared_s.update((part, began_s) for part in parts)
+    def _tell_cleared(self, parts: Iterable[str], sent_s: float) -> None:
+        self._cleared_s.update((part, sent_s) for part in parts)
         while len(self._cleared_s) > CLEARED_MAX:
             self._cleared_s.popitem(last=False)
 
@@ -554,10 +554,11 @@
         ambiguous_threshold = (
             self._policy.upstreams_threshold + AMBIGUOUS_EXTRA_UPSTREAMS
         )
+        beside = self._crashes_without_bad_parts(fingerprint, now_s) - crashes
         if (
-            upstreams
-            and len(self.upstreams_of(fingerprint)) >= ambiguous_threshold
-            and self._crashes_of(fingerprint) - crashes
+            crashes
+            and beside
+            and len(crashes | beside) >= ambiguous_threshold
             and fingerprint not in self._answered
         ):
             # Quarantined content explains its other crashes, but not this one: it was
@@ -621,6 +622,17 @@
             )
         }
 
+    def _crashes_without_bad_parts(self, fingerprint: str, now_s: float) -> set[str]:
+        """Return its crashes but those that bad parts explain.
+
+        A stream that moves on after each crash may meet several of these.
+        """
+        return {
+            crash_id
+            for crash_id in self._crashes_of(fingerprint)
+            if not self._has_bad_parts(self._crashes[crash_id], now_s)
+        }
+
     def _other_suspects(self, fingerprint: str, crashes: set[str]) -> set[str]:
         """Return the other unanswered contents that ran in all of these crashes."""
         shared = [self._crashes[crash_id].suspects for crash_id in crashes]
