--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -213,7 +213,9 @@
         self._unanswered[upstream_id] = [e for e in unanswered if e not in outlived]
         for each in sorted(outlived, key=lambda each: each.fingerprint):
             self._corrections += self.record_answer(each.fingerprint, now_s)
-            self.history.record_parts_answered(each.parts, sent_s=each.sent_s)
+            self.history.record_parts_answered(
+                each.parts, sent_s=each.sent_s, now_s=now_s
+            )
 
     def _withdraw(self, upstream_id: str, now_s: float) -> None:
         if self.history.withdraw_crash(upstream_id, now_s):
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -346,7 +346,9 @@
         if outcome is AttemptOutcome.ANSWERED:
             self.crashes.record_alive(upstream.upstream_id, now_s)
             self._evidence += self.crashes.record_answer(fingerprint, now_s)
-            self.crashes.history.record_parts_answered(parts, sent_s=sent_s)
+            self.crashes.history.record_parts_answered(
+                parts, sent_s=sent_s, now_s=now_s
+            )
         elif outcome is AttemptOutcome.ENDED:
             evidence = self.crashes.record_ended_answer(
                 upstream, fingerprint, now_s, sent_s=sent_s, parts=parts
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -26,14 +26,12 @@
 import attrs
 
 from lavenderspoke.checking import fieldrules
+from lavenderspoke.crashmessages import CrashEvidence, Quarantined
 from lavenderspoke.observing.signals import cause_of_parts, parts_of
-from lavenderspoke.partblame import (
-    SuspectCrash,
-    SuspectRun,
-    find_bad_parts,
-    is_common,
-)
+from lavenderspoke.partblame import SuspectCrash, find_bad_parts, is_common
 from lavenderspoke.partuse import PartUse
+from lavenderspoke.quarantines import Quarantines
+from lavenderspoke.recordedcrash import NO_PARTS, Crash
 
 # Bounds of what a history remembers; the oldest is forgotten first.
 CRASHES_MAX = 256
@@ -68,80 +66,6 @@
     )
 
 
-@attrs.frozen(kw_only=True)
-class CrashEvidence:
-    """Reports that an upstream crashed, and which content was running in it.
-
-    The fingerprints cover the requests' content only, so a re-send under
-    another key is recognised. Without any, it only reports the end of the upstream.
-    `answered` are those of them that were answered completely since. It was recorded
-    `age_s` seconds ago. If it is `presumed`, the upstream had announced that it leaves,
-    or can't be reached, so that its end has another likely cause. `parts` are the
-    shared prompt parts of the contents that have any, and `cleared` are those of them
-    with which requests were answered since.
-    """
-
-    service: str
-    upstream: str
-    crash_id: str
-    fingerprints: tuple[str, ...]
-    answered: tuple[str, ...] = ()
-    age_s: float = 0.0
-    presumed: bool = False
-    parts: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    cleared: tuple[str, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class Quarantined:
-    """Announces that a cause is refused for `ttl_s` from receipt; 0 lifts that."""
-
-    service: str
-    fingerprint: str
-    ttl_s: float
-
-
-@attrs.define(kw_only=True)
-class _Crash:
-    service: str
-    upstream: str
-    fingerprints: set[str]
-    answered: set[str]
-    recorded_s: float
-    presumed: bool
-    answers_before: int
-    parts: dict[str, frozenset[str]] = attrs.field(factory=dict)
-    cleared: set[str] = attrs.field(factory=set)
-    # The parts that aren't cleared.
-    open_parts: set[str] = attrs.field(factory=set)
-
-    def clear(self, parts: Iterable[str]) -> set[str]:
-        """Excuse parts; return those that weren't excused before."""
-        newly = self.open_parts.intersection(parts)
-        self.open_parts -= newly
-        self.cleared |= newly
-        return newly
-
-    @property
-    def suspects(self) -> set[str]:
-        return self.fingerprints - self.answered
-
-    def runs(self, contents: Iterable[str]) -> tuple[SuspectRun, ...]:
-        """Return the requests with these contents and the parts that may be blamed."""
-        return tuple(
-            SuspectRun(content=each, parts=self.parts[each] - self.cleared)
-            for each in contents
-            if each in self.parts
-        )
-
-    def has_parts(self, parts: frozenset[str]) -> bool:
-        """Return whether a suspected request had all of these parts."""
-        return any(parts <= self.parts.get(each, NO_PARTS) for each in self.suspects)
-
-
-NO_PARTS: frozenset[str] = frozenset()
-
-
 class CrashHistory:
     """The recent crashes of one service or of all, and the quarantined fingerprints.
 
@@ -155,16 +79,11 @@
         self._service = service
         self._policy = policy
         self._outage_window_s = outage_window_s
-        self._crashes: OrderedDict[str, _Crash] = OrderedDict()
+        self._crashes: OrderedDict[str, Crash] = OrderedDict()
         self._answered: OrderedDict[str, None] = OrderedDict()
         # Changes with each crash, content and excuse that is recorded or forgotten.
         self.revision = 0
-        # Until when content is quarantined, by this history's own evidence or because
-        # it was announced.
-        self._proved_until_s: dict[str, float] = {}
-        self._announced_until_s: dict[str, float] = {}
-        # The parts of all quarantined causes that have any.
-        self._bad_parts: dict[str, frozenset[str]] = {}
+        self._quarantines = Quarantines()
         self.part_use = PartUse()
         # Parts cleared here since they were last told to others: when the answered
         # request was sent.
@@ -225,7 +144,9 @@
             self._prove(set(), {fingerprint}, now_s)
         return excused
 
-    def record_parts_answered(self, parts: Iterable[str], *, sent_s: float) -> None:
+    def record_parts_answered(
+        self, parts: Iterable[str], *, sent_s: float, now_s: float
+    ) -> None:
         """Record a complete answer to a request with these parts, sent at `sent_s`.
 
         It excuses the parts from crashes before, and ends the quarantine of parts that
@@ -236,7 +157,7 @@
             return
         self.part_use.record_answer(parts, sent_s=sent_s)
         self._clear(parts, sent_s)
-        for cause, bad in list(self._bad_parts.items()):
+        for cause, bad in self._quarantines.bad_parts(now_s).items():
             if bad <= parts and not self._crashed_since(cause, sent_s):
                 self.lift(cause)
 
@@ -283,62 +204,30 @@
         return True
 
     def apply_quarantine(self, message: Quarantined, now_s: float) -> None:
-        """Apply a quarantine that another daemon announced."""
-        if message.ttl_s <= 0.0:
-            self.lift_announced(message.fingerprint)
-            return
-        self._note_bad_parts(message.fingerprint)
-        until_s = self._announced_until_s.get(message.fingerprint, now_s)
-        self._announced_until_s[message.fingerprint] = max(
-            until_s, now_s + message.ttl_s
-        )
-
-    def lift_announced(self, fingerprint: str) -> None:
-        """End a quarantine that another daemon announced and then lifted."""
-        self._announced_until_s.pop(fingerprint, None)
+        """Apply a quarantine that another daemon announced, or lifted."""
+        self._quarantines.announce(message, now_s)
 
     def lift(self, cause: str) -> None:
         """End a quarantine, whatever it rests on; the next crash may renew it."""
-        self._proved_until_s.pop(cause, None)
-        self.lift_announced(cause)
+        self._quarantines.lift(cause)
 
     def is_quarantined(
         self, fingerprint: str, now_s: float, parts: Iterable[str] = ()
     ) -> bool:
         """Return whether this content, or any of these parts, is quarantined now."""
-        if now_s < max(
-            self._proved_until_s.get(fingerprint, now_s),
-            self._announced_until_s.get(fingerprint, now_s),
-        ):
-            return True
-        if not parts or not self._bad_parts:
-            return False
-        parts = frozenset(parts)
-        return any(
-            bad <= parts and self.is_quarantined(cause, now_s)
-            for cause, bad in self._bad_parts.items()
-        )
+        return self._quarantines.refuses(fingerprint, parts, now_s)
 
     def remaining_s(self, cause: str, now_s: float) -> float:
         """Return how long a cause is still quarantined, 0 if it isn't."""
-        until_s = max(
-            self._proved_until_s.get(cause, now_s),
-            self._announced_until_s.get(cause, now_s),
-        )
-        return max(0.0, until_s - now_s)
-
-    def _note_bad_parts(self, cause: str) -> None:
-        if parts := parts_of(cause):
-            self._bad_parts[cause] = parts
+        return self._quarantines.remaining_s(cause, now_s)
 
     def proved(self, now_s: float) -> set[str]:
-        """Return the content that is quarantined by this history's own evidence."""
-        return {f for f, until_s in self._proved_until_s.items() if now_s < until_s}
+        """Return the causes that are quarantined by this history's own evidence."""
+        return self._quarantines.proved(now_s)
 
     def quarantined(self, now_s: float) -> set[str]:
-        """Return all content that is quarantined now."""
-        announced = self._announced_until_s.items()
-        return self.proved(now_s) | {f for f, until_s in announced if now_s < until_s}
+        """Return all causes that are quarantined now."""
+        return self._quarantines.active(now_s)
 
     def upstreams_of(self, fingerprint: str) -> tuple[str, ...]:
         """Return the crashed upstreams in which this content ran and is suspected."""
@@ -361,24 +250,14 @@
 
     def is_suspicious(self, crash_id: str) -> bool:
         """Return whether any content is suspected of a crash."""
-        return crash_id in self._crashes and bool(self._crashes[crash_id].suspects)
+        return crash_id in self._crashes and self._crashes[crash_id].is_suspicious
 
     def evidence(self, crash_id: str, now_s: float) -> CrashEvidence | None:
         """Return a recorded crash as a message, or None if it isn't to be told."""
         crash = self._crashes.get(crash_id)
         if crash is None or not self._is_told(crash, now_s):
             return None
-        return CrashEvidence(
-            service=crash.service,
-            upstream=crash.upstream,
-            crash_id=crash_id,
-            fingerprints=tuple(sorted(crash.fingerprints)),
-            answered=tuple(sorted(crash.answered)),
-            age_s=now_s - crash.recorded_s,
-            presumed=crash.presumed,
-            parts={each: tuple(sorted(e)) for each, e in crash.parts.items()},
-            cleared=tuple(sorted(crash.cleared)),
-        )
+        return crash.evidence(crash_id, now_s)
 
     def told_crash_ids(self, now_s: float) -> list[str]:
         """Return the ids of the crashes that others should know, oldest first."""
@@ -399,56 +278,36 @@
             total ^= int.from_bytes(hashed)
         return total
 
-    def _is_told(self, crash: _Crash, now_s: float) -> bool:
+    def _is_told(self, crash: Crash, now_s: float) -> bool:
         age_s = now_s - crash.recorded_s
         return bool(crash.fingerprints) and age_s < self._kept_s() - UNTOLD_S
 
     def _kept_s(self) -> float:
         return self._policy.quarantine_s * CRASHES_KEPT_QUARANTINES
 
-    def _add(self, message: CrashEvidence, now_s: float) -> _Crash:
-        crash = _Crash(
+    def _add(self, message: CrashEvidence, now_s: float) -> Crash:
+        crash = Crash(
             service=message.service,
             upstream=message.upstream,
-            fingerprints={each for each in message.fingerprints if each},
-            answered=set(message.answered),
             recorded_s=now_s - max(0.0, message.age_s),
-            presumed=message.presumed,
             answers_before=self.part_use.answers,
         )
         self._crashes[message.crash_id] = crash
-        self._add_parts(crash, message)
+        self._extend(crash, message)
         return crash
 
-    def _add_parts(self, crash: _Crash, message: CrashEvidence) -> None:
-        for content, parts in message.parts.items():
-            crash.parts[content] = frozenset(parts)
-            crash.open_parts |= crash.parts[content] - crash.cleared
-        crash.clear(message.cleared)
+    def _extend(self, crash: Crash, message: CrashEvidence) -> bool:
+        """Add what a message tells beyond a known crash; return whether it did."""
+        is_extended = crash.extend(message)
         answered = {
             each
             for each in crash.open_parts
             if self.part_use.is_answered_since(each, crash.recorded_s)
         }
         self._tell_cleared(crash.clear(answered), crash.recorded_s)
+        return is_extended
 
-    def _extend(self, known: _Crash, message: CrashEvidence) -> bool:
-        """Add what a message tells beyond a known crash; return whether it did."""
-        self._add_parts(known, message)
-        before = len(known.fingerprints), len(known.answered), known.presumed
-        if not known.fingerprints:
-            known.presumed = message.presumed
-        elif message.fingerprints:
-            known.presumed &= message.presumed
-        known.fingerprints |= {each for each in message.fingerprints if each}
-        known.answered |= set(message.answered)
-        return before != (
-            len(known.fingerprints),
-            len(known.answered),
-            known.presumed,
-        )
-
-    def _near(self, crash: _Crash, now_s: float) -> set[str]:
+    def _near(self, crash: Crash, now_s: float) -> set[str]:
         """Return the quarantined content that ran in crashes close to this one."""
         if not self._outage_window_s:
             return set()
@@ -457,7 +316,7 @@
         )
         return running & self.proved(now_s)
 
-    def _near_by(self, one: _Crash, other: _Crash) -> bool:
+    def _near_by(self, one: Crash, other: Crash) -> bool:
         return (
             one.upstream != other.upstream
             and one.service == other.service
@@ -472,9 +331,9 @@
         Content of which something was learned that may excuse it is reviewed.
         """
         reviewed = {
-            each: self._proved_until_s.pop(each)
+            each: until_s
             for each in to_review
-            if each in self._proved_until_s
+            if (until_s := self._quarantines.withdraw(each)) is not None
         }
         culprits = []
         # What was answered before is judged last, beside the culprits found so far.
@@ -488,7 +347,7 @@
             ]
             for each in found:
                 until_s = now_s + self._policy.quarantine_s
-                self._proved_until_s[each] = reviewed.get(each, until_s)
+                self._quarantines.prove(each, until_s=reviewed.get(each, until_s))
             culprits += found
         return [
             Quarantined(
@@ -513,8 +372,7 @@
             cause, ttl_s = cause_of_parts(blamed), self._policy.quarantine_s
             if all(is_common(each, self.part_use) for each in blamed):
                 ttl_s *= COMMON_QUARANTINE_SHARE
-            self._note_bad_parts(cause)
-            self._proved_until_s[cause] = now_s + ttl_s
+            self._quarantines.prove(cause, until_s=now_s + ttl_s)
             culprits.append(
                 Quarantined(service=self._service, fingerprint=cause, ttl_s=ttl_s)
             )
@@ -541,12 +399,10 @@
             )
         return suspect
 
-    def _has_bad_parts(self, crash: _Crash, now_s: float) -> bool:
+    def _has_bad_parts(self, crash: Crash, now_s: float) -> bool:
         """Return whether quarantined parts explain a crash."""
-        return any(
-            crash.has_parts(bad) and self.is_quarantined(cause, now_s)
-            for cause, bad in self._bad_parts.items()
-        )
+        bad_parts = self._quarantines.bad_parts(now_s)
+        return any(crash.has_parts(bad) for bad in bad_parts.values())
 
     def _is_culprit(self, fingerprint: str, now_s: float) -> bool:
         crashes = self._unexplained_crashes(fingerprint, now_s)
@@ -665,8 +521,4 @@
                 break
             self.revision += 1
             self._crashes.popitem(last=False)
-        for quarantines in (self._proved_until_s, self._announced_until_s):
-            for fingerprint in [f for f, s in quarantines.items() if now_s >= s]:
-                del quarantines[fingerprint]
-        for cause in self._bad_parts.keys() - self.quarantined(now_s):
-            del self._bad_parts[cause]
+        self._quarantines.expire(now_s)
