Give test doubles the request head and the sending time that the crash monitor now reads

A whole run of the script showed 19 scenarios in error: doubles of accepted requests had no head, and three direct calls lacked the new argument.

--- a/features/rolloutsimulation.py
+++ b/features/rolloutsimulation.py
@@ -13,6 +13,7 @@
 
 from features.entryfleet import SERVICE, Entry, Fleet, upstream_of
 from lavenderspoke.direct.catalog import Repeatability, Route, TrafficShare
+from lavenderspoke.direct.dialect import RequestHead
 from lavenderspoke.direct.dispatcher import AttemptOutcome
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.records import KeyedRecord, RecordBatch, StoreError
@@ -289,6 +290,9 @@
 class _Accepted:
     route: Route
     fingerprint: str = "f"
+    head: RequestHead = RequestHead(
+        request_id="r", method="POST", target="/", host="h", headers=()
+    )
 
 
 def _route(name: str) -> Route:
--- a/features/steps/direct_spreading_steps.py
+++ b/features/steps/direct_spreading_steps.py
@@ -132,7 +132,12 @@
     fleet.run(seconds)
     dispatcher = fleet.entries["entry-5"].dispatcher
     dispatcher._upstream_monitor.record_attempt(
-        UPSTREAM, REQUEST, AttemptOutcome.MISDIRECTED, fleet.now_s, heard_s=fleet.now_s
+        UPSTREAM,
+        REQUEST,
+        AttemptOutcome.MISDIRECTED,
+        fleet.now_s,
+        sent_s=fleet.now_s,
+        heard_s=fleet.now_s,
     )
 
 
@@ -155,6 +160,7 @@
             REQUEST,
             AttemptOutcome.UNREACHABLE,
             fleet.now_s,
+            sent_s=fleet.now_s,
             heard_s=fleet.now_s,
         )
 
--- a/features/steps/outliers_steps.py
+++ b/features/steps/outliers_steps.py
@@ -232,7 +232,12 @@
     request = accepted_request(resumable=False, attempts_max=1)
     for _ in range(5):
         dispatcher._upstream_monitor.record_attempt(
-            upstream_of("u0"), request, AttemptOutcome.BROKEN, 0.0, heard_s=0.0
+            upstream_of("u0"),
+            request,
+            AttemptOutcome.BROKEN,
+            0.0,
+            sent_s=0.0,
+            heard_s=0.0,
         )
 
 
