Check an upstream once more that still listened when its answer had broken off

A crash wasn't proved, so that its content wasn't refused after a restart of all entries: in a whole run of the script at load 20 'All entries are killed between two crashes' failed once, and in 6 tries beside 12 busy processes one crash had no record within 3 s. A process that ends may close its listener after the connection of the answer; the look that is made at once was let in, and no other followed. It is now looked again 0.4 s later, unless the upstream has sent something. The flaky one now waits for the record before it kills the entries: how soon that is written wasn't its point. Truncated answers are reset now.

--- a/features/hidden_crashes.feature
+++ b/features/hidden_crashes.feature
@@ -68,6 +68,13 @@
     And "culprit" breaks off at u2 through entry-0, which learns 1 s later that nothing listens there
     Then every entry refuses "culprit"
 
+  Scenario: The check reaches a process that is ending
+    Guards against a listener that is closed after the connection of the answer.
+    Given 3 entries and 6 upstreams
+    When "culprit" breaks off at u1 through entry-0, which is let in there until 0.5 s later
+    And "culprit" breaks off at u2 through entry-0, which is let in there until 0.5 s later
+    Then every entry refuses "culprit"
+
   Scenario Outline: Half answers that look whole, over sockets
     Guards against an answer that is passed on as whole although its upstream crashed in it.
     Given 3 entries, 5 model upstreams that crash on "bad", <way>
@@ -86,6 +93,7 @@
     Guards against forgetting a crash that was not enough for a quarantine.
     Given 3 entries, 6 model upstreams that crash on "bad", before any byte
     When "bad" is sent through each entry in turn, 1 times in all, without other requests
+    And the crash has been recorded in the store
     And all entries are killed and start again
     And "bad" is sent through each entry in turn, 1 times in all, without other requests
     Then every entry refuses "bad" as not run
--- a/features/steps/content_crashes_steps.py
+++ b/features/steps/content_crashes_steps.py
@@ -32,6 +32,7 @@
 # Time for evidence to reach all entries, and for their next decision.
 SETTLE_S = 0.4
 SILENT_DEADLINE_MS = 1800
+ENTRIES_TOPIC = "keyed.lavenderspoke-entries"
 
 
 @given("{entries:d} entries, {count:d} model upstreams that crash on {rest}")
@@ -171,6 +172,17 @@
     context.platform.entry(entry)
 
 
+@when("the crash has been recorded in the store")
+def step_recorded(context):
+    wait_until(
+        lambda: any(
+            key.startswith("crash/") for key in context.platform.keys(ENTRIES_TOPIC)
+        ),
+        WAIT_S,
+        "the crash is recorded",
+    )
+
+
 @when("all entries are killed and start again")
 def step_all_again(context):
     for entry in context.platform.entries.values():
--- a/features/steps/hidden_crashes_steps.py
+++ b/features/steps/hidden_crashes_steps.py
@@ -33,6 +33,13 @@
         return None
 
 
+class ListeningPool:
+    """Connections to an upstream that listens."""
+
+    def is_refused(self, *, settle_s: float) -> bool | None:
+        return False
+
+
 class RefusedPool:
     """Connections to an upstream that has ended."""
 
@@ -121,9 +128,22 @@
     "which learns {delay_s:g} s later that nothing listens there"
 )
 def step_checked_again(context, content, name, entry, delay_s):
+    check_twice(context, content, name, entry, delay_s, UnheardPool())
+
+
+@when(
+    '"{content}" breaks off at {name} through {entry}, '
+    "which is let in there until {delay_s:g} s later"
+)
+def step_let_in(context, content, name, entry, delay_s):
+    check_twice(context, content, name, entry, delay_s, ListeningPool())
+
+
+def check_twice(context, content, name, entry, delay_s, first_pool) -> None:
+    """Have an entry check an upstream after a broken answer, and later again."""
     dispatcher = context.fleet.entries[entry].dispatcher
     checks = dispatcher.crash_checks
-    checks.connection_pool = lambda upstream: UnheardPool()
+    checks.connection_pool = lambda upstream: first_pool
     run_attempt(context, entry, content, name, "broken")
     dispatcher.check_ended(context.upstreams[name])
     context.fleet.run(delay_s)
--- a/lavenderspoke/direct/crashchecks.py
+++ b/lavenderspoke/direct/crashchecks.py
@@ -64,14 +64,15 @@
     def check_broken(self, upstream: Upstream) -> None:
         """Find out whether an upstream has ended that broke off an answer.
 
-        It is checked again later if that can't be told now, or if a caller left before
-        the answer to content that has crashed others.
+        It is checked again later unless it has: that may not be told now, and a process
+        that is ending may still listen. So is one that a caller left before the answer
+        to content that has crashed others.
         """
         crashes = self._monitor.crashes
         with self._lock:
             needs_check = crashes.needs_check(upstream.upstream_id)
             needs_later_check = crashes.needs_later_check(upstream.upstream_id)
-        if needs_check and self._find_out(upstream) is None or needs_later_check:
+        if needs_check and not self._find_out(upstream) or needs_later_check:
             with self._lock:
                 self._later[upstream.upstream_id] = _LaterCheck(
                     upstream=upstream, due_s=self._clock.monotonic_s() + AGAIN_S
@@ -87,7 +88,10 @@
             each.due_s = now_s + AGAIN_S
             upstream_id = each.upstream.upstream_id
             with self._lock:
-                is_open = self._monitor.crashes.end_sign(upstream_id) is None
+                crashes = self._monitor.crashes
+                # Not if it was seen to end, or has sent something since.
+                is_open = crashes.needs_check(upstream_id)
+                is_open |= crashes.needs_later_check(upstream_id)
             is_told = not is_open or self._find_out(each.upstream) is not None
             if is_told or not each.left:
                 with self._lock:
--- a/soak/run.py
+++ b/soak/run.py
@@ -82,6 +82,7 @@
 HEALTHY = {
     "wrong_id": False,
     "truncate": False,
+    "resets": False,
     "unsigned": False,
     "mute": False,
     "full": False,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -74,7 +74,8 @@
 }
 UPSTREAM_FAULTS = {
     "foreign answers": {"wrong_id": True},
-    "truncated answers": {"truncate": True},
+    # Reset: nothing tells one that ends in order with its connection from a whole one.
+    "truncated answers": {"truncate": True, "resets": True},
     "unsigned answers": {"unsigned": True},
     "mute": {"mute": True},
     "full": {"full": True},
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -207,6 +207,16 @@
         value = items.get(f"rollout/{service}")
         return json.loads(base64.b64decode(value))["state"] if value else ""
 
+    def keys(self, topic: str) -> list[str]:
+        """Return the keys that have a record in a topic of the store."""
+        http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
+        page = http.request(
+            "GET",
+            f"http://{self.store.address}/v1/log-newest?topic={topic}&part=0",
+            headers={"X-Operator": "1"},
+        )
+        return [each["key"] for each in page.json()["items"]]
+
     def unregister(self, name: str) -> None:
         """Drop an upstream's record."""
         self.put("keyed.servers", name, None)
