--- a/features/shifted_connections.feature
+++ b/features/shifted_connections.feature
@@ -4,9 +4,9 @@
 
   Scenario: No thread comes free
     Guards against reading a request that can only be refused.
-    Given a server for callers with 2 threads, both at work for 2 s
+    Given a server for callers with 2 threads, both at work for 3 s
     When a further request is sent
-    Then its connection is closed unread within 1 s
+    Then its connection is closed unread within 1.5 s
     And the server has counted "server_busy" once
 
   Scenario: A thread comes free in time
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -31,7 +31,6 @@
 REFUSING_QUEUE_CONNECTIONS = 256
 REFUSING_WAIT_S = 0.1
 THREAD_WAIT_S = 1.0
-UNREAD_WAIT_S = 0.3
 THREAD_POLL_S = 0.005
 LINGER_S = 1.0
 LINGER_BYTES_MAX = 4 * 1024 * 1024
@@ -374,8 +373,7 @@
         if self._has_thread():
             super().process_conn(conn)
         elif self._unservicable_conns.qsize() < REFUSING_QUEUE_CONNECTIONS:
-            wait_s = UNREAD_WAIT_S if self._refuses_unread else THREAD_WAIT_S
-            conn.thread_wanted_until_s = time.monotonic() + wait_s
+            conn.thread_wanted_until_s = time.monotonic() + THREAD_WAIT_S
             self._unservicable_conns.put(conn)
         else:
             self.handed_back(conn)
