Take the crash code's repeated pieces down to one each

Read again: the crash detector passed six values of an unanswered request through two calls; an entry's crash records were kept as evidence and turned into records at each look; the unexplained crashes of a content had a twin of their first half; two tests wrote the same log files, and two reads of the store's newest records the same call. Public methods of the upstream monitor stand together again. Behaviour and assertions are the same.

--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -118,6 +118,16 @@
     context.files = [str(path)]
 
 
+def write_logs(context, own: str, others: list[str]) -> None:
+    """Write the line of a request at one entry, and what another one has logged."""
+    context.files = []
+    for name, lines in (("entry-1", [own]), ("entry-2", others)):
+        path = stage_of(context).directory / f"{name}.log"
+        text = "\n".join(lines) + "\n"
+        path.write_text(text.replace("entry-1", name))
+        context.files.append(str(path))
+
+
 @given("log files of a request whose content crashed upstreams at another entry")
 def step_crashed(context):
     ended = {"service": "model", "sign": "refused"}
@@ -134,12 +144,7 @@
     own = record(
         50, "request", request="r1", outcome="crashes_upstreams", content="c0ffee"
     )
-    context.files = []
-    for name, lines in (("entry-1", [own]), ("entry-2", others)):
-        path = stage_of(context).directory / f"{name}.log"
-        text = "\n".join(lines) + "\n"
-        path.write_text(text.replace("entry-1", name))
-        context.files.append(str(path))
+    write_logs(context, own, others)
 
 
 @given(
@@ -156,12 +161,7 @@
     ]
     refused = {"outcome": "crashes_upstreams", "content": "c3"}
     own = record(50, "request", request="r1", **refused, parts=["aa", "bad1"])
-    context.files = []
-    for name, lines in (("entry-1", [own]), ("entry-2", others)):
-        path = stage_of(context).directory / f"{name}.log"
-        text = "\n".join(lines) + "\n"
-        path.write_text(text.replace("entry-1", name))
-        context.files.append(str(path))
+    write_logs(context, own, others)
 
 
 @given("log files of a stream that began at one entry and was refused at another")
--- a/features/steps/hidden_crashes_steps.py
+++ b/features/steps/hidden_crashes_steps.py
@@ -12,7 +12,7 @@
     SILENCE_S,
     TOLD_S,
     drop,
-    list_upstreams,
+    meet_announced,
     run_attempt,
     start,
 )
@@ -26,25 +26,14 @@
 LATER = InstanceId(name="later", incarnation="1")
 
 
-class UnheardPool:
-    """Connections to an upstream whose refusals get lost."""
-
-    def is_refused(self, *, settle_s: float) -> bool | None:
-        return None
-
-
-class ListeningPool:
-    """Connections to an upstream that listens."""
-
-    def is_refused(self, *, settle_s: float) -> bool | None:
-        return False
+@attrs.frozen(kw_only=True)
+class FakePool:
+    """Connections to an upstream; whether they are refused, None if that gets lost."""
 
-
-class RefusedPool:
-    """Connections to an upstream that has ended."""
+    refused: bool | None
 
     def is_refused(self, *, settle_s: float) -> bool | None:
-        return True
+        return self.refused
 
 
 def refuse_connection(context, entry: str, name: str) -> None:
@@ -66,13 +55,7 @@
 @when('"{content}" breaks off at the announced ends of {names}')
 def step_announced(context, content, names):
     for name in names.replace(" and ", ", ").split(", "):
-        attempt = start(context, "entry-0", content, context.upstreams[name])
-        leaving = attrs.evolve(context.upstreams[name], leaving=True)
-        context.upstreams[name] = leaving
-        list_upstreams(context)
-        context.fleet.run(RUN_S)
-        attempt.end(AttemptOutcome.BROKEN)
-        drop(context, name)
+        meet_announced(context, content, name, "entry-0")
         context.fleet.run(APART_S)
 
 
@@ -128,7 +111,7 @@
     "which learns {delay_s:g} s later that nothing listens there"
 )
 def step_checked_again(context, content, name, entry, delay_s):
-    check_twice(context, content, name, entry, delay_s, UnheardPool())
+    check_twice(context, content, name, entry, delay_s, FakePool(refused=None))
 
 
 @when(
@@ -136,7 +119,7 @@
     "which is let in there until {delay_s:g} s later"
 )
 def step_let_in(context, content, name, entry, delay_s):
-    check_twice(context, content, name, entry, delay_s, ListeningPool())
+    check_twice(context, content, name, entry, delay_s, FakePool(refused=False))
 
 
 def check_twice(context, content, name, entry, delay_s, first_pool) -> None:
@@ -147,7 +130,7 @@
     run_attempt(context, entry, content, name, "broken")
     dispatcher.check_ended(context.upstreams[name])
     context.fleet.run(delay_s)
-    checks.connection_pool = lambda upstream: RefusedPool()
+    checks.connection_pool = lambda upstream: FakePool(refused=True)
     checks.check_again()
     context.fleet.run(APART_S)
 
--- a/lavenderspoke/direct/crashchecks.py
+++ b/lavenderspoke/direct/crashchecks.py
@@ -18,8 +18,6 @@
 # Time for which a check waits whether an upstream that seems to listen goes on to, in
 # seconds: a process that ends closes its connections one by one.
 SETTLE_S = 0.02
-
-
 # Time between a check that told nothing, or the leaving of a caller, and the next
 # check, in seconds, and how often an upstream is checked again.
 AGAIN_S = 0.4
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -67,8 +67,8 @@
     """A request that may have been running when its upstream ended.
 
     If its answer `looks_whole`, only the end of its connection ended it; the request
-    was sent at `sent_s`. If it was
-    `left`, its upstream was at work on it, and may have gone on for a moment.
+    was sent at `sent_s`. If it was `left`, its upstream was at work on it, and may have
+    gone on for a moment.
     """
 
     fingerprint: str
@@ -123,15 +123,16 @@
         sign = self.end_sign(upstream.upstream_id)
         if sign is EndSign.DROPPED and now_s < heard_s + AT_WORK_S:
             return None
-        return self._record_unanswered(upstream, fingerprint, now_s, parts=parts)
+        unanswered = _Unanswered(fingerprint=fingerprint, at_s=now_s, parts=parts)
+        return self._record_unanswered(upstream, unanswered)
 
     def record_ended_answer(
         self,
         upstream: Upstream,
         fingerprint: str,
-        now_s: float,
         *,
-        sent_s: float | None = None,
+        sent_s: float,
+        now_s: float,
         parts: tuple[str, ...] = (),
     ) -> CrashEvidence | None:
         """Record an answer that looks whole and ended with its connection.
@@ -139,14 +140,14 @@
         The machine of a process that has ended closes its connections in order too.
         So the content is excused only once the upstream sends something later.
         """
-        return self._record_unanswered(
-            upstream,
-            fingerprint,
-            now_s,
+        unanswered = _Unanswered(
+            fingerprint=fingerprint,
+            at_s=now_s,
             parts=parts,
             looks_whole=True,
-            sent_s=now_s if sent_s is None else sent_s,
+            sent_s=sent_s,
         )
+        return self._record_unanswered(upstream, unanswered)
 
     def record_silence(
         self,
@@ -164,10 +165,13 @@
         end = self._ends.get(upstream.upstream_id)
         if end is not None and end.sign is EndSign.PLANNED:
             return None
-        is_at_work = now_s < heard_s + AT_WORK_S
-        return self._record_unanswered(
-            upstream, fingerprint, now_s, parts=parts, left=is_at_work
+        unanswered = _Unanswered(
+            fingerprint=fingerprint,
+            at_s=now_s,
+            parts=parts,
+            left=now_s < heard_s + AT_WORK_S,
         )
+        return self._record_unanswered(upstream, unanswered)
 
     def record_alive(self, upstream_id: str, now_s: float) -> None:
         """Record that an upstream has sent something."""
@@ -304,35 +308,18 @@
         self.history.apply_quarantine(quarantined, now_s)
 
     def _record_unanswered(
-        self,
-        upstream: Upstream,
-        fingerprint: str,
-        now_s: float,
-        *,
-        parts: tuple[str, ...] = (),
-        looks_whole: bool = False,
-        sent_s: float = 0.0,
-        left: bool = False,
+        self, upstream: Upstream, unanswered: _Unanswered
     ) -> CrashEvidence | None:
-        upstream_id = upstream.upstream_id
+        upstream_id, now_s = upstream.upstream_id, unanswered.at_s
         recent = [
             each
             for each in self._unanswered.get(upstream_id, ())
             if _is_recent(each, now_s)
         ]
-        recent.append(
-            _Unanswered(
-                fingerprint=fingerprint,
-                at_s=now_s,
-                looks_whole=looks_whole,
-                sent_s=sent_s,
-                left=left,
-                parts=parts,
-            )
-        )
-        self._unanswered[upstream_id] = recent
+        self._unanswered[upstream_id] = [*recent, unanswered]
         sign = self.end_sign(upstream_id)
-        if sign is None or left or (sign is EndSign.PLANNED and looks_whole):
+        is_exit = sign is EndSign.PLANNED and unanswered.looks_whole
+        if sign is None or unanswered.left or is_exit:
             return None
         evidence = self._evidence_of(upstream, now_s)
         self.history.record_crash(evidence, now_s)
--- a/lavenderspoke/direct/crashrecords.py
+++ b/lavenderspoke/direct/crashrecords.py
@@ -32,14 +32,6 @@
     service: str
     contents: tuple[str, ...]
 
-    @classmethod
-    def of(cls, evidence: CrashEvidence) -> "RecordedCrash":
-        """Return what is recorded of an entry's evidence."""
-        return cls(
-            service=evidence.service,
-            contents=evidence.fingerprints,
-        )
-
     def evidence(self, upstream: str) -> CrashEvidence:
         """Return the evidence that the record of an upstream's crash holds."""
         return CrashEvidence(
@@ -56,26 +48,23 @@
     def __init__(self, *, entry: str):
         self._entry = entry
         # This entry's own evidence by upstream, and what the store has of it.
-        self._own: OrderedDict[str, CrashEvidence] = OrderedDict()
+        self._own: OrderedDict[str, RecordedCrash] = OrderedDict()
         self._stored: dict[str, RecordedCrash] = {}
         self._others: set[CrashRecordName] = set()
 
     def note_own(self, evidence: CrashEvidence) -> None:
         """Note a crash in which requests of this entry were running.
 
-        Presumed ones, as of upstreams that leave, aren't worth a record.
+        Presumed ones, as of upstreams that leave, aren't recorded.
         """
         if not evidence.fingerprints or evidence.presumed:
             return
-        before = self._own.get(evidence.upstream)
+        contents, before = set(evidence.fingerprints), self._own.get(evidence.upstream)
         if before is not None:
-            evidence = attrs.evolve(
-                evidence,
-                fingerprints=tuple(
-                    sorted({*before.fingerprints, *evidence.fingerprints})
-                ),
-            )
-        self._own[evidence.upstream] = evidence
+            contents.update(before.contents)
+        self._own[evidence.upstream] = RecordedCrash(
+            service=evidence.service, contents=tuple(sorted(contents))
+        )
         while len(self._own) > RECORDS_MAX:
             self._own.popitem(last=False)
 
@@ -111,10 +100,9 @@
         """Return the records to write."""
         for upstream in [u for u in self._own if not history.is_suspicious(u)]:
             del self._own[upstream]
-        due = {upstream: RecordedCrash.of(each) for upstream, each in self._own.items()}
         return {
             self._name(upstream): recorded
-            for upstream, recorded in due.items()
+            for upstream, recorded in self._own.items()
             if self._stored.get(upstream) != recorded
         }
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -549,9 +549,8 @@
 
         An answer that ends with its connection would look whole.
         """
-        if attempt.response.framing is not Framing.CONNECTION_END:
-            return
-        if self._dispatcher.has_ended(attempt.upstream):
+        ended = answer_outcome(attempt.response) is AttemptOutcome.ENDED
+        if ended and self._dispatcher.has_ended(attempt.upstream):
             raise IncompleteResponse("the upstream ended with the connection")
 
     def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -117,6 +117,17 @@
                 self._add_own(evidence)
         self._note_quarantines(now_s)
 
+    def record_arrival(self, accepted: AcceptedRequest) -> None:
+        """Record which prompt parts callers use."""
+        if parts := accepted.head.shared_parts:
+            self.crashes.history.part_use.record_request(parts)
+
+    def is_quarantined(self, accepted: AcceptedRequest, now_s: float) -> bool:
+        """Return whether a request's content, or part of its prompt, is refused."""
+        return self.crashes.is_quarantined(
+            accepted.fingerprint, now_s, accepted.head.shared_parts
+        )
+
     def record_attempt(
         self,
         upstream: Upstream,
@@ -208,10 +219,6 @@
         bad = sorted(e for e in history.quarantined(now_s) if signals.parts_of(e))
         return [*evidence, *(self._quarantined_now(each, now_s) for each in bad)]
 
-    def _quarantined_now(self, cause: str, now_s: float) -> Quarantined:
-        ttl_s = self.crashes.history.remaining_s(cause, now_s)
-        return Quarantined(service="", fingerprint=cause, ttl_s=ttl_s)
-
     def take_findings(self) -> UpstreamFindings:
         """Return the findings since the last call, and clear them."""
         findings = UpstreamFindings(
@@ -261,22 +268,15 @@
         new, self._new_quarantines = self._new_quarantines, set()
         return new
 
+    def _quarantined_now(self, cause: str, now_s: float) -> Quarantined:
+        ttl_s = self.crashes.history.remaining_s(cause, now_s)
+        return Quarantined(service="", fingerprint=cause, ttl_s=ttl_s)
+
     def _add_own(self, evidence: CrashEvidence) -> None:
         """Have evidence of this entry told to the others, and recorded."""
         self._evidence.append(evidence)
         self.records.note_own(evidence)
 
-    def record_arrival(self, accepted: AcceptedRequest) -> None:
-        """Record which prompt parts callers use."""
-        if parts := accepted.head.shared_parts:
-            self.crashes.history.part_use.record_request(parts)
-
-    def is_quarantined(self, accepted: AcceptedRequest, now_s: float) -> bool:
-        """Return whether a request's content, or part of its prompt, is refused."""
-        return self.crashes.is_quarantined(
-            accepted.fingerprint, now_s, accepted.head.shared_parts
-        )
-
     def _check_outlier(self, upstream_state: UpstreamState, now_s: float) -> None:
         pool = self._scheduler.queue(upstream_state.upstream.service).pool
         if pool.eject_if_outlier(upstream_state, now_s):
@@ -351,7 +351,7 @@
             )
         elif outcome is AttemptOutcome.ENDED:
             evidence = self.crashes.record_ended_answer(
-                upstream, fingerprint, now_s, sent_s=sent_s, parts=parts
+                upstream, fingerprint, sent_s=sent_s, now_s=now_s, parts=parts
             )
         elif outcome is AttemptOutcome.BROKEN:
             evidence = self.crashes.record_broken_answer(
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/poison.py
@@ -430,7 +430,9 @@
         ):
             return False
         proved = {
-            self._crashes[e].upstream for e in crashes if not self._is_presumed(e)
+            self._crashes[crash_id].upstream
+            for crash_id in crashes
+            if not self._crashes[crash_id].presumed
         }
         is_ambiguous = (
             bool(others)
@@ -441,9 +443,6 @@
         )
         return not is_ambiguous or len(upstreams) >= ambiguous_threshold
 
-    def _is_presumed(self, crash_id: str) -> bool:
-        return self._crashes[crash_id].presumed
-
     def _is_outage(self, fingerprint: str, crashes: set[str], now_s: float) -> bool:
         """Return whether upstreams ended close to these crashes without this content.
 
@@ -468,12 +467,10 @@
         """
         return {
             crash_id
-            for crash_id, crash in self._crashes.items()
-            if fingerprint in crash.suspects
-            and not self._has_bad_parts(crash, now_s)
-            and not any(
+            for crash_id in self._crashes_without_bad_parts(fingerprint, now_s)
+            if not any(
                 self.is_quarantined(each, now_s)
-                for each in crash.suspects
+                for each in self._crashes[crash_id].suspects
                 if each != fingerprint
             )
         }
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -248,7 +248,7 @@
     ]
     if len(late_s) <= LATE_CRASHES_MAX:
         return []
-    return [f"{len(late_s)} upstreams crashed long after {known}"]
+    return [f"{len(late_s)} upstreams crashed long after the first {known}"]
 
 
 def served_when_shifted(record: Record) -> list[str]:
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -197,25 +197,22 @@
 
     def rollout_state(self, service: str) -> str:
         """Return what the system says of a service's roll-out, empty if nothing."""
-        http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
-        page = http.request(
-            "GET",
-            f"http://{self.store.address}/v1/log-newest?topic=keyed.status&part=0",
-            headers={"X-Operator": "1"},
-        )
-        items = {each["key"]: each["value"] for each in page.json()["items"]}
-        value = items.get(f"rollout/{service}")
+        value = self._newest("keyed.status").get(f"rollout/{service}")
         return json.loads(base64.b64decode(value))["state"] if value else ""
 
     def keys(self, topic: str) -> list[str]:
         """Return the keys that have a record in a topic of the store."""
+        return list(self._newest(topic))
+
+    def _newest(self, topic: str) -> dict[str, str]:
+        """Return the newest value of each key in a topic, in base64."""
         http = urllib3.PoolManager(retries=False, timeout=WAIT_S)
         page = http.request(
             "GET",
             f"http://{self.store.address}/v1/log-newest?topic={topic}&part=0",
             headers={"X-Operator": "1"},
         )
-        return [each["key"] for each in page.json()["items"]]
+        return {each["key"]: each["value"] for each in page.json()["items"]}
 
     def unregister(self, name: str) -> None:
         """Drop an upstream's record."""
