--- a/features/entryfleet.py
+++ b/features/entryfleet.py
@@ -15,7 +15,7 @@
 from lavenderspoke.direct.tickets import Ticket
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 TICK_S = 0.02
 # Range of message delays, in seconds.
--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -12,11 +12,12 @@
       | observing | observing problems                                                     |
       | capacity  | capacity                                                               |
       | checking  | checking util                                                          |
-      | documents | documents checking clock jsoncodec platformlog poison retrybudget upstreams util |
+      | documents | documents checking clock jsoncodec platformlog quarantine retrybudget upstreams util |
       | upstreams | upstreams http jsoncodec model                                         |
       | membership | membership http jsoncodec model                                       |
       | rollouts  | rollouts                                                               |
-      | direct    | direct http observing clock codec envelope leakybucket model poison problems retrybudget rollouts stopsignals supervisor transport |
+      | quarantine | quarantine checking observing                                         |
+      | direct    | direct http observing clock codec envelope leakybucket model problems quarantine retrybudget rollouts stopsignals supervisor transport |
       | platform  | platform direct http observing clock model periodic rollouts stopsignals strict supervisor util |
 
   Scenario: The adapter to the platform is at the edge
--- a/features/steps/poison_steps.py
+++ b/features/steps/poison_steps.py
@@ -2,12 +2,8 @@
 
 from behave import given, then, when
 
-from lavenderspoke.poison import (
-    CrashEvidence,
-    CrashHistory,
-    Quarantined,
-    QuarantinePolicy,
-)
+from lavenderspoke.quarantine.history import CrashHistory, QuarantinePolicy
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 NAMES = ("bad", "twin", "popular", "b1", "b2", "b3", "b4")
 
--- a/features/steps/prompt_parts_steps.py
+++ b/features/steps/prompt_parts_steps.py
@@ -24,8 +24,8 @@
 )
 from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
 from lavenderspoke.direct.tickets import Dispatch, Refuse
-from lavenderspoke.partuse import PartUse
 from lavenderspoke.problems import Reason
+from lavenderspoke.quarantine.partuse import PartUse
 
 NUMBERS = itertools.count(1)
 # The upstream at which sound requests are answered; it never ends.
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -14,12 +14,8 @@
 
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.observing import signals
-from lavenderspoke.poison import (
-    CrashEvidence,
-    CrashHistory,
-    Quarantined,
-    QuarantinePolicy,
-)
+from lavenderspoke.quarantine.history import CrashHistory, QuarantinePolicy
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 # Time before its upstream's end was noticed from which an unanswered request may have
 # been running in the crash, in seconds. A silent upstream's record lapses after three
--- a/lavenderspoke/direct/crashrecords.py
+++ b/lavenderspoke/direct/crashrecords.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from lavenderspoke.poison import CrashEvidence, CrashHistory
+from lavenderspoke.quarantine.history import CrashHistory
+from lavenderspoke.quarantine.messages import CrashEvidence
 
 # Records of an entry; the oldest is deleted first.
 RECORDS_MAX = 64
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -20,7 +20,7 @@
 from lavenderspoke.envelope import Envelope
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 from lavenderspoke.transport import Transport
 
 # Interval between ticks, in seconds. A tick also runs the dispatcher's periodic work,
--- a/lavenderspoke/direct/messages.py
+++ b/lavenderspoke/direct/messages.py
@@ -9,7 +9,7 @@
 from lavenderspoke.direct.enginetimenews import EngineRows
 from lavenderspoke.direct.usage import UsageRows
 from lavenderspoke.model import InstanceId
-from lavenderspoke.poison import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -53,8 +53,8 @@
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.model import InstanceId, Ran
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence, Quarantined
 from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 from lavenderspoke.retrybudget import RetryAllowance, RetryBudget
 from lavenderspoke.rollouts.orders import Order, Stage
 
--- a/lavenderspoke/direct/storedfacts.py
+++ b/lavenderspoke/direct/storedfacts.py
@@ -13,7 +13,7 @@
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.verdicts import UpstreamMonitor
 from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
-from lavenderspoke.poison import Quarantined
+from lavenderspoke.quarantine.messages import Quarantined
 
 
 class StoredFacts:
--- a/lavenderspoke/direct/verdicts.py
+++ b/lavenderspoke/direct/verdicts.py
@@ -19,7 +19,7 @@
 from lavenderspoke.direct.upstreamstate import UpstreamState
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.poison import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 # Time after which the digest of all crashes is computed again, in seconds: old ones
 # leave it as time passes.
--- a/lavenderspoke/documents/service.py
+++ b/lavenderspoke/documents/service.py
@@ -6,7 +6,7 @@
 from result import Result
 
 from lavenderspoke.checking import fieldrules, schema, yamlnodes
-from lavenderspoke.poison import QuarantinePolicy
+from lavenderspoke.quarantine.history import QuarantinePolicy
 from lavenderspoke.retrybudget import RetryBudget
 from lavenderspoke.upstreams.upstream import OrderAction
 from lavenderspoke.util import Mistake
--- a/lavenderspoke/messages.py
+++ b/lavenderspoke/messages.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lavenderspoke.model import Call, Head, Standing
-from lavenderspoke.poison import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
 
 
 @attrs.frozen(kw_only=True)
--- a/lavenderspoke/recordedcrash.py
+++ b/lavenderspoke/quarantine/crash.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from lavenderspoke.crashmessages import CrashEvidence
-from lavenderspoke.partblame import SuspectRun
+from lavenderspoke.quarantine.messages import CrashEvidence
+from lavenderspoke.quarantine.partblame import SuspectRun
 
 NO_PARTS: frozenset[str] = frozenset()
 
--- a/lavenderspoke/poison.py
+++ b/lavenderspoke/quarantine/history.py
@@ -26,12 +26,12 @@
 import attrs
 
 from lavenderspoke.checking import fieldrules
-from lavenderspoke.crashmessages import CrashEvidence, Quarantined
 from lavenderspoke.observing.signals import cause_of_parts, parts_of
-from lavenderspoke.partblame import SuspectCrash, find_bad_parts, is_common
-from lavenderspoke.partuse import PartUse
-from lavenderspoke.quarantines import Quarantines
-from lavenderspoke.recordedcrash import NO_PARTS, Crash
+from lavenderspoke.quarantine.crash import NO_PARTS, Crash
+from lavenderspoke.quarantine.messages import CrashEvidence, Quarantined
+from lavenderspoke.quarantine.partblame import SuspectCrash, find_bad_parts, is_common
+from lavenderspoke.quarantine.partuse import PartUse
+from lavenderspoke.quarantine.quarantines import Quarantines
 
 # Bounds of what a history remembers; the oldest is forgotten first.
 CRASHES_MAX = 256
--- a/lavenderspoke/partblame.py
+++ b/lavenderspoke/quarantine/partblame.py
@@ -19,7 +19,7 @@
 
 import attrs
 
-from lavenderspoke.partuse import PartUse
+from lavenderspoke.quarantine.partuse import PartUse
 
 # Upstreams that ended within this time of each other count as one crash, in seconds:
 # an outage ends many at once.
--- a/lavenderspoke/quarantines.py
+++ b/lavenderspoke/quarantine/quarantines.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Iterable
 
-from lavenderspoke.crashmessages import Quarantined
 from lavenderspoke.observing.signals import parts_of
+from lavenderspoke.quarantine.messages import Quarantined
 
 
 class Quarantines:
--- a/lavenderspoke/servicestate.py
+++ b/lavenderspoke/servicestate.py
@@ -10,7 +10,7 @@
 from lavenderspoke.drainrate import DrainRate
 from lavenderspoke.messages import Grant, Pull, PullDone
 from lavenderspoke.model import InstanceId
-from lavenderspoke.poison import CrashHistory
+from lavenderspoke.quarantine.history import CrashHistory
 from lavenderspoke.retrybudget import RetryAllowance
 from lavenderspoke.shedding import FloorCoordinator
 from lavenderspoke.tracked import TrackedRequest
