--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -18,6 +18,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST_HEADER = "tours.example"
 KEY = "key-of-tours"
+# After so long a case is given up, in seconds.
+LENGTH_MAX_S = 110
 # As on the sheets, but for addresses and ports.
 SETTINGS = """\
 node-name={name}
@@ -286,8 +288,15 @@
     return lines[1].removeprefix("site: ")
 
 
+def stop_now(number, frame) -> None:
+    raise CannotRun(f"stopped by {signal.Signals(number).name}")
+
+
 def main(case, folder) -> None:
     """Run a case: it returns True if the rule held, False if it was broken."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, stop_now)
+    signal.alarm(LENGTH_MAX_S)
     record = Record(folder)
     deployment = Deployment(record, site_of(folder))
     threading.excepthook = lambda args: record(f"thread failed: {args.exc_value!r}")
