--- a/review/1/case.py
+++ b/review/1/case.py
@@ -136,7 +136,7 @@
         name = f"other-{time.monotonic_ns()}-{place}"
         sock.sendall(
             f"POST /pay/other HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: {name}\r\n"
-            f"X-Work-S: 0.08\r\nContent-Length: 0\r\n\r\n".encode()
+            f"X-Work-S: 0.12\r\nContent-Length: 0\r\n\r\n".encode()
         )
         threading.Thread(target=drain, args=(sock,), daemon=True).start()
     time.sleep(0.03)
