--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from standins import server
+from standins import endless, server
 from standins.server import Cut, Reply, Request, json_reply
 from standins.signals import Arrivals, SignalFaults
 
@@ -49,6 +49,8 @@
     machine `closes_in_order`, an answer that ends with its connection isn't reset.
     `mute` runs and never answers. `silent` holds all runs where they are, and lets
     them go on when it ends. `crash` refuses everything, as if it had died.
+    `endless` names one of `standins.endless.PLACES`, at which answers go on until their
+    callers close, with `endless_gap_s` between two writes, at once if that is 0.
     `incarnation` is added to its id, as after a restart.
     """
 
@@ -73,12 +75,14 @@
     closes_in_order: bool = False
     full: bool = False
     status: int = 200
+    endless: str = ""
+    endless_gap_s: float = 0.1
     incarnation: str = ""
 
 
 @attrs.define(kw_only=True)
 class _Run:
-    """`began_s` is on the steady clock, which all processes of a machine share."""
+    """Times are on the steady clock, which all processes of a machine share."""
 
     attempt_id: str
     began_s: float
@@ -87,6 +91,7 @@
     target: str
     body: str
     end: str = "running"
+    ended_s: float | None = None
 
 
 class Upstream:
@@ -121,6 +126,8 @@
             return self._reserve(request)
         if faults.full or faults.retry_after:
             return self._refuse(request)
+        if faults.endless == "refusal":
+            return self._answer_endlessly(request, [("X-Not-Executed", "1")])
         # The slot of a reservation is free again at once, and taken by its request.
         self._release(request.headers.get("x-kv-retention", ""))
         with self._slots:
@@ -162,6 +169,12 @@
         )
         with self._lock:
             self._runs.append(run)
+        try:
+            self._answer(request, run)
+        finally:
+            run.ended_s = time.monotonic()
+
+    def _answer(self, request: Request, run: _Run) -> None:
         run.end = "broken"
         if self._is_fatal(run) and not self._faults.now.crash_after_events:
             self._crash()
@@ -170,11 +183,26 @@
                 lambda: self._faults.now.mute and not server.caller_gone(request)
             )
             raise Cut
+        if self._faults.now.endless:
+            run.end = "endless"
+            self._answer_endlessly(request, self._signed(run))
         if request.path.startswith("/stream"):
             self._stream(request, run)
         else:
             self._plain(request, run)
 
+    def _answer_endlessly(
+        self, request: Request, headers: list[tuple[str, str]]
+    ) -> None:
+        faults = self._faults.now
+        endless.answer(
+            request,
+            endless.PLACES[faults.endless],
+            headers=headers,
+            gap_s=faults.endless_gap_s,
+        )
+        raise Cut
+
     def _plain(self, request: Request, run: _Run) -> None:
         faults = self._faults.now
         if not self._work(request, run, faults.work_s):
