Log what each attempt waited for, and requests held past their deadlines

A held request had no log line at all, and a line later told outcomes only, so that logs couldn't tell an upstream that keeps sending from one that is silent or a caller that has left. Attempts now have 'waits' in their request's line and direct_wait_ends; a request that is handled past its deadline is logged once, counted, and explained. No decision changes: the attempt's fields moved to a module of their own.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -36,6 +36,19 @@
     And the explanation contains "upstream asks for a pause: upstream=model-1, pause_s=1.5"
     And the explanation omits what other upstreams said
 
+  Scenario: A request was given up at its deadline after two upstreams
+    Guards against a line that doesn't tell what a request waited for.
+    Given a log file of a request that waited for two upstreams, and of one still held
+    When its id is explained from them
+    Then the explanation contains "It waited for model-1: head, 1.400 s, silent; then model-2: first_event, 0.551 s, deadline."
+
+  Scenario: A request is still handled past its deadline
+    Guards against a request that has no line, since it hasn't ended.
+    Given a log file of a request that waited for two upstreams, and of one still held
+    When the held one's id is explained from them
+    Then the explanation contains "It was still handled past its deadline"
+    And the explanation contains "model-2"
+
   Scenario: A request was sent elsewhere, and twice, since upstreams were slow
     Guards against a choice or a second run that an operator can't explain.
     Given a log file of a request that was hedged while an upstream was slow
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -118,6 +118,29 @@
     context.files = [str(path)]
 
 
+@given("a log file of a request that waited for two upstreams, and of one still held")
+def step_waited(context):
+    waits = [
+        "model-1: head, 1.400 s, silent",
+        "model-2: first_event, 0.551 s, deadline",
+    ]
+    own = record(30, "request", request="r1", outcome="deadline_expired", waits=waits)
+    held = record(
+        31,
+        signals.OVERDUE,
+        request="held",
+        awaited="head",
+        upstream="model-2",
+    )
+    write_logs(context, own, [held])
+
+
+@when("the held one's id is explained from them")
+def step_explain_held(context):
+    run(context, f"explain held {' '.join(context.files)}")
+    assert context.done.returncode == 0, context.done
+
+
 def write_logs(context, own: str, others: list[str]) -> None:
     """Write the line of a request at one entry, and what another one has logged."""
     context.files = []
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.attempt import WAIT_ENDS_METRIC
 from lavenderspoke.direct.catalog import Catalog, Customer, Route
 from lavenderspoke.direct.dialect import Dialect, RequestHead
 from lavenderspoke.direct.dispatcher import (
@@ -25,6 +26,7 @@
 from lavenderspoke.direct.hedgedattempt import Hedging
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.office import DirectDispatcher
+from lavenderspoke.direct.overduerequests import OverdueRequests
 from lavenderspoke.direct.refusals import not_run, version_gone, version_unknown
 from lavenderspoke.direct.startuphold import StartupHold
 from lavenderspoke.http import problempage
@@ -92,6 +94,7 @@
         dispatcher: DirectDispatcher,
         dialect: Dialect,
         watch: CallerWatch,
+        overdue: OverdueRequests,
         metrics: Metrics,
         clock: Clock,
     ):
@@ -102,6 +105,7 @@
         self._dispatcher = dispatcher
         self._dialect = dialect
         self._watch = watch
+        self._overdue = overdue
         self._metrics = metrics
         self._clock = clock
 
@@ -143,10 +147,12 @@
         record.handler = handler
         fd = http_request.conn.socket.fileno()
         self._watch.add(fd, handler.cancel)
+        self._overdue.add(handler)
         try:
             yield from self._write_result(http_request, handler, start_response, record)
         finally:
             handler.close()
+            self._overdue.remove(handler)
             self._watch.remove(fd)
 
     def _write_result(
@@ -333,6 +339,8 @@
         # The outcome is empty if an exception ended the request.
         self._metrics.count(ANSWERS_METRIC, record.outcome or OUTCOME_BROKEN)
         handler = record.handler
+        for wait in handler.waits if handler else ():
+            self._metrics.count(WAIT_ENDS_METRIC, f"{wait.awaited}:{wait.end}")
         if handler is not None and record.response_began_s is not None:
             accepted = handler.accepted
             tier = str(accepted.route.rank)
@@ -354,6 +362,7 @@
             status=record.status,
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
+            waits=[str(each) for each in handler.waits] if handler else [],
             versions=(handler.versions or None) if handler else None,
             resumes=record.resumed_id,
             framing=(handler.framing or None) if handler else None,
--- /dev/null
+++ b/lavenderspoke/direct/attempt.py
@@ -0,0 +1,112 @@
+"""One attempt of a request at one upstream, and what it waited for."""
+
+import enum
+
+import attrs
+
+from lavenderspoke.direct.dispatcher import AcceptedRequest, AttemptOutcome
+from lavenderspoke.direct.exchange import CancelHandle, UpstreamResponse
+from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.relocation import HeldSlot
+from lavenderspoke.direct.tickets import Ticket
+
+# Counts the attempts by what they waited for last and what ended the wait.
+WAIT_ENDS_METRIC = "direct_wait_ends"
+
+
+class AwaitedPart(enum.StrEnum):
+    """The part of a response that an attempt waits for.
+
+    Until the `HEAD` has come the request may still be on its way.
+    """
+
+    HEAD = "head"
+    BODY = "body"
+    FIRST_EVENT = "first_event"
+    NEXT_EVENT = "next_event"
+
+
+class WaitEnd(enum.StrEnum):
+    """What ended the last wait of an attempt, where its outcome doesn't tell.
+
+    `ANOTHER_ATTEMPT` is a second one beside it that was answered first.
+    """
+
+    DEADLINE = "deadline"
+    CALLER = "caller"
+    ANOTHER_ATTEMPT = "another_attempt"
+
+
+@attrs.frozen(kw_only=True)
+class Wait:
+    """The last wait of an attempt, in seconds since its request was sent.
+
+    >>> wait = Wait(
+    ...     upstream_id="m", awaited=AwaitedPart.HEAD, elapsed_s=1.4, end="silent"
+    ... )
+    >>> str(wait)
+    'm: head, 1.400 s, silent'
+    """
+
+    upstream_id: str
+    awaited: AwaitedPart
+    elapsed_s: float
+    end: str
+
+    def __str__(self) -> str:
+        return f"{self.upstream_id}: {self.awaited}, {self.elapsed_s:.3f} s, {self.end}"
+
+
+@attrs.define(kw_only=True)
+class Attempt:
+    """An attempt and its outcome so far; times are in seconds on the entry's clock.
+
+    `events` is the number of reads that brought events of a stream.
+    """
+
+    slot: HeldSlot
+    cancel_handle: CancelHandle
+    accepted: AcceptedRequest
+    sent_s: float | None = None
+    events: int = 0
+    response: UpstreamResponse | None = None
+    outcome: AttemptOutcome | None = None
+    detail: str = ""
+
+    @property
+    def upstream(self) -> Upstream:
+        return self.slot.upstream
+
+    @property
+    def ticket(self) -> Ticket:
+        return self.slot.ticket
+
+    @property
+    def awaited(self) -> AwaitedPart:
+        """The part of the response that it waits for, or waited for last."""
+        if self.response is None:
+            return AwaitedPart.HEAD
+        if not self.accepted.route.stream:
+            return AwaitedPart.BODY
+        return AwaitedPart.NEXT_EVENT if self.events else AwaitedPart.FIRST_EVENT
+
+    def last_wait(self, *, caller_gone: bool, now_s: float) -> Wait:
+        """Return its last wait, which ended at `now_s` as did the attempt."""
+        sent_s = now_s if self.sent_s is None else self.sent_s
+        return Wait(
+            upstream_id=self.upstream.upstream_id,
+            awaited=self.awaited,
+            elapsed_s=now_s - sent_s,
+            end=self._end(caller_gone, now_s),
+        )
+
+    def _end(self, caller_gone: bool, now_s: float) -> str:
+        if self.outcome not in (AttemptOutcome.LEFT, AttemptOutcome.SILENT):
+            return self.outcome.value
+        if caller_gone:
+            return WaitEnd.CALLER.value
+        if now_s >= self.accepted.deadline_s:
+            return WaitEnd.DEADLINE.value
+        if self.cancel_handle.cancelled:
+            return WaitEnd.ANOTHER_ATTEMPT.value
+        return self.outcome.value
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -18,6 +18,7 @@
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.messages import RecordsMessage, StreamMessage
 from lavenderspoke.direct.office import DirectDispatcher
+from lavenderspoke.direct.overduerequests import OverdueRequests
 from lavenderspoke.direct.peerlink import PeerLink, PeerLinkLoader
 from lavenderspoke.direct.readiness import ReadinessServer
 from lavenderspoke.direct.server import DirectServer
@@ -96,6 +97,7 @@
         )
         self.dispatcher.streams.send = self.send_to_peer
         self._caller_watch = CallerWatch()
+        self.overdue = OverdueRequests(clock=clock, metrics=self.metrics)
         self._startup_hold = StartupHold(is_ready=self._has_initial_state, clock=clock)
         self._app = DirectApp(
             startup_hold=self._startup_hold,
@@ -103,6 +105,7 @@
             dispatcher=self.dispatcher,
             dialect=dialect,
             watch=self._caller_watch,
+            overdue=self.overdue,
             metrics=self.metrics,
             clock=clock,
         )
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -8,11 +8,11 @@
 import threading
 from collections.abc import Iterator
 
-import attrs
 import logbook
 from result import Err
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.attempt import Attempt, Wait
 from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.dispatcher import (
     AcceptedRequest,
@@ -81,26 +81,6 @@
 log = logbook.Logger(__name__)
 
 
-@attrs.define(kw_only=True)
-class _Attempt:
-    """One attempt at one upstream and its outcome so far."""
-
-    slot: HeldSlot
-    cancel_handle: CancelHandle
-    sent_s: float = 0.0
-    response: UpstreamResponse | None = None
-    outcome: AttemptOutcome | None = None
-    detail: str = ""
-
-    @property
-    def upstream(self) -> Upstream:
-        return self.slot.upstream
-
-    @property
-    def ticket(self) -> Ticket:
-        return self.slot.ticket
-
-
 class RequestHandler:
     """Handles one request until its response has ended."""
 
@@ -118,6 +98,8 @@
         self.framing: dict[str, str] = {}
         # The software version of each upstream that it was sent to.
         self.versions: dict[str, str] = {}
+        # What each attempt waited for last, for how long, and what ended the wait.
+        self.waits: list[Wait] = []
         self.possible_runs = 0
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
@@ -137,7 +119,7 @@
         self._caller_gone = False
         self._ticket: Ticket | None = None
         self._cancel_handle: CancelHandle | None = None
-        self._current: _Attempt | None = None
+        self._current: Attempt | None = None
         self._decided = threading.Event()
         self._decision: Decision | None = None
         self._tried: set[str] = set()
@@ -193,6 +175,11 @@
         """Whether the caller has disconnected."""
         return self._caller_gone
 
+    @property
+    def current_attempt(self) -> Attempt | None:
+        """The last attempt, which may have ended."""
+        return self._current
+
     def handle(self) -> HandlerResult:
         """Return a full response, the start of a stream, or a refusal."""
         while True:
@@ -245,12 +232,14 @@
 
     # One attempt
 
-    def _start_attempt(self) -> _Attempt | Problem:
+    def _start_attempt(self) -> Attempt | Problem:
         """Wait for a slot and send; return the attempt or why there is none."""
         slot = self.relocation.take_slot() or self._acquire_slot(may_wait=True)
         if slot is None:
             return no_slot_available(self._decision, may_have_run=self._may_have_run)
-        attempt = _Attempt(slot=slot, cancel_handle=CancelHandle())
+        attempt = Attempt(
+            slot=slot, cancel_handle=CancelHandle(), accepted=self.accepted
+        )
         self._current = attempt
         with self._lock:
             self._cancel_handle = attempt.cancel_handle
@@ -337,7 +326,7 @@
         self.booking = ticket.booking or self.booking
         self.waited_s += self._clock.monotonic_s() - started_s
 
-    def _send(self, attempt: _Attempt, remaining_s: float) -> None:
+    def _send(self, attempt: Attempt, remaining_s: float) -> None:
         accepted, upstream = self.accepted, attempt.upstream
         self._tried.add(upstream.upstream_id)
         self.versions[upstream.upstream_id] = upstream.version
@@ -371,9 +360,7 @@
         self.framing[upstream.upstream_id] = attempt.response.framing.value
         self._check_head(attempt)
 
-    def _handle_send_error(
-        self, attempt: _Attempt, error: NotSent | NoResponse
-    ) -> None:
+    def _handle_send_error(self, attempt: Attempt, error: NotSent | NoResponse) -> None:
         attempt.detail = error.detail
         if isinstance(error, NotSent):
             # A connect that the caller's leaving cancelled proves nothing about the
@@ -391,7 +378,7 @@
             attempt, AttemptOutcome.LEFT if self._is_cancelled(attempt) else outcome
         )
 
-    def _check_head(self, attempt: _Attempt) -> None:
+    def _check_head(self, attempt: Attempt) -> None:
         response = attempt.response
         if self._dialect.is_misdirected(response):
             self._end_attempt(attempt, AttemptOutcome.MISDIRECTED)
@@ -409,7 +396,7 @@
             self._record_signals(attempt)
             self._record_possible_run()
 
-    def _record_signals(self, attempt: _Attempt) -> None:
+    def _record_signals(self, attempt: Attempt) -> None:
         signals = self._dialect.upstream_signals(attempt.response)
         self._dispatcher.response_received(
             attempt.upstream, signals, sent_s=attempt.sent_s
@@ -424,13 +411,18 @@
         except IncompleteResponse as error:
             log.debug("upstream's refusal is incomplete", error=str(error))
 
-    def _end_attempt(self, attempt: _Attempt, outcome: AttemptOutcome) -> None:
+    def _end_attempt(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """End the attempt; further calls do nothing."""
         if attempt.outcome is not None:
             return
         attempt.outcome = outcome
         attempt.cancel_handle.detach()
         self.trail.append(f"{attempt.upstream.upstream_id}:{outcome.value}")
+        self.waits.append(
+            attempt.last_wait(
+                caller_gone=self._caller_gone, now_s=self._clock.monotonic_s()
+            )
+        )
         if attempt.response is not None:
             attempt.response.close(keep=keeps_connection(outcome))
         self._dispatcher.attempt_ended(
@@ -446,7 +438,7 @@
 
     # The response
 
-    def _begin_response(self, attempt: _Attempt) -> HandlerResult | None:
+    def _begin_response(self, attempt: Attempt) -> HandlerResult | None:
         """Return the response for the caller, or None if the attempt failed."""
         if attempt.outcome is not None:
             return None
@@ -456,7 +448,7 @@
             return self._begin_stream(attempt)
         return self._read_full_response(attempt)
 
-    def _read_full_response(self, attempt: _Attempt) -> FullResponse | None:
+    def _read_full_response(self, attempt: Attempt) -> FullResponse | None:
         response = attempt.response
         try:
             body = response.read_all(self.accepted.deadline_s, self._clock)
@@ -475,7 +467,7 @@
             return None
         return full_response
 
-    def _begin_stream(self, attempt: _Attempt) -> StreamResponse | None:
+    def _begin_stream(self, attempt: Attempt) -> StreamResponse | None:
         """Wait for the first event; return None if the stream fails before it."""
         chunks = self._stream_events(attempt)
         try:
@@ -491,11 +483,10 @@
             chunks=self._stream_with_resume(first, chunks),
         )
 
-    def _stream_events(self, attempt: _Attempt) -> Iterator[bytes]:
+    def _stream_events(self, attempt: Attempt) -> Iterator[bytes]:
         """Yield complete events as they arrive; always ends the attempt."""
         splitter = EventSplitter()
         previous_s = None
-        step_count = 0
         try:
             while data := attempt.response.read(self._read_timeout_s()):
                 events = splitter.feed(data)
@@ -512,20 +503,20 @@
                     )
                 previous_s = self._idle_since_s = now_s
                 self.relocation.clear_excluded()
-                step_count += 1
+                attempt.events += 1
                 if self.stream_version is not None:
                     self._told_s = self._dispatcher.stream_goes_on(
                         self._stream_id, attempt.upstream, told_s=self._told_s
                     )
                 self._record_event_id(events)
                 if not splitter.rest() and attempt.response.end_if_arrived():
-                    self._complete_stream(attempt, step_count)
+                    self._complete_stream(attempt)
                 yield events.body
             self._check_stream_end(attempt.response, splitter)
             self._check_outlived(attempt)
             if rest := splitter.rest():
                 yield rest
-            self._complete_stream(attempt, step_count)
+            self._complete_stream(attempt)
         except EventTooLong as error:
             self._end_attempt(attempt, AttemptOutcome.FAILED)
             raise IncompleteResponse("an event exceeds the size limit") from error
@@ -544,7 +535,7 @@
         if missing := splitter.missing(response.framing):
             raise IncompleteResponse(missing)
 
-    def _check_outlived(self, attempt: _Attempt) -> None:
+    def _check_outlived(self, attempt: Attempt) -> None:
         """Raise IncompleteResponse if an upstream ended as its answer did.
 
         An answer that ends with its connection would look whole.
@@ -553,10 +544,10 @@
         if ended and self._dispatcher.has_ended(attempt.upstream):
             raise IncompleteResponse("the upstream ended with the connection")
 
-    def _complete_stream(self, attempt: _Attempt, step_count: int) -> None:
+    def _complete_stream(self, attempt: Attempt) -> None:
         """End the attempt of a complete stream; a further call does nothing."""
         if attempt.outcome is None:
-            self._dispatcher.stream_completed(attempt.ticket, step_count)
+            self._dispatcher.stream_completed(attempt.ticket, attempt.events)
             self._end_attempt(attempt, answer_outcome(attempt.response))
 
     def _record_event_id(self, events: Events) -> None:
@@ -607,7 +598,7 @@
         return self._resume_stream(error)
 
     def _end_incomplete(
-        self, attempt: _Attempt, error: IncompleteResponse
+        self, attempt: Attempt, error: IncompleteResponse
     ) -> IncompleteResponse:
         """End an attempt with an incomplete response; return the error to raise."""
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
@@ -621,7 +612,7 @@
 
     # Retries
 
-    def _should_retry(self, attempt: _Attempt) -> bool:
+    def _should_retry(self, attempt: Attempt) -> bool:
         """Return whether to try another upstream after a failed attempt."""
         if self._caller_gone or self._remaining_s() < ATTEMPT_MIN_S:
             return False
@@ -641,7 +632,7 @@
             route.retryable and self.possible_runs + pending_runs < route.attempts_max
         )
 
-    def _take_retry_if_needed(self, attempt: _Attempt) -> bool:
+    def _take_retry_if_needed(self, attempt: Attempt) -> bool:
         """Charge the retry budget if needed; return whether to make another attempt.
 
         The first attempts that follow an unreachable upstream aren't charged. Otherwise
@@ -657,7 +648,7 @@
                 return True
         return self._dispatcher.take_retry(self.accepted.service)
 
-    def _is_cancelled(self, attempt: _Attempt) -> bool:
+    def _is_cancelled(self, attempt: Attempt) -> bool:
         """Return whether the caller has gone, or a second attempt was answered."""
         return self._caller_gone or attempt.cancel_handle.cancelled
 
@@ -729,7 +720,7 @@
     def _remaining_s(self) -> float:
         return self.accepted.deadline_s - self._clock.monotonic_s()
 
-    def _final_refusal(self, attempt: _Attempt) -> Problem:
+    def _final_refusal(self, attempt: Attempt) -> Problem:
         """Return the refusal after the last attempt, also if the caller has gone."""
         if (
             attempt.outcome is AttemptOutcome.LEFT
--- /dev/null
+++ b/lavenderspoke/direct/overduerequests.py
@@ -0,0 +1,71 @@
+"""Reports requests that are still being handled after their deadline.
+
+A request's own log line is written at its end, so one that never ends would have none.
+"""
+
+import threading
+
+import logbook
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.handling import RequestHandler
+from lavenderspoke.observing import signals
+from lavenderspoke.observing.metrics import Metrics
+
+OVERDUE_METRIC = "direct_overdue_requests"
+# Time after the deadline in which a final answer is normally written, in seconds.
+TOLERANCE_S = 0.3
+# The counter's label of requests that have no attempt under way.
+AWAITED_SLOT = "slot"
+
+log = logbook.Logger(__name__)
+
+
+class OverdueRequests:
+    """Logs and counts each request once that is handled past its deadline.
+
+    Thread-safe.
+    """
+
+    def __init__(self, *, clock: Clock, metrics: Metrics):
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._handlers: set[RequestHandler] = set()
+        self._reported: set[RequestHandler] = set()
+
+    def add(self, handler: RequestHandler) -> None:
+        """Watch a request that is handled from now on."""
+        with self._lock:
+            self._handlers.add(handler)
+
+    def remove(self, handler: RequestHandler) -> None:
+        """Stop watching a request that has ended."""
+        with self._lock:
+            self._handlers.discard(handler)
+            self._reported.discard(handler)
+
+    def check(self) -> None:
+        """Report the requests that have become overdue since the last call."""
+        latest_s = self._clock.monotonic_s() - TOLERANCE_S
+        with self._lock:
+            overdue = {
+                each
+                for each in self._handlers - self._reported
+                if each.accepted.deadline_s < latest_s
+            }
+            self._reported |= overdue
+        for each in overdue:
+            self._report(each)
+
+    def _report(self, handler: RequestHandler) -> None:
+        attempt = handler.current_attempt
+        is_sent = attempt is not None and attempt.outcome is None
+        awaited = attempt.awaited.value if is_sent else AWAITED_SLOT
+        self._metrics.count(OVERDUE_METRIC, awaited)
+        log.warning(
+            signals.OVERDUE,
+            request=handler.accepted.head.request_id,
+            awaited=awaited,
+            upstream=attempt.upstream.upstream_id if is_sent else None,
+        )
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -36,6 +36,7 @@
     signals.UNANSWERED,
 )
 CONTENT_LINES_MAX = 20
+OVERDUE_MEANING = "It was still handled past its deadline when its entry logged this."
 DEFERRED_MEANING = " Requests of other customers went first."
 
 MEANINGS = {
@@ -134,13 +135,22 @@
     """Return an explanation for each log line of the request, in order of time.
 
     There is one line for each entry that handled it, or more if the caller reused
-    the id.
+    the id. An entry that was still handling it past its deadline, and has no such line,
+    has another one.
     """
-    return [
-        _explain(line, logs)
-        for line in logs.lines
-        if line.message == REQUEST_MESSAGE and line.fields.get("request") == request_id
+    about = [line for line in logs.lines if line.fields.get("request") == request_id]
+    ended = [line for line in about if line.message == REQUEST_MESSAGE]
+    ended_at = {line.daemon for line in ended}
+    held = [
+        line
+        for line in about
+        if line.message == signals.OVERDUE and line.daemon not in ended_at
     ]
+    return [_explain(line, logs) for line in sorted(ended + held, key=_at_s)]
+
+
+def _at_s(line: LogLine) -> float:
+    return line.at_s
 
 
 def _explain(line: LogLine, logs: ParsedLogs) -> Explanation:
@@ -163,8 +173,13 @@
     around += [each for each in before if each.at_s >= since_s]
     elsewhere = [*_content_lines(logs.lines, line), *_stream_lines(logs.lines, line)]
     around = [each for each in elsewhere if each not in around] + around
-    outcome = str(line.fields.get("outcome"))
-    meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
+    if line.message == signals.OVERDUE:
+        meaning = OVERDUE_MEANING
+    else:
+        outcome = str(line.fields.get("outcome"))
+        meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
+    if waits := line.fields.get("waits"):
+        meaning += f" It waited for {'; then '.join(map(str, waits))}."
     if booking := line.fields.get("booking"):
         meaning += f" For its return: {booking}."
     if line.fields.get("deferred"):
--- a/lavenderspoke/observing/signals.py
+++ b/lavenderspoke/observing/signals.py
@@ -21,6 +21,7 @@
 QUARANTINE_ENDED = "content no longer quarantined"
 QUARANTINE_READ = "content quarantined by another entry"
 VERSIONS_LISTED = "versions of a service listed lately"
+OVERDUE = "request is handled past its deadline"
 LEAVING_REASON = "it says that it leaves"
 
 # Marks a quarantined cause that is made of prompt parts, and what separates these.
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -38,8 +38,9 @@
 # Time between two reads of the settings file, in seconds: it may change without a
 # signal, and no change in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
-# Time between two checks of upstreams that couldn't be checked before, in seconds.
-CRASH_CHECKS_PERIOD_S = 0.2
+# Time between two checks of upstreams that couldn't be checked before, and of requests
+# that are handled past their deadlines, in seconds.
+CHECKS_PERIOD_S = 0.2
 # Share of the key revocation limit to which the time to apply is capped.
 KEY_REVOCATION_SHARE = 0.4
 # How long writing the last log lines may take on shutdown, in seconds.
@@ -153,10 +154,9 @@
             facts=entry.dispatcher.facts,
         )
         self._facts = _fact_writer(entry, settings, clock)
-        self._crash_checks = Periodic(
-            name="crash-checks",
-            period_s=CRASH_CHECKS_PERIOD_S,
-            work=entry.dispatcher.crash_checks.check_again,
+        self._entry = entry
+        self._checks = Periodic(
+            name="checks", period_s=CHECKS_PERIOD_S, work=self._check
         )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
@@ -175,12 +175,16 @@
             ("entries", self._entries),
             ("rollouts", self._rollouts.part),
             ("facts", self._facts),
-            ("crash checks", self._crash_checks),
+            ("checks", self._checks),
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
         return parts
 
+    def _check(self) -> None:
+        self._entry.overdue.check()
+        self._entry.dispatcher.crash_checks.check_again()
+
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
         """Handle a message from another entry about the store's records."""
         self._relay.handle_message(sender, message)
