--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -2,8 +2,9 @@
 
 It serves reads that wait, newest records, appends (also those that name the offset they
 expect), and what goes wrong with them. Modes: `up`; `down` answers 503; `reset` cuts;
-`silent` answers nothing; `lose` carries out and then cuts. `forgotten_before` makes
-older reads fail as if the records had been dropped.
+`silent` answers nothing; `endless` sends a header without end, also once it is `up`
+again; `lose` carries out and then cuts. `forgotten_before` makes older reads fail as if
+the records had been dropped.
 
 Each answer has the number of the store's copy. `POST /control/copy` keeps a copy of all
 topics, and `POST /control/go-back` puts it in their place and raises the number by one.
@@ -16,7 +17,7 @@
 
 import attrs
 
-from standins import server
+from standins import endless, server
 from standins.server import Cut, Reply, Request, json_reply
 
 LENGTH = struct.Struct(">I")
@@ -28,6 +29,7 @@
 POLL_S = 0.005
 # A caller that is answered nothing is held for this long at most.
 SILENCE_S = 30.0
+ENDLESS_GAP_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -66,7 +68,7 @@
             return self._faults.handle(request)
         is_operator = OPERATOR_HEADER in request.headers
         if not is_operator:
-            self._suffer()
+            self._suffer(request)
         reply = self._call(request, is_operator)
         if self._faults.now.mode == "lose" and not is_operator:
             raise Cut
@@ -75,7 +77,7 @@
             return reply
         return attrs.evolve(reply, headers=(*reply.headers, (EPOCH_HEADER, epoch)))
 
-    def _suffer(self) -> None:
+    def _suffer(self, request: Request) -> None:
         mode = self._faults.now.mode
         time.sleep(self._faults.now.delay_s)
         if mode == "reset":
@@ -86,6 +88,10 @@
                 lambda: self._faults.now.mode == "silent" and time.monotonic() < until_s
             )
             raise Cut
+        if mode == "endless":
+            place = endless.PLACES["one header"]
+            endless.answer(request, place, headers=[], gap_s=ENDLESS_GAP_S)
+            raise Cut
 
     def _call(self, request: Request, is_operator: bool) -> Reply:
         if self._faults.now.mode == "down" and not is_operator:
@@ -125,8 +131,8 @@
             return json_reply({"first-offset": 0}, 410)
         until_s = time.monotonic() + request.number("wait-ms", 0) / 1000
         while not self._records(topic, start) and time.monotonic() < until_s:
-            if self._faults.now.mode in ("reset", "silent"):
-                self._suffer()
+            if self._faults.now.mode in ("reset", "silent", "endless"):
+                self._suffer(request)
             time.sleep(POLL_S)
         records = self._records(topic, start)
         head = OFFSETS.pack(start + len(records), self._faults.now.forgotten_before)
