Bound the whole wait for a response, and what it may hold

Callers whose requests went to an upstream that sends bytes without end got no final answer at their route's time-out, and the slots of these requests stayed taken: when all were, everybody else was refused, also after the upstreams were sound again.

Cause: each wait was bounded by a socket's time-out, which begins anew with every byte. A line of a head, of chunk sizes or trailers takes any number of reads, bodies were read as long as data came, and nothing bounded the bytes.

Now a request's reads have one end, its deadline, and each part that is expected (the head, the next event, a refusal's rest) has a time for all of its reads together; what is no event doesn't begin it anew. Writing is bounded by the same times. Heads, informational responses, chunks' framing and trailers have limits in bytes, held bodies one each and one for the process, in pages that return to the system. What can't become a status line, or lies between events and is none, ends the attempt at once. A caller's leaving stops the reading and not only the connection.

--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -109,6 +109,7 @@
         headers={"Host": "test"},
         body=b"",
         head_timeout_s=HEAD_TIMEOUT_S,
+        ends_s=time.monotonic() + CONNECTION_TIMEOUT_MAX_S,
     )
     return sent
 
@@ -213,6 +214,7 @@
         headers={"Host": "test"},
         body=bytes(LONG_BODY_BYTES),
         head_timeout_s=CONNECTION_TIMEOUT_MAX_S,
+        ends_s=time.monotonic() + CONNECTION_TIMEOUT_MAX_S,
     )
     context.outcomes = [outcome(sent)]
 
@@ -247,6 +249,7 @@
         headers={"Host": "test"},
         body=bytes(STALLED_BODY_BYTES),
         head_timeout_s=CONNECTION_TIMEOUT_MAX_S,
+        ends_s=time.monotonic() + CONNECTION_TIMEOUT_MAX_S,
         on_read_timeout=on_read_timeout,
     )
     context.outcomes = [outcome(sent, CONNECTION_TIMEOUT_MAX_S)]
--- a/features/steps/upstream_restarts_steps.py
+++ b/features/steps/upstream_restarts_steps.py
@@ -139,6 +139,7 @@
                 headers={"Host": "test"},
                 body=b"",
                 head_timeout_s=5.0,
+                ends_s=float("inf"),
             )
         )
 
--- a/lavenderspoke/direct/attempt.py
+++ b/lavenderspoke/direct/attempt.py
@@ -42,26 +42,35 @@
     """The last wait of an attempt, in seconds since its request was sent.
 
     >>> wait = Wait(
-    ...     upstream_id="m", awaited=AwaitedPart.HEAD, elapsed_s=1.4, end="silent"
+    ...     upstream_id="m",
+    ...     awaited=AwaitedPart.HEAD,
+    ...     elapsed_s=1.4,
+    ...     received_bytes=14,
+    ...     end="silent",
     ... )
     >>> str(wait)
-    'm: head, 1.400 s, silent'
+    'm: head, 1.400 s, 14 bytes, silent'
     """
 
     upstream_id: str
     awaited: AwaitedPart
     elapsed_s: float
+    received_bytes: int
     end: str
 
     def __str__(self) -> str:
-        return f"{self.upstream_id}: {self.awaited}, {self.elapsed_s:.3f} s, {self.end}"
+        return (
+            f"{self.upstream_id}: {self.awaited}, {self.elapsed_s:.3f} s, "
+            f"{self.received_bytes} bytes, {self.end}"
+        )
 
 
 @attrs.define(kw_only=True)
 class Attempt:
     """An attempt and its outcome so far; times are in seconds on the entry's clock.
 
-    `events` is the number of reads that brought events of a stream.
+    `events` is the number of reads that brought events of a stream, and
+    `unread_head_bytes` were received of a head that didn't come whole.
     """
 
     slot: HeldSlot
@@ -69,6 +78,7 @@
     accepted: AcceptedRequest
     sent_s: float | None = None
     events: int = 0
+    unread_head_bytes: int = 0
     response: UpstreamResponse | None = None
     outcome: AttemptOutcome | None = None
     detail: str = ""
@@ -90,6 +100,19 @@
             return AwaitedPart.BODY
         return AwaitedPart.NEXT_EVENT if self.events else AwaitedPart.FIRST_EVENT
 
+    @property
+    def received_bytes(self) -> int:
+        """All bytes that the upstream has sent."""
+        if self.response is None:
+            return self.unread_head_bytes
+        return self.response.received_bytes
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether bytes of a body came, but neither its end nor a whole event."""
+        has_begun = self.response is not None and self.response.has_body_bytes
+        return has_begun and not self.events
+
     def last_wait(self, *, caller_gone: bool, now_s: float) -> Wait:
         """Return its last wait, which ended at `now_s` as did the attempt."""
         sent_s = now_s if self.sent_s is None else self.sent_s
@@ -97,6 +120,7 @@
             upstream_id=self.upstream.upstream_id,
             awaited=self.awaited,
             elapsed_s=now_s - sent_s,
+            received_bytes=self.received_bytes,
             end=self._end(caller_gone, now_s),
         )
 
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -9,11 +9,10 @@
 import errno
 import functools
 import http.client
-import io
 import select
 import socket
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import attrs
 import logbook
@@ -23,12 +22,15 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.http.framing import (
-    INVALID_DETAIL,
-    Framing,
-    StrictResponse,
-    framing_of,
+from lavenderspoke.direct.heldbytes import HELD_BYTES, HeldBody, HeldBytes
+from lavenderspoke.http.boundedresponse import (
+    BoundedResponse,
+    OnReadTimeout,
+    ReadBounds,
+    has_kernel_timed_out,
+    no_extension,
 )
+from lavenderspoke.http.framing import INVALID_DETAIL, Framing, framing_of
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.observing.metrics import Metrics
 
@@ -53,8 +55,9 @@
 # Idle limit in seconds if the upstream states none.
 IDLE_LIMIT_DEFAULT_S = 4.0
 READ_BYTES_MAX = 64 * 1024
-# What ends a chunked body, after the last chunk's data.
-CHUNKED_END = b"\r\n0\r\n\r\n"
+# The longest body that is held until its end, in bytes.
+BODY_BYTES_MAX = 16 * 1024 * 1024
+WRITE_WAIT_MIN_S = 0.001
 CONNECTIONS_METRIC = "direct_connections"
 FRAMING_METRIC = "direct_response_framing"
 
@@ -67,20 +70,9 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
 
-OnReadTimeout = Callable[[], float]
-"""Returns how many more seconds to wait for a silent upstream; 0 gives up.
-
-Called on the reading thread each time that a read times out.
-"""
-
 log = logbook.Logger(__name__)
 
 
-def no_extension() -> float:
-    """Give up at the first read timeout."""
-    return 0.0
-
-
 @attrs.frozen(kw_only=True)
 class NotSent:
     """Nothing was sent, so the request has not run.
@@ -94,10 +86,11 @@
 
 @attrs.frozen(kw_only=True)
 class NoResponse:
-    """No response head arrived; the request may have run."""
+    """No whole response head arrived; the request may have run."""
 
     detail: str
     timed_out: bool = False
+    received_bytes: int = 0
 
 
 class IncompleteResponse(Exception):
@@ -108,81 +101,6 @@
         self.timed_out = timed_out
 
 
-class _SocketReader(socket.SocketIO):
-    """Reads from a socket, and nothing while `is_socket_unused`.
-
-    A timed-out read has to be continued here: a timeout that reaches the buffered
-    reader above makes it lose what it has read of an unfinished line.
-    """
-
-    is_socket_unused = False
-
-    def __init__(self, sock: socket.socket, on_read_timeout: OnReadTimeout):
-        super().__init__(sock, "rb")
-        self.on_read_timeout = on_read_timeout
-
-    def readinto(self, buffer):
-        if self.is_socket_unused:
-            # "Would block", so that `peek` returns only what is buffered.
-            return None
-        self._checkClosed()
-        while True:
-            try:
-                return self._sock.recv_into(buffer)
-            except TimeoutError as error:
-                if _has_kernel_timed_out(error):
-                    raise
-                extra_s = self.on_read_timeout()
-                if extra_s <= 0.0:
-                    raise
-                self._sock.settimeout(extra_s)
-
-
-class _Response(StrictResponse):
-    """An HTTP response that detects bytes after its end."""
-
-    def __init__(
-        self, sock, *args, on_read_timeout: OnReadTimeout = no_extension, **kwargs
-    ):
-        super().__init__(sock, *args, **kwargs)
-        # Replaces the reader that the base class opened. The socket counts its readers,
-        # and closes only after the last of them.
-        self.fp.close()
-        self._reader = _SocketReader(sock, on_read_timeout)
-        sock._io_refs += 1
-        self.fp = io.BufferedReader(self._reader)
-        self.has_extra_bytes = False
-
-    def is_end_next(self) -> bool:
-        """Return whether the rest of the response has arrived and has no data."""
-        if self.fp is None:
-            return True
-        if not self.chunked:
-            return self.length == 0
-        if self.chunk_left != 0:
-            return False
-        buffered = self._buffered()
-        if not buffered and _is_readable(self._reader._sock):
-            buffered = self.fp.peek(1)
-        return buffered.startswith(CHUNKED_END)
-
-    def _buffered(self) -> bytes:
-        """Return what was read from the socket and not used so far."""
-        before = self._reader.is_socket_unused
-        self._reader.is_socket_unused = True
-        try:
-            return self.fp.peek(1)
-        finally:
-            self._reader.is_socket_unused = before
-
-    def _close_conn(self):
-        # With bytes after this response, the connection must not be reused: they would
-        # be parsed as the start of the next response.
-        self.has_extra_bytes = bool(self._buffered())
-        self._reader.is_socket_unused = True
-        super()._close_conn()
-
-
 class _UpstreamConnection(HTTPConnection):
     """A connection that can be aborted from any thread.
 
@@ -194,12 +112,25 @@
         super().__init__(*args, **kwargs)
         self.is_end_genuine = True
         self.opened_socket: socket.socket | None = None
+        self.bounds: ReadBounds | None = None
+
+    def send(self, data) -> None:
+        # Each of several parts would otherwise have the whole timeout.
+        left_s = self.bounds.left_s(self.bounds.clock.monotonic_s())
+        self.sock.settimeout(max(WRITE_WAIT_MIN_S, left_s))
+        super().send(data)
 
     def connect(self) -> None:
         super().connect()
         # Kept because `sock` is dropped once the upstream says that it closes.
         self.opened_socket = self.sock
 
+    def cancel(self) -> None:
+        """End what is in flight, and read nothing more."""
+        if self.bounds is not None:
+            self.bounds.stop()
+        self.abort()
+
     def abort(self) -> None:
         """End what is in flight; data that has arrived can still be read."""
         sock = self.opened_socket
@@ -246,7 +177,7 @@
     """A response whose head has arrived.
 
     `read` returns the next bytes, and b"" after a complete response. When a read times
-    out, `on_read_timeout` may grant more time.
+    out, `on_read_timeout` may grant more time, but none after the request's end.
     """
 
     def __init__(
@@ -262,31 +193,42 @@
         self.framing = framing_of(response, method=method)
         self._connection = connection
         self._response = response
+        self._bounds = connection.bounds
         self._socket = connection.opened_socket
         self._pool = pool
+        self._held_bytes = pool.held_bytes
         self._is_complete = False
+        self.has_body_bytes = False
 
     def header(self, name: str) -> str:
         """Return a header's value, or an empty string."""
         return self._response.headers.get(name, "")
 
-    def read(self, timeout_s: float) -> bytes:
+    @property
+    def received_bytes(self) -> int:
+        """The bytes received since the request was sent, its framing included."""
+        return self._bounds.received_bytes
+
+    def read(self, timeout_s: float | None) -> bytes:
         """Return the next bytes; raises IncompleteResponse.
 
-        It waits at most `timeout_s`, and for as long as `on_read_timeout` adds.
+        It waits at most `timeout_s`, and for as long as `on_read_timeout` adds. None
+        continues the wait of the read before.
         """
         if self._is_complete:
             return b""
         try:
-            self._socket.settimeout(max(0.001, timeout_s))
+            if timeout_s is not None:
+                self._bounds.expect_within(timeout_s)
             data = self._http_response().read1(READ_BYTES_MAX)
         except TimeoutError as error:
-            detail = str(error) if _has_kernel_timed_out(error) else "read timed out"
+            detail = str(error) if has_kernel_timed_out(error) else "read timed out"
             raise IncompleteResponse(detail, timed_out=True) from error
         except (http.client.HTTPException, OSError, ValueError) as error:
             raise IncompleteResponse(f"{type(error).__name__}: {error}") from error
         if not data:
             self._check_complete()
+        self.has_body_bytes |= bool(data)
         return data
 
     def end_if_arrived(self) -> bool:
@@ -303,15 +245,20 @@
             log.debug("end of response not read", error=str(error))
         return self._is_complete
 
-    def read_all(self, deadline_s: float, clock: Clock) -> bytes:
+    def read_all(
+        self, deadline_s: float, clock: Clock, *, bytes_max: int = BODY_BYTES_MAX
+    ) -> bytes:
         """Return the rest of the body; raises IncompleteResponse.
 
-        `on_read_timeout` may extend each read beyond `deadline_s`.
+        A longer body than `bytes_max`, or than the entry has memory for, counts as
+        incomplete. Nothing is awaited after `deadline_s`.
         """
-        parts = []
-        while data := self.read(deadline_s - clock.monotonic_s()):
-            parts.append(data)
-        return b"".join(parts)
+        self._bounds.end_by(deadline_s)
+        with HeldBody(budget=self._held_bytes, bytes_max=bytes_max) as body:
+            while data := self.read(deadline_s - clock.monotonic_s()):
+                if not body.append(data):
+                    raise IncompleteResponse("too long to be held until its end")
+            return body.value()
 
     def is_readable(self) -> bool:
         """Return whether a read would return at once: data, the end or an error."""
@@ -319,7 +266,7 @@
 
     def enforce_read_timeouts(self) -> None:
         """Stop extending reads that time out."""
-        self._http_response()._reader.on_read_timeout = no_extension
+        self._bounds.on_read_timeout = no_extension
 
     def cancel(self) -> None:
         """Abort the response, from any thread; `read` raises once data runs out."""
@@ -357,7 +304,7 @@
         response._close_conn() if response.fp is not None else None
         self._is_complete = True
 
-    def _http_response(self) -> _Response:
+    def _http_response(self) -> BoundedResponse:
         return self._response._original_response
 
 
@@ -375,7 +322,7 @@
         with self._lock:
             self.cancelled = True
             if self._connection is not None:
-                self._connection.abort()
+                self._connection.cancel()
 
     def is_readable(self) -> bool:
         """Return whether a read would return at once: data, the end or an error."""
@@ -407,8 +354,15 @@
     """Connections to one upstream incarnation; thread-safe."""
 
     def __init__(
-        self, *, host: str, port: int, clock: Clock, metrics: Metrics | None = None
+        self,
+        *,
+        host: str,
+        port: int,
+        clock: Clock,
+        metrics: Metrics | None = None,
+        held_bytes: HeldBytes = HELD_BYTES,
     ):
+        self.held_bytes = held_bytes
         self._host = host
         self._port = port
         self._clock = clock
@@ -426,11 +380,13 @@
         headers: Mapping[str, str],
         body: bytes,
         head_timeout_s: float,
+        ends_s: float,
         on_read_timeout: OnReadTimeout = no_extension,
     ) -> Result[UpstreamResponse, NotSent | NoResponse]:
         """Send a request and wait for the response head.
 
-        `on_read_timeout` is also called when a read of the body times out.
+        `on_read_timeout` is called when the head takes longer than `head_timeout_s`,
+        and when a read of the body times out. Nothing is awaited after `ends_s`.
         """
         connection = self._take_idle_connection()
         if connection is None:
@@ -446,12 +402,14 @@
         if not cancel_handle.attach(connection, None):
             self.discard(connection, ConnectionUse.NO_RESPONSE)
             return Err(NotSent(detail="the caller has gone"))
-        connection.response_class = functools.partial(
-            _Response, on_read_timeout=on_read_timeout
+        connection.bounds = ReadBounds(
+            clock=self._clock, ends_s=ends_s, on_read_timeout=on_read_timeout
         )
-        sent = self._send_and_receive(
-            connection, method, target, headers, body, head_timeout_s
+        connection.bounds.expect_within(head_timeout_s)
+        connection.response_class = functools.partial(
+            BoundedResponse, bounds=connection.bounds
         )
+        sent = self._send_and_receive(connection, method, target, headers, body)
         if sent.is_err():
             self.discard(connection, ConnectionUse.NO_RESPONSE)
             cancel_handle.attach(None, None)
@@ -564,16 +522,20 @@
         return Ok(connection)
 
     def _send_and_receive(
-        self, connection, method, target, headers, body, head_timeout_s
+        self, connection, method, target, headers, body
     ) -> Result[UpstreamResponse, NoResponse]:
-        connection.timeout = max(0.001, head_timeout_s)
         try:
             self._write(connection, method, target, headers, body)
             response = connection.getresponse()
-        except TimeoutError as error:
-            return Err(NoResponse(detail=str(error), timed_out=True))
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
-            return Err(NoResponse(detail=f"{type(error).__name__}: {error}"))
+            timed_out = isinstance(error, TimeoutError)
+            return Err(
+                NoResponse(
+                    detail=str(error) if timed_out else _described(error),
+                    timed_out=timed_out,
+                    received_bytes=connection.bounds.received_bytes,
+                )
+            )
         received = UpstreamResponse(
             connection=connection, method=method, response=response, pool=self
         )
@@ -636,13 +598,8 @@
     return bool(poll.poll(timeout_s * MS_PER_S))
 
 
-def _has_kernel_timed_out(error: TimeoutError) -> bool:
-    """Return whether TCP_USER_TIMEOUT or keep-alive probes ended the connection.
-
-    The socket reports this once. Another read would return the end of the stream, and a
-    truncated response of unknown length would pass for a complete one.
-    """
-    return error.errno == errno.ETIMEDOUT
+def _described(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
 
 
 def _shut_down(sock: socket.socket) -> None:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -12,6 +12,7 @@
 from result import Err
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct import streamchecks
 from lavenderspoke.direct.attempt import Attempt, Wait
 from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.dispatcher import (
@@ -40,12 +41,7 @@
 )
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
 from lavenderspoke.direct.tickets import Decision, Dispatch, Refusal, Refuse, Ticket
-from lavenderspoke.http.eventstream import (
-    Events,
-    EventSplitter,
-    EventTooLong,
-    is_event_stream,
-)
+from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.http.framing import Framing
 from lavenderspoke.problems import Problem
 
@@ -67,6 +63,7 @@
 ATTEMPT_MIN_S = 0.1
 # Timeout for reading and discarding the body of a refusal, in seconds.
 DISCARD_TIMEOUT_S = 0.3
+DISCARDED_BYTES_MAX = 64 * 1024
 
 # Length up to which a stream is held until its end, in bytes.
 GATHERED_BYTES_MAX = 32 * 1024 * 1024
@@ -351,6 +348,7 @@
                 self._read_timeout_s(),
                 may_run_again=self._may_run_again(pending_runs=1),
             ),
+            ends_s=accepted.deadline_s,
             on_read_timeout=self._on_read_timeout,
         )
         if isinstance(sent, Err):
@@ -373,6 +371,7 @@
             self._end_attempt(attempt, outcome)
             return
         self._record_possible_run()
+        attempt.unread_head_bytes = error.received_bytes
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
         self._end_attempt(
             attempt, AttemptOutcome.LEFT if self._is_cancelled(attempt) else outcome
@@ -403,11 +402,11 @@
         )
 
     def _discard_body(self, response: UpstreamResponse) -> None:
-        """Discard a body for a short time; if it ends, its connection can be reused."""
+        """Discard a short body; if it ends in time, its connection can be reused."""
         response.enforce_read_timeouts()
         deadline_s = self._clock.monotonic_s() + DISCARD_TIMEOUT_S
         try:
-            response.read_all(deadline_s, self._clock)
+            response.read_all(deadline_s, self._clock, bytes_max=DISCARDED_BYTES_MAX)
         except IncompleteResponse as error:
             log.debug("upstream's refusal is incomplete", error=str(error))
 
@@ -487,11 +486,15 @@
         """Yield complete events as they arrive; always ends the attempt."""
         splitter = EventSplitter()
         previous_s = None
+        timeout_s = self._read_timeout_s()
         try:
-            while data := attempt.response.read(self._read_timeout_s()):
+            while data := attempt.response.read(timeout_s):
                 events = splitter.feed(data)
                 if events is None:
+                    # What is no event yet doesn't begin the wait anew.
+                    timeout_s = None
                     continue
+                streamchecks.check_events(attempt.response, events)
                 now_s = self._clock.monotonic_s()
                 if previous_s is not None:
                     self._dispatcher.event_interval_measured(
@@ -512,7 +515,8 @@
                 if not splitter.rest() and attempt.response.end_if_arrived():
                     self._complete_stream(attempt)
                 yield events.body
-            self._check_stream_end(attempt.response, splitter)
+                timeout_s = self._read_timeout_s()
+            streamchecks.check_end(attempt.response, splitter)
             self._check_outlived(attempt)
             if rest := splitter.rest():
                 yield rest
@@ -525,16 +529,6 @@
         finally:
             self._end_attempt(attempt, AttemptOutcome.LEFT)
 
-    @staticmethod
-    def _check_stream_end(response: UpstreamResponse, splitter: EventSplitter) -> None:
-        """Raise IncompleteResponse if a complete body isn't a whole event stream."""
-        content_type = response.header("Content-Type").strip()
-        # Without a type it is what its route says, a stream.
-        if content_type and not is_event_stream(content_type):
-            return
-        if missing := splitter.missing(response.framing):
-            raise IncompleteResponse(missing)
-
     def _check_outlived(self, attempt: Attempt) -> None:
         """Raise IncompleteResponse if an upstream ended as its answer did.
 
@@ -602,9 +596,12 @@
     ) -> IncompleteResponse:
         """End an attempt with an incomplete response; return the error to raise."""
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
-        if self._is_cancelled(attempt) or self._remaining_s() <= 0.0:
+        if self._is_cancelled(attempt):
             outcome = AttemptOutcome.LEFT
-            if error.timed_out and not self._caller_gone:
+        elif self._remaining_s() <= 0.0:
+            if not attempt.is_unfinished:
+                outcome = AttemptOutcome.LEFT
+            if error.timed_out:
                 error = IncompleteResponse("deadline expired", timed_out=True)
         attempt.detail = str(error)
         self._end_attempt(attempt, outcome)
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -132,6 +132,7 @@
             headers=headers,
             body=accepted.body,
             head_timeout_s=remaining_s,
+            ends_s=accepted.deadline_s,
         )
         if isinstance(sent, Err):
             error = sent.err_value
--- a/lavenderspoke/direct/reserving.py
+++ b/lavenderspoke/direct/reserving.py
@@ -25,6 +25,7 @@
 # Timeout for the head of the upstream's response, and again for its body, in seconds.
 # Meanwhile the caller waits for a stream that is already late.
 RESERVE_TIMEOUT_S = 0.2
+BODY_BYTES_MAX = 64 * 1024
 
 log = logbook.Logger(__name__)
 
@@ -56,6 +57,7 @@
         headers=request.headers,
         body=request.body,
         head_timeout_s=RESERVE_TIMEOUT_S,
+        ends_s=clock.monotonic_s() + 2 * RESERVE_TIMEOUT_S,
     )
     if isinstance(sent, Err):
         # A reused connection that breaks, or a late response, says nothing about the
@@ -70,7 +72,9 @@
     if not is_misdirected:
         on_signals(dialect.upstream_signals(response))
     try:
-        body = response.read_all(clock.monotonic_s() + RESERVE_TIMEOUT_S, clock)
+        body = response.read_all(
+            clock.monotonic_s() + RESERVE_TIMEOUT_S, clock, bytes_max=BODY_BYTES_MAX
+        )
     except IncompleteResponse as error:
         response.close(keep=False)
         return _not_reserved(AttemptOutcome.NOT_RUN, str(error))
--- a/lavenderspoke/http/eventstream.py
+++ b/lavenderspoke/http/eventstream.py
@@ -11,6 +11,10 @@
 LAST_DATA = b"[DONE]"
 # Ids of more digits don't fit 64 bits and are no numbers of events.
 ID_DIGITS_MAX = 19
+ENDS = (b"\n\n", b"\r\n\r\n")
+END_BYTES_MAX = max(map(len, ENDS))
+# What lines of an event, or a comment, begin with.
+FIELDS = (b"data", b"id", b"event", b"retry", b":")
 
 
 def is_event_stream(content_type: str) -> bool:
@@ -31,7 +35,8 @@
     """Whole events as they came; `last` when the stream's last one is in there.
 
     `event_id` is that of the last event that has one, or None, and `first_id` that
-    of the first. `rising` says whether their ids only grow.
+    of the first. `rising` says whether their ids only grow. If they are `malformed`,
+    bytes between two of them are neither an event nor a comment.
     """
 
     body: bytes
@@ -39,6 +44,7 @@
     last: bool = False
     first_id: int | None = attrs.field(default=None, repr=False)
     rising: bool = attrs.field(default=True, repr=False)
+    malformed: bool = attrs.field(default=False, repr=False)
 
 
 class EventSplitter:
@@ -53,12 +59,12 @@
     """
 
     def __init__(self):
-        self._held = b""
+        self._held = bytearray()
         self._has_events = False
 
     def rest(self) -> bytes:
         """Return what came behind the last whole event."""
-        return self._held
+        return bytes(self._held)
 
     def missing(self, framing: Framing) -> str:
         r"""Return what a stream lacks that has ended here, "" if it may be whole.
@@ -82,30 +88,48 @@
 
     def feed(self, data: bytes) -> Events | None:
         """Return the events that these bytes complete, if any."""
-        held = self._held + data
-        end = max(_end_after(held, b"\n\n"), _end_after(held, b"\r\n\r\n"))
-        self._held = held[end:]
-        if len(self._held) > EVENT_BYTES_MAX:
+        # An end may begin in what came before.
+        search_from = max(0, len(self._held) - END_BYTES_MAX + 1)
+        self._held += data
+        end = max(_end_after(self._held, mark, search_from) for mark in ENDS)
+        if len(self._held) - end > EVENT_BYTES_MAX:
             raise EventTooLong
         if not end:
             return None
         self._has_events = True
-        lines = held[:end].splitlines()
+        body = bytes(self._held[:end])
+        del self._held[:end]
+        lines = body.splitlines()
         ids = _ids(lines)
         return Events(
-            body=held[:end],
+            body=body,
             event_id=ids[-1] if ids else None,
             rising=all(a < b for a, b in zip(ids, ids[1:])),
             first_id=ids[0] if ids else None,
             last=any(_value(line, b"data:") == LAST_DATA for line in lines),
+            malformed=_has_malformed(lines),
         )
 
 
-def _end_after(data: bytes, mark: bytes) -> int:
-    found = data.rfind(mark)
+def _end_after(data: bytearray, mark: bytes, start: int) -> int:
+    found = data.rfind(mark, start)
     return found + len(mark) if found >= 0 else 0
 
 
+def _has_malformed(lines: list[bytes]) -> bool:
+    """Return whether lines between two empty ones have no field of an event.
+
+    >>> _has_malformed([b"x-more: 1", b"data: a", b"", b": a comment", b""])
+    False
+    >>> _has_malformed([b"data: a", b"", b"noise", b""])
+    True
+    """
+    for is_filled, block in itertools.groupby(lines, bool):
+        if is_filled and not any(line.startswith(FIELDS) for line in block):
+            return True
+    return False
+
+
 def _value(line: bytes, field: bytes) -> bytes | None:
     return line[len(field) :].strip() if line.startswith(field) else None
 
--- a/lavenderspoke/http/framing.py
+++ b/lavenderspoke/http/framing.py
@@ -9,7 +9,12 @@
 
 import urllib3
 
-CHUNK_LINE_BYTES_MAX = 64 * 1024
+CHUNK_LINE_BYTES_MAX = 4 * 1024
+# Bytes of chunks' framing that a body may have at most: so many, and so many for each
+# byte of its content. Reading a chunk costs much more than reading its bytes.
+CHUNK_FRAMING_BYTES_MAX = 64 * 1024
+CHUNK_FRAMING_RATIO_MAX = 4
+CHUNK_END_BYTES = 2
 NO_BODY_STATUSES = frozenset((204, 304))
 # What is logged of a response with `Framing.INVALID`.
 INVALID_DETAIL = "its headers don't tell where it ends"
@@ -57,10 +62,13 @@
     """A response whose chunks count only if their sizes came whole.
 
     The base class takes the "0" of a size "0a0" that was cut off for the last chunk.
+    A body of which nearly all is framing is malformed.
     After the last chunk nothing is missing, so trailers may break off (`trailer_lost`).
     """
 
     trailer_lost = False
+    _framing_bytes = 0
+    _content_bytes = 0
 
     def _read_next_chunk_size(self) -> int:
         line = self.fp.readline(CHUNK_LINE_BYTES_MAX)
@@ -69,8 +77,19 @@
             self._close_conn()
             # The caller turns it into IncompleteRead.
             raise ValueError("truncated or malformed chunk size")
+        self.check_framing(len(line) + CHUNK_END_BYTES, int(size, 16))
         return int(size, 16)
 
+    def check_framing(self, line_bytes: int, content_bytes: int) -> None:
+        """Count chunks' framing and content; raise ValueError on too much framing."""
+        self._framing_bytes += line_bytes
+        allowed_bytes = (
+            CHUNK_FRAMING_BYTES_MAX + CHUNK_FRAMING_RATIO_MAX * self._content_bytes
+        )
+        self._content_bytes += content_bytes
+        if self._framing_bytes > allowed_bytes:
+            raise ValueError("much more framing than content")
+
     def _read_and_discard_trailer(self) -> None:
         try:
             super()._read_and_discard_trailer()
