Close idle connections on which an upstream sends on

An upstream that sends bytes behind a whole answer, a moment later, did so until the idle limit of the connection: it was looked at only when another request was to use it. Idle connections are looked at every 0.2 s now; the pools of an entry moved to a module of their own.

--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -151,7 +151,7 @@
     - `REFUSED_KEEPING`: the response isn't that of the upstream asked for.
     - `IDLE_LIMIT_SHORT`: the upstream closes idle ones too soon for any reuse.
     - `IDLE_EXPIRED`: no request came before its idle limit.
-    - `CLOSED_WHILE_IDLE`: the upstream closed it before its idle limit.
+    - `CLOSED_WHILE_IDLE`: the upstream closed it, or sent on it, before its idle limit.
     - `NO_RESPONSE`: no response came over it, or the caller left before.
     """
 
@@ -466,6 +466,17 @@
             self._busy.discard(connection)
         connection.close()
 
+    def close_used_up(self) -> None:
+        """Close the idle connections that the upstream has closed or sends on."""
+        with self._lock:
+            used_up = [
+                each for each in self._idle if _is_readable(each.connection.sock)
+            ]
+            self._idle = [each for each in self._idle if each not in used_up]
+        for each in used_up:
+            self._count(ConnectionUse.CLOSED_WHILE_IDLE)
+            each.connection.close()
+
     def close_idle(self) -> None:
         """Close the idle connections."""
         with self._lock:
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -19,6 +19,7 @@
 from lavenderspoke.direct.burstcredits import BURST_CREDITS_METRIC, BurstCredits
 from lavenderspoke.direct.catalog import Catalog, Route
 from lavenderspoke.direct.clusterview import ClusterView
+from lavenderspoke.direct.connectionpools import ConnectionPools
 from lavenderspoke.direct.connectionpreference import ConnectionView
 from lavenderspoke.direct.crashchecks import CrashChecks
 from lavenderspoke.direct.crashsync import CrashSync
@@ -129,7 +130,7 @@
         self._booked_services: set[str] = set()
         self._peers_listed = False
         self._own_share_only_until_s = clock.monotonic_s() + OWN_SHARE_ONLY_S
-        self._connection_pools: dict[str, ConnectionPool] = {}
+        self.connection_pools = ConnectionPools(clock=clock, metrics=metrics)
         self._services: frozenset[str] = frozenset()
         self._orders_read_s = float("-inf")
         self._rollouts = Rollouts(random=random, metrics=metrics)
@@ -168,7 +169,7 @@
             connection_view=ConnectionView(
                 entry_name=name,
                 live_entries=lambda: self._peers.live_names(self._now_s()),
-                has_idle=self._has_idle_connection,
+                has_idle=self.connection_pools.has_idle,
                 metrics=metrics,
             ),
             metrics=metrics,
@@ -353,17 +354,7 @@
             queue.release_unused(ticket, upstream.upstream_id, self._now_s())
 
     def connection_pool(self, upstream: Upstream) -> ConnectionPool:
-        with self._lock:
-            pool = self._connection_pools.get(upstream.upstream_id)
-            if pool is None:
-                pool = ConnectionPool(
-                    host=upstream.host,
-                    port=upstream.port,
-                    clock=self._clock,
-                    metrics=self._metrics,
-                )
-                self._connection_pools[upstream.upstream_id] = pool
-            return pool
+        return self.connection_pools.of(upstream)
 
     def take_retry(self, service: str) -> bool:
         with self._lock:
@@ -438,8 +429,7 @@
                 self._pace.retain(each.upstream_id for each in upstreams)
             restarted = self._upstream_monitor.update_listed(upstreams, now_s)
             listed = {each.upstream_id for each in upstreams}
-            unlisted = [each for each in self._connection_pools if each not in listed]
-            pools = {each: self._connection_pools.pop(each) for each in unlisted}
+            pools = self.connection_pools.remove_unlisted(listed)
         for pool in pools.values():
             pool.close_idle()
         for upstream in restarted:
@@ -722,10 +712,6 @@
 
     # Internals
 
-    def _has_idle_connection(self, upstream_id: str) -> bool:
-        pool = self._connection_pools.get(upstream_id)
-        return pool is not None and pool.has_idle()
-
     def _merge_state(
         self, sender: InstanceId, state: SharedState, now_s: float, age_s: float | None
     ) -> bool:
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -38,8 +38,8 @@
 # Time between two reads of the settings file, in seconds: it may change without a
 # signal, and no change in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
-# Time between two checks of upstreams that couldn't be checked before, and of requests
-# that are handled past their deadlines, in seconds.
+# Time between two checks of upstreams that couldn't be checked before, of idle
+# connections and of requests that are handled past their deadlines, in seconds.
 CHECKS_PERIOD_S = 0.2
 # Share of the key revocation limit to which the time to apply is capped.
 KEY_REVOCATION_SHARE = 0.4
@@ -183,6 +183,7 @@
 
     def _check(self) -> None:
         self._entry.overdue.check()
+        self._entry.dispatcher.connection_pools.close_used_up()
         self._entry.dispatcher.crash_checks.check_again()
 
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
