Don't send requests whose callers have left while they waited

Of 80 callers that left at one moment, requests of 59 that still waited were sent to upstreams afterwards, where these send floods: one thread learns of leavings, one after the other, and needs its turn among busy ones. Meanwhile the slots of the first that left went to the others.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -5,6 +5,7 @@
 so that its caller notices.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable, Iterator
 
@@ -31,7 +32,7 @@
 from lavenderspoke.direct.startuphold import StartupHold
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
-from lavenderspoke.http.callerwatch import CallerWatch
+from lavenderspoke.http.callerwatch import CallerWatch, has_left
 from lavenderspoke.http.framing import NO_BODY_STATUSES
 from lavenderspoke.http.hopbyhop import Headers, end_to_end
 from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
@@ -138,14 +139,15 @@
             http_request.close_connection |= _has_unread_body(http_request)
             yield self._refuse(http_request, start_response, accepted.err_value, record)
             return
+        fd = http_request.conn.socket.fileno()
         handler = RequestHandler(
             accepted=accepted.ok_value,
             dispatcher=self._dispatcher,
             dialect=self._dialect,
             clock=self._clock,
+            has_caller_left=functools.partial(has_left, fd),
         )
         record.handler = handler
-        fd = http_request.conn.socket.fileno()
         self._watch.add(fd, handler.cancel)
         self._overdue.add(handler)
         try:
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import logbook
 from result import Err
@@ -79,7 +79,10 @@
 
 
 class RequestHandler:
-    """Handles one request until its response has ended."""
+    """Handles one request until its response has ended.
+
+    `has_caller_left()` is asked before each attempt.
+    """
 
     def __init__(
         self,
@@ -88,6 +91,7 @@
         dispatcher: Dispatcher,
         dialect: Dialect,
         clock: Clock,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ):
         self.accepted = accepted
         self.trail: list[str] = []
@@ -114,6 +118,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._caller_gone = False
+        self._has_caller_left = has_caller_left
         self._ticket: Ticket | None = None
         self._cancel_handle: CancelHandle | None = None
         self._current: Attempt | None = None
@@ -240,7 +245,8 @@
         self._current = attempt
         with self._lock:
             self._cancel_handle = attempt.cancel_handle
-            gone = self._caller_gone
+            # The caller may have left without `cancel` having been called yet.
+            gone = self._caller_gone = self._caller_gone or self._has_caller_left()
         # Time has passed in the queue, and the machine may have been suspended.
         remaining_s = self._remaining_s()
         if gone or remaining_s < ATTEMPT_MIN_S:
--- a/lavenderspoke/http/callerwatch.py
+++ b/lavenderspoke/http/callerwatch.py
@@ -24,6 +24,13 @@
     on_gone: Callable[[], None]
 
 
+def has_left(fd: int) -> bool:
+    """Return whether the caller at an open socket has hung up."""
+    poll = select.poll()
+    poll.register(fd, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class CallerWatch:
     """A watch over the sockets of callers whose answers are awaited."""
 
@@ -94,9 +101,7 @@
             watched = self._watched.get(fd)
             if watched is None:
                 return None
-            poll = select.poll()
-            poll.register(fd, select.POLLRDHUP)
-            if poll.poll(0):
+            if has_left(fd):
                 return watched
             self._epoll.modify(fd, GONE | select.EPOLLONESHOT)
             return None
