Ask other entries for a stream's version until the request's end at most

An entry that had heard nobody yet asked for 1.8 s, also if the request of the caller that takes a stream up ended earlier. Found by reading, with the other waits of a request.

--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -295,7 +295,9 @@
             timeout_s = min(timeout_s, head.deadline_in_s)
         service, stream_version = self._dispatcher.choose_service(route), None
         if route.stream and head.is_taken_up:
-            origin = self._dispatcher.find_stream_origin(head.resumed_id, service)
+            origin = self._dispatcher.find_stream_origin(
+                head.resumed_id, service, until_s=arrived_s + timeout_s
+            )
             if origin is None:
                 return Err(version_unknown(head.resumed_id))
             if not route.allows(origin.service):
--- a/lavenderspoke/direct/office.py
+++ b/lavenderspoke/direct/office.py
@@ -628,13 +628,13 @@
         )
 
     def find_stream_origin(
-        self, attempt_id: str | None, service: str
+        self, attempt_id: str | None, service: str, *, until_s: float
     ) -> StreamOrigin | None:
         """Return where a stream that a caller takes up began, None if nobody knows.
 
-        This may wait for other entries.
+        This may wait for other entries, until then at the latest.
         """
-        return self.streams.find_origin(attempt_id, service)
+        return self.streams.find_origin(attempt_id, service, until_s=until_s)
 
     def live_peer_names(self) -> list[str]:
         """Return the names of the other entries heard recently by any path."""
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -11,6 +11,7 @@
 import enum
 import functools
 import itertools
+import math
 import threading
 from collections.abc import Callable, Iterable
 
@@ -140,13 +141,17 @@
         self._versions.record((attempt_id, service, version))
         return now_s
 
-    def find_origin(self, attempt_id: str | None, service: str) -> StreamOrigin | None:
+    def find_origin(
+        self, attempt_id: str | None, service: str, *, until_s: float = math.inf
+    ) -> StreamOrigin | None:
         """Return where a stream that its caller takes up began, None if nobody knows.
 
+        Other entries are waited for until then at the latest, in seconds on the clock.
+
         Without any knowledge of the stream it must have been at `service`, if only one
         version of that has served lately.
         """
-        origin, source = self._find(attempt_id, service)
+        origin, source = self._find(attempt_id, service, until_s)
         self._metrics.count(STREAM_VERSIONS, source.value)
         return origin
 
@@ -179,14 +184,14 @@
             call.replied(sender.name, is_final=bool(message.rows))
 
     def _find(
-        self, attempt_id: str | None, service: str
+        self, attempt_id: str | None, service: str, until_s: float
     ) -> tuple[StreamOrigin | None, Source]:
         if attempt_id is not None and (row := self._versions.find(attempt_id)):
             return _origin(row), Source.KNOWN
         if (version := self._versions.only_version(service)) is not None:
             return StreamOrigin(service=service, version=version), Source.ONLY_ONE
         if attempt_id is not None:
-            self._ask(attempt_id)
+            self._ask(attempt_id, until_s)
             if row := self._versions.find(attempt_id):
                 return _origin(row), Source.ASKED
         return None, Source.UNKNOWN
@@ -204,7 +209,7 @@
             del self._calls[number]
         return Told.CONFIRMED if is_confirmed else Told.UNCONFIRMED
 
-    def _ask(self, attempt_id: str) -> None:
+    def _ask(self, attempt_id: str, until_s: float) -> None:
         """Ask all other entries of a stream until one knows it, or none does."""
         known = self._known()
         if not known:
@@ -214,7 +219,8 @@
         is_new = now_s < self._started_s + ALL_HEARD_S
         live = self._live()
         number, call = self._new_call(known if is_new else live or known)
-        give_up_s = now_s + (ASK_TIMEOUT_S if live else ASK_UNHEARD_TIMEOUT_S)
+        timeout_s = ASK_TIMEOUT_S if live else ASK_UNHEARD_TIMEOUT_S
+        give_up_s = min(until_s, now_s + timeout_s)
         try:
             while self._clock.monotonic_s() < give_up_s:
                 for name in sorted(known.keys() - call.replied_names):
