Bound whole responses of the store and of other servers

A store that sent a header without end to an entry kept the entry's reading thread until the store closed: it learned of no version and no revoked key any more, also after the store was sound again. Each silence was bounded, the response as a whole was not. Now it is, as the whole answers that agents and commands fetch are.

--- a/lavenderspoke/http/client.py
+++ b/lavenderspoke/http/client.py
@@ -11,12 +11,8 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from lavenderspoke.http.framing import (
-    INVALID_DETAIL,
-    Framing,
-    StrictResponse,
-    framing_of,
-)
+from lavenderspoke.http.boundedconnection import BoundedConnection, bound_silences_only
+from lavenderspoke.http.framing import INVALID_DETAIL, Framing, framing_of
 
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
@@ -49,13 +45,7 @@
     body: bytes
 
 
-class _Connection(urllib3.connection.HTTPConnection):
-    """Takes only whole chunk sizes."""
-
-    response_class = StrictResponse
-
-
-class _Http10Connection(_Connection):
+class _Http10Connection(BoundedConnection):
     """Asks for HTTP/1.0, so that the answer comes without chunks."""
 
     _http_vsn = 10
@@ -75,7 +65,9 @@
             base_url, maxsize=connections, block=False
         )
         if self._pool.scheme == "http":
-            self._pool.ConnectionCls = _Http10Connection if http10 else _Connection
+            self._pool.ConnectionCls = (
+                _Http10Connection if http10 else BoundedConnection
+            )
         self._prefix = (urllib3.util.parse_url(base_url).path or "").rstrip("/")
 
     def open(
@@ -89,8 +81,39 @@
     ) -> Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]:
         """Send a request and return its answer with the body still to be read.
 
-        `timeout_s` bounds each silence of the other side, not the whole answer.
+        `timeout_s` bounds each silence of the other side, but not the whole body.
         """
+        opened = self._open(method, path, timeout_s, headers, body)
+        if isinstance(opened, Ok):
+            bound_silences_only(opened.ok_value)
+        return opened
+
+    def fetch(
+        self,
+        *,
+        method: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Result[Reply, NotSent | AnswerLost]:
+        """Send a request and return its whole answer.
+
+        It must come soon after `timeout_s`, as `BoundedConnection` says. An answer
+        longer than `ANSWER_BYTES_MAX` counts as lost.
+        """
+        return self._open(method, path, timeout_s, headers, body).and_then(
+            lambda response: _read_whole(response, method)
+        )
+
+    def _open(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None,
+        body: bytes | None,
+    ) -> Result[urllib3.BaseHTTPResponse, NotSent | AnswerLost]:
         timeout = urllib3.Timeout(
             connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s
         )
@@ -115,16 +138,6 @@
             return Err(_lost(error))
         return Ok(response)
 
-    def fetch(self, **request) -> Result[Reply, NotSent | AnswerLost]:
-        """Send a request and return its whole answer.
-
-        Takes the arguments of `open`. An answer longer than `ANSWER_BYTES_MAX`
-        counts as lost.
-        """
-        return self.open(**request).and_then(
-            lambda response: _read_whole(response, request["method"])
-        )
-
 
 def _read_whole(
     response: urllib3.BaseHTTPResponse, method: str
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -18,6 +18,7 @@
     StoreError,
 )
 from lavenderspoke.direct.settings import Address
+from lavenderspoke.http.boundedconnection import BoundedConnection
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.decoding import parse
 from lavenderspoke.platform.storeepoch import STORE_EPOCH, EpochReader
@@ -45,9 +46,8 @@
         self._epochs = EpochReader(metrics=metrics)
         # Of the last response, None if it named no valid one.
         self._epoch: int | None = None
-        self._pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=1, block=False
-        )
+        self._address = address
+        self._pool = self._new_pool()
 
     def newest(self, topic: str) -> Result[RecordBatch, StoreError]:
         """Return the newest record of each key of a topic.
@@ -145,6 +145,13 @@
             return called
         return called.and_then(lambda reply: _expect_ok(reply).map(lambda _: reply))
 
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        pool = urllib3.HTTPConnectionPool(
+            self._address.host, self._address.port, maxsize=1, block=False
+        )
+        pool.ConnectionCls = BoundedConnection
+        return pool
+
     def _call(
         self, method: str, target: str, *, wait_s: float, body: bytes | None = None
     ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
@@ -158,9 +165,7 @@
         except (HTTPError, OSError, ValueError) as error:
             # A connection that missed a response can't be reused.
             self._pool.close()
-            self._pool = urllib3.HTTPConnectionPool(
-                self._pool.host, self._pool.port, maxsize=1, block=False
-            )
+            self._pool = self._new_pool()
             return Err(StoreError(detail=f"{type(error).__name__}: {error}"))
         self._epoch = self._epochs.read(reply.headers.getlist(STORE_EPOCH))
         return Ok(reply)
