Cut streams to callers who don't read them at the request's end

A caller that read nothing of a long stream kept its thread in a write, for up to 17 s, and the slot and the work of its upstream: 8 of 8 went on half a second after the time-out of 1 s. A write is bounded by the idle limit of callers, not by the request. The check that reports requests past their deadlines now ends such streams, whose upstreams have no time left anyhow. Other answers may still be delivered late.

--- a/features/endless_responses.feature
+++ b/features/endless_responses.feature
@@ -77,6 +77,13 @@
       | one event             | in a flood | reset   |
       | refusal               | in drops   | close   |
 
+  Scenario: Callers read nothing of streams without end
+    Guards against writing to callers that takes longer than their requests may.
+    Given two entries before upstreams, with routes that time out after 1 s
+    And every upstream sends "events" without end, in a flood
+    When 2 callers of each kind of stream send requests and read nothing for 1.5 s
+    Then no upstream is at work for them 0 s later
+
   Scenario: Entries' memory while upstreams send as much as the links take
     Guards against answers that fill the memory before they turn out to be none.
     Given two entries before upstreams, with routes that time out after 4 s
--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -149,13 +149,11 @@
     assert set(statuses.values()) == {200} and len(statuses) == 8, statuses
 
 
-@when(
-    "{count:d} callers of each kind leave each entry by a {leaving} at the same moment"
-)
-def step_leave(context, count, leaving):
+def open_requests(context, kinds, count: int) -> list[socket.socket]:
+    """Send that many requests of each kind to each entry; return their sockets."""
     sockets = []
     for entry in ENTRIES:
-        for kind, method in KINDS.items():
+        for kind in kinds:
             for number in range(count):
                 headers = {
                     "Host": HOST_HEADER,
@@ -164,12 +162,21 @@
                     "Authorization": f"Bearer {KEY}",
                 }
                 data = request_bytes(
-                    method=method, path=f"/{kind}/1", headers=headers.items()
+                    method=KINDS[kind], path=f"/{kind}/1", headers=headers.items()
                 ).replace(b"Host: test\r\n", b"", 1)
                 port = context.platform.entries[entry].callers
                 sock = socket.create_connection((HOST, port))
+                context.add_cleanup(sock.close)
                 sock.sendall(data)
                 sockets.append(sock)
+    return sockets
+
+
+@when(
+    "{count:d} callers of each kind leave each entry by a {leaving} at the same moment"
+)
+def step_leave(context, count, leaving):
+    sockets = open_requests(context, KINDS, count)
     time.sleep(UNDER_WAY_S)
     assert context.platform.runs() or context.platform.arrivals("desk-1")
     for sock in sockets:
@@ -180,6 +187,17 @@
     context.over_s = time.monotonic()
 
 
+@when(
+    "{count:d} callers of each kind of stream send requests and read nothing for "
+    "{seconds:g} s"
+)
+def step_read_nothing(context, count, seconds):
+    open_requests(context, [each for each in KINDS if "stream" in each], count)
+    time.sleep(seconds)
+    assert context.platform.runs()
+    context.over_s = time.monotonic()
+
+
 @when(
     "every upstream sends each of these as a flood to {count:d} callers of each entry"
 )
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -7,6 +7,7 @@
 
 import functools
 import hashlib
+import socket
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -76,6 +77,7 @@
     shared_parts: tuple[str, ...] = ()
     resumed_id: str | None = None
     handler: RequestHandler | None = None
+    is_stream: bool = False
     response_began_s: float | None = None
 
 
@@ -149,7 +151,7 @@
         )
         record.handler = handler
         self._watch.add(fd, handler.cancel)
-        self._overdue.add(handler)
+        self._overdue.add(handler, functools.partial(_cut_stream, http_request, record))
         try:
             yield from self._write_result(http_request, handler, start_response, record)
         finally:
@@ -199,6 +201,7 @@
             problempage.status_line(response.status),
             _response_headers(response.headers, None),
         )
+        record.is_stream = True
         # Stays if the server closes this generator because the caller has gone.
         record.outcome = Reason.CALLER_GONE.value
         try:
@@ -385,6 +388,21 @@
         )
 
 
+def _cut_stream(http_request: CallerHttpRequest, record: _RequestRecord) -> None:
+    """Stop writing a stream, whose caller may read too slowly or not at all.
+
+    Its upstream is at work until then. Any other answer may take longer to deliver.
+    """
+    if not record.is_stream:
+        return
+    record.outcome = OUTCOME_BROKEN
+    record.detail = "deadline expired while its caller was written to"
+    try:
+        http_request.conn.socket.shutdown(socket.SHUT_RDWR)
+    except OSError as error:
+        log.debug("overdue stream not cut", error=str(error))
+
+
 def _elapsed_s(at_s: float | None, start_s: float) -> float | None:
     return None if at_s is None else round(at_s - start_s, 4)
 
--- a/lavenderspoke/direct/overduerequests.py
+++ b/lavenderspoke/direct/overduerequests.py
@@ -1,9 +1,11 @@
-"""Reports requests that are still being handled after their deadline.
+"""Ends and reports requests that are still being handled after their deadline.
 
-A request's own log line is written at its end, so one that never ends would have none.
+A stream whose caller reads nothing keeps its thread in a write, and its slot. And a
+request's own log line is written at its end, so one that never ends would have none.
 """
 
 import threading
+from collections.abc import Callable
 
 import logbook
 
@@ -14,7 +16,7 @@
 
 OVERDUE_METRIC = "direct_overdue_requests"
 # Time after the deadline in which a final answer is normally written, in seconds.
-TOLERANCE_S = 0.3
+TOLERANCE_S = 0.15
 # The counter's label of requests that have no attempt under way.
 AWAITED_SLOT = "slot"
 
@@ -22,41 +24,42 @@
 
 
 class OverdueRequests:
-    """Logs and counts each request once that is handled past its deadline.
+    """Logs and counts each request once that is handled past its deadline; thread-safe.
 
-    Thread-safe.
+    What was added with it, `on_overdue`, is called then, and not after `remove`.
     """
 
     def __init__(self, *, clock: Clock, metrics: Metrics):
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._handlers: set[RequestHandler] = set()
+        self._handlers: dict[RequestHandler, Callable[[], None]] = {}
         self._reported: set[RequestHandler] = set()
 
-    def add(self, handler: RequestHandler) -> None:
+    def add(self, handler: RequestHandler, on_overdue: Callable[[], None]) -> None:
         """Watch a request that is handled from now on."""
         with self._lock:
-            self._handlers.add(handler)
+            self._handlers[handler] = on_overdue
 
     def remove(self, handler: RequestHandler) -> None:
         """Stop watching a request that has ended."""
         with self._lock:
-            self._handlers.discard(handler)
+            self._handlers.pop(handler, None)
             self._reported.discard(handler)
 
     def check(self) -> None:
         """Report the requests that have become overdue since the last call."""
         latest_s = self._clock.monotonic_s() - TOLERANCE_S
         with self._lock:
-            overdue = {
+            overdue = [
                 each
-                for each in self._handlers - self._reported
-                if each.accepted.deadline_s < latest_s
-            }
-            self._reported |= overdue
-        for each in overdue:
-            self._report(each)
+                for each in self._handlers
+                if each.accepted.deadline_s < latest_s and each not in self._reported
+            ]
+            self._reported.update(overdue)
+            for each in overdue:
+                self._report(each)
+                self._handlers[each]()
 
     def _report(self, handler: RequestHandler) -> None:
         attempt = handler.current_attempt
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -47,6 +47,10 @@
     "noise in a stream": Endless(
         begins=EVENT_STREAM + CHUNKED, repeats=b"3\r\n\x93\n\n\r\n"
     ),
+    "events": Endless(
+        begins=EVENT_STREAM + CHUNKED,
+        repeats=b"1000\r\ndata: " + b"a" * (0x1000 - 8) + b"\n\n\r\n",
+    ),
     "one event": Endless(
         begins=EVENT_STREAM + CHUNKED + b"6\r\ndata: \r\n", repeats=b"1\r\na\r\n"
     ),
