Let the soak's upstreams send without end, and check that requests end in time

A further check finds requests that end over half a second after their deadlines. The test of each check and one that all seeds draw it come with it; the waits in explain's test have their bytes.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -40,7 +40,7 @@
     Guards against a line that doesn't tell what a request waited for.
     Given a log file of a request that waited for two upstreams, and of one still held
     When its id is explained from them
-    Then the explanation contains "It waited for model-1: head, 1.400 s, silent; then model-2: first_event, 0.551 s, deadline."
+    Then the explanation contains "It waited for model-1: head, 1.400 s, 0 bytes, silent; then model-2: first_event, 0.551 s, 310 bytes, deadline."
 
   Scenario: A request is still handled past its deadline
     Guards against a request that has no line, since it hasn't ended.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,11 @@
       | a stream has events of two versions       | one_version    |
       | a stream was taken up at another version  | one_version    |
       | an innocent request is refused as a crash | innocent_served |
+      | a request was held past its deadline      | answered_in_time |
+
+  Scenario: Seeds hold upstreams that send without end
+    Guards against seeds that no longer draw them.
+    Then each of the seeds 1 to 20 has upstreams that send without end, at both paces
 
   Scenario Outline: Content that crashes upstreams long after it is known is noticed
     Guards against a check that counts crashes at any time, or none.
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -121,8 +121,8 @@
 @given("a log file of a request that waited for two upstreams, and of one still held")
 def step_waited(context):
     waits = [
-        "model-1: head, 1.400 s, silent",
-        "model-2: first_event, 0.551 s, deadline",
+        "model-1: head, 1.400 s, 0 bytes, silent",
+        "model-2: first_event, 0.551 s, 310 bytes, deadline",
     ]
     own = record(30, "request", request="r1", outcome="deadline_expired", waits=waits)
     held = record(
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -128,6 +128,9 @@
             again = attrs.evolve(again, resumes="more", after_event=1)
             again = answered(again, body=b"id: 2" + rest)
             return [cut, again], [run("more", 30.1), run("again", 36.1)], []
+        case "a request was held past its deadline":
+            held = attrs.evolve(sent("more", at_s=30.0), ended_s=35.6)
+            return [held], [run("more", 30.1)], []
         case "an innocent request is refused as a crash":
             refused = answered(stream, status=503, body=b"crashes_upstreams")
             return [refused], [], []
@@ -417,6 +420,23 @@
     assert crashes == {True, False}, crashes
 
 
+@then(
+    "each of the seeds {first:d} to {last:d} has upstreams that send without end, at "
+    "both paces"
+)
+def step_has_endless(context, first, last):
+    gaps_s = set()
+    for seed in range(first, last + 1):
+        found = {
+            event.action.gap_s
+            for event in schedule.draw(seed)
+            if isinstance(event.action, schedule.AnswersEndless)
+        }
+        assert found, seed
+        gaps_s |= found
+    assert gaps_s == set(schedule.ENDLESS_GAPS_S), gaps_s
+
+
 @then(
     "each of the seeds {first:d} to {last:d} has a store that goes back while it is "
     "written"
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -67,6 +67,12 @@
     return soak.end_with_connections(action.upstream, crashes=action.crashes)
 
 
+@begin.register(schedule.AnswersEndless)
+def _(action, soak):
+    faults = {"endless": action.place, "endless_gap_s": action.gap_s}
+    return soak.fail_upstream(action.upstream, faults)
+
+
 @begin.register(schedule.UpstreamSilent)
 def _(action, soak):
     return soak.silence(action.upstream)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,8 @@
 DRAIN_S = 2.0
 # Time for which a key may work after it was taken away, in seconds.
 REVOKE_S = 5.0
+# How much later than its deadline, in seconds, a request has its final answer.
+ANSWERED_LATE_S = 0.5
 # How much of a stop is open to new requests, in seconds: later ones may be long.
 STOP_OPEN_S = 2.0
 # Time between a stop's signal and the kill, in seconds, and the part of it in which
@@ -455,6 +457,18 @@
     ]
 
 
+def answered_in_time(record: Record) -> list[str]:
+    """A request is answered when its time is up, whatever its upstream does."""
+    return [
+        f"{sent.attempt_id} ended after {sent.ended_s - sent.sent_s:.2f} s of "
+        f"{sent.deadline_s:.2f} s"
+        for sent in record.sent
+        if sent.connected
+        and sent.ended_s > sent.sent_s + sent.deadline_s + ANSWERED_LATE_S
+        and record.calm((sent.entry,), sent.sent_s, sent.ended_s)
+    ]
+
+
 def _broke_off(sent: Sent) -> bool:
     return sent.answer is not None and not sent.answer.whole
 
@@ -521,6 +535,7 @@
     limits_respected,
     graceful_stops,
     whole_streams,
+    answered_in_time,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -87,6 +87,7 @@
     "mute": False,
     "full": False,
     "cut_after_events": -1,
+    "endless": "",
     "status": 200,
     "event_s": EVENT_S,
     "work_s": 0.05,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from standins.endless import PLACES
+
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 MODELS = ("model-1", "model-2", "model-3")
 DESKS = ("desk-1", "desk-2")
@@ -58,13 +60,21 @@
 CRASHES_LENGTH_S = (5.0, 7.0)
 CRASHES_GAP_S = (0.2, 0.8)
 
+# Upstreams that send without end: how many, for how long others get that, in seconds,
+# and the time between two writes, of which 0 sends as much as the link takes.
+ENDLESS = (1, 2)
+ENDLESS_LENGTH_S = (0.5, LENGTH_MAX_S)
+ENDLESS_GAPS_S = (0.0, 0.1)
+
 # Entries that get most new connections one after the other, when the first does, and
 # for how long, in seconds.
 SHIFTS = 2
 SHIFTS_AT_S = (2.0, 4.0)
 SHIFT_LENGTH_S = (4.0, 5.0)
 
-STORE_MODES = ("down", "reset", "silent", "lose")
+STORE_MODES = ("down", "reset", "silent", "lose", "endless")
+# Where answers aren't whole, or begin as sound ones, before they go on.
+ENDLESS_PLACES = sorted(PLACES.keys() - {"trailers", "bytes behind", "events"})
 LINK_FAULTS = {
     "delayed": {"to_target": {"delay_ms": 300.0}, "to_client": {"delay_ms": 300.0}},
     "silenced": {"to_target": {"half_open": True}, "to_client": {"half_open": True}},
@@ -157,6 +167,15 @@
     crashes: bool
 
 
+@attrs.frozen(kw_only=True)
+class AnswersEndless:
+    """An upstream's answers go on in one place until their callers close."""
+
+    upstream: str
+    place: str
+    gap_s: float
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamSilent:
     """An upstream at work holds its streams, as while it reads a long prompt."""
@@ -238,6 +257,7 @@
     | LinkFails
     | UpstreamFails
     | AnswersUnframed
+    | AnswersEndless
     | UpstreamSilent
     | UpstreamLeaves
     | LimitNamed
@@ -332,6 +352,7 @@
         *_silences(Random(f"{seed}/silences")),
         *_signals(Random(f"{seed}/signals")),
         *_framings(Random(f"{seed}/framings")),
+        *_endless(Random(f"{seed}/endless")),
         _going_back(Random(f"{seed}/copies")),
         _crashes(Random(f"{seed}/crashes"), Random(f"{seed}/parts")),
         *_shifts(Random(f"{seed}/shifts")),
@@ -392,6 +413,27 @@
     ]
 
 
+def _endless(random: Random) -> list[Event]:
+    """Return upstreams that send without end, which is no planned work.
+
+    One of each service doesn't, so that work has a place.
+    """
+    return [
+        Event(
+            at_s=round(random.uniform(0.0, FAULTS_S), 2),
+            length_s=round(random.uniform(*ENDLESS_LENGTH_S), 2),
+            action=AnswersEndless(
+                upstream=upstream,
+                place=random.choice(ENDLESS_PLACES),
+                gap_s=random.choice(ENDLESS_GAPS_S),
+            ),
+        )
+        for upstream in random.sample(
+            [*MODELS[1:], *DESKS[1:]], random.randint(*ENDLESS)
+        )
+    ]
+
+
 def _going_back(random: Random) -> Event:
     """Return when the store loses what was written for some time."""
     return Event(
