Soak: requests that come while their entry starts aren't late

Time bounds hold only for entries that haven't been started for a while, as the other checks say of kills.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -458,7 +458,10 @@
 
 
 def answered_in_time(record: Record) -> list[str]:
-    """A request is answered when its time is up, whatever its upstream does."""
+    """A request is answered when its time is up, whatever its upstream does.
+
+    One that comes while its entry starts waits until that can read it.
+    """
     return [
         f"{sent.attempt_id} ended after {sent.ended_s - sent.sent_s:.2f} s of "
         f"{sent.deadline_s:.2f} s"
@@ -466,9 +469,19 @@
         if sent.connected
         and sent.ended_s > sent.sent_s + sent.deadline_s + ANSWERED_LATE_S
         and record.calm((sent.entry,), sent.sent_s, sent.ended_s)
+        and not _started_lately(record, sent)
     ]
 
 
+def _started_lately(record: Record, sent: Sent) -> bool:
+    return any(
+        stop.subject == sent.entry
+        and stop.to_s < sent.ended_s
+        and sent.sent_s < stop.to_s + CALM_AFTER_S
+        for stop in record.stops
+    )
+
+
 def _broke_off(sent: Sent) -> bool:
     return sent.answer is not None and not sent.answer.whole
 
