Believe a refusal only if it is the answer to this request

A payment ran at two engines: a late copy of an engine's refusal of another request came over the same connection while the payment ran there, and was taken for its refusal, so that the payment was sent to a second engine and its caller told that it hadn't run. The attempt that a response names was compared only after its status and X-Not-Executed had been believed. It is compared first now, for first and second attempts; a response that names another one proves nothing, and ends the connection.

--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -113,6 +113,9 @@
     def upstream_headers(self, *, reservation, **_ignored) -> dict[str, str]:
         return {"Host": "test", "Reserved": reservation or "nothing"}
 
+    def names_another(self, response, head) -> bool:
+        return response.header("X-Attempt-Id") == "another"
+
     def is_not_run(self, response) -> bool:
         return response.status == 503
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -117,6 +117,9 @@
     def parse_reservation(self, response: UpstreamResponse, body: bytes) -> str | None:
         """Return the id of the reserved slot, or None if none was reserved."""
 
+    def names_another(self, response: UpstreamResponse, head: RequestHead) -> bool:
+        """Return whether the response says that it belongs to another request."""
+
     def is_not_run(self, response: UpstreamResponse) -> bool:
         """Return whether the upstream says that it did not run the request."""
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -385,13 +385,16 @@
 
     def _check_head(self, attempt: Attempt) -> None:
         response = attempt.response
-        if self._dialect.is_misdirected(response):
+        is_foreign = self._dialect.names_another(response, self.accepted.head)
+        if not is_foreign and self._dialect.is_misdirected(response):
             self._end_attempt(attempt, AttemptOutcome.MISDIRECTED)
-        elif self._dialect.is_not_run(response):
+        elif not is_foreign and self._dialect.is_not_run(response):
             self._record_signals(attempt)
             self._discard_body(response)
             self._end_attempt(attempt, AttemptOutcome.NOT_RUN)
-        elif not self._dialect.is_valid_response(response, self.accepted.head):
+        elif is_foreign or not self._dialect.is_valid_response(
+            response, self.accepted.head
+        ):
             # The response of another request, or bytes that resemble one. This
             # request was sent, so it may run nevertheless.
             self._record_possible_run()
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -147,6 +147,8 @@
         self, received: UpstreamResponse, sent_s: float
     ) -> tuple[AttemptOutcome, UpstreamResponse]:
         dialect, upstream = self.dialect, self.slot.upstream
+        if dialect.names_another(received, self.accepted.head):
+            return AttemptOutcome.FAILED, received
         if dialect.is_misdirected(received):
             return AttemptOutcome.MISDIRECTED, received
         is_not_run = dialect.is_not_run(received)
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -183,6 +183,10 @@
         name = parsed.ok_value.retention
         return name if name.isascii() and name.isalnum() else None
 
+    def names_another(self, response: UpstreamResponse, head: RequestHead) -> bool:
+        """Return whether the response is that to another request."""
+        return response.header(ATTEMPT_ID) not in ("", head.request_id)
+
     def is_not_run(self, response: UpstreamResponse) -> bool:
         """Return whether the response says that the request was not run."""
         return response.status == MISDIRECTED_STATUS or bool(
