Take a head as whole only with its last empty line

An answer that its engine broke off within the head, in order, reached its caller as 200 with the engine's signature and an empty body: the base class takes the end of the connection for the end of the headers, and what is left names no length, so that the end of the connection proved the body, too. Each line of a head must come whole now.

Three rows of direct_exchange.feature; informational responses, and slow ones that are sound, have scenarios of their own there.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -57,9 +57,30 @@
       | HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nwhole                                   | ends  | incomplete |
       | HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole                                     | ends  | incomplete |
       | HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\nwhole                 | ends  | no response |
+      | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n                                               | ends  | no response |
+      | HTTP/1.1 200 OK\r\nX-Response-Signature: a                                            | ends  | no response |
+      | HTTP/1.1 200 O                                                                         | ends  | no response |
       | HTTP/1.0 200 OK\r\n\r\nwhole                                                            | ends  | complete   |
       | HTTP/1.0 200 OK\r\n\r\nwhole                                                            | reset | incomplete |
 
+  Scenario: Informational responses come before the final one
+    Guards against taking one of them for the response.
+    Given an upstream that sends "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" and then "keeps"
+    When a request is sent to it
+    Then its outcome is "complete"
+
+  Scenario: A whole response comes slowly, byte by byte
+    Guards against cutting off an upstream that is slow and sound.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" at 30 ms a byte
+    When a request is sent to it, with 5 s for its response
+    Then its outcome is "complete"
+
+  Scenario: A response comes byte by byte for longer than it may
+    Guards against a wait that begins anew with each byte.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" at 30 ms a byte
+    When a request is sent to it, with 0.6 s for its response
+    Then its outcome is "timed out" within 800 ms
+
   Scenario Outline: A response that ends with its connection is aborted here
     Guards against the end that this side makes itself, which passes for the upstream's.
     Given an upstream that sends "HTTP/1.1 200 OK\r\n\r\nwhole" and then "keeps"
--- a/features/review.feature
+++ b/features/review.feature
@@ -5,3 +5,8 @@
     Guards against believing a refusal before it is known whose it is.
     When the script of case 1 is run
     Then it finds no breach
+
+  Scenario: An answer broken off inside its head passes for a whole one (MIXED)
+    Guards against an end of the connection that passes for the end of the headers.
+    When the script of case 2 is run
+    Then it finds no breach
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -68,6 +68,24 @@
                     return
 
 
+class TricklingUpstream(RawUpstream):
+    """Pauses after each byte that it sends."""
+
+    def __init__(self, *, answer: bytes, pause_s: float):
+        self._pause_s = pause_s
+        super().__init__(answer=answer, then="keeps")
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            connection.recv(65536)
+            for byte in self._answer:
+                try:
+                    connection.sendall(bytes([byte]))
+                except OSError:
+                    return
+                time.sleep(self._pause_s)
+
+
 class StalledUpstream(RawUpstream):
     """Responds after reading the start of a request, and reads no more."""
 
@@ -150,6 +168,28 @@
     step_upstream(context, "", then)
 
 
+@given('an upstream that sends "{text}" at {ms:d} ms a byte')
+def step_trickling(context, text, ms):
+    raw = TricklingUpstream(answer=unescaped(text), pause_s=ms / 1000)
+    use_upstream(context, raw)
+
+
+@when("a request is sent to it, with {seconds:g} s for its response")
+def step_send_within(context, seconds):
+    began_s = time.monotonic()
+    sent = context.connection_pool.send(
+        cancel_handle=CancelHandle(),
+        method="GET",
+        target="/",
+        headers={"Host": "test"},
+        body=b"",
+        head_timeout_s=seconds,
+        ends_s=began_s + seconds,
+    )
+    context.outcomes = [outcome(sent, seconds)]
+    context.took_s = time.monotonic() - began_s
+
+
 @given("a port on which nothing listens")
 def step_no_listener(context):
     context.connection_pool = ConnectionPool(
--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -171,6 +171,22 @@
             return received
 
 
+class _HeadReader:
+    """Reads the lines of a head, which must come whole."""
+
+    def __init__(self, fp: io.BufferedReader):
+        self._fp = fp
+
+    def read(self, size: int) -> bytes:
+        return self._fp.read(size)
+
+    def readline(self, limit: int) -> bytes:
+        line = self._fp.readline(limit)
+        if not line.endswith(b"\n"):
+            raise http.client.HTTPException("the head ended within a line")
+        return line
+
+
 class BoundedResponse(StrictResponse):
     """An HTTP response that is read within bounds and detects bytes after its end."""
 
@@ -187,7 +203,13 @@
 
     def begin(self) -> None:
         self.bounds.limit_bytes(HEAD_BYTES_MAX)
-        super().begin()
+        fp = self.fp
+        # The base class takes the end of the connection for that of the headers.
+        self.fp = _HeadReader(fp)
+        try:
+            super().begin()
+        finally:
+            self.fp = fp
         self.bounds.limit_bytes(math.inf)
 
     def read1(self, n: int = -1) -> bytes:
