--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -469,9 +469,13 @@
     def close_used_up(self) -> None:
         """Close the idle connections that the upstream has closed or sends on."""
         with self._lock:
-            used_up = [
-                each for each in self._idle if _is_readable(each.connection.sock)
-            ]
+            if not self._idle:
+                return
+            poll = select.poll()
+            for each in self._idle:
+                poll.register(each.connection.sock, select.POLLIN)
+            readable = {fd for fd, _ in poll.poll(0)}
+            used_up = [e for e in self._idle if e.connection.sock.fileno() in readable]
             self._idle = [each for each in self._idle if each not in used_up]
         for each in used_up:
             self._count(ConnectionUse.CLOSED_WHILE_IDLE)
