--- a/lavenderspoke/http/boundedconnection.py
+++ b/lavenderspoke/http/boundedconnection.py
@@ -5,8 +5,7 @@
 
 import urllib3
 
-from lavenderspoke.clock import SystemClock
-from lavenderspoke.http.boundedresponse import BoundedResponse, ReadBounds
+from lavenderspoke.http.boundedresponse import BoundedResponse, ProcessClock, ReadBounds
 
 # Time for a whole response beyond the read timeout, in seconds: a megabyte takes 1.6 s
 # over a link of 5 Mbit/s.
@@ -21,7 +20,7 @@
     """
 
     def getresponse(self):
-        bounds = ReadBounds(clock=SystemClock(), ends_s=math.inf)
+        bounds = ReadBounds(clock=ProcessClock(), ends_s=math.inf)
         # The pool has set the request's read timeout; it is None without one.
         if self.timeout is not None:
             bounds.silence_s = self.timeout
--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -12,11 +12,12 @@
 import re
 import select
 import socket
+import time
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
-from lavenderspoke.clock import Clock
 from lavenderspoke.http.framing import StrictResponse
 
 # The longest head, with the informational responses before it, in bytes.
@@ -50,6 +51,21 @@
 """
 
 
+class SteadyClock(Protocol):
+    """A clock that is never set back."""
+
+    def monotonic_s(self) -> float:
+        """Return the time in seconds since any moment."""
+
+
+class ProcessClock:
+    """The steady clock of this machine."""
+
+    def monotonic_s(self) -> float:
+        """Return the time in seconds since any moment."""
+        return time.monotonic()
+
+
 class ResponseTooLong(http.client.HTTPException):
     """A part of a response exceeds its limit."""
 
@@ -67,14 +83,13 @@
     part that was expected hasn't come in time. `silence_s` bounds the time between two
     bytes.
 
-    >>> from lavenderspoke.clock import SystemClock
-    >>> bounds = ReadBounds(clock=SystemClock(), ends_s=math.inf)
+    >>> bounds = ReadBounds(clock=ProcessClock(), ends_s=math.inf)
     >>> bounds.expect_within(2.0)
     >>> 1.9 < bounds.wait_s() <= 2.0
     True
     """
 
-    clock: Clock
+    clock: SteadyClock
     ends_s: float
     on_read_timeout: OnReadTimeout = no_extension
     silence_s: float = math.inf
