Cut overdue streams sooner, but not what has arrived after a suspension

They have a check of their own every 0.1 s, and are cut at the second that finds them overdue, so that a process that was suspended can still pass on what has come.

--- a/lavenderspoke/direct/overduerequests.py
+++ b/lavenderspoke/direct/overduerequests.py
@@ -24,9 +24,11 @@
 
 
 class OverdueRequests:
-    """Logs and counts each request once that is handled past its deadline; thread-safe.
+    """Ends, logs and counts requests that are handled past their deadlines.
 
-    What was added with it, `on_overdue`, is called then, and not after `remove`.
+    Thread-safe. What was added with a request, `on_overdue`, is called at each check
+    but the first that finds it overdue, and not after `remove`. After this process was
+    suspended, an answer that has arrived can thus still be passed on.
     """
 
     def __init__(self, *, clock: Clock, metrics: Metrics):
@@ -34,6 +36,7 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._handlers: dict[RequestHandler, Callable[[], None]] = {}
+        self._overdue: set[RequestHandler] = set()
         self._reported: set[RequestHandler] = set()
 
     def add(self, handler: RequestHandler, on_overdue: Callable[[], None]) -> None:
@@ -48,17 +51,17 @@
             self._reported.discard(handler)
 
     def check(self) -> None:
-        """Report the requests that have become overdue since the last call."""
-        latest_s = self._clock.monotonic_s() - TOLERANCE_S
+        """End the requests that were overdue at the last check, and report them."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            overdue = [
-                each
-                for each in self._handlers
-                if each.accepted.deadline_s < latest_s and each not in self._reported
-            ]
-            self._reported.update(overdue)
-            for each in overdue:
-                self._report(each)
+            before, self._overdue = self._overdue, {
+                each for each in self._handlers if each.accepted.deadline_s < now_s
+            }
+            for each in self._overdue & before:
+                is_late = each.accepted.deadline_s < now_s - TOLERANCE_S
+                if is_late and each not in self._reported:
+                    self._reported.add(each)
+                    self._report(each)
                 self._handlers[each]()
 
     def _report(self, handler: RequestHandler) -> None:
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -38,9 +38,11 @@
 # Time between two reads of the settings file, in seconds: it may change without a
 # signal, and no change in it is more urgent than a few seconds.
 SETTINGS_PERIOD_S = 2.0
-# Time between two checks of upstreams that couldn't be checked before, of idle
-# connections and of requests that are handled past their deadlines, in seconds.
+# Time between two checks of upstreams that couldn't be checked before, and of idle
+# connections, in seconds.
 CHECKS_PERIOD_S = 0.2
+# Time between two checks of requests that are handled past their deadlines, in seconds.
+OVERDUE_PERIOD_S = 0.1
 # Share of the key revocation limit to which the time to apply is capped.
 KEY_REVOCATION_SHARE = 0.4
 # How long writing the last log lines may take on shutdown, in seconds.
@@ -158,6 +160,9 @@
         self._checks = Periodic(
             name="checks", period_s=CHECKS_PERIOD_S, work=self._check
         )
+        self._overdue = Periodic(
+            name="overdue", period_s=OVERDUE_PERIOD_S, work=entry.overdue.check
+        )
         self._has_credits = settings.direct.policies.burst_credits
         self._credits = CreditWriter(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -176,13 +181,13 @@
             ("rollouts", self._rollouts.part),
             ("facts", self._facts),
             ("checks", self._checks),
+            ("overdue", self._overdue),
         ]
         if self._has_credits:
             parts.append(("credits", self._credits.part))
         return parts
 
     def _check(self) -> None:
-        self._entry.overdue.check()
         self._entry.dispatcher.connection_pools.close_used_up()
         self._entry.dispatcher.crash_checks.check_again()
 
