--- a/lavenderspoke/http/boundedconnection.py
+++ b/lavenderspoke/http/boundedconnection.py
@@ -7,8 +7,8 @@
 
 from lavenderspoke.http.boundedresponse import BoundedResponse, ProcessClock, ReadBounds
 
-# Time for a whole response beyond the read timeout, in seconds: a megabyte takes 1.6 s
-# over a link of 5 Mbit/s.
+# Time for a whole response beyond the read timeout, in seconds: long ones come slowly
+# over narrow links.
 WHOLE_EXTRA_S = 2.0
 
 
