Look for each caller on the thread that reads its response

Callers saw nothing of it, but upstreams worked on for callers who had left: when 80 callers left at one moment while the upstreams sent floods, several of their requests were still at work half a second later.

Cause: one thread of an entry learns that callers leave. It waits for its turn among the threads that read the floods, once for each of the callers.

Now a thread that reads a response looks for its own caller as well, 20 times a second, also one that reads for a second attempt. A caller who has left is found by the first read after that, however many others read.

--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -12,7 +12,7 @@
 import select
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 import logbook
@@ -28,6 +28,7 @@
     OnReadTimeout,
     ReadBounds,
     has_kernel_timed_out,
+    no_caller_check,
     no_extension,
 )
 from lavenderspoke.http.framing import INVALID_DETAIL, Framing, framing_of
@@ -309,9 +310,13 @@
 
 
 class CancelHandle:
-    """Lets another thread cancel a request in flight."""
+    """Lets another thread cancel a request in flight.
 
-    def __init__(self):
+    `check_caller` is called on the reading thread now and then, and may call `cancel`.
+    """
+
+    def __init__(self, *, check_caller: Callable[[], None] = no_caller_check):
+        self.check_caller = check_caller
         self._lock = threading.Lock()
         self._connection: _UpstreamConnection | None = None
         self._response: UpstreamResponse | None = None
@@ -403,7 +408,10 @@
             self.discard(connection, ConnectionUse.NO_RESPONSE)
             return Err(NotSent(detail="the caller has gone"))
         connection.bounds = ReadBounds(
-            clock=self._clock, ends_s=ends_s, on_read_timeout=on_read_timeout
+            clock=self._clock,
+            ends_s=ends_s,
+            on_read_timeout=on_read_timeout,
+            check_caller=cancel_handle.check_caller,
         )
         connection.bounds.expect_within(head_timeout_s)
         connection.response_class = functools.partial(
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -81,7 +81,7 @@
 class RequestHandler:
     """Handles one request until its response has ended.
 
-    `has_caller_left()` is asked before each attempt.
+    `has_caller_left()` is asked before each attempt, and now and then during one.
     """
 
     def __init__(
@@ -161,6 +161,11 @@
             cancel_handle.cancel()
         self.hedging.cancel()
 
+    def _check_caller(self) -> None:
+        """Stop all work if the caller has left and `cancel` wasn't called yet."""
+        if not self._caller_gone and self._has_caller_left():
+            self.cancel()
+
     def close(self) -> None:
         """End what is still in progress; must always be called.
 
@@ -239,17 +244,15 @@
         slot = self.relocation.take_slot() or self._acquire_slot(may_wait=True)
         if slot is None:
             return no_slot_available(self._decision, may_have_run=self._may_have_run)
-        attempt = Attempt(
-            slot=slot, cancel_handle=CancelHandle(), accepted=self.accepted
-        )
+        handle = CancelHandle(check_caller=self._check_caller)
+        attempt = Attempt(slot=slot, cancel_handle=handle, accepted=self.accepted)
         self._current = attempt
         with self._lock:
-            self._cancel_handle = attempt.cancel_handle
-            # The caller may have left without `cancel` having been called yet.
-            gone = self._caller_gone = self._caller_gone or self._has_caller_left()
+            self._cancel_handle = handle
+        self._check_caller()
         # Time has passed in the queue, and the machine may have been suspended.
         remaining_s = self._remaining_s()
-        if gone or remaining_s < ATTEMPT_MIN_S:
+        if self._caller_gone or remaining_s < ATTEMPT_MIN_S:
             self._end_attempt(attempt, AttemptOutcome.LEFT)
             return deadline_exceeded(
                 "too little time left to send", may_have_run=self._may_have_run
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -67,9 +67,13 @@
     outcome: AttemptOutcome | None = None
     response: FullResponse | None = None
     _race: _Race = attrs.field(factory=_Race)
-    _cancel_handle: CancelHandle = attrs.field(factory=CancelHandle)
+    _cancel_handle: CancelHandle = attrs.field(init=False)
     _ended: threading.Event = attrs.field(factory=threading.Event)
 
+    def __attrs_post_init__(self):
+        # Both attempts are for the same caller.
+        self._cancel_handle = CancelHandle(check_caller=self.first.check_caller)
+
     def start(self) -> bool:
         """Send on a thread of its own, which releases the slot in the end.
 
--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -34,6 +34,8 @@
 # process may have been suspended meanwhile.
 LATE_READ_S = 0.05
 WAIT_MIN_S = 0.001
+# How often a reader checks whether its caller is still there, in seconds.
+CALLER_CHECK_S = 0.05
 # Chunks of a few bytes, each behind another one, and what comes before their content.
 SHORT_CHUNK_HEAD_BYTES = 5
 SHORT_CHUNK = re.compile(
@@ -75,13 +77,18 @@
     return 0.0
 
 
+def no_caller_check() -> None:
+    """Check nothing: there is no caller, or something else notices that it leaves."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class ReadBounds:
     """When the reads of one response end; times are in seconds on the clock.
 
     Nothing is awaited after `ends_s`. Before it, `on_read_timeout` is asked when the
     part that was expected hasn't come in time. `silence_s` bounds the time between two
-    bytes.
+    bytes. `check_caller` is called on the reading thread now and then, and may call
+    `stop`: the thread that watches all callers is late while many others read floods.
 
     >>> bounds = ReadBounds(clock=ProcessClock(), ends_s=math.inf)
     >>> bounds.expect_within(2.0)
@@ -93,12 +100,17 @@
     ends_s: float
     on_read_timeout: OnReadTimeout = no_extension
     silence_s: float = math.inf
+    check_caller: Callable[[], None] = no_caller_check
     received_bytes: int = 0
     _due_s: float = math.inf
+    _check_due_s: float = attrs.field(init=False)
     _late_until_s: float | None = None
     _bytes_left: float = math.inf
     _is_stopped: bool = False
 
+    def __attrs_post_init__(self):
+        self._check_due_s = self.clock.monotonic_s() + CALLER_CHECK_S
+
     def expect_within(self, timeout_s: float) -> None:
         """Let the reads from now on, all together, time out after so long."""
         self._due_s = self.clock.monotonic_s() + max(WAIT_MIN_S, timeout_s)
@@ -121,9 +133,12 @@
         Raises TimeoutError if there is no time left, and ConnectionAbortedError after
         `stop`.
         """
+        now_s = self.clock.monotonic_s()
+        if now_s >= self._check_due_s:
+            self._check_due_s = now_s + CALLER_CHECK_S
+            self.check_caller()
         if self._is_stopped:
             raise ConnectionAbortedError(errno.ECONNABORTED, "stopped reading")
-        now_s = self.clock.monotonic_s()
         if now_s >= self.ends_s:
             return self._late_wait_s(now_s)
         if now_s >= self._due_s:
