--- a/features/steps/endless_responses_steps.py
+++ b/features/steps/endless_responses_steps.py
@@ -236,23 +236,33 @@
 
 @when("{count:d} callers ask again and again, and all entries are killed and come back")
 def step_crowd(context, count):
-    context.asked = []
-    context.over = threading.Event()
-    context.add_cleanup(context.over.set)
+    asked, over = [], threading.Event()
+    context.asked = asked
 
     def run(number: int) -> None:
         kinds = [*KINDS]
-        while not context.over.is_set():
+        while not over.is_set():
             number += 1
             sent_s = time.monotonic()
             entry = ENTRIES[number % len(ENTRIES)]
             answer = ask(context, entry, kinds[number // 2 % len(kinds)])
             served = answer is not None and answer.status == 200 and answer.whole
-            context.asked.append(Asked(sent_s=sent_s, served=served))
+            asked.append(Asked(sent_s=sent_s, served=served))
             time.sleep(CALLERS_PAUSE_S)
 
-    for number in range(count):
-        threading.Thread(target=run, args=(number,), daemon=True).start()
+    threads = [
+        threading.Thread(target=run, args=(number,), daemon=True)
+        for number in range(count)
+    ]
+
+    def stop() -> None:
+        over.set()
+        for thread in threads:
+            thread.join(GIVE_UP_S)
+
+    context.add_cleanup(stop)
+    for thread in threads:
+        thread.start()
     time.sleep(3.0)
     for name in ENTRIES:
         context.platform.entries[name].process.kill()
