Count given-up requests in crashes that are noticed late

Cause: a request that ends within a second of its upstream's last sign of life counts as given up while the upstream was at work on it. Such requests explained an end only if it was noticed at once, by a refused connection. A silent upstream is missed seconds later, when the list drops it, and nothing was left to blame then. Callers who leave a stream early had the same effect.

Now a request that was given up also explains an end that is noticed late, here or by another entry, if its upstream has sent nothing since. Whatever came from the upstream after it, or 9 s, excuses it as before.

--- a/features/content_crashes.feature
+++ b/features/content_crashes.feature
@@ -30,6 +30,13 @@
     Then at most 4 upstreams have crashed
     And every entry refuses "bad" as not run
 
+  Scenario: Upstreams fall silent under requests with short deadlines
+    Guards against content that is never refused because its requests end early.
+    Given 3 entries, 5 model upstreams that stop on "bad"
+    When "bad" is sent through each entry in turn for 600 ms, and the list drops each that stopped
+    Then at most 4 upstreams have crashed
+    And every entry refuses "bad" as not run
+
   Scenario Outline: Upstreams come back under other ids
     Guards against taking a new upstream for the one that crashed, and its answers for proof.
     Given 3 entries, 5 model upstreams that crash on "bad", before any byte
--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -20,3 +20,18 @@
     When content "innocent" breaks at "u1", and "u1" refuses connections 10 s later
     And content "innocent" breaks at "u2", and "u2" refuses connections 10 s later
     Then no entry refuses "innocent"
+
+  Scenario Outline: Upstreams fall silent under content that is given up within a second
+    Guards against content that is never refused because its requests end early.
+    Given two entries that detect crashes
+    When "<content>" is given up at "u1" 0.6 s after it was sent; then <what> <after_s> s later
+    And "<content>" is given up at "u2" 0.6 s after it was sent; then <what> <after_s> s later
+    Then <who> refuses "<content>"
+
+    Examples:
+      | content  | what                     | after_s | who        |
+      | culprit  | the list drops it        | 4       | each entry |
+      | culprit  | the other entry tells so | 4       | each entry |
+      | innocent | the list drops it        | 10      | no entry   |
+      | innocent | it answers and goes      | 4       | no entry   |
+      | innocent | it refuses connections   | 4       | no entry   |
--- a/features/steps/content_crashes_steps.py
+++ b/features/steps/content_crashes_steps.py
@@ -141,9 +141,21 @@
     "and the list drops each that stopped"
 )
 def step_dropped(context, content):
+    send_and_drop(context, content, SILENT_DEADLINE_MS)
+
+
+@when(
+    '"{content}" is sent through each entry in turn for {deadline_ms:d} ms, '
+    "and the list drops each that stopped"
+)
+def step_dropped_early(context, content, deadline_ms):
+    send_and_drop(context, content, deadline_ms)
+
+
+def send_and_drop(context, content, deadline_ms):
     for number in range(6):
         entries = entries_of(context)
-        send(context, entries[number % 3], content, deadline_ms=SILENT_DEADLINE_MS)
+        send(context, entries[number % 3], content, deadline_ms=deadline_ms)
         for name in newly_crashed(context):
             context.platform.unregister(name)
         # The list is read once a second.
--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -58,6 +58,29 @@
     refuse_connections(context, refusing_upstream, float(seconds))
 
 
+@when(
+    '"{content}" is given up at "{upstream_id}" {work_s:g} s after it was sent; then '
+    "{what} {after_s:d} s later"
+)
+def step_given_up(context, content, upstream_id, work_s, what, after_s):
+    context.now_s += 20.0
+    upstream, detector = upstream_of(upstream_id), context.detector
+    detector.record_silence(
+        upstream, content, heard_s=context.now_s - work_s, now_s=context.now_s
+    )
+    if what == "it answers and goes":
+        detector.record_alive(upstream_id, context.now_s + 0.1)
+    sign = EndSign.REFUSED if "refuses" in what else EndSign.DROPPED
+    teller, listener = detector, context.peer_detector
+    if "the other" in what:
+        teller, listener = listener, teller
+    now_s = context.now_s + after_s
+    for evidence in teller.record_ends([upstream], sign, now_s):
+        added = listener.merge(evidence, now_s)
+        if added is not None:
+            teller.merge(added, now_s)
+
+
 def quarantined_at(context, content: str) -> list[bool]:
     return [
         each.is_quarantined(content, context.now_s + 1.0)
@@ -75,3 +98,8 @@
 @then('no entry refuses "{content}"')
 def step_not_refused(context, content):
     assert quarantined_at(context, content) == [False, False]
+
+
+@then('each entry refuses "{content}"')
+def step_each_refuses(context, content):
+    assert quarantined_at(context, content) == [True, True]
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -56,6 +56,8 @@
 SIGNS_OF_THE_MOMENT = (EndSign.REFUSED, EndSign.REPLACED, EndSign.TOLD)
 # Ends that have another likely cause than a crash.
 PRESUMED_SIGNS = (EndSign.PLANNED, EndSign.UNREACHED)
+# Ends that may be noticed seconds after the upstream fell silent.
+SIGNS_OF_SILENCE = (EndSign.DROPPED, EndSign.TOLD)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,7 +66,7 @@
 
     If its answer `looks_whole`, only the end of its connection ended it; the request
     was sent at `sent_s`. If it was `left`, its upstream was at work on it, and may have
-    gone on for a moment.
+    gone on for a moment, or have fallen silent under it.
     """
 
     fingerprint: str
@@ -307,10 +309,11 @@
         self, upstream: Upstream, unanswered: _Unanswered
     ) -> CrashEvidence | None:
         upstream_id, now_s = upstream.upstream_id, unanswered.at_s
+        alive_s = self._alive_s.get(upstream_id, float("-inf"))
         recent = [
             each
             for each in self._unanswered.get(upstream_id, ())
-            if _is_recent(each, now_s)
+            if _is_recent(each, now_s, alive_s)
         ]
         self._unanswered[upstream_id] = [*recent, unanswered]
         sign = self.end_sign(upstream_id)
@@ -353,13 +356,13 @@
         What the upstream sent afterwards shows that it had outlived a request.
         """
         alive_s = self._alive_s.get(upstream_id, float("-inf"))
-        tells_when = self.end_sign(upstream_id) in SIGNS_OF_THE_MOMENT
+        sign = self.end_sign(upstream_id)
         return {
             each.fingerprint: each.parts
             for each in self._unanswered.get(upstream_id, ())
-            if _is_recent(each, now_s)
+            if _is_recent(each, now_s, alive_s)
             and each.at_s >= alive_s - IN_FLIGHT_S
-            and (tells_when or not each.left)
+            and (not each.left or _may_explain(each, sign, now_s, alive_s))
         }
 
 
@@ -367,5 +370,20 @@
     return {content: parts for content, parts in running.items() if parts}
 
 
-def _is_recent(each: _Unanswered, now_s: float) -> bool:
-    return now_s < each.at_s + (LEFT_WINDOW_S if each.left else CRASH_WINDOW_S)
+def _is_recent(each: _Unanswered, now_s: float, alive_s: float) -> bool:
+    """Return whether a request may still have to do with its upstream's end.
+
+    A sound upstream works for a moment on what was given up. But if it has sent nothing
+    since, it may have fallen silent under that, and the end is noticed later.
+    """
+    was_outlived = each.left and alive_s > each.at_s
+    return now_s < each.at_s + (LEFT_WINDOW_S if was_outlived else CRASH_WINDOW_S)
+
+
+def _may_explain(
+    left: _Unanswered, sign: EndSign | None, now_s: float, alive_s: float
+) -> bool:
+    """Return whether a request that was given up may have been running in an end."""
+    if sign in SIGNS_OF_THE_MOMENT and now_s < left.at_s + LEFT_WINDOW_S:
+        return True
+    return sign in SIGNS_OF_SILENCE and alive_s <= left.at_s
