Don't blame a request given up just before the list dropped its upstream

A list drops an upstream seconds after it has fallen silent, so a request that was given up within a second before wasn't running then. It is no longer counted.

The new scenario of content_crashes.feature let the list drop upstreams at once, which the platform doesn't; now it waits 1.5 s.

--- a/features/content_crashes.feature
+++ b/features/content_crashes.feature
@@ -33,7 +33,7 @@
   Scenario: Upstreams fall silent under requests with short deadlines
     Guards against content that is never refused because its requests end early.
     Given 3 entries, 5 model upstreams that stop on "bad"
-    When "bad" is sent through each entry in turn for 600 ms, and the list drops each that stopped
+    When "bad" is sent through each entry in turn for 600 ms, and the list drops each that stopped 1.5 s later
     Then at most 4 upstreams have crashed
     And every entry refuses "bad" as not run
 
--- a/features/steps/content_crashes_steps.py
+++ b/features/steps/content_crashes_steps.py
@@ -141,21 +141,22 @@
     "and the list drops each that stopped"
 )
 def step_dropped(context, content):
-    send_and_drop(context, content, SILENT_DEADLINE_MS)
+    send_and_drop(context, content, SILENT_DEADLINE_MS, 0.0)
 
 
 @when(
     '"{content}" is sent through each entry in turn for {deadline_ms:d} ms, '
-    "and the list drops each that stopped"
+    "and the list drops each that stopped {after_s:g} s later"
 )
-def step_dropped_early(context, content, deadline_ms):
-    send_and_drop(context, content, deadline_ms)
+def step_dropped_later(context, content, deadline_ms, after_s):
+    send_and_drop(context, content, deadline_ms, after_s)
 
 
-def send_and_drop(context, content, deadline_ms):
+def send_and_drop(context, content, deadline_ms, after_s):
     for number in range(6):
         entries = entries_of(context)
         send(context, entries[number % 3], content, deadline_ms=deadline_ms)
+        time.sleep(after_s)
         for name in newly_crashed(context):
             context.platform.unregister(name)
         # The list is read once a second.
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -384,6 +384,7 @@
     left: _Unanswered, sign: EndSign | None, now_s: float, alive_s: float
 ) -> bool:
     """Return whether a request that was given up may have been running in an end."""
-    if sign in SIGNS_OF_THE_MOMENT and now_s < left.at_s + LEFT_WINDOW_S:
-        return True
+    if now_s < left.at_s + LEFT_WINDOW_S:
+        # A list doesn't drop an upstream that has just fallen silent.
+        return sign in SIGNS_OF_THE_MOMENT
     return sign in SIGNS_OF_SILENCE and alive_s <= left.at_s
