Choose the requests that explain an end in one place

An entry that is told of an end, and reads later that the list has dropped the upstream, filtered the unanswered requests again, with the conditions of `_running_in` written a second time. Both now ask `_suspects`, and the last sign of life has one accessor. The steps of direct_crashes tell of ends in one function, and have one for each kind of end in place of branches on words.

--- a/features/steps/direct_crashes_steps.py
+++ b/features/steps/direct_crashes_steps.py
@@ -27,9 +27,17 @@
 
 def refuse_connections(context, upstream_id: str, after_s: float) -> None:
     now_s = context.now_s + after_s
-    ended = [upstream_of(upstream_id)]
-    for evidence in context.detector.record_ends(ended, EndSign.REFUSED, now_s):
-        context.peer_detector.merge(evidence, now_s)
+    notice_end(
+        context.detector, context.peer_detector, upstream_id, EndSign.REFUSED, now_s
+    )
+
+
+def notice_end(detector, peer, upstream_id: str, sign: EndSign, now_s: float) -> None:
+    """Let an entry notice an end, and both entries tell each other what they know."""
+    for evidence in detector.record_ends([upstream_of(upstream_id)], sign, now_s):
+        added = peer.merge(evidence, now_s)
+        if added is not None:
+            detector.merge(added, now_s)
 
 
 @when(
@@ -64,24 +72,41 @@
 )
 def step_given_up(context, content, upstream_id, work_s, what, after_s):
     context.now_s += 20.0
-    upstream, detector = upstream_of(upstream_id), context.detector
-    detector.record_silence(
-        upstream, content, heard_s=context.now_s - work_s, now_s=context.now_s
+    context.detector.record_silence(
+        upstream_of(upstream_id),
+        content,
+        heard_s=context.now_s - work_s,
+        now_s=context.now_s,
     )
-    if what == "it answers and goes":
-        detector.record_alive(upstream_id, context.now_s + 0.1)
-    sign = EndSign.REFUSED if "refuses" in what else EndSign.DROPPED
-    teller, listener = detector, context.peer_detector
-    if "the other" in what:
-        teller, listener = listener, teller
+    FOLLOWED_BY[what](context, upstream_id, float(after_s))
+
+
+def drop(context, upstream_id: str, after_s: float) -> None:
     now_s = context.now_s + after_s
-    for evidence in teller.record_ends([upstream], sign, now_s):
-        added = listener.merge(evidence, now_s)
-        if added is not None:
-            teller.merge(added, now_s)
-    if listener is detector:
-        for evidence in detector.record_ends([upstream], sign, now_s + 1.0):
-            teller.merge(evidence, now_s + 1.0)
+    notice_end(
+        context.detector, context.peer_detector, upstream_id, EndSign.DROPPED, now_s
+    )
+
+
+def drop_at_other_first(context, upstream_id: str, after_s: float) -> None:
+    now_s = context.now_s + after_s
+    notice_end(
+        context.peer_detector, context.detector, upstream_id, EndSign.DROPPED, now_s
+    )
+    drop(context, upstream_id, after_s + 1.0)
+
+
+def answer_and_drop(context, upstream_id: str, after_s: float) -> None:
+    context.detector.record_alive(upstream_id, context.now_s + 0.1)
+    drop(context, upstream_id, after_s)
+
+
+FOLLOWED_BY = {
+    "the list drops it": drop,
+    "the other notices a drop": drop_at_other_first,
+    "it answers and goes": answer_and_drop,
+    "it refuses connections": refuse_connections,
+}
 
 
 def quarantined_at(context, content: str) -> list[bool]:
--- a/lavenderspoke/direct/crashes.py
+++ b/lavenderspoke/direct/crashes.py
@@ -237,7 +237,7 @@
 
     def needs_check(self, upstream_id: str) -> bool:
         """Return whether a broken answer leaves open if its upstream has ended."""
-        alive_s = self._alive_s.get(upstream_id, float("-inf"))
+        alive_s = self._last_alive_s(upstream_id)
         return upstream_id not in self._ends and any(
             not each.left and each.at_s >= alive_s - IN_FLIGHT_S
             for each in self._unanswered.get(upstream_id, ())
@@ -310,7 +310,7 @@
         self, upstream: Upstream, unanswered: _Unanswered
     ) -> CrashEvidence | None:
         upstream_id, now_s = upstream.upstream_id, unanswered.at_s
-        alive_s = self._alive_s.get(upstream_id, float("-inf"))
+        alive_s = self._last_alive_s(upstream_id)
         recent = [
             each
             for each in self._unanswered.get(upstream_id, ())
@@ -344,18 +344,11 @@
         An entry that is told of an end doesn't know whether it was noticed late.
         """
         end = self._ends[upstream_id]
-        if (
-            sign is not EndSign.DROPPED
-            or end.sign is not EndSign.TOLD
-            or now_s >= end.at_s + LIST_SPREAD_S
-        ):
-            return False
-        alive_s = self._alive_s.get(upstream_id, float("-inf"))
-        return any(
-            each.left
-            and _is_recent(each, now_s, alive_s)
-            and _may_explain(each, sign, now_s, alive_s)
-            for each in self._unanswered.get(upstream_id, ())
+        return (
+            sign is EndSign.DROPPED
+            and end.sign is EndSign.TOLD
+            and now_s < end.at_s + LIST_SPREAD_S
+            and any(each.left for each in self._suspects(upstream_id, sign, now_s))
         )
 
     def _evidence_of(self, upstream: Upstream, now_s: float) -> CrashEvidence:
@@ -374,18 +367,28 @@
         """Return the content that may have been running when an upstream ended.
 
         Each has the shared parts of its prompt.
+        """
+        suspects = self._suspects(upstream_id, self.end_sign(upstream_id), now_s)
+        return {each.fingerprint: each.parts for each in suspects}
+
+    def _suspects(
+        self, upstream_id: str, sign: EndSign | None, now_s: float
+    ) -> list[_Unanswered]:
+        """Return the requests that may have been running in an end with this sign.
 
         What the upstream sent afterwards shows that it had outlived a request.
         """
-        alive_s = self._alive_s.get(upstream_id, float("-inf"))
-        sign = self.end_sign(upstream_id)
-        return {
-            each.fingerprint: each.parts
+        alive_s = self._last_alive_s(upstream_id)
+        return [
+            each
             for each in self._unanswered.get(upstream_id, ())
             if _is_recent(each, now_s, alive_s)
             and each.at_s >= alive_s - IN_FLIGHT_S
             and (not each.left or _may_explain(each, sign, now_s, alive_s))
-        }
+        ]
+
+    def _last_alive_s(self, upstream_id: str) -> float:
+        return self._alive_s.get(upstream_id, float("-inf"))
 
 
 def _with_parts(running: dict[str, tuple[str, ...]]) -> dict[str, tuple[str, ...]]:
