Show what a refusal's promise stands on

Callers were promised that requests had not run which had. The logs couldn't tell whether the upstream had said so, of which request and with which status: an upstream's own 503 counts as answered, like a success, and no line has the proof.

What a response's head proves is now found in one module, as it was decided before in two places; requests' lines have the finding of each attempt and what their callers were told, explain says both, and direct_findings counts them. No decision differs. The stand-in upstream names the request in its refusals, as upstreams do.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -10,6 +10,8 @@
     And its id is explained from the entry's log
     Then the explanation contains "No upstream had a free slot in time; it has not run."
     And the explanation contains "desk-1:not_run"
+    And the explanation contains "told "not run", since desk-"
+    And the explanation contains ": not_executed, 503"
     And the explanation contains "catalog in force: version=1"
 
   Scenario: A stream breaks off midway
@@ -26,6 +28,8 @@
     When 1 idempotent and 1 at-most-once requests are sent through the entry
     And the at-most-once one's id is explained from the entry's log
     Then the explanation contains "It may have run, but no complete answer arrived."
+    And the explanation contains "told that it may have run, since desk-"
+    And the explanation contains ": answer, 200"
 
   Scenario: An upstream said long ago that it limits its requests
     Guards against a request whose upstream was left out for a reason that isn't shown.
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -30,6 +30,7 @@
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.overduerequests import OverdueRequests
 from lavenderspoke.direct.refusals import not_run, version_gone, version_unknown
+from lavenderspoke.direct.runproof import FINDINGS_METRIC
 from lavenderspoke.direct.startuphold import StartupHold
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
@@ -72,6 +73,7 @@
     outcome: str = ""
     status: int = 0
     retry_after_s: float | None = None
+    ran: str | None = None
     detail: str = ""
     content: str = ""
     shared_parts: tuple[str, ...] = ()
@@ -336,6 +338,7 @@
         record.outcome = problem.reason.value
         record.status = problem.status
         record.detail = problem.detail
+        record.ran = problem.ran.value
         record.retry_after_s = problem.retry_after_s
         page = problempage.render(problem, retry_after=problempage.retry_after_exact)
         start_response(page.status, list(page.headers))
@@ -348,6 +351,8 @@
         handler = record.handler
         for wait in handler.waits if handler else ():
             self._metrics.count(WAIT_ENDS_METRIC, f"{wait.awaited}:{wait.end}")
+        for each in handler.findings if handler else ():
+            self._metrics.count(FINDINGS_METRIC, each.finding.value)
         if handler is not None and record.response_began_s is not None:
             accepted = handler.accepted
             tier = str(accepted.route.rank)
@@ -370,6 +375,8 @@
             returned=record.resubmitted,
             trail=handler.trail if handler else [],
             waits=[str(each) for each in handler.waits] if handler else [],
+            findings=[str(each) for each in handler.findings] if handler else [],
+            ran=record.ran,
             versions=(handler.versions or None) if handler else None,
             resumes=record.resumed_id,
             framing=(handler.framing or None) if handler else None,
--- a/lavenderspoke/direct/attempt.py
+++ b/lavenderspoke/direct/attempt.py
@@ -8,6 +8,7 @@
 from lavenderspoke.direct.exchange import CancelHandle, UpstreamResponse
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.relocation import HeldSlot
+from lavenderspoke.direct.runproof import AttemptFinding, Finding
 from lavenderspoke.direct.tickets import Ticket
 
 # Counts the attempts by what they waited for last and what ended the wait.
@@ -80,6 +81,7 @@
     events: int = 0
     unread_head_bytes: int = 0
     response: UpstreamResponse | None = None
+    finding: Finding = Finding.NOT_SENT
     outcome: AttemptOutcome | None = None
     detail: str = ""
 
@@ -91,6 +93,11 @@
     def ticket(self) -> Ticket:
         return self.slot.ticket
 
+    @property
+    def found(self) -> AttemptFinding:
+        """What is known of it from its response so far."""
+        return AttemptFinding.of(self.upstream, self.finding, self.response)
+
     @property
     def awaited(self) -> AwaitedPart:
         """The part of the response that it waits for, or waited for last."""
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -40,6 +40,7 @@
     no_slot_available,
 )
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
+from lavenderspoke.direct.runproof import AttemptFinding, Finding, find
 from lavenderspoke.direct.tickets import Decision, Dispatch, Refusal, Refuse, Ticket
 from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.http.framing import Framing
@@ -101,6 +102,8 @@
         self.versions: dict[str, str] = {}
         # What each attempt waited for last, for how long, and what ended the wait.
         self.waits: list[Wait] = []
+        # What each attempt's response proved.
+        self.findings: list[AttemptFinding] = []
         self.possible_runs = 0
         self.waited_s = 0.0
         # Upstreams that took no request by their own word, and why, at any decision.
@@ -380,6 +383,7 @@
             self._end_attempt(attempt, outcome)
             return
         self._record_possible_run()
+        attempt.finding = Finding.NO_RESPONSE
         attempt.unread_head_bytes = error.received_bytes
         outcome = AttemptOutcome.SILENT if error.timed_out else AttemptOutcome.BROKEN
         self._end_attempt(
@@ -388,24 +392,19 @@
 
     def _check_head(self, attempt: Attempt) -> None:
         response = attempt.response
-        is_foreign = self._dialect.names_another(response, self.accepted.head)
-        if not is_foreign and self._dialect.is_misdirected(response):
-            self._end_attempt(attempt, AttemptOutcome.MISDIRECTED)
-        elif not is_foreign and self._dialect.is_not_run(response):
+        attempt.finding = finding = find(response, self.accepted.head, self._dialect)
+        if finding.outcome is AttemptOutcome.NOT_RUN:
             self._record_signals(attempt)
             self._discard_body(response)
-            self._end_attempt(attempt, AttemptOutcome.NOT_RUN)
-        elif is_foreign or not self._dialect.is_valid_response(
-            response, self.accepted.head
-        ):
-            # The response of another request, or bytes that resemble one. This
-            # request was sent, so it may run nevertheless.
+        elif finding.outcome is AttemptOutcome.FAILED:
+            # This request was sent, so it may run nevertheless.
             self._record_possible_run()
-            attempt.detail = f"invalid response, status {response.status}"
-            self._end_attempt(attempt, AttemptOutcome.FAILED)
-        else:
+            attempt.detail = f"{finding} response, status {response.status}"
+        elif finding is Finding.ANSWER:
             self._record_signals(attempt)
             self._record_possible_run()
+        if finding.outcome is not None:
+            self._end_attempt(attempt, finding.outcome)
 
     def _record_signals(self, attempt: Attempt) -> None:
         signals = self._dialect.upstream_signals(attempt.response)
@@ -429,6 +428,7 @@
         attempt.outcome = outcome
         attempt.cancel_handle.detach()
         self.trail.append(f"{attempt.upstream.upstream_id}:{outcome.value}")
+        self.findings.append(attempt.found)
         self.waits.append(
             attempt.last_wait(
                 caller_gone=self._caller_gone, now_s=self._clock.monotonic_s()
@@ -682,8 +682,8 @@
             return response
         response = hedging.resolve(response, self._remaining_s())
         outcome = hedging.attempt.outcome or AttemptOutcome.LEFT
-        upstream_id = hedging.attempt.slot.upstream.upstream_id
-        self.trail.append(f"{upstream_id}:{outcome.value}")
+        self.findings.append(hedging.attempt.found)
+        self.trail.append(f"{hedging.attempt.found.upstream_id}:{outcome.value}")
         if outcome in NOT_RUN_OUTCOMES:
             self.possible_runs -= 1
         else:
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -30,6 +30,7 @@
 )
 from lavenderspoke.direct.hedging import HedgePlan, HedgeResult
 from lavenderspoke.direct.relocation import HeldSlot
+from lavenderspoke.direct.runproof import AttemptFinding, Finding, find
 
 # Largest body of a hedged request, in bytes. It fits into a socket's send buffer, so
 # that the timeout after which a second attempt is due never interrupts its sending.
@@ -66,6 +67,7 @@
     first: CancelHandle
     outcome: AttemptOutcome | None = None
     response: FullResponse | None = None
+    found: AttemptFinding = attrs.field(init=False)
     _race: _Race = attrs.field(factory=_Race)
     _cancel_handle: CancelHandle = attrs.field(init=False)
     _ended: threading.Event = attrs.field(factory=threading.Event)
@@ -73,6 +75,7 @@
     def __attrs_post_init__(self):
         # Both attempts are for the same caller.
         self._cancel_handle = CancelHandle(check_caller=self.first.check_caller)
+        self.found = AttemptFinding.of(self.slot.upstream, Finding.NOT_SENT, None)
 
     def start(self) -> bool:
         """Send on a thread of its own, which releases the slot in the end.
@@ -144,31 +147,28 @@
                 if error.refused:
                     self.dispatcher.connection_refused(upstream)
                 return AttemptOutcome.UNREACHABLE, None
+            self.found = AttemptFinding.of(upstream, Finding.NO_RESPONSE, None)
             return _incomplete_outcome(error.timed_out), None
         return self._read(sent.ok_value, sent_s)
 
     def _read(
         self, received: UpstreamResponse, sent_s: float
     ) -> tuple[AttemptOutcome, UpstreamResponse]:
-        dialect, upstream = self.dialect, self.slot.upstream
-        if dialect.names_another(received, self.accepted.head):
-            return AttemptOutcome.FAILED, received
-        if dialect.is_misdirected(received):
-            return AttemptOutcome.MISDIRECTED, received
-        is_not_run = dialect.is_not_run(received)
-        if is_not_run or dialect.is_valid_response(received, self.accepted.head):
-            signals = dialect.upstream_signals(received)
+        upstream = self.slot.upstream
+        finding = find(received, self.accepted.head, self.dialect)
+        self.found = AttemptFinding.of(upstream, finding, received)
+        if finding in (Finding.NOT_EXECUTED, Finding.ANSWER):
+            signals = self.dialect.upstream_signals(received)
             self.dispatcher.response_received(upstream, signals, sent_s=sent_s)
-        else:
-            return AttemptOutcome.FAILED, received
+        elif finding.outcome is not None:
+            return finding.outcome, received
         try:
             body = received.read_all(self.accepted.deadline_s, self.clock)
         except IncompleteResponse as error:
-            if is_not_run:
-                return AttemptOutcome.NOT_RUN, received
-            return _incomplete_outcome(error.timed_out), received
-        if is_not_run:
-            return AttemptOutcome.NOT_RUN, received
+            outcome = finding.outcome or _incomplete_outcome(error.timed_out)
+            return outcome, received
+        if finding.outcome is not None:
+            return finding.outcome, received
         if received.status >= 500:
             return AttemptOutcome.FAILED, received
         outcome = answer_outcome(received)
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from lavenderspoke.model import Ran
 from lavenderspoke.observing import signals
 from lavenderspoke.problems import Reason
 
@@ -37,6 +38,11 @@
 )
 CONTENT_LINES_MAX = 20
 OVERDUE_MEANING = "It was still handled past its deadline when its entry logged this."
+# What a refusal told its caller, by the request's field `ran`.
+PROMISES = {
+    Ran.NO.value: 'Its caller was told "not run"',
+    Ran.UNKNOWN.value: "Its caller was told that it may have run",
+}
 DEFERRED_MEANING = " Requests of other customers went first."
 
 MEANINGS = {
@@ -180,6 +186,7 @@
         meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
     if waits := line.fields.get("waits"):
         meaning += f" It waited for {'; then '.join(map(str, waits))}."
+    meaning += _proof_meaning(line.fields)
     if booking := line.fields.get("booking"):
         meaning += f" For its return: {booking}."
     if line.fields.get("deferred"):
@@ -187,6 +194,15 @@
     return Explanation(line=line, meaning=meaning, around=tuple(around))
 
 
+def _proof_meaning(fields: dict) -> str:
+    """Return what a refusal says about whether its request ran, and by which proof."""
+    findings = "; ".join(map(str, fields.get("findings") or ()))
+    promise = PROMISES.get(str(fields.get("ran")), "")
+    if not promise:
+        return f" Found of its attempts: {findings}." if findings else ""
+    return f" {promise}, since {findings or 'it was sent to no upstream'}."
+
+
 def _upstreams_of(line: LogLine) -> set[str]:
     """Return the upstreams to which a request was sent, or for which it was not."""
     tried = (str(each).rpartition(":")[0] for each in line.fields.get("trail") or ())
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -350,6 +350,14 @@
         """Return the requests that an upstream got, also those that it didn't run."""
         return get_json(self.upstreams[name].port, "/control/arrivals")
 
+    def unproven(self) -> list[dict]:
+        """Return what upstreams refused without a word on whether it ran."""
+        return [
+            each
+            for upstream in self.upstreams.values()
+            for each in get_json(upstream.port, "/control/unproven")
+        ]
+
     def _attempt_id(self) -> str:
         with self._lock:
             self._attempts += 1
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -3,7 +3,8 @@
 It works on `slots` requests at once and queues as many again, echoes the id of
 each attempt, signs its answers, and refuses what names another incarnation.
 `GET /control/runs` tells which attempts ran and how they ended, and
-`GET /control/arrivals` which requests arrived.
+`GET /control/arrivals` which requests arrived, `GET /control/unproven` those that were
+refused without a word on whether they ran.
 
 `POST /v1/hold-take` reserves one of the slots for `ttl-ms`.
 `POST /stream/...` answers with `events` events of server-sent events; any other
@@ -21,8 +22,9 @@
 import attrs
 
 from standins import endless, server
+from standins.refusals import RefusalFaults, Refusals
 from standins.server import Cut, Reply, Request, json_reply
-from standins.signals import Arrivals, SignalFaults
+from standins.signals import Arrivals
 
 ID = "x-attempt-id"
 EXPECTED = "x-expect-instance"
@@ -31,7 +33,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Faults(SignalFaults):
+class Faults(RefusalFaults):
     """What a test may set; -1 stands for "never".
 
     `cut_after_events` cuts a stream in the middle of the next event, but not one
@@ -104,6 +106,7 @@
         self._lock = threading.Lock()
         self._runs: list[_Run] = []
         self._arrivals = Arrivals()
+        self._refusals = Refusals()
         self._reserved: set[str] = set()
         self._numbers = itertools.count(1)
 
@@ -114,20 +117,29 @@
                 return json_reply([attrs.asdict(run) for run in self._runs])
         if request.path == "/control/arrivals":
             return json_reply(self._arrivals.report())
+        if request.path == "/control/unproven":
+            return json_reply(self._refusals.report())
         if request.path.startswith("/control"):
             return self._faults.handle(request)
         faults = self._faults.now
         if faults.crash:
             raise Cut
         if request.headers.get(EXPECTED) != self._current_id():
-            return json_reply({}, 421)
+            return attrs.evolve(
+                json_reply({}, 421),
+                headers=(("X-Attempt-Id", request.headers.get(ID, "")),),
+            )
         self._arrivals.record(request.headers.get(ID, ""), faults)
         if request.path == "/v1/hold-take":
             return self._reserve(request)
         if faults.full or faults.retry_after:
             return self._refuse(request)
+        if not faults.refuses_after_run and self._refusals.is_due(faults):
+            self._refusals.answer(request, request.headers.get(ID, ""), faults)
+            return None
         if faults.endless == "refusal":
-            return self._answer_endlessly(request, [("X-Not-Executed", "1")])
+            own_id = ("X-Attempt-Id", request.headers.get(ID, ""))
+            return self._answer_endlessly(request, [("X-Not-Executed", "1"), own_id])
         # The slot of a reservation is free again at once, and taken by its request.
         self._release(request.headers.get("x-kv-retention", ""))
         with self._slots:
@@ -156,7 +168,11 @@
         self._slots.release()
 
     def _refuse(self, request: Request) -> None:
-        self._start(request, 503, ("X-Not-Executed", "1"), length=0, framing="length")
+        headers = (
+            ("X-Not-Executed", "1"),
+            ("X-Attempt-Id", request.headers.get(ID, "")),
+        )
+        self._start(request, 503, *headers, length=0, framing="length")
 
     def _run(self, request: Request) -> None:
         run = _Run(
@@ -207,6 +223,10 @@
         faults = self._faults.now
         if not self._work(request, run, faults.work_s):
             raise Cut
+        if faults.refuses_after_run and self._refusals.is_due(faults):
+            run.end = "refused"
+            self._refusals.answer(request, run.attempt_id, faults)
+            return
         body = f"answer to {run.attempt_id}".encode()
         framing = faults.framing or "length"
         self._start(
