Don't pass on an upstream's refusal that proves nothing

A caller got an upstream's 503, 429 or 408 as it came, signed, and took it for the promise that its request had not run and never will. Only a refusal that is marked as not executed, or a 421, says so: an upstream in trouble refuses without it, before or after it has run the request. From the moment that it does, nearly each request sent there breaks the promise, at all entries.

Such an attempt now counts as one that may have run and failed: what may run again goes to another upstream, anything else gets 502 of the entry's own, unsigned. What the upstream says of itself still counts, and its connection is kept.

--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -119,6 +119,9 @@
     def is_not_run(self, response) -> bool:
         return response.status == 503
 
+    def promises_not_run(self, status) -> bool:
+        return status in (429, 503)
+
     def is_misdirected(self, response) -> bool:
         return response.status == 421
 
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -123,6 +123,9 @@
     def is_not_run(self, response: UpstreamResponse) -> bool:
         """Return whether the upstream says that it did not run the request."""
 
+    def promises_not_run(self, status: int) -> bool:
+        """Return whether callers take the status for "not run, and never will be"."""
+
     def is_misdirected(self, response: UpstreamResponse) -> bool:
         """Return whether an upstream other than the addressed one responded.
 
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -393,17 +393,15 @@
     def _check_head(self, attempt: Attempt) -> None:
         response = attempt.response
         attempt.finding = finding = find(response, self.accepted.head, self._dialect)
-        if finding.outcome is AttemptOutcome.NOT_RUN:
-            self._record_signals(attempt)
-            self._discard_body(response)
-        elif finding.outcome is AttemptOutcome.FAILED:
-            # This request was sent, so it may run nevertheless.
-            self._record_possible_run()
-            attempt.detail = f"{finding} response, status {response.status}"
-        elif finding is Finding.ANSWER:
+        if finding.is_of_upstream:
             self._record_signals(attempt)
+        if finding.outcome not in NOT_RUN_OUTCOMES:
+            # This request was sent, so it may run whatever came back.
             self._record_possible_run()
         if finding.outcome is not None:
+            attempt.detail = f"{finding} response, status {response.status}"
+            if finding.is_of_upstream:
+                self._discard_body(response)
             self._end_attempt(attempt, finding.outcome)
 
     def _record_signals(self, attempt: Attempt) -> None:
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -157,7 +157,7 @@
         upstream = self.slot.upstream
         finding = find(received, self.accepted.head, self.dialect)
         self.found = AttemptFinding.of(upstream, finding, received)
-        if finding in (Finding.NOT_EXECUTED, Finding.ANSWER):
+        if finding.is_of_upstream:
             signals = self.dialect.upstream_signals(received)
             self.dispatcher.response_received(upstream, signals, sent_s=sent_s)
         elif finding.outcome is not None:
--- a/lavenderspoke/direct/runproof.py
+++ b/lavenderspoke/direct/runproof.py
@@ -26,6 +26,8 @@
     - `NOT_EXECUTED`, `MISDIRECTED`: the upstream, or another one at its address, says
       that it did not run this request.
     - `ANSWER`: the upstream's own response to this request.
+    - `UNMARKED_REFUSAL`: it has a status that promises that the request did not run,
+      and the upstream doesn't say so.
     - `OTHER_REQUEST`: the response names another request.
     - `INVALID`: it isn't an upstream's whole and signed response.
     """
@@ -35,18 +37,26 @@
     NOT_EXECUTED = "not_executed"
     MISDIRECTED = "misdirected"
     ANSWER = "answer"
+    UNMARKED_REFUSAL = "unmarked_refusal"
     OTHER_REQUEST = "other_request"
     INVALID = "invalid"
 
+    @property
+    def is_of_upstream(self) -> bool:
+        """Whether the upstream itself has responded to this request."""
+        return self in _OF_UPSTREAM
+
     @property
     def outcome(self) -> AttemptOutcome | None:
         """How a response's head alone ends its attempt, None if it doesn't."""
         return _OUTCOMES.get(self)
 
 
+_OF_UPSTREAM = (Finding.NOT_EXECUTED, Finding.ANSWER, Finding.UNMARKED_REFUSAL)
 _OUTCOMES = {
     Finding.NOT_EXECUTED: AttemptOutcome.NOT_RUN,
     Finding.MISDIRECTED: AttemptOutcome.MISDIRECTED,
+    Finding.UNMARKED_REFUSAL: AttemptOutcome.FAILED,
     Finding.OTHER_REQUEST: AttemptOutcome.FAILED,
     Finding.INVALID: AttemptOutcome.FAILED,
 }
@@ -90,4 +100,6 @@
         return Finding.NOT_EXECUTED
     if not dialect.is_valid_response(response, head):
         return Finding.INVALID
+    if dialect.promises_not_run(response.status):
+        return Finding.UNMARKED_REFUSAL
     return Finding.ANSWER
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -49,6 +49,8 @@
 CONTENT_ENCODING = "Content-Encoding"
 SIGNAL_HEADERS = SignalHeaders(limit="Server-Limit", leaving="Server-Leaving")
 MISDIRECTED_STATUS = 421
+# Statuses by which callers are told that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 MS_PER_S = 1000.0
 # Maximum digits of a token count; longer values are invalid.
 COUNT_DIGITS_MAX = 12
@@ -193,6 +195,10 @@
             response.header(NOT_EXECUTED)
         )
 
+    def promises_not_run(self, status: int) -> bool:
+        """Return whether callers take the status for a promise."""
+        return status in NOT_RUN_STATUSES
+
     def is_misdirected(self, response: UpstreamResponse) -> bool:
         """Return whether another upstream than the expected one responded."""
         return response.status == MISDIRECTED_STATUS
