Don't believe a refusal that names no request

A caller was promised "not run" for a request that its upstream was at work on: a refusal marked as not executed, or a 421, counted for whatever request had been sent last on its connection, as long as it named no other one. A late extra answer without an id turned the next request into a false promise, or into a second run elsewhere.

Upstreams name the request in all they answer, so a refusal now proves something only of the request that it names. Any other counts as one that may have run, and its connection isn't used again.

--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -113,11 +113,14 @@
     def upstream_headers(self, *, reservation, **_ignored) -> dict[str, str]:
         return {"Host": "test", "Reserved": reservation or "nothing"}
 
+    def names(self, response, head) -> bool:
+        return not self.names_another(response, head)
+
     def names_another(self, response, head) -> bool:
         return response.header("X-Attempt-Id") == "another"
 
     def is_not_run(self, response) -> bool:
-        return response.status == 503
+        return response.status in (421, 503)
 
     def promises_not_run(self, status) -> bool:
         return status in (429, 503)
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -117,11 +117,17 @@
     def parse_reservation(self, response: UpstreamResponse, body: bytes) -> str | None:
         """Return the id of the reserved slot, or None if none was reserved."""
 
+    def names(self, response: UpstreamResponse, head: RequestHead) -> bool:
+        """Return whether the response says that it belongs to this request."""
+
     def names_another(self, response: UpstreamResponse, head: RequestHead) -> bool:
         """Return whether the response says that it belongs to another request."""
 
     def is_not_run(self, response: UpstreamResponse) -> bool:
-        """Return whether the upstream says that it did not run the request."""
+        """Return whether the upstream says that it did not run its request.
+
+        It does so also where the response is misdirected.
+        """
 
     def promises_not_run(self, status: int) -> bool:
         """Return whether callers take the status for "not run, and never will be"."""
--- a/lavenderspoke/direct/runproof.py
+++ b/lavenderspoke/direct/runproof.py
@@ -28,7 +28,8 @@
     - `ANSWER`: the upstream's own response to this request.
     - `UNMARKED_REFUSAL`: it has a status that promises that the request did not run,
       and the upstream doesn't say so.
-    - `OTHER_REQUEST`: the response names another request.
+    - `OTHER_REQUEST`, `UNNAMED_REFUSAL`: the response names another request, or it
+      refuses one that it doesn't name, which may be another one.
     - `INVALID`: it isn't an upstream's whole and signed response.
     """
 
@@ -39,6 +40,7 @@
     ANSWER = "answer"
     UNMARKED_REFUSAL = "unmarked_refusal"
     OTHER_REQUEST = "other_request"
+    UNNAMED_REFUSAL = "unnamed_refusal"
     INVALID = "invalid"
 
     @property
@@ -58,6 +60,7 @@
     Finding.MISDIRECTED: AttemptOutcome.MISDIRECTED,
     Finding.UNMARKED_REFUSAL: AttemptOutcome.FAILED,
     Finding.OTHER_REQUEST: AttemptOutcome.FAILED,
+    Finding.UNNAMED_REFUSAL: AttemptOutcome.FAILED,
     Finding.INVALID: AttemptOutcome.FAILED,
 }
 
@@ -94,10 +97,11 @@
     """Return what the head of a response proves about the request with `head`."""
     if dialect.names_another(response, head):
         return Finding.OTHER_REQUEST
-    if dialect.is_misdirected(response):
-        return Finding.MISDIRECTED
     if dialect.is_not_run(response):
-        return Finding.NOT_EXECUTED
+        if not dialect.names(response, head):
+            return Finding.UNNAMED_REFUSAL
+        is_misdirected = dialect.is_misdirected(response)
+        return Finding.MISDIRECTED if is_misdirected else Finding.NOT_EXECUTED
     if not dialect.is_valid_response(response, head):
         return Finding.INVALID
     if dialect.promises_not_run(response.status):
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -185,6 +185,10 @@
         name = parsed.ok_value.retention
         return name if name.isascii() and name.isalnum() else None
 
+    def names(self, response: UpstreamResponse, head: RequestHead) -> bool:
+        """Return whether the response is that to this request."""
+        return response.header(ATTEMPT_ID) == head.request_id
+
     def names_another(self, response: UpstreamResponse, head: RequestHead) -> bool:
         """Return whether the response is that to another request."""
         return response.header(ATTEMPT_ID) not in ("", head.request_id)
@@ -210,7 +214,7 @@
         a faulty upstream may send one that is encoded or not signed.
         """
         return (
-            response.header(ATTEMPT_ID) == head.request_id
+            self.names(response, head)
             and bool(response.header(SIGNATURE))
             and not response.header(CONTENT_ENCODING)
         )
