A success that says it wasn't executed proves nothing

An upstream's 200, signed and whole, that was marked as not executed made the entry send the request to another upstream, and promise "not run" when that did the same, although it had run: 3 of 3 callers. Only a status that refuses can say so now; a success with the mark contradicts itself and is no valid response.

features/refusal_proofs.feature: row 12 failed before and passes.

--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -49,6 +49,7 @@
 CONTENT_ENCODING = "Content-Encoding"
 SIGNAL_HEADERS = SignalHeaders(limit="Server-Limit", leaving="Server-Leaving")
 MISDIRECTED_STATUS = 421
+ERROR_STATUS_MIN = 400
 # Statuses by which callers are told that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 MS_PER_S = 1000.0
@@ -194,9 +195,13 @@
         return response.header(ATTEMPT_ID) not in ("", head.request_id)
 
     def is_not_run(self, response: UpstreamResponse) -> bool:
-        """Return whether the response says that the request was not run."""
-        return response.status == MISDIRECTED_STATUS or bool(
-            response.header(NOT_EXECUTED)
+        """Return whether the response says that the request was not run.
+
+        A success can't say so: one that does contradicts itself.
+        """
+        is_marked = bool(response.header(NOT_EXECUTED))
+        return response.status == MISDIRECTED_STATUS or (
+            is_marked and response.status >= ERROR_STATUS_MIN
         )
 
     def promises_not_run(self, status: int) -> bool:
@@ -211,11 +216,13 @@
         """Return whether this is the upstream's own response to that request.
 
         A response to an earlier request may arrive late on a persistent connection, and
-        a faulty upstream may send one that is encoded or not signed.
+        a faulty upstream may send one that is encoded, not signed, or both a success
+        and marked as not executed.
         """
         return (
             self.names(response, head)
             and bool(response.header(SIGNATURE))
+            and not response.header(NOT_EXECUTED)
             and not response.header(CONTENT_ENCODING)
         )
 
