--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -19,6 +19,7 @@
 import attrs
 
 from lavenderspoke.http.framing import StrictResponse
+from lavenderspoke.http.headreader import HeadReader
 
 # The longest head, with the informational responses before it, in bytes.
 HEAD_BYTES_MAX = 64 * 1024
@@ -201,22 +202,6 @@
             return received
 
 
-class _HeadReader:
-    """Reads the lines of a head, which must come whole."""
-
-    def __init__(self, fp: io.BufferedReader):
-        self._fp = fp
-
-    def read(self, size: int) -> bytes:
-        return self._fp.read(size)
-
-    def readline(self, limit: int) -> bytes:
-        line = self._fp.readline(limit)
-        if not line.endswith(b"\n"):
-            raise http.client.HTTPException("the head ended within a line")
-        return line
-
-
 class BoundedResponse(StrictResponse):
     """An HTTP response that is read within bounds and detects bytes after its end."""
 
@@ -235,7 +220,7 @@
         self.bounds.limit_bytes(HEAD_BYTES_MAX)
         fp = self.fp
         # The base class takes the end of the connection for that of the headers.
-        self.fp = _HeadReader(fp)
+        self.fp = HeadReader(fp)
         try:
             super().begin()
         finally:
