Wait on for the answer behind a late response to an earlier request

An upstream may send a response again where the next one is expected. The attempt was given up on it: callers got 502 for payments whose answers followed, and the connection was closed while the upstream was at work.

A connection now remembers the requests that were sent on it. A whole response that names one of them is read and discarded, four at most, within the bounds of the expected one. What names a request that wasn't sent there, has no end of its own, or closes the connection counts as before. Since only the names of earlier requests are skipped, an upstream that names the wrong request still fails at once, and nothing is awaited that an answer can't follow.

--- a/lavenderspoke/direct/connectionpools.py
+++ b/lavenderspoke/direct/connectionpools.py
@@ -6,13 +6,19 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.exchange import ConnectionPool
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.http.lateresponses import NameOf, unnamed
 from lavenderspoke.observing.metrics import Metrics
 
 
 class ConnectionPools:
-    """One pool for each upstream incarnation; thread-safe."""
+    """One pool for each upstream incarnation; thread-safe.
+
+    `name_of` tells which request a request's or a response's headers name; it is set
+    before the first use.
+    """
 
     def __init__(self, *, clock: Clock, metrics: Metrics):
+        self.name_of: NameOf = unnamed
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -28,6 +34,7 @@
                     port=upstream.port,
                     clock=self._clock,
                     metrics=self._metrics,
+                    name_of=self.name_of,
                 )
                 self._pools[upstream.upstream_id] = pool
             return pool
--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -96,6 +96,7 @@
             policies=settings.policies,
         )
         self.dispatcher.streams.send = self.send_to_peer
+        self.dispatcher.connection_pools.name_of = dialect.named_request
         self._caller_watch = CallerWatch()
         self.overdue = OverdueRequests(clock=clock, metrics=self.metrics)
         self._startup_hold = StartupHold(is_ready=self._has_initial_state, clock=clock)
--- a/lavenderspoke/direct/dialect.py
+++ b/lavenderspoke/direct/dialect.py
@@ -137,3 +137,9 @@
 
     def upstream_signals(self, response: UpstreamResponse) -> UpstreamSignals:
         """Return what the response says about the upstream itself."""
+
+    def named_request(self, headers: Headers) -> str:
+        """Return the id that a request's or response's headers name, empty if none.
+
+        Headers that name several tell nothing.
+        """
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -33,6 +33,8 @@
 )
 from lavenderspoke.http.framing import INVALID_DETAIL, Framing, framing_of
 from lavenderspoke.http.hopbyhop import Headers
+from lavenderspoke.http.keepalive import idle_limit_s
+from lavenderspoke.http.lateresponses import NameOf, SentRequests, unnamed
 from lavenderspoke.observing.metrics import Metrics
 
 # Timeout of a TCP connect, in seconds; short enough that another upstream can still be
@@ -53,8 +55,6 @@
 # A connection is not reused during this time, in seconds, before its idle limit, since
 # the upstream might close it while the request is on its way.
 REUSE_MARGIN_S = 1.0
-# Idle limit in seconds if the upstream states none.
-IDLE_LIMIT_DEFAULT_S = 4.0
 READ_BYTES_MAX = 64 * 1024
 # The longest body that is held until its end, in bytes.
 BODY_BYTES_MAX = 16 * 1024 * 1024
@@ -114,6 +114,7 @@
         self.is_end_genuine = True
         self.opened_socket: socket.socket | None = None
         self.bounds: ReadBounds | None = None
+        self.sent_requests = SentRequests()
 
     def send(self, data) -> None:
         # Each of several parts would otherwise have the whole timeout.
@@ -366,12 +367,14 @@
         clock: Clock,
         metrics: Metrics | None = None,
         held_bytes: HeldBytes = HELD_BYTES,
+        name_of: NameOf = unnamed,
     ):
         self.held_bytes = held_bytes
         self._host = host
         self._port = port
         self._clock = clock
         self._metrics = metrics or Metrics()
+        self._name_of = name_of
         self._idle: list[_IdleConnection] = []
         self._busy: set[_UpstreamConnection] = set()
         self._lock = threading.Lock()
@@ -415,7 +418,10 @@
         )
         connection.bounds.expect_within(head_timeout_s)
         connection.response_class = functools.partial(
-            BoundedResponse, bounds=connection.bounds
+            connection.sent_requests.expect(
+                method=method, headers=headers, name_of=self._name_of
+            ),
+            bounds=connection.bounds,
         )
         sent = self._send_and_receive(connection, method, target, headers, body)
         if sent.is_err():
@@ -447,7 +453,7 @@
 
     def release(self, connection: _UpstreamConnection, keep_alive: str) -> None:
         """Keep a connection for reuse until shortly before its idle limit."""
-        idle_s = _keep_alive_s(keep_alive) - REUSE_MARGIN_S
+        idle_s = idle_limit_s(keep_alive) - REUSE_MARGIN_S
         if idle_s <= 0.0:
             self.discard(connection, ConnectionUse.IDLE_LIMIT_SHORT)
             return
@@ -586,22 +592,6 @@
             log.info("upstream did not read the whole body", error=str(error))
 
 
-def _keep_alive_s(header: str) -> float:
-    """Return the idle limit in seconds that a Keep-Alive header states.
-
-    >>> _keep_alive_s("timeout=5, max=100")
-    5.0
-    >>> _keep_alive_s('timeout="1.5"')
-    1.5
-    """
-    for part in header.split(","):
-        name, _, value = part.strip().partition("=")
-        value = value.strip('"')
-        if name.lower() == "timeout" and value.replace(".", "", 1).isdecimal():
-            return float(value)
-    return IDLE_LIMIT_DEFAULT_S
-
-
 def _is_readable(sock: socket.socket) -> bool:
     return _has_event(sock, select.POLLIN)
 
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -219,6 +219,11 @@
         """Return what the response's headers say about the upstream itself."""
         return read_signals(response.status, response.header, SIGNAL_HEADERS)
 
+    def named_request(self, headers: Headers) -> str:
+        """Return the id that headers name, empty if they name none or several."""
+        ids = {value for name, value in headers if name.lower() == ATTEMPT_ID.lower()}
+        return ids.pop() if len(ids) == 1 else ""
+
 
 def _parse_seconds(value: str) -> float | None:
     try:
