Don't take a denied mark for a promise that a request has not run

Callers were promised "not run" on "X-Not-Executed: 0", or "false", and on two such lines of which one denies the other, though their requests had run: the header alone counted, or its lines joined by a comma. Two ids in one head never counted as this request's here.

--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -37,3 +37,19 @@
     When a request that must run at most once is sent through each entry
     Then each caller is told that its request may have run
     And the upstream ran each request once
+
+  Scenario Outline: A head contradicts itself about whether its request ran
+    Guards against taking a mark for a promise that says the opposite.
+    Given three entries before an upstream that answers "<head>" and "full", and closes
+    When a request that must run at most once is sent through each entry
+    Then each caller is told that its request may have run
+    And the upstream ran each request once
+
+    Examples:
+      | head                                                                                                     |
+      | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 0\r\nContent-Length: 4                                 |
+      | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: False\r\nContent-Length: 4                             |
+      | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed:\r\nContent-Length: 4                                   |
+      | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nX-Not-Executed: 0\r\nContent-Length: 4            |
+      | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 4          |
+      | 421 Other\r\nX-Attempt-Id: {id}\r\nX-Attempt-Id: other\r\nContent-Length: 4                              |
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -18,6 +18,7 @@
     read_signals,
 )
 from lavenderspoke.platform.decoding import parse_as
+from lavenderspoke.platform.marks import is_marked
 
 # Identifies one attempt of the caller, not the request across its retries.
 ATTEMPT_ID = "X-Attempt-Id"
@@ -191,7 +192,7 @@
 
     def is_not_run(self, response: UpstreamResponse) -> bool:
         """Return whether the response says that the request was not run."""
-        return response.status == MISDIRECTED_STATUS or bool(
+        return response.status == MISDIRECTED_STATUS or is_marked(
             response.header(NOT_EXECUTED)
         )
 
