Take only statuses of final responses for an answer

A signed response with status 101 or 700 went to callers as it came, one with 042 left them without any response, and one with 000 that is marked as not executed became a 503 that promises "not run". Such a head counts as none now, so that the request may have run.

--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -53,3 +53,17 @@
       | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nX-Not-Executed: 0\r\nContent-Length: 4            |
       | 503 Full\r\nX-Attempt-Id: {id}\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 4          |
       | 421 Other\r\nX-Attempt-Id: {id}\r\nX-Attempt-Id: other\r\nContent-Length: 4                              |
+
+  Scenario Outline: A status is none of a final response
+    Guards against handing callers what isn't an answer to their request.
+    Given three entries before an upstream that answers "<head>" and "full", and closes
+    When a request that must run at most once is sent through each entry
+    Then each caller is told that its request may have run
+    And the upstream ran each request once
+
+    Examples:
+      | head                                                                                   |
+      | 101 Go\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 4           |
+      | 042 Go\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 4           |
+      | 700 Go\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: s\r\nContent-Length: 4           |
+      | 000 Go\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 4                 |
--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -25,6 +25,10 @@
 HEAD_BYTES_MAX = 64 * 1024
 STATUS_LINE_BYTES_MAX = 8 * 1024
 STATUS_LINE_PREFIX = b"HTTP/1."
+FINAL_STATUSES = range(200, 600)
+INFORMATIONAL_STATUSES = frozenset(range(100, 200)) - {
+    http.HTTPStatus.SWITCHING_PROTOCOLS
+}
 # The most informational responses before the final one.
 INFORMATIONAL_MAX = 16
 # The longest trailers, in bytes, and the time that they may take, in seconds: the body
@@ -265,9 +269,11 @@
         """Return the final response's status line, after informational ones."""
         for _ in range(INFORMATIONAL_MAX + 1):
             version, status, reason = self._read_status_line()
-            is_informational = 100 <= status < 200
-            if not is_informational or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            if status in FINAL_STATUSES:
                 return version, status, reason
+            # Nobody asks to switch protocols.
+            if status not in INFORMATIONAL_STATUSES:
+                raise http.client.BadStatusLine(f"{version} {status}")
             http.client.parse_headers(self.fp)
         raise ResponseTooLong("too many informational responses")
 
