--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -18,6 +18,7 @@
     read_signals,
 )
 from lavenderspoke.platform.decoding import parse_as
+from lavenderspoke.platform.marks import is_marked
 
 # Identifies one attempt of the caller, not the request across its retries.
 ATTEMPT_ID = "X-Attempt-Id"
@@ -199,9 +200,9 @@
 
         A success can't say so: one that does contradicts itself.
         """
-        is_marked = bool(response.header(NOT_EXECUTED))
+        says_so = is_marked(response.header(NOT_EXECUTED))
         return response.status == MISDIRECTED_STATUS or (
-            is_marked and response.status >= ERROR_STATUS_MIN
+            says_so and response.status >= ERROR_STATUS_MIN
         )
 
     def promises_not_run(self, status: int) -> bool:
@@ -222,7 +223,7 @@
         return (
             self.names(response, head)
             and bool(response.header(SIGNATURE))
-            and not response.header(NOT_EXECUTED)
+            and not is_marked(response.header(NOT_EXECUTED))
             and not response.header(CONTENT_ENCODING)
         )
 
@@ -230,6 +231,11 @@
         """Return what the response's headers say about the upstream itself."""
         return read_signals(response.status, response.header, SIGNAL_HEADERS)
 
+    def named_request(self, headers: Headers) -> str:
+        """Return the id that headers name, empty if they name none or several."""
+        ids = {value for name, value in headers if name.lower() == ATTEMPT_ID.lower()}
+        return ids.pop() if len(ids) == 1 else ""
+
 
 def _parse_seconds(value: str) -> float | None:
     try:
