Read a chunked request to its last byte before it is passed on

A request that must run at most once ran twice. Its body came in chunks; the entry took it for read at the last chunk, and left the line that ends the request, or trailers, unread. When the entry was killed while an upstream was at work, the system reset the connection because of those bytes. A reset tells callers that nobody has read the request, so the caller sent the same attempt through another entry, where it ran again. No race is needed: the line is left when it comes in a packet of its own, when there are trailers, or when the request is 1 or 2 bytes longer than one read of 8192 bytes.

What was left was also taken for the next request on the connection: trailers got the caller's next request a 400, and an empty line kept a thread waiting on the idle connection, so that 120 callers of chunked requests took all threads of an entry.

The body is now read with its trailers and final line; a request that ends before these is refused with 400 as incomplete. A connection with a body that couldn't be read to its end always closes.

--- a/lavenderspoke/http/requestbody.py
+++ b/lavenderspoke/http/requestbody.py
@@ -16,12 +16,21 @@
 
 
 def read_body(request: CallerHttpRequest, bytes_max: int) -> bytes:
-    """Return a request's whole body.
+    """Return a request's whole body, once the request has been read to its last byte.
 
-    Raises BodyTooLarge, BodyBroken, and TimeoutError when it came too slowly.
+    Raises BodyTooLarge, BodyBroken, and TimeoutError when it came too slowly. The rest
+    of such a request would be taken for the next one, so its connection closes.
     """
-    if request.chunked_read:
-        return _read_chunked(request, bytes_max)
+    try:
+        if request.chunked_read:
+            return _read_chunked(request, bytes_max)
+        return _read_sized(request, bytes_max)
+    except (BodyTooLarge, BodyBroken, TimeoutError):
+        request.close_connection = True
+        raise
+
+
+def _read_sized(request: CallerHttpRequest, bytes_max: int) -> bytes:
     length = int(request.inheaders.get(b"Content-Length", 0))
     if length > bytes_max:
         raise BodyTooLarge
@@ -42,12 +51,17 @@
     request.rfile.maxlen = 2 * bytes_max + io.DEFAULT_BUFFER_SIZE
     try:
         body = request.rfile.read()
+        # If the system closes a socket with a byte unread, as it does when a process
+        # is killed, it resets the connection, which tells the caller that nobody has
+        # read the request.
+        for _ in request.rfile.read_trailer_lines():
+            pass
     except TimeoutError:
         raise
     except errors.MaxSizeExceeded as error:
         raise BodyTooLarge from error
     except ValueError as error:
-        raise BodyBroken("malformed chunks") from error
+        raise BodyBroken("malformed or incomplete chunks") from error
     except OSError as error:
         if "Too Large" in str(error):
             raise BodyTooLarge from error
