Soak: upstreams in trouble, callers that return, and checks of every promise

The soak drew no upstream that refuses without saying whether it ran the request, says it of another or of no request, loses an answer after the run or sends one twice, and its checks counted only what upstreams had begun before a crash.

Troubles are drawn by themselves, so that what a seed drew before stays: refusals of every kind, late copies of refusals and of whole answers, lost answers, suspended upstreams, a store that turns some entries away, and stops of each entry in turn with kills between. Every tenth seed starts more of everything. Callers return after a promise, and after a connection that nobody read, some of them under the same id. Upstreams keep what they saw beyond a crash. What was refused without a proof counts as run; a promise must also hold later, come with Retry-After, and be made where all upstreams truly refused.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,9 +7,9 @@
 import attrs
 from behave import given, then, when
 
-from soak import checks, schedule
+from soak import checks, events, schedule
 from soak.callers import KINDS, REVOKED_KEY, Sent
-from soak.checks import Arrival, Published, Record, Run, Span
+from soak.record import Arrival, Published, Record, Run, Span
 from soak.run import Soak
 from standins.platformdeployment import KEY, Answer
 
@@ -52,7 +52,7 @@
 
 
 def run(name: str, at_s: float, upstream: str = "desk-1") -> Run:
-    return Run(attempt_id=name, upstream=upstream, began_s=at_s)
+    return Run(attempt_id=name, upstream=upstream, began_s=at_s, signed_status=200)
 
 
 @given("a soak's record in which every promise is kept")
@@ -74,6 +74,9 @@
 
 
 def answered(each: Sent, **changes) -> Sent:
+    """Return an attempt with its answer changed; a failure is its entry's own."""
+    if changes.get("status", 200) != 200:
+        changes = {"headers": {"retry-after": "1"}} | changes
     return attrs.evolve(each, answer=attrs.evolve(each.answer, **changes))
 
 
@@ -169,6 +172,10 @@
     context.record = attrs.evolve(
         context.record,
         sent=(*context.record.sent, *before, *kept, *rest),
+        runs=(
+            *context.record.runs,
+            *(run(each.attempt_id, each.sent_s) for each in (*before, *kept)),
+        ),
         shifts=(Span(subject="entry-1", from_s=53.0, to_s=58.0),),
     )
 
@@ -182,7 +189,7 @@
         event.action.by_part
         for seed in range(first, last + 1)
         for event in schedule.draw(seed)
-        if isinstance(event.action, schedule.ContentCrashes)
+        if isinstance(event.action, events.ContentCrashes)
     }
     assert by_part == {True, False}
 
@@ -196,7 +203,7 @@
         favoured = {
             event.action.entry
             for event in schedule.draw(seed)
-            if isinstance(event.action, schedule.ConnectionsShifted)
+            if isinstance(event.action, events.ConnectionsShifted)
         }
         assert len(favoured) == 2, seed
 
@@ -215,7 +222,7 @@
         event.action
         for seed in range(first, last + 1)
         for event in schedule.draw(seed)
-        if isinstance(event.action, schedule.ContentCrashes)
+        if isinstance(event.action, events.ContentCrashes)
     ]
     assert len(actions) == last + 1 - first
     assert {each.same_address for each in actions} == {True, False}
@@ -311,22 +318,22 @@
 @then("each of the seeds {first:d} to {last:d} has entries stopped around a silence")
 def step_silences(context, first, last):
     for seed in range(first, last + 1):
-        events = schedule.draw(seed)
+        drawn = schedule.draw(seed)
         spans = [
             (event.at_s, event.at_s + event.length_s)
-            for event in events
-            if isinstance(event.action, schedule.UpstreamSilent)
+            for event in drawn
+            if isinstance(event.action, events.UpstreamSilent)
         ]
         stops = [
             event.at_s
-            for event in events
-            if isinstance(event.action, schedule.EntryStopped)
+            for event in drawn
+            if isinstance(event.action, events.EntryStopped)
         ]
-        assert spans, events
+        assert spans, drawn
         for from_s, to_s in spans:
-            assert 1.5 <= to_s - from_s <= 3.0, events
+            assert 1.5 <= to_s - from_s <= 3.0, drawn
             around = [at_s for at_s in stops if from_s - 1.0 <= at_s <= to_s]
-            assert len(around) > 1, events
+            assert len(around) > 1, drawn
 
 
 @when("its entry was paused meanwhile")
@@ -391,6 +398,10 @@
     context.record = attrs.evolve(
         record,
         sent=(*record.sent, told, *later),
+        runs=(
+            *record.runs,
+            *(run(each.attempt_id, each.sent_s) for each in (told, *later)),
+        ),
         arrivals=tuple(arrivals),
         leaving_said=(
             (Span(subject="desk-1", from_s=49.0, to_s=60.0),)
@@ -413,7 +424,7 @@
         found = {
             event.action.crashes
             for event in schedule.draw(seed)
-            if isinstance(event.action, schedule.AnswersUnframed)
+            if isinstance(event.action, events.AnswersUnframed)
         }
         assert found, seed
         crashes |= found
@@ -430,7 +441,7 @@
         found = {
             event.action.gap_s
             for event in schedule.draw(seed)
-            if isinstance(event.action, schedule.AnswersEndless)
+            if isinstance(event.action, events.AnswersEndless)
         }
         assert found, seed
         gaps_s |= found
@@ -446,7 +457,7 @@
         (event,) = (
             each
             for each in schedule.draw(seed)
-            if isinstance(each.action, schedule.StoreGoesBack)
+            if isinstance(each.action, events.StoreGoesBack)
         )
         takes_s = event.length_s + event.action.away_s + event.action.again_s
         assert event.length_s > 0 and takes_s < checks.REVOKE_S, event
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,18 +8,19 @@
 
 import attrs
 import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
-from soak.schedule import ENTRIES
+from soak import retries
+from soak.events import ENTRIES
 from standins.platformdeployment import KEY, Answer, PlatformDeployment
 
 REVOKED_KEY = "key-of-guides"
-CALLERS = 8
 # Pause between two requests of one caller, in seconds: eight callers then keep
 # the twenty places of the upstreams about half taken.
 PAUSE_S = (0.0, 0.08)
 # Every so many requests a caller opens new connections; until then it uses the
-# open ones, also of an entry that is stopping.
+# open ones, also of an entry that is stopping. Every other caller opens none as long as
+# it can use the open ones.
 RECONNECT_EVERY = 25
 # Callers give up after this long, in milliseconds.
 DEADLINES_MS = (800, 3000, 5000)
@@ -73,7 +74,9 @@
     entry can have read the request. `version` is that of the route
     that only one version of the configuration has, where the request used one.
     `deadline_s` counts from when it was sent. One that takes a stream up `resumes` the
-    attempt that brought its first event, after event number `after_event`.
+    attempt that brought its first event, after event number `after_event`. `seen` is
+    what became of the connection, if no answer came. One that is sent again `repeats`
+    the attempt before, whose id it may have.
     """
 
     attempt_id: str
@@ -86,6 +89,8 @@
     ended_s: float
     answer: Answer | None
     connected: bool
+    seen: str = retries.ANSWERED
+    repeats: str | None = None
     version: int | None = None
     resumes: str | None = None
     after_event: int = -1
@@ -115,6 +120,8 @@
         platform: PlatformDeployment,
         seed: int,
         newest_version: Callable[[], int],
+        entries: tuple[str, ...] = ENTRIES,
+        count: int = 8,
     ):
         self.sent: list[Sent] = []
         # The entry that gets most new connections, if any does.
@@ -122,10 +129,11 @@
         self._platform = platform
         self._seed = seed
         self._newest_version = newest_version
+        self._entries = entries
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(number,), daemon=True)
-            for number in range(CALLERS)
+            for number in range(count)
         ]
 
     def start(self) -> None:
@@ -141,18 +149,21 @@
 
     def _run(self, number: int) -> None:
         random = Random(f"{self._seed}/{number}")
+        again = Random(f"{self._seed}/{number}/again")
         http = urllib3.PoolManager(retries=False)
         count = 0
         while not self._stopping.is_set():
             count += 1
-            if count % RECONNECT_EVERY == 0 or self.favourite is not None:
+            is_due = count % RECONNECT_EVERY == 0 or self.favourite is not None
+            if number % 2 and is_due:
                 http.clear()
             sent = self._send(f"{number}-{count}", random, http)
             self.sent.append(sent)
-            for again in range(TAKEN_UP_MAX):
+            sent = self._send_again(f"{number}-{count}", sent, again)
+            for taken_up in range(TAKEN_UP_MAX):
                 if not _is_to_take_up(sent) or self._stopping.is_set():
                     break
-                sent = self._take_up(f"{number}-{count}-{again}", sent, random)
+                sent = self._take_up(f"{number}-{count}-{taken_up}", sent, random)
                 self.sent.append(sent)
             self._stopping.wait(random.uniform(*PAUSE_S))
 
@@ -168,6 +179,28 @@
             name, random, http, kind=kind, path=path, key=key, version=version
         )
 
+    def _send_again(self, name: str, sent: Sent, random: Random) -> Sent:
+        """Follow an attempt by others where callers do; return the last one."""
+        for number in range(retries.RETRIES_MAX):
+            retry = retries.retry(sent, random)
+            if retry is None or self._stopping.wait(retry.wait_s):
+                break
+            is_versioned = sent.version is not None
+            sent = self._attempt(
+                f"{name}-r{number}",
+                random,
+                urllib3.PoolManager(retries=False),
+                kind=sent.kind,
+                path=version_path(sent.version) if is_versioned else sent.kind.path,
+                key=sent.key,
+                version=sent.version,
+                repeats=sent.attempt_id,
+                keeps_id=retry.keeps_id,
+                deadline_s=retry.left_s,
+            )
+            self.sent.append(sent)
+        return sent
+
     def _take_up(self, name: str, broken: Sent, random: Random) -> Sent:
         """Go on with a stream that broke off, over a new connection."""
         return self._attempt(
@@ -190,15 +223,20 @@
         kind: Kind,
         path: str,
         key: str,
+        keeps_id: bool = False,
+        deadline_s: float | None = None,
         **more,
     ) -> Sent:
-        attempt_id = f"soak-{self._seed}-{name}"
-        entry = random.choice(ENTRIES)
+        attempt_id = more["repeats"] if keeps_id else f"soak-{self._seed}-{name}"
+        entry = random.choice(self._entries)
         favourite = self.favourite
         # A stream is taken up at any entry, like all that is sent again.
-        if favourite is not None and "resumes" not in more:
+        is_first = not more.keys() & {"resumes", "repeats"}
+        if favourite is not None and is_first:
             entry = favourite if random.random() < FAVOURED else entry
         deadline_ms = random.choice(DEADLINES_MS)
+        if deadline_s is not None:
+            deadline_ms = int(deadline_s * 1000)
         own_part = attempt_id.encode().hex()[-PART_ID_LENGTH:]
         headers = {"X-Attempt-Id": attempt_id} | parts_headers(SHARED_PART, own_part)
         if "resumes" in more:
@@ -206,7 +244,7 @@
             headers["Last-Event-Id"] = str(more["after_event"])
         pid = self._platform.entries[entry].process.pid
         sent_s = time.monotonic()
-        answer, connected = None, True
+        answer, seen = None, retries.ANSWERED
         try:
             answer = self._platform.send(
                 entry,
@@ -218,11 +256,8 @@
                 headers=headers,
                 http=http,
             )
-        except NewConnectionError:
-            connected = False
-        except HTTPError:
-            # The entry ended before it answered: nothing is known of the request.
-            pass
+        except HTTPError as error:
+            seen = retries.seen_of(error)
         return Sent(
             attempt_id=attempt_id,
             entry=entry,
@@ -233,7 +268,8 @@
             deadline_s=deadline_ms / 1000,
             ended_s=time.monotonic(),
             answer=answer,
-            connected=connected,
+            connected=seen != retries.UNCONNECTED,
+            seen=seen,
             **more,
         )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,17 +7,12 @@
 import re
 from collections import defaultdict
 
-import attrs
-
+from soak import promises
 from soak.callers import REVOKED_KEY, Sent
-from soak.schedule import DESKS, ENTRIES
+from soak.record import CALM_AFTER_S, GRACE_OWED, GRACE_S, Record, Span
 
-# Statuses that promise that the request has not run and never will.
-NOT_RUN = (408, 421, 429, 503)
 # Statuses of a request that may have run and whose answer won't come.
 GIVEN_UP = (502, 504)
-# How long after a disturbance an entry's time bounds hold again, in seconds.
-CALM_AFTER_S = 3.0
 # Time in which a version must be in force, and in which an upstream that leaves
 # must get its last request, in seconds.
 IN_FORCE_S = 2.0
@@ -28,10 +23,6 @@
 ANSWERED_LATE_S = 0.5
 # How much of a stop is open to new requests, in seconds: later ones may be long.
 STOP_OPEN_S = 2.0
-# Time between a stop's signal and the kill, in seconds, and the part of it in which
-# a stream that is under way must not break off.
-GRACE_S = 8.0
-GRACE_OWED = 5 / 6
 EVENTS = 5
 # The software version in an event, and a part of one at a cut.
 SOFTWARE = re.compile(rb"(?<=\d) v\d(?=\n)")
@@ -62,134 +53,6 @@
 PAUSE_HEADER = "Retry-After"
 
 
-@attrs.frozen(kw_only=True)
-class Run:
-    """One run of a request at an upstream; `began_s` is on the steady clock."""
-
-    attempt_id: str
-    upstream: str
-    began_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Arrival:
-    """A request that reached an upstream, run or not, at a time of the steady clock.
-
-    `attempt_id` is empty for a reservation. `signals` are the headers of its response
-    that tell about the upstream.
-    """
-
-    upstream: str
-    at_s: float
-    attempt_id: str
-    signals: dict[str, str]
-
-
-@attrs.frozen(kw_only=True)
-class Span:
-    """A time in seconds in which something was disturbed, or an entry stopped."""
-
-    subject: str
-    from_s: float
-    to_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Published:
-    """What the operator and upstreams wrote.
-
-    Times are those of the store's answer, from which bounds count; a version may
-    take effect from when it was sent. A span of `leaving` ends before the upstream
-    writes that it is back.
-    """
-
-    versions_s: dict[int, float]
-    versions_sent_s: dict[int, float]
-    revoked_s: float
-    leaving: tuple[Span, ...]
-
-
-@attrs.frozen(kw_only=True)
-class Record:
-    """All that was seen in one run of the soak."""
-
-    sent: tuple[Sent, ...]
-    runs: tuple[Run, ...]
-    disturbed: tuple[Span, ...]
-    stops: tuple[Span, ...]
-    silences: tuple[Span, ...]
-    published: Published
-    arrivals: tuple[Arrival, ...] = ()
-    crashes_s: tuple[float, ...] = ()
-    crashes_by_part: bool = False
-    shifts: tuple[Span, ...] = ()
-    leaving_said: tuple[Span, ...] = ()
-
-    def calm(self, subjects: tuple[str, ...], from_s: float, to_s: float) -> bool:
-        """Return whether nothing disturbed these between the times or just before."""
-        return not any(
-            span.subject in subjects
-            and span.from_s < to_s
-            and from_s < span.to_s + CALM_AFTER_S
-            for span in self.disturbed
-        )
-
-    def keeps_state(self, entry: str, from_s: float, to_s: float) -> bool:
-        """Return whether an entry wasn't restarted or disturbed between the times."""
-        is_stopped = any(
-            span.subject == entry and span.from_s < to_s and from_s < span.to_s
-            for span in self.stops
-        )
-        return not is_stopped and self.calm((entry,), from_s, to_s)
-
-    def told(self, upstream: str, header: str, from_s: float) -> dict[str, float]:
-        """Return when entries first passed on a response with that header since then.
-
-        Entries that were restarted or disturbed later on are left out: they forget.
-        """
-        told_s: dict[str, float] = {}
-        for sent in sorted(self.sent, key=lambda each: each.ended_s):
-            headers = sent.answer.headers if sent.answer is not None else {}
-            is_upstream = headers.get("x-instance-id") == upstream
-            if is_upstream and header.lower() in headers and sent.ended_s >= from_s:
-                told_s.setdefault(sent.entry, sent.ended_s)
-        return {
-            entry: at_s
-            for entry, at_s in told_s.items()
-            if self.keeps_state(entry, at_s, float("inf"))
-        }
-
-    def runs_of(self) -> dict[str, list[Run]]:
-        """Return the runs by attempt."""
-        found = defaultdict(list)
-        for run in self.runs:
-            found[run.attempt_id].append(run)
-        return found
-
-
-def run_counts(record: Record) -> list[str]:
-    """No request runs more often than its kind may."""
-    runs = record.runs_of()
-    return [
-        f"{sent.attempt_id} ran {len(runs[sent.attempt_id])} times"
-        for sent in record.sent
-        if len(runs[sent.attempt_id]) > sent.kind.runs_max
-    ]
-
-
-def true_refusals(record: Record) -> list[str]:
-    """What a caller is told did not run has not run, and doesn't later."""
-    runs = record.runs_of()
-    return [
-        f"{sent.attempt_id} ran and was answered {sent.answer.status}"
-        for sent in record.sent
-        if sent.answer is not None
-        and sent.answer.status in NOT_RUN
-        and sent.kind.runs_max == 1
-        and runs[sent.attempt_id]
-    ]
-
-
 def whole_answers(record: Record) -> list[str]:
     """A success is the upstream's own answer, whole and in order."""
     return [
@@ -246,7 +109,7 @@
         each
         for each in crashes_s
         if each > known_s + CALM_AFTER_S
-        and record.calm(("store", *ENTRIES), known_s - CALM_AFTER_S, each)
+        and record.calm(("store", *record.entries), known_s - CALM_AFTER_S, each)
     ]
     if len(late_s) <= LATE_CRASHES_MAX:
         return []
@@ -265,7 +128,7 @@
         is_stopped = any(
             stop.from_s < shift.to_s and before_s < stop.to_s for stop in record.stops
         )
-        subjects = ("store", *ENTRIES, *DESKS)
+        subjects = ("store", *record.entries, *record.desks)
         if is_stopped or not record.calm(subjects, before_s, shift.to_s):
             continue
         before = _first_served(record, before_s, shift.from_s)
@@ -287,6 +150,7 @@
         and sent.answer is not None
         and not sent.kind.is_stream
         and sent.version is None
+        and sent.repeats is None
         and sent.key != REVOKED_KEY
     ]
 
@@ -533,8 +397,13 @@
 
 
 CHECKS = (
-    run_counts,
-    true_refusals,
+    promises.run_counts,
+    promises.true_refusals,
+    promises.kept_refusals,
+    promises.signed_statuses,
+    promises.returns_told,
+    promises.refusals_told,
+    promises.served_in_calm,
     whole_answers,
     one_version,
     crashes_contained,
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,23 +27,18 @@
     parts_headers,
     version_path,
 )
-from soak.checks import (
-    GRACE_S,
-    Arrival,
-    Published,
-    Record,
-    Run,
-    Span,
-    breaches,
-    summary,
-)
-from soak.schedule import ENTRIES, MODELS, UPSTREAMS, Event, store_link
+from soak.checks import breaches, summary
+from soak.events import FAULTS_S, Event
+from soak.record import GRACE_S, Arrival, Published, Record, Refusal, Run, Span
+from soak.schedule import store_link
+from soak.sizes import size_of
 from standins.platformdeployment import (
     KEY,
     PlatformDeployment,
     configuration,
     route,
 )
+from standins.platformengine import Faults
 from standins.processes import Link, NotReached, Stage, StandIn, wait_until
 
 LOGS = pathlib.Path("out/soak")
@@ -92,6 +87,8 @@
     "event_s": EVENT_S,
     "work_s": 0.05,
 }
+# What a trouble changes, as it is without one.
+SOUND = attrs.asdict(Faults()) | HEALTHY
 
 
 @attrs.frozen(kw_only=True)
@@ -108,6 +105,7 @@
 
     def __init__(self, *, seed: int, directory: pathlib.Path):
         self._seed = seed
+        self._size = size_of(seed)
         self._stage = Stage(directory=directory)
         self._links: dict[str, Link] = {}
         self._versions_s: dict[int, float] = {}
@@ -129,6 +127,8 @@
         self._crashed: set[str] = set()
         self._seen_alive_s: dict[str, float] = {}
         self._crashes_s: list[float] = []
+        # What is to be set at upstreams that are suspended, once they go on.
+        self._suspended: dict[str, dict] = {}
         self._crashes_by_part = False
         self._shifts: list[Span] = []
         self._same_address = True
@@ -162,22 +162,26 @@
     def _start(self) -> None:
         platform = self._platform = PlatformDeployment(stage=self._stage)
         proxy = self._proxy = self._stage.proxy()
-        for name in UPSTREAMS:
+        for name in self._size.upstreams:
             standin = platform.start_upstream(name)
             standin.set_faults(**HEALTHY)
-            if name in MODELS:
+            if name in self._size.models:
                 standin.set_faults(**self._model_faults(name))
             self._links[name] = self._stage.link(proxy, name, standin.address)
             platform.reached_at[name] = self._links[name].address
             self._register(name)
         self.publish()
-        for name in ENTRIES:
+        for name in self._size.entries:
             link = store_link(name)
             self._links[link] = self._stage.link(proxy, link, platform.store.address)
             store_address = self._links[link].address
             platform.entry(name, grace_s=GRACE_S, store_address=store_address)
         self._callers = Callers(
-            platform=platform, seed=self._seed, newest_version=self._version
+            platform=platform,
+            seed=self._seed,
+            newest_version=self._version,
+            entries=self._size.entries,
+            count=self._size.callers,
         )
 
     def _recovered(self) -> list[str]:
@@ -185,7 +189,7 @@
         until_s = time.monotonic() + RECOVERY_S
         self._do_due(until_s, wait=lambda: bool(self._stopping))
         try:
-            for name in ENTRIES:
+            for name in self._size.entries:
                 entry = self._platform.entries[name]
                 left_s = max(0.1, until_s - time.monotonic())
                 wait_until(entry.ready, left_s, f"{name} is ready again")
@@ -195,16 +199,30 @@
 
     def _record(self) -> Record:
         runs = tuple(
-            Run(attempt_id=run["attempt_id"], upstream=name, began_s=run["began_s"])
-            for name in UPSTREAMS
+            Run(
+                attempt_id=run["attempt_id"],
+                upstream=name,
+                began_s=run["began_s"],
+                signed_status=run["signed_status"],
+            )
+            for name in self._size.upstreams
             for run in self._platform.runs(name)
+            if run["target"] != CRASHING_PATH
         )
         arrivals = tuple(
             Arrival(upstream=name, **each)
-            for name in UPSTREAMS
+            for name in self._size.upstreams
             for each in self._platform.arrivals(name)
         )
+        refusals = tuple(
+            Refusal(upstream=name, **each)
+            for name in self._size.upstreams
+            for each in self._platform.refusals(name)
+        )
         return Record(
+            entries=self._size.entries,
+            desks=self._size.desks,
+            refusals=refusals,
             sent=tuple(self._callers.sent),
             runs=runs,
             arrivals=arrivals,
@@ -229,7 +247,7 @@
         began_s = time.monotonic()
         for event in events:
             self._at(began_s + event.at_s, functools.partial(self._begin, event))
-        self._do_due(began_s + schedule.FAULTS_S, wait=lambda: True)
+        self._do_due(began_s + FAULTS_S, wait=lambda: True)
         self._do_due(float("inf"), wait=lambda: bool(self._due))
 
     def _at(self, at_s: float, work: Callable[[], None]) -> None:
@@ -364,6 +382,18 @@
 
         return undo
 
+    def turn_away(self, entries: tuple[str, ...]) -> Callable[[], None]:
+        """Have the store answer some entries that it is down."""
+        end = self._disturb("store")
+        addresses = [self._links[store_link(name)].address for name in entries]
+        self._platform.store.set_faults(turned_away=addresses)
+
+        def undo() -> None:
+            self._platform.store.set_faults(turned_away=[])
+            end()
+
+        return undo
+
     def forget(self) -> Callable[[], None]:
         end = self._disturb("store")
         self._platform.store.set_faults(forgotten_before=BEYOND_ALL_OFFSETS)
@@ -397,13 +427,13 @@
         return undo
 
     def _register_all(self) -> None:
-        for name in UPSTREAMS:
+        for name in self._size.upstreams:
             if name not in self._crashed:
                 state = "draining" if self._leaves[name] else "ready"
                 self._register(name, state=state)
 
     def fail_link(self, name: str, faults: dict) -> Callable[[], None]:
-        subject = name if name in UPSTREAMS else name.removeprefix("store-")
+        subject = name if name in self._size.upstreams else name.removeprefix("store-")
         end = self._disturb(subject)
         self._links[name].set_faults(**faults)
 
@@ -423,6 +453,33 @@
 
         return undo
 
+    def trouble(self, name: str, faults: dict) -> Callable[[], None]:
+        """Have an upstream be in trouble with these faults."""
+        end = self._disturb(name)
+        self._set_faults(name, **faults)
+
+        def undo() -> None:
+            self._set_faults(name, **{field: SOUND[field] for field in faults})
+            end()
+
+        return undo
+
+    def suspend(self, name: str) -> Callable[[], None] | None:
+        """Have an upstream stand still, which runs what has come meanwhile later."""
+        process = self._platform.upstreams[name].process
+        if name in self._suspended or not process.alive():
+            return None
+        end = self._disturb(name)
+        self._suspended[name] = {}
+        process.pause()
+
+        def undo() -> None:
+            process.resume()
+            self._set_faults(name, **self._suspended.pop(name))
+            end()
+
+        return undo
+
     def end_with_connections(self, name: str, *, crashes: bool) -> Callable[[], None]:
         """Have an upstream's answers end with their connections, some too early."""
         end = self._disturb(name) if crashes else lambda: None
@@ -467,7 +524,7 @@
         return undo
 
     def _register(self, name: str, *, state: str = "ready") -> None:
-        service = "model" if name in MODELS else "desk"
+        service = "model" if name in self._size.models else "desk"
         incarnation = self._incarnations.get(name, "")
         self._platform.register(
             name,
@@ -537,7 +594,7 @@
                     headers = parts_headers(shared, f"{number:x}")
                 with contextlib.suppress(urllib3.exceptions.HTTPError):
                     self._platform.send(
-                        random.choice(ENTRIES),
+                        random.choice(self._size.entries),
                         CRASHING_PATH,
                         body=body,
                         headers=headers,
@@ -554,7 +611,7 @@
 
     def _reap_upstreams(self) -> None:
         """Note the upstreams that have crashed, and start others in their place."""
-        for name in MODELS:
+        for name in self._size.models:
             looked_s = time.monotonic()
             if self._platform.upstreams[name].process.alive():
                 self._seen_alive_s[name] = looked_s
@@ -601,14 +658,16 @@
 
     def _set_faults(self, name: str, **faults) -> None:
         """Set faults of an upstream, unless it has crashed and isn't back yet."""
-        if self._platform.upstreams[name].process.alive():
+        if name in self._suspended:
+            self._suspended[name] |= faults
+        elif self._platform.upstreams[name].process.alive():
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 self._platform.upstreams[name].set_faults(**faults)
 
     @staticmethod
     def _model_faults(name: str) -> dict:
         return {
-            "software": SOFTWARE[name],
+            "software": SOFTWARE.get(name, "v1"),
             "crash_marker": MARKER,
             "crash_part": BAD_PART,
         }
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -157,8 +157,10 @@
         self, name: str, *options: str, port: int | None = None
     ) -> StandIn:
         """Start an upstream that nobody knows of yet."""
+        kept = str(self.stage.directory / f"{name}.kept")
+        named = ("--upstream-id", name, "--kept-file", kept)
         standin = self.stage.start_standin(
-            name, "platformengine", "--upstream-id", name, *options, port=port
+            name, "platformengine", *named, *options, port=port
         )
         self.upstreams[name] = standin
         return standin
@@ -358,6 +360,10 @@
             for each in get_json(upstream.port, "/control/unproven")
         ]
 
+    def refusals(self, name: str) -> list[dict]:
+        """Return what an upstream refused, and what it said of that."""
+        return get_json(self.upstreams[name].port, "/control/refusals")
+
     def _attempt_id(self) -> str:
         with self._lock:
             self._attempts += 1
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -3,8 +3,9 @@
 It works on `slots` requests at once and queues as many again, echoes the id of
 each attempt, signs its answers, and refuses what names another incarnation.
 `GET /control/runs` tells which attempts ran and how they ended, and
-`GET /control/arrivals` which requests arrived, `GET /control/unproven` those that were
-refused without a word on whether they ran.
+`GET /control/arrivals` which requests arrived, `GET /control/refusals` which ones
+`refuses` turned away, and `GET /control/unproven` those of them that were refused
+without a word on whether they ran.
 
 `POST /v1/hold-take` reserves one of the slots for `ttl-ms`.
 `POST /stream/...` answers with `events` events of server-sent events; any other
@@ -15,13 +16,16 @@
 import itertools
 import json
 import os
+import pathlib
 import signal
 import threading
 import time
 
 import attrs
 
-from standins import endless, server
+from standins import copies, endless, server
+from standins.copies import Copies
+from standins.kept import Kept
 from standins.refusals import RefusalFaults, Refusals
 from standins.server import Cut, Reply, Request, json_reply
 from standins.signals import Arrivals
@@ -30,6 +34,8 @@
 EXPECTED = "x-expect-instance"
 LAST_EVENT = "last-event-id"
 PARTS = "x-prefix-hash"
+# What control requests tell of the requests, also of those before a crash.
+SEEN = ("runs", "arrivals", "refusals")
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +100,7 @@
     body: str
     end: str = "running"
     ended_s: float | None = None
+    signed_status: int | None = None
 
 
 class Upstream:
@@ -106,19 +113,19 @@
         self._lock = threading.Lock()
         self._runs: list[_Run] = []
         self._arrivals = Arrivals()
-        self._refusals = Refusals()
+        self._kept = Kept(options.kept_file)
+        self._copied = Copies()
+        self._refusals = Refusals(self._copied)
         self._reserved: set[str] = set()
         self._numbers = itertools.count(1)
 
     def handle(self, request: Request) -> Reply | None:
         """Answer one request."""
-        if request.path == "/control/runs":
-            with self._lock:
-                return json_reply([attrs.asdict(run) for run in self._runs])
-        if request.path == "/control/arrivals":
-            return json_reply(self._arrivals.report())
+        seen = request.path.removeprefix("/control/")
+        if seen in SEEN:
+            return json_reply(self._kept.with_now(seen, self._seen()[seen]))
         if request.path == "/control/unproven":
-            return json_reply(self._refusals.report())
+            return json_reply(self._refusals.unproven())
         if request.path.startswith("/control"):
             return self._faults.handle(request)
         faults = self._faults.now
@@ -145,6 +152,12 @@
         with self._slots:
             return self._run(request)
 
+    def _seen(self) -> dict[str, list[dict]]:
+        with self._lock:
+            runs = [attrs.asdict(run) for run in self._runs]
+        reports = (runs, self._arrivals.report(), self._refusals.report())
+        return dict(zip(SEEN, reports, strict=True))
+
     def _current_id(self) -> str:
         return self._upstream_id + self._faults.now.incarnation
 
@@ -201,7 +214,7 @@
             raise Cut
         if self._faults.now.endless:
             run.end = "endless"
-            self._answer_endlessly(request, self._signed(run))
+            self._answer_endlessly(request, self._signed(run, 200))
         if request.path.startswith("/stream"):
             self._stream(request, run)
         else:
@@ -223,44 +236,84 @@
         faults = self._faults.now
         if not self._work(request, run, faults.work_s):
             raise Cut
-        if faults.refuses_after_run and self._refusals.is_due(faults):
-            run.end = "refused"
-            self._refusals.answer(request, run.attempt_id, faults)
+        if self._turned_away(request, run):
             return
         body = f"answer to {run.attempt_id}".encode()
-        framing = faults.framing or "length"
-        self._start(
-            request,
-            faults.status,
-            *self._signed(run),
-            length=len(body),
-            framing=framing,
-        )
-        if request.method == "HEAD":
-            run.end = "whole"
-            return
-        if faults.truncate:
-            request.http.write(body[:-3])
-            self._cut(request)
-        if self._is_fatal(run):
-            request.http.write(body[: len(body) // 2])
-            self._crash()
-        request.http.write(body)
+        headers = self._signed(run, faults.status)
+        with self._copied.writing(request):
+            self._start(
+                request,
+                faults.status,
+                *headers,
+                length=len(body),
+                framing=faults.framing or "length",
+            )
+            if request.method == "HEAD":
+                run.end = "whole"
+                return
+            if faults.truncate:
+                request.http.write(body[:-3])
+                self._cut(request)
+            if self._is_fatal(run):
+                request.http.write(body[: len(body) // 2])
+                self._crash()
+            request.http.write(body)
         server.set_reset_on_exit(request, False)
         run.end = "whole"
+        self._copy(request, faults.status, headers, body)
+
+    def _turned_away(self, request: Request, run: _Run) -> bool:
+        """Refuse a request that has run, or lose its answer, if either is wanted."""
+        faults = self._faults.now
+        if faults.refuses_after_run and self._refusals.is_due(faults):
+            run.end = "refused"
+            self._refusals.answer(request, run.attempt_id, faults)
+            return True
+        if self._refusals.is_lost(faults):
+            run.end = "lost"
+            if faults.loses == "reset":
+                server.reset(request)
+            raise Cut
+        return False
+
+    def _copy(
+        self,
+        request: Request,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Send an answer again later on, if that is wanted."""
+        faults = self._faults.now
+        if faults.copies_answers and faults.copied_after_s > 0.0:
+            copy = copies.whole(status, headers, body)
+            self._copied.send_later(request, copy, faults.copied_after_s)
 
     def _stream(self, request: Request, run: _Run) -> None:
+        if self._turned_away(request, run):
+            return
         faults = self._faults.now
         after = int(request.headers.get(LAST_EVENT, -1))
         numbers = range(after + 1, faults.events)
-        self._start(
-            request,
-            200,
-            *self._signed(run),
-            ("Content-Type", "text/event-stream"),
-            length=self._stream_bytes(numbers, after),
-            framing=faults.framing or "chunks",
-        )
+        headers = [*self._signed(run, 200), ("Content-Type", "text/event-stream")]
+        with self._copied.writing(request):
+            self._start(
+                request,
+                200,
+                *headers,
+                length=self._stream_bytes(numbers, after),
+                framing=faults.framing or "chunks",
+            )
+            if not self._events(request, run, numbers, after):
+                return
+        server.set_reset_on_exit(request, False)
+        run.end = "whole"
+        body = b"".join(_event(number, faults.software) for number in numbers)
+        self._copy(request, 200, headers, body)
+
+    def _events(self, request: Request, run: _Run, numbers: range, after: int) -> bool:
+        """Send a stream's events; return False if it ended early, but properly."""
+        faults = self._faults.now
         for number in numbers:
             if not self._work(request, run, faults.event_s):
                 raise Cut
@@ -271,11 +324,10 @@
                 request.http.write(event[:-4])
                 if faults.ends_properly:
                     server.set_reset_on_exit(request, False)
-                    return
+                    return False
                 self._cut(request)
             request.http.write(event)
-        server.set_reset_on_exit(request, False)
-        run.end = "whole"
+        return True
 
     def _stream_bytes(self, numbers: range, after: int) -> int:
         """Return how long a stream is, which a proper end cuts short."""
@@ -299,6 +351,7 @@
         if self._faults.now.crashes_silently:
             os.kill(os.getpid(), signal.SIGSTOP)
         else:
+            self._kept.save(**self._seen())
             os._exit(1)
 
     def _cut(self, request: Request) -> None:
@@ -318,8 +371,10 @@
             time.sleep(min(0.005, work_s))
         return True
 
-    def _signed(self, run: _Run) -> list[tuple[str, str]]:
+    def _signed(self, run: _Run, status: int) -> list[tuple[str, str]]:
         faults = self._faults.now
+        if not faults.unsigned:
+            run.signed_status = status
         echoed = "another" if faults.wrong_id else run.attempt_id
         headers = [("X-Attempt-Id", echoed), ("X-Instance-Id", self._current_id())]
         if not faults.unsigned:
@@ -354,6 +409,9 @@
     parser = server.parser(__doc__)
     parser.add_argument("--upstream-id", required=True)
     parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument(
+        "--kept-file", type=pathlib.Path, help="keeps what was seen before a crash"
+    )
     options = parser.parse_args()
     server.serve(options, Upstream(options=options).handle)
 
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -3,8 +3,8 @@
 It serves reads that wait, newest records, appends (also those that name the offset they
 expect), and what goes wrong with them. Modes: `up`; `down` answers 503; `reset` cuts;
 `silent` answers nothing; `endless` sends a header without end, also once it is `up`
-again; `lose` carries out and then cuts. `forgotten_before` makes older reads fail as if
-the records had been dropped.
+again; `lose` carries out and then cuts. `turned_away` answers some callers 503.
+`forgotten_before` makes older reads fail as if the records had been dropped.
 
 Each answer has the number of the store's copy. `POST /control/copy` keeps a copy of all
 topics, and `POST /control/go-back` puts it in their place and raises the number by one.
@@ -41,6 +41,8 @@
     forgotten_before: int = 0
     # Sent in place of the copy's number, if set; "none" leaves it out.
     epoch: str = ""
+    # The `host:port` at which those reach the store that are turned away.
+    turned_away: tuple[str, ...] = ()
 
 
 class StoreStandIn:
@@ -94,7 +96,7 @@
             raise Cut
 
     def _call(self, request: Request, is_operator: bool) -> Reply:
-        if self._faults.now.mode == "down" and not is_operator:
+        if self._is_away(request) and not is_operator:
             return json_reply({"reason": "down"}, 503)
         topic = request.query.get("topic", "")
         if request.path == "/v1/log-append":
@@ -108,6 +110,10 @@
             return self._newest(topic)
         return json_reply({"reason": "unknown call"}, 404)
 
+    def _is_away(self, request: Request) -> bool:
+        faults = self._faults.now
+        return faults.mode == "down" or request.headers["host"] in faults.turned_away
+
     def _append(self, topic: str, body: bytes, end_offset: int) -> Reply:
         records, at = [], 0
         while at < len(body):
