Promise nothing in the server's answer once the application has a request

The HTTP server turns a TimeoutError in the middle of a request into 408, which promises that the request has not run and never will, also if the error came out of the application, which may have passed the request on by then. What kept entries that dispatch directly from it was an accident: cheroot failed to write a response without a status, and closed the connection without any answer, which loses the request.

From the moment that the application is given a request, the server's own answer is 500 "internal_error", ran "unknown", whatever the error, and also where no response had begun. Before that nobody else has the request, so 408 and 503 keep their promise.

Refusals by the server itself had no log line. "refused by the server" has the reason, the status, what the caller was told, and how much of the request had been read; "closed unread" is logged for a connection that found no thread.

features/caller_closes.feature, over a socket. No daemon was seen to send the false 408: see the first paragraph.

--- a/features/caller_closes.feature
+++ b/features/caller_closes.feature
@@ -34,3 +34,17 @@
     Given three entries before upstreams
     When a caller ends its connection before the final line of its request
     Then its request is refused with 400, and hasn't run
+
+  Scenario Outline: A request fails inside the application
+    Guards against a refusal that promises "not run" for a request that was passed on.
+    Given a server for callers whose application raises <error> <when>
+    When a payment is sent to that server
+    Then it gets 500, which says that nobody knows whether it ran
+    And the server's log tells that the application had it
+
+    Examples:
+      | error        | when                |
+      | TimeoutError | as it is called     |
+      | TimeoutError | before its response |
+      | OSError      | as it is called     |
+      | ValueError   | before its response |
--- a/features/steps/caller_closes_steps.py
+++ b/features/steps/caller_closes_steps.py
@@ -1,12 +1,17 @@
 """Steps about connections of callers that are closed, and what that tells them."""
 
+import io
+import json
 import socket
+import threading
 import time
 
 from behave import given, then, when
 
 from features.platformstage import set_all
-from features.rawhttp import WAIT_S, RawResponse, read_all
+from features.rawhttp import WAIT_S, RawResponse, exchange, read_all, request_bytes
+from lavenderspoke.http.server import HttpServer
+from lavenderspoke.observing.logs import JsonLinesHandler
 from standins.platformdeployment import HOST_HEADER, KEY
 from standins.processes import HOST, wait_until
 
@@ -179,3 +184,57 @@
     assert not context.ran_early
     assert context.response.status == 400, context.response
     assert not runs_of(context, ATTEMPT_ID)
+
+
+ERRORS = {
+    "TimeoutError": TimeoutError("timed out"),
+    "OSError": OSError(5, "an error of the system"),
+    "ValueError": ValueError("an error of the application"),
+}
+
+
+def start_server(context, app) -> None:
+    context.log_stream = io.StringIO()
+    handler = JsonLinesHandler(daemon="test", stream=context.log_stream)
+    handler.push_application()
+    context.add_cleanup(handler.pop_application)
+    server = HttpServer(host=HOST, port=0, app=app, threads=2)
+    server.prepare()
+    context.add_cleanup(server.stop)
+    context.port = server.bind_addr[1]
+    threading.Thread(target=server.serve, daemon=True).start()
+
+
+@given("a server for callers whose application raises {error} as it is called")
+def step_raises_called(context, error):
+    def app(environ, start_response):
+        raise ERRORS[error]
+
+    start_server(context, app)
+
+
+@given("a server for callers whose application raises {error} before its response")
+def step_raises_before(context, error):
+    def app(environ, start_response):
+        yield b""
+        raise ERRORS[error]
+
+    start_server(context, app)
+
+
+@when("a payment is sent to that server")
+def step_sent(context):
+    context.response = exchange(context.port, request_bytes(body=b"payment"))
+
+
+@then("it gets 500, which says that nobody knows whether it ran")
+def step_unknown(context):
+    assert context.response.data, "closed without an answer"
+    assert context.response.status == 500, context.response
+    assert context.response.problem()["ran"] == "unknown", context.response
+
+
+@then("the server's log tells that the application had it")
+def step_log_tells(context):
+    lines = [json.loads(line) for line in context.log_stream.getvalue().splitlines()]
+    assert any(each.get("handed_over") for each in lines), lines
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -124,6 +124,8 @@
     """A request whose early refusals are problems."""
 
     header_reader = _StrictHeaderReader()
+    # Whether the application has been given the request, which may run from then on.
+    is_handed_over = False
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -145,14 +147,41 @@
             return False
         return True
 
+    def respond(self) -> None:
+        self.is_handed_over = True
+        super().respond()
+
+    def ensure_headers_sent(self) -> None:
+        # Cheroot calls this also if the application failed before its response began.
+        if not self.status and not self.sent_headers:
+            self.sent_headers = True
+            self.simple_response("500", "the request failed")
+            return
+        super().ensure_headers_sent()
+
     def simple_response(self, status, msg="") -> None:
         code = int(str(status)[:3])
+        if self.is_handed_over:
+            # An error such as a timeout may come from the application's own work.
+            code = 500
         fallback = (Reason.BAD_REQUEST, Ran.NO, None)
         reason, ran, retry_after_s = _PROBLEMS.get(code, fallback)
         problem = Problem(
             reason=reason, ran=ran, detail=str(msg), retry_after_s=retry_after_s
         )
         self.server.on_problem(problem)
+        log.warning(
+            "refused by the server",
+            reason=reason.value,
+            status=problem.status,
+            ran=ran.value,
+            detail=problem.detail,
+            # How much of the request had been read: a line, the head, or the
+            # application had it.
+            line_read=self.conn.asked,
+            head_read=self.ready,
+            handed_over=self.is_handed_over,
+        )
         self.close_connection = True
         self.conn.linger_on_close = True
         self._write_page(problempage.render(problem))
@@ -432,6 +461,7 @@
 
     def _close_unread(self, conn: CallerConnection) -> None:
         self.on_problem(Problem(reason=Reason.SERVER_BUSY, ran=Ran.NO))
+        log.info("closed unread", reason=Reason.SERVER_BUSY.value)
         try:
             # Resets the connection if a request has come, whose caller sees at once
             # that nobody has read it.
