Don't send a request whose time is over once its connection is open

A connect may take up to 0.4 s, and an entry may be suspended, while a request has 0.1 s left when it gets a slot. The request was sent all the same, with the time that it had before, and could run though its caller had been told 504. It isn't sent now: that it has not run is certain, and the attempt says nothing about its upstream.

--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -132,3 +132,9 @@
     Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" and then "keeps"
     When a request is completed and cancelled afterwards
     Then the next request on its connection is complete
+
+  Scenario: The time for a request is over once its connection is open
+    Guards against sending what may then run, though nobody waits for it.
+    Given an upstream that sends "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" and then "keeps"
+    When a request is sent to it after its time, and another one in time
+    Then their outcomes are "not sent" and "complete", and one request arrived
--- a/features/steps/direct_exchange_steps.py
+++ b/features/steps/direct_exchange_steps.py
@@ -34,6 +34,7 @@
 
     def __init__(self, *, answer: bytes, then: str, buffer_bytes: int | None = None):
         self.connections = 0
+        self.requests = 0
         self._answer = answer
         self._then = then
         self._listener = socket.create_server((HOST, 0))
@@ -58,6 +59,7 @@
         with connection:
             while data := connection.recv(65536):
                 assert data.startswith(b"GET ")
+                self.requests += 1
                 connection.sendall(self._answer)
                 if self._then == "reset":
                     time.sleep(0.05)
@@ -331,3 +333,23 @@
 def step_next_complete(context):
     assert context.outcomes == ["complete"], context.outcomes
     assert context.raw.connections == 1
+
+
+@when("a request is sent to it after its time, and another one in time")
+def step_send_late(context):
+    late = context.connection_pool.send(
+        cancel_handle=CancelHandle(),
+        method="GET",
+        target="/",
+        headers={"Host": "test"},
+        body=b"",
+        head_timeout_s=HEAD_TIMEOUT_S,
+        ends_s=time.monotonic() - 0.001,
+    )
+    context.outcomes = [outcome(late), outcome(send(context))]
+
+
+@then('their outcomes are "{first}" and "{second}", and one request arrived')
+def step_outcomes(context, first, second):
+    assert context.outcomes == [first, second], context.outcomes
+    assert context.raw.requests == 1, context.raw.requests
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -78,11 +78,13 @@
 class NotSent:
     """Nothing was sent, so the request has not run.
 
-    If the connection was `refused`, nothing listens at the address.
+    If the connection was `refused`, nothing listens at the address. If it was `late`,
+    the connection opened after the request's end.
     """
 
     detail: str
     refused: bool = False
+    late: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -410,6 +412,10 @@
         if not cancel_handle.attach(connection, None):
             self.discard(connection, ConnectionUse.NO_RESPONSE)
             return Err(NotSent(detail="the caller has gone"))
+        if self._clock.monotonic_s() >= ends_s:
+            cancel_handle.detach()
+            self.discard(connection, ConnectionUse.NO_RESPONSE)
+            return Err(NotSent(detail="no time left to send", late=True))
         connection.bounds = ReadBounds(
             clock=self._clock,
             ends_s=ends_s,
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -373,11 +373,10 @@
     def _handle_send_error(self, attempt: Attempt, error: NotSent | NoResponse) -> None:
         attempt.detail = error.detail
         if isinstance(error, NotSent):
-            # A connect that the caller's leaving cancelled proves nothing about the
-            # upstream.
-            outcome = (
-                AttemptOutcome.LEFT if self._caller_gone else AttemptOutcome.UNREACHABLE
-            )
+            # A connect that the caller's leaving cancelled, or that took too long for
+            # this request, proves nothing about the upstream.
+            is_left = self._caller_gone or error.late
+            outcome = AttemptOutcome.LEFT if is_left else AttemptOutcome.UNREACHABLE
             if error.refused:
                 self._dispatcher.connection_refused(attempt.upstream)
             self._end_attempt(attempt, outcome)
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -146,6 +146,8 @@
             if isinstance(error, NotSent):
                 if error.refused:
                     self.dispatcher.connection_refused(upstream)
+                if error.late:
+                    return AttemptOutcome.LEFT, None
                 return AttemptOutcome.UNREACHABLE, None
             self.found = AttemptFinding.of(upstream, Finding.NO_RESPONSE, None)
             return _incomplete_outcome(error.timed_out), None
