--- a/features/soak.feature
+++ b/features/soak.feature
@@ -11,6 +11,9 @@
       | 6    | an entry is stopped while it starts                               |
       | 23   | SIGHUP reaches an entry that has just been started, and ended it  |
       | 106  | an upstream leaves twice at once; one end took both leaves back   |
+      | 5004 | upstreams refuse without saying whether they ran the request      |
+      | 5005 | late copies of answers come where the next ones are expected      |
+      | 5010 | more entries, upstreams and callers than usual                    |
 
   Scenario Outline: Each check notices what it is for
     A record of one request that was kept, changed in one way, must be told apart.
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 import attrs
 import urllib3
 
-from soak import schedule
+from soak import schedule, truth
 from soak.actions import begin
 from soak.callers import (
     REVOKED_KEY,
@@ -29,16 +29,16 @@
 )
 from soak.checks import breaches, summary
 from soak.events import FAULTS_S, Event
-from soak.record import GRACE_S, Arrival, Published, Record, Refusal, Run, Span
+from soak.record import GRACE_S, Published, Record, Span
 from soak.schedule import store_link
 from soak.sizes import size_of
+from soak.upstreams import HEALTHY, UpstreamFaults
 from standins.platformdeployment import (
     KEY,
     PlatformDeployment,
     configuration,
     route,
 )
-from standins.platformengine import Faults
 from standins.processes import Link, NotReached, Stage, StandIn, wait_until
 
 LOGS = pathlib.Path("out/soak")
@@ -54,9 +54,6 @@
 SIGNAL_POLL_S = 0.01
 # Reads from before this offset fail: no topic here ever gets so long.
 BEYOND_ALL_OFFSETS = 10**9
-# Streams of 5 events last 0.15 s and plain answers 0.05 s, so that some are always
-# under way when a fault begins.
-EVENT_S = 0.03
 # Time after which upstreams write their records once more, in seconds, as they do all
 # the time on the platform.
 HEARTBEAT_S = 1.2
@@ -74,21 +71,6 @@
 SOFTWARE = {"model-1": "v1", "model-2": "v1", "model-3": "v2"}
 # Added to the id of an upstream that has replaced another one.
 REPLACEMENT = "-2"
-HEALTHY = {
-    "wrong_id": False,
-    "truncate": False,
-    "resets": False,
-    "unsigned": False,
-    "mute": False,
-    "full": False,
-    "cut_after_events": -1,
-    "endless": "",
-    "status": 200,
-    "event_s": EVENT_S,
-    "work_s": 0.05,
-}
-# What a trouble changes, as it is without one.
-SOUND = attrs.asdict(Faults()) | HEALTHY
 
 
 @attrs.frozen(kw_only=True)
@@ -127,8 +109,7 @@
         self._crashed: set[str] = set()
         self._seen_alive_s: dict[str, float] = {}
         self._crashes_s: list[float] = []
-        # What is to be set at upstreams that are suspended, once they go on.
-        self._suspended: dict[str, dict] = {}
+        self._faults: UpstreamFaults | None = None
         self._crashes_by_part = False
         self._shifts: list[Span] = []
         self._same_address = True
@@ -161,6 +142,7 @@
 
     def _start(self) -> None:
         platform = self._platform = PlatformDeployment(stage=self._stage)
+        self._faults = UpstreamFaults(platform)
         proxy = self._proxy = self._stage.proxy()
         for name in self._size.upstreams:
             standin = platform.start_upstream(name)
@@ -198,34 +180,14 @@
         return []
 
     def _record(self) -> Record:
-        runs = tuple(
-            Run(
-                attempt_id=run["attempt_id"],
-                upstream=name,
-                began_s=run["began_s"],
-                signed_status=run["signed_status"],
-            )
-            for name in self._size.upstreams
-            for run in self._platform.runs(name)
-            if run["target"] != CRASHING_PATH
-        )
-        arrivals = tuple(
-            Arrival(upstream=name, **each)
-            for name in self._size.upstreams
-            for each in self._platform.arrivals(name)
-        )
-        refusals = tuple(
-            Refusal(upstream=name, **each)
-            for name in self._size.upstreams
-            for each in self._platform.refusals(name)
-        )
+        platform, upstreams = self._platform, self._size.upstreams
         return Record(
             entries=self._size.entries,
             desks=self._size.desks,
-            refusals=refusals,
             sent=tuple(self._callers.sent),
-            runs=runs,
-            arrivals=arrivals,
+            runs=truth.runs(platform, upstreams, without=CRASHING_PATH),
+            arrivals=truth.arrivals(platform, upstreams),
+            refusals=truth.refusals(platform, upstreams),
             crashes_s=tuple(self._crashes_s),
             crashes_by_part=self._crashes_by_part,
             shifts=tuple(self._shifts),
@@ -445,10 +407,10 @@
 
     def fail_upstream(self, name: str, faults: dict) -> Callable[[], None]:
         end = self._disturb(name)
-        self._set_faults(name, **faults)
+        self._faults.set(name, **faults)
 
         def undo() -> None:
-            self._set_faults(name, **HEALTHY)
+            self._faults.set(name, **HEALTHY)
             end()
 
         return undo
@@ -456,26 +418,23 @@
     def trouble(self, name: str, faults: dict) -> Callable[[], None]:
         """Have an upstream be in trouble with these faults."""
         end = self._disturb(name)
-        self._set_faults(name, **faults)
+        self._faults.set(name, **faults)
 
         def undo() -> None:
-            self._set_faults(name, **{field: SOUND[field] for field in faults})
+            self._faults.cure(name, faults)
             end()
 
         return undo
 
     def suspend(self, name: str) -> Callable[[], None] | None:
         """Have an upstream stand still, which runs what has come meanwhile later."""
-        process = self._platform.upstreams[name].process
-        if name in self._suspended or not process.alive():
-            return None
         end = self._disturb(name)
-        self._suspended[name] = {}
-        process.pause()
+        if not self._faults.suspend(name):
+            end()
+            return None
 
         def undo() -> None:
-            process.resume()
-            self._set_faults(name, **self._suspended.pop(name))
+            self._faults.resume(name)
             end()
 
         return undo
@@ -484,10 +443,10 @@
         """Have an upstream's answers end with their connections, some too early."""
         end = self._disturb(name) if crashes else lambda: None
         cut_after_events = CRASH_AFTER_EVENTS if crashes else -1
-        self._set_faults(name, framing="connection", cut_after_events=cut_after_events)
+        self._faults.set(name, framing="connection", cut_after_events=cut_after_events)
 
         def undo() -> None:
-            self._set_faults(name, framing="", cut_after_events=-1)
+            self._faults.set(name, framing="", cut_after_events=-1)
             end()
 
         return undo
@@ -495,10 +454,10 @@
     def silence(self, name: str) -> Callable[[], None]:
         """Have an upstream hold its streams; it is at work, so nothing is disturbed."""
         from_s = time.monotonic()
-        self._set_faults(name, silent=True)
+        self._faults.set(name, silent=True)
 
         def undo() -> None:
-            self._set_faults(name, silent=False)
+            self._faults.set(name, silent=False)
             span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
             self._silences.append(span)
 
@@ -536,13 +495,13 @@
 
     def name_limit(self, name: str, per_s: float) -> Callable[[], None]:
         """Have an upstream name a limit."""
-        self._set_faults(name, limit=str(per_s))
-        return lambda: self._set_faults(name, limit="")
+        self._faults.set(name, limit=str(per_s))
+        return lambda: self._faults.set(name, limit="")
 
     def ask_for_pause(self, name: str, pause_s: float) -> Callable[[], None]:
         """Have an upstream refuse all requests and ask for a pause."""
-        self._set_faults(name, retry_after=str(pause_s))
-        return lambda: self._set_faults(name, retry_after="")
+        self._faults.set(name, retry_after=str(pause_s))
+        return lambda: self._faults.set(name, retry_after="")
 
     def say_leaving(self, name: str) -> Callable[[], None]:
         """Have an upstream say that it leaves, and another one replace it in the end.
@@ -550,13 +509,13 @@
         The new one takes its address at once, so that some requests still name the old
         one.
         """
-        self._set_faults(name, leaving=True)
+        self._faults.set(name, leaving=True)
         from_s = time.monotonic()
 
         def undo() -> None:
             span = Span(subject=name, from_s=from_s, to_s=time.monotonic())
             self._leaving_said.append(span)
-            self._set_faults(name, leaving=False)
+            self._faults.set(name, leaving=False)
             if self._platform.upstreams[name].process.alive():
                 self._replace(name)
 
@@ -651,19 +610,11 @@
         """Register an upstream under another id; the record before lapses."""
         before = name + self._incarnations.get(name, "")
         self._incarnations[name] = self._next_incarnation(name)
-        self._set_faults(name, incarnation=self._incarnations[name])
+        self._faults.set(name, incarnation=self._incarnations[name])
         self._register(name, state="draining" if self._leaves[name] else "ready")
         lapse = functools.partial(self._platform.unregister, before)
         self._at(time.monotonic() + Random(before).uniform(*LAPSE_S), lapse)
 
-    def _set_faults(self, name: str, **faults) -> None:
-        """Set faults of an upstream, unless it has crashed and isn't back yet."""
-        if name in self._suspended:
-            self._suspended[name] |= faults
-        elif self._platform.upstreams[name].process.alive():
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                self._platform.upstreams[name].set_faults(**faults)
-
     @staticmethod
     def _model_faults(name: str) -> dict:
         return {
