Don't call a second attempt unsent that was cut off

Logs showed a second attempt as not sent, which proves that it did not run, while its upstream was at work: the finding stood until a response came, and one that was cut off had none. It now counts as unanswered from the moment that it may be sent.

features/hedging.feature, "The first upstream answers before the second", had not_sent before.

--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -20,6 +20,7 @@
     Then its caller gets "first" within 1 s
     And no slot stays held, and the first attempt ended as "answered"
     And the second attempt is logged as "lost"
+    And no attempt that was sent is found to be unsent
 
   Scenario: The second upstream rejects the request
     Guards against a rejected second attempt that ends the first one.
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -21,6 +21,7 @@
 from lavenderspoke.direct.hedging import HedgePlan
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.policies import ALL_POLICIES, NO_POLICIES
+from lavenderspoke.direct.runproof import Finding
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.model import Ran
@@ -210,6 +211,12 @@
     assert [each.value for each in context.dispatcher.results] == [result]
 
 
+@then("no attempt that was sent is found to be unsent")
+def step_findings(context):
+    found = [each.finding for each in context.handler.findings]
+    assert len(found) == 2 and Finding.NOT_SENT not in found, found
+
+
 @given(
     "an entry that has answered {count:d} plain requests in {ms:d} ms and {more:d} in "
     "{long_ms:d} ms"
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -132,6 +132,8 @@
             last_event_id=accepted.head.last_event_id,
             reservation=None,
         )
+        # An attempt that is cut off may have been sent.
+        self.found = AttemptFinding.of(upstream, Finding.NO_RESPONSE, None)
         sent = self.dispatcher.connection_pool(upstream).send(
             cancel_handle=self._cancel_handle,
             method=accepted.head.method,
@@ -144,12 +146,12 @@
         if isinstance(sent, Err):
             error = sent.err_value
             if isinstance(error, NotSent):
+                self.found = AttemptFinding.of(upstream, Finding.NOT_SENT, None)
                 if error.refused:
                     self.dispatcher.connection_refused(upstream)
                 if error.late:
                     return AttemptOutcome.LEFT, None
                 return AttemptOutcome.UNREACHABLE, None
-            self.found = AttemptFinding.of(upstream, Finding.NO_RESPONSE, None)
             return _incomplete_outcome(error.timed_out), None
         return self._read(sent.ok_value, sent_s)
 
