Don't take a request's late response for the answer to a reservation

An upstream was taken out of use at all entries as replaced, and its word on limits and leaving was believed, on a 421 or 503 that named another request and came where the answer to a reservation was due. A reservation has no id, so a response that names a request isn't its answer: nothing is learned of it, and its connection is closed.

features/direct_handling.feature, "... and the next repeats an earlier response": misdirected before.

--- a/features/direct_handling.feature
+++ b/features/direct_handling.feature
@@ -66,6 +66,15 @@
     And no slot is held
     And its retry was returned
 
+  Scenario: An upstream pauses during a stream, and the next repeats an earlier response
+    Guards against taking another request's 421 for the answer to a reservation.
+    Given a resumable request at an upstream that pauses for 1.9 s after its first event
+    And another upstream that answers a reservation with the 421 of another request
+    When its stream is read to the end
+    Then its caller has events 0 and 1, and it ran at 1 upstream
+    And no upstream counts as replaced, and nothing that it said of itself
+    And its retry was returned
+
   Scenario: An upstream pauses during a stream, and the next reserves a slot as it leaves
     Guards against a stream that moves to an upstream which says that it leaves.
     Given a resumable request at an upstream that pauses for 1.9 s after its first event
--- a/features/steps/direct_handling_steps.py
+++ b/features/steps/direct_handling_steps.py
@@ -119,6 +119,9 @@
     def names_another(self, response, head) -> bool:
         return response.header("X-Attempt-Id") == "another"
 
+    def named_request(self, headers) -> str:
+        return dict(headers).get("X-Attempt-Id", "")
+
     def is_not_run(self, response) -> bool:
         return response.status in (421, 503)
 
@@ -424,6 +427,24 @@
     context.handler._dialect.signals = UpstreamSignals(is_leaving=True)
 
 
+@given("another upstream that answers a reservation with the 421 of another request")
+def step_foreign_reservation(context):
+    head = (
+        b"HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: another\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    create_handler(
+        context, [start_upstream(context, [head], 0.0, "keeps", reserves=False)]
+    )
+
+
+@then("no upstream counts as replaced, and nothing that it said of itself")
+def step_none_replaced(context):
+    outcomes, signals = context.dispatcher.outcomes, context.dispatcher.signals
+    assert AttemptOutcome.MISDIRECTED not in outcomes, outcomes
+    assert len(signals) == 1, signals
+
+
 @given("another upstream that rejects requests")
 def step_rejecting(context):
     head = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
--- a/lavenderspoke/direct/reserving.py
+++ b/lavenderspoke/direct/reserving.py
@@ -68,6 +68,10 @@
         )
         return _not_reserved(outcome, sent.err_value.detail)
     response = sent.ok_value
+    if dialect.named_request(response.headers):
+        # A reservation has no id, so this is a late response to some request.
+        response.close(keep=False)
+        return _not_reserved(AttemptOutcome.NOT_RUN, "a request's response came")
     is_misdirected = dialect.is_misdirected(response)
     if not is_misdirected:
         on_signals(dialect.upstream_signals(response))
--- a/lavenderspoke/direct/runproof.py
+++ b/lavenderspoke/direct/runproof.py
@@ -1,8 +1,8 @@
 """What an upstream's response proves about the request that was sent to it.
 
 A refusal promises that its request has not run and never will, and callers then send
-it again. What proves that is decided here alone, for plain requests, streams, second
-attempts and reservations.
+it again. What proves that is decided here alone, for plain requests, streams and second
+attempts.
 """
 
 import enum
