--- a/features/soak_promises.feature
+++ b/features/soak_promises.feature
@@ -37,6 +37,7 @@
       | was repeated after the close of a kill and ran twice      |
       | is answered 503 with the signature of a 503               |
       | was refused beside copies and is told that it may have run |
+      | was truly refused beside a harmed upstream and may have run |
 
   Scenario Outline: The share that is served in calm is checked
     Guards against refusing all work, which keeps every promise.
@@ -74,5 +75,6 @@
   Scenario: Schedules hold every trouble
     Guards against a soak in which some trouble is never drawn.
     Then the seeds 1 to 100 hold all kinds of refusals, copies, lost answers, suspensions and stops while busy
+    And no trouble of the seeds 1 to 100 leaves what refusals say to another one
     And the seeds 1 to 100 leave a part without troubles
     And one in 10 of the seeds 1 to 100 is large
--- a/features/steps/soak_promises_steps.py
+++ b/features/steps/soak_promises_steps.py
@@ -110,6 +110,14 @@
             return Case(sent=[told(503)])
         case "was truly refused and is told that it may have run":
             return Case(sent=[told(502)], refusals=[refusal()], arrivals=[ARRIVED])
+        case "was truly refused beside a harmed upstream and may have run":
+            harmed = Span(subject="desk-1", from_s=AT_S, to_s=AT_S + 1)
+            return Case(
+                sent=[told(502)],
+                refusals=[refusal()],
+                arrivals=[ARRIVED],
+                disturbed=[harmed],
+            )
         case "was truly refused and is promised not to run":
             return Case(sent=[promised()], refusals=[refusal()])
         case "was refused unproven and is told that it may have run":
@@ -222,6 +230,19 @@
     assert stops > 3 * (last + 1 - first), stops
 
 
+@then(
+    "no trouble of the seeds {first:d} to {last:d} leaves what refusals say to another "
+    "one"
+)
+def step_complete(context, first, last):
+    for action in of_kind(actions(first, last), events.UpstreamInTrouble):
+        faults = action.faults
+        if "refuses" in faults:
+            assert {"refusal_says", "refuses_after_run", "refuses_each"} <= set(faults)
+            is_proof = faults["refusal_says"] == "not executed, id"
+            assert not (is_proof and faults["refuses_after_run"]), faults
+
+
 @then("the seeds {first:d} to {last:d} leave a part without troubles")
 def step_some_without(context, first, last):
     without = [
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,7 +5,7 @@
 """
 
 from soak.callers import Sent
-from soak.record import GRACE_OWED, GRACE_S, Record, Run
+from soak.record import GRACE_OWED, GRACE_S, Record, Refusal, Run
 from soak.retries import CLOSED, NOT_RUN
 from standins.platformdeployment import KEY
 
@@ -124,10 +124,11 @@
 def refusals_told(record: Record) -> list[str]:
     """What upstreams truly refused, and nobody ran, isn't answered as if it may have.
 
-    A caller that isn't told so may not send it again.
+    A caller that isn't told so may not send it again. Where another upstream of the
+    service was disturbed, it may have been sent there too and cut off before it came.
     """
     runs = record.runs_of()
-    refusals: dict[str, list] = {}
+    refusals: dict[str, list[Refusal]] = {}
     for each in record.refusals:
         refusals.setdefault(each.attempt_id, []).append(each)
     arrived: dict[str, int] = {}
@@ -143,11 +144,19 @@
         and (found := refusals.get(sent.attempt_id))
         and all(each.is_proof for each in found)
         and len(found) == arrived.get(sent.attempt_id)
-        and record.calm((sent.entry,), sent.sent_s, sent.ended_s)
+        and record.calm(
+            (sent.entry, *_others(record, sent, found)), sent.sent_s, sent.ended_s
+        )
         and _has_time(record, sent)
     ]
 
 
+def _others(record: Record, sent: Sent, refusals: list[Refusal]) -> set[str]:
+    """Return the upstreams of a request's service that didn't refuse it."""
+    upstreams = record.models if sent.kind.is_stream else record.desks
+    return set(upstreams) - {each.upstream for each in refusals}
+
+
 def served_in_calm(record: Record) -> list[str]:
     """Most plain requests are served while nothing they need is disturbed."""
     subjects = ("store", *record.entries, *record.desks)
--- a/soak/record.py
+++ b/soak/record.py
@@ -5,7 +5,7 @@
 import attrs
 
 from soak.callers import Sent
-from soak.events import DESKS, ENTRIES
+from soak.events import DESKS, ENTRIES, MODELS
 
 # How long after a disturbance an entry's time bounds hold again, in seconds.
 CALM_AFTER_S = 3.0
@@ -107,6 +107,7 @@
     leaving_said: tuple[Span, ...] = ()
     refusals: tuple[Refusal, ...] = ()
     entries: tuple[str, ...] = ENTRIES
+    models: tuple[str, ...] = MODELS
     desks: tuple[str, ...] = DESKS
 
     def calm(self, subjects: tuple[str, ...], from_s: float, to_s: float) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -183,6 +183,7 @@
         platform, upstreams = self._platform, self._size.upstreams
         return Record(
             entries=self._size.entries,
+            models=self._size.models,
             desks=self._size.desks,
             sent=tuple(self._callers.sent),
             runs=truth.runs(platform, upstreams, without=CRASHING_PATH),
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -111,7 +111,10 @@
 
 
 def _refusing(random: Random, says: str) -> dict:
+    # All of it, so that two troubles that overlap don't make an upstream that claims
+    # not to have run what it ran: nobody could know.
     return {
+        "refuses_after_run": False,
         "refuses": random.choice(STATUSES),
         "refuses_each": random.choice(SHARES),
         "refusal_says": says,
