Count late responses, and tests that can't pass for nothing

The rows about refusals without a proof also passed if nothing was refused; they now want 502 for each caller, and each request at an upstream. The scenario of late copies wants that copies were met, for which skipped late responses are counted by status in direct_late_responses.

--- a/features/refusal_proofs.feature
+++ b/features/refusal_proofs.feature
@@ -33,6 +33,7 @@
     When 6 callers send requests that must run at most once for 4 s
     Then no caller was promised "not run" for a request that ran
     And no request that must run at most once ran twice
+    And late copies were met
     And most requests were served
 
   Scenario Outline: A true refusal is answered at once
--- a/features/steps/refusal_proofs_steps.py
+++ b/features/steps/refusal_proofs_steps.py
@@ -11,6 +11,7 @@
 
 from features.platformstage import deploy, set_all, start_upstreams
 from standins.platformdeployment import Answer
+from standins.processes import HOST
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 # Statuses that promise that the request has not run and never will.
@@ -121,8 +122,12 @@
 
 @then("no caller is promised that its request did not run")
 def step_no_promise(context):
-    assert all(each.answer is not None for each in context.told), summary(context)
-    assert not any(each.status in PROMISES for each in context.told), summary(context)
+    # Any other status would hide that a request wasn't refused, or reached nobody.
+    assert [each.status for each in context.told] == [502] * len(ENTRIES), summary(
+        context
+    )
+    ran = runs(context)
+    assert all(ran[each.attempt_id] for each in context.told), ran
 
 
 @then("no caller gets a response that is signed")
@@ -152,6 +157,20 @@
     assert not twice, (len(twice), summary(context))
 
 
+@then("late copies were met")
+def step_copies_met(context):
+    skipped = sum(late_responses(context.platform.entries[name]) for name in ENTRIES)
+    assert skipped, summary(context)
+
+
+def late_responses(entry) -> int:
+    """Return how many late responses an entry has read and discarded."""
+    url = f"http://{HOST}:{entry.readiness}/metrics"
+    lines = urllib3.request("GET", url).data.decode().splitlines()
+    values = [line.split()[-1] for line in lines if "late_responses" in line]
+    return sum(int(float(each)) for each in values if each.replace(".", "").isdigit())
+
+
 @then("most requests were served")
 def step_served(context):
     served = sum(each.status == 200 for each in context.told)
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -61,6 +61,7 @@
 WRITE_WAIT_MIN_S = 0.001
 CONNECTIONS_METRIC = "direct_connections"
 FRAMING_METRIC = "direct_response_framing"
+LATE_METRIC = "direct_late_responses"
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -425,7 +426,10 @@
         connection.bounds.expect_within(head_timeout_s)
         connection.response_class = functools.partial(
             connection.sent_requests.expect(
-                method=method, headers=headers, name_of=self._name_of
+                method=method,
+                headers=headers,
+                name_of=self._name_of,
+                on_late=functools.partial(self._metrics.count, LATE_METRIC),
             ),
             bounds=connection.bounds,
         )
--- a/lavenderspoke/http/lateresponses.py
+++ b/lavenderspoke/http/lateresponses.py
@@ -29,6 +29,14 @@
 """Returns the name of the request that headers belong to, empty if they tell none."""
 
 
+OnLate = Callable[[str], None]
+"""Called with the status of each late response that was skipped, such as "503"."""
+
+
+def ignored(status: str) -> None:
+    """Do nothing about a late response."""
+
+
 def unnamed(headers: Headers) -> str:
     """Return no name: these requests have none."""
     return ""
@@ -41,7 +49,12 @@
         self._methods: OrderedDict[str, str] = OrderedDict()
 
     def expect(
-        self, *, method: str, headers: Mapping[str, str], name_of: NameOf
+        self,
+        *,
+        method: str,
+        headers: Mapping[str, str],
+        name_of: NameOf,
+        on_late: OnLate = ignored,
     ) -> Callable[..., "ExpectedResponse"]:
         """Note a request that is about to be sent; return the class of its response."""
         name = name_of(tuple(headers.items()))
@@ -52,7 +65,9 @@
             self._methods[name] = method
         if len(self._methods) > NAMES_MAX:
             self._methods.popitem(last=False)
-        return functools.partial(ExpectedResponse, earlier=earlier, name_of=name_of)
+        return functools.partial(
+            ExpectedResponse, earlier=earlier, name_of=name_of, on_late=on_late
+        )
 
 
 class ExpectedResponse(BoundedResponse):
@@ -68,11 +83,13 @@
         bounds: ReadBounds,
         earlier: Mapping[str, str],
         name_of: NameOf,
+        on_late: OnLate,
         **kwargs,
     ):
         super().__init__(*args, bounds=bounds, **kwargs)
         self._earlier = earlier
         self._name_of = name_of
+        self._on_late = on_late
         self._is_skipping = False
 
     def begin(self) -> None:
@@ -80,7 +97,9 @@
         for _ in range(LATE_RESPONSES_MAX):
             if not self._is_late():
                 return
+            status = str(self.status)
             self._skip()
+            self._on_late(status)
             super().begin()
 
     def _is_late(self) -> bool:
