--- a/features/refusal_proofs.feature
+++ b/features/refusal_proofs.feature
@@ -47,3 +47,9 @@
       | status |
       | 503    |
       | 429    |
+
+  Scenario: Heads of responses of every kind
+    Guards against any head that counts as a proof without being one.
+    When responses with heads of every kind come to a request
+    Then only marked refusals that name it count as not run
+    And there were refusals, answers and heads that can't be read among them
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -40,7 +40,7 @@
     no_slot_available,
 )
 from lavenderspoke.direct.relocation import HeldSlot, Relocation
-from lavenderspoke.direct.runproof import AttemptFinding, Finding, find
+from lavenderspoke.direct.runproof import AttemptFinding, Finding, finding_of
 from lavenderspoke.direct.tickets import Decision, Dispatch, Refusal, Refuse, Ticket
 from lavenderspoke.http.eventstream import Events, EventSplitter, EventTooLong
 from lavenderspoke.http.framing import Framing
@@ -391,7 +391,9 @@
 
     def _check_head(self, attempt: Attempt) -> None:
         response = attempt.response
-        attempt.finding = finding = find(response, self.accepted.head, self._dialect)
+        attempt.finding = finding = finding_of(
+            response, self.accepted.head, self._dialect
+        )
         if finding.is_of_upstream:
             self._record_signals(attempt)
         if finding.outcome not in NOT_RUN_OUTCOMES:
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -30,7 +30,7 @@
 )
 from lavenderspoke.direct.hedging import HedgePlan, HedgeResult
 from lavenderspoke.direct.relocation import HeldSlot
-from lavenderspoke.direct.runproof import AttemptFinding, Finding, find
+from lavenderspoke.direct.runproof import AttemptFinding, Finding, finding_of
 
 # Largest body of a hedged request, in bytes. It fits into a socket's send buffer, so
 # that the timeout after which a second attempt is due never interrupts its sending.
@@ -159,7 +159,7 @@
         self, received: UpstreamResponse, sent_s: float
     ) -> tuple[AttemptOutcome, UpstreamResponse]:
         upstream = self.slot.upstream
-        finding = find(received, self.accepted.head, self.dialect)
+        finding = finding_of(received, self.accepted.head, self.dialect)
         self.found = AttemptFinding.of(upstream, finding, received)
         if finding.is_of_upstream:
             signals = self.dialect.upstream_signals(received)
--- a/lavenderspoke/direct/runproof.py
+++ b/lavenderspoke/direct/runproof.py
@@ -21,7 +21,7 @@
 class Finding(enum.StrEnum):
     """What is known of an attempt at an upstream from its response.
 
-    - `NOT_SENT`: no connection was opened, so nothing was sent.
+    - `NOT_SENT`: nothing was sent: no connection opened, or too late.
     - `NO_RESPONSE`: it was sent, and no whole response head came.
     - `NOT_EXECUTED`, `MISDIRECTED`: the upstream, or another one at its address, says
       that it did not run this request.
@@ -93,7 +93,9 @@
         return f"{self.upstream_id}: {self.finding}{status}"
 
 
-def find(response: UpstreamResponse, head: RequestHead, dialect: Dialect) -> Finding:
+def finding_of(
+    response: UpstreamResponse, head: RequestHead, dialect: Dialect
+) -> Finding:
     """Return what the head of a response proves about the request with `head`."""
     if dialect.names_another(response, head):
         return Finding.OTHER_REQUEST
