Explanations of logs import nothing but what logs hold

explaining.py read the values of a field from the model, which that package may not import (features/rooms.feature failed; it passes now). They are the words in the log.

--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -11,7 +11,6 @@
 
 import attrs
 
-from lavenderspoke.model import Ran
 from lavenderspoke.observing import signals
 from lavenderspoke.problems import Reason
 
@@ -40,8 +39,8 @@
 OVERDUE_MEANING = "It was still handled past its deadline when its entry logged this."
 # What a refusal told its caller, by the request's field `ran`.
 PROMISES = {
-    Ran.NO.value: 'Its caller was told "not run"',
-    Ran.UNKNOWN.value: "Its caller was told that it may have run",
+    "no": 'Its caller was told "not run"',
+    "unknown": "Its caller was told that it may have run",
 }
 DEFERRED_MEANING = " Requests of other customers went first."
 
