Take only recorded versions for known ones after a start of all entries

Callers who took a stream up after a kill of all entries got 200 and the rest of another version's text, with nothing in the answer to show it: where the versions changed 0.1 s before the kill or while no entry ran, and where the store came back from a copy without the record.

Cause: services were recorded in the store once two of their versions had been listed, by a process that had to live until then, and an entry that started took an absent record for the proof that only the listed version had served.

Each version is recorded before the first event of any of its streams goes out, under a key of its own, so that two writers can't overwrite each other. The first entry by name writes it as it is listed, and any other that is to begin a stream of it; a first event waits 0.5 s at most, and is counted as "unrecorded" then. A record goes once its version hasn't been listed for a minute, by an entry that knows all versions and has a recent list. Records name the store's copy, so that one that came back without some isn't believed.

Tests: VersionRecords' scenario held the old behaviour, that one version isn't recorded; it is replaced by one about single versions. An entry that reads a record of v0 after 61 s with v1 alone took v1 for the only one: a record is there only while streams of v0 may be taken up, so it doesn't now.

--- a/features/stream_version_records.feature
+++ b/features/stream_version_records.feature
@@ -26,19 +26,42 @@
       | has read a list of v1 for 61 s                                    | v1      |
       | has read a list of v1 and v2, and the store's records             | none    |
       | has read a list of v1, and the store's records with v0            | none    |
-      | has read a list of v1 for 61 s, and the store's records with v0   | v1      |
+      | has read a list of v1 for 61 s, and the store's records with v0   | none    |
+      | has read a list of v1, and the store's records with v1            | v1      |
+      | has read a list of v1, and the store's records with v0 and v1     | none    |
+      | has read a list of v1, and the store's records with v1 of an older copy | none    |
       | has read a list of v1, and none for 5 s                           | none    |
       | has read a list of v1, and of v2 in its place 59 s ago            | none    |
       | has read a list of v1, and of v2 in its place 61 s ago            | v2      |
 
-  Scenario: Several versions are recorded in the store, until one is left
-    Guards against entries that start and know nothing, and against a record that stays.
-    Given the records of the versions of a service
-    Then the first entry writes "v1, v2" at once, and the others after 12 s
-    And once that is read, nobody writes it again
-    And the first entry adds "v3" at once
-    And it deletes the record once one version is left
+  Scenario: Versions are recorded before they are used, until they are gone
+    Guards against entries that start and take an absent record for a version that never was.
+    Given the records of the versions of a service, read from an empty store
+    Then the first entry writes "v1" at once, and the others after 12 s
+    And an entry that is to begin a stream of "v1" writes it at once
+    And once that is written, nobody writes it again
+    And the first entry adds "v2" at once
+    And it deletes "v1" once only "v2" was listed lately
+    And an entry that doesn't know all versions deletes none
     And a copy of the store without the record gets it again
+    And so does one whose record is of an older copy, from an entry that knows all
+
+  Scenario: An entry has just started and hasn't read the records yet
+    Guards against a record that tells less than the one that it replaces.
+    Given an entry whose store isn't read yet
+    Then it writes no record of "v1"
+    When it reads that "v1" is recorded in this copy of the store
+    Then it knows all versions, and writes no record of "v1"
+
+  Scenario Outline: The store doesn't take the record of a version
+    Guards against streams that wait for a store that is away.
+    Given an entry whose store <state>
+    Then the first event of a version waits for <s> s, and the next for 0.0 s
+
+    Examples:
+      | state           | s   |
+      | takes no writes | 0.5 |
+      | isn't read yet  | 0.0 |
 
   Scenario Outline: Others are told before the first event goes out
     Guards against an event that goes out while only its entry knows the version.
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -32,6 +32,7 @@
 from lavenderspoke.direct.refusals import not_run, version_gone, version_unknown
 from lavenderspoke.direct.runproof import FINDINGS_METRIC
 from lavenderspoke.direct.startuphold import StartupHold
+from lavenderspoke.direct.streamexchange import Source
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
 from lavenderspoke.http.callerwatch import CallerWatch, has_left
@@ -78,6 +79,8 @@
     content: str = ""
     shared_parts: tuple[str, ...] = ()
     resumed_id: str | None = None
+    # At which version a stream that its caller takes up goes on, and how that is known.
+    taken_up: str | None = None
     handler: RequestHandler | None = None
     is_stream: bool = False
     response_began_s: float | None = None
@@ -303,6 +306,7 @@
             origin = self._dispatcher.find_stream_origin(
                 head.resumed_id, service, until_s=arrived_s + timeout_s
             )
+            record.taken_up = str(origin or Source.UNKNOWN.value)
             if origin is None:
                 return Err(version_unknown(head.resumed_id))
             if not route.allows(origin.service):
@@ -379,6 +383,7 @@
             ran=record.ran,
             versions=(handler.versions or None) if handler else None,
             resumes=record.resumed_id,
+            taken_up=record.taken_up,
             framing=(handler.framing or None) if handler else None,
             held_back=(handler.held_back or None) if handler else None,
             booking=(handler.booking or None) if handler else None,
--- a/lavenderspoke/direct/storedfacts.py
+++ b/lavenderspoke/direct/storedfacts.py
@@ -1,7 +1,7 @@
 """What an entry records in the platform's store for entries that start later.
 
-These are crashes of upstreams, quarantines of content, and the services of which
-several versions serve.
+These are crashes of upstreams, quarantines of content, and the software versions of
+services.
 """
 
 import threading
@@ -12,7 +12,7 @@
 from lavenderspoke.direct.quarantinerecords import QuarantineRecords
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.verdicts import UpstreamMonitor
-from lavenderspoke.direct.versionrecords import VersionChanges, VersionRecords
+from lavenderspoke.direct.versionrecords import RecordedVersion, VersionChanges
 from lavenderspoke.quarantine.messages import Quarantined
 
 
@@ -39,7 +39,6 @@
         self._clock = clock
         self._lock = lock
         self._quarantines = QuarantineRecords()
-        self._versions = VersionRecords()
 
     # Quarantines
 
@@ -124,31 +123,26 @@
 
     def versions_read(
         self,
-        present: dict[str, tuple[str, ...]],
+        present: dict[str, RecordedVersion],
         deleted: tuple[str, ...],
         *,
         is_snapshot: bool,
+        epoch: int | None,
     ) -> None:
-        """Apply the services with several versions that the store holds."""
-        with self._lock:
-            self._versions.read(present, deleted, is_snapshot=is_snapshot)
-        if is_snapshot:
-            self._stream_versions.read_records(present)
+        """Apply the versions that the store holds, in its copy `epoch`."""
+        self._stream_versions.read_records(
+            present, deleted, is_snapshot=is_snapshot, epoch=epoch
+        )
 
     def versions_due(self) -> VersionChanges:
-        """Return the records of services with several versions to write or delete."""
-        mixed = self._stream_versions.mixed_services()
-        with self._lock:
-            is_first = all(self._name < each for each in self._live_peer_names())
-            now_s = self._clock.monotonic_s()
-            return self._versions.due(mixed, is_first=is_first, now_s=now_s)
+        """Return the records of versions to write or delete."""
+        is_first = all(self._name < each for each in self._live_peer_names())
+        return self._stream_versions.records_due(is_first=is_first)
 
-    def versions_written(self, service: str, versions: tuple[str, ...]) -> None:
-        """Record that the store has the versions of a service."""
-        with self._lock:
-            self._versions.record_written(service, versions)
+    def version_written(self, record: RecordedVersion) -> None:
+        """Record that the store has the record of a version."""
+        self._stream_versions.records.record_written(record)
 
-    def versions_deleted(self, service: str) -> None:
-        """Record that the store no longer has the versions of a service."""
-        with self._lock:
-            self._versions.record_deleted(service)
+    def version_deleted(self, key: str) -> None:
+        """Record that the store no longer has the record of a version."""
+        self._stream_versions.records.record_deleted(key)
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -48,6 +48,8 @@
 # Time after an entry's start in which it waits for all others that it knows of.
 ALL_HEARD_S = 3.0
 STREAM_VERSIONS = "stream_versions"
+# Counts first events that went out before the store had their version.
+UNRECORDED = "unrecorded"
 
 log = logbook.Logger(__name__)
 
@@ -72,10 +74,18 @@
 
 @attrs.frozen(kw_only=True)
 class StreamOrigin:
-    """The service and the version at which a stream that is taken up began."""
+    """The service and the version at which a stream that is taken up began.
+
+    >>> str(StreamOrigin(service="model", version="v1", source=Source.ASKED))
+    'v1, asked'
+    """
 
     service: str
     version: str
+    source: Source
+
+    def __str__(self) -> str:
+        return f"{self.version}, {self.source.value}"
 
 
 class _Call:
@@ -124,6 +134,8 @@
         """Tell others of a stream before its first event goes out."""
         row = (attempt_id, service, version)
         self._versions.record(row)
+        if not self._versions.records.wait_recorded(service, version):
+            self._metrics.count(STREAM_VERSIONS, UNRECORDED)
         if self._versions.only_version(service) is not None:
             told = Told.NOT_NEEDED
         else:
@@ -151,7 +163,8 @@
         Without any knowledge of the stream it must have been at `service`, if only one
         version of that has served lately.
         """
-        origin, source = self._find(attempt_id, service, until_s)
+        origin = self._find(attempt_id, service, until_s)
+        source = Source.UNKNOWN if origin is None else origin.source
         self._metrics.count(STREAM_VERSIONS, source.value)
         return origin
 
@@ -185,16 +198,24 @@
 
     def _find(
         self, attempt_id: str | None, service: str, until_s: float
-    ) -> tuple[StreamOrigin | None, Source]:
-        if attempt_id is not None and (row := self._versions.find(attempt_id)):
-            return _origin(row), Source.KNOWN
+    ) -> StreamOrigin | None:
+        if origin := self._origin_of(attempt_id, Source.KNOWN):
+            return origin
         if (version := self._versions.only_version(service)) is not None:
-            return StreamOrigin(service=service, version=version), Source.ONLY_ONE
-        if attempt_id is not None:
-            self._ask(attempt_id, until_s)
-            if row := self._versions.find(attempt_id):
-                return _origin(row), Source.ASKED
-        return None, Source.UNKNOWN
+            return StreamOrigin(
+                service=service, version=version, source=Source.ONLY_ONE
+            )
+        if attempt_id is None:
+            return None
+        self._ask(attempt_id, until_s)
+        return self._origin_of(attempt_id, Source.ASKED)
+
+    def _origin_of(self, attempt_id: str | None, source: Source) -> StreamOrigin | None:
+        row = None if attempt_id is None else self._versions.find(attempt_id)
+        if row is None:
+            return None
+        _, service, version = row
+        return StreamOrigin(service=service, version=version, source=source)
 
     def _tell(self, row: StreamRow) -> Told:
         recipients = self._told_entries(row[0])
@@ -247,8 +268,3 @@
         elsewhere = [n for n, each in ranked if each.data_centre != self._data_centre]
         names = elsewhere[:1] + [name for name, _ in ranked]
         return list(dict.fromkeys(names))[:TOLD_ENTRIES]
-
-
-def _origin(row: StreamRow) -> StreamOrigin:
-    _, service, version = row
-    return StreamOrigin(service=service, version=version)
--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -14,6 +14,12 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.versionrecords import (
+    RecordedVersion,
+    ServiceVersion,
+    VersionChanges,
+    VersionRecords,
+)
 from lavenderspoke.observing import signals
 
 # Time for which a stream's version is kept after it was last told of, in seconds: well
@@ -45,7 +51,7 @@
     """The versions of each service that were listed lately.
 
     An entry doesn't know what was listed before its start until `KEPT_S` later, or
-    until it has read from the platform's store where there were several versions.
+    until it has read from the platform's store all versions that are recorded there.
 
     >>> versions = ListedVersions(now_s=0.0)
     >>> versions.update([("s", "v1")], 1.0)
@@ -58,19 +64,25 @@
     def __init__(self, *, now_s: float):
         self._complete_from_s = now_s + KEPT_S
         self._last_listed_s: dict[str, dict[str, float]] = defaultdict(dict)
+        self._recorded: frozenset[ServiceVersion] = frozenset()
 
     def update(self, listed: Iterable[tuple[str, str]], now_s: float) -> None:
         """Apply the services and versions of the upstreams that are listed now."""
         for service, version in listed:
             self._last_listed_s[service][version] = now_s
 
-    def read_records(self, records: Mapping[str, Iterable[str]], now_s: float) -> None:
-        """Apply the services of which other entries have seen several versions."""
-        if now_s < self._complete_from_s:
-            for service, versions in records.items():
-                for version in versions:
-                    self._last_listed_s[service].setdefault(version, now_s)
-        self._complete_from_s = min(self._complete_from_s, now_s)
+    def update_recorded(
+        self, recorded: frozenset[ServiceVersion], now_s: float, *, is_complete: bool
+    ) -> None:
+        """Apply the versions that the store has; all of them if it `is_complete`.
+
+        One that wasn't recorded before may have begun streams until now.
+        """
+        for service, version in recorded - self._recorded:
+            self._last_listed_s[service].setdefault(version, now_s)
+        self._recorded = recorded
+        if is_complete:
+            self._complete_from_s = min(self._complete_from_s, now_s)
 
     def recent(self, service: str, now_s: float) -> tuple[str, ...]:
         """Return the versions of which a stream may still be taken up."""
@@ -88,17 +100,25 @@
         return now_s >= self._complete_from_s
 
     def only_version(self, service: str, now_s: float) -> str | None:
-        """Return the version that began all streams of a service, if only one did."""
-        recent = self.recent(service, now_s)
-        if len(recent) != 1 or not self.is_complete(now_s):
+        """Return the version that began all streams of a service, if only one did.
+
+        A record stays until no stream of its version can be taken up.
+        """
+        recorded = {version for name, version in self._recorded if name == service}
+        possible = recorded.union(self.recent(service, now_s))
+        if len(possible) != 1 or not self.is_complete(now_s):
             return None
-        return recent[0]
+        return possible.pop()
 
 
 class StreamVersions:
-    """The versions of recent streams; thread-safe."""
+    """The versions of recent streams, and of the upstreams that may have begun any.
+
+    Thread-safe. `records` are what the platform's store has of them.
+    """
 
     def __init__(self, *, clock: Clock):
+        self.records = VersionRecords(clock=clock)
         self._clock = clock
         self._lock = threading.Lock()
         self._begun: OrderedDict[str, _Begun] = OrderedDict()
@@ -121,26 +141,41 @@
         """Record that a read sent at `sent_s` has returned all upstreams."""
         self._read_s = max(self._read_s, sent_s)
 
-    def read_records(self, records: Mapping[str, Iterable[str]]) -> None:
-        """Apply what the store has of services with several versions, all of them."""
+    def read_records(
+        self,
+        present: Mapping[str, RecordedVersion],
+        deleted: Iterable[str],
+        *,
+        is_snapshot: bool,
+        epoch: int | None,
+    ) -> None:
+        """Apply the records of versions in the store, by key."""
+        is_complete = self.records.read(
+            present, deleted, is_snapshot=is_snapshot, epoch=epoch
+        )
         with self._lock:
-            self._versions.read_records(records, self._clock.monotonic_s())
+            self._versions.update_recorded(
+                self.records.pairs(),
+                self._clock.monotonic_s(),
+                is_complete=is_complete,
+            )
 
-    def mixed_services(self) -> dict[str, tuple[str, ...]]:
-        """Return the services of which several versions were listed lately."""
+    def records_due(self, *, is_first: bool) -> VersionChanges:
+        """Return the records to write or delete; `is_first` of all live entries."""
         with self._lock:
             self._note_listed()
             now_s, versions = self._clock.monotonic_s(), self._versions
             recent = {
                 each: versions.recent(each, now_s) for each in versions.services()
             }
-        return {each: several for each, several in recent.items() if len(several) > 1}
+            is_complete = versions.is_complete(now_s) and self._is_list_recent(now_s)
+        return self.records.due(recent, is_first=is_first, is_complete=is_complete)
 
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams of a service, if there is only one."""
         with self._lock:
             now_s = self._clock.monotonic_s()
-            if now_s >= self._read_s + LIST_AGE_MAX_S:
+            if not self._is_list_recent(now_s):
                 # Another version may have begun to serve meanwhile.
                 return None
             self._note_listed()
@@ -180,6 +215,9 @@
             unsent, self._unsent = self._unsent, []
             return tuple(unsent)
 
+    def _is_list_recent(self, now_s: float) -> bool:
+        return now_s < self._read_s + LIST_AGE_MAX_S
+
     def _note_listed(self) -> None:
         listed = {(each.service, each.version) for each in self._listed}
         self._versions.update(listed, self._clock.monotonic_s())
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -20,7 +20,7 @@
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
 from lavenderspoke.periodic import Periodic
-from lavenderspoke.platform import crashrecords, mixedversions, quarantines
+from lavenderspoke.platform import crashrecords, quarantines, versionrecords
 from lavenderspoke.platform.burstcredits import CreditWriter
 from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter, part_of
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
@@ -219,7 +219,10 @@
 
     def versions_due() -> DueRecords:
         changes = facts.versions_due()
-        return DueRecords(writes=dict(changes.writes), deletions=changes.deletions)
+        return DueRecords(
+            writes={each.key: each for each in changes.writes},
+            deletions=list(changes.deletions),
+        )
 
     writer = functools.partial(
         RecordWriter, store=store, clock=clock, metrics=entry.metrics
@@ -243,11 +246,12 @@
             on_deleted=facts.quarantine_deleted,
         ),
         writer(
-            prefix=mixedversions.KEY_PREFIX,
+            prefix=versionrecords.KEY_PREFIX,
             metric=STREAM_VERSIONS,
             due=versions_due,
-            on_written=facts.versions_written,
-            on_deleted=facts.versions_deleted,
+            encode=attrs.asdict,
+            on_written=lambda key, record: facts.version_written(record),
+            on_deleted=facts.version_deleted,
         ),
     ]
     return part_of(writers)
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -18,17 +18,18 @@
 from lavenderspoke.direct.records import KeyedRecord, RecordBatch
 from lavenderspoke.direct.relay import Relay
 from lavenderspoke.direct.sharing import EntryLocation
+from lavenderspoke.direct.versionrecords import RecordedVersion
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
 from lavenderspoke.platform.crashrecords import is_crash, read_crashes
 from lavenderspoke.platform.decoding import parse_as
-from lavenderspoke.platform.mixedversions import is_versions, read_versions
 from lavenderspoke.platform.quarantines import is_quarantine, read_quarantines
 from lavenderspoke.platform.registry import Registry
 from lavenderspoke.platform.rollouts import OrderTracker
 from lavenderspoke.platform.store import Store
+from lavenderspoke.platform.versionrecords import is_version, read_versions
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -306,12 +307,13 @@
 
     def versions_read(
         self,
-        present: dict[str, tuple[str, ...]],
+        present: dict[str, RecordedVersion],
         deleted: tuple[str, ...],
         *,
         is_snapshot: bool,
+        epoch: int | None,
     ) -> None:
-        """Apply the services with several versions; a snapshot has all of them."""
+        """Apply the versions of services; a snapshot has all of them."""
 
 
 @attrs.frozen(kw_only=True)
@@ -333,9 +335,8 @@
     An entry writes its location, and the configuration in force: when the store comes
     back from an older copy, it is written again, and an entry that starts then learns
     of versions that the copy lacks. The topic also has customers' burst credits,
-    crashes of upstreams, quarantines of content and services with several software
-    versions, since a starting entry needs them before it serves, and one read is enough
-    for all.
+    crashes of upstreams, quarantines of content and software versions, since a starting
+    entry needs them before it serves, and one read is enough for all.
     """
 
     topic = ENTRIES_TOPIC
@@ -455,7 +456,10 @@
         versions = read_versions(batch.records)
         if versions.present or versions.deleted or is_snapshot:
             self._facts.versions_read(
-                versions.present, versions.deleted, is_snapshot=is_snapshot
+                versions.present,
+                versions.deleted,
+                is_snapshot=is_snapshot,
+                epoch=batch.epoch,
             )
 
     def leave(self) -> None:
@@ -470,5 +474,5 @@
 def _is_no_entry(record: KeyedRecord) -> bool:
     """Return whether a record of the entries' topic is another fact."""
     return any(
-        is_kind(record) for is_kind in (is_credit, is_crash, is_quarantine, is_versions)
+        is_kind(record) for is_kind in (is_credit, is_crash, is_quarantine, is_version)
     )
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -122,6 +122,8 @@
         # Where entries reach an upstream, if not at its own address: a proxy may
         # stand before it.
         self.reached_at: dict[str, str] = {}
+        # The version of each upstream that is listed.
+        self.listed: dict[str, str] = {}
         self._attempts = 0
         self._lock = threading.Lock()
 
@@ -183,6 +185,7 @@
             "version": version,
             "state": state,
         }
+        self.listed[name] = version
         self.put("keyed.servers", name + incarnation, record)
 
     def replace_upstream(
@@ -218,6 +221,7 @@
 
     def unregister(self, name: str) -> None:
         """Drop an upstream's record."""
+        self.listed.pop(name, None)
         self.put("keyed.servers", name, None)
 
     def entry(
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -43,6 +43,8 @@
     epoch: str = ""
     # The `host:port` at which those reach the store that are turned away.
     turned_away: tuple[str, ...] = ()
+    # Whether what the system writes is turned away, while its reads are served.
+    refuses_writes: bool = False
 
 
 class StoreStandIn:
@@ -102,6 +104,8 @@
         if request.path == "/v1/log-append":
             if topic in OPERATOR_TOPICS and not is_operator:
                 return json_reply({"reason": "forbidden"}, 403)
+            if self._faults.now.refuses_writes and not is_operator:
+                return json_reply({"reason": "full"}, 507)
             end_offset = request.number("timestamp", -1)
             return self._append(topic, request.body, end_offset)
         if request.path == "/v1/log-read":
