Record streams while several versions may have begun them

Each entry writes the versions of its own streams to a topic of the store, in batches and after their first events, as long as a service has several versions that may have begun one; once another version comes, also those of the last 20 s. An entry that has started within the last minute and doesn't know a stream reads the topic before it asks the others. All entries together write 40 batches a second at most.

--- a/features/rejoined_streams.feature
+++ b/features/rejoined_streams.feature
@@ -38,6 +38,31 @@
       | v2 replaces v1, 2.5 s pass                   | all entries are killed, v1 replaces v2, they start                 |
       | the store is copied, v2 replaces v1, 2.5 s pass | all entries are killed, v1 replaces v2, the store goes back, they start |
 
+  Scenario Outline: Both versions serve as all entries are killed
+    Guards against refusing all streams that are taken up after a kill of all entries.
+    Given upstreams m1 and m2 of v1, and m3, m4 and m5 of v2
+    When 12 streams begin through the entries in turn and are broken off
+    And it happens that <events>
+    And each stream is taken up through the entries in turn
+    Then none goes on at another version, and each that is refused didn't run
+    And all 12 go on
+
+    Examples:
+      | events                                                                       |
+      | 1.5 s pass, all entries are killed, they start                               |
+      | 1.5 s pass, all entries are killed, they start, 2.0 s pass                   |
+      | 1.5 s pass, all entries are killed, they start, all entries are killed, they start |
+
+  Scenario: The old version is gone as all entries are killed
+    Guards against refusing the streams of the version that still serves.
+    Given upstreams m1 and m2 of v1
+    And m3 and m4 of v2 that aren't listed yet
+    When it happens that v2 replaces v1, 2.5 s pass
+    And 6 streams begin through the entries in turn and are broken off
+    And it happens that 1.5 s pass, all entries are killed, they start
+    And each stream is taken up through the entries in turn
+    Then all 6 go on
+
   Scenario Outline: Only one version has served
     Guards against refusing streams of which only one version can be.
     Given upstreams m1 and m2 of v1
--- a/features/steps/stream_version_records_steps.py
+++ b/features/steps/stream_version_records_steps.py
@@ -1,5 +1,6 @@
 """Steps about what entries keep, tell and record of the versions of streams."""
 
+import itertools
 import re
 import threading
 import time
@@ -266,6 +267,63 @@
         assert wanted_s <= took_s < wanted_s + 0.1, took_s
 
 
+@given('an entry of {entries:d} that knows "{version}" as the only version')
+def step_only_known(context, entries, version):
+    context.entries = entries
+    new_versions(context)
+    read_list(context, version)
+    read_stored(context, version)
+    context.numbers = itertools.count()
+
+
+@when('{count:d} of its streams begin at "{version}"')
+def step_own_streams(context, count, version):
+    for number in itertools.islice(context.numbers, count):
+        context.versions.record((f"own-{number}", SERVICE, version))
+
+
+@when('"{version}" is listed too, and {count:d} of its streams begin at "{version_2}"')
+def step_listed_too(context, version, count, version_2):
+    read_list(context, "v1", version)
+    step_own_streams(context, count, version_2)
+
+
+def written(context) -> int:
+    context.rows = context.versions.take_journal_due(entries=context.entries)
+    return len(context.rows)
+
+
+@then("it writes no streams")
+def step_no_streams(context):
+    assert written(context) == 0
+
+
+@then("it writes {count:d} streams at once, and nothing more within {s:g} s")
+def step_writes_streams(context, count, s):
+    assert written(context) == count
+    rows = context.rows
+    context.clock.advance(s - 0.01)
+    assert written(context) == 0
+    context.clock.advance(0.01)
+    context.rows = rows
+
+
+@when("the store doesn't take them")
+def step_not_taken(context):
+    context.versions.journal.put_back(context.rows)
+
+
+@then("it writes {count:d} streams {s:g} s later")
+def step_writes_later(context, count, s):
+    assert written(context) == count
+
+
+@when("{s:g} s pass, and a stream begins whose id has {length:d} characters")
+def step_long_id(context, s, length):
+    context.clock.advance(s)
+    context.versions.record(("x" * length, SERVICE, "v2"))
+
+
 @attrs.define(kw_only=True)
 class Peers:
     """Other entries, which answer as they are sent something, or don't."""
--- a/features/stream_version_records.feature
+++ b/features/stream_version_records.feature
@@ -63,6 +63,25 @@
       | takes no writes | 0.5 |
       | isn't read yet  | 0.0 |
 
+  Scenario: Streams are recorded while several versions may have begun them
+    Guards against a store that gets a write for each stream, or none in a roll-out.
+    Given an entry of 3 that knows "v1" as the only version
+    When 5 of its streams begin at "v1"
+    Then it writes no streams
+    When "v2" is listed too, and 3 of its streams begin at "v2"
+    Then it writes 8 streams at once, and nothing more within 0.25 s
+    When the store doesn't take them
+    Then it writes 8 streams 0.25 s later
+    When 20.1 s pass, and a stream begins whose id has 300 characters
+    Then it writes no streams
+
+  Scenario: Many entries record their streams
+    Guards against a store that can't take what hundreds of entries write.
+    Given an entry of 400 that knows "v1" as the only version
+    When "v2" is listed too, and 1500 of its streams begin at "v2"
+    Then it writes 1000 streams at once, and nothing more within 10.0 s
+    And it writes 500 streams 10.0 s later
+
   Scenario Outline: Others are told before the first event goes out
     Guards against an event that goes out while only its entry knows the version.
     Given an entry with <others> other entries, of which <answering> confirm
--- a/lavenderspoke/direct/storedfacts.py
+++ b/lavenderspoke/direct/storedfacts.py
@@ -1,15 +1,16 @@
 """What an entry records in the platform's store for entries that start later.
 
-These are crashes of upstreams, quarantines of content, and the software versions of
-services.
+These are crashes of upstreams, quarantines of content, the software versions of
+services, and the versions of streams.
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.crashrecords import CrashRecordName, RecordedCrash
 from lavenderspoke.direct.quarantinerecords import QuarantineRecords
+from lavenderspoke.direct.streamjournal import StreamRow
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.direct.verdicts import UpstreamMonitor
 from lavenderspoke.direct.versionrecords import RecordedVersion, VersionChanges
@@ -146,3 +147,12 @@
     def version_deleted(self, key: str) -> None:
         """Record that the store no longer has the record of a version."""
         self._stream_versions.records.record_deleted(key)
+
+    def streams_due(self) -> tuple[StreamRow, ...]:
+        """Return the streams of this entry whose versions are to be recorded now."""
+        entries = 1 + len(self._live_peer_names())
+        return self._stream_versions.take_journal_due(entries=entries)
+
+    def streams_not_written(self, rows: Iterable[StreamRow]) -> None:
+        """Keep streams that the store didn't take."""
+        self._stream_versions.journal.put_back(rows)
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -4,6 +4,8 @@
 goes out, and waits for their confirmations, so that its death doesn't take the
 knowledge with it. Otherwise its neighbours learn with its next state. An entry that
 doesn't know a stream asks all others: it may have started since, or missed a message.
+Soon after its start it first reads what the platform's store has of streams, since
+all others may have ended too.
 
 Calls block the thread of the request for a short time at most.
 """
@@ -27,7 +29,8 @@
     VersionsTold,
 )
 from lavenderspoke.direct.sharing import EntryLocation
-from lavenderspoke.direct.streamversions import TOLD_AGAIN_S, StreamRow, StreamVersions
+from lavenderspoke.direct.streamjournal import StreamRow
+from lavenderspoke.direct.streamversions import KEPT_S, TOLD_AGAIN_S, StreamVersions
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
 
@@ -68,6 +71,7 @@
 
     KNOWN = "known"
     ONLY_ONE = "only_one"  # no other version has served lately
+    RECORDED = "recorded"  # in the platform's store
     ASKED = "asked"
     UNKNOWN = "unknown"
 
@@ -120,6 +124,7 @@
         metrics: Metrics,
     ):
         self.send: Callable[[str, StreamMessage], None] = lambda name, message: None
+        self.find_recorded: Callable[[str], StreamRow | None] = lambda attempt_id: None
         self._versions = versions
         self._data_centre = data_centre
         self._live = live
@@ -207,6 +212,11 @@
             )
         if attempt_id is None:
             return None
+        if self._clock.monotonic_s() < self._started_s + KEPT_S:
+            if row := self.find_recorded(attempt_id):
+                self._versions.merge((row,))
+            if origin := self._origin_of(attempt_id, Source.RECORDED):
+                return origin
         self._ask(attempt_id, until_s)
         return self._origin_of(attempt_id, Source.ASKED)
 
--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -14,6 +14,7 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.streamjournal import StreamJournal, StreamRow
 from lavenderspoke.direct.versionrecords import (
     RecordedVersion,
     ServiceVersion,
@@ -36,9 +37,6 @@
 
 log = logbook.Logger(__name__)
 
-StreamRow = tuple[str, str, str]
-"""The attempt that brought a stream's first event, its service and its version."""
-
 
 @attrs.frozen(kw_only=True)
 class _Begun:
@@ -114,11 +112,12 @@
 class StreamVersions:
     """The versions of recent streams, and of the upstreams that may have begun any.
 
-    Thread-safe. `records` are what the platform's store has of them.
+    Thread-safe. `records` and `journal` are what the platform's store has of them.
     """
 
     def __init__(self, *, clock: Clock):
         self.records = VersionRecords(clock=clock)
+        self.journal = StreamJournal(clock=clock)
         self._clock = clock
         self._lock = threading.Lock()
         self._begun: OrderedDict[str, _Begun] = OrderedDict()
@@ -171,6 +170,10 @@
             is_complete = versions.is_complete(now_s) and self._is_list_recent(now_s)
         return self.records.due(recent, is_first=is_first, is_complete=is_complete)
 
+    def take_journal_due(self, *, entries: int) -> tuple[StreamRow, ...]:
+        """Return the streams of this entry's own to be recorded now."""
+        return self.journal.take_due(self._has_several, entries=entries)
+
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams of a service, if there is only one."""
         with self._lock:
@@ -186,6 +189,7 @@
         with self._lock:
             self._put(row)
             self._unsent.append(row)
+        self.journal.record(row)
 
     def merge(self, rows: Iterable[StreamRow]) -> None:
         """Record streams that other entries have told of."""
@@ -215,6 +219,13 @@
             unsent, self._unsent = self._unsent, []
             return tuple(unsent)
 
+    def _has_several(self, service: str) -> bool:
+        """Return whether several versions may have begun streams of a service."""
+        with self._lock:
+            self._note_listed()
+            now_s = self._clock.monotonic_s()
+            return self._versions.only_version(service, now_s) is None
+
     def _is_list_recent(self, now_s: float) -> bool:
         return now_s < self._read_s + LIST_AGE_MAX_S
 
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -28,6 +28,7 @@
 from lavenderspoke.platform.settings import PlatformSettings
 from lavenderspoke.platform.settingsfile import read_settings
 from lavenderspoke.platform.store import Store
+from lavenderspoke.platform.streamrecords import JournalReader, JournalWriter
 from lavenderspoke.platform.wire import PlatformDialect
 from lavenderspoke.supervisor import Part
 from lavenderspoke.util import UserError
@@ -156,6 +157,11 @@
             facts=entry.dispatcher.facts,
         )
         self._facts = _fact_writer(entry, settings, clock)
+        entry.dispatcher.streams.find_recorded = JournalReader(
+            store=Store(address=settings.store, metrics=entry.metrics),
+            clock=clock,
+            metrics=entry.metrics,
+        ).find
         self._entry = entry
         self._checks = Periodic(
             name="checks", period_s=CHECKS_PERIOD_S, work=self._check
@@ -253,6 +259,14 @@
             on_written=lambda key, record: facts.version_written(record),
             on_deleted=facts.version_deleted,
         ),
+        JournalWriter(
+            name=entry.me.name,
+            store=store,
+            clock=clock,
+            metrics=entry.metrics,
+            take_due=facts.streams_due,
+            put_back=facts.streams_not_written,
+        ),
     ]
     return part_of(writers)
 
--- a/lavenderspoke/platform/entryrecords.py
+++ b/lavenderspoke/platform/entryrecords.py
@@ -5,7 +5,8 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import attrs
 import logbook
@@ -95,7 +96,14 @@
         return True
 
 
-def part_of(writers: list[RecordWriter]) -> Periodic:
+class DueWriter(Protocol):
+    """A writer of one kind of record."""
+
+    def write_due(self) -> None:
+        """Write what is due."""
+
+
+def part_of(writers: Iterable[DueWriter]) -> Periodic:
     """Return the part that writes and deletes the records of all kinds."""
 
     def write_due() -> None:
--- /dev/null
+++ b/lavenderspoke/platform/streamrecords.py
@@ -0,0 +1,145 @@
+"""Writes and reads the journal of streams in the platform's store.
+
+Its topic keeps no key, so that the store forgets batches by itself.
+"""
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+
+import logbook
+from result import Err, Ok, Result
+
+from lavenderspoke.clock import Clock
+from lavenderspoke.direct.records import (
+    KeyedRecord,
+    OffsetExpired,
+    StoreError,
+)
+from lavenderspoke.direct.streamjournal import StreamRow
+from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.store import Store
+
+TOPIC = "lavenderspoke-streams"
+# Pause after a failed call, in seconds.
+RETRY_PAUSE_S = 1.0
+# Time after a read in which another one is answered from it, in seconds.
+READ_AGAIN_S = 2.0
+# Responses that one read takes at most: each holds up to 1 MB.
+READS_MAX = 16
+JOURNAL_METRIC = "stream_journal"
+
+log = logbook.Logger(__name__)
+
+
+def decode_batch(record: KeyedRecord) -> tuple[StreamRow, ...]:
+    """Return the streams in a record, none if it is malformed.
+
+    >>> value = b'[["a1", "model", "v1"]]'
+    >>> decode_batch(KeyedRecord(key="entry-1", value=value, offset=0))
+    (('a1', 'model', 'v1'),)
+    """
+    rows = parse(record.value or b"").unwrap_or(None)
+    is_valid = isinstance(rows, list) and all(
+        isinstance(row, list)
+        and len(row) == 3
+        and all(isinstance(each, str) for each in row)
+        for row in rows
+    )
+    if not is_valid:
+        log.warning("streams of an entry skipped", offset=record.offset)
+        return ()
+    return tuple(tuple(row) for row in rows)
+
+
+class JournalWriter:
+    """Writes the streams that are due, one batch at a time.
+
+    `take_due()` returns them, and `put_back` takes those that the store didn't.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+        take_due: Callable[[], tuple[StreamRow, ...]],
+        put_back: Callable[[Iterable[StreamRow]], None],
+    ):
+        self._name = name
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._take_due = take_due
+        self._put_back = put_back
+        self._paused_until_s = 0.0
+
+    def write_due(self) -> None:
+        """Write the streams that are due."""
+        if self._clock.monotonic_s() < self._paused_until_s:
+            return
+        rows = self._take_due()
+        if not rows:
+            return
+        appended = self._store.append(TOPIC, self._name, json.dumps(rows).encode())
+        if isinstance(appended, Err):
+            self._paused_until_s = self._clock.monotonic_s() + RETRY_PAUSE_S
+            self._put_back(rows)
+            self._metrics.count(JOURNAL_METRIC, "not_written")
+            return
+        self._metrics.count(JOURNAL_METRIC, "written")
+
+
+class JournalReader:
+    """Finds streams in what all entries have written; thread-safe."""
+
+    def __init__(self, *, store: Store, clock: Clock, metrics: Metrics):
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._read_s = float("-inf")
+        self._rows: dict[str, StreamRow] = {}
+
+    def find(self, attempt_id: str) -> StreamRow | None:
+        """Return what the store has of the stream that an attempt began, if anything.
+
+        What was read is at most `READ_AGAIN_S` old. Requests that need it at the same
+        time share one read.
+        """
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            if now_s >= self._read_s + READ_AGAIN_S:
+                self._read_s = now_s
+                self._read()
+            return self._rows.get(attempt_id)
+
+    def _read(self) -> None:
+        read = self._read_all()
+        if isinstance(read, Err):
+            self._metrics.count(JOURNAL_METRIC, "not_read")
+            log.warning("streams of entries not read", error=read.err_value.detail)
+            return
+        self._metrics.count(JOURNAL_METRIC, "read")
+        self._rows = {row[0]: row for row in read.ok_value}
+
+    def _read_all(self) -> Result[list[StreamRow], StoreError]:
+        rows: list[StreamRow] = []
+        offset = 0
+        for _ in range(READS_MAX):
+            read = self._store.read(TOPIC, offset, wait_s=0.0)
+            if isinstance(read, Err):
+                return read
+            if isinstance(read.ok_value, OffsetExpired):
+                offset = read.ok_value.first_offset
+                continue
+            batch = read.ok_value
+            for record in batch.records:
+                rows += decode_batch(record)
+            if batch.next_offset == offset:
+                break
+            offset = batch.next_offset
+        return Ok(rows)
