Explain at which version a stream was taken up, and what that rests on

A request's line names the version and its source (taken_up), and explain puts it into words; the counters alone didn't tell which stream had which.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -88,6 +88,20 @@
     And the explanation contains "versions={'model-1': 'v1'}"
     And the explanation contains "versions of a service listed lately: service=model, versions=['v1', 'v2']"
 
+  Scenario Outline: A stream was taken up
+    Guards against a version that an operator can't trace to what is known of it.
+    Given a log file of a stream that was taken up as "<taken_up>"
+    When its id is explained from them
+    Then the explanation contains "<text>"
+
+    Examples:
+      | taken_up     | text                                                              |
+      | v1, known    | Its stream began at version v1: this entry knew the stream        |
+      | v1, only_one | at version v1: no other version is recorded in the store          |
+      | v1, recorded | at version v1: the store had the stream's record                  |
+      | v1, asked    | at version v1: another entry knew the stream                      |
+      | unknown      | The version that began its stream isn't known                     |
+
   Scenario: Lines are truncated, from other programs or out of order
     A log collector truncated a line, put names before others, and changed the order.
     Given log files with truncated, unrelated and reordered lines about one request
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -203,6 +203,14 @@
         context.files.append(str(path))
 
 
+@given('a log file of a stream that was taken up as "{taken_up}"')
+def step_taken_up(context, taken_up):
+    own = record(
+        3, "request", request="r1", resumes="r0", outcome="whole", taken_up=taken_up
+    )
+    write_logs(context, own, [])
+
+
 @then("the explanation omits ends in which it didn't run")
 def step_omits_ends(context):
     assert "model-9" not in context.done.stdout, context.done.stdout
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -12,6 +12,7 @@
 import attrs
 
 from lavenderspoke.observing import signals
+from lavenderspoke.observing.takeups import take_up_text
 from lavenderspoke.problems import Reason
 
 REQUEST_MESSAGE = "request"
@@ -185,6 +186,7 @@
         meaning = MEANINGS.get(outcome, f"It ended as {outcome}.")
     if waits := line.fields.get("waits"):
         meaning += f" It waited for {'; then '.join(map(str, waits))}."
+    meaning += take_up_text(line.fields)
     meaning += _proof_meaning(line.fields)
     if booking := line.fields.get("booking"):
         meaning += f" For its return: {booking}."
