Soak: upstreams change their version around kills of all entries

Callers take streams up as before, and the check of one version in a stream sees what they got. A stand-in's stream has the version of its beginning. Summaries count what came of streams that were taken up.

--- a/soak/actions.py
+++ b/soak/actions.py
@@ -21,6 +21,11 @@
     return soak.kill(action.entries)
 
 
+@begin.register(events.VersionChanged)
+def _(action, soak):
+    return soak.change_version(action.upstreams, action.software)
+
+
 @begin.register(events.EntryStopped)
 def _(action, soak):
     return soak.stop(action.entry)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -427,10 +427,16 @@
 
 
 def summary(record: Record) -> dict[str, int]:
-    """Return how often callers got what, by status; 0 stands for no answer."""
+    """Return how often callers got what, by status; 0 stands for no answer.
+
+    Streams that were taken up are counted once more.
+    """
     counts: dict[str, int] = defaultdict(int)
     for sent in record.sent:
         status = 0 if sent.answer is None else sent.answer.status
         whole = sent.answer is None or sent.answer.whole
-        counts[f"{status}" if whole else f"{status} cut"] += 1
+        got = f"{status}" if whole else f"{status} cut"
+        counts[got] += 1
+        if sent.resumes is not None:
+            counts[f"taken up {got}"] += 1
     return dict(sorted(counts.items()))
--- a/soak/events.py
+++ b/soak/events.py
@@ -20,6 +20,14 @@
     entries: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class VersionChanged:
+    """Upstreams of another software version take the place of some."""
+
+    upstreams: tuple[str, ...]
+    software: str
+
+
 @attrs.frozen(kw_only=True)
 class EntryStopped:
     """An entry is told to stop, and starts again once it has ended."""
@@ -191,6 +199,7 @@
 
 Action = (
     EntryKilled
+    | VersionChanged
     | EntryStopped
     | EntryPaused
     | EntryReloaded
--- a/soak/run.py
+++ b/soak/run.py
@@ -67,7 +67,7 @@
 CRASHING_PATH = "/stream-once/crashing"
 CRASHED_S = 0.7
 LAPSE_S = (0.0, 2.5)
-# The software versions of model upstreams.
+# The software versions of model upstreams at first.
 SOFTWARE = {"model-1": "v1", "model-2": "v1", "model-3": "v2"}
 # Added to the id of an upstream that has replaced another one.
 REPLACEMENT = "-2"
@@ -101,6 +101,7 @@
         self._leaving: list[Span] = []
         self._leaving_said: list[Span] = []
         self._leaves: Counter[str] = Counter()
+        self._software = dict(SOFTWARE)
         # The upstreams that were replaced, and what was added to their ids.
         self._incarnations: dict[str, str] = {}
         self._stopping: dict[str, float] = {}
@@ -490,7 +491,7 @@
             name,
             service,
             state=state,
-            version=SOFTWARE.get(name, "v1"),
+            version=self._software.get(name, "v1"),
             incarnation=incarnation,
         )
 
@@ -522,6 +523,16 @@
 
         return undo
 
+    def change_version(self, names: tuple[str, ...], software: str) -> None:
+        """Have upstreams of a software version take the place of others.
+
+        Streams that run go on at the version that they have.
+        """
+        for name in names:
+            self._software[name] = software
+            if name not in self._crashed:
+                self._replace(name, software=software)
+
     def shift_connections(self, entry: str) -> Callable[[], None]:
         """Have most new connections come to an entry, until they go to another."""
         self._callers.favourite = entry
@@ -607,19 +618,21 @@
     def _next_incarnation(self, name: str) -> str:
         return self._incarnations.get(name, "") + REPLACEMENT
 
-    def _replace(self, name: str) -> None:
-        """Register an upstream under another id; the record before lapses."""
+    def _replace(self, name: str, **faults) -> None:
+        """Register an upstream under another id; the record before lapses.
+
+        `faults` change with the id, so that no request to the one before meets them.
+        """
         before = name + self._incarnations.get(name, "")
         self._incarnations[name] = self._next_incarnation(name)
-        self._faults.set(name, incarnation=self._incarnations[name])
+        self._faults.set(name, incarnation=self._incarnations[name], **faults)
         self._register(name, state="draining" if self._leaves[name] else "ready")
         lapse = functools.partial(self._platform.unregister, before)
         self._at(time.monotonic() + Random(before).uniform(*LAPSE_S), lapse)
 
-    @staticmethod
-    def _model_faults(name: str) -> dict:
+    def _model_faults(self, name: str) -> dict:
         return {
-            "software": SOFTWARE.get(name, "v1"),
+            "software": self._software.get(name, "v1"),
             "crash_marker": MARKER,
             "crash_part": BAD_PART,
         }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from soak import troubles
+from soak import troubles, versionchanges
 from soak.events import (
     DESKS,
     ENTRIES,
@@ -166,7 +166,8 @@
     kinds = _planned(random)
     # A stop may cut off nothing only while nothing else fails, so every third
     # schedule holds planned work alone.
-    if random.random() < FAULTY_PART:
+    is_faulty = random.random() < FAULTY_PART
+    if is_faulty:
         kinds += _unplanned(random)
     events = [
         Event(
@@ -193,6 +194,7 @@
         _crashes(Random(f"{seed}/crashes"), Random(f"{seed}/parts")),
         *_shifts(Random(f"{seed}/shifts")),
         *troubles.draw(Random(f"{seed}/troubles")),
+        *versionchanges.draw(Random(f"{seed}/versions"), with_kills=is_faulty),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -98,6 +98,8 @@
     method: str
     target: str
     body: str
+    # The version that writes its events, also if another one replaces it meanwhile.
+    software: str
     end: str = "running"
     ended_s: float | None = None
     signed_status: int | None = None
@@ -131,7 +133,7 @@
         faults = self._faults.now
         if faults.crash:
             raise Cut
-        if request.headers.get(EXPECTED) != self._current_id():
+        if request.headers.get(EXPECTED) != self._upstream_id + faults.incarnation:
             return attrs.evolve(
                 json_reply({}, 421),
                 headers=(("X-Attempt-Id", request.headers.get(ID, "")),),
@@ -150,7 +152,7 @@
         # The slot of a reservation is free again at once, and taken by its request.
         self._release(request.headers.get("x-kv-retention", ""))
         with self._slots:
-            return self._run(request)
+            return self._run(request, faults.software)
 
     def _seen(self) -> dict[str, list[dict]]:
         with self._lock:
@@ -187,7 +189,7 @@
         )
         self._start(request, 503, *headers, length=0, framing="length")
 
-    def _run(self, request: Request) -> None:
+    def _run(self, request: Request, software: str) -> None:
         run = _Run(
             attempt_id=request.headers[ID],
             began_s=time.monotonic(),
@@ -195,6 +197,7 @@
             method=request.method,
             target=request.http.uri.decode(),
             body=request.body.decode("latin-1"),
+            software=software,
         )
         with self._lock:
             self._runs.append(run)
@@ -301,14 +304,14 @@
                 request,
                 200,
                 *headers,
-                length=self._stream_bytes(numbers, after),
+                length=self._stream_bytes(numbers, after, run.software),
                 framing=faults.framing or "chunks",
             )
             if not self._events(request, run, numbers, after):
                 return
         server.set_reset_on_exit(request, False)
         run.end = "whole"
-        body = b"".join(_event(number, faults.software) for number in numbers)
+        body = b"".join(_event(number, run.software) for number in numbers)
         self._copy(request, 200, headers, body)
 
     def _events(self, request: Request, run: _Run, numbers: range, after: int) -> bool:
@@ -319,7 +322,7 @@
                 raise Cut
             if self._is_fatal(run) and number >= faults.crash_after_events:
                 self._crash()
-            event = _event(number, faults.software)
+            event = _event(number, run.software)
             if after < 0 and number == faults.cut_after_events:
                 request.http.write(event[:-4])
                 if faults.ends_properly:
@@ -329,10 +332,10 @@
             request.http.write(event)
         return True
 
-    def _stream_bytes(self, numbers: range, after: int) -> int:
+    def _stream_bytes(self, numbers: range, after: int, software: str) -> int:
         """Return how long a stream is, which a proper end cuts short."""
         faults = self._faults.now
-        events = [_event(number, faults.software) for number in numbers]
+        events = [_event(number, software) for number in numbers]
         if after < 0 and faults.ends_properly and 0 <= faults.cut_after_events:
             events = events[: faults.cut_after_events + 1]
             events[-1] = events[-1][:-4]
