--- a/features/rejoined_streams.feature
+++ b/features/rejoined_streams.feature
@@ -38,6 +38,16 @@
       | v2 replaces v1, 2.5 s pass                   | all entries are killed, v1 replaces v2, they start                 |
       | the store is copied, v2 replaces v1, 2.5 s pass | all entries are killed, v1 replaces v2, the store goes back, they start |
 
+  Scenario: The store takes no writes while a version begins to serve
+    Guards against streams that wait for the store, and a version that nobody could record.
+    Given upstreams m1 and m2 of v1
+    And m3 and m4 of v2 that aren't listed yet
+    When it happens that the store takes no writes, v2 replaces v1, 2.5 s pass
+    And 6 streams begin through the entries in turn and are broken off
+    And it happens that all entries are killed, the store takes writes, they start
+    And each stream is taken up through the entries in turn
+    Then none goes on at another version, and each that is refused didn't run
+
   Scenario Outline: Both versions serve as all entries are killed
     Guards against refusing all streams that are taken up after a kill of all entries.
     Given upstreams m1 and m2 of v1, and m3, m4 and m5 of v2
--- a/features/steps/rejoined_streams_steps.py
+++ b/features/steps/rejoined_streams_steps.py
@@ -60,6 +60,10 @@
             entry.process.kill()
     elif event == "they start":
         _start(platform)
+    elif event == "the store takes no writes":
+        platform.store.set_faults(refuses_writes=True)
+    elif event == "the store takes writes":
+        platform.store.set_faults(refuses_writes=False)
     elif event == "the store is copied":
         platform.control_store("copy")
     elif event == "the store goes back":
