Don't let a take-up wait for the store past its deadline

The read runs on a thread of its own now, which such requests share, and each waits for it until its deadline, 1 s at most.

Evidence: "A stream is taken up just after a start, and the store is silent" in stream_version_records.feature: answered after more than 2 s of 0.4 s before, within 0.5 s now.

--- a/features/steps/stream_version_records_steps.py
+++ b/features/steps/stream_version_records_steps.py
@@ -1,6 +1,7 @@
 """Steps about what entries keep, tell and record of the versions of streams."""
 
 import itertools
+import json
 import re
 import threading
 import time
@@ -8,6 +9,7 @@
 
 import attrs
 from behave import given, then, when
+from result import Ok
 
 from features.entryfleet import make_ticket, upstream_of
 from lavenderspoke.clock import ManualClock, SystemClock
@@ -17,6 +19,7 @@
     VersionsAsked,
     VersionsTold,
 )
+from lavenderspoke.direct.records import KeyedRecord, RecordBatch
 from lavenderspoke.direct.scheduler import Scheduler
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.direct.streamexchange import StreamExchange
@@ -29,6 +32,7 @@
 )
 from lavenderspoke.model import InstanceId
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.platform.streamrecords import JournalReader
 from lavenderspoke.rollouts.orders import Access
 from standins.processes import wait_until
 
@@ -416,6 +420,41 @@
     context.took_s = time.monotonic() - began_s
 
 
+@attrs.define(kw_only=True)
+class SlowStore:
+    """A store with the journal of one stream."""
+
+    answers_after_s: float
+
+    def read(self, topic: str, from_offset: int, *, wait_s: float):
+        time.sleep(self.answers_after_s)
+        record = KeyedRecord(key="entry-1", value=json.dumps([ROW]).encode(), offset=0)
+        records = (record,) if from_offset == 0 else ()
+        return Ok(RecordBatch(records=records, next_offset=1))
+
+
+@given(
+    "an entry without others that reads its streams from a store that answers after "
+    "{read_s:g} s"
+)
+def step_slow_store(context, read_s):
+    start_exchange(context, Peers(names=[], answering=set()))
+    context.peers.exchange.find_recorded = JournalReader(
+        store=SlowStore(answers_after_s=read_s),
+        clock=context.clock,
+        metrics=Metrics(),
+    ).find
+
+
+@when("the stream is taken up with {left_s:g} s left, while two versions serve")
+def step_taken_up_until(context, left_s):
+    began_s = time.monotonic()
+    context.origin = context.peers.exchange.find_origin(
+        "first", SERVICE, until_s=context.clock.monotonic_s() + left_s
+    )
+    context.took_s = time.monotonic() - began_s
+
+
 @then('it goes on at "{version}" within {s:g} s')
 def step_goes_on_at(context, version, s):
     found = "none" if context.origin is None else context.origin.version
--- a/features/stream_version_records.feature
+++ b/features/stream_version_records.feature
@@ -114,6 +114,18 @@
     When the stream is taken up while two versions serve
     Then it goes on at "v1" within 1.6 s
 
+  Scenario Outline: A stream is taken up just after a start, and the store is <state>
+    Guards against a caller who waits for the store past its deadline.
+    Given an entry without others that reads its streams from a store that answers after <read> s
+    When the stream is taken up with <left> s left, while two versions serve
+    Then it goes on at "<version>" within <s> s
+
+    Examples:
+      | state  | read | left | version | s   |
+      | up     | 0.0  | 0.4  | v1      | 0.2 |
+      | slow   | 0.1  | 0.4  | v1      | 0.4 |
+      | silent | 2.0  | 0.4  | none    | 0.5 |
+
   Scenario: The last upstream of its version leaves while a stream waits
     Guards against a request that waits for what can't come, or goes elsewhere.
     Given a queue with a busy upstream of "v1" and an idle one of "v2"
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -124,7 +124,9 @@
         metrics: Metrics,
     ):
         self.send: Callable[[str, StreamMessage], None] = lambda name, message: None
-        self.find_recorded: Callable[[str], StreamRow | None] = lambda attempt_id: None
+        self.find_recorded: Callable[[str, float], StreamRow | None] = (
+            lambda attempt_id, until_s: None
+        )
         self._versions = versions
         self._data_centre = data_centre
         self._live = live
@@ -213,7 +215,7 @@
         if attempt_id is None:
             return None
         if self._clock.monotonic_s() < self._started_s + KEPT_S:
-            if row := self.find_recorded(attempt_id):
+            if row := self.find_recorded(attempt_id, until_s):
                 self._versions.merge((row,))
             if origin := self._origin_of(attempt_id, Source.RECORDED):
                 return origin
--- a/lavenderspoke/platform/streamrecords.py
+++ b/lavenderspoke/platform/streamrecords.py
@@ -14,6 +14,7 @@
 from lavenderspoke.direct.records import (
     KeyedRecord,
     OffsetExpired,
+    RecordStore,
     StoreError,
 )
 from lavenderspoke.direct.streamjournal import StreamRow
@@ -26,6 +27,8 @@
 RETRY_PAUSE_S = 1.0
 # Time after a read in which another one is answered from it, in seconds.
 READ_AGAIN_S = 2.0
+# How long a request waits for a read at most, in seconds.
+WAIT_MAX_S = 1.0
 # Responses that one read takes at most: each holds up to 1 MB.
 READS_MAX = 16
 JOURNAL_METRIC = "stream_journal"
@@ -96,35 +99,54 @@
 class JournalReader:
     """Finds streams in what all entries have written; thread-safe."""
 
-    def __init__(self, *, store: Store, clock: Clock, metrics: Metrics):
+    def __init__(self, *, store: RecordStore, clock: Clock, metrics: Metrics):
         self._store = store
         self._clock = clock
         self._metrics = metrics
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
+        self._is_reading = False
         self._read_s = float("-inf")
         self._rows: dict[str, StreamRow] = {}
 
-    def find(self, attempt_id: str) -> StreamRow | None:
+    def find(self, attempt_id: str, until_s: float) -> StreamRow | None:
         """Return what the store has of the stream that an attempt began, if anything.
 
         What was read is at most `READ_AGAIN_S` old. Requests that need it at the same
-        time share one read.
+        time share one read, and wait for it until then at the latest, in seconds on
+        the clock.
         """
-        with self._lock:
+        with self._changed:
             now_s = self._clock.monotonic_s()
-            if now_s >= self._read_s + READ_AGAIN_S:
-                self._read_s = now_s
-                self._read()
+            if not self._is_reading and now_s >= self._read_s + READ_AGAIN_S:
+                self._start_read()
+            wait_s = min(max(0.0, until_s - now_s), WAIT_MAX_S)
+            self._changed.wait_for(lambda: not self._is_reading, wait_s)
             return self._rows.get(attempt_id)
 
+    def _start_read(self) -> None:
+        # On its own thread: the store may be silent for longer than a caller waits.
+        reader = threading.Thread(target=self._read, daemon=True)
+        self._is_reading = True
+        try:
+            reader.start()
+        except RuntimeError as error:
+            # The system refuses threads.
+            self._is_reading = False
+            log.warning("streams of entries not read", error=str(error))
+
     def _read(self) -> None:
         read = self._read_all()
         if isinstance(read, Err):
             self._metrics.count(JOURNAL_METRIC, "not_read")
             log.warning("streams of entries not read", error=read.err_value.detail)
-            return
-        self._metrics.count(JOURNAL_METRIC, "read")
-        self._rows = {row[0]: row for row in read.ok_value}
+        else:
+            self._metrics.count(JOURNAL_METRIC, "read")
+        with self._changed:
+            if isinstance(read, Ok):
+                self._rows = {row[0]: row for row in read.ok_value}
+            self._read_s = self._clock.monotonic_s()
+            self._is_reading = False
+            self._changed.notify_all()
 
     def _read_all(self) -> Result[list[StreamRow], StoreError]:
         rows: list[StreamRow] = []
