--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -112,7 +112,7 @@
         self._upstream_id = options.upstream_id
         self._faults = server.Faults(kind=Faults, initial=options.faults)
         self._slots = threading.Semaphore(options.slots)
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._runs: list[_Run] = []
         self._arrivals = Arrivals()
         self._kept = Kept(options.kept_file)
@@ -354,8 +354,10 @@
         if self._faults.now.crashes_silently:
             os.kill(os.getpid(), signal.SIGSTOP)
         else:
-            self._kept.save(**self._seen())
-            os._exit(1)
+            # Nothing begins or is signed between the two: it would be forgotten.
+            with self._lock:
+                self._kept.save(**self._seen())
+                os._exit(1)
 
     def _cut(self, request: Request) -> None:
         """End the connection in the middle of an answer."""
@@ -377,7 +379,8 @@
     def _signed(self, run: _Run, status: int) -> list[tuple[str, str]]:
         faults = self._faults.now
         if not faults.unsigned:
-            run.signed_status = status
+            with self._lock:
+                run.signed_status = status
         echoed = "another" if faults.wrong_id else run.attempt_id
         headers = [("X-Attempt-Id", echoed), ("X-Instance-Id", self._current_id())]
         if not faults.unsigned:
