--- a/lavenderspoke/platform/streamrecords.py
+++ b/lavenderspoke/platform/streamrecords.py
@@ -1,6 +1,6 @@
 """Writes and reads the journal of streams in the platform's store.
 
-Its topic keeps no key, so that the store forgets batches by itself.
+The topic isn't keyed: the store drops batches as they expire.
 """
 
 import json
