--- a/features/steps/response_bytes_steps.py
+++ b/features/steps/response_bytes_steps.py
@@ -134,7 +134,6 @@
         self._listener = socket.create_server((HOST, 0), backlog=16)
         self._responses: list[bytes] = []
         self._resets = False
-        self._closes = True
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
 
