Bound a batch of recorded streams over all services together

The bound counted for each service by itself: with several services of two versions a batch could be larger than the store takes, was refused, kept, and written in vain again until its streams were too old, so that streams taken up after a kill were refused. Found by reading the change again; "Streams of several services are recorded at once" in stream_version_records.feature fails before (1600 in one batch) and passes now.

--- a/features/steps/stream_version_records_steps.py
+++ b/features/steps/stream_version_records_steps.py
@@ -292,6 +292,19 @@
     step_own_streams(context, count, version_2)
 
 
+@given("an entry of {entries:d} that doesn't know which versions served")
+def step_none_known(context, entries):
+    context.entries = entries
+    new_versions(context)
+
+
+@when("{count:d} of its streams begin at each of {services:d} services")
+def step_several_services(context, count, services):
+    for service, number in itertools.product(range(services), range(count)):
+        row = (f"own-{service}-{number}", f"service-{service}", "v1")
+        context.versions.record(row)
+
+
 def written(context) -> int:
     context.rows = context.versions.take_journal_due(entries=context.entries)
     return len(context.rows)
--- a/features/stream_version_records.feature
+++ b/features/stream_version_records.feature
@@ -82,6 +82,13 @@
     Then it writes 1000 streams at once, and nothing more within 10.0 s
     And it writes 500 streams 10.0 s later
 
+  Scenario: Streams of several services are recorded at once
+    Guards against a batch that is too large for the store, and is written in vain for ever.
+    Given an entry of 3 that doesn't know which versions served
+    When 800 of its streams begin at each of 2 services
+    Then it writes 1000 streams at once, and nothing more within 0.25 s
+    And it writes 600 streams 0.25 s later
+
   Scenario Outline: Others are told before the first event goes out
     Guards against an event that goes out while only its entry knows the version.
     Given an entry with <others> other entries, of which <answering> confirm
--- a/lavenderspoke/direct/streamjournal.py
+++ b/lavenderspoke/direct/streamjournal.py
@@ -71,7 +71,8 @@
             for service, rows in self._unwritten.items():
                 self._drop_old(rows)
                 if rows and is_needed(service):
-                    due += [rows.popleft()[1] for _ in range(min(len(rows), BATCH_MAX))]
+                    count = min(len(rows), BATCH_MAX - len(due))
+                    due += [rows.popleft()[1] for _ in range(count)]
             if due:
                 self._next_s = now_s + max(PERIOD_MIN_S, entries / BATCHES_PER_S)
             return tuple(due)
