Ask in one way whether a version is recorded

VersionRecords had two methods for it, one of them under the lock that the other takes as well; the lock may be taken twice, so one serves. A comment said how a limit was chosen; it says what it protects. No behaviour changes: stream_version_records.feature and two rows of rejoined_streams.feature pass as before.

--- a/lavenderspoke/direct/streamjournal.py
+++ b/lavenderspoke/direct/streamjournal.py
@@ -14,8 +14,8 @@
 # Time for which the journal tells of a stream, in seconds: streams that began earlier
 # have mostly ended.
 HISTORY_S = 20.0
-# Batches that all entries together write per second at most, a tenth of what stores of
-# the platform take, and the shortest time between two of one entry, in seconds.
+# Batches that all entries together write per second at most, since they share the
+# store's limit of calls, and the shortest time between two of one entry, in seconds.
 BATCHES_PER_S = 40.0
 PERIOD_MIN_S = 0.25
 # Streams in one batch, and characters of one, so that a batch stays below the store's
--- a/lavenderspoke/direct/versionrecords.py
+++ b/lavenderspoke/direct/versionrecords.py
@@ -122,7 +122,8 @@
     def is_recorded(self, service: str, version: str) -> bool:
         """Return whether the store has the record of a version."""
         with self._changed:
-            return self._has((service, version))
+            key = RecordedVersion(service=service, version=version).key
+            return key in self._stored
 
     def wait_recorded(self, service: str, version: str) -> bool:
         """Have a version recorded, and return whether it was in time.
@@ -131,13 +132,15 @@
         """
         pair = (service, version)
         with self._changed:
-            if not self._has_read or self._has(pair):
+            if not self._has_read or self.is_recorded(service, version):
                 return True
             self._needed.add(pair)
             now_s = self._clock.monotonic_s()
             if now_s < self._not_waiting_until_s.get(pair, now_s):
                 return False
-            if self._changed.wait_for(lambda: self._has(pair), RECORD_TIMEOUT_S):
+            if self._changed.wait_for(
+                lambda: self.is_recorded(service, version), RECORD_TIMEOUT_S
+            ):
                 return True
             self._not_waiting_until_s[pair] = now_s + NOT_RECORDED_S
             return False
@@ -196,10 +199,6 @@
         with self._changed:
             self._stored.pop(key, None)
 
-    def _has(self, pair: ServiceVersion) -> bool:
-        service, version = pair
-        return RecordedVersion(service=service, version=version).key in self._stored
-
     def _wanted(
         self, recent: Mapping[str, Iterable[str]], copy: int | None
     ) -> dict[str, RecordedVersion]:
