--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -129,8 +129,12 @@
 
     def put(self, topic: str, key: str, value: dict | None) -> None:
         """Write a record as the operator or an upstream does."""
-        content = bytes([len(key)]) + key.encode()
-        content += json.dumps(value).encode() if value is not None else b""
+        encoded = json.dumps(value).encode() if value is not None else b""
+        self.put_bytes(topic, key.encode(), encoded)
+
+    def put_bytes(self, topic: str, key: bytes, value: bytes) -> None:
+        """Write any bytes as a record."""
+        content = bytes([len(key)]) + key + value
         url = f"{self.store.url}/v1/log-append?" + urlencode({"topic": topic})
         urllib3.request(
             "POST",
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -163,7 +163,8 @@
                 newest[key] = (offset, value)
         items = [
             {
-                "key": key.decode(),
+                # Bytes that aren't UTF-8 become lone surrogates, which JSON can carry.
+                "key": key.decode(errors="surrogateescape"),
                 "value": base64.b64encode(value).decode(),
                 "offset": offset,
             }
