Say which records an entry can't apply, with the error and for how long

"feed iteration failed" came five times a second, and told neither the record nor the time since which the list wasn't followed; the exception stood behind a traceback that records cut off. Now one line on the first failure and every ten seconds names topic, error, the batch's keys and the time, another one the end; `reads_not_applied` counts by topic and error; `explain` shows the last of them for a request at any age. A batch that raises is noted where it is applied, so that relayed ones count too.

--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.feedstate import FeedState
 from lavenderspoke.direct.records import (
     OffsetExpired,
     RecordBatch,
@@ -70,6 +71,7 @@
         self, *, store: RecordStore, clock: Clock, relay: Relay, metrics: Metrics
     ):
         self.cache = RecordCache()
+        self.state = FeedState(topic=self.topic, clock=clock, metrics=metrics)
         self._store = store
         self._clock = clock
         self._relay = relay
@@ -224,8 +226,15 @@
                 return False
             if self._is_other_copy(batch, epoch, is_snapshot=is_snapshot):
                 self._start_copy(batch, epoch)
-            if not self.apply(batch, is_snapshot=is_snapshot, sent_s=sent_s):
+            try:
+                is_applied = self.apply(batch, is_snapshot=is_snapshot, sent_s=sent_s)
+            except Exception as error:
+                # The same records are read and applied again.
+                self.state.record_failed(error, batch.records)
+                return False
+            if not is_applied:
                 return False
+            self.state.record_applied()
             self.cache.put(batch, is_snapshot=is_snapshot, sent_s=sent_s)
             if is_snapshot:
                 self._refused_offset = None
@@ -277,8 +286,8 @@
         while not self._stopping.is_set():
             try:
                 pause_s = self.run_once()
-            except Exception:
-                log.exception("feed iteration failed", topic=self.topic)
+            except Exception as error:
+                self.state.record_failed(error)
                 pause_s = RETRY_PAUSE_S
             if pause_s:
                 self._wake.wait(pause_s)
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -288,13 +288,19 @@
 
 
 def _last_store_lines(lines: list[LogLine]) -> list[LogLine]:
-    """Return the last line of each topic on a copy that the store came back from.
+    """Return the last lines of each topic on the store's copy and on its reads.
 
-    What an entry knows may have been learned from the copy before.
+    What an entry knows may have been learned from a copy that the store came back from,
+    or be as old as the last read that it could apply.
     """
-    told = (signals.STORE_WENT_BACK, signals.UNSTORED_IN_FORCE)
+    told = {
+        signals.STORE_WENT_BACK: "copy",
+        signals.UNSTORED_IN_FORCE: "unstored",
+        signals.NOT_APPLIED: "applied",
+        signals.APPLIED_AGAIN: "applied",
+    }
     last = {
-        (each.message, each.fields.get("topic")): each
+        (told[each.message], each.fields.get("topic")): each
         for each in lines
         if each.message in told
     }
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -145,7 +145,7 @@
             decoded = configuration.decode(value or b"")
             if isinstance(decoded, Err):
                 # Not confirmed and not skipped: it may revoke keys.
-                log.error("invalid configuration", error=decoded.err_value)
+                self.state.record_failed(decoded.err_value, batch.records)
                 return False
             catalogs.append((decoded.ok_value, value))
         # Of several in one read, the highest version applies, not the last: an older
