Refuse what can be decoded but not converted or written again

Callers reached upstreams that had said they leave, and none that came, from the moment on at which another writer left a record whose number no float holds: the strict converter raised OverflowError instead of refusing, the batch was never applied, and its offset never passed. Half a surrogate pair in a version was taken, and ended each round of the part that writes facts; whole numbers of hundreds of digits were taken, which no message holds.

The converter refuses all three, for the platform's records, the messages of entries and the log's documents, which had a strict converter of their own. Decoders of the platform go through one module that returns whatever fails; the configuration, burst credits, batches of streams and items of pages do too.

--- a/lavenderspoke/jsoncodec.py
+++ b/lavenderspoke/jsoncodec.py
@@ -6,15 +6,15 @@
 """
 
 import json
-import math
 from typing import TypeVar, get_origin
 
 import attrs
 import cattrs
 from result import Err, Ok, Result
 
+from lavenderspoke.strict import strict
+
 T = TypeVar("T")
-_PLAIN = (int, str, bool)
 
 
 @attrs.frozen(kw_only=True)
@@ -24,18 +24,6 @@
     detail: str
 
 
-def _strict(value: object, kind: type) -> object:
-    if type(value) is not kind:
-        raise ValueError(f"{kind.__name__} expected, found {value!r:.40}")
-    return value
-
-
-def _strict_float(value: object, _: type) -> float:
-    if type(value) not in (int, float) or not math.isfinite(value):
-        raise ValueError(f"number expected, found {value!r:.40}")
-    return float(value)
-
-
 def _is_tuple(kind: object) -> bool:
     return get_origin(kind) is tuple
 
@@ -44,15 +32,14 @@
     item_kind = kind.__args__[0]
 
     def structure(value: object, _: type) -> tuple:
-        _strict(value, list)
+        if type(value) is not list:
+            raise TypeError("a list belongs here")
         return tuple(_converter.structure(item, item_kind) for item in value)
 
     return structure
 
 
-_converter = cattrs.Converter(detailed_validation=False)
-_converter.register_structure_hook_func(lambda kind: kind in _PLAIN, _strict)
-_converter.register_structure_hook_func(lambda kind: kind is float, _strict_float)
+_converter = strict(cattrs.Converter(detailed_validation=False))
 _converter.register_structure_hook_factory(_is_tuple, _strict_tuple)
 
 
@@ -67,10 +54,10 @@
     """
     try:
         return Ok(_converter.structure(json.loads(data), cls))
-    except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as error:
+    except Exception as error:
+        # Bytes from outside reach the JSON parser, cattrs and its generated hooks, and
+        # each fails in its own way.
         return Err(DecodeError(detail=f"{type(error).__name__}: {error}"[:200]))
-    except (RecursionError, cattrs.BaseValidationError) as error:
-        return Err(DecodeError(detail=type(error).__name__))
 
 
 def encode(value: object) -> bytes:
--- a/lavenderspoke/platform/burstcredits.py
+++ b/lavenderspoke/platform/burstcredits.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import math
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -16,7 +15,7 @@
 from lavenderspoke.direct.records import KeyedRecord
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.periodic import Periodic
-from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.decoding import parse_value
 from lavenderspoke.platform.entryrecords import TOPIC
 from lavenderspoke.platform.store import Conflict, Store
 
@@ -61,10 +60,9 @@
     for record in records:
         if not is_credit(record) or record.value is None:
             continue
-        tokens = parse(record.value).unwrap_or(None)
-        is_number = isinstance(tokens, (int, float)) and not isinstance(tokens, bool)
-        if is_number and math.isfinite(tokens) and tokens > 0:
-            credits[record.key.removeprefix(KEY_PREFIX)] = float(tokens)
+        tokens = parse_value(record.value, float).unwrap_or(0.0)
+        if tokens > 0.0:
+            credits[record.key.removeprefix(KEY_PREFIX)] = tokens
         else:
             log.warning("burst credit skipped", key=record.key)
     return credits
--- a/lavenderspoke/platform/configuration.py
+++ b/lavenderspoke/platform/configuration.py
@@ -15,7 +15,8 @@
     Service,
     TrafficShare,
 )
-from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.decoding import DETAIL_MAX, parse
+from lavenderspoke.strict import structure_float, structure_int, structure_str
 
 MS_PER_S = 1000.0
 TIMEOUT_DEFAULT_MS = 30_000
@@ -36,10 +37,10 @@
     try:
         return Ok(
             Catalog(
-                version=int(content["version"]),
+                version=_whole(content["version"]),
                 routes=tuple(_route(each) for each in content.get("routes") or ()),
                 services={
-                    each["name"]: _service(each)
+                    structure_str(each["name"]): _service(each)
                     for each in content.get("services") or ()
                 },
                 customers=tuple(
@@ -48,25 +49,21 @@
                 limits=_limits(content.get("limits") or {}),
             )
         )
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    except Exception as error:
+        # A list in the place of a name, a number of hundreds of digits: each fails in
+        # a way of its own.
+        return Err(f"{type(error).__name__}: {error}"[:DETAIL_MAX])
 
 
 def _route(content: dict) -> Route:
     kind = content["kind"]
     # A timeout of 0, like a missing one, means that none is set.
-    timeout_ms = content.get("timeout-ms") or TIMEOUT_DEFAULT_MS
-    target_ms = content.get("target-latency-ms") or TARGET_DEFAULT_MS
+    timeout_ms = structure_float(content.get("timeout-ms") or TIMEOUT_DEFAULT_MS)
+    target_ms = structure_float(content.get("target-latency-ms") or TARGET_DEFAULT_MS)
     return Route(
-        name=content["name"],
-        host=content["host"],
-        path_prefix=content["path-prefix"],
+        name=structure_str(content["name"]),
+        host=structure_str(content["host"]),
+        path_prefix=structure_str(content["path-prefix"]),
         repeatability=(
             Repeatability.IDEMPOTENT if kind == "idempotent" else Repeatability.ONCE
         ),
@@ -75,9 +72,9 @@
         timeout_s=timeout_ms / MS_PER_S,
         target_s=target_ms / MS_PER_S,
         patience_s=_patience_ms(content, timeout_ms, target_ms) / MS_PER_S,
-        rank=int(content.get("priority") or 0),
+        rank=_whole(content.get("priority") or 0),
         traffic_split=_shares(content),
-        attempts_max=max(1, int(content.get("max-attempts") or 1)),
+        attempts_max=max(1, _whole(content.get("max-attempts") or 1)),
         anonymous=bool(content.get("anonymous")),
     )
 
@@ -90,7 +87,7 @@
     """
     if content["kind"] != "streaming":
         return timeout_ms
-    pause_ms = content.get("itl-target-ms") or 0
+    pause_ms = structure_float(content.get("itl-target-ms") or 0)
     gap_ms = max(
         STREAM_GAP_MIN_MS,
         STREAM_GAP_TARGET_FACTOR * target_ms,
@@ -102,9 +99,12 @@
 def _shares(content: dict) -> tuple[TrafficShare, ...]:
     split = content.get("traffic-split")
     if not split:
-        return (TrafficShare(service=content["service"], weight=1.0),)
+        return (TrafficShare(service=structure_str(content["service"]), weight=1.0),)
     shares = tuple(
-        TrafficShare(service=each["service"], weight=float(each["weight"]))
+        TrafficShare(
+            service=structure_str(each["service"]),
+            weight=structure_float(each["weight"]),
+        )
         for each in split
     )
     # A service with weight 0 is listed but receives no requests.
@@ -113,32 +113,32 @@
 
 def _service(content: dict) -> Service:
     return Service(
-        name=content["name"],
-        connections_max=int(content.get("max-connections") or 0),
+        name=structure_str(content["name"]),
+        connections_max=_whole(content.get("max-connections") or 0),
         is_model=bool(content.get("engine")),
     )
 
 
 def _customer(content: dict) -> Customer:
     return Customer(
-        name=content["name"],
-        keys=tuple(content.get("api-keys") or ()),
-        rank=int(content.get("priority") or 0),
-        per_s=float(content.get("rate-per-s") or 0),
-        burst=float(content.get("burst") or 0),
+        name=structure_str(content["name"]),
+        keys=tuple(structure_str(each) for each in content.get("api-keys") or ()),
+        rank=_whole(content.get("priority") or 0),
+        per_s=structure_float(content.get("rate-per-s") or 0),
+        burst=structure_float(content.get("burst") or 0),
         # Otherwise the limit counts requests.
         counts_tokens=content.get("unit") == "token_unit",
-        default_tokens=int(content.get("uncached-tokens") or 1),
+        default_tokens=_whole(content.get("uncached-tokens") or 1),
     )
 
 
 def _limits(content: dict) -> Limits:
     defaults = Limits()
     return Limits(
-        header_bytes_max=int(
+        header_bytes_max=_whole(
             content.get("max-header-bytes") or defaults.header_bytes_max
         ),
-        body_bytes_max=int(content.get("max-body-bytes") or defaults.body_bytes_max),
+        body_bytes_max=_whole(content.get("max-body-bytes") or defaults.body_bytes_max),
         read_timeout_s=_seconds(
             content.get("header-timeout-ms"), defaults.read_timeout_s
         ),
@@ -149,4 +149,9 @@
 
 
 def _seconds(value_ms: float | None, default_s: float) -> float:
-    return value_ms / MS_PER_S if value_ms else default_s
+    return structure_float(value_ms) / MS_PER_S if value_ms else default_s
+
+
+def _whole(value: float) -> int:
+    """Return a number that stands where a whole one belongs, less its fraction."""
+    return structure_int(value if type(value) is int else int(structure_float(value)))
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -317,7 +317,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class _EntryRecord:
+class EntryRecord:
     """An entry's record of itself.
 
     Earlier releases omit the data centre and `version`, which was in force at the entry
@@ -378,7 +378,7 @@
         if not self._is_registered():
             epoch = self._newest_epoch
             catalog = self._in_force.catalog
-            record = _EntryRecord(
+            record = EntryRecord(
                 address=self._location.address,
                 data_centre=self._location.data_centre,
                 version=0 if catalog is None else catalog.version,
@@ -425,7 +425,7 @@
         for record in batch.records:
             if record.value is None or _is_no_entry(record):
                 continue
-            decoded = parse_as(record.value, _EntryRecord)
+            decoded = parse_as(record.value, EntryRecord)
             if isinstance(decoded, Err):
                 error = decoded.err_value
                 log.warning("entry's record skipped", key=record.key, error=error)
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -1,7 +1,6 @@
 """The only client of the platform's store, a log whose topics may have keys."""
 
 import base64
-import binascii
 import struct
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -20,7 +19,7 @@
 from lavenderspoke.direct.settings import Address
 from lavenderspoke.http.boundedconnection import BoundedConnection
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.decoding import parse, structured
 from lavenderspoke.platform.storeepoch import STORE_EPOCH, EpochReader
 
 # Read timeout beyond the requested wait, in seconds: the store responds within
@@ -30,6 +29,7 @@
 LENGTH_PREFIX = struct.Struct(">I")
 OFFSETS_HEADER = struct.Struct(">QQ")
 PAGES_MAX = 1000
+OFFSET_MAX = 2**63 - 1
 
 ReadT = TypeVar("ReadT", RecordBatch, OffsetExpired)
 
@@ -138,7 +138,9 @@
     def _get(
         self, path: str, query: dict, *, wait_s: float, allow_gone: bool = False
     ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
-        called = self._call("GET", f"{path}?{urlencode(query)}", wait_s=wait_s)
+        # A page's last key may have half a surrogate pair.
+        encoded = urlencode(query, errors="surrogatepass")
+        called = self._call("GET", f"{path}?{encoded}", wait_s=wait_s)
         if isinstance(called, Err):
             return called
         if allow_gone and called.ok_value.status == 410:
@@ -201,32 +203,49 @@
         return Err(StoreError(detail="malformed page"))
     if after is not None and type(after) is not str:
         return Err(StoreError(detail="malformed page: last key"))
+    if not 0 <= end_offset <= OFFSET_MAX:
+        return Err(StoreError(detail="malformed page: end offset"))
     return Ok(Page(items=items, end_offset=end_offset, after=after))
 
 
+@attrs.frozen(kw_only=True)
+class _Item:
+    """A record on a page, with its value in base64."""
+
+    key: str
+    value: str
+    offset: int
+
+
 def decode_newest(items: list, next_offset: int) -> Result[RecordBatch, StoreError]:
     records, skipped = [], 0
     for item in items:
-        try:
-            record = KeyedRecord(
-                key=item["key"],
-                value=base64.b64decode(item["value"], validate=True),
-                offset=int(item["offset"]),
-            )
-        except (ArithmeticError, LookupError, TypeError, ValueError, binascii.Error):
+        decoded = structured(item, _Item)
+        value = decoded.and_then(lambda each: _decode_base64(each.value))
+        if isinstance(value, Err):
             skipped += 1
             continue
-        records.append(record)
+        found = decoded.ok_value
+        records.append(
+            KeyedRecord(key=found.key, value=value.ok_value, offset=found.offset)
+        )
     return Ok(
         RecordBatch(records=tuple(records), next_offset=next_offset, skipped=skipped)
     )
 
 
+def _decode_base64(text: str) -> Result[bytes, str]:
+    try:
+        return Ok(base64.b64decode(text, validate=True))
+    except ValueError as error:
+        return Err(str(error))
+
+
 def decode_offset_expired(data: bytes) -> Result[OffsetExpired, StoreError]:
     parsed = parse(data)
     if isinstance(parsed, Ok) and isinstance(parsed.ok_value, dict):
         first_offset = parsed.ok_value.get("first-offset")
-        if type(first_offset) is int:
+        if type(first_offset) is int and 0 <= first_offset <= OFFSET_MAX:
             return Ok(OffsetExpired(first_offset=first_offset))
     return Err(StoreError(detail="malformed offset-expired response"))
 
--- a/lavenderspoke/platform/streamrecords.py
+++ b/lavenderspoke/platform/streamrecords.py
@@ -19,7 +19,7 @@
 )
 from lavenderspoke.direct.streamjournal import StreamRow
 from lavenderspoke.observing.metrics import Metrics
-from lavenderspoke.platform.decoding import parse
+from lavenderspoke.platform.decoding import parse_value
 from lavenderspoke.platform.store import Store
 
 TOPIC = "lavenderspoke-streams"
@@ -31,6 +31,8 @@
 WAIT_MAX_S = 1.0
 # Responses that one read takes at most: each holds up to 1 MB.
 READS_MAX = 16
+# The attempt, the service and the version.
+ROW_LENGTH = 3
 JOURNAL_METRIC = "stream_journal"
 
 log = logbook.Logger(__name__)
@@ -43,14 +45,8 @@
     >>> decode_batch(KeyedRecord(key="entry-1", value=value, offset=0))
     (('a1', 'model', 'v1'),)
     """
-    rows = parse(record.value or b"").unwrap_or(None)
-    is_valid = isinstance(rows, list) and all(
-        isinstance(row, list)
-        and len(row) == 3
-        and all(isinstance(each, str) for each in row)
-        for row in rows
-    )
-    if not is_valid:
+    rows = parse_value(record.value or b"", list[list[str]]).unwrap_or(None)
+    if rows is None or any(len(row) != ROW_LENGTH for row in rows):
         log.warning("streams of an entry skipped", offset=record.offset)
         return ()
     return tuple(tuple(row) for row in rows)
--- a/lavenderspoke/platform/wire.py
+++ b/lavenderspoke/platform/wire.py
@@ -87,7 +87,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class _ReservationReply:
+class ReservationReply:
     """An upstream's response to a successful reservation."""
 
     retention: str
@@ -180,7 +180,7 @@
         """Return the id of the reservation, or None if there is none."""
         if response.status != 200:
             return None
-        parsed = parse_as(body, _ReservationReply)
+        parsed = parse_as(body, ReservationReply)
         if isinstance(parsed, Err):
             log.warning("malformed reservation", error=parsed.err_value)
             return None
