Apply sound records and upstreams beside one that can't be applied

Callers reached upstreams that had left for as long as one record, or one upstream that some listener couldn't take, kept the rest of the list from being applied. The list counted as published before it was handed on, so that a change on which a listener raised was never handed on again.

The registry applies each record by itself; keys that no header carries, texts with control characters or without end, and a second record of one id are refused with their key. The list is handed on without an upstream for which a listener raises (`upstreams_left_out`), and again until it was taken. The entries' topic applies each kind of records by itself, and each record where the whole raises (`records_refused`).

--- /dev/null
+++ b/features/odd_neighbours.feature
@@ -0,0 +1,22 @@
+Feature: What one record can't do to those beside it
+  Feeds read a store in memory; all that listens behind them is an entry's own.
+
+  Scenario: Odd records among those of the upstreams
+    Guards against one record that keeps those read with it from being applied.
+    Then all upstreams beside any odd records are followed in 200 runs
+
+  Scenario: A listener that can't take an upstream
+    Guards against one upstream for which a listener raises, and the list ends there.
+    Then an upstream that a listener can't take costs only itself in 200 runs
+
+  Scenario: A change that was applied by half
+    Guards against a change that counts as published though nobody has it.
+    Then a change that is taken only at the second try is handed on again
+
+  Scenario: Odd records among those of the entries
+    Guards against one fact that keeps the other facts and entries from being applied.
+    Then all records of entries beside any odd ones are followed in 200 runs
+
+  Scenario: Odd records among the operators'
+    Guards against an order that keeps a configuration from coming into force.
+    Then each configuration beside any odd records comes into force in 200 runs
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -2,8 +2,7 @@
 
 import json
 import re
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Sequence
 
 import attrs
 import logbook
@@ -11,25 +10,29 @@
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog
-from lavenderspoke.direct.crashrecords import CrashRecordName, RecordedCrash
 from lavenderspoke.direct.feed import CallReason, Feed
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.instances import Upstream
+from lavenderspoke.direct.listhandover import ListHandover
+from lavenderspoke.direct.recordguard import RecordGuard
 from lavenderspoke.direct.records import KeyedRecord, RecordBatch
 from lavenderspoke.direct.relay import Relay
 from lavenderspoke.direct.sharing import EntryLocation
-from lavenderspoke.direct.versionrecords import RecordedVersion
 from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform import configuration
 from lavenderspoke.platform.burstcredits import TOPIC, is_credit, read_credits
-from lavenderspoke.platform.crashrecords import is_crash, read_crashes
 from lavenderspoke.platform.decoding import parse_as
-from lavenderspoke.platform.quarantines import is_quarantine, read_quarantines
+from lavenderspoke.platform.entrykinds import (
+    EntryFacts,
+    RecordKind,
+    apply_kinds,
+    fact_kinds,
+    is_entry,
+)
 from lavenderspoke.platform.registry import Registry
 from lavenderspoke.platform.rollouts import OrderTracker
 from lavenderspoke.platform.store import Store
-from lavenderspoke.platform.versionrecords import is_version, read_versions
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -239,8 +242,7 @@
         self._registry = Registry(
             on_skipped=lambda reason: metrics.count(SKIPPED_METRIC, reason.value)
         )
-        self._on_change = on_change
-        self._published: tuple[Upstream, ...] = ()
+        self._handover = ListHandover(take=on_change, metrics=metrics)
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
         now_s = self._clock.monotonic_s()
@@ -270,50 +272,19 @@
             self._registry.on_store_failed()
 
     def _publish(self, now_s: float) -> None:
-        upstreams = self._registry.upstreams(now_s)
-        if upstreams == self._published:
+        known = self._handover.taken
+        self._handover.hand_on(self._registry.upstreams(now_s))
+        taken = self._handover.taken
+        if taken == known:
             return
-        before = {each.upstream_id: each for each in self._published}
-        after = {each.upstream_id: each for each in upstreams}
+        before = {each.upstream_id: each for each in known}
+        after = {each.upstream_id: each for each in taken}
         log.info(
             "upstreams changed",
             came=sorted(after.keys() - before.keys()),
             went=sorted(before.keys() - after.keys()),
-            leaving=sorted(each.upstream_id for each in upstreams if each.leaving),
+            leaving=sorted(each.upstream_id for each in taken if each.leaving),
         )
-        self._published = upstreams
-        self._on_change(upstreams)
-
-
-class EntryFacts(Protocol):
-    """What takes the records beside those of the entries."""
-
-    def quarantines_read(
-        self, present: tuple[str, ...], deleted: tuple[str, ...], *, is_snapshot: bool
-    ) -> None:
-        """Apply quarantines; a snapshot has all of them."""
-
-    def records_lost(self) -> None:
-        """Write records again: the store has come back from an older copy."""
-
-    def crashes_read(
-        self,
-        present: dict[CrashRecordName, RecordedCrash],
-        deleted: tuple[CrashRecordName, ...],
-        *,
-        is_snapshot: bool,
-    ) -> None:
-        """Apply crashes of upstreams; a snapshot has all of them."""
-
-    def versions_read(
-        self,
-        present: dict[str, RecordedVersion],
-        deleted: tuple[str, ...],
-        *,
-        is_snapshot: bool,
-        epoch: int | None,
-    ) -> None:
-        """Apply the versions of services; a snapshot has all of them."""
 
 
 @attrs.frozen(kw_only=True)
@@ -363,6 +334,7 @@
         self._on_credits = on_credits
         self._on_credits_lost = on_credits_lost
         self._facts = facts
+        self._guard = RecordGuard(topic=self.topic, metrics=metrics)
         # Whether the next snapshot is the first of a copy that may lack records.
         self._has_lost_records = False
         self._name = name
@@ -413,17 +385,30 @@
         return ENTRIES_PERIOD_S
 
     def apply(self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float) -> bool:
+        kinds = [
+            RecordKind(is_kind=is_credit, apply=self._apply_credits),
+            RecordKind(is_kind=is_entry, apply=self._apply_entries),
+        ]
         if self._facts is not None:
-            self._apply_facts(batch, is_snapshot=is_snapshot)
+            if self._has_lost_records:
+                self._facts.records_lost()
+            kinds = [*fact_kinds(self._facts, batch.epoch), *kinds]
+        apply_kinds(batch, kinds, self._guard, is_snapshot=is_snapshot)
         if is_snapshot:
-            credits = read_credits(batch.records)
+            self._has_lost_records = False
+        return True
+
+    def _apply_credits(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
+        if is_snapshot:
+            credits = read_credits(records)
             self._on_credits(credits)
             if self._has_lost_records:
-                self._has_lost_records = False
                 self._on_credits_lost(credits)
+
+    def _apply_entries(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
         entries = {}
-        for record in batch.records:
-            if record.value is None or _is_no_entry(record):
+        for record in records:
+            if record.value is None:
                 continue
             decoded = parse_as(record.value, EntryRecord)
             if isinstance(decoded, Err):
@@ -438,29 +423,6 @@
                     address=listed.address, data_centre=listed.data_centre
                 )
         self._on_change(entries)
-        return True
-
-    def _apply_facts(self, batch: RecordBatch, *, is_snapshot: bool) -> None:
-        if self._has_lost_records:
-            self._facts.records_lost()
-        crashes = read_crashes(batch.records)
-        if crashes.present or crashes.deleted or is_snapshot:
-            self._facts.crashes_read(
-                crashes.present, crashes.deleted, is_snapshot=is_snapshot
-            )
-        quarantines = read_quarantines(batch.records)
-        if quarantines.present or quarantines.deleted or is_snapshot:
-            self._facts.quarantines_read(
-                quarantines.present, quarantines.deleted, is_snapshot=is_snapshot
-            )
-        versions = read_versions(batch.records)
-        if versions.present or versions.deleted or is_snapshot:
-            self._facts.versions_read(
-                versions.present,
-                versions.deleted,
-                is_snapshot=is_snapshot,
-                epoch=batch.epoch,
-            )
 
     def leave(self) -> None:
         """Delete this entry's record; if that fails, others notice its silence."""
@@ -469,10 +431,3 @@
         left = self._store.append(self.topic, self._name, None)
         if isinstance(left, Err):
             log.info("deleting own record failed", error=left.err_value.detail)
-
-
-def _is_no_entry(record: KeyedRecord) -> bool:
-    """Return whether a record of the entries' topic is another fact."""
-    return any(
-        is_kind(record) for is_kind in (is_credit, is_crash, is_quarantine, is_version)
-    )
--- a/lavenderspoke/platform/registry.py
+++ b/lavenderspoke/platform/registry.py
@@ -2,6 +2,7 @@
 
 import enum
 import ipaddress
+import re
 from collections.abc import Callable
 
 import attrs
@@ -19,6 +20,10 @@
 # Above the number of requests that any engine runs at once.
 SLOTS_MAX = 4096
 PORT_MAX = 65_535
+# Characters of a service, data centre or version.
+TEXT_LENGTH_MAX = 200
+# Names of upstreams are sent to them in a header.
+HEADER_VALUE = re.compile(r"[!-~]([ -~]{0,253}[!-~])?")
 # Number of skipped records remembered as logged: each is logged once, since a writer
 # that repeats its record every second would fill the log.
 SKIPPED_LOGGED_MAX = 256
@@ -31,9 +36,13 @@
     """Why a record is skipped."""
 
     MALFORMED = "malformed"
+    BAD_TEXT = "bad_text"
     BAD_ADDRESS = "bad_address"
     BAD_SLOTS = "bad_slots"
     OLDER_START = "older_start"
+    SAME_ID = "same_id"
+    # For a reason that no check above knows.
+    FAILED = "failed"
 
 
 @attrs.frozen(kw_only=True)
@@ -84,6 +93,11 @@
     record = parsed.ok_value
     if not record.service:
         return _skip(SkipReason.MALFORMED, "no service")
+    if not HEADER_VALUE.fullmatch(name):
+        return _skip(SkipReason.BAD_TEXT, "key")
+    for text in (record.service, record.zone, record.version):
+        if len(text) > TEXT_LENGTH_MAX or not text.isprintable():
+            return _skip(SkipReason.BAD_TEXT, f"{text[:40]!r}")
     if not 1 <= record.slots <= SLOTS_MAX:
         return _skip(SkipReason.BAD_SLOTS, f"{record.slots} slots")
     host, _, port = record.address.rpartition(":")
@@ -193,7 +207,14 @@
         self.on_store_answered(now_s)
         for record in records:
             self._end_offset = max(self._end_offset, record.offset + 1)
-            self._apply(record, now_s)
+            try:
+                self._apply(record, now_s)
+            except Exception as error:
+                # It must cost itself, and not those behind it.
+                detail = f"{type(error).__name__}: {error}"[:200]
+                self._skip(
+                    record.key, SkippedRecord(reason=SkipReason.FAILED, detail=detail)
+                )
 
     def replace(
         self, records: tuple[KeyedRecord, ...], end_offset: int, now_s: float
@@ -218,9 +239,15 @@
         if self._pending_removal and not self._in_recovery_grace(now_s):
             for key in list(self._pending_removal):
                 self._remove(key)
-        return tuple(
-            entry.registration.upstream for entry in self._known_upstreams.values()
-        )
+        by_id: dict[str, Upstream] = {}
+        for key, known in self._known_upstreams.items():
+            upstream = known.registration.upstream
+            if by_id.setdefault(upstream.upstream_id, upstream) is not upstream:
+                skipped = SkippedRecord(
+                    reason=SkipReason.SAME_ID, detail=upstream.upstream_id
+                )
+                self._skip(key, skipped)
+        return tuple(by_id.values())
 
     def _apply(self, record: KeyedRecord, now_s: float) -> None:
         known = self._known_upstreams.get(record.key)
