Put a sound configuration in force that follows an invalid one in the same read

Callers kept being refused (stale keys) where the operator had written an invalid configuration and then a sound one before both had been read apart: the batch ended at the first that couldn't be decoded, and its offset never passed. Each configuration is whole, so the last record alone decides: a sound one is confirmed, an invalid one isn't, as it may revoke keys, while sound ones before it come into force.

--- a/features/odd_neighbours.feature
+++ b/features/odd_neighbours.feature
@@ -20,3 +20,7 @@
   Scenario: Odd records among the operators'
     Guards against an order that keeps a configuration from coming into force.
     Then each configuration beside any odd records comes into force in 200 runs
+
+  Scenario: An invalid configuration that was followed by a sound one
+    Guards against an entry that waits for ever before a record that no longer counts.
+    Then an invalid configuration costs only itself in 200 runs
--- a/features/steps/odd_neighbours_steps.py
+++ b/features/steps/odd_neighbours_steps.py
@@ -15,12 +15,14 @@
 from lavenderspoke.direct.settings import Bounds
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.platform.configuration import decode
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.rollouts import OrderTracker
 from standins.oddrecords import odd_keys, odd_upstreams, odd_values
 from standins.platformdeployment import configuration
 
 ADDRESS = "127.0.0.1:9000"
+KEY_AGE_MAX_S = 5.0
 LOCATION = EntryLocation(address="tcp://127.0.0.1:7000", data_centre="here")
 SOUND = ("a", "b", "c")
 ENTRY_FIELDS = {"address": "tcp://127.0.0.1:7001", "data_centre": "here", "version": 1}
@@ -60,7 +62,7 @@
             random=Random(1),
             metrics=self.metrics,
         )
-        self.in_force = CatalogInForce(clock=self.clock, key_age_max_s=5.0)
+        self.in_force = CatalogInForce(clock=self.clock, key_age_max_s=KEY_AGE_MAX_S)
         peers = PeerAccess(
             name="entry-1", live_peer_names=list, send=lambda name, message: None
         )
@@ -271,3 +273,38 @@
             entry.dispatcher.tick()
 
     fuzz(_records(ODD_ORDERS), check, examples=count)
+
+
+@then("an invalid configuration costs only itself in {count:d} runs")
+def step_invalid_configurations(context, count):
+    odd = [value for _, value in odd_values(configuration(1_000_000))]
+    invalid = [each for each in odd if decode(each).is_err()]
+
+    def check(batches) -> None:
+        entry = FollowingEntry()
+        feed, version = entry.configuration(), 0
+        for batch in batches:
+            for each in batch:
+                if each is None:
+                    version += 1
+                    each = json.dumps(configuration(version)).encode()
+                    is_last_sound = True
+                else:
+                    is_last_sound = False
+                entry.store.put(b"config", each)
+            entry.clock.advance(KEY_AGE_MAX_S)
+            _polls(feed)
+            catalog = entry.in_force.catalog
+            assert (catalog.version if catalog else 0) == version
+            assert feed.state.is_blocked(for_s=0.0) is not is_last_sound
+            assert entry.in_force.is_fresh() is is_last_sound
+
+    batch = strategies.lists(
+        strategies.none() | strategies.sampled_from(invalid), min_size=1, max_size=3
+    )
+    # The first read has only the newest record.
+    fuzz(
+        strategies.lists(batch, max_size=3).map(lambda rest: [[None], *rest]),
+        check,
+        examples=count,
+    )
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -6,7 +6,7 @@
 
 import attrs
 import logbook
-from result import Err
+from result import Err, Ok
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog
@@ -136,27 +136,38 @@
     def _apply_configuration(
         self, batch: RecordBatch, *, is_snapshot: bool, sent_s: float
     ) -> bool:
-        values = [r.value for r in batch.records if r.key == CONFIGURATION_KEY]
-        if not values:
+        records = [each for each in batch.records if each.key == CONFIGURATION_KEY]
+        if not records:
             # A copy that lacks what is in force confirms nothing: it may also lack a
             # newer version, which revokes keys.
             if not is_snapshot and self.version() == self._stored_version > 0:
                 self._in_force.confirm(sent_s)
             return True
-        catalogs = []
-        for value in values:
-            decoded = configuration.decode(value or b"")
-            if isinstance(decoded, Err):
-                # Not confirmed and not skipped: it may revoke keys.
-                self.state.record_failed(decoded.err_value, batch.records)
-                return False
-            catalogs.append((decoded.ok_value, value))
-        # Of several in one read, the highest version applies, not the last: an older
-        # version that was rewritten must not replace it.
-        catalog, value = max(catalogs, key=lambda each: each[0].version)
-        self._stored_version = max(self._stored_version, catalog.version)
-        self._offer(catalog, value)
-        if catalog.version == self.version():
+        decoded = [configuration.decode(each.value or b"") for each in records]
+        catalogs = [
+            (each.ok_value, record.value)
+            for each, record in zip(decoded, records, strict=True)
+            if isinstance(each, Ok)
+        ]
+        if catalogs:
+            # Of several in one read, the highest version applies, not the last: an
+            # older version that was rewritten must not replace it.
+            catalog, value = max(catalogs, key=lambda each: each[0].version)
+            self._stored_version = max(self._stored_version, catalog.version)
+            self._offer(catalog, value)
+        if isinstance(decoded[-1], Err):
+            # Not confirmed and not skipped: it may revoke keys.
+            self.state.record_failed(decoded[-1].err_value, records[-1:])
+            return False
+        for each, record in zip(decoded, records, strict=True):
+            if isinstance(each, Err):
+                # Each one is whole, so the last one holds all that it may have said.
+                log.error(
+                    "invalid configuration superseded",
+                    offset=record.offset,
+                    error=each.err_value,
+                )
+        if self._stored_version == self.version():
             self._in_force.confirm(sent_s)
         return True
 
