Wait only for a while for a version that another entry's record names

The record is for a store that lost a version: an entry that has it tells it within seconds, and the operator writes it again. After 30 s without either, the newest configuration counts, and a line says so.

--- a/lavenderspoke/direct/inforce.py
+++ b/lavenderspoke/direct/inforce.py
@@ -7,6 +7,9 @@
 from lavenderspoke.clock import Clock
 from lavenderspoke.direct.catalog import Catalog
 
+# How long a version is waited for that another entry's record names, in seconds.
+REQUIRED_S = 30.0
+
 log = logbook.Logger(__name__)
 
 
@@ -19,8 +22,9 @@
     changed. The age counts from when the read was sent, since the response may have
     been delayed. `clock` must include time spent suspended.
 
-    The store may have lost a version that was in force at other entries. Until that one
-    or a newer one is here, no keys are accepted (`require`).
+    The store may have lost a version that was in force at other entries. Until that
+    one or a newer one is here, no keys are accepted (`require`). It comes from an entry
+    that has it, or from the operator; one that nobody brings in time was never there.
     """
 
     def __init__(self, *, clock: Clock, key_age_max_s: float):
@@ -29,6 +33,8 @@
         self._lock = threading.Lock()
         self._catalog: Catalog | None = None
         self._required_version = 0
+        self._required_since_s = float("-inf")
+        self._lapsed_version = 0
         self._confirmed_s: float | None = None
 
     @property
@@ -53,9 +59,11 @@
         return True
 
     def require(self, version: int) -> None:
-        """Accept no keys by a catalog that is older than this version."""
+        """Accept no keys by a catalog older than this version, for `REQUIRED_S`."""
         with self._lock:
-            self._required_version = max(self._required_version, version)
+            if version > self._required_version:
+                self._required_version = version
+                self._required_since_s = self._clock.monotonic_s()
 
     def confirm(self, sent_s: float) -> None:
         """Record that a read sent at `sent_s` showed no newer catalog."""
@@ -72,7 +80,22 @@
     def is_fresh(self) -> bool:
         """Return whether API keys may be accepted now."""
         catalog = self._catalog
-        if catalog is None or catalog.version < self._required_version:
+        if catalog is None or self._lacks_required(catalog):
             return False
         age_s = self.age_s()
         return age_s is not None and age_s < self.key_age_max_s
+
+    def _lacks_required(self, catalog: Catalog) -> bool:
+        if catalog.version >= self._required_version:
+            return False
+        if self._clock.monotonic_s() < self._required_since_s + REQUIRED_S:
+            return True
+        with self._lock:
+            if self._lapsed_version != self._required_version:
+                self._lapsed_version = self._required_version
+                log.error(
+                    "version that an entry's record names came from nobody, ignored",
+                    version=self._required_version,
+                    in_force=catalog.version,
+                )
+        return False
