Write the records beside one that can't be written

The store's client refuses such a key, a writer notes the record as unwritable (counted, logged with its key) and goes on, and a writer that raises no longer keeps the others from their turn.

--- a/features/odd_neighbours.feature
+++ b/features/odd_neighbours.feature
@@ -24,3 +24,11 @@
   Scenario: An invalid configuration that was followed by a sound one
     Guards against an entry that waits for ever before a record that no longer counts.
     Then an invalid configuration costs only itself in 200 runs
+
+  Scenario: A version that nobody has
+    Guards against an entry that waits for ever for a configuration that a record names.
+    Then keys are accepted again 30 s after an entry's record named a version
+
+  Scenario: A record that no store holds
+    Guards against a writer that ends at the first record that it can't write.
+    Then a record that can't be written costs only itself
--- a/features/steps/odd_neighbours_steps.py
+++ b/features/steps/odd_neighbours_steps.py
@@ -6,20 +6,23 @@
 from behave import then
 from hypothesis import strategies
 
-from features.helper import fuzz
+from features.helper import fuzz, stage_of
 from features.rawstore import RawStore
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.inforce import CatalogInForce
 from lavenderspoke.direct.office import DirectDispatcher
 from lavenderspoke.direct.relay import PeerAccess, Relay
-from lavenderspoke.direct.settings import Bounds
+from lavenderspoke.direct.settings import Address, Bounds
 from lavenderspoke.direct.sharing import EntryLocation
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.configuration import decode
+from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter, part_of
 from lavenderspoke.platform.feeds import ConfigurationFeed, EntriesFeed, UpstreamsFeed
 from lavenderspoke.platform.rollouts import OrderTracker
+from lavenderspoke.platform.store import Store
 from standins.oddrecords import odd_keys, odd_upstreams, odd_values
-from standins.platformdeployment import configuration
+from standins.platformdeployment import WAIT_S, configuration
+from standins.processes import wait_until
 
 ADDRESS = "127.0.0.1:9000"
 KEY_AGE_MAX_S = 5.0
@@ -308,3 +311,54 @@
         check,
         examples=count,
     )
+
+
+@then("keys are accepted again {seconds:d} s after an entry's record named a version")
+def step_required(context, seconds):
+    entry = FollowingEntry()
+    entry.store.put(b"config", json.dumps(configuration(1)).encode())
+    feed = entry.configuration()
+    feed.poll()
+    assert entry.in_force.is_fresh()
+    named = ENTRY_FIELDS | {"version": 2**53}
+    entry.store.put(b"odd", json.dumps(named).encode())
+    others = entry.entries()
+    others.poll()
+    others.poll()
+    feed.poll()
+    assert not entry.in_force.is_fresh()
+    entry.clock.advance(seconds)
+    feed.poll()
+    others.poll()
+    assert entry.in_force.is_fresh()
+
+
+@then("a record that can't be written costs only itself")
+def step_writers(context):
+    store = stage_of(context).start_standin("store", "platformstore")
+    host, _, port = store.address.rpartition(":")
+    metrics, clock, written = Metrics(), ManualClock(), []
+
+    def writer(prefix: str, due) -> RecordWriter:
+        return RecordWriter(
+            prefix=prefix,
+            store=Store(address=Address(host=host, port=int(port)), metrics=metrics),
+            clock=clock,
+            metrics=metrics,
+            metric="written",
+            due=due,
+            on_written=lambda name, value: written.append(name),
+            on_deleted=written.append,
+        )
+
+    def fails() -> DueRecords:
+        raise ValueError("nothing can be decided")
+
+    names = ("k" * 300, "\ud800", "", "sound-1", "no JSON", "sound-2")
+    writes = {name: b"" if name == "no JSON" else 1 for name in names}
+    due = DueRecords(writes=writes, deletions=["k" * 300, "sound-3"])
+    part = part_of([writer("", fails), writer("", lambda: due)])
+    part.start()
+    wait_until(lambda: "sound-3" in written, WAIT_S, "all are written")
+    part.stop()
+    assert set(written) == {"sound-1", "sound-2", "sound-3"}, written
--- a/lavenderspoke/platform/entryrecords.py
+++ b/lavenderspoke/platform/entryrecords.py
@@ -10,12 +10,12 @@
 
 import attrs
 import logbook
-from result import Err
+from result import Ok
 
 from lavenderspoke.clock import Clock
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.periodic import Periodic
-from lavenderspoke.platform.store import Store
+from lavenderspoke.platform.store import Store, Unwritable
 
 TOPIC = "keyed.lavenderspoke-entries"
 # Time between two checks for records to write or delete, in seconds: they serve entries
@@ -23,6 +23,8 @@
 PERIOD_S = 0.25
 # Pause after a failed call, in seconds.
 RETRY_PAUSE_S = 1.0
+# Names that are remembered as unwritable, at most.
+UNWRITABLE_MAX = 1_000
 
 log = logbook.Logger(__name__)
 
@@ -67,6 +69,8 @@
         self._on_deleted = on_deleted
         self._encode = encode
         self._paused_until_s = 0.0
+        # Names of records that can't be written.
+        self._unwritable: set[str] = set()
 
     def write_due(self) -> None:
         """Write and delete the records that are due."""
@@ -74,26 +78,47 @@
             return
         due = self._due()
         for name, value in due.writes.items():
-            encoded = json.dumps(self._encode(value)).encode()
-            if self._append(name, encoded, "written"):
+            if self._write(name, value):
                 self._on_written(name, value)
         for name in due.deletions:
             if self._append(name, None, "deleted"):
                 self._on_deleted(name)
 
+    def _write(self, name: str, value: object) -> bool:
+        if name in self._unwritable:
+            return False
+        try:
+            encoded = json.dumps(self._encode(value)).encode()
+        except (TypeError, ValueError, RecursionError) as error:
+            self._refuse(name, f"{type(error).__name__}: {error}")
+            return False
+        return self._append(name, encoded, "written")
+
     def _append(self, name: str, value: bytes | None, done: str) -> bool:
         appended = self._store.append(TOPIC, self._prefix + name, value)
-        if isinstance(appended, Err):
-            self._paused_until_s = self._clock.monotonic_s() + RETRY_PAUSE_S
-            self._metrics.count(self._metric, f"not_{done}")
-            log.warning(
-                "record beside the entries' failed",
-                key=self._prefix + name,
-                error=appended.err_value.detail,
-            )
+        if isinstance(appended, Ok):
+            self._metrics.count(self._metric, done)
+            return True
+        if isinstance(appended.err_value, Unwritable):
+            self._refuse(name, appended.err_value.detail)
             return False
-        self._metrics.count(self._metric, done)
-        return True
+        self._paused_until_s = self._clock.monotonic_s() + RETRY_PAUSE_S
+        self._metrics.count(self._metric, f"not_{done}")
+        log.warning(
+            "record beside the entries' failed",
+            key=self._prefix + name,
+            error=appended.err_value.detail,
+        )
+        return False
+
+    def _refuse(self, name: str, detail: str) -> None:
+        """Never try again: those behind it would wait for it."""
+        if len(self._unwritable) < UNWRITABLE_MAX:
+            self._unwritable.add(name)
+        self._metrics.count(self._metric, "unwritable")
+        log.error(
+            "record can't be written", key=self._prefix + name[:80], error=detail[:200]
+        )
 
 
 class DueWriter(Protocol):
@@ -104,10 +129,19 @@
 
 
 def part_of(writers: Iterable[DueWriter]) -> Periodic:
-    """Return the part that writes and deletes the records of all kinds."""
+    """Return the part that writes and deletes the records of all kinds.
+
+    What one writer raises is raised once all have had their turn.
+    """
 
     def write_due() -> None:
+        failures: list[Exception] = []
         for writer in writers:
-            writer.write_due()
+            try:
+                writer.write_due()
+            except Exception as error:
+                failures.append(error)
+        if failures:
+            raise failures[0]
 
     return Periodic(name="facts", period_s=PERIOD_S, work=write_due)
--- a/lavenderspoke/platform/store.py
+++ b/lavenderspoke/platform/store.py
@@ -30,10 +30,18 @@
 OFFSETS_HEADER = struct.Struct(">QQ")
 PAGES_MAX = 1000
 OFFSET_MAX = 2**63 - 1
+KEY_BYTES_MAX = 255
 
 ReadT = TypeVar("ReadT", RecordBatch, OffsetExpired)
 
 
+@attrs.frozen(kw_only=True)
+class Unwritable:
+    """A record that no store can hold, however often it is written."""
+
+    detail: str
+
+
 @attrs.frozen(kw_only=True)
 class Conflict:
     """A conditional write that was rejected, since the topic has changed."""
@@ -100,15 +108,17 @@
         value: bytes | None,
         *,
         unchanged_since: RecordBatch | None = None,
-    ) -> Result[None, StoreError | Conflict]:
+    ) -> Result[None, StoreError | Conflict | Unwritable]:
         """Write a key's value, or delete the key if `value` is None.
 
         With `unchanged_since`, only if the topic still ends where that read did. If the
         store came back from a copy meanwhile, the topic may end there by chance: the
         write then is a conflict although it was carried out, and is decided on again.
         """
-        name = key.encode()
-        content = bytes([len(name)]) + name + (value or b"")
+        name = _encode_key(key)
+        if isinstance(name, Err):
+            return name
+        content = bytes([len(name.ok_value)]) + name.ok_value + (value or b"")
         query: dict[str, object] = {"topic": topic, "part": 0}
         if unchanged_since is not None:
             # The platform calls the expected end offset `timestamp`.
@@ -173,6 +183,16 @@
         return Ok(reply)
 
 
+def _encode_key(key: str) -> Result[bytes, Unwritable]:
+    try:
+        name = key.encode()
+    except UnicodeEncodeError:
+        return Err(Unwritable(detail="the key can't be encoded"))
+    if not 0 < len(name) <= KEY_BYTES_MAX:
+        return Err(Unwritable(detail=f"a key of {len(name)} bytes"))
+    return Ok(name)
+
+
 def _expect_ok(reply: urllib3.BaseHTTPResponse) -> Result[None, StoreError]:
     if reply.status != 200:
         return Err(StoreError(detail=f"status {reply.status}"))
