Read versions anew before a stream goes on at the only one

Callers who took a stream up at an entry that had stood still for two seconds got a 200 with the rest from another version: the entry took a list of up to four seconds' age for proof that no other version served. What was read before the question came up can't tell.

Without an answer within a second the stream is asked of the others or refused, and counted (`stream_versions` not_read).

out_of_step.feature: three entries, one paused, cut off from the store or slow. That only one version serves still lets streams go on.

--- a/features/steps/rejoined_streams_steps.py
+++ b/features/steps/rejoined_streams_steps.py
@@ -22,6 +22,7 @@
 EVENT_S = 0.05
 READY_TIMEOUT_S = 20.0
 SERVICE = "model"
+NAMES = {"v1": ("m1", "m2"), "v2": ("m3", "m4")}
 
 
 @given("{named} that aren't listed yet")
@@ -53,6 +54,8 @@
 def _happen(platform: PlatformDeployment, event: str) -> None:
     if replaced := re.fullmatch(r"(v\d) replaces (v\d)", event):
         _replace(platform, *replaced.groups())
+    elif come := re.fullmatch(r"(v\d) comes", event):
+        _list(platform, come.group(1))
     elif passed := re.fullmatch(r"([0-9.]+) s pass", event):
         time.sleep(float(passed.group(1)))
     elif event == "all entries are killed":
@@ -76,13 +79,16 @@
 
 def _replace(platform: PlatformDeployment, new: str, old: str) -> None:
     """List the upstreams of one version, and drop those of the other."""
-    versions = {"v1": ("m1", "m2"), "v2": ("m3", "m4")}
-    for name in versions[new]:
-        platform.register(name, SERVICE, version=new)
-    for name in versions[old]:
+    _list(platform, new)
+    for name in NAMES[old]:
         platform.unregister(name)
 
 
+def _list(platform: PlatformDeployment, version: str) -> None:
+    for name in NAMES[version]:
+        platform.register(name, SERVICE, version=version)
+
+
 def _start(platform: PlatformDeployment) -> None:
     started = [platform.start_again(name) for name in ENTRIES]
     for entry in started:
--- a/lavenderspoke/direct/streamexchange.py
+++ b/lavenderspoke/direct/streamexchange.py
@@ -32,6 +32,7 @@
 from lavenderspoke.direct.streamjournal import StreamRow
 from lavenderspoke.direct.streamversions import KEPT_S, TOLD_AGAIN_S, StreamVersions
 from lavenderspoke.model import InstanceId
+from lavenderspoke.observing import signals
 from lavenderspoke.observing.metrics import Metrics
 
 # Number of entries that are told before the first event goes out.
@@ -50,7 +51,11 @@
 ASK_AGAIN_S = 0.1
 # Time after an entry's start in which it waits for all others that it knows of.
 ALL_HEARD_S = 3.0
+# How long a stream that is taken up waits for the store to be read anew, in seconds.
+READ_TIMEOUT_S = 1.0
 STREAM_VERSIONS = "stream_versions"
+# Counts streams that were taken up while the store couldn't be read in time.
+NOT_READ = "not_read"
 # Counts first events that went out before the store had their version.
 UNRECORDED = "unrecorded"
 
@@ -208,7 +213,7 @@
     ) -> StreamOrigin | None:
         if origin := self._origin_of(attempt_id, Source.KNOWN):
             return origin
-        if (version := self._versions.only_version(service)) is not None:
+        if (version := self._only_version(service, until_s)) is not None:
             return StreamOrigin(
                 service=service, version=version, source=Source.ONLY_ONE
             )
@@ -222,6 +227,20 @@
         self._ask(attempt_id, until_s)
         return self._origin_of(attempt_id, Source.ASKED)
 
+    def _only_version(self, service: str, until_s: float) -> str | None:
+        """Return the version that began all streams until now, if only one did.
+
+        What was read before this stream was taken up can't tell.
+        """
+        if self._versions.has_several(service):
+            return None
+        now_s = self._clock.monotonic_s()
+        if not self._versions.reads.wait(now_s, min(until_s, now_s + READ_TIMEOUT_S)):
+            self._metrics.count(STREAM_VERSIONS, NOT_READ)
+            log.warning(signals.VERSIONS_NOT_READ, service=service)
+            return None
+        return self._versions.only_version(service)
+
     def _origin_of(self, attempt_id: str | None, source: Source) -> StreamOrigin | None:
         row = None if attempt_id is None else self._versions.find(attempt_id)
         if row is None:
--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -13,6 +13,7 @@
 import logbook
 
 from lavenderspoke.clock import Clock
+from lavenderspoke.direct.freshreads import FreshReads
 from lavenderspoke.direct.instances import Upstream
 from lavenderspoke.direct.streamjournal import StreamJournal, StreamRow
 from lavenderspoke.direct.versionrecords import (
@@ -34,6 +35,9 @@
 # Age of the list of upstreams, in seconds, up to which it tells that no other version
 # serves: lists are read about once a second.
 LIST_AGE_MAX_S = 4.0
+# What is read anew before a stream goes on at the only version.
+UPSTREAMS = "upstreams"
+RECORDS = "records"
 
 log = logbook.Logger(__name__)
 
@@ -112,12 +116,14 @@
 class StreamVersions:
     """The versions of recent streams, and of the upstreams that may have begun any.
 
-    Thread-safe. `records` and `journal` are what the platform's store has of them.
+    Thread-safe. `records` and `journal` are what the platform's store has of them, and
+    `reads` has the list of upstreams and these records read anew.
     """
 
     def __init__(self, *, clock: Clock):
         self.records = VersionRecords(clock=clock)
         self.journal = StreamJournal(clock=clock)
+        self.reads = FreshReads(topics=(UPSTREAMS, RECORDS), clock=clock)
         self._clock = clock
         self._lock = threading.Lock()
         self._begun: OrderedDict[str, _Begun] = OrderedDict()
@@ -139,6 +145,11 @@
     def record_read(self, sent_s: float) -> None:
         """Record that a read sent at `sent_s` has returned all upstreams."""
         self._read_s = max(self._read_s, sent_s)
+        self.reads.record(UPSTREAMS, sent_s)
+
+    def record_records_read(self, sent_s: float) -> None:
+        """Record that a read sent at `sent_s` has returned all records of versions."""
+        self.reads.record(RECORDS, sent_s)
 
     def read_records(
         self,
@@ -172,7 +183,7 @@
 
     def take_journal_due(self, *, entries: int) -> tuple[StreamRow, ...]:
         """Return the streams of this entry's own to be recorded now."""
-        return self.journal.take_due(self._has_several, entries=entries)
+        return self.journal.take_due(self.has_several, entries=entries)
 
     def only_version(self, service: str) -> str | None:
         """Return the version of all streams of a service, if there is only one."""
@@ -219,8 +230,11 @@
             unsent, self._unsent = self._unsent, []
             return tuple(unsent)
 
-    def _has_several(self, service: str) -> bool:
-        """Return whether several versions may have begun streams of a service."""
+    def has_several(self, service: str) -> bool:
+        """Return whether several versions may have begun streams of a service.
+
+        Where it isn't known, they may.
+        """
         with self._lock:
             self._note_listed()
             now_s = self._clock.monotonic_s()
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -155,7 +155,9 @@
             on_credits=entry.dispatcher.burst_credits_read,
             on_credits_lost=entry.dispatcher.burst_credits_lost,
             facts=entry.dispatcher.facts,
+            on_read=entry.dispatcher.stream_versions.record_records_read,
         )
+        entry.dispatcher.stream_versions.reads.request = self._read_versions
         self._facts = _fact_writer(entry, settings, clock)
         entry.dispatcher.streams.find_recorded = JournalReader(
             store=Store(address=settings.store, metrics=entry.metrics),
@@ -193,6 +195,11 @@
             parts.append(("credits", self._credits.part))
         return parts
 
+    def _read_versions(self) -> None:
+        """Have all that tells of versions read from the store soon."""
+        self._upstreams.schedule_read()
+        self._entries.schedule_read()
+
     def _check(self) -> None:
         self._entry.dispatcher.connection_pools.close_used_up()
         self._entry.dispatcher.crash_checks.check_again()
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -314,6 +314,8 @@
 class EntriesFeed(Feed):
     """Registers this entry in the store, and follows the other entries' records.
 
+    `on_read(sent_s)` is called after each read that was applied, with its send time.
+
     An entry writes its location, and the configuration in force: when the store comes
     back from an older copy, it is written again, and an entry that starts then learns
     of versions that the copy lacks. The topic also has customers' burst credits,
@@ -339,12 +341,14 @@
         on_credits: Callable[[dict[str, float]], None] = lambda credits: None,
         on_credits_lost: Callable[[dict[str, float]], None] = lambda credits: None,
         facts: EntryFacts | None = None,
+        on_read: Callable[[float], None] = lambda sent_s: None,
     ):
         super().__init__(store=store, clock=clock, relay=relay, metrics=metrics)
         self._in_force = in_force
         self._on_credits = on_credits
         self._on_credits_lost = on_credits_lost
         self._facts = facts
+        self._on_read = on_read
         self._guard = RecordGuard(topic=self.topic, metrics=metrics)
         # Whether the next snapshot is the first of a copy that may lack records.
         self._has_lost_records = False
@@ -407,6 +411,7 @@
         apply_kinds(batch, kinds, self._guard, is_snapshot=is_snapshot)
         if is_snapshot:
             self._has_lost_records = False
+        self._on_read(sent_s)
         return True
 
     def _apply_credits(self, records: Sequence[KeyedRecord], is_snapshot: bool) -> None:
