Take an entry out of rotation that can't apply the list of upstreams

Callers went on to an entry that read the list but couldn't apply it, for as long as that lasted. It isn't ready after the time in which leaving upstreams must be noticed; one that can't read stays ready, since nobody may know more. The list's age is a gauge (`upstreams_list_age_s`), `explain` shows the last word on the store and on what couldn't be applied at any age, a reply of another entry no longer makes records fresher than a read that is sent now, and a message that can't be encoded costs itself, not those behind it.

--- a/lavenderspoke/direct/daemon.py
+++ b/lavenderspoke/direct/daemon.py
@@ -53,6 +53,9 @@
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
         """Handle a message from another entry about the platform's records."""
 
+    def is_following(self) -> bool:
+        """Return whether what is read of the upstreams can be applied."""
+
     def leave(self) -> None:
         """Remove this entry's record from the platform's store."""
 
@@ -129,9 +132,13 @@
         the store rejected it, it would refuse all API keys as soon as its only read is
         too old. The list takes about 10 ms more; if it doesn't arrive within the hold,
         the entry serves without it.
+
+        An entry that reads the upstreams but can't apply them knows that its list is
+        wrong, where one that can't read knows no more than the others.
         """
         return (
             not self._app.draining
+            and (self._feeds is None or self._feeds.is_following())
             and self._startup_hold.is_over()
             and self.in_force.catalog is not None
             and self.in_force.is_fresh()
--- a/lavenderspoke/direct/feed.py
+++ b/lavenderspoke/direct/feed.py
@@ -158,7 +158,8 @@
     def schedule_read(self) -> None:
         """Read the store instead of the next query, after at most `reread_after_s`.
 
-        The delay lets one read return several large records that follow each other.
+        The delay lets one read return several large records that follow each other. An
+        entry that reads the store anyway does so at once.
         """
         if not self._read_scheduled:
             self._read_scheduled = True
@@ -349,11 +350,11 @@
 
     def _note_failure(self, error: StoreError) -> None:
         if not self._failing:
-            log.warning("store lost", topic=self.topic, error=error.detail)
+            log.warning(signals.STORE_LOST, topic=self.topic, error=error.detail)
         self._failing = True
         self.on_read_failed()
 
     def _note_success(self) -> None:
         if self._failing:
-            log.info("store regained", topic=self.topic)
+            log.info(signals.STORE_REGAINED, topic=self.topic)
         self._failing = False
--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -115,6 +115,17 @@
         except pynng.NNGException as error:
             log.warning("sending to peer failed", peer=outgoing.name, error=str(error))
             sent = False
+        except (ValueError, TypeError, OverflowError) as error:
+            # It can't be encoded, and must not keep those behind it from being sent.
+            kind = type(outgoing.message).__name__
+            log.error(
+                "message can't be encoded",
+                peer=outgoing.name,
+                kind=kind,
+                error=f"{type(error).__name__}: {error}"[:200],
+            )
+            self._metrics.count("gossip", "unencodable")
+            return
         self._metrics.count("gossip", "sent" if sent else "dropped")
 
     def _on_message(self, envelope: Envelope) -> None:
--- a/lavenderspoke/direct/relay.py
+++ b/lavenderspoke/direct/relay.py
@@ -361,7 +361,9 @@
                 records=records, next_offset=reply.next_offset, epoch=reply.epoch
             ),
             is_snapshot=reply.whole,
-            sent_s=reply.asked_s - max(0.0, reply.age_s),
+            # No reply makes records fresher than a read that is sent now.
+            sent_s=min(reply.asked_s, self._clock.monotonic_s())
+            - max(0.0, reply.age_s),
         )
 
     def _reader_names(self) -> list[str]:
--- a/lavenderspoke/observing/explaining.py
+++ b/lavenderspoke/observing/explaining.py
@@ -288,7 +288,7 @@
 
 
 def _last_store_lines(lines: list[LogLine]) -> list[LogLine]:
-    """Return the last lines of each topic on the store's copy and on its reads.
+    """Return the last lines of each topic on the store and on what was read of it.
 
     What an entry knows may have been learned from a copy that the store came back from,
     or be as old as the last read that it could apply.
@@ -296,6 +296,8 @@
     told = {
         signals.STORE_WENT_BACK: "copy",
         signals.UNSTORED_IN_FORCE: "unstored",
+        signals.STORE_LOST: "reached",
+        signals.STORE_REGAINED: "reached",
         signals.NOT_APPLIED: "applied",
         signals.APPLIED_AGAIN: "applied",
     }
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -1,6 +1,7 @@
 """Assembles an entry on the platform from its settings, feeds and log."""
 
 import functools
+import math
 import signal
 import socket
 import sys
@@ -46,6 +47,8 @@
 OVERDUE_PERIOD_S = 0.1
 # Share of the key revocation limit to which the time to apply is capped.
 KEY_REVOCATION_SHARE = 0.4
+# The age of the list of upstreams that is in use, in seconds.
+LIST_AGE_METRIC = "upstreams_list_age_s"
 # How long writing the last log lines may take on shutdown, in seconds.
 LOG_DRAIN_TIMEOUT_S = 0.3
 
@@ -102,6 +105,8 @@
         clock: Clock,
     ):
         self._reloader = reloader
+        self._clock = clock
+        self._drain_s = settings.direct.bounds.drain_s
         self._relay = Relay(
             peers=PeerAccess(
                 name=entry.me.name,
@@ -203,11 +208,18 @@
     def _check(self) -> None:
         self._entry.dispatcher.connection_pools.close_used_up()
         self._entry.dispatcher.crash_checks.check_again()
+        age_s = self._upstreams.cache.age_s(self._clock.monotonic_s())
+        if math.isfinite(age_s):
+            self._entry.metrics.set_gauge(LIST_AGE_METRIC, age_s)
 
     def handle_message(self, sender: InstanceId, message: RecordsMessage) -> None:
         """Handle a message from another entry about the store's records."""
         self._relay.handle_message(sender, message)
 
+    def is_following(self) -> bool:
+        """Return whether what is read of the upstreams can be applied."""
+        return not self._upstreams.state.is_blocked(for_s=self._drain_s)
+
     def leave(self) -> None:
         """Delete this entry's record from the store."""
         self._entries.leave()
