Make enumerations of text that was decoded strictly

Agents were never seen by entries of the own way since the strict converter serves the log's documents as well: a hook for str also gets its subclasses, and left a member's role text.

--- a/lavenderspoke/strict.py
+++ b/lavenderspoke/strict.py
@@ -49,9 +49,11 @@
         raise TypeError(f"{type(value).__name__} where {wanted.__name__} belongs")
 
 
-def structure_int(value, _=None) -> int:
+def structure_int(value, kind: type[int] = int) -> int:
     """Return a whole number that fits into 64 bits; raise TypeError for others.
 
+    A `kind` such as an enumeration is made of it.
+
     >>> structure_int(2**64)
     Traceback (most recent call last):
     ...
@@ -60,12 +62,14 @@
     _check_type(value, int)
     if not INT_MIN <= value <= INT_MAX:
         raise TypeError("a whole number of at most 64 bits belongs here")
-    return value
+    return value if kind is int else kind(value)
 
 
-def structure_str(value, _=None) -> str:
+def structure_str(value, kind: type[str] = str) -> str:
     """Return text that can be encoded; raise TypeError for others.
 
+    A `kind` such as an enumeration is made of it.
+
     >>> structure_str("\\ud800")
     Traceback (most recent call last):
     ...
@@ -74,7 +78,7 @@
     _check_type(value, str)
     if not value.isascii() and not _is_encodable(value):
         raise TypeError("text that can be encoded belongs here")
-    return value
+    return value if kind is str else kind(value)
 
 
 def structure_float(value, _=None) -> float:
