List the members beside one that can't be decoded

One member of the platform's list of which an entry can't read the role or address made the whole list corrupt, so that entries and agents that came weren't seen and those that left stayed. It is skipped and logged. The scenario in odd_neighbours.feature gave Err for the whole list on the code before.

--- a/features/odd_neighbours.feature
+++ b/features/odd_neighbours.feature
@@ -32,3 +32,7 @@
   Scenario: A record that no store holds
     Guards against a writer that ends at the first record that it can't write.
     Then a record that can't be written costs only itself
+
+  Scenario: A member that can't be decoded
+    Guards against one member of the platform's list that hides all others.
+    Then each sound member beside any odd ones is listed in 100 runs
--- a/features/steps/odd_neighbours_steps.py
+++ b/features/steps/odd_neighbours_steps.py
@@ -14,6 +14,8 @@
 from lavenderspoke.direct.relay import PeerAccess, Relay
 from lavenderspoke.direct.settings import Address, Bounds
 from lavenderspoke.direct.sharing import EntryLocation
+from lavenderspoke.jsoncodec import decode as decode_member
+from lavenderspoke.membership.memberlist import Member, decode_members
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.platform.configuration import decode
 from lavenderspoke.platform.entryrecords import DueRecords, RecordWriter, part_of
@@ -362,3 +364,27 @@
     wait_until(lambda: "sound-3" in written, WAIT_S, "all are written")
     part.stop()
     assert set(written) == {"sound-1", "sound-2", "sound-3"}, written
+
+
+@then("each sound member beside any odd ones is listed in {count:d} runs")
+def step_members(context, count):
+    fields = {"name": "a", "role": "agent", "address": "h:1", "data_centre": "here"}
+    odd = [value for _, value in odd_values(fields) if _is_json(value)]
+    odd = [each for each in odd if decode_member(each, Member).is_err()]
+    sound = json.dumps(fields).encode()
+
+    def check(members: list[bytes]) -> None:
+        body = b'{"members": [' + b", ".join(members) + b"]}"
+        listed = decode_members(body).unwrap()
+        assert len(listed) == members.count(sound)
+
+    item = strategies.sampled_from(odd) | strategies.just(sound)
+    fuzz(strategies.lists(item, max_size=5), check, examples=count)
+
+
+def _is_json(value: bytes) -> bool:
+    try:
+        json.loads(value)
+    except (ValueError, RecursionError):
+        return False
+    return True
--- a/lavenderspoke/jsoncodec.py
+++ b/lavenderspoke/jsoncodec.py
@@ -53,11 +53,24 @@
     True
     """
     try:
-        return Ok(_converter.structure(json.loads(data), cls))
+        value = json.loads(data)
     except Exception as error:
-        # Bytes from outside reach the JSON parser, cattrs and its generated hooks, and
-        # each fails in its own way.
-        return Err(DecodeError(detail=f"{type(error).__name__}: {error}"[:200]))
+        # Among others, deeply nested JSON is valid, but exceeds the recursion limit.
+        return Err(_error(error))
+    return structured(value, cls)
+
+
+def structured(value: object, cls: type[T]) -> Result[T, DecodeError]:
+    """Return the instance that a part of a decoded JSON text describes."""
+    try:
+        return Ok(_converter.structure(value, cls))
+    except Exception as error:
+        # cattrs and its generated hooks fail in ways of their own.
+        return Err(_error(error))
+
+
+def _error(error: Exception) -> DecodeError:
+    return DecodeError(detail=f"{type(error).__name__}: {error}"[:200])
 
 
 def encode(value: object) -> bytes:
--- a/lavenderspoke/membership/memberlist.py
+++ b/lavenderspoke/membership/memberlist.py
@@ -1,16 +1,19 @@
 """The platform's lagging list of live and leaving instances."""
 
 import enum
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
+import logbook
 from result import Err, Ok, Result
 
 from lavenderspoke.http.client import HttpClient
-from lavenderspoke.jsoncodec import decode
+from lavenderspoke.jsoncodec import decode, structured
 
 MEMBERS_PATH = "/members"
 
+log = logbook.Logger(__name__)
+
 
 class Role(enum.StrEnum):
     """Which daemon an instance runs."""
@@ -64,7 +67,7 @@
 
 @attrs.frozen(kw_only=True)
 class _WireList:
-    members: tuple[Member, ...]
+    members: tuple[Any, ...]
 
 
 class HttpMemberList:
@@ -89,9 +92,15 @@
 
 
 def decode_members(body: bytes) -> Result[tuple[Member, ...], MemberListCorrupt]:
-    """Decode the platform's answer."""
-    return (
-        decode(body, _WireList)
-        .map(lambda wire: wire.members)
-        .map_err(lambda error: MemberListCorrupt(detail=error.detail))
-    )
+    """Decode the platform's answer, without members that can't be decoded."""
+    wire = decode(body, _WireList)
+    if isinstance(wire, Err):
+        return Err(MemberListCorrupt(detail=wire.err_value.detail))
+    members = []
+    for each in wire.ok_value.members:
+        decoded = structured(each, Member)
+        if isinstance(decoded, Err):
+            log.warning("member skipped", error=decoded.err_value.detail)
+        else:
+            members.append(decoded.ok_value)
+    return Ok(tuple(members))
