Refuse bounds that are no numbers, and ports out of range, in a settings file

After a reload in which a bound was NaN, an entry would have refused every request with a key, as nothing compares true with it; infinity and negative numbers passed as well, and a file that isn't text ended a start with a traceback and each reload without a line on the file. All are named as errors now, and a reload that has any changes nothing.

--- a/features/decoders.feature
+++ b/features/decoders.feature
@@ -23,3 +23,15 @@
       | a reservation            |
       | a message of an entry    |
       | a document of the log    |
+      | a settings file          |
+
+  Scenario Outline: A bound that is <value>
+    Guards against a reloaded file after which an entry refuses all requests.
+    Then a bound of <value> is refused in a settings file
+
+    Examples:
+      | value |
+      | nan   |
+      | inf   |
+      | 1e400 |
+      | -1    |
--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -16,7 +16,7 @@
 from lavenderspoke.direct.records import KeyedRecord
 from lavenderspoke.direct.versionrecords import RecordedVersion
 from lavenderspoke.membership.memberlist import Member
-from lavenderspoke.platform import configuration, registry, store
+from lavenderspoke.platform import configuration, registry, settings, store
 from lavenderspoke.platform.burstcredits import read_credits
 from lavenderspoke.platform.crashrecords import read_crashes
 from lavenderspoke.platform.decoding import parse_as
@@ -27,7 +27,7 @@
 from lavenderspoke.platform.versionrecords import read_versions
 from lavenderspoke.platform.wire import ReservationReply
 from standins.oddrecords import odd_values
-from standins.platformdeployment import configuration as sound_configuration
+from standins.platformdeployment import SETTINGS, configuration as sound_configuration
 
 EXAMPLES = 300
 CODEC = Codec(messages=DirectMessage)
@@ -113,6 +113,7 @@
     "a reservation": lambda data: parse_as(data, ReservationReply),
     "a message of an entry": CODEC.decode,
     "a document of the log": lambda data: jsoncodec.decode(data, Member),
+    "a settings file": lambda data: settings.parse(data.decode("latin-1")),
 }
 
 
@@ -175,6 +176,21 @@
         _encodable(value.ok_value)
 
 
+@then("a bound of {value} is refused in a settings file")
+def step_bound(context, value):
+    text = SETTINGS.format(
+        name="entry-1",
+        callers=1,
+        readiness=2,
+        peers=3,
+        grace_s=8,
+        revoke_ms=value,
+        store=ADDRESS,
+    )
+    assert settings.parse(text).is_err()
+    assert settings.parse(text.replace(f"={value}", "=5000")).is_ok()
+
+
 @then("{decoder} returns or refuses any bytes, and what it returns can be encoded")
 def step_never_raises(context, decoder):
     decode = DECODERS[decoder]
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -1,5 +1,7 @@
 """The platform's settings file: `name=value` lines, with comma-separated lists."""
 
+import math
+
 import attrs
 from result import Err, Ok, Result
 
@@ -33,6 +35,9 @@
     ports: tuple[int, int]
 
 
+PORT_MAX = 65_535
+
+
 class _Reader:
     """Reads typed values and collects all errors."""
 
@@ -50,7 +55,7 @@
         return self._convert(name, _address, Address(host="", port=0), None)
 
     def number(self, name: str, default: float) -> float:
-        return self._convert(name, float, default, default)
+        return self._convert(name, _number, default, default)
 
     def ports(self, name: str) -> tuple[int, int]:
         return self._convert(name, _port_range, (0, 0), None)
@@ -122,13 +127,28 @@
     )
 
 
+def _number(value: str) -> float:
+    number = float(value)
+    if not (math.isfinite(number) and number >= 0.0):
+        # Everything compares false with NaN: no key would be accepted any more.
+        raise ValueError(value)
+    return number
+
+
+def _port(value: str) -> int:
+    port = int(value)
+    if not 0 < port <= PORT_MAX:
+        raise ValueError(value)
+    return port
+
+
 def _address(value: str) -> Address:
     host, separator, port = value.rpartition(":")
     if not separator or not host:
         raise ValueError(value)
-    return Address(host=host, port=int(port))
+    return Address(host=host, port=_port(port))
 
 
 def _port_range(value: str) -> tuple[int, int]:
     first, last = value.split(",")
-    return int(first), int(last)
+    return _port(first), _port(last)
--- a/lavenderspoke/platform/settingsfile.py
+++ b/lavenderspoke/platform/settingsfile.py
@@ -21,6 +21,8 @@
         text = Path(path).read_text()
     except OSError as error:
         raise UserError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise UserError(f"{path}: {error}") from error
     disabled = os.environ.get(DISABLED_POLICIES_VARIABLE)
     if disabled is not None:
         text += f"\n{settings.DISABLED_POLICIES_KEY}={disabled}\n"
