--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,11 @@
     Guards against seeds that no longer draw them.
     Then each of the seeds 1 to 20 has upstreams that send without end, at both paces
 
+  Scenario: Seeds hold odd records, and entries that miss a change of version
+    Guards against seeds that no longer draw them.
+    Then each of the seeds 1 to 20 has odd records, and all topics have some
+    And some have an entry that stands still while a version changes
+
   Scenario Outline: Content that crashes upstreams long after it is known is noticed
     Guards against a check that counts crashes at any time, or none.
     Given a soak's record in which every promise is kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -9,8 +9,10 @@
 
 from soak import checks, events, schedule
 from soak.callers import KINDS, REVOKED_KEY, Sent
+from soak.events import EntryPaused, Event, OddRecord, VersionChanged
 from soak.record import Arrival, Published, Record, Run, Span
 from soak.run import Soak
+from standins.oddrecords import UNUSABLE
 from standins.platformdeployment import KEY, Answer
 
 STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(5))
@@ -461,3 +463,30 @@
         )
         takes_s = event.length_s + event.action.away_s + event.action.again_s
         assert event.length_s > 0 and takes_s < checks.REVOKE_S, event
+
+
+@then(
+    "each of the seeds {first:d} to {last:d} has odd records, and all topics have some"
+)
+def step_odd_records(context, first, last):
+    context.schedules = [schedule.draw(seed) for seed in range(first, last + 1)]
+    topics = set()
+    for drawn in context.schedules:
+        odd = [each.action for each in drawn if isinstance(each.action, OddRecord)]
+        assert odd
+        topics |= {each.topic for each in odd}
+    assert topics == set(UNUSABLE)
+
+
+@then("some have an entry that stands still while a version changes")
+def step_missed_changes(context):
+    def misses_change(drawn: list[Event]) -> bool:
+        changes = [e.at_s for e in drawn if isinstance(e.action, VersionChanged)]
+        return any(
+            each.at_s <= at_s <= each.at_s + each.length_s
+            for each in drawn
+            if isinstance(each.action, EntryPaused)
+            for at_s in changes
+        )
+
+    assert sum(map(misses_change, context.schedules)) >= len(context.schedules) / 4
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -138,3 +138,8 @@
 @begin.register(events.StoreTurnsAway)
 def _(action, soak):
     return soak.turn_away(action.entries)
+
+
+@begin.register(events.OddRecord)
+def _(action, soak):
+    return soak.leave_record(action.topic, action.key, action.value)
--- a/soak/events.py
+++ b/soak/events.py
@@ -197,6 +197,15 @@
     entries: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class OddRecord:
+    """Another writer leaves a record in a topic of the store, and drops it later."""
+
+    topic: str
+    key: bytes
+    value: bytes = attrs.field(repr=lambda value: repr(value[:40]))
+
+
 Action = (
     EntryKilled
     | VersionChanged
@@ -222,6 +231,7 @@
     | UpstreamInTrouble
     | UpstreamSuspended
     | StoreTurnsAway
+    | OddRecord
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -495,6 +495,11 @@
             incarnation=incarnation,
         )
 
+    def leave_record(self, topic: str, key: bytes, value: bytes) -> Callable[[], None]:
+        """Write a record as nobody of the platform does; it excuses nothing."""
+        self._platform.put_bytes(topic, key, value)
+        return lambda: self._platform.put_bytes(topic, key, b"")
+
     def name_limit(self, name: str, per_s: float) -> Callable[[], None]:
         """Have an upstream name a limit."""
         self._faults.set(name, limit=str(per_s))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from soak import troubles, versionchanges
+from soak import oddwriters, troubles, versionchanges
 from soak.events import (
     DESKS,
     ENTRIES,
@@ -195,6 +195,7 @@
         *_shifts(Random(f"{seed}/shifts")),
         *troubles.draw(Random(f"{seed}/troubles")),
         *versionchanges.draw(Random(f"{seed}/versions"), with_kills=is_faulty),
+        *oddwriters.draw(Random(f"{seed}/odd"), with_faults=is_faulty),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
--- a/standins/oddrecords.py
+++ b/standins/oddrecords.py
@@ -8,6 +8,18 @@
 
 HUGE = int("9" * 400)
 NESTED_LEVELS = 100_000
+UPSTREAM = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "here",
+    "slots": 4,
+    "version": "v1",
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "born": 1,
+}
+ENTRY = {"address": "tcp://127.0.0.1:9", "data_centre": "here", "version": 1}
+NO_VALUES = (b"\x00\xff{", b"[" * NESTED_LEVELS, b"[]", b"7", b"9" * 5000)
 
 
 def _value(fields: dict, **changes) -> bytes:
@@ -43,16 +55,7 @@
 def odd_upstreams(address: str) -> Iterator[tuple[str, bytes]]:
     """Yield values that resemble the record of an upstream at an address."""
     host = address.rpartition(":")[0]
-    fields = {
-        "service": "desk",
-        "address": address,
-        "zone": "here",
-        "slots": 4,
-        "version": "v1",
-        "state": "ready",
-        "warmup-left-ms": 0,
-        "born": 1,
-    }
+    fields = UPSTREAM | {"address": address}
     yield from odd_values(fields)
     for port in ("0", "65536", "99999999999999999999", "-1", "", "²"):
         yield f"port {port}", _value(fields, address=f"{host}:{port}")
@@ -66,3 +69,40 @@
     yield "255 bytes", b"k" * 255
     yield "a NUL", b"\x00"
     yield "spaces", b" a "
+
+
+ODD_KEYS = tuple(key for _, key in odd_keys())
+
+
+def _unusable(key: bytes, fields: dict, **changes: list) -> list[tuple[bytes, bytes]]:
+    """Return records none of which is sound: each has one of the changes."""
+    return [(key, each) for each in NO_VALUES] + [
+        (key, _value(fields, **{name.replace("_", "-"): odd}))
+        for name, odds in changes.items()
+        for odd in odds
+    ]
+
+
+# Records by topic that each reader must refuse.
+UNUSABLE = {
+    "keyed.servers": _unusable(
+        b"odd",
+        UPSTREAM,
+        warmup_left_ms=[HUGE, -HUGE, "0"],
+        slots=[HUGE, 0, True],
+        born=[HUGE, 1.5],
+        version=["\ud800", 7, "a\r\nb"],
+        address=["127.0.0.1:65536", "h:1", ""],
+    ),
+    "keyed.op": _unusable(b"rollout/odd", {"service": "odd"}, target=["v2", HUGE])
+    + _unusable(b"odd", {}),
+    "keyed.lavenderspoke-entries": _unusable(
+        b"odd", ENTRY, version=[HUGE, "1"], address=["nowhere", 7]
+    )
+    + _unusable(b"versions/odd", {"service": "model"}, version=[HUGE, "\ud800"])
+    + _unusable(b"crash/odd/entry-9", {"service": "model"}, contents=[HUGE, "x"])
+    + _unusable(b"quarantine/odd", {})
+    + [(b"burst-credit/odd", b"9" * 400)],
+    "keyed.status": _unusable(b"rollout/model", {"service": "model"}, state=[HUGE]),
+    "lavenderspoke-streams": _unusable(b"odd", {"rows": 1}),
+}
