Confirm a configuration only by a read that has it

Found in the last reading of the change: a read that held an older version, written again, would have confirmed the one in force, since the newest version in the store was compared instead of the one that was read. As before the change now. odd_neighbours.feature and decoders.feature pass; the latter takes its upstream's record from the stand-ins.

--- a/features/steps/decoders_steps.py
+++ b/features/steps/decoders_steps.py
@@ -26,23 +26,14 @@
 from lavenderspoke.platform.streamrecords import decode_batch
 from lavenderspoke.platform.versionrecords import read_versions
 from lavenderspoke.platform.wire import ReservationReply
-from standins.oddrecords import odd_values
+from standins.oddrecords import UPSTREAM, odd_values
 from standins.platformdeployment import SETTINGS, configuration as sound_configuration
 
 EXAMPLES = 300
 CODEC = Codec(messages=DirectMessage)
 ADDRESS = "127.0.0.1:9000"
 FIELDS = {
-    "an upstream's record": {
-        "service": "desk",
-        "address": ADDRESS,
-        "zone": "here",
-        "slots": 4,
-        "version": "v1",
-        "state": "ready",
-        "warmup-left-ms": 0,
-        "born": 1,
-    },
+    "an upstream's record": UPSTREAM,
     "an entry's record": {"address": ADDRESS, "data_centre": "here", "version": 1},
     "a version's record": {"service": "model", "version": "v1", "copy": 1},
     "a crash's record": {"service": "model", "contents": ["0123"]},
--- a/lavenderspoke/platform/feeds.py
+++ b/lavenderspoke/platform/feeds.py
@@ -167,7 +167,7 @@
                     offset=record.offset,
                     error=each.err_value,
                 )
-        if self._stored_version == self.version():
+        if catalog.version == self.version():
             self._in_force.confirm(sent_s)
         return True
 
