Tell of a decoder's errors in one place, and tests without state that nothing reads

The last reading of the change found the text of a decoding error written twice in the platform's folder, and a list and a name in odd_records_steps.py that no step reads.

--- a/features/steps/odd_records_steps.py
+++ b/features/steps/odd_records_steps.py
@@ -25,7 +25,6 @@
     """One caller at each entry, who asks again and again."""
 
     def __init__(self, platform):
-        self.statuses: list[int] = []
         self._platform = platform
         self._numbers = itertools.count()
         self._stopping = threading.Event()
@@ -44,11 +43,10 @@
         while not self._stopping.wait(PAUSE_S):
             path = f"/look/{next(self._numbers)}"
             try:
-                answer = self._platform.send(entry, path, method="GET")
+                self._platform.send(entry, path, method="GET")
             except urllib3.exceptions.HTTPError:
                 # The entry is killed, or the scenario ends.
                 continue
-            self.statuses.append(answer.status)
 
 
 @given("two entries with callers before {first} and {second}")
@@ -81,7 +79,6 @@
 @when("an upstream {name} comes")
 def step_comes(context, name):
     context.platform.upstream(name, "desk")
-    context.came = name
 
 
 @then("the upstream {name} gets no request after its drain time, and {other} gets some")
--- a/lavenderspoke/platform/configuration.py
+++ b/lavenderspoke/platform/configuration.py
@@ -15,7 +15,7 @@
     Service,
     TrafficShare,
 )
-from lavenderspoke.platform.decoding import DETAIL_MAX, parse
+from lavenderspoke.platform.decoding import error_text, parse
 from lavenderspoke.strict import structure_float, structure_int, structure_str
 
 MS_PER_S = 1000.0
@@ -52,7 +52,7 @@
     except Exception as error:
         # A list in the place of a name, a number of hundreds of digits: each fails in
         # a way of its own.
-        return Err(f"{type(error).__name__}: {error}"[:DETAIL_MAX])
+        return Err(error_text(error))
 
 
 def _route(content: dict) -> Route:
--- a/lavenderspoke/platform/decoding.py
+++ b/lavenderspoke/platform/decoding.py
@@ -29,7 +29,7 @@
         return Ok(json.loads(data))
     except Exception as error:
         # Among others, deeply nested JSON is valid, but exceeds the recursion limit.
-        return Err(_text(error))
+        return Err(error_text(error))
 
 
 def parse_as(data: bytes, kind: type[RecordT]) -> Result[RecordT, str]:
@@ -56,7 +56,7 @@
         return Ok(_converter.structure(value, kind))
     except Exception as error:
         # cattrs and its generated hooks fail in ways of their own.
-        return Err(_text(error))
+        return Err(error_text(error))
 
 
 def _object(value: object, kind: type[RecordT]) -> Result[RecordT, str]:
@@ -66,5 +66,6 @@
     return structured(fields, kind)
 
 
-def _text(error: Exception) -> str:
+def error_text(error: Exception) -> str:
+    """Return what a decoder says of an error."""
     return f"{type(error).__name__}: {error}"[:DETAIL_MAX]
