Read how much memory and how many descriptors the process may use

An entry on the platform is told limits.memory-mb and limits.max-fds and read neither; the product's own daemons had no such settings. Nothing uses them yet: the tests of clients that hold too much lower them, and need the fields to exist.

--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -8,7 +8,8 @@
 
     Examples:
       | room      | below                                                                  |
-      | http      | http model problems                                                    |
+      | resources | resources                                                              |
+      | http      | http model problems resources                                          |
       | observing | observing problems                                                     |
       | capacity  | capacity                                                               |
       | checking  | checking util                                                          |
@@ -17,8 +18,8 @@
       | membership | membership http jsoncodec model                                       |
       | rollouts  | rollouts                                                               |
       | quarantine | quarantine checking observing                                         |
-      | direct    | direct http observing clock codec envelope leakybucket model problems quarantine retrybudget rollouts stopsignals supervisor transport |
-      | platform  | platform direct http observing clock model periodic rollouts stopsignals strict supervisor util |
+      | direct    | direct http observing clock codec envelope leakybucket model problems quarantine resources retrybudget rollouts stopsignals supervisor transport |
+      | platform  | platform direct http observing clock model periodic resources rollouts stopsignals strict supervisor util |
 
   Scenario: The adapter to the platform is at the edge
     Nothing but the command that starts it knows of it.
--- a/lavenderspoke/config.py
+++ b/lavenderspoke/config.py
@@ -20,6 +20,7 @@
 from lavenderspoke.checking import fieldrules, schema, yamlnodes
 from lavenderspoke.dispatching import Dispatching
 from lavenderspoke.documents.service import Kind
+from lavenderspoke.resources.processlimits import ProcessLimits, process_limits
 from lavenderspoke.util import Mistake, UserError, is_http_url
 
 DEFAULTS_FILE = "config_default.yaml"
@@ -32,6 +33,8 @@
 _SECONDS_OR_DAYS = fieldrules.above(0, 30 * 24 * HOUR_S)
 _BYTES = fieldrules.between(1, GIB)
 _PORT = fieldrules.between(0, 65535)
+_MEMORY_MB = fieldrules.between(100, 1024**2)
+_DESCRIPTORS = fieldrules.between(256, 1024**2)
 _HTTP_URL = fieldrules.rule(is_http_url, "a URL of http or https")
 _PEER_ADDRESS = fieldrules.matching(
     r"tcp://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}",
@@ -103,6 +106,18 @@
     port: int = attrs.field(metadata=_PORT)
 
 
+@attrs.frozen(kw_only=True)
+class LimitsSettings:
+    """What the process may use of its machine; null for what the system says."""
+
+    memory_mb: int | None = attrs.field(metadata=_MEMORY_MB)
+    descriptors: int | None = attrs.field(metadata=_DESCRIPTORS)
+
+    def of_process(self) -> ProcessLimits:
+        """Return the limits of the process."""
+        return process_limits(memory_mb=self.memory_mb, descriptors=self.descriptors)
+
+
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
     """The platform's log and member list."""
@@ -150,6 +165,7 @@
     callers: CallersSettings
     peers: PeersSettings
     status: StatusSettings
+    limits: LimitsSettings
     platform: PlatformSettings
     policy: PolicySettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
@@ -176,6 +192,7 @@
     upstream: UpstreamSettings
     peers: PeersSettings
     status: StatusSettings
+    limits: LimitsSettings
     platform: PlatformSettings
     heartbeat_s: float = attrs.field(metadata=_SECONDS)
     silence_s: float = attrs.field(metadata=_SILENCE)
--- a/lavenderspoke/direct/settings.py
+++ b/lavenderspoke/direct/settings.py
@@ -4,6 +4,7 @@
 
 from lavenderspoke.direct.policies import Policies
 from lavenderspoke.direct.quota import Tolerance
+from lavenderspoke.resources.processlimits import ProcessLimits, process_limits
 from lavenderspoke.rollouts.transitions import Bounds as RolloutBounds
 
 # Share of the platform's retry budget that entries use. The platform counts retries in
@@ -52,7 +53,10 @@
 
 @attrs.frozen(kw_only=True)
 class DirectSettings:
-    """Settings of one entry; `threads` serve its callers."""
+    """Settings of one entry; `threads` serve its callers.
+
+    `limits` are those of the process.
+    """
 
     name: str
     data_centre: str
@@ -62,3 +66,4 @@
     bounds: Bounds = Bounds()
     policies: Policies = Policies()
     threads: int = 120
+    limits: ProcessLimits = attrs.field(factory=process_limits)
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -9,6 +9,7 @@
 from lavenderspoke.direct.quota import Tolerance
 from lavenderspoke.direct.settings import Address, Bounds, DirectSettings
 from lavenderspoke.platform.settingslines import CALLERS_ADDRESS_KEY, parse_lines
+from lavenderspoke.resources.processlimits import process_limits
 from lavenderspoke.rollouts.transitions import Bounds as RolloutBounds
 
 MS_PER_S = 1000.0
@@ -121,6 +122,10 @@
         peers=Address(host=reader.text("ip"), port=ports[0]),
         bounds=bounds,
         policies=reader.policies(),
+        limits=process_limits(
+            memory_mb=reader.number("limits.memory-mb", 0.0),
+            descriptors=int(reader.number("limits.max-fds", 0.0)),
+        ),
     )
     return PlatformSettings(
         direct=direct, store=reader.address("platform.address"), ports=ports
--- /dev/null
+++ b/lavenderspoke/resources/__init__.py
@@ -0,0 +1,1 @@
+"""What a process may use of its machine, and what it holds for clients."""
--- /dev/null
+++ b/lavenderspoke/resources/processlimits.py
@@ -0,0 +1,44 @@
+"""The memory and descriptors that a process may use."""
+
+import os
+import resource
+
+import attrs
+
+MB = 1_000_000
+# Share of the machine's memory for one process that isn't told its own.
+MACHINE_SHARE = 0.25
+# Descriptors of a process whose system names no limit.
+DESCRIPTORS_DEFAULT = 65_536
+
+
+@attrs.frozen(kw_only=True)
+class ProcessLimits:
+    """Bytes of memory and number of descriptors; beyond the former it is killed."""
+
+    memory_bytes: int
+    descriptors: int
+
+
+def process_limits(
+    *, memory_mb: float | None = None, descriptors: int | None = None
+) -> ProcessLimits:
+    """Return the limits as told, and what the system says of those that weren't.
+
+    >>> process_limits(memory_mb=150, descriptors=4100)
+    ProcessLimits(memory_bytes=150000000, descriptors=4100)
+    """
+    told_bytes = round(memory_mb * MB) if memory_mb else None
+    return ProcessLimits(
+        memory_bytes=told_bytes or round(_machine_bytes() * MACHINE_SHARE),
+        descriptors=descriptors or _descriptors(),
+    )
+
+
+def _machine_bytes() -> int:
+    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+
+
+def _descriptors() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft if 0 < soft < DESCRIPTORS_DEFAULT else DESCRIPTORS_DEFAULT
