Tests of crowds of clients that hold what a daemon has

Outside clients ended a process: it ran out of memory. These scenarios start the real processes on loopback, lower the memory and descriptors in the settings, and let a small crowd do what was seen over sockets. They check what doesn't depend on the machine's speed: the process lives, its peak memory (VmHWM) and descriptors stay under the bound of its settings, an ordinary caller is answered in the three tries that callers have, while the crowd stays and afterwards, and nothing refused has run.

--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -100,6 +100,7 @@
     callers: int
     readiness: int
     settings_path: str
+    peers: int = 0
 
     def ready(self) -> bool:
         """Return whether it says that callers may come."""
@@ -235,6 +236,7 @@
         grace_s: float = 8.0,
         revoke_ms: int = 5000,
         store_address: str | None = None,
+        more_settings: dict[str, object] | None = None,
     ) -> Entry:
         """Start an entry and wait until it is ready.
 
@@ -252,8 +254,11 @@
                 revoke_ms=revoke_ms,
                 store=store_address or self.store.address,
             )
+            + "".join(
+                f"{key}={value}\n" for key, value in (more_settings or {}).items()
+            )
         )
-        entry = self._start(name, callers, readiness, str(path))
+        entry = self._start(name, callers, readiness, str(path), peers=peers)
         wait_until(entry.ready, WAIT_S, f"{name} is ready")
         return entry
 
@@ -281,6 +286,7 @@
         path: str,
         *,
         before: tuple[str, ...] = (),
+        peers: int = 0,
     ) -> Entry:
         # The daemon's own command line takes no settings file: the platform
         # names it in the environment.
@@ -297,6 +303,7 @@
             callers=callers,
             readiness=readiness,
             settings_path=path,
+            peers=peers,
         )
         self.entries[name] = entry
         return entry
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -36,6 +36,8 @@
 PARTS = "x-prefix-hash"
 # What control requests tell of the requests, also of those before a crash.
 SEEN = ("runs", "arrivals", "refusals")
+# Characters of a request's body that are kept of its run.
+KEPT_BODY_LENGTH = 64 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -48,6 +50,7 @@
     `framing` is what ends answers: "length", "chunks" or "connection"; by default a
     length for plain answers and chunks for streams. If it `resets`, its cuts reset
     their connections, also those of answers that end with them.
+    Plain answers have at least `answer_bytes`.
     `wrong_id` echoes another attempt's id. `truncate` ends a plain answer early.
     `status` is the status of plain answers. `unsigned` leaves the signature out.
     A request whose body has the `crash_marker`, or whose prompt has the `crash_part`
@@ -69,6 +72,7 @@
     cut_after_events: int = -1
     ends_properly: bool = False
     framing: str = ""
+    answer_bytes: int = 0
     resets: bool = False
     wrong_id: bool = False
     truncate: bool = False
@@ -98,6 +102,7 @@
     method: str
     target: str
     body: str
+    body_bytes: int
     # The version that writes its events, also if another one replaces it meanwhile.
     software: str
     end: str = "running"
@@ -196,7 +201,8 @@
             headers=request.headers,
             method=request.method,
             target=request.http.uri.decode(),
-            body=request.body.decode("latin-1"),
+            body=request.body[:KEPT_BODY_LENGTH].decode("latin-1"),
+            body_bytes=len(request.body),
             software=software,
         )
         with self._lock:
@@ -241,7 +247,7 @@
             raise Cut
         if self._turned_away(request, run):
             return
-        body = f"answer to {run.attempt_id}".encode()
+        body = f"answer to {run.attempt_id}".encode().ljust(faults.answer_bytes, b".")
         headers = self._signed(run, faults.status)
         with self._copied.writing(request):
             self._start(
