Bound the lines of a chunked request

Eight clients that sent one line without end (a chunk's size, its extension, a trailer) brought an entry from 49 to 245 MB and more, and an entry of the product's own interface to 258 MB, as much as they sent in the time for a request: cheroot reads a whole line before it counts it.

--- a/lavenderspoke/http/requestbody.py
+++ b/lavenderspoke/http/requestbody.py
@@ -6,6 +6,9 @@
 
 from lavenderspoke.http.server import CallerHttpRequest
 
+# The longest line before a chunk, with the chunk's extensions, in bytes.
+CHUNK_LINE_BYTES_MAX = 4 * 1024
+
 
 class BodyTooLarge(Exception):
     """A body exceeds its limit."""
@@ -46,6 +49,7 @@
 
 
 def _read_chunked(request: CallerHttpRequest, bytes_max: int) -> bytes:
+    request.rfile.rfile = _BoundedLines(request.rfile.rfile)
     # Cheroot counts the chunks' framing too, hence the allowance; small chunks
     # can't make it larger than the body.
     request.rfile.maxlen = 2 * bytes_max + io.DEFAULT_BUFFER_SIZE
@@ -69,3 +73,17 @@
     if len(body) > bytes_max:
         raise BodyTooLarge
     return body
+
+
+class _BoundedLines:
+    """Reads lines up to a limit; cheroot counts a line once all of it has come."""
+
+    def __init__(self, rfile):
+        self.read = rfile.read
+        self._rfile = rfile
+
+    def readline(self) -> bytes:
+        line = self._rfile.readline(CHUNK_LINE_BYTES_MAX)
+        if len(line) == CHUNK_LINE_BYTES_MAX and not line.endswith(b"\n"):
+            raise errors.MaxSizeExceeded
+        return line
