Account for bodies as long as they are held, in one account of the process

A hundred clients that read nothing of answers of 3 MB brought an entry from 49 to 231 MB: the budget of 24 MB counted an answer only while it was read from its upstream, not while its caller was written to, streams gathered for HTTP/1.0 not at all, and it knew nothing of the machine.

One account (resources/clientmemory.py) now follows from the memory that the settings name, less what the process needs in calm and what each thread may hold of small bodies. Connections, requests and answers have a part each, so that requests can't take the room of the answers they wait for. Bytes are taken before they are read, and given back as the body's last reference goes: on every way out there is. One body of any legal size always fits if nothing else is held. A ready answer waits for room until its deadline, where it got 502 at once before.

Freed blocks stayed with the heaps of the threads that had them (allocator.py): large ones are mapped one by one now, with two heaps for all.

--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -22,7 +22,6 @@
 from urllib3.util.connection import is_connection_dropped
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.direct.heldbytes import HELD_BYTES, HeldBody, HeldBytes
 from lavenderspoke.http.boundedresponse import (
     BoundedResponse,
     OnReadTimeout,
@@ -36,6 +35,8 @@
 from lavenderspoke.http.keepalive import idle_limit_s
 from lavenderspoke.http.lateresponses import NameOf, SentRequests, unnamed
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.resources.clientmemory import Holding
+from lavenderspoke.resources.heldbody import HeldBody
 
 # Timeout of a TCP connect, in seconds; short enough that another upstream can still be
 # tried. A handshake takes a few milliseconds within a data centre and some ten between.
@@ -201,7 +202,6 @@
         self._bounds = connection.bounds
         self._socket = connection.opened_socket
         self._pool = pool
-        self._held_bytes = pool.held_bytes
         self._is_complete = False
         self.has_body_bytes = False
 
@@ -259,9 +259,9 @@
         incomplete. Nothing is awaited after `deadline_s`.
         """
         self._bounds.end_by(deadline_s)
-        with HeldBody(budget=self._held_bytes, bytes_max=bytes_max) as body:
+        with HeldBody(kind=Holding.ANSWERS, bytes_max=bytes_max) as body:
             while data := self.read(deadline_s - clock.monotonic_s()):
-                if not body.append(data):
+                if not body.append(data, wait_s=deadline_s - clock.monotonic_s()):
                     raise IncompleteResponse("too long to be held until its end")
             return body.value()
 
@@ -369,10 +369,8 @@
         port: int,
         clock: Clock,
         metrics: Metrics | None = None,
-        held_bytes: HeldBytes = HELD_BYTES,
         name_of: NameOf = unnamed,
     ):
-        self.held_bytes = held_bytes
         self._host = host
         self._port = port
         self._clock = clock
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from lavenderspoke.clock import Clock
-from lavenderspoke.direct import streamchecks
+from lavenderspoke.direct import streamchecks, wholestream
 from lavenderspoke.direct.attempt import Attempt, Wait
 from lavenderspoke.direct.dialect import Dialect
 from lavenderspoke.direct.dispatcher import (
@@ -66,9 +66,6 @@
 DISCARD_TIMEOUT_S = 0.3
 DISCARDED_BYTES_MAX = 64 * 1024
 
-# Length up to which a stream is held until its end, in bytes.
-GATHERED_BYTES_MAX = 32 * 1024 * 1024
-
 # Outcomes that prove that an attempt did not run.
 NOT_RUN_OUTCOMES = (
     AttemptOutcome.UNREACHABLE,
@@ -210,20 +207,13 @@
         result = self.handle()
         if not isinstance(result, StreamResponse):
             return result
-        body = bytearray()
         try:
-            for events in result.chunks:
-                body += events
-                if len(body) > GATHERED_BYTES_MAX:
-                    raise IncompleteResponse("too long to be held until its end")
+            return wholestream.gather(result, wait_s=self._remaining_s())
         except IncompleteResponse as error:
             self._current.detail = str(error)
             return self._final_refusal(self._current)
         finally:
             result.chunks.close()
-        return FullResponse(
-            status=result.status, headers=result.headers, body=bytes(body)
-        )
 
     # The version that began a stream
 
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -31,6 +31,8 @@
 from lavenderspoke.platform.store import Store
 from lavenderspoke.platform.streamrecords import JournalReader, JournalWriter
 from lavenderspoke.platform.wire import PlatformDialect
+from lavenderspoke.resources.allocator import give_back_freed
+from lavenderspoke.resources.clientmemory import CLIENT_MEMORY, client_bytes
 from lavenderspoke.supervisor import Part
 from lavenderspoke.util import UserError
 
@@ -295,12 +297,17 @@
 
     Connections may already be queued at `listener`.
     """
+    give_back_freed()
     threading.stack_size(THREAD_STACK_BYTES)
     try:
         platform = read_settings(path)
     except UserError as error:
         print("\n".join(error.lines), file=sys.stderr)
         return error.exit_status
+    CLIENT_MEMORY.bytes_max = client_bytes(
+        memory_bytes=platform.direct.limits.memory_bytes,
+        threads=platform.direct.threads,
+    )
     stream = BoundedStream(sys.stdout)
     handler = JsonLinesHandler(daemon=platform.direct.name, stream=stream)
     with handler.applicationbound():
--- a/lavenderspoke/resources/processlimits.py
+++ b/lavenderspoke/resources/processlimits.py
@@ -8,6 +8,9 @@
 MB = 1_000_000
 # Share of the machine's memory for one process that isn't told its own.
 MACHINE_SHARE = 0.25
+# Part of the descriptors that callers' connections may take. Upstreams, the store, the
+# other daemons and files need the rest.
+CALLERS_SHARE = 0.5
 # Descriptors of a process whose system names no limit.
 DESCRIPTORS_DEFAULT = 65_536
 
@@ -35,6 +38,15 @@
     )
 
 
+def client_connections(descriptors: int) -> int:
+    """Return how many connections callers may have.
+
+    >>> client_connections(4100)
+    2050
+    """
+    return int(descriptors * CALLERS_SHARE)
+
+
 def _machine_bytes() -> int:
     return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
 
--- a/lavenderspoke/ui/daemons.py
+++ b/lavenderspoke/ui/daemons.py
@@ -10,6 +10,7 @@
 from lavenderspoke.config import load_agent_settings, load_entry_settings
 from lavenderspoke.entry import EntryDaemon
 from lavenderspoke.observing.logs import JsonLinesHandler
+from lavenderspoke.resources.allocator import give_back_freed
 
 SettingsFile = Annotated[
     str, typer.Option("--settings", help="The YAML file with this daemon's settings.")
@@ -37,6 +38,7 @@
     handler = JsonLinesHandler(
         daemon=settings.name, level=settings.log_level.value.upper()
     )
+    give_back_freed()
     with handler.applicationbound():
         daemon = daemon_class(settings=settings, clock=SystemClock())
         sys.exit(daemon.run())
