Receive heads without threads, and close the slowest client when room runs out

What callers saw: while 120 clients said nothing, sent half a head or stopped short of their body's end, each held a thread of an entry for as long as a request may take, and an ordinary request was closed unread in three tries out of three. Four such clients at the readiness port, which has two threads, took the entry out of rotation. 100 bodies of 2 MiB, held or whole, brought it from 49 to 399 to 567 MB, of a machine of 150.

Cause: a connection was given a thread before it had sent a byte; a body was read into blocks as large as its stated length, joined and copied again, for each request in its limit and for all together without one; a refused client lingered on a thread; a response to a request with a body waited for all that its client announced.

Change: one thread receives the heads of all connections (receiving.py), and refused clients linger there. A body is taken from the account before it is read, waits unread up to 1 s for room, and is refused with no_memory, not run, without. When others wait for a thread or for memory, the client that has moved less than 4 KiB for longest is cut, after half a second at least; when there are as many connections as may be, the slowest one without a request is closed. The readiness and status ports have connections and memory of their own. Nothing of this is in the way while there is room.

--- /dev/null
+++ b/features/client_memory.feature
@@ -0,0 +1,43 @@
+Feature: What is held for clients is accounted for, and given back
+  One account covers all ports and both ways; what isn't given back is lost until the
+  process ends.
+
+  Scenario Outline: The account is empty once clients have left
+    Guards against bytes that some way out doesn't give back.
+    Given an entry with 150 MB of memory before four upstreams
+    When 30 clients <do>
+    And they leave
+    Then the entry's account is empty
+
+    Examples:
+      | do                                                  |
+      | hold sized bodies just short of their end           |
+      | hold bodies in small chunks just short of their end |
+      | end their bodies by a byte now and then             |
+      | send whole sized bodies at once                     |
+      | don't read answers of 3 MB                          |
+      | send half a head, and return                        |
+      | use a wrong key and stay                            |
+      | send a trailer line without end                     |
+
+  Scenario: The account is full, and empty again
+    Guards against more or less being given back than was taken.
+    When any bytes are taken and given back in any order
+    Then no kind and no owner ever has more than its part
+    And nothing is left in the account
+
+  Scenario Outline: Any bytes, cut anywhere, at a reader of requests
+    Guards against readers that hang, fail or hold more than their bound.
+    When a server reads any bytes as <what>, cut anywhere
+    Then it returns or refuses each, within its bound
+
+    Examples:
+      | what                 |
+      | a sized body         |
+      | a chunked body       |
+      | a head and its body  |
+
+  Scenario: Streams whose attempts have long ids
+    Guards against tables whose keys callers choose.
+    When 2000 streams begin whose attempts have ids of 10 kB
+    Then less than 1 MB of ids is kept
--- a/lavenderspoke/callerapp.py
+++ b/lavenderspoke/callerapp.py
@@ -11,7 +11,13 @@
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
 from lavenderspoke.http.callerwatch import CallerWatch
-from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
+from lavenderspoke.http.connectiontable import CloseReason
+from lavenderspoke.http.requestbody import (
+    BodyBroken,
+    BodyNotHeld,
+    BodyTooLarge,
+    read_body,
+)
 from lavenderspoke.http.server import REQUEST_KEY, CallerHttpRequest, chunk_writer
 from lavenderspoke.model import Ran
 from lavenderspoke.observing.metrics import Metrics
@@ -20,6 +26,7 @@
 BODY_BYTES_MAX = 8 * 1024 * 1024
 DRAIN_RETRY_S = 1.0
 CALLER_ANSWERS = "caller_answers"
+CLOSED_CONNECTIONS = "caller_closed_connections"
 ANSWER_LATENCY = "caller_answer_s"
 FIRST_BYTE_LATENCY = "caller_first_byte_s"
 
@@ -63,6 +70,10 @@
         """Count an answer that is a problem."""
         self._metrics.count(CALLER_ANSWERS, problem.reason.value)
 
+    def count_closed(self, reason: CloseReason) -> None:
+        """Count a connection that the HTTP server closed for others."""
+        self._metrics.count(CLOSED_CONNECTIONS, reason.value)
+
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
         http_request = environ[REQUEST_KEY]
         if self.draining:
@@ -86,11 +97,13 @@
         of_service = admission.service.waiting.body_bytes_max
         bytes_max = min(of_service, self._body_bytes_max)
         try:
-            body = read_body(http_request, bytes_max)
+            body = read_body(http_request, bytes_max, owner=admission.customer.name)
         except BodyTooLarge:
             return refusal(Reason.BODY_TOO_LARGE, f"at most {bytes_max} bytes")
         except TimeoutError:
             return refusal(Reason.BODY_TIMEOUT, "the body came too slowly")
+        except BodyNotHeld as error:
+            return refusal(error.refusal, str(error), DRAIN_RETRY_S)
         except BodyBroken as error:
             return refusal(Reason.BAD_REQUEST, f"body: {error}")
         built = self._builder.build(admission, body)
@@ -104,9 +117,7 @@
     ) -> list[bytes]:
         """Answer at once; a body that is still to come is not waited for."""
         self.count_problem(problem)
-        if has_unread_body(http_request):
-            http_request.close_connection = True
-            http_request.conn.linger_on_close = True
+        http_request.close_if_unread()
         page = problempage.render(problem)
         start_response(page.status, list(page.headers))
         return [] if http_request.method == b"HEAD" else [page.body]
@@ -158,10 +169,3 @@
                 reason=Reason.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN, detail=detail
             )
         return Problem(reason=Reason.CALLER_GONE, ran=Ran.UNKNOWN)
-
-
-def has_unread_body(http_request: CallerHttpRequest) -> bool:
-    """Return whether some of the request's body is still to be read."""
-    if http_request.chunked_read:
-        return not http_request.rfile.closed
-    return http_request.rfile.remaining > 0
--- a/lavenderspoke/callers.py
+++ b/lavenderspoke/callers.py
@@ -21,8 +21,10 @@
     Tls,
 )
 from lavenderspoke.observing.metrics import Metrics
+from lavenderspoke.resources.clientmemory import CLIENT_MEMORY
 
 CALLER_THREADS = 256
+CALLER_CONNECTIONS = 1024
 STATUS_THREADS = 4
 DRAIN_S = 60.0
 DRAIN_POLL_S = 0.05
@@ -68,6 +70,7 @@
         header_bytes_max: int = HEADER_BYTES_MAX,
         body_bytes_max: int = BODY_BYTES_MAX,
         drain_s: float = DRAIN_S,
+        connections_max: int = CALLER_CONNECTIONS,
         builder: ArrivalBuilder = ArrivalBuilder(),
     ):
         self._watch = CallerWatch()
@@ -89,6 +92,9 @@
             request_read_s=request_read_s,
             header_bytes_max=header_bytes_max,
             on_problem=self._app.count_problem,
+            memory=CLIENT_MEMORY,
+            connections_max=connections_max,
+            on_closed=self._app.count_closed,
         )
         self._running: _RunningServer | None = None
 
@@ -100,7 +106,9 @@
     def start(self) -> None:
         """Listen; raises OSError when the address is in use."""
         self._app.draining = False
-        running = _RunningServer.start(self._make_server(), "callers")
+        server = self._make_server()
+        running = _RunningServer.start(server, "callers")
+        CLIENT_MEMORY.make_room = server.make_room
         self._watch.start()
         self._running = running
 
--- a/lavenderspoke/direct/app.py
+++ b/lavenderspoke/direct/app.py
@@ -36,9 +36,15 @@
 from lavenderspoke.http import problempage
 from lavenderspoke.http.callerrequest import StartResponse, caller_request
 from lavenderspoke.http.callerwatch import CallerWatch, has_left
+from lavenderspoke.http.connectiontable import CloseReason
 from lavenderspoke.http.framing import NO_BODY_STATUSES
 from lavenderspoke.http.hopbyhop import Headers, end_to_end
-from lavenderspoke.http.requestbody import BodyBroken, BodyTooLarge, read_body
+from lavenderspoke.http.requestbody import (
+    BodyBroken,
+    BodyNotHeld,
+    BodyTooLarge,
+    read_body,
+)
 from lavenderspoke.http.server import REQUEST_KEY, CallerHttpRequest, CutOff
 from lavenderspoke.observing.metrics import Metrics
 from lavenderspoke.problems import Problem, Reason
@@ -53,6 +59,7 @@
 SERVER_HEADERS = frozenset((LENGTH, "date", "server"))
 
 ANSWERS_METRIC = "direct_answers"
+CLOSED_METRIC = "direct_closed_connections"
 FIRST_BYTE_METRIC = "direct_first_byte_s"
 DURATION_METRIC = "direct_answer_s"
 OUTCOME_COMPLETE = "whole"
@@ -121,6 +128,10 @@
         """Count a refusal by the HTTP server itself."""
         self._metrics.count(ANSWERS_METRIC, problem.reason.value)
 
+    def count_closed(self, reason: CloseReason) -> None:
+        """Count a connection that the HTTP server closed for others."""
+        self._metrics.count(CLOSED_METRIC, reason.value)
+
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
         return self._respond(environ[REQUEST_KEY], start_response)
 
@@ -142,8 +153,7 @@
         http_request.close_connection |= self.draining
         accepted = self._accept(http_request, record)
         if isinstance(accepted, Err):
-            # The rest of the body would be parsed as the next request.
-            http_request.close_connection |= _has_unread_body(http_request)
+            http_request.close_if_unread()
             yield self._refuse(http_request, start_response, accepted.err_value, record)
             return
         fd = http_request.conn.socket.fileno()
@@ -252,7 +262,7 @@
         if isinstance(customer, Err):
             return customer
         record.customer = customer.ok_value.name if customer.ok_value else ""
-        body = self._read_body(http_request, catalog)
+        body = self._read_body(http_request, catalog, record.customer)
         if isinstance(body, Err):
             return body
         accepted = self._admit(
@@ -277,14 +287,17 @@
 
     @staticmethod
     def _read_body(
-        http_request: CallerHttpRequest, catalog: Catalog
+        http_request: CallerHttpRequest, catalog: Catalog, customer: str
     ) -> Result[bytes, Problem]:
+        bytes_max = catalog.limits.body_bytes_max
         try:
-            return Ok(read_body(http_request, catalog.limits.body_bytes_max))
+            return Ok(read_body(http_request, bytes_max, owner=customer))
         except BodyTooLarge:
             return Err(not_run(Reason.BODY_TOO_LARGE, "the body is too long"))
         except TimeoutError:
             return Err(not_run(Reason.BODY_TIMEOUT, "the body arrived too slowly"))
+        except BodyNotHeld as error:
+            return Err(not_run(error.refusal, str(error), RETRY_AFTER_S))
         except BodyBroken as error:
             return Err(not_run(Reason.BAD_REQUEST, str(error)))
 
@@ -429,12 +442,6 @@
     return None if result is None else f"{result.value}, after {hedging.after_s:.3f} s"
 
 
-def _has_unread_body(http_request: CallerHttpRequest) -> bool:
-    if http_request.chunked_read:
-        return not http_request.rfile.closed
-    return getattr(http_request.rfile, "remaining", 0) > 0
-
-
 def _body_length(response: FullResponse, method: str) -> int | None:
     """Return the length to state, None for none.
 
@@ -460,4 +467,6 @@
     """Return a hash by which a resubmitted request is recognised."""
     name = customer.name if customer else ""
     text = f"{name}\0{head.method}\0{head.host}\0{head.target}\0".encode()
-    return hashlib.blake2b(text + body, digest_size=12).hexdigest()
+    digest = hashlib.blake2b(text, digest_size=12)
+    digest.update(body)
+    return digest.hexdigest()
--- a/lavenderspoke/direct/dispatcher.py
+++ b/lavenderspoke/direct/dispatcher.py
@@ -16,6 +16,7 @@
 from lavenderspoke.http.hopbyhop import Headers
 from lavenderspoke.http.upstreamsignals import UpstreamSignals
 from lavenderspoke.problems import Problem
+from lavenderspoke.resources.heldbody import HeldBytes
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +43,15 @@
     version: int
     stream_version: str | None = None
 
+    def drop_body(self) -> None:
+        """Let go of a large body once the request has ended.
+
+        Requests, their attempts and tickets refer to each other, and so stay until the
+        next collection of garbage.
+        """
+        if isinstance(self.body, HeldBytes):
+            object.__setattr__(self, "body", b"")
+
 
 @attrs.frozen(kw_only=True)
 class FullResponse:
--- a/lavenderspoke/direct/exchange.py
+++ b/lavenderspoke/direct/exchange.py
@@ -466,6 +466,8 @@
             self.discard(connection, ConnectionUse.IDLE_LIMIT_SHORT)
             return
         usable_until_s = self._clock.monotonic_s() + idle_s
+        if connection.bounds is not None:
+            connection.bounds.let_go()
         with self._lock:
             self._busy.discard(connection)
             self._idle.append(
--- a/lavenderspoke/direct/handling.py
+++ b/lavenderspoke/direct/handling.py
@@ -174,8 +174,10 @@
         """
         if self._current is not None:
             self._end_attempt(self._current, AttemptOutcome.LEFT)
-        self.hedging.cancel()
+        self.hedging.close()
         self.relocation.release()
+        self._error_response = None
+        self.accepted.drop_body()
 
     @property
     def caller_gone(self) -> bool:
--- a/lavenderspoke/direct/hedgedattempt.py
+++ b/lavenderspoke/direct/hedgedattempt.py
@@ -277,6 +277,11 @@
         if self.attempt is not None:
             self.attempt.cancel()
 
+    def close(self) -> None:
+        """Abort the second attempt, and let go of its answer."""
+        self.cancel()
+        self.attempt = None
+
     def _start(self, first_cancel: CancelHandle) -> HedgedAttempt | HedgeResult:
         accepted = self._accepted
         if not self._plan.can_be_on_time(
--- a/lavenderspoke/direct/server.py
+++ b/lavenderspoke/direct/server.py
@@ -7,6 +7,8 @@
 from lavenderspoke.direct.catalog import Limits
 from lavenderspoke.direct.settings import DirectSettings
 from lavenderspoke.http.server import HttpServer
+from lavenderspoke.resources.clientmemory import CLIENT_MEMORY
+from lavenderspoke.resources.processlimits import client_connections
 
 # Connections may idle this much longer, in seconds, than the configured idle timeout,
 # since a request that is on its way when the server closes is lost.
@@ -80,7 +82,11 @@
             threads=self._settings.threads,
             on_problem=self._app.count_problem,
             refuses_unread=True,
+            memory=CLIENT_MEMORY,
+            connections_max=client_connections(self._settings.limits.descriptors),
+            on_closed=self._app.count_closed,
         )
+        CLIENT_MEMORY.make_room = server.make_room
         _apply_limits(server, self._limits)
         return server
 
--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -15,6 +15,8 @@
 from lavenderspoke.membership.memberlist import Role
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import entry_report
+from lavenderspoke.resources.clientmemory import CLIENT_MEMORY, client_bytes
+from lavenderspoke.resources.processlimits import client_connections
 from lavenderspoke.rosterfeed import RosterFeed
 from lavenderspoke.supervisor import Part
 from lavenderspoke.waiting import QueuePolicy
@@ -39,7 +41,10 @@
             period_s=settings.platform.poll_s,
             work=self.roster.poll,
         )
-        callers = settings.callers
+        callers, limits = settings.callers, settings.limits.of_process()
+        CLIENT_MEMORY.bytes_max = client_bytes(
+            memory_bytes=limits.memory_bytes, threads=callers.threads
+        )
         self.callers = CallerServer(
             host=callers.host,
             port=callers.port,
@@ -52,6 +57,7 @@
             header_bytes_max=callers.header_bytes_max,
             body_bytes_max=callers.body_bytes_max,
             drain_s=settings.drain_s,
+            connections_max=client_connections(limits.descriptors),
         )
 
     def make_core(self) -> EntryCore:
@@ -104,6 +110,9 @@
         """Return whether the entry has documents and is not draining."""
         return bool(self.core.services) and not self.core.draining
 
+    def status(self) -> dict:
+        return super().status() | {"client_bytes": CLIENT_MEMORY.held_bytes}
+
     def core_status(self) -> dict:
         return entry_report(self.core)
 
--- a/lavenderspoke/http/boundedresponse.py
+++ b/lavenderspoke/http/boundedresponse.py
@@ -128,6 +128,11 @@
         """Raise ResponseTooLong once more than that has been received from now on."""
         self._bytes_left = bytes_max
 
+    def let_go(self) -> None:
+        """Refer no more to whoever made the request: an idle connection keeps these."""
+        self.on_read_timeout = no_extension
+        self.check_caller = no_caller_check
+
     def stop(self) -> None:
         """End all reads at once, from any thread."""
         self._is_stopped = True
--- a/lavenderspoke/http/problempage.py
+++ b/lavenderspoke/http/problempage.py
@@ -41,6 +41,7 @@
     Reason.STREAM_VERSION_UNKNOWN: "nobody knows which version began the stream",
     Reason.HEADERS_TOO_LARGE: "The request headers are too large",
     Reason.SERVER_BUSY: "All of this instance's connections are in use",
+    Reason.NO_MEMORY: "This instance has no memory left for the request",
     Reason.INTERNAL_ERROR: "This instance failed",
 }
 
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -12,34 +12,50 @@
 import ssl
 import threading
 import time
+from collections.abc import Callable
+from contextlib import suppress
 
 import attrs
 import logbook
 from cheroot import errors, wsgi
-from cheroot.makefile import StreamReader
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from lavenderspoke.http import problempage
+from lavenderspoke.http.callerreader import CallerReader
+from lavenderspoke.http.callerwriter import CallerWriter
+from lavenderspoke.http.connectiontable import (
+    MOVING,
+    CloseReason,
+    ConnectionTable,
+    Phase,
+    Progress,
+)
+from lavenderspoke.http.receiving import ReceivedHead, Receiver
+from lavenderspoke.http.repeatedlines import RepeatedLines
 from lavenderspoke.http.workers import WorkerPool
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.resources.clientmemory import ClientMemory, Hold, Holding
 
 HEADER_BYTES_MAX = 32 * 1024
-BACKLOG_CONNECTIONS = 128
+BACKLOG_CONNECTIONS = 512
 ACCEPTED_QUEUE_CONNECTIONS = 64
 REFUSING_QUEUE_CONNECTIONS = 256
-REFUSING_WAIT_S = 0.1
 THREAD_WAIT_S = 1.0
 THREAD_POLL_S = 0.005
-LINGER_S = 1.0
-LINGER_BYTES_MAX = 4 * 1024 * 1024
 SOCKET_TIMEOUT_S = 10.0
 REQUEST_READ_S = 15.0
 BUSY_RETRY_S = 1.0
 KEEP_ALIVE_CONNECTIONS = 1000
 REQUEST_KEY = "lavenderspoke.request"
-READ_BYTES = 64 * 1024
+# What an open connection costs, in bytes.
+CONNECTION_BYTES = 8 * 1024
+# Open connections of a server that is told no limit, and what they may hold in all.
+CONNECTIONS_MAX = 64
+MEMORY_BYTES_MAX = 4 * 1024 * 1024
+# The most that the system receives for a connection before it is read, in bytes.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 log = logbook.Logger(__name__)
 
@@ -67,33 +83,6 @@
         super().__init__(errno.ECONNRESET, "the answer was cut off")
 
 
-class _Reader(StreamReader):
-    """A connection's reader that gives up when the whole request is late."""
-
-    def __init__(self, sock: socket.socket, timeout_s: float):
-        super().__init__(sock, "rb")
-        self.raw.readinto = self._readinto
-        self._sock = sock
-        self._timeout_s = timeout_s
-        self._deadline_s = None
-
-    def allow(self, request_read_s: float) -> None:
-        """Give the request that begins now that long to arrive."""
-        self._deadline_s = time.monotonic() + request_read_s
-
-    def _readinto(self, buffer) -> int:
-        # A caller that sends a byte now and then never exceeds the timeout of
-        # one read, so a few hundred of them would hold every thread for good.
-        left_s = self._deadline_s - time.monotonic()
-        if left_s <= 0:
-            raise TimeoutError("timed out")
-        self._sock.settimeout(min(left_s, self._timeout_s))
-        try:
-            return self._sock.recv_into(buffer)
-        finally:
-            self._sock.settimeout(self._timeout_s)
-
-
 class _StrictHeaderReader(HeaderReader):
     """A header reader that leaves out names with an underscore.
 
@@ -126,6 +115,8 @@
     header_reader = _StrictHeaderReader()
     # Whether the application has been given the request, which may run from then on.
     is_handed_over = False
+    # Whether the application has read the request to its last byte.
+    is_body_read = False
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -151,6 +142,27 @@
         self.is_handed_over = True
         super().respond()
 
+    def body_was_read(self) -> None:
+        """Note that the application has read the request to its last byte."""
+        self.is_body_read = True
+        if not self.chunked_read:
+            self.rfile.remaining = 0
+
+    def close_if_unread(self) -> None:
+        """Close the connection after the response if some of the request is unread.
+
+        The rest would be taken for the next request, and waiting for it, as cheroot
+        does, would hold whatever its client states as its length.
+        """
+        has_body = self.chunked_read or int(self.inheaders.get(b"Content-Length", 0))
+        if has_body and not self.is_body_read:
+            self.close_connection = True
+            self.conn.linger_on_close = True
+
+    def send_headers(self) -> None:
+        self.close_if_unread()
+        super().send_headers()
+
     def ensure_headers_sent(self) -> None:
         # Cheroot calls this also if the application failed before its response began.
         if not self.status and not self.sent_headers:
@@ -170,21 +182,28 @@
             reason=reason, ran=ran, detail=str(msg), retry_after_s=retry_after_s
         )
         self.server.on_problem(problem)
+        self._log_refusal(problem)
+        self.close_connection = True
+        self.conn.linger_on_close = True
+        self._write_page(problempage.render(problem))
+
+    def _log_refusal(self, problem: Problem) -> None:
+        left_out = self.server.repeated_lines.admit(problem.reason.value)
+        if left_out is None:
+            return
         log.warning(
             "refused by the server",
-            reason=reason.value,
+            reason=problem.reason.value,
             status=problem.status,
-            ran=ran.value,
+            ran=problem.ran.value,
             detail=problem.detail,
+            left_out=left_out or None,
             # How much of the request had been read: a line, the head, or the
             # application had it.
             line_read=self.conn.asked,
             head_read=self.ready,
             handed_over=self.is_handed_over,
         )
-        self.close_connection = True
-        self.conn.linger_on_close = True
-        self._write_page(problempage.render(problem))
 
     def _write_page(self, page: problempage.Page) -> None:
         lines = [f"HTTP/1.1 {page.status}"]
@@ -198,21 +217,39 @@
 
 
 class CallerConnection(HTTPConnection):
-    """A connection with a limit on how long each request takes to arrive."""
+    """A connection with a limit on how long each request takes to arrive.
+
+    Only `close_now`, or `close` where nothing lingers, closes its socket.
+    """
 
     RequestHandlerClass = CallerHttpRequest
     linger_on_close = False
     # Whether the first line of a request was read that isn't answered whole.
     asked = False
     thread_wanted_until_s = 0.0
+    # What has come of a head, until a thread has the connection.
+    head: ReceivedHead | None = None
+    linger_until_s = 0.0
+    linger_bytes = 0
 
     def __init__(self, server, sock, makefile):
-        super().__init__(server, sock, makefile)
-        self.rfile = _Reader(sock, server.timeout)
+        self.progress = Progress()
+        super().__init__(server, sock, self._make_file)
+        self.fd = sock.fileno()
+        self._hold = Hold(memory=server.memory, kind=Holding.CONNECTIONS)
+
+    def _make_file(self, sock: socket.socket, mode: str, size: int):
+        if "r" in mode:
+            return CallerReader(sock, self.server.timeout, self.progress.moved)
+        return CallerWriter(sock, self.progress)
+
+    def take_memory(self) -> bool:
+        """Account for this connection; return False if there is no room for it."""
+        return self._hold.grow(CONNECTION_BYTES)
 
     def has_request(self) -> bool:
         """Return whether a request has come that isn't answered whole; any thread."""
-        if self.asked or self.rfile.has_data():
+        if self.asked or self.head is not None or self.rfile.has_data():
             return True
         poll = select.poll()
         try:
@@ -224,14 +261,23 @@
 
     def communicate(self) -> bool:
         try:
+            self.progress.enter(Phase.READING)
             if not self._shake_hands():
                 return False
-            self.rfile.allow(self.server.request_read_s)
+            self._begin_request()
             return super().communicate()
         finally:
             self.asked = False
+            self.progress.enter(Phase.HANDLED)
             self.server.handed_back(self)
 
+    def _begin_request(self) -> None:
+        head, self.head = self.head, None
+        began_s = head.began_s if head is not None else time.monotonic()
+        self.rfile.allow(began_s + self.server.request_read_s)
+        if head is not None:
+            self.rfile.put_back(head.data)
+
     def _shake_hands(self) -> bool:
         """Finish the TLS handshake, if there is one; return whether it went well."""
         if not isinstance(self.socket, ssl.SSLSocket) or self.socket.version():
@@ -239,38 +285,57 @@
         try:
             self.socket.do_handshake()
         except OSError as error:
-            log.info("TLS handshake failed", error=str(error))
+            if (left_out := self.server.repeated_lines.admit("TLS")) is not None:
+                left_out = left_out or None
+                log.info("TLS handshake failed", error=str(error), left_out=left_out)
             return False
         return True
 
+    def refuse_late(self) -> None:
+        """Refuse a request whose head hasn't come in its time."""
+        self.head = None
+        with suppress(OSError, ValueError):
+            request = CallerHttpRequest(self.server, self)
+            request.simple_response("408 Request Timeout", "the head came too slowly")
+        self.close()
+
+    def begin_lingering(self, until_s: float, bytes_max: int) -> None:
+        """Note how long, and for how much, a refused client may go on sending."""
+        self.linger_until_s, self.linger_bytes = until_s, bytes_max
+        self.progress.enter(Phase.LINGERING)
+
+    def cut(self) -> None:
+        """End the reads and writes of this connection's thread.
+
+        While it reads, a refusal can still be written.
+        """
+        is_reading = self.progress.phase is Phase.READING
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD if is_reading else socket.SHUT_RDWR)
+
     def close(self) -> None:
         # Closing with unread bytes resets the connection, and the reset can
         # overtake the refusal: the caller would see no reason at all.
-        if self.linger_on_close:
-            self._drain()
-        super().close()
-
-    def _drain(self) -> None:
-        until_s = time.monotonic() + LINGER_S
-        left_bytes = LINGER_BYTES_MAX
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-            while left_bytes > 0 and (left_s := until_s - time.monotonic()) > 0:
-                self.socket.settimeout(left_s)
-                data = self.socket.recv(READ_BYTES)
-                if not data:
-                    return
-                left_bytes -= len(data)
-        except (OSError, ValueError):
+        if self.linger_on_close and self.server.ready:
+            self.linger_on_close = False
+            self.server.linger(self)
             return
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Close the socket, and give back what is accounted for."""
+        self.head = None
+        self.server.connections.remove(self)
+        self._hold.release()
+        super().close()
 
 
 class ChunkWriter:
     """Writes chunks straight to a connection, from any thread."""
 
-    def __init__(self, sock: socket.socket):
-        self._sock = sock
-        self._fd = sock.fileno()
+    def __init__(self, conn: CallerConnection):
+        self._conn = conn
+        self._fd = conn.fd
 
     def write_now(self, body: bytes) -> bytes:
         """Write a chunk as far as the socket takes it; return the rest.
@@ -287,7 +352,7 @@
 
     def write(self, framed: bytes) -> None:
         """Write the rest, as long as the caller takes some within the timeout."""
-        self._sock.sendall(framed)
+        self._conn.wfile.write(framed)
 
 
 def chunk_writer(request: CallerHttpRequest) -> ChunkWriter | None:
@@ -298,7 +363,7 @@
     sock = request.conn.socket
     if not request.chunked_write or isinstance(sock, ssl.SSLSocket):
         return None
-    return ChunkWriter(sock)
+    return ChunkWriter(request.conn)
 
 
 class LazyTlsAdapter(BuiltinSSLAdapter):
@@ -328,6 +393,8 @@
     With a `listener`, it serves the connections that come there. If it
     `refuses_unread`, it closes those that it has no thread for after a short wait
     without reading anything, so that their callers may send the same elsewhere at once.
+    It has `connections_max` connections at most, which hold what `memory` has room for;
+    `on_closed` is called as one is closed for others.
     """
 
     ConnectionClass = CallerConnection
@@ -346,7 +413,15 @@
         on_problem=lambda problem: None,
         listener: socket.socket | None = None,
         refuses_unread: bool = False,
+        memory: ClientMemory | None = None,
+        connections_max: int = CONNECTIONS_MAX,
+        on_closed: Callable[[CloseReason], None] = lambda reason: None,
     ):
+        self.repeated_lines = RepeatedLines()
+        self.memory = memory or ClientMemory(bytes_max=MEMORY_BYTES_MAX)
+        self.connections_max = connections_max
+        self.connections = ConnectionTable(on_closed=self.count_closed)
+        self._on_closed = on_closed
         self._listener = listener
         self._refuses_unread = refuses_unread
         # Connections that have a thread or wait for one.
@@ -380,6 +455,35 @@
         self.bind_addr = self.resolve_real_bind_addr(self.socket)
         return self.socket
 
+    def prepare(self) -> None:
+        super().prepare()
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._connections.close()
+        self._connections = Receiver(self)
+
+    def linger(self, conn: CallerConnection) -> None:
+        """Let a refused client read its refusal before its connection closes."""
+        self._connections.linger(conn)
+
+    def make_room(self, kind: Holding) -> None:
+        """Cut the slowest connection that may hold memory of that kind."""
+        phase = Phase.WRITING if kind is Holding.ANSWERS else Phase.READING
+        self.connections.cut_slowest({phase}, CloseReason.MEMORY)
+
+    def count_closed(self, reason: CloseReason) -> None:
+        """Count a connection that was closed for others."""
+        self._on_closed(reason)
+        if (left_out := self.repeated_lines.admit(f"closed for {reason}")) is not None:
+            log.warning(
+                "connection closed for others",
+                reason=reason.value,
+                connections=len(self.connections),
+                held_bytes=self.memory.held_bytes,
+                left_out=left_out or None,
+            )
+
     def in_flight(self) -> int:
         """Return the number of requests that have come and aren't answered whole.
 
@@ -405,8 +509,7 @@
             conn.thread_wanted_until_s = time.monotonic() + THREAD_WAIT_S
             self._unservicable_conns.put(conn)
         else:
-            self.handed_back(conn)
-            conn.close()
+            self._close_unread(conn)
 
     def _has_thread(self) -> bool:
         return self.requests.idle > self.requests.qsize
@@ -434,40 +537,38 @@
         while not self._has_thread():
             if not self.ready or time.monotonic() >= conn.thread_wanted_until_s:
                 return False
+            self.connections.cut_slowest(MOVING, CloseReason.THREADS)
             self.requests.grow_back()
             time.sleep(THREAD_POLL_S)
         return True
 
-    def _refuse(self, conn: CallerConnection) -> None:
-        """Read what has been sent, as far as it is there, and answer busy.
+    def _refuse(self, conn) -> None:
+        """Answer busy, or only close the connection where requests are refused unread.
 
-        Where requests are refused unread, only close the connection.
+        What has come in parts has been read, and what is encrypted can't be answered
+        without a handshake.
         """
-        if self._refuses_unread:
+        is_unread = conn.head is None
+        if is_unread and (
+            self._refuses_unread or isinstance(conn.socket, ssl.SSLSocket)
+        ):
             self._close_unread(conn)
             return
-        try:
-            conn.socket.settimeout(REFUSING_WAIT_S)
-            _read_once(conn.socket)
+        with suppress(OSError, ValueError):
             CallerHttpRequest(self, conn).simple_response("503", "try another")
-        except (OSError, ValueError):
-            pass
-        conn.linger_on_close = False
-        try:
+        with suppress(OSError):
             conn.close()
-        except OSError:
-            pass
         self.handed_back(conn)
 
     def _close_unread(self, conn: CallerConnection) -> None:
         self.on_problem(Problem(reason=Reason.SERVER_BUSY, ran=Ran.NO))
-        log.info("closed unread", reason=Reason.SERVER_BUSY.value)
-        try:
+        if (left_out := self.repeated_lines.admit("closed unread")) is not None:
+            reason = Reason.SERVER_BUSY.value
+            log.info("closed unread", reason=reason, left_out=left_out or None)
+        with suppress(OSError):
             # Resets the connection if a request has come, whose caller sees at once
             # that nobody has read it.
-            conn.close()
-        except OSError:
-            pass
+            conn.close_now()
         self.handed_back(conn)
 
     def error_log(self, msg="", level=20, traceback=False) -> None:
@@ -477,10 +578,3 @@
             log.warning("http server", detail=str(msg))
         else:
             log.debug("http server", detail=str(msg))
-
-
-def _read_once(sock: socket.socket) -> None:
-    try:
-        sock.recv(READ_BYTES)
-    except (TimeoutError, ssl.SSLError):
-        return
--- a/lavenderspoke/platform/daemon.py
+++ b/lavenderspoke/platform/daemon.py
@@ -51,6 +51,8 @@
 KEY_REVOCATION_SHARE = 0.4
 # The age of the list of upstreams that is in use, in seconds.
 LIST_AGE_METRIC = "upstreams_list_age_s"
+# What the process holds for its clients, in bytes.
+CLIENT_BYTES_METRIC = "direct_client_bytes"
 # How long writing the last log lines may take on shutdown, in seconds.
 LOG_DRAIN_TIMEOUT_S = 0.3
 
@@ -210,6 +212,7 @@
     def _check(self) -> None:
         self._entry.dispatcher.connection_pools.close_used_up()
         self._entry.dispatcher.crash_checks.check_again()
+        self._entry.metrics.set_gauge(CLIENT_BYTES_METRIC, CLIENT_MEMORY.held_bytes)
         age_s = self._upstreams.cache.age_s(self._clock.monotonic_s())
         if math.isfinite(age_s):
             self._entry.metrics.set_gauge(LIST_AGE_METRIC, age_s)
--- a/lavenderspoke/platform/settings.py
+++ b/lavenderspoke/platform/settings.py
@@ -13,6 +13,8 @@
 from lavenderspoke.rollouts.transitions import Bounds as RolloutBounds
 
 MS_PER_S = 1000.0
+# The memory of a process that isn't told its own, in megabytes.
+MEMORY_MB_DEFAULT = 200.0
 # Names policies to disable, separated by commas. The platform doesn't set it.
 DISABLED_POLICIES_KEY = "disabled-policies"
 
@@ -123,7 +125,7 @@
         bounds=bounds,
         policies=reader.policies(),
         limits=process_limits(
-            memory_mb=reader.number("limits.memory-mb", 0.0),
+            memory_mb=reader.number("limits.memory-mb", MEMORY_MB_DEFAULT),
             descriptors=int(reader.number("limits.max-fds", 0.0)),
         ),
     )
--- a/lavenderspoke/problems.py
+++ b/lavenderspoke/problems.py
@@ -38,6 +38,7 @@
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     HEADERS_TOO_LARGE = "headers_too_large"
     SERVER_BUSY = "server_busy"
+    NO_MEMORY = "no_memory"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -70,6 +71,7 @@
     Reason.STREAM_VERSION_UNKNOWN: 503,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.SERVER_BUSY: 503,
+    Reason.NO_MEMORY: 503,
     Reason.INTERNAL_ERROR: 500,
 }
 
