Don't keep the versions of streams whose attempts have very long ids

An entry keeps the version of up to 50,000 streams by the id of the attempt that began them, which its caller chooses: within the limit on headers, ids of 10 kB each. Such a table could outgrow any machine, and its rows went on to the neighbours. Ids of more than 128 characters aren't kept any more; taking up such a stream is refused where several versions serve, as for any stream that nobody knows.

--- a/lavenderspoke/direct/streamversions.py
+++ b/lavenderspoke/direct/streamversions.py
@@ -32,6 +32,9 @@
 TOLD_AGAIN_S = KEPT_S / 3.0
 # Streams kept at most; the oldest are forgotten first.
 STREAMS_MAX = 50_000
+# Streams whose attempts have a longer id aren't kept: callers choose it, and nothing
+# else bounds what that many of them take.
+ID_LENGTH_MAX = 128
 # Age of the list of upstreams, in seconds, up to which it tells that no other version
 # serves: lists are read about once a second.
 LIST_AGE_MAX_S = 4.0
@@ -197,6 +200,8 @@
 
     def record(self, row: StreamRow) -> None:
         """Record a stream of this entry's own, to be told to its neighbours."""
+        if len(row[0]) > ID_LENGTH_MAX:
+            return
         with self._lock:
             self._put(row)
             self._unsent.append(row)
@@ -206,7 +211,8 @@
         """Record streams that other entries have told of."""
         with self._lock:
             for row in rows:
-                self._put(row)
+                if len(row[0]) <= ID_LENGTH_MAX:
+                    self._put(row)
 
     def find(self, attempt_id: str) -> StreamRow | None:
         """Return what is known of the stream that an attempt began, if anything."""
