Account for answers that wait for slow readers on the own interface

Each caller's thread could hold 32 MiB of an answer, a thousand threads 32 GB, and what had been gathered but not written counted nowhere. Both are taken from the process's account beyond 64 KiB now; an answer for which there is no room breaks off visibly, and its work is given up. answers and callers.feature pass.

--- a/lavenderspoke/answers.py
+++ b/lavenderspoke/answers.py
@@ -12,6 +12,12 @@
 )
 from lavenderspoke.model import Ran
 from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.resources.clientmemory import (
+    CLIENT_MEMORY,
+    SMALL_BYTES,
+    Hold,
+    Holding,
+)
 
 ANSWER_BYTES_MAX = 32 * 1024 * 1024
 
@@ -47,6 +53,7 @@
         self._changed = threading.Condition()
         self._parts: list[AnswerPart] = []
         self._bytes = 0
+        self._hold = Hold(memory=CLIENT_MEMORY, kind=Holding.ANSWERS)
         self._ended = False
         self._abandoned = False
         self._writer: BodyWriter | None = None
@@ -85,6 +92,7 @@
                 return []
             parts, self._parts = self._parts, []
             self._bytes = 0
+            self._hold.release()
             return parts
 
     def write_through(self, writer: BodyWriter) -> None:
@@ -129,7 +137,8 @@
         # in memory, and a few of them the daemon's whole allowance.
         if isinstance(part, AnswerBody):
             self._bytes += len(part.body)
-        return self._bytes > self._bytes_max
+        is_held = self._bytes <= SMALL_BYTES or self._hold.grow(self._bytes)
+        return self._bytes > self._bytes_max or not is_held
 
 
 _TOO_SLOW = AnswerBroken(
--- a/lavenderspoke/answerstream.py
+++ b/lavenderspoke/answerstream.py
@@ -19,6 +19,12 @@
 from lavenderspoke.http.server import CutOff
 from lavenderspoke.model import Head, Ran
 from lavenderspoke.problems import Problem, Reason
+from lavenderspoke.resources.clientmemory import (
+    CLIENT_MEMORY,
+    SMALL_BYTES,
+    Hold,
+    Holding,
+)
 
 HELD_BYTES_MAX = 64 * 1024
 NO_BODY_STATUSES = frozenset((204, 205, 304))
@@ -34,14 +40,21 @@
     bodies: list[bytes] = attrs.field(factory=list)
     size_bytes: int = 0
     end: AnswerEnd | AnswerBroken | Problem | None = None
+    hold: Hold = attrs.field(
+        factory=lambda: Hold(memory=CLIENT_MEMORY, kind=Holding.ANSWERS)
+    )
 
     def add(self, part) -> None:
-        """Add the next part."""
+        """Add the next part; nothing follows the end."""
+        if self.end is not None:
+            return
         if isinstance(part, Head):
             self.head = part
         elif isinstance(part, AnswerBody):
             self.bodies.append(part.body)
             self.size_bytes += len(part.body)
+            if self.size_bytes > SMALL_BYTES and not self.hold.grow(self.size_bytes):
+                self.end = _NO_MEMORY
         else:
             self.end = part
 
@@ -111,6 +124,9 @@
         parts = self._answer.take()
         for part in parts:
             self._gathered.add(part)
+        if self._gathered.end is _NO_MEMORY:
+            # Its work would go on for nobody.
+            self._answer.abandon()
         if not parts:
             self._gathered.end = AnswerBroken(problem=self._abandoned())
 
@@ -143,6 +159,7 @@
             if body and not silent:
                 yield body
                 self._offer_writer()
+            gathered.hold.release()
             if gathered.end:
                 break
             self._gather()
@@ -175,6 +192,13 @@
         self.ended = True
 
 
+_NO_MEMORY = AnswerBroken(
+    problem=Problem(
+        reason=Reason.ANSWER_INCOMPLETE,
+        ran=Ran.YES,
+        detail="no memory left for the answer",
+    )
+)
 _NO_HEAD = Problem(
     reason=Reason.INTERNAL_ERROR, ran=Ran.UNKNOWN, detail="the answer has no head"
 )
