Bound what waits to be logged by its length, and texts in its fields

Clients choose some texts of a log line, such as the id of their attempt, and up to 4,096 lines wait while the reader of the log stalls: 2,000 lines with 100 kB each held 200 MB, where the scenario allows 8. Texts in fields have 2,000 characters at most now, and all lines that wait 4 million; what is left out is counted as before.

client_memory.feature, "Clients cause many long lines", failed before with 200 MB.

--- a/features/client_memory.feature
+++ b/features/client_memory.feature
@@ -41,3 +41,14 @@
     Guards against tables whose keys callers choose.
     When 2000 streams begin whose attempts have ids of 10 kB
     Then less than 1 MB of ids is kept
+
+  Scenario: Clients cause many long lines
+    Guards against log lines that fill the memory while nobody reads them.
+    Given a log whose reader has stalled
+    When 2000 lines are logged, each with 100 kB that a client chose
+    Then less than 8 MB of them wait
+
+  Scenario: Clients cause the same line again and again
+    Guards against a log in which other lines drown.
+    When a server refuses 200 malformed requests
+    Then its log has at most 20 lines of them, and each is counted
--- a/features/steps/client_memory_steps.py
+++ b/features/steps/client_memory_steps.py
@@ -5,8 +5,9 @@
 import threading
 from collections import Counter
 
+import logbook
 import urllib3
-from behave import then, when
+from behave import given, then, when
 from hypothesis import strategies
 
 from features.helper import fuzz
@@ -21,6 +22,8 @@
     read_body,
 )
 from lavenderspoke.http.server import REQUEST_KEY, HttpServer
+from lavenderspoke.observing.logs import BoundedStream, JsonLinesHandler
+from lavenderspoke.problems import Reason
 from lavenderspoke.resources.clientmemory import (
     OWNER_SHARE,
     SHARES,
@@ -216,3 +219,56 @@
 def step_kept(context):
     rows = context.versions.rows(context.ids) + context.versions.take_unsent()
     assert sum(len(row[0]) for row in rows) < 1_000_000
+
+
+class _StalledStream(io.StringIO):
+    def __init__(self):
+        super().__init__()
+        self.is_read = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.is_read.wait(WAIT_S)
+        return len(text)
+
+
+@given("a log whose reader has stalled")
+def step_stalled(context):
+    stalled = _StalledStream()
+    context.add_cleanup(stalled.is_read.set)
+    context.stream = BoundedStream(stalled)
+
+
+@when("{count:d} lines are logged, each with 100 kB that a client chose")
+def step_long_lines(context, count):
+    handler = JsonLinesHandler(daemon="test", stream=context.stream)
+    log = logbook.Logger("test")
+    with handler.applicationbound():
+        for number in range(count):
+            log.info("request", request=f"{number}" + "x" * 100_000)
+
+
+@then("less than 8 MB of them wait")
+def step_lines_wait(context):
+    waiting = list(context.stream._lines.queue)
+    assert 0 < sum(map(len, waiting)) < 8_000_000, sum(map(len, waiting))
+
+
+@when("a server refuses {count:d} malformed requests")
+def step_refuses(context, count):
+    context.refused = Counter()
+    context.log_stream = io.StringIO()
+    handler = JsonLinesHandler(daemon="test", stream=context.log_stream)
+    handler.push_application()
+    context.add_cleanup(handler.pop_application)
+    reading = Reading(context)
+    reading.server.on_problem = lambda each: context.refused.update([each.reason])
+    for _ in range(count):
+        reading.send([b"no request at all\r\n\r\n"])
+    context.count = count
+
+
+@then("its log has at most 20 lines of them, and each is counted")
+def step_few_lines(context):
+    lines = context.log_stream.getvalue().splitlines()
+    assert 0 < len(lines) <= 20, len(lines)
+    assert context.refused[Reason.BAD_REQUEST] == context.count, context.refused
--- a/lavenderspoke/observing/logs.py
+++ b/lavenderspoke/observing/logs.py
@@ -15,6 +15,10 @@
 # Maximum number of queued lines: a few seconds' output at the highest load of one
 # entry, about two megabytes.
 QUEUED_LINES_MAX = 4096
+# Maximum length of all queued lines, in characters.
+QUEUED_LENGTH_MAX = 4 * 1024 * 1024
+# Maximum length of a text in a field: clients choose some of them.
+TEXT_LENGTH_MAX = 2000
 
 
 def redact(value, field: str = ""):
@@ -35,7 +39,12 @@
         return [value[0], redact(value[1], value[0])]
     if isinstance(value, (list, tuple)):
         return [redact(each) for each in value]
-    return SECRET_TEXT.sub(rf"\1 {REDACTED}", str(value))
+    text = _redact_text(str(value))
+    return text if len(text) <= TEXT_LENGTH_MAX else text[:TEXT_LENGTH_MAX] + "..."
+
+
+def _redact_text(text: str) -> str:
+    return SECRET_TEXT.sub(rf"\1 {REDACTED}", text)
 
 
 def _is_header(value) -> bool:
@@ -66,7 +75,7 @@
         for name, value in record.kwargs.items():
             line.setdefault(name, redact(value, name))
         if record.exc_info:
-            line["traceback"] = redact(record.formatted_exception)
+            line["traceback"] = _redact_text(record.formatted_exception)
         # One write per line, so that the output of several threads isn't interleaved.
         self._stream.write(json.dumps(line) + "\n")
         self._stream.flush()
@@ -86,14 +95,18 @@
         self._lines: queue.Queue[str] = queue.Queue(lines_max)
         self._lock = threading.Lock()
         self._dropped = 0
+        self._length = 0
         threading.Thread(target=self._run, name="log", daemon=True).start()
 
     def write(self, line: str) -> None:
         """Queue a line, or drop it if the queue is full."""
-        try:
-            self._lines.put_nowait(line)
-        except queue.Full:
-            with self._lock:
+        with self._lock:
+            try:
+                if self._length + len(line) > QUEUED_LENGTH_MAX:
+                    raise queue.Full
+                self._lines.put_nowait(line)
+                self._length += len(line)
+            except queue.Full:
                 self._dropped += 1
 
     def flush(self) -> None:
@@ -111,6 +124,8 @@
     def _run(self) -> None:
         while True:
             line = self._lines.get()
+            with self._lock:
+                self._length -= len(line)
             try:
                 self._stream.write(self._drop_notice() + line)
                 self._stream.flush()
