Bound messages and connections of the port for the other entries

30 strangers that hold messages of 6 MB just short of their end at an entry's peers' port brought it from 52 MB above the 150 MB of its machine: a message may have 8 MB, and any number of connections may hold one. Messages between entries now have 1 MiB at most, which is four times the store's largest record, 16 of them may wait to be handled, and an address may have 32 connections, where the other daemons have one each.

Strangers at many addresses are still not bounded together.

--- a/lavenderspoke/direct/gossip.py
+++ b/lavenderspoke/direct/gossip.py
@@ -26,6 +26,9 @@
 # Interval between ticks, in seconds. A tick also runs the dispatcher's periodic work,
 # so it bounds how late a queued request times out, or gets a slot that a peer released.
 TICK_S = 0.02
+# The longest message, in bytes: the largest is a topic of the store in full, whose
+# records are a quarter of this at most.
+MESSAGE_BYTES_MAX = 1024 * 1024
 
 log = logbook.Logger(__name__)
 
@@ -53,6 +56,7 @@
             listen_address=f"tcp://{listen.host}:{listen.port}",
             on_message=self._on_message,
             on_bad_message=self._on_bad_message,
+            message_bytes_max=MESSAGE_BYTES_MAX,
         )
         self._stopping = threading.Event()
         self._thread: threading.Thread | None = None
--- a/lavenderspoke/transport.py
+++ b/lavenderspoke/transport.py
@@ -18,7 +18,10 @@
 from lavenderspoke.envelope import Envelope
 
 SEND_BUFFER_MESSAGES = 128
-RECEIVE_BUFFER_MESSAGES = 1024
+RECEIVE_BUFFER_MESSAGES = 16
+# Connections from one address: the other daemons have one each, and a new one before
+# the old one is closed. Each holds a message of up to the largest size as it arrives.
+CONNECTIONS_PER_ADDRESS_MAX = 32
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 
@@ -37,6 +40,7 @@
     dropped_away: int = 0
     dropped_large: int = 0
     dropped_closed: int = 0
+    refused_connections: int = 0
     bad: int = 0
     failed: int = 0
 
@@ -65,7 +69,9 @@
         on_message: Callable[[Envelope], None],
         on_bad_message: Callable[[CodecError], None] = lambda error: None,
         send_buffer_messages: int = SEND_BUFFER_MESSAGES,
+        message_bytes_max: int = MESSAGE_BYTES_MAX,
     ):
+        self._message_bytes_max = message_bytes_max
         self.counters = TransportCounters()
         self._listen_address = listen_address
         self._codec = codec
@@ -84,7 +90,8 @@
         Raises pynng.NNGException, and RuntimeError when the system refuses the thread.
         """
         self._pull = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
-        self._pull.recv_max_size = MESSAGE_BYTES_MAX
+        self._pull.recv_max_size = self._message_bytes_max
+        self._pull.add_pre_pipe_connect_cb(self._on_connect)
         try:
             self._pull.listen(self._listen_address)
             thread = threading.Thread(
@@ -113,7 +120,7 @@
         dropped at once: by the time it is back they would be stale.
         """
         data = self._codec.encode(envelope)
-        if len(data) > MESSAGE_BYTES_MAX:
+        if len(data) > self._message_bytes_max:
             self.counters.dropped_large += 1
             return False
         with self._lock:
@@ -144,6 +151,15 @@
 
     stop = close
 
+    def _on_connect(self, pipe: pynng.Pipe) -> None:
+        """Refuse a connection if its address has as many as it may have."""
+        address = _host(pipe)
+        others = [each for each in self._pull.pipes if each is not pipe]
+        if sum(_host(each) == address for each in others) < CONNECTIONS_PER_ADDRESS_MAX:
+            return
+        self.counters.refused_connections += 1
+        pipe.close()
+
     def _dial(self, address: str) -> _Peer:
         socket = pynng.Push0(
             send_buffer_size=self._send_buffer_messages,
@@ -195,3 +211,7 @@
             # daemon that lives but hears nothing; it costs that message only.
             self.counters.failed += 1
             log.exception("handling a message failed")
+
+
+def _host(pipe: pynng.Pipe) -> str:
+    return str(pipe.remote_address).rpartition(":")[0]
