Run the features that load processes by themselves, one after the other

Crowds of clients measure the memory of processes that they put under load, and would slow what runs beside them. The suite runs features tagged @alone after all others, one at a time.

--- a/features/client_crowds.feature
+++ b/features/client_crowds.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Clients that hold what an entry has
   An entry is killed beyond the memory of its machine, and can open no more descriptors
   than its system allows. Clients may be refused or closed for it, but not the others.
--- a/features/client_memory.feature
+++ b/features/client_memory.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: What is held for clients is accounted for, and given back
   One account covers all ports and both ways; what isn't given back is lost until the
   process ends.
--- a/features/own_client_crowds.feature
+++ b/features/own_client_crowds.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Clients that hold what a daemon of the product's own interface has
   The same bounds as on a platform, for entries and agents with settings of their own.
 
--- a/features/suite.py
+++ b/features/suite.py
@@ -19,6 +19,9 @@
 # time is spent waiting for processes; with three, the machine still has cores left
 # for what the features start.
 WORKERS = 3
+# The tag of features that run one by one, after all others: they measure processes that
+# they put under load.
+ALONE_TAG = "@alone"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SOURCES = [
     name
@@ -102,6 +105,11 @@
     return sum(1 for line in lines if line.strip().startswith(("Scenario", "|")))
 
 
+def runs_alone(feature: pathlib.Path) -> bool:
+    """Return whether nothing else of the suite may run beside a feature."""
+    return feature.read_text().startswith(ALONE_TAG)
+
+
 def run_feature(feature: pathlib.Path) -> Ran:
     """Run one feature and print what behave prints."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
@@ -126,8 +134,12 @@
 def run_behave(tally: Tally) -> None:
     """Run every feature, several side by side; one without scenarios has failed."""
     features = sorted((ROOT / "features").glob("*.feature"), key=weight, reverse=True)
+    # The sort is stable, so that the heaviest still come first among their like.
+    features.sort(key=runs_alone)
+    together = [each for each in features if not runs_alone(each)]
     with ThreadPoolExecutor(WORKERS) as pool:
-        ran = list(pool.map(run_feature, features))
+        ran = list(pool.map(run_feature, together))
+    ran += [run_feature(each) for each in features[len(together) :]]
     listed = known_red_names()
     for feature, result in zip(features, ran):
         found = result.scenarios
