--- a/soak/actions.py
+++ b/soak/actions.py
@@ -41,6 +41,11 @@
     return soak.reload(action.entry)
 
 
+@begin.register(events.ClientsCrowd)
+def _(action, soak):
+    return soak.crowd(action)
+
+
 @begin.register(events.StoreFails)
 def _(action, soak):
     return soak.fail_store(mode=action.mode)
--- a/soak/events.py
+++ b/soak/events.py
@@ -49,6 +49,16 @@
     entry: str
 
 
+@attrs.frozen(kw_only=True)
+class ClientsCrowd:
+    """Clients hold what an entry has, at one of its ports."""
+
+    entry: str
+    port: str
+    behaviour: str
+    count: int
+
+
 @attrs.frozen(kw_only=True)
 class StoreFails:
     """The store fails for all entries."""
@@ -210,6 +220,7 @@
     EntryKilled
     | VersionChanged
     | EntryStopped
+    | ClientsCrowd
     | EntryPaused
     | EntryReloaded
     | StoreFails
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 import attrs
 import urllib3
 
-from soak import schedule, truth
+from soak import clientcrowds, schedule, truth
 from soak.actions import begin
 from soak.callers import (
     REVOKED_KEY,
@@ -28,11 +28,12 @@
     version_path,
 )
 from soak.checks import breaches, summary
-from soak.events import FAULTS_S, Event
+from soak.events import FAULTS_S, ClientsCrowd, Event
 from soak.record import GRACE_S, Published, Record, Span
 from soak.schedule import store_link
 from soak.sizes import size_of
 from soak.upstreams import HEALTHY, UpstreamFaults
+from standins.clientcrowd import ClientCrowd
 from standins.platformdeployment import (
     KEY,
     PlatformDeployment,
@@ -130,6 +131,7 @@
                 self._play(schedule.draw(self._seed))
                 found = self._recovered()
                 time.sleep(SETTLE_S)
+                found += self._memory_breaches()
             finally:
                 self._callers.stop()
             record = self._record()
@@ -158,7 +160,12 @@
             link = store_link(name)
             self._links[link] = self._stage.link(proxy, link, platform.store.address)
             store_address = self._links[link].address
-            platform.entry(name, grace_s=GRACE_S, store_address=store_address)
+            platform.entry(
+                name,
+                grace_s=GRACE_S,
+                store_address=store_address,
+                more_settings={"limits.memory-mb": clientcrowds.MEMORY_MB},
+            )
         self._callers = Callers(
             platform=platform,
             seed=self._seed,
@@ -180,6 +187,11 @@
             return [f"recovered: {error}"]
         return []
 
+    def _memory_breaches(self) -> list[str]:
+        entries = self._platform.entries.items()
+        found = (clientcrowds.memory_breach(n, e.process.pid) for n, e in entries)
+        return [line for line in found if line is not None]
+
     def _record(self) -> Record:
         platform, upstreams = self._platform, self._size.upstreams
         return Record(
@@ -323,6 +335,15 @@
 
         return undo
 
+    def crowd(self, event: ClientsCrowd) -> Callable[[], None]:
+        """Let clients hold what an entry has, whatever becomes of it meanwhile."""
+        crowd = ClientCrowd(
+            port=getattr(self._platform.entries[event.entry], event.port),
+            count=event.count,
+            behaviour=clientcrowds.BEHAVIOURS[event.behaviour],
+        )
+        return crowd.__enter__().close
+
     def reload(self, name: str) -> None:
         process = self._platform.entries[name].process
         if not process.alive():
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from soak import oddwriters, troubles, versionchanges
+from soak import clientcrowds, oddwriters, troubles, versionchanges
 from soak.events import (
     DESKS,
     ENTRIES,
@@ -196,6 +196,7 @@
         *troubles.draw(Random(f"{seed}/troubles")),
         *versionchanges.draw(Random(f"{seed}/versions"), with_kills=is_faulty),
         *oddwriters.draw(Random(f"{seed}/odd"), with_faults=is_faulty),
+        *clientcrowds.draw(Random(f"{seed}/crowds")),
     ]
     return sorted(every, key=lambda event: event.at_s)
 
--- a/standins/platformdeployment.py
+++ b/standins/platformdeployment.py
@@ -275,7 +275,12 @@
         """
         old = self.entries[name]
         return self._start(
-            name, old.callers, old.readiness, old.settings_path, before=before
+            name,
+            old.callers,
+            old.readiness,
+            old.settings_path,
+            before=before,
+            peers=old.peers,
         )
 
     def _start(
