Close a connection for others only while it waits for its next request

Found by reading: a connection counted as idle a moment before the receiving thread knew of it. Closed for others in that moment, its descriptor could belong to the next connection, which then was never looked at again; so could an event of a connection that was closed earlier in the same round. Refusals that the receiving thread writes no longer wait for a client that reads nothing, and as many idle connections are kept as connections are allowed.

No test shows the race: it takes a close between two lines. callers.feature, caller_closes.feature and client_memory.feature are run on it.

--- a/lavenderspoke/http/receiving.py
+++ b/lavenderspoke/http/receiving.py
@@ -10,6 +10,7 @@
 import selectors
 import socket
 import ssl
+import threading
 import time
 from contextlib import suppress
 
@@ -67,21 +68,29 @@
 class Receiver(ConnectionManager):
     """Accepts connections, receives heads, and closes who takes too much for that."""
 
+    def __init__(self, server):
+        super().__init__(server)
+        # Held while a connection is parked: until it is registered, the thread that
+        # receives mustn't close it for others.
+        self._parking = threading.Lock()
+
     def put(self, conn) -> None:
         """Wait for the next request of a connection; from any thread."""
         conn.last_used = time.monotonic()
         if conn.rfile.has_data():
             self.server.process_conn(conn)
             return
-        conn.progress.enter(Phase.IDLE)
-        self._register(conn)
+        with self._parking:
+            conn.progress.enter(Phase.IDLE)
+            self._register(conn)
 
     def linger(self, conn) -> None:
         """Discard what a refused client still sends, then close; from any thread."""
         try:
             conn.socket.shutdown(socket.SHUT_WR)
-            conn.begin_lingering(time.monotonic() + LINGER_S, LINGER_BYTES_MAX)
-            self._register(conn)
+            with self._parking:
+                conn.begin_lingering(time.monotonic() + LINGER_S, LINGER_BYTES_MAX)
+                self._register(conn)
         except (OSError, ValueError):
             conn.close_now()
 
@@ -99,7 +108,7 @@
             for fd, conn in active:
                 if conn is self.server:
                     self._accept()
-                else:
+                elif not conn.is_closed:
                     self._on_readable(conn)
             now_s = time.monotonic()
             if now_s - last_check_s > expiration_interval:
@@ -138,14 +147,21 @@
         return True
 
     def _close_first(self, reason: CloseReason) -> bool:
-        conn = self.server.connections.first_to_close()
-        if conn is None:
-            return False
+        with self._parking:
+            conn = self.server.connections.first_to_close()
+            if conn is None:
+                return False
+            self._close(conn)
         self.server.count_closed(reason)
-        self._close(conn)
         return True
 
     def _close(self, conn) -> None:
+        """Close a parked connection, unless it was closed before.
+
+        Its descriptor may be another connection's since.
+        """
+        if conn.is_closed:
+            return
         with suppress(KeyError, ValueError):
             self._selector.unregister(conn.fd)
         with suppress(OSError):
@@ -196,11 +212,8 @@
             conn.progress.enter(Phase.HEAD)
         conn.progress.moved(len(data))
         while not conn.head.add(data):
-            slower = self.server.connections.first_to_close()
-            if slower is None or slower is conn:
+            if not self._close_first(CloseReason.MEMORY) or conn.is_closed:
                 return False
-            self.server.count_closed(CloseReason.MEMORY)
-            self._close(slower)
         return True
 
     # What takes too long
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -47,7 +47,6 @@
 SOCKET_TIMEOUT_S = 10.0
 REQUEST_READ_S = 15.0
 BUSY_RETRY_S = 1.0
-KEEP_ALIVE_CONNECTIONS = 1000
 REQUEST_KEY = "lavenderspoke.request"
 # What an open connection costs, in bytes.
 CONNECTION_BYTES = 8 * 1024
@@ -231,6 +230,7 @@
     head: ReceivedHead | None = None
     linger_until_s = 0.0
     linger_bytes = 0
+    is_closed = False
 
     def __init__(self, server, sock, makefile):
         self.progress = Progress()
@@ -293,11 +293,16 @@
 
     def refuse_late(self) -> None:
         """Refuse a request whose head hasn't come in its time."""
+        self.refuse("408 Request Timeout", "the head came too slowly")
+
+    def refuse(self, status: str, detail: str) -> None:
+        """Refuse a request as far as that goes without waiting for the client."""
         self.head = None
         with suppress(OSError, ValueError):
-            request = CallerHttpRequest(self.server, self)
-            request.simple_response("408 Request Timeout", "the head came too slowly")
-        self.close()
+            self.socket.settimeout(0.0)
+            CallerHttpRequest(self.server, self).simple_response(status, detail)
+        with suppress(OSError):
+            self.close()
 
     def begin_lingering(self, until_s: float, bytes_max: int) -> None:
         """Note how long, and for how much, a refused client may go on sending."""
@@ -325,6 +330,7 @@
     def close_now(self) -> None:
         """Close the socket, and give back what is accounted for."""
         self.head = None
+        self.is_closed = True
         self.server.connections.remove(self)
         self._hold.release()
         super().close()
@@ -398,7 +404,6 @@
     """
 
     ConnectionClass = CallerConnection
-    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
 
     def __init__(
         self,
@@ -419,7 +424,7 @@
     ):
         self.repeated_lines = RepeatedLines()
         self.memory = memory or ClientMemory(bytes_max=MEMORY_BYTES_MAX)
-        self.connections_max = connections_max
+        self.connections_max = self.keep_alive_conn_limit = connections_max
         self.connections = ConnectionTable(on_closed=self.count_closed)
         self._on_closed = on_closed
         self._listener = listener
@@ -554,10 +559,7 @@
         ):
             self._close_unread(conn)
             return
-        with suppress(OSError, ValueError):
-            CallerHttpRequest(self, conn).simple_response("503", "try another")
-        with suppress(OSError):
-            conn.close()
+        conn.refuse("503", "try another")
         self.handed_back(conn)
 
     def _close_unread(self, conn: CallerConnection) -> None:
