Test of a slow client that makes progress beside a crowd

130 clients hold bodies just short of their end, more than there are threads, and a caller sends 256 kB at 80 kB/s.

--- a/features/client_memory.feature
+++ b/features/client_memory.feature
@@ -53,3 +53,10 @@
     Guards against a log in which other lines drown.
     When a server refuses 200 malformed requests
     Then its log has at most 20 lines of them, and each is counted
+
+  Scenario: A slow client beside a crowd
+    Guards against closing clients on poor links for those that hold and send nothing.
+    Given an entry with 150 MB of memory before four upstreams
+    When 130 clients hold sized bodies just short of their end
+    And a caller sends a body of 256 kB, 8 kB every 0.1 s
+    Then that caller is answered
--- a/features/steps/client_memory_steps.py
+++ b/features/steps/client_memory_steps.py
@@ -3,6 +3,7 @@
 import io
 import socket
 import threading
+import time
 from collections import Counter
 
 import logbook
@@ -11,8 +12,8 @@
 from hypothesis import strategies
 
 from features.helper import fuzz
-from features.rawhttp import wait_for
-from features.steps.client_crowds_steps import ENTRY
+from features.rawhttp import connect, read_all, wait_for
+from features.steps.client_crowds_steps import ENTRY, head
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.http.requestbody import (
@@ -272,3 +273,21 @@
     lines = context.log_stream.getvalue().splitlines()
     assert 0 < len(lines) <= 20, len(lines)
     assert context.refused[Reason.BAD_REQUEST] == context.count, context.refused
+
+
+@when("a caller sends a body of 256 kB, 8 kB every 0.1 s")
+def step_slowly(context):
+    size, piece = 256_000, 8_000
+    fields = (f"Content-Length: {size}", "Connection: close")
+    data = head(0, *fields).replace(b"X-Deadline-Ms: 4000", b"X-Deadline-Ms: 9000")
+    with connect(context.platform.entries[ENTRY].callers) as sock:
+        sock.sendall(data)
+        for _ in range(size // piece):
+            sock.sendall(b"x" * piece)
+            time.sleep(0.1)
+        context.answer = read_all(sock)
+
+
+@then("that caller is answered")
+def step_slow_answered(context):
+    assert context.answer.status == 200, context.answer.data[:500]
