Don't take clients for slow while their requests are worked on

A thread counted as waiting for its client from the first byte of a request until its body was read. Where requests wait for an entry that starts, that lasts longer than half a second, and with all threads taken their connections were cut: their callers counted as gone. Now a client is waited for only while its head or its body is read.

Answers wait for room without a limit on how many, since their requests have run, and an address that can't be asked for doesn't fail the check of a peer's connection; both found by reading.

--- a/features/client_memory.feature
+++ b/features/client_memory.feature
@@ -60,3 +60,9 @@
     When 130 clients hold sized bodies just short of their end
     And a caller sends a body of 256 kB, 8 kB every 0.1 s
     Then that caller is answered
+
+  Scenario: Requests are at work while others wait for threads
+    Guards against taking a client for slow whose request is worked on.
+    Given a server with 2 threads whose application works for 1 s
+    When 3 requests come at once
+    Then none of their connections was cut while it worked
--- a/features/steps/client_memory_steps.py
+++ b/features/steps/client_memory_steps.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 import logbook
 import urllib3
@@ -12,10 +13,11 @@
 from hypothesis import strategies
 
 from features.helper import fuzz
-from features.rawhttp import connect, read_all, wait_for
+from features.rawhttp import connect, exchange, read_all, request_bytes, wait_for
 from features.steps.client_crowds_steps import ENTRY, head
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.streamversions import StreamVersions
+from lavenderspoke.http.callerwatch import has_left
 from lavenderspoke.http.requestbody import (
     BodyBroken,
     BodyNotHeld,
@@ -291,3 +293,35 @@
 @then("that caller is answered")
 def step_slow_answered(context):
     assert context.answer.status == 200, context.answer.data[:500]
+
+
+@given("a server with {count:d} threads whose application works for {work_s:g} s")
+def step_works(context, count, work_s):
+    context.cut = []
+
+    def app(environ, start_response):
+        request = environ[REQUEST_KEY]
+        time.sleep(work_s)
+        context.cut.append(has_left(request.conn.socket.fileno()))
+        read_body(request, BODY_BYTES_MAX)
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    server = context.server = HttpServer(host=HOST, port=0, app=app, threads=count)
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    context.add_cleanup(server.stop)
+
+
+@when("{count:d} requests come at once")
+def step_at_once(context, count):
+    data = request_bytes(body=b"payment", headers=[("Connection", "close")])
+    port = context.server.bind_addr[1]
+    with ThreadPoolExecutor(count) as pool:
+        list(pool.map(lambda number: exchange(port, data), range(count)))
+
+
+@then("none of their connections was cut while it worked")
+def step_not_cut(context):
+    assert len(context.cut) >= 2, context.cut
+    assert not any(context.cut), context.cut
--- a/lavenderspoke/http/server.py
+++ b/lavenderspoke/http/server.py
@@ -139,6 +139,8 @@
 
     def respond(self) -> None:
         self.is_handed_over = True
+        # Until the application reads the body, it isn't the client that is waited for.
+        self.conn.progress.enter(Phase.HANDLED)
         super().respond()
 
     def body_was_read(self) -> None:
--- a/lavenderspoke/resources/clientmemory.py
+++ b/lavenderspoke/resources/clientmemory.py
@@ -30,7 +30,8 @@
 USABLE_SHARE = 0.8
 # Part of a kind's bytes that one owner may hold.
 OWNER_SHARE = 0.5
-# Requests that may wait for room at the same time.
+# Requests that may wait for room at the same time. Answers wait without a limit: their
+# requests have run.
 WAITERS_MAX = 32
 # How often those who wait ask for room to be made, in seconds.
 ASK_AGAIN_S = 0.02
@@ -87,7 +88,7 @@
         self._changed = threading.Condition()
         self._held: Counter[Holding] = Counter()
         self._by_owner: Counter[tuple[Holding, str]] = Counter()
-        self._waiters = 0
+        self._waiters: Counter[Holding] = Counter()
 
     @property
     def held_bytes(self) -> int:
@@ -120,14 +121,14 @@
             return True
         until_s = time.monotonic() + wait_s
         with self._changed:
-            if self._waiters >= WAITERS_MAX:
+            if kind is Holding.REQUESTS and self._waiters[kind] >= WAITERS_MAX:
                 return False
-            self._waiters += 1
+            self._waiters[kind] += 1
         try:
             return self._wait(kind, size, had, owner, until_s)
         finally:
             with self._changed:
-                self._waiters -= 1
+                self._waiters[kind] -= 1
 
     def give_back(self, kind: Holding, size: int, *, owner: str = "") -> None:
         """Note that bytes are held no more."""
--- a/lavenderspoke/transport.py
+++ b/lavenderspoke/transport.py
@@ -214,4 +214,8 @@
 
 
 def _host(pipe: pynng.Pipe) -> str:
-    return str(pipe.remote_address).rpartition(":")[0]
+    """Return the address of a connection's other end, empty if it is just closed."""
+    try:
+        return str(pipe.remote_address).rpartition(":")[0]
+    except pynng.NNGException:
+        return ""
