--- a/features/fakegateway.py
+++ b/features/fakegateway.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from lavenderspoke.answers import AnswerQueue
+from lavenderspoke.answering.answers import AnswerQueue
 from lavenderspoke.documents.service import (
     Customer,
     Kind,
--- a/features/rooms.feature
+++ b/features/rooms.feature
@@ -11,6 +11,7 @@
       | resources | resources                                                              |
       | http      | http model problems resources                                          |
       | observing | observing problems                                                     |
+      | answering | answering callerheaders gateway http model problems resources          |
       | capacity  | capacity                                                               |
       | checking  | checking util                                                          |
       | documents | documents checking clock jsoncodec platformlog quarantine retrybudget upstreams util |
--- a/lavenderspoke/callerapp.py
+++ b/lavenderspoke/callerapp.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from lavenderspoke import arrivals
-from lavenderspoke.answerstream import AnswerStream
+from lavenderspoke.answering.answerstream import AnswerStream
 from lavenderspoke.arrivals import Admission, ArrivalBuilder, refusal
 from lavenderspoke.clock import Clock
 from lavenderspoke.gateway import Answer, Arrival, Gateway
--- a/lavenderspoke/entrygateway.py
+++ b/lavenderspoke/entrygateway.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 
-from lavenderspoke.answers import AnswerQueue
+from lavenderspoke.answering.answers import AnswerQueue
 from lavenderspoke.documents.service import Service
 from lavenderspoke.entryevents import Arrived, CallerGone
 from lavenderspoke.gateway import (
--- a/lavenderspoke/gateway.py
+++ b/lavenderspoke/gateway.py
@@ -70,8 +70,8 @@
 
     The first part is a Head or a Problem. A Head is followed by bodies and
     then exactly one AnswerEnd or AnswerBroken; a Problem stands alone.
-    `lavenderspoke.answers.AnswerQueue` is an implementation that another thread
-    can fill.
+    `lavenderspoke.answering.answers.AnswerQueue` is an implementation that another
+    thread can fill.
     """
 
     request_id: str
