Test that one customer's bodies leave room for another's

A customer's 20 bodies of 2 MiB wait before slow upstreams; another customer's is answered meanwhile. Without the share of one owner it got 503, no_memory.

--- a/features/client_memory.feature
+++ b/features/client_memory.feature
@@ -66,3 +66,11 @@
     Given a server with 2 threads whose application works for 1 s
     When 3 requests come at once
     Then none of their connections was cut while it worked
+
+  Scenario: One customer's bodies wait before slow upstreams
+    Guards against a customer that takes all the room for bodies.
+    Given an entry with 150 MB of memory before four upstreams
+    And another customer has a key
+    And the upstreams work for 4 s
+    When 20 clients send whole sized bodies at once
+    Then a body of 2 MiB of the other customer is answered
--- a/features/steps/client_memory_steps.py
+++ b/features/steps/client_memory_steps.py
@@ -14,7 +14,11 @@
 
 from features.helper import fuzz
 from features.rawhttp import connect, exchange, read_all, request_bytes, wait_for
-from features.steps.client_crowds_steps import ENTRY, head
+from features.steps.client_crowds_steps import (
+    BODY_BYTES_MAX as CROWD_BODY_BYTES_MAX,
+    ENTRY,
+    head,
+)
 from lavenderspoke.clock import ManualClock
 from lavenderspoke.direct.streamversions import StreamVersions
 from lavenderspoke.http.callerwatch import has_left
@@ -33,11 +37,13 @@
     ClientMemory,
     Holding,
 )
+from standins.platformdeployment import KEY, configuration
 from standins.processes import HOST
 
 METRIC = "lavenderspoke_direct_client_bytes"
 BODY_BYTES_MAX = 200_000
 WAIT_S = 10.0
+OTHER_KEY = "key-of-others"
 ACCOUNT_BYTES = 1000
 
 
@@ -325,3 +331,27 @@
 def step_not_cut(context):
     assert len(context.cut) >= 2, context.cut
     assert not any(context.cut), context.cut
+
+
+@given("another customer has a key")
+def step_another_customer(context):
+    customers = [
+        {"name": name, "api-keys": [key], "priority": 1}
+        for name, key in (("tours", KEY), ("others", OTHER_KEY))
+    ]
+    limits = {"max-body-bytes": CROWD_BODY_BYTES_MAX, "idle-timeout-ms": 15000}
+    context.platform.configure(configuration(3, tenants=customers, limits=limits))
+    wait_for(
+        lambda: context.platform.send(ENTRY, "/look/1", key=OTHER_KEY).status == 200,
+        "the other customer's key is in force",
+    )
+
+
+@then("a body of 2 MiB of the other customer is answered")
+def step_other_answered(context):
+    # The runs that have begun go on.
+    for upstream in context.platform.upstreams.values():
+        upstream.set_faults(work_s=0.01)
+    body = b"x" * CROWD_BODY_BYTES_MAX
+    answer = context.platform.send(ENTRY, "/look/1", key=OTHER_KEY, body=body)
+    assert answer.status == 200, answer
