Let callers of the own interface have four fifths of the descriptors

An entry before agents needs no connection of its own for a request, but callers had half of the descriptors, as on a platform: with the usual 1,024 the 513th proper caller would have closed the connection of another. Found by reading; no test meets it, since tests have fewer callers.

--- a/lavenderspoke/entry.py
+++ b/lavenderspoke/entry.py
@@ -16,7 +16,10 @@
 from lavenderspoke.periodic import Periodic
 from lavenderspoke.reports import entry_report
 from lavenderspoke.resources.clientmemory import CLIENT_MEMORY, client_bytes
-from lavenderspoke.resources.processlimits import client_connections
+from lavenderspoke.resources.processlimits import (
+    CALLERS_SHARE_BEFORE_AGENTS,
+    client_connections,
+)
 from lavenderspoke.rosterfeed import RosterFeed
 from lavenderspoke.supervisor import Part
 from lavenderspoke.waiting import QueuePolicy
@@ -57,7 +60,9 @@
             header_bytes_max=callers.header_bytes_max,
             body_bytes_max=callers.body_bytes_max,
             drain_s=settings.drain_s,
-            connections_max=client_connections(limits.descriptors),
+            connections_max=client_connections(
+                limits.descriptors, CALLERS_SHARE_BEFORE_AGENTS
+            ),
         )
 
     def make_core(self) -> EntryCore:
--- a/lavenderspoke/resources/processlimits.py
+++ b/lavenderspoke/resources/processlimits.py
@@ -11,6 +11,8 @@
 # Part of the descriptors that callers' connections may take. Upstreams, the store, the
 # other daemons and files need the rest.
 CALLERS_SHARE = 0.5
+# The same where agents stand between, and requests need no connection of their own.
+CALLERS_SHARE_BEFORE_AGENTS = 0.8
 # Descriptors of a process whose system names no limit.
 DESCRIPTORS_DEFAULT = 65_536
 
@@ -38,13 +40,13 @@
     )
 
 
-def client_connections(descriptors: int) -> int:
+def client_connections(descriptors: int, share: float = CALLERS_SHARE) -> int:
     """Return how many connections callers may have.
 
     >>> client_connections(4100)
     2050
     """
-    return int(descriptors * CALLERS_SHARE)
+    return int(descriptors * share)
 
 
 def _machine_bytes() -> int:
