--- a/features/falsify.py
+++ b/features/falsify.py
@@ -23,7 +23,16 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SAFEGUARDS = pathlib.Path(__file__).with_name("safeguards.yaml")
-COPIED = ("lavenderspoke", "standins", "features", "examples", "pyproject.toml")
+COPIED = (
+    "lavenderspoke",
+    "standins",
+    "features",
+    "soak",
+    "bench",
+    "spec",
+    "examples",
+    "pyproject.toml",
+)
 AT_ONCE = 3
 TIMEOUT_S = 240
 ENDED = re.compile(r"(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?")
