A silent caller of the shutdown's test is accepted, and has no thread

What it guards against is a shutdown that waits for idle connections; so it now waits until the connection is accepted and counted by the server, before the stop signal comes. The entry must exit as before.

--- a/features/steps/direct_stop_steps.py
+++ b/features/steps/direct_stop_steps.py
@@ -134,8 +134,8 @@
     context.stopping = StoppingEntry(context)
     context.stopping.connect(context)
     wait_for(
-        lambda: any(each.conn for each in context.stopping.server.requests._threads),
-        "the caller has a thread",
+        lambda: len(context.stopping.server.connections),
+        "the caller's connection is accepted",
     )
 
 
