Review case 6: a key that was taken away works after a drill

An entry that starts as the store comes back from an older copy accepts keys by what it reads there, before any other entry was asked.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -245,6 +245,12 @@
         self.start("store", argv, self.environment())
         wait_until(lambda: accepts(self._store), "the store listens")
 
+    def control_store(self, action):
+        """Have the store keep a `copy` of itself, or `go-back` to the last one."""
+        url = f"http://{HOST}:{self._store}/control/{action}"
+        request = urllib.request.Request(url, data=b"", method="POST")
+        urllib.request.urlopen(request, timeout=5).read()
+
     def put(self, topic, key, value):
         """Write a record as the operator or an engine does."""
         content = b"" if value is None else json.dumps(value).encode()
@@ -305,15 +311,7 @@
                 store=f"{HOST}:{self._store}",
             )
         )
-        process = self.start(
-            name,
-            ["python3", "-S", "-m", "lavenderspoke.platform"],
-            self.environment(
-                LAVENDERSPOKE_CONFIG=str(path),
-                LAVENDERSPOKE_DISABLED_POLICIES="customer-shares,retry-bookings,"
-                "stall-avoidance,spillover,upstream-subsets,burst-credits",
-            ),
-        )
+        process = self._start_entry(name)
         entry = Entry(name, process, callers, readiness)
         wait_until(
             lambda: entry.is_ready() or process.poll() is not None, f"{name} is ready"
@@ -323,6 +321,22 @@
         self.note(f"{name}: ready")
         return entry
 
+    def start_again(self, entry):
+        """Start an entry that has ended; doesn't wait until it is ready."""
+        entry.process = self._start_entry(entry.name)
+        self.note(f"{entry.name}: started again")
+
+    def _start_entry(self, name):
+        return self.start(
+            name,
+            ["python3", "-S", "-m", "lavenderspoke.platform"],
+            self.environment(
+                LAVENDERSPOKE_CONFIG=str(self.temporary / f"{name}.conf"),
+                LAVENDERSPOKE_DISABLED_POLICIES="customer-shares,retry-bookings,"
+                "stall-avoidance,spillover,upstream-subsets,burst-credits",
+            ),
+        )
+
     def runs(self):
         """Return what the engines noted."""
         path = self.temporary / "runs"
